Add the Maven build, the design page and the shared types

Cause: the project starts empty; slices that are written side by side need one design page, one decision interface and one set of identifiers.

Weighed: one module for everything against separate wire, core, daemon, CLI, testing and bench modules. Separate modules keep generated code out of the formatter and keep I/O out of the core by dependency.

Change: parent POM with pinned plugins, google-java-format in AOSP style, Checkstyle with the Android field prefixes, the Peer service in Thrift, error kinds and log events with tests that compare them with their pages.

--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/package-info.java
@@ -0,0 +1,5 @@
+/** The replicated log of the voters. */
+@NullMarked
+package org.hemlockrack.consensus;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/model/ZoneId.java
@@ -0,0 +1,33 @@
+package org.hemlockrack.model;
+
+/**
+ * Names one availability zone.
+ *
+ * @param value the zone name, not empty
+ */
+public record ZoneId(String value) implements Comparable<ZoneId> {
+    /** Rejects an empty zone name. */
+    public ZoneId {
+        Names.requireValid("zone name", value);
+    }
+
+    /**
+     * Creates an identifier.
+     *
+     * @param value the zone name
+     * @return the identifier
+     */
+    public static ZoneId of(String value) {
+        return new ZoneId(value);
+    }
+
+    @Override
+    public int compareTo(ZoneId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/model/NamesProperties.java
@@ -0,0 +1,17 @@
+package org.hemlockrack.model;
+
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.StringLength;
+import org.hemlockrack.errors.HemlockrackException;
+
+class NamesProperties {
+    /** Guards against names that would break log lines, header values or paths. */
+    @Property(tries = 200)
+    void namesWithControlCharactersAreRefused(@ForAll @StringLength(max = 20) String text) {
+        String name = text + "\n";
+        assertThrows(HemlockrackException.class, () -> InstanceId.of(name));
+    }
+}
--- /dev/null
+++ b/hemlockrack-wire/src/main/thrift/peer.thrift
@@ -0,0 +1,55 @@
+namespace java org.hemlockrack.wire
+
+/** The slice that reads an envelope's payload. */
+enum Slice {
+  CONSENSUS = 1,
+  MEMBERSHIP = 2,
+  CLAIMS = 3,
+  ROLLOUT = 4
+}
+
+/** One message of a slice; its answer, if any, is an envelope in the other direction. */
+struct Envelope {
+  1: string sender,
+  2: string target,
+  3: Slice slice,
+  /** A Thrift struct of the slice, in the compact protocol. */
+  4: binary payload
+}
+
+/** A command for the replicated state. */
+struct ProposeRequest {
+  1: string sender,
+  2: binary command,
+  3: i64 timeoutMillis
+}
+
+enum ProposeStatus {
+  /** The command was applied; result holds the state's answer. */
+  APPLIED = 1,
+  /** The receiver does not lead; leader names the instance it knows to lead, if any. The command was not appended. */
+  NOT_LEADER = 2,
+  /** The command was appended but not known to be committed in time; it may still be applied. */
+  UNKNOWN = 3
+}
+
+struct ProposeReply {
+  1: ProposeStatus status,
+  2: optional binary result,
+  3: optional string leader
+}
+
+struct ConfigReply {
+  /** Version of the configuration held by the receiver; 0 if it holds none. */
+  1: i64 version,
+  /** The whole configuration as TOML, absent if the caller's version is not lower. */
+  2: optional string document
+}
+
+service Peer {
+  oneway void deliver(1: list<Envelope> envelopes),
+  ProposeReply propose(1: ProposeRequest request),
+  ConfigReply fetchConfig(1: i64 haveVersion),
+  /** Asks the holder of an attempt for a claimed key whether it abandoned the attempt without dispatch. */
+  bool abandoned(1: string attempt)
+}
