--- a/hemlockrack-core/src/main/java/org/hemlockrack/events/LogEvent.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/events/LogEvent.java
@@ -1,15 +1,35 @@
 package org.hemlockrack.events;
 
+import java.util.logging.Level;
+
 /** The numbered log events; {@code docs/log-events.md} lists what each means. */
 public enum LogEvent {
-    DAEMON_STARTED(1001),
-    DAEMON_STOPPING(1002),
-    DAEMON_STOPPED(1003);
+    DAEMON_STARTED(1001, Level.INFO),
+    DAEMON_STOPPING(1002, Level.INFO),
+    DAEMON_STOPPED(1003, Level.INFO),
+    INTERNAL_FAULT(1004, Level.SEVERE),
+    DRAIN_TIMED_OUT(1005, Level.WARNING),
+    REQUEST_FAILED(1101, Level.WARNING),
+    BACKEND_OWNED(1201, Level.INFO),
+    BACKEND_RELEASED(1202, Level.INFO),
+    BACKEND_TURNED_COLD(1203, Level.WARNING),
+    PEER_UNREACHABLE(1301, Level.INFO),
+    ZONE_UNREACHABLE(1302, Level.WARNING),
+    ZONE_REACHABLE(1303, Level.INFO),
+    LEADER_CHANGED(1401, Level.INFO),
+    STORAGE_REFUSED(1402, Level.SEVERE),
+    REPLICA_REJOINED(1403, Level.WARNING),
+    CONFIG_IN_FORCE(1501, Level.INFO),
+    CONFIG_UNKNOWN(1502, Level.WARNING),
+    ROLLOUT_STAGE_CHANGED(1601, Level.INFO),
+    ROLLOUT_ROLLED_BACK(1602, Level.WARNING);
 
     private final int mNumber;
+    private final Level mLevel;
 
-    LogEvent(int number) {
+    LogEvent(int number, Level level) {
         mNumber = number;
+        mLevel = level;
     }
 
     /** Returns the number that stands in log lines. */
@@ -17,6 +37,11 @@
         return mNumber;
     }
 
+    /** Returns the level of the event's lines. */
+    public Level level() {
+        return mLevel;
+    }
+
     /** Returns the prefix of a log line, such as {@code HR1001 DAEMON_STARTED}. */
     public String tag() {
         return "HR" + mNumber + " " + name();
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HeaderField.java
@@ -0,0 +1,76 @@
+package org.hemlockrack.daemon.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpMessage;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One HTTP header field.
+ *
+ * @param name the name as received
+ * @param value the value
+ */
+public record HeaderField(String name, String value) {
+    /** Fields that describe one connection or message framing and are never forwarded. */
+    private static final Set<String> HOP_BY_HOP =
+            Set.of(
+                    "connection",
+                    "content-length",
+                    "expect",
+                    "host",
+                    "keep-alive",
+                    "proxy-connection",
+                    "te",
+                    "trailer",
+                    "transfer-encoding",
+                    "upgrade");
+
+    /**
+     * Creates a field.
+     *
+     * @param name the name
+     * @param value the value
+     * @return the field
+     */
+    public static HeaderField of(String name, String value) {
+        return new HeaderField(name, value);
+    }
+
+    /** Returns whether the field must not be forwarded. */
+    public boolean isHopByHop() {
+        return HOP_BY_HOP.contains(name.toLowerCase(Locale.ROOT));
+    }
+
+    /** Returns whether the field has this name, in any case. */
+    public boolean is(String other) {
+        return name.equalsIgnoreCase(other);
+    }
+
+    /**
+     * Returns the first value of a field.
+     *
+     * @param fields the fields
+     * @param name name in any case
+     * @return the value, or null
+     */
+    public static @Nullable String first(List<HeaderField> fields, String name) {
+        for (HeaderField field : fields) {
+            if (field.is(name)) {
+                return field.value();
+            }
+        }
+        return null;
+    }
+
+    static List<HeaderField> listOf(HttpMessage message) {
+        List<HeaderField> fields = new ArrayList<>();
+        for (Header header : message.getHeaders()) {
+            fields.add(of(header.getName(), header.getValue() == null ? "" : header.getValue()));
+        }
+        return fields;
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
@@ -0,0 +1,117 @@
+package org.hemlockrack.daemon.http;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.core5.http.HttpHost;
+import org.apache.hc.core5.http.URIScheme;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
+import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.HemlockrackException;
+
+/** Sends requests to other servers. Safe for use from any thread. */
+public final class HttpClient implements AutoCloseable {
+    /** Pooled connections idle for longer are not reused; servers commonly close after more. */
+    private static final int MAX_IDLE_SECONDS = 10;
+
+    private static final int MAX_CONNECTIONS_PER_TARGET = 10_000;
+
+    private final HttpAsyncRequester mRequester;
+    private final SessionRegistry mSessions;
+    private final Timeout mConnectTimeout;
+
+    private HttpClient(
+            HttpAsyncRequester requester, SessionRegistry sessions, Timeout connectTimeout) {
+        mRequester = requester;
+        mSessions = sessions;
+        mConnectTimeout = connectTimeout;
+    }
+
+    /**
+     * Opens a client.
+     *
+     * @param ioThreads threads of the reactor
+     * @param connectTimeoutMillis longest time to open a connection
+     * @param idleTimeoutMillis longest time without any byte on a connection in use
+     * @return the client
+     */
+    public static HttpClient open(
+            int ioThreads, long connectTimeoutMillis, long idleTimeoutMillis) {
+        IOReactorConfig reactor =
+                IOReactorConfig.custom()
+                        .setIoThreadCount(ioThreads)
+                        .setSoTimeout((int) idleTimeoutMillis, TimeUnit.MILLISECONDS)
+                        .setTcpNoDelay(true)
+                        .build();
+        SessionRegistry sessions = SessionRegistry.create();
+        HttpAsyncRequester requester =
+                AsyncRequesterBootstrap.bootstrap()
+                        .setIOReactorConfig(reactor)
+                        .setIOSessionListener(sessions)
+                        .setHttp1Config(Http1Config.custom().setMaxHeaderCount(200).build())
+                        .setDefaultMaxPerRoute(MAX_CONNECTIONS_PER_TARGET)
+                        .setMaxTotal(MAX_CONNECTIONS_PER_TARGET)
+                        .setTimeToLive(Timeout.ofSeconds(MAX_IDLE_SECONDS))
+                        .create();
+        requester.start();
+        return new HttpClient(requester, sessions, Timeout.ofMilliseconds(connectTimeoutMillis));
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param target host and port, such as {@code 127.0.0.1:8080}
+     * @param method method
+     * @param path path with query
+     * @param headers header fields; hop-by-hop fields are dropped
+     * @param body the body, empty for none
+     * @param listener follows the exchange
+     * @return the call, for back-pressure and cancellation
+     */
+    public UpstreamCall send(
+            String target,
+            String method,
+            String path,
+            List<HeaderField> headers,
+            byte[] body,
+            UpstreamListener listener) {
+        HttpHost host = parse(target);
+        BasicHttpRequest request = new BasicHttpRequest(method, host, path);
+        for (HeaderField field : headers) {
+            if (!field.isHopByHop()) {
+                request.addHeader(field.name(), field.value());
+            }
+        }
+        UpstreamCall call = new UpstreamCall(request, body, listener, mSessions);
+        mRequester.execute(host, call.handler(), null, mConnectTimeout, HttpCoreContext.create());
+        return call;
+    }
+
+    private static HttpHost parse(String target) {
+        int colon = target.lastIndexOf(':');
+        if (colon < 0) {
+            throw HemlockrackException.of(
+                    ErrorKind.BAD_REQUEST, String.format("address \"%s\" has no port", target));
+        }
+        int port = Integer.parseInt(target.substring(colon + 1));
+        return new HttpHost(URIScheme.HTTP.id, target.substring(0, colon), port);
+    }
+
+    @Override
+    public void close() {
+        mRequester.initiateShutdown();
+        try {
+            mRequester.awaitShutdown(TimeValue.ofMilliseconds(200));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        mRequester.close(CloseMode.IMMEDIATE);
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamCall.java
@@ -0,0 +1,197 @@
+package org.hemlockrack.daemon.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.nio.RequestChannel;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.jspecify.annotations.Nullable;
+
+/** One request to another server, with a bounded window of unreleased answer bytes. */
+public final class UpstreamCall {
+    /** Answer bytes that may wait for a slow reader before the upstream connection is paused. */
+    public static final int WINDOW_BYTES = 64 << 10;
+
+    private final BasicHttpRequest mRequest;
+    private final ByteBuffer mBody;
+    private final UpstreamListener mListener;
+    private final SessionRegistry mSessions;
+    private final Handler mHandler = new Handler();
+
+    private @Nullable CapacityChannel mCapacity;
+    private @Nullable HttpContext mContext;
+    private int mReleasedBytes = WINDOW_BYTES;
+    private boolean mSending;
+    private boolean mDone;
+
+    UpstreamCall(
+            BasicHttpRequest request,
+            byte[] body,
+            UpstreamListener listener,
+            SessionRegistry sessions) {
+        mSessions = sessions;
+        mRequest = request;
+        mBody = ByteBuffer.wrap(body);
+        mListener = listener;
+    }
+
+    AsyncClientExchangeHandler handler() {
+        return mHandler;
+    }
+
+    /**
+     * Allows the server to send more.
+     *
+     * @param bytes number of answer bytes that were passed on
+     */
+    public void release(int bytes) {
+        CapacityChannel channel;
+        synchronized (this) {
+            channel = mCapacity;
+            if (channel == null) {
+                mReleasedBytes += bytes;
+                return;
+            }
+        }
+        try {
+            channel.update(bytes);
+        } catch (IOException e) {
+            mHandler.failed(e);
+        }
+    }
+
+    /** Ends the exchange by closing its connection, so that the server stops the work. */
+    public void cancel() {
+        HttpContext context;
+        synchronized (this) {
+            if (mDone) {
+                return;
+            }
+            mDone = true;
+            context = mContext;
+        }
+        if (context != null) {
+            mSessions.close(HttpCoreContext.cast(context).getEndpointDetails());
+        }
+    }
+
+    private synchronized boolean finish() {
+        boolean first = !mDone;
+        mDone = true;
+        return first;
+    }
+
+    private synchronized boolean isDone() {
+        return mDone;
+    }
+
+    private final class Handler implements AsyncClientExchangeHandler {
+        @Override
+        public void produceRequest(RequestChannel channel, HttpContext context)
+                throws HttpException, IOException {
+            if (isDone()) {
+                throw new IOException("the call was cancelled before it was sent");
+            }
+            synchronized (UpstreamCall.this) {
+                mSending = true;
+            }
+            mListener.onSending();
+            EntityDetails entity =
+                    mBody.hasRemaining() ? new BasicEntityDetails(mBody.remaining(), null) : null;
+            channel.sendRequest(mRequest, entity, context);
+            boolean cancelled;
+            synchronized (UpstreamCall.this) {
+                mContext = context;
+                cancelled = mDone;
+            }
+            if (cancelled) {
+                throw new IOException("the call was cancelled while it was sent");
+            }
+        }
+
+        @Override
+        public int available() {
+            return mBody.remaining();
+        }
+
+        @Override
+        public void produce(DataStreamChannel channel) throws IOException {
+            channel.write(mBody);
+            if (!mBody.hasRemaining()) {
+                channel.endStream();
+            }
+        }
+
+        @Override
+        public void consumeInformation(HttpResponse response, HttpContext context) {}
+
+        @Override
+        public void consumeResponse(
+                HttpResponse response, @Nullable EntityDetails entity, HttpContext context) {
+            if (isDone()) {
+                return;
+            }
+            long lengthBytes = entity == null ? 0 : entity.getContentLength();
+            mListener.onHead(response.getCode(), HeaderField.listOf(response), lengthBytes);
+            if (entity == null && finish()) {
+                mListener.onEnd();
+            }
+        }
+
+        @Override
+        public void updateCapacity(CapacityChannel channel) throws IOException {
+            int bytes;
+            synchronized (UpstreamCall.this) {
+                mCapacity = channel;
+                bytes = mReleasedBytes;
+                mReleasedBytes = 0;
+            }
+            if (bytes > 0) {
+                channel.update(bytes);
+            }
+        }
+
+        @Override
+        public void consume(ByteBuffer src) {
+            if (isDone()) {
+                src.position(src.limit());
+                return;
+            }
+            mListener.onBody(src);
+        }
+
+        @Override
+        public void streamEnd(@Nullable List<? extends Header> trailers) {
+            if (finish()) {
+                mListener.onEnd();
+            }
+        }
+
+        @Override
+        public void cancel() {
+            failed(new IOException("the exchange was cancelled"));
+        }
+
+        @Override
+        public void failed(Exception cause) {
+            if (finish()) {
+                mListener.onFailed(cause, mSending);
+            }
+        }
+
+        @Override
+        public void releaseResources() {
+            failed(new IOException("the connection was closed before the answer was complete"));
+        }
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/loop/package-info.java
@@ -0,0 +1,5 @@
+/** Runs deciders on single-threaded executors with a monotonic clock. */
+@NullMarked
+package org.hemlockrack.daemon.loop;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
@@ -0,0 +1,89 @@
+package org.hemlockrack.daemon.settings;
+
+import static org.hemlockrack.daemon.settings.SettingType.ADDRESS;
+import static org.hemlockrack.daemon.settings.SettingType.ADDRESS_LIST;
+import static org.hemlockrack.daemon.settings.SettingType.CHOICE;
+import static org.hemlockrack.daemon.settings.SettingType.INTEGER;
+import static org.hemlockrack.daemon.settings.SettingType.NAME;
+import static org.hemlockrack.daemon.settings.SettingType.PATH;
+import static org.hemlockrack.daemon.settings.SettingType.VOTER_LIST;
+
+import org.jspecify.annotations.Nullable;
+
+/** Every key of the settings file; {@code docs/settings.md} lists the same. */
+public enum SettingKey {
+    INSTANCE_ID("instance.id", NAME, null, "name"),
+    INSTANCE_ZONE("instance.zone", NAME, null, "name"),
+    INSTANCE_REGION("instance.region", NAME, "default", "name"),
+    LISTEN_CALLERS("listen.callers", ADDRESS, null, "ip:port"),
+    LISTEN_BACKENDS("listen.backends", ADDRESS, null, "ip:port"),
+    LISTEN_OPERATORS("listen.operators", ADDRESS, null, "ip:port"),
+    LISTEN_FORWARD("listen.forward", ADDRESS, null, "ip:port"),
+    LISTEN_PEER("listen.peer", ADDRESS, null, "ip:port"),
+    PEERS_SEEDS("peers.seeds", ADDRESS_LIST, "", "ip:port list"),
+    VOTER_DATA_FOLDER("voter.data_folder", PATH, "", "path"),
+    VOTER_VOTERS("voter.voters", VOTER_LIST, "", "id=ip:port list"),
+    LOG_FORMAT("log.format", CHOICE, "text", "text|json"),
+    HTTP_MAX_BODY_BYTES("http.max_body_bytes", 1_048_576, 1_024, 67_108_864),
+    HTTP_MAX_HEADER_COUNT("http.max_header_count", 100, 10, 1_000),
+    HTTP_MAX_HEADER_LINE_BYTES("http.max_header_line_bytes", 8_192, 256, 65_536),
+    HTTP_MAX_CONNECTIONS("http.max_connections", 10_000, 1, 100_000),
+    HTTP_IDLE_TIMEOUT_MS("http.idle_timeout_ms", 180_000, 100, 3_600_000),
+    HTTP_HEAD_TIMEOUT_MS("http.head_timeout_ms", 10_000, 100, 600_000),
+    HTTP_BODY_TIMEOUT_MS("http.body_timeout_ms", 30_000, 100, 600_000),
+    CONTROL_BUDGET_BYTES_PER_S("control.budget_bytes_per_s", 4_096, 512, 1_048_576),
+    SHUTDOWN_DRAIN_TIMEOUT_MS("shutdown.drain_timeout_ms", 120_000, 0, 3_600_000);
+
+    private final String mPath;
+    private final SettingType mType;
+    private final @Nullable String mDefault;
+    private final String mAllowed;
+    private final long mMin;
+    private final long mMax;
+
+    SettingKey(String path, SettingType type, @Nullable String defaultValue, String allowed) {
+        mPath = path;
+        mType = type;
+        mDefault = defaultValue;
+        mAllowed = allowed;
+        mMin = 0;
+        mMax = 0;
+    }
+
+    SettingKey(String path, long defaultValue, long min, long max) {
+        mPath = path;
+        mType = INTEGER;
+        mDefault = Long.toString(defaultValue);
+        mAllowed = min + " to " + max;
+        mMin = min;
+        mMax = max;
+    }
+
+    /** Returns the dotted path of the key in the file. */
+    public String path() {
+        return mPath;
+    }
+
+    /** Returns how values are read. */
+    public SettingType type() {
+        return mType;
+    }
+
+    /** Returns the default in text form, or null if the key is required. */
+    public @Nullable String defaultValue() {
+        return mDefault;
+    }
+
+    /** Returns a description of the allowed values. */
+    public String allowed() {
+        return mAllowed;
+    }
+
+    long min() {
+        return mMin;
+    }
+
+    long max() {
+        return mMax;
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
@@ -0,0 +1,224 @@
+package org.hemlockrack.daemon.settings;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.hemlockrack.daemon.http.HttpLimits;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.model.ZoneId;
+import org.jspecify.annotations.Nullable;
+
+/** The checked settings of one daemon. Immutable. */
+public final class Settings {
+    /** Reactor threads of the caller port; two suffice for 500 requests a second. */
+    private static final int CALLER_IO_THREADS = 2;
+
+    private final Map<SettingKey, JsonNode> mValues;
+
+    private Settings(Map<SettingKey, JsonNode> values) {
+        mValues = values;
+    }
+
+    /**
+     * Reads and checks a settings file.
+     *
+     * @param file the file
+     * @return the settings
+     * @throws HemlockrackException with {@link ErrorKind#SETTINGS_INVALID} whose message names the
+     *     file and every fault, one a line
+     */
+    public static Settings load(Path file) {
+        String text;
+        try {
+            text = Files.readString(file);
+        } catch (IOException e) {
+            throw HemlockrackException.of(
+                    ErrorKind.SETTINGS_INVALID, file + ": cannot be read: " + e, e);
+        }
+        return parse(file.toString(), text);
+    }
+
+    /**
+     * Checks settings given as text.
+     *
+     * @param name name of the source, for messages
+     * @param toml the settings
+     * @return the settings
+     * @throws HemlockrackException as {@link #load}
+     */
+    public static Settings parse(String name, String toml) {
+        Map<String, JsonNode> leaves = new LinkedHashMap<>();
+        try {
+            collect("", new TomlMapper().readTree(toml), leaves);
+        } catch (JsonProcessingException e) {
+            JsonLocation at = e.getLocation();
+            String line = at == null ? "" : ":" + at.getLineNr();
+            throw HemlockrackException.of(
+                    ErrorKind.SETTINGS_INVALID,
+                    name + line + ": not TOML: " + e.getOriginalMessage(),
+                    e);
+        }
+        return check(name, leaves);
+    }
+
+    private static void collect(String prefix, JsonNode table, Map<String, JsonNode> leaves) {
+        Iterator<Map.Entry<String, JsonNode>> fields = table.fields();
+        while (fields.hasNext()) {
+            Map.Entry<String, JsonNode> field = fields.next();
+            String path = prefix + field.getKey();
+            if (field.getValue().isObject()) {
+                collect(path + ".", field.getValue(), leaves);
+                continue;
+            }
+            leaves.put(path, field.getValue());
+        }
+    }
+
+    private static Settings check(String name, Map<String, JsonNode> leaves) {
+        List<String> faults = new ArrayList<>();
+        Map<SettingKey, JsonNode> values = new EnumMap<>(SettingKey.class);
+        for (SettingKey key : SettingKey.values()) {
+            JsonNode value = leaves.remove(key.path());
+            if (value == null) {
+                if (key.defaultValue() == null) {
+                    faults.add(name + ": " + key.path() + " is missing; allowed: " + key.allowed());
+                }
+                continue;
+            }
+            if (!key.type().accepts(key, value)) {
+                faults.add(
+                        String.format(
+                                "%s: %s is %s; allowed: %s",
+                                name, key.path(), value, key.allowed()));
+                continue;
+            }
+            values.put(key, value);
+        }
+        for (String unknown : leaves.keySet()) {
+            faults.add(name + ": " + unknown + " is not a known key");
+        }
+        if (!faults.isEmpty()) {
+            throw HemlockrackException.of(
+                    ErrorKind.SETTINGS_INVALID, String.join(System.lineSeparator(), faults));
+        }
+        return new Settings(values);
+    }
+
+    /**
+     * Returns the text of a setting.
+     *
+     * @param key a key whose type is text
+     * @return the value or its default
+     */
+    public String text(SettingKey key) {
+        JsonNode value = mValues.get(key);
+        return value == null ? requireDefault(key) : value.textValue();
+    }
+
+    /**
+     * Returns a number.
+     *
+     * @param key a key of type {@link SettingType#INTEGER}
+     * @return the value or its default, in the unit of the key
+     */
+    public long integer(SettingKey key) {
+        JsonNode value = mValues.get(key);
+        return value == null ? Long.parseLong(requireDefault(key)) : value.longValue();
+    }
+
+    /**
+     * Returns a list of texts.
+     *
+     * @param key a key of a list type
+     * @return the elements
+     */
+    public List<String> list(SettingKey key) {
+        List<String> elements = new ArrayList<>();
+        JsonNode value = mValues.get(key);
+        if (value != null) {
+            value.forEach(element -> elements.add(element.textValue()));
+        }
+        return elements;
+    }
+
+    /**
+     * Returns an address to listen on.
+     *
+     * @param key a key of type {@link SettingType#ADDRESS}
+     * @return the address
+     */
+    public InetSocketAddress address(SettingKey key) {
+        return toAddress(text(key));
+    }
+
+    /**
+     * Converts {@code ip:port}.
+     *
+     * @param text the text, checked before
+     * @return the address
+     */
+    public static InetSocketAddress toAddress(String text) {
+        int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(
+                text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    /** Returns the id of this instance. */
+    public InstanceId instanceId() {
+        return InstanceId.of(text(SettingKey.INSTANCE_ID));
+    }
+
+    /** Returns the availability zone of this instance. */
+    public ZoneId zone() {
+        return ZoneId.of(text(SettingKey.INSTANCE_ZONE));
+    }
+
+    /** Returns the data folder, or null if this instance keeps no replicated state. */
+    public @Nullable Path dataFolder() {
+        String folder = text(SettingKey.VOTER_DATA_FOLDER);
+        return folder.isEmpty() ? null : Path.of(folder);
+    }
+
+    /** Returns the listed voters and their peer addresses, in the order of the file. */
+    public Map<InstanceId, String> voters() {
+        Map<InstanceId, String> voters = new LinkedHashMap<>();
+        for (String voter : list(SettingKey.VOTER_VOTERS)) {
+            int eq = voter.indexOf('=');
+            voters.put(InstanceId.of(voter.substring(0, eq)), voter.substring(eq + 1));
+        }
+        return voters;
+    }
+
+    /** Returns the limits of the caller port. */
+    public HttpLimits callerLimits() {
+        return new HttpLimits(
+                (int) integer(SettingKey.HTTP_MAX_BODY_BYTES),
+                (int) integer(SettingKey.HTTP_MAX_HEADER_COUNT),
+                (int) integer(SettingKey.HTTP_MAX_HEADER_LINE_BYTES),
+                (int) integer(SettingKey.HTTP_MAX_CONNECTIONS),
+                integer(SettingKey.HTTP_IDLE_TIMEOUT_MS),
+                integer(SettingKey.HTTP_HEAD_TIMEOUT_MS),
+                CALLER_IO_THREADS);
+    }
+
+    private static String requireDefault(SettingKey key) {
+        String value = key.defaultValue();
+        if (value == null) {
+            throw new IllegalStateException(key.path() + " has no default");
+        }
+        return value;
+    }
+}
