--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
@@ -26,12 +26,17 @@
     private final HttpAsyncRequester mRequester;
     private final SessionRegistry mSessions;
     private final Timeout mConnectTimeout;
+    private final boolean mReuse;
 
     private HttpClient(
-            HttpAsyncRequester requester, SessionRegistry sessions, Timeout connectTimeout) {
+            HttpAsyncRequester requester,
+            SessionRegistry sessions,
+            Timeout connectTimeout,
+            boolean reuse) {
         mRequester = requester;
         mSessions = sessions;
         mConnectTimeout = connectTimeout;
+        mReuse = reuse;
     }
 
     /**
@@ -61,7 +66,7 @@
                         .setTimeToLive(Timeout.ofSeconds(MAX_IDLE_SECONDS))
                         .create();
         requester.start();
-        return new HttpClient(requester, sessions, Timeout.ofMilliseconds(connectTimeoutMillis));
+        return new HttpClient(requester, sessions, Timeout.ofMilliseconds(connectTimeoutMillis), reuse);
     }
 
     /**
@@ -89,6 +94,9 @@
                 request.addHeader(field.name(), field.value());
             }
         }
+        if (!mReuse) {
+            request.addHeader("Connection", "close");
+        }
         UpstreamCall call = new UpstreamCall(request, body, listener, mSessions);
         mRequester.execute(host, call.handler(), null, mConnectTimeout, HttpCoreContext.create());
         return call;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamCall.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamCall.java
@@ -99,13 +99,12 @@
         @Override
         public void produceRequest(RequestChannel channel, HttpContext context)
                 throws HttpException, IOException {
-            if (isDone()) {
+            if (isDone() || !mListener.onSending()) {
                 throw new IOException("the call was cancelled before it was sent");
             }
             synchronized (UpstreamCall.this) {
                 mSending = true;
             }
-            mListener.onSending();
             EntityDetails entity =
                     mBody.hasRemaining() ? new BasicEntityDetails(mBody.remaining(), null) : null;
             channel.sendRequest(mRequest, entity, context);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamListener.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamListener.java
@@ -5,8 +5,12 @@
 
 /** Follows one request to another server. Called on one I/O thread at a time. */
 public interface UpstreamListener {
-    /** The connection is open; from now on bytes of the request may have gone out. */
-    void onSending();
+    /**
+     * The connection is open and nothing was written yet.
+     *
+     * @return true to write the request; false to give up, with the certainty that no byte went out
+     */
+    boolean onSending();
 
     /**
      * The head of the answer has arrived.
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/package-info.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/package-info.java
@@ -1,4 +1,4 @@
-/** The testing module. */
+/** Stand-ins for outside systems and tools for tests on real processes. */
 @NullMarked
 package org.hemlockrack.testing;
 
