Add the placement slice: rendezvous ranking and a bounded chat table

Cause: chats must return to the server that caches their prefix, on any instance, through flaps and joins.

Ruled out: ring hashing (a join moves arcs unevenly with few servers), a directory of chats shared by all instances (13 M entries do not fit the control budget), and a table that may point anywhere (instances with different tables spread copies of a chat over all servers).

Change: weighted rendezvous hashing decides; the instance-local table only reorders the first three ranked servers, when the first is full or recently became cold and another holds a live copy.

--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/placement/PlacementFilter.java
@@ -0,0 +1,30 @@
+package org.hemlockrack.placement;
+
+import java.util.Set;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.ServiceId;
+
+/**
+ * Restricts a choice.
+ *
+ * @param service the service
+ * @param model name of the model
+ * @param excluded servers that this request tried already
+ */
+public record PlacementFilter(ServiceId service, String model, Set<BackendId> excluded) {
+    /** Copies the set. */
+    public PlacementFilter {
+        excluded = Set.copyOf(excluded);
+    }
+
+    /**
+     * Creates a filter that excludes no server.
+     *
+     * @param service the service
+     * @param model name of the model
+     * @return the filter
+     */
+    public static PlacementFilter of(ServiceId service, String model) {
+        return new PlacementFilter(service, model, Set.of());
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/placement/internal/TablePlacement.java
@@ -0,0 +1,226 @@
+package org.hemlockrack.placement.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.hemlockrack.placement.CacheEvent;
+import org.hemlockrack.placement.Candidate;
+import org.hemlockrack.placement.Choice;
+import org.hemlockrack.placement.ChoiceReason;
+import org.hemlockrack.placement.Placement;
+import org.hemlockrack.placement.PlacementFilter;
+import org.hemlockrack.placement.PlacementKey;
+import org.hemlockrack.placement.PlacementSettings;
+
+/** Rendezvous ranking corrected by a bounded chat table. */
+public final class TablePlacement implements Placement {
+    /** Ticks of 100 ms fit 6.8 years into an int, and halve the size of a time in the table. */
+    private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    private static final double TICKS_PER_SECOND = 10;
+
+    private final ChatTable mTable;
+    private final Directory mDirectory;
+    private final Ranking mRanking = new Ranking();
+    private final int mColdWindowTicks;
+    private final double mDefaultTurnoverTicks;
+    private boolean mStarted;
+    private long mBaseNanos;
+
+    private TablePlacement(PlacementSettings settings) {
+        mTable = ChatTable.create(settings.maxChats());
+        int forgetTicks = (int) (settings.forgetNanos() / TICK_NANOS);
+        mDirectory = Directory.create(settings.loadMultiple(), forgetTicks);
+        mColdWindowTicks = (int) (settings.coldWindowNanos() / TICK_NANOS);
+        mDefaultTurnoverTicks = (double) settings.defaultTurnoverNanos() / TICK_NANOS;
+    }
+
+    /**
+     * Creates a placement without candidates.
+     *
+     * @param settings the settings
+     * @return the placement
+     */
+    public static TablePlacement create(PlacementSettings settings) {
+        return new TablePlacement(settings);
+    }
+
+    @Override
+    public void update(long nowNanos, List<Candidate> candidates) {
+        mDirectory.update(tick(nowNanos), candidates);
+    }
+
+    @Override
+    public List<Choice> choose(long nowNanos, PlacementKey key, PlacementFilter filter, int max) {
+        int tick = tick(nowNanos);
+        List<Choice> choices = new ArrayList<>(max);
+        for (VersionGroup group : mDirectory.groups(filter.service(), filter.model())) {
+            if (choices.size() >= max) {
+                break;
+            }
+            if (group.admits(key.hash())) {
+                mRanking.reset(Math.max(max, STABLE_CHOICES));
+                mRanking.rank(group, key.hash(), filter.excluded());
+                arrange(tick, key, max, choices);
+            }
+        }
+        return choices;
+    }
+
+    @Override
+    public void served(long nowNanos, PlacementKey key, Choice choice) {
+        ServerState server =
+                mDirectory.find(choice.service(), choice.modelVersion(), choice.backend());
+        if (server != null) {
+            mTable.put(key.hash(), server.slot(), tick(nowNanos));
+        }
+    }
+
+    @Override
+    public void cacheEvent(long nowNanos, CacheEvent event) {
+        ServerState server =
+                mDirectory.find(event.service(), event.modelVersion(), event.backend());
+        if (server == null || server.candidate().incarnation() != event.incarnation()) {
+            return;
+        }
+        int tick = tick(nowNanos);
+        switch (server.sequence().accept(event.sequence())) {
+            case NEXT -> apply(server, tick, event);
+            case AFTER_GAP -> {
+                server.gap(tick);
+                apply(server, tick, event);
+            }
+            case LATE -> applyLate(server, tick, event);
+            default -> {}
+        }
+    }
+
+    @Override
+    public long turnoverNanos(Choice choice) {
+        ServerState server =
+                mDirectory.find(choice.service(), choice.modelVersion(), choice.backend());
+        double ticks = server == null ? mDefaultTurnoverTicks : turnoverTicks(server);
+        return (long) (ticks * TICK_NANOS);
+    }
+
+    @Override
+    public int rememberedChats() {
+        return mTable.size();
+    }
+
+    @Override
+    public long tableBytes() {
+        return mTable.bytes();
+    }
+
+    /** Appends the ranked servers: a remembered one, then the rest by rank, full ones last. */
+    private void arrange(int tick, PlacementKey key, int max, List<Choice> choices) {
+        int preferred = preferred(tick, mTable.find(key.hash()));
+        if (preferred >= 0) {
+            add(preferred, ChoiceReason.REMEMBERED, max, choices);
+        }
+        for (int rank = 0; rank < mRanking.size(); rank++) {
+            if (rank != preferred && !mRanking.get(rank).full()) {
+                add(rank, ChoiceReason.HASH, max, choices);
+            }
+        }
+        for (int rank = 0; rank < mRanking.size(); rank++) {
+            if (mRanking.get(rank).full()) {
+                add(rank, ChoiceReason.FULL, max, choices);
+            }
+        }
+    }
+
+    /**
+     * Returns the rank of a live copy that goes before its rank, or -1. The first choice keeps its
+     * chats unless it is full or recently became cold; other instances may have used it meanwhile,
+     * so missing it in this table alone says nothing.
+     */
+    private int preferred(int tick, int index) {
+        if (index == ChatTable.NONE || mRanking.size() == 0) {
+            return -1;
+        }
+        ServerState first = mRanking.get(0);
+        if (!first.full() && !yields(first, tick, index)) {
+            return -1;
+        }
+        int head = Math.min(STABLE_CHOICES, mRanking.size());
+        for (int rank = 1; rank < head; rank++) {
+            ServerState server = mRanking.get(rank);
+            if (!server.full() && holds(server, tick, index)) {
+                return rank;
+            }
+        }
+        return -1;
+    }
+
+    private boolean yields(ServerState first, int tick, int index) {
+        return first.coldWithin(tick, mColdWindowTicks) && !holds(first, tick, index);
+    }
+
+    private boolean holds(ServerState server, int tick, int index) {
+        for (int place = 0; place < ChatTable.PLACES; place++) {
+            if (mTable.slot(index, place) == server.slot()) {
+                return server.holds(mTable.tick(index, place), tick, turnoverTicks(server));
+            }
+        }
+        return false;
+    }
+
+    private void add(int rank, ChoiceReason reason, int max, List<Choice> choices) {
+        if (choices.size() >= max) {
+            return;
+        }
+        Candidate candidate = mRanking.get(rank).candidate();
+        choices.add(
+                new Choice(
+                        candidate.service(),
+                        candidate.backend(),
+                        candidate.modelVersion(),
+                        candidate.zone(),
+                        reason));
+    }
+
+    private void apply(ServerState server, int tick, CacheEvent event) {
+        int changeTick = changeTick(tick, event);
+        if (event.cleared()) {
+            server.clear(changeTick);
+        }
+        for (PlacementKey key : event.removed()) {
+            int usedTick = mTable.remove(key.hash(), server.slot(), changeTick);
+            if (usedTick != ChatTable.NONE) {
+                server.evicted(changeTick - usedTick);
+            }
+        }
+        for (PlacementKey key : event.added()) {
+            mTable.put(key.hash(), server.slot(), changeTick);
+        }
+    }
+
+    /** Additions of a late event may have been undone by a later one; removals are safe. */
+    private void applyLate(ServerState server, int tick, CacheEvent event) {
+        int changeTick = changeTick(tick, event);
+        if (event.cleared()) {
+            server.clear(changeTick);
+        }
+        for (PlacementKey key : event.removed()) {
+            mTable.remove(key.hash(), server.slot(), changeTick);
+        }
+    }
+
+    private static int changeTick(int tick, CacheEvent event) {
+        return (int) Math.max(0, tick - event.ageNanos() / TICK_NANOS);
+    }
+
+    private double turnoverTicks(ServerState server) {
+        return server.turnoverTicks(TICKS_PER_SECOND, mDefaultTurnoverTicks);
+    }
+
+    private int tick(long nowNanos) {
+        if (!mStarted) {
+            mStarted = true;
+            mBaseNanos = nowNanos;
+        }
+        return (int) ((nowNanos - mBaseNanos) / TICK_NANOS);
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/placement/internal/VersionGroup.java
@@ -0,0 +1,69 @@
+package org.hemlockrack.placement.internal;
+
+import java.util.List;
+
+/** Usable servers that compete in one ranking: one gated version, or all ungated ones. */
+final class VersionGroup {
+    private final double mShare;
+    private final long mGateHash;
+    private final ServerState[] mServers;
+    private final long[] mHashes;
+    private final double[] mWeights;
+
+    private VersionGroup(double share, long gateHash, List<ServerState> servers) {
+        mShare = share;
+        mGateHash = gateHash;
+        mServers = servers.toArray(new ServerState[0]);
+        mHashes = new long[mServers.length];
+        mWeights = new double[mServers.length];
+        for (int i = 0; i < mServers.length; i++) {
+            mHashes[i] = Mixer.hash(mServers[i].candidate().backend().value());
+            mWeights[i] = mServers[i].candidate().weight();
+        }
+    }
+
+    /**
+     * Creates a group and marks the servers that are at their bound.
+     *
+     * @param version version that seeds the gate, so that gates of versions are independent
+     */
+    static VersionGroup of(
+            double share, String version, List<ServerState> servers, double loadMultiple) {
+        long load = 0;
+        for (ServerState server : servers) {
+            load += server.candidate().load();
+        }
+        double mean = Math.max(1, (double) load / Math.max(1, servers.size()));
+        int bound = (int) Math.ceil(loadMultiple * mean);
+        for (ServerState server : servers) {
+            int limit = Math.min(bound, server.candidate().limit());
+            server.setFull(server.candidate().load() >= limit);
+        }
+        return new VersionGroup(share, Mixer.hash("gate " + version), servers);
+    }
+
+    double share() {
+        return mShare;
+    }
+
+    /** Returns whether the gate admits a key; a larger share admits a superset of keys. */
+    boolean admits(long key) {
+        return mShare >= 1 || Mixer.unit(Mixer.mix(key ^ mGateHash)) < mShare;
+    }
+
+    int size() {
+        return mServers.length;
+    }
+
+    ServerState server(int i) {
+        return mServers[i];
+    }
+
+    long hash(int i) {
+        return mHashes[i];
+    }
+
+    double weight(int i) {
+        return mWeights[i];
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/retry/internal/package-info.java
@@ -0,0 +1,5 @@
+/** Token accounting behind the retry budget. */
+@NullMarked
+package org.hemlockrack.retry.internal;
+
+import org.jspecify.annotations.NullMarked;
