--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/answers/AnswerOutput.java
@@ -0,0 +1,74 @@
+package org.hemlockrack.answers;
+
+import java.util.List;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.RunState;
+
+/** What an {@link AnswerTracker} asks its owner to do, in order. */
+public sealed interface AnswerOutput {
+    /**
+     * Send the head to the caller.
+     *
+     * @param status HTTP status
+     * @param headers header fields of the server
+     */
+    record ForwardHead(int status, List<Header> headers) implements AnswerOutput {
+        /** Copies the list. */
+        public ForwardHead {
+            headers = List.copyOf(headers);
+        }
+    }
+
+    /**
+     * Send body bytes to the caller.
+     *
+     * @param bytes the bytes
+     */
+    record ForwardBytes(byte[] bytes) implements AnswerOutput {}
+
+    /** The answer is complete; end the message. */
+    record Complete() implements AnswerOutput {}
+
+    /**
+     * Cancel the current attempt and resume the stream at the same engine.
+     *
+     * @param lastEventId value for the Last-Event-ID header
+     * @param cause why the attempt ended
+     */
+    record Resume(long lastEventId, ErrorKind cause) implements AnswerOutput {}
+
+    /**
+     * Cancel the current attempt and run the request on another server.
+     *
+     * @param skippedEvents events that the tracker drops because the caller has them; 0 if nothing
+     *     was forwarded
+     * @param cause why the attempt ended
+     */
+    record Rerun(long skippedEvents, ErrorKind cause) implements AnswerOutput {}
+
+    /**
+     * Answer with an error; nothing was forwarded.
+     *
+     * @param kind the error
+     * @param message what happened
+     * @param runState whether the request took effect
+     */
+    record Fail(ErrorKind kind, String message, RunState runState) implements AnswerOutput {}
+
+    /**
+     * End the stream with an error event, after whole events and without the terminator event.
+     *
+     * @param kind the error
+     * @param eventBytes the error event
+     */
+    record FailStream(ErrorKind kind, byte[] eventBytes) implements AnswerOutput {}
+
+    /**
+     * Break the caller's connection, because the forwarded part of a whole answer would otherwise
+     * pass for the answer.
+     *
+     * @param kind the error
+     * @param message what happened
+     */
+    record Abort(ErrorKind kind, String message) implements AnswerOutput {}
+}
