Keep answer errors safe to format and stream heads free of lengths

Cause: review of the tracker found four faults. An event id with a percent sign reached String.format; a forwarded stream head kept the first server's Content-Length, which a recovered stream need not meet; giving up while an attempt was in flight reported not_run; and a stream of which nothing was sent still fixed the numbering for the next server.

Change: texts are formatted where their arguments are known, ids are cut to 32 characters, stream heads lose Content-Length, an attempt in flight counts as unknown, and numbering is fixed only by delivered events.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/answers/AnswerOutput.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/answers/AnswerOutput.java
@@ -7,7 +7,7 @@
 /** What an {@link AnswerTracker} asks its owner to do, in order. */
 public sealed interface AnswerOutput {
     /**
-     * Send the head to the caller.
+     * Send the head to the caller. Heads of streams carry no Content-Length.
      *
      * @param status HTTP status
      * @param headers header fields of the server
--- a/hemlockrack-core/src/main/java/org/hemlockrack/answers/internal/Delivered.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/answers/internal/Delivered.java
@@ -38,6 +38,9 @@
     void startReplay() {
         mReplayCount = 0;
         mReplayChain = EMPTY;
+        if (mCount == 0) {
+            mNumbered = null;
+        }
     }
 
     /** Continues after the last delivered event, as a resumed stream does. */
--- a/hemlockrack-core/src/main/java/org/hemlockrack/answers/internal/ForwardingTracker.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/answers/internal/ForwardingTracker.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.function.Consumer;
@@ -20,6 +21,7 @@
 public final class ForwardingTracker implements AnswerTracker {
     private static final int NO_ATTEMPT = -1;
     private static final int OK = 200;
+    private static final int MAX_SHOWN_CHARS = 32;
     private static final String EVENT_STREAM = "text/event-stream";
 
     private final AnswerSettings mSettings;
@@ -96,10 +98,17 @@
         } else if (event instanceof AnswerEvent.AttemptFailed fail && isCurrent(fail.attempt())) {
             recover(fail.kind(), ErrorText.ANSWER_CUT, out);
         } else if (event instanceof AnswerEvent.GaveUp gaveUp) {
-            fail(gaveUp.kind(), mMessage, out);
+            giveUp(gaveUp.kind(), out);
         }
     }
 
+    private void giveUp(ErrorKind kind, Consumer<? super AnswerOutput> out) {
+        if (mAttempt != NO_ATTEMPT) {
+            mRunState = RunState.UNKNOWN;
+        }
+        fail(kind, mMessage, out);
+    }
+
     private boolean isCurrent(int attempt) {
         return attempt == mAttempt;
     }
@@ -127,12 +136,13 @@
 
     private void head(AnswerEvent.HeadReceived head, Consumer<? super AnswerOutput> out) {
         if (mHead != null) {
-            recover(ErrorKind.ANSWER_MISMATCH, ErrorText.ANSWER_ID_FOREIGN, out);
+            String second = String.format(ErrorText.ANSWER_ID_FOREIGN, mAttempt);
+            recover(ErrorKind.ANSWER_MISMATCH, second, out);
             return;
         }
         String wrong = identityFault(head.headers());
         if (wrong != null) {
-            recover(ErrorKind.ANSWER_MISMATCH, wrong, out);
+            recover(ErrorKind.ANSWER_MISMATCH, String.format(wrong, mAttempt), out);
             return;
         }
         mHead = head;
@@ -188,7 +198,8 @@
 
     private void body(byte[] bytes, Consumer<? super AnswerOutput> out) {
         if (mHead == null) {
-            recover(ErrorKind.ANSWER_MISMATCH, ErrorText.ANSWER_ID_MISSING, out);
+            String text = String.format(ErrorText.ANSWER_ID_MISSING, mAttempt);
+            recover(ErrorKind.ANSWER_MISMATCH, text, out);
             return;
         }
         mBodyBytes += bytes.length;
@@ -249,7 +260,8 @@
             return;
         }
         if (number != mDelivered.expectedNumber()) {
-            String text = String.format(ErrorText.EVENT_NUMBER, id, mDelivered.expectedNumber());
+            String text =
+                    String.format(ErrorText.EVENT_NUMBER, shorten(id), mDelivered.expectedNumber());
             recover(ErrorKind.BACKEND_FAILED, text, out);
             return;
         }
@@ -312,7 +324,17 @@
         }
         mForwarded = true;
         mStreamForwarded = mStream;
-        out.accept(new AnswerOutput.ForwardHead(mHead.status(), mHead.headers()));
+        out.accept(new AnswerOutput.ForwardHead(mHead.status(), forwardedHeaders(mHead)));
+    }
+
+    /** A recovered stream may differ in length from what the first server stated. */
+    private List<Header> forwardedHeaders(AnswerEvent.HeadReceived head) {
+        if (!mStream) {
+            return head.headers();
+        }
+        List<Header> kept = new ArrayList<>(head.headers());
+        kept.removeIf(header -> header.isNamed("Content-Length"));
+        return kept;
     }
 
     private void releaseHeld(Consumer<? super AnswerOutput> out) {
@@ -324,7 +346,7 @@
 
     /** Ends the current attempt and asks for the next one if the answer can still be completed. */
     private void recover(ErrorKind kind, String text, Consumer<? super AnswerOutput> out) {
-        mMessage = String.format(text, mAttempt);
+        mMessage = text;
         mAttempt = NO_ATTEMPT;
         if (kind.runState() != RunState.NOT_RUN) {
             mRunState = RunState.UNKNOWN;
@@ -373,6 +395,11 @@
         return ("event: error\ndata: " + json + "\n\n").getBytes(StandardCharsets.UTF_8);
     }
 
+    private static String shorten(@Nullable String id) {
+        String text = "" + id;
+        return text.substring(0, Math.min(text.length(), MAX_SHOWN_CHARS));
+    }
+
     /** Returns a positive event number, or 0 for a value that is none. */
     private static long number(String id) {
         return id.matches("[1-9][0-9]{0,17}") ? Long.parseLong(id) : 0;
