Add the typed configuration document and its key page

Cause: operators keep the configuration as TOML; every instance needs it typed, checked as a whole and with a quick bearer-key lookup.

Ruled out: the TOML writer of Jackson (one dotted key per line, which operators cannot maintain), and binding by Jackson annotations (stops at the first fault, names no range).

Change: ConfigKey lists every key with unit, range and default; Schema names all faults; documents keep what the operators wrote, records add defaults.

--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/config/ConfigKey.java
@@ -0,0 +1,137 @@
+package org.hemlockrack.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.hemlockrack.config.internal.Trees;
+import org.hemlockrack.config.internal.ValueRule;
+
+/**
+ * Every key of the configuration, with unit, range and default. {@code *} in a path stands for a
+ * name that the operator chooses, {@code []} for an element of an array of tables.
+ */
+public enum ConfigKey {
+    SERVICE_KIND("services.*.kind", "", ValueRule.choice("model", "plain"), Default.REQUIRED),
+    SERVICE_MODELS("services.*.models", "", ValueRule.names(), "[]"),
+    SERVICE_DEFAULT_VERSION("services.*.default_version", "", ValueRule.name(), Default.NONE),
+    SERVICE_LOAD_MULTIPLE("services.*.load_multiple", "", ValueRule.decimal(1, 10), "1.25"),
+    SERVICE_RETRY_SHARE("services.*.retry_budget_share", "", ValueRule.decimal(0, 1), "0.10"),
+    SERVICE_COLD_LIMIT("services.*.cold_start_limit", "requests", ValueRule.integer(1, 1024), "1"),
+    SERVICE_FIRST_SHARE("services.*.first_rollout_share", "", ValueRule.decimal(0.001, 1), "0.05"),
+    ROUTE_METHOD("services.*.routes.[].method", "", ValueRule.method(), Default.REQUIRED),
+    ROUTE_PREFIX("services.*.routes.[].prefix", "", ValueRule.pathPrefix(), Default.REQUIRED),
+    ROUTE_IDEMPOTENT("services.*.routes.[].idempotent", "", ValueRule.bool(), Default.REQUIRED),
+    WORKSPACE_PRIORITY(
+            "workspaces.*.priority", "", ValueRule.choice("high", "normal", "low"), "\"normal\""),
+    WORKSPACE_SERVICES("workspaces.*.services", "", ValueRule.names(), "[]"),
+    WORKSPACE_CONCURRENT(
+            "workspaces.*.max_concurrent_requests",
+            "requests",
+            ValueRule.integer(1, 1_000_000),
+            "1000"),
+    WORKSPACE_RATE(
+            "workspaces.*.requests_per_second",
+            "requests/s",
+            ValueRule.decimal(0.01, 1_000_000),
+            "1000"),
+    KEY_SALT("workspaces.*.keys.*.salt", "", ValueRule.hex(16, 32), Default.REQUIRED),
+    KEY_HASH("workspaces.*.keys.*.hash", "", ValueRule.hex(32, 32), Default.REQUIRED),
+    PROMISE_FIRST_TOKEN(
+            "workspaces.*.promise.first_token_ms", "ms", ValueRule.integer(1, 600_000), "720"),
+    PROMISE_BETWEEN_TOKENS(
+            "workspaces.*.promise.between_tokens_ms", "ms", ValueRule.integer(1, 60_000), "28"),
+    PROMISE_WHOLE_ANSWER(
+            "workspaces.*.promise.whole_answer_ms", "ms", ValueRule.integer(1, 3_600_000), "60000"),
+    PROMISE_OBJECTIVE("workspaces.*.promise.objective", "", ValueRule.decimal(0.5, 0.9999), "0.95"),
+    CLASS_CHECKS_FENCING("backend_classes.*.checks_fencing", "", ValueRule.bool(), "false"),
+    ZONE_REGION("zones.*.region", "", ValueRule.name(), Default.REQUIRED),
+    ZONE_STATE("zones.*.state", "", ValueRule.choice("in", "out"), "\"in\""),
+    INSTANCE_DRAIN("instances.*.drain", "", ValueRule.bool(), "false"),
+    LIMIT_BODY("limits.body_bytes", "bytes", ValueRule.integer(1024, 67_108_864), "8388608"),
+    LIMIT_HEADER("limits.header_bytes", "bytes", ValueRule.integer(1024, 1_048_576), "32768"),
+    LIMIT_CONNECTIONS("limits.connections", "connections", ValueRule.integer(1, 100_000), "4096"),
+    LIMIT_IDLE("limits.idle_ms", "ms", ValueRule.integer(100, 3_600_000), "60000"),
+    LIMIT_REQUEST("limits.request_ms", "ms", ValueRule.integer(100, 3_600_000), "600000"),
+    LIMIT_QUEUE("limits.queue_requests", "requests", ValueRule.integer(0, 100_000), "256"),
+    LIMIT_QUEUE_BYTES(
+            "limits.queue_bytes", "bytes", ValueRule.integer(0, 1_073_741_824), "33554432"),
+    LIMIT_CLAIM_EXPIRY(
+            "limits.claim_expiry_ms", "ms", ValueRule.integer(7_200_000, 604_800_000), "86400000"),
+    LIMIT_CLAIMS("limits.claims", "claims", ValueRule.integer(1, 2_000_000), "400000"),
+    LIMIT_CLAIM_BYTES(
+            "limits.claim_bytes", "bytes", ValueRule.integer(65_536, 1_073_741_824), "201326592"),
+    LIMIT_CLAIM_ANSWER("limits.claim_answer_bytes", "bytes", ValueRule.integer(0, 65_536), "16384");
+
+    private final String mPattern;
+    private final String mUnit;
+    private final ValueRule mRule;
+    private final String mDefault;
+    private final JsonNode mDefaultNode;
+
+    ConfigKey(String pattern, String unit, ValueRule rule, String defaultJson) {
+        mPattern = pattern;
+        mUnit = unit;
+        mRule = rule;
+        mDefault = defaultJson;
+        mDefaultNode =
+                Default.isValue(defaultJson)
+                        ? Trees.parseJson(defaultJson)
+                        : MissingNode.getInstance();
+    }
+
+    /** Returns the path with {@code *} and {@code []} for the variable segments. */
+    public String pattern() {
+        return mPattern;
+    }
+
+    /** Returns the last segment of the path. */
+    public String field() {
+        return mPattern.substring(mPattern.lastIndexOf('.') + 1);
+    }
+
+    /** Returns what the key may hold, in words. */
+    public String allowed() {
+        return mRule.allowed();
+    }
+
+    /** Returns whether the key's table must hold it. */
+    public boolean required() {
+        return mDefault.equals(Default.REQUIRED);
+    }
+
+    /**
+     * Checks a value.
+     *
+     * @param value the value
+     * @return whether it is allowed
+     */
+    public boolean allows(JsonNode value) {
+        return mRule.check().test(value);
+    }
+
+    /**
+     * Reads the key from its table.
+     *
+     * @param table the table
+     * @return the value or the default; a missing node if the key has no default
+     */
+    public JsonNode in(ObjectNode table) {
+        JsonNode value = table.get(field());
+        return value == null ? mDefaultNode : value;
+    }
+
+    /** Returns the row of the key in {@code docs/configuration.md}. */
+    public String row() {
+        String unit = mUnit.isEmpty() ? "-" : mUnit;
+        return String.format("| `%s` | %s | %s | %s |", mPattern, unit, mRule.allowed(), mDefault);
+    }
+
+    private static final class Default {
+        static final String REQUIRED = "required";
+        static final String NONE = "none";
+
+        static boolean isValue(String text) {
+            return !text.equals(REQUIRED) && !text.equals(NONE);
+        }
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/config/Configuration.java
@@ -0,0 +1,247 @@
+package org.hemlockrack.config;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.hemlockrack.config.internal.CrossChecks;
+import org.hemlockrack.config.internal.DocumentReader;
+import org.hemlockrack.config.internal.Schema;
+import org.hemlockrack.config.internal.TomlPrinter;
+import org.hemlockrack.config.internal.Trees;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.ErrorText;
+import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.model.WorkspaceId;
+import org.hemlockrack.model.ZoneId;
+
+/**
+ * One version of the configuration: the document as the operators wrote it, and its typed form with
+ * defaults filled in. Immutable and safe to share between threads.
+ */
+public final class Configuration {
+    private static final Configuration EMPTY = new Configuration(Trees.emptyTable());
+
+    private final ObjectNode mDocument;
+    private final Map<ServiceId, ServiceConfig> mServices;
+    private final Map<WorkspaceId, WorkspaceConfig> mWorkspaces;
+    private final Map<String, Boolean> mBackendClasses;
+    private final Map<ZoneId, ZoneConfig> mZones;
+    private final Map<InstanceId, Boolean> mDrains;
+    private final LimitsConfig mLimits;
+    private final Map<String, KeyOwner> mKeys;
+
+    private record KeyOwner(WorkspaceId workspace, BearerKey.Stored stored) {}
+
+    /**
+     * The result of a check.
+     *
+     * @param configuration the configuration, empty if there are faults
+     * @param faults all faults
+     */
+    public record Check(Optional<Configuration> configuration, List<Fault> faults) {
+        /** Copies the list. */
+        public Check {
+            faults = List.copyOf(faults);
+        }
+    }
+
+    private Configuration(ObjectNode document) {
+        DocumentReader reader = DocumentReader.of(document);
+        mDocument = document;
+        mServices = fixed(reader.section("services", ServiceId::of, DocumentReader::service));
+        mWorkspaces =
+                fixed(reader.section("workspaces", WorkspaceId::of, DocumentReader::workspace));
+        mBackendClasses =
+                fixed(
+                        reader.section(
+                                "backend_classes",
+                                String::toString,
+                                DocumentReader::checksFencing));
+        mZones = fixed(reader.section("zones", ZoneId::of, DocumentReader::zone));
+        mDrains = fixed(reader.section("instances", InstanceId::of, DocumentReader::drains));
+        mLimits = reader.limits();
+        mKeys = keyOwners(reader);
+    }
+
+    /** Returns the configuration before the first version: all defaults, nothing configured. */
+    public static Configuration empty() {
+        return EMPTY;
+    }
+
+    /**
+     * Parses and checks TOML.
+     *
+     * @param text the document
+     * @return the configuration
+     * @throws HemlockrackException with {@link ErrorKind#BAD_REQUEST} if it is not TOML, with
+     *     {@link ErrorKind#CONFIG_INVALID} and all faults if it is not allowed
+     */
+    public static Configuration parseToml(String text) {
+        return require(check(Trees.parseToml(text)));
+    }
+
+    /**
+     * Parses and checks JSON.
+     *
+     * @param text the document
+     * @return the configuration
+     * @throws HemlockrackException as {@link #parseToml}
+     */
+    public static Configuration parseJson(String text) {
+        return require(check(Trees.parseJson(text)));
+    }
+
+    /**
+     * Checks a document tree.
+     *
+     * @param tree the tree; it is copied
+     * @return the configuration or all faults
+     * @throws HemlockrackException with {@link ErrorKind#BAD_REQUEST} if it is not a table
+     */
+    public static Check check(JsonNode tree) {
+        ObjectNode document = Trees.requireTable(tree).deepCopy();
+        List<Fault> faults = new ArrayList<>();
+        Schema.check(document, faults);
+        if (!faults.isEmpty()) {
+            return new Check(Optional.empty(), faults);
+        }
+        Configuration configuration = new Configuration(document);
+        faults.addAll(CrossChecks.check(configuration));
+        boolean valid = faults.isEmpty();
+        return new Check(valid ? Optional.of(configuration) : Optional.empty(), faults);
+    }
+
+    /** Returns the document as TOML that parses to an equal configuration. */
+    public String toToml() {
+        return TomlPrinter.print(mDocument);
+    }
+
+    /** Returns the document as JSON that parses to an equal configuration. */
+    public String toJson() {
+        return Trees.toJson(mDocument);
+    }
+
+    /** Returns a copy of the document tree, without defaults. */
+    public ObjectNode tree() {
+        return mDocument.deepCopy();
+    }
+
+    /** Returns the services. */
+    public Map<ServiceId, ServiceConfig> services() {
+        return mServices;
+    }
+
+    /** Returns the workspaces. */
+    public Map<WorkspaceId, WorkspaceConfig> workspaces() {
+        return mWorkspaces;
+    }
+
+    /** Returns the zones that the operators configured. */
+    public Map<ZoneId, ZoneConfig> zones() {
+        return mZones;
+    }
+
+    /** Returns the limits. */
+    public LimitsConfig limits() {
+        return mLimits;
+    }
+
+    /**
+     * Returns whether backend servers of a class reject orders with an old fencing number.
+     *
+     * @param backendClass name of the class
+     * @return false if the class is not configured
+     */
+    public boolean checksFencing(String backendClass) {
+        return mBackendClasses.getOrDefault(backendClass, false);
+    }
+
+    /**
+     * Returns whether the operators drain an instance.
+     *
+     * @param instance the instance
+     * @return false if the instance is not configured
+     */
+    public boolean drains(InstanceId instance) {
+        return mDrains.getOrDefault(instance, false);
+    }
+
+    /**
+     * Returns whether a zone may take work.
+     *
+     * @param zone the zone
+     * @return true if the zone is not configured
+     */
+    public boolean takesWork(ZoneId zone) {
+        ZoneConfig config = mZones.get(zone);
+        return config == null || config.takesWork();
+    }
+
+    /**
+     * Finds the workspace of a bearer key with at most one hash. The result may be cached until the
+     * configuration changes.
+     *
+     * @param bearer the text after {@code Bearer}
+     * @return the workspace, or empty if the key is malformed, unknown or has another secret
+     */
+    public Optional<WorkspaceId> workspaceOf(String bearer) {
+        Optional<BearerKey> key = BearerKey.parse(bearer);
+        if (key.isEmpty()) {
+            return Optional.empty();
+        }
+        KeyOwner owner = mKeys.get(key.get().id());
+        if (owner == null || !key.get().matches(owner.stored())) {
+            return Optional.empty();
+        }
+        return Optional.of(owner.workspace());
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Configuration that && mDocument.equals(that.mDocument);
+    }
+
+    @Override
+    public int hashCode() {
+        return mDocument.hashCode();
+    }
+
+    @Override
+    public String toString() {
+        return toToml();
+    }
+
+    private static Configuration require(Check check) {
+        if (check.configuration().isPresent()) {
+            return check.configuration().get();
+        }
+        String lines =
+                check.faults().stream().map(Fault::toString).collect(Collectors.joining("\n"));
+        throw HemlockrackException.of(
+                ErrorKind.CONFIG_INVALID,
+                String.format(ErrorText.CONFIG_FAULTS, check.faults().size(), lines));
+    }
+
+    private static <K, V> Map<K, V> fixed(Map<K, V> map) {
+        return Collections.unmodifiableMap(map);
+    }
+
+    private static Map<String, KeyOwner> keyOwners(DocumentReader reader) {
+        Map<String, KeyOwner> owners = new HashMap<>();
+        Map<WorkspaceId, Map<String, BearerKey.Stored>> all =
+                reader.section("workspaces", WorkspaceId::of, DocumentReader::keys);
+        for (Map.Entry<WorkspaceId, Map<String, BearerKey.Stored>> entry : all.entrySet()) {
+            entry.getValue()
+                    .forEach((id, key) -> owners.put(id, new KeyOwner(entry.getKey(), key)));
+        }
+        return owners;
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/config/LatencyPromise.java
@@ -0,0 +1,15 @@
+package org.hemlockrack.config;
+
+/**
+ * Latency objective of a workspace.
+ *
+ * @param firstTokenMillis time to the first token
+ * @param betweenTokensMillis time between tokens
+ * @param wholeAnswerMillis time to the end of the answer
+ * @param objective share of requests that must keep the times
+ */
+public record LatencyPromise(
+        long firstTokenMillis,
+        long betweenTokensMillis,
+        long wholeAnswerMillis,
+        double objective) {}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/config/ServiceKind.java
@@ -0,0 +1,16 @@
+package org.hemlockrack.config;
+
+import java.util.Locale;
+
+/** Kind of a service. */
+public enum ServiceKind {
+    /** Chat completions by model engines. */
+    MODEL,
+    /** Any other HTTP service. */
+    PLAIN;
+
+    /** Returns the word used in documents. */
+    public String word() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/config/package-info.java
@@ -0,0 +1,5 @@
+/** The numbered configuration: document, patches, replicated state, copies and propagation. */
+@NullMarked
+package org.hemlockrack.config;
+
+import org.jspecify.annotations.NullMarked;
