Add the membership slice: gossip, directory, facts, budget and owners

Cause: every slice needs one view of instances, backend servers and urgent facts, spread under a hard byte budget. Ruled out: declaring a death on a report alone (a cut is then seen as many deaths before the receiver can tell); the report starts a shorter suspicion instead. A bucket that holds a whole second's budget was ruled out because a one-second window could carry twice the budget.

--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/membership/MembershipView.java
@@ -0,0 +1,44 @@
+package org.hemlockrack.membership;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.Optional;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.model.ZoneId;
+
+/**
+ * An immutable snapshot of what one instance knows.
+ *
+ * @param self the instance that holds the view
+ * @param members all known instances including self, ordered by id
+ * @param backends the directory; servers whose owner is gone are in state GONE
+ * @param facts the newest facts by key
+ * @param zonesCut zones of which most instances are unreachable
+ * @param regionsCut regions of which most instances are unreachable
+ * @param isolated whether self reaches less than half of the fleet; nobody is declared dead then
+ */
+public record MembershipView(
+        InstanceId self,
+        ImmutableMap<InstanceId, Member> members,
+        ImmutableMap<BackendId, Backend> backends,
+        ImmutableMap<String, Fact> facts,
+        ImmutableSet<ZoneId> zonesCut,
+        ImmutableSet<String> regionsCut,
+        boolean isolated) {
+    /** Returns the highest configuration number known, 0 if none. */
+    public long configVersion() {
+        Fact fact = facts.get(Fact.CONFIG_KEY);
+        return fact == null ? 0 : fact.version();
+    }
+
+    /** Returns one member. */
+    public Optional<Member> member(InstanceId id) {
+        return Optional.ofNullable(members.get(id));
+    }
+
+    /** Returns one backend server. */
+    public Optional<Backend> backend(BackendId id) {
+        return Optional.ofNullable(backends.get(id));
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/AntiEntropy.java
@@ -0,0 +1,210 @@
+package org.hemlockrack.membership.internal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.apache.thrift.TBase;
+import org.hemlockrack.membership.Fact;
+import org.hemlockrack.membership.MembershipOutput;
+import org.hemlockrack.membership.TrafficClass;
+import org.hemlockrack.membership.Version;
+import org.hemlockrack.wire.EntryVersion;
+import org.hemlockrack.wire.GossipKind;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Repairs what lost messages left out: root digests differ, then bucket digests, then the versions
+ * in the buckets that differ, then the entries themselves.
+ */
+final class AntiEntropy {
+    /** Messages with entries that answer one request; the rest waits for the next comparison. */
+    private static final int MAX_ANSWERS = 4;
+
+    private final Digest mDigest;
+    private final MemberTable mMembers;
+    private final Directory mDirectory;
+    private final FactTable mFacts;
+    private final Sender mSender;
+    private final RandomGenerator mRandom;
+    private long mNextCompareNanos = Long.MIN_VALUE;
+
+    AntiEntropy(
+            Digest digest,
+            MemberTable members,
+            Directory directory,
+            FactTable facts,
+            Sender sender,
+            RandomGenerator random) {
+        mDigest = digest;
+        mMembers = members;
+        mDirectory = directory;
+        mFacts = facts;
+        mSender = sender;
+        mRandom = random;
+    }
+
+    /** Handles the anti-entropy part of a message. */
+    void onMessage(
+            long nowNanos,
+            MemberEntry sender,
+            Message message,
+            long periodNanos,
+            Consumer<? super MembershipOutput> out) {
+        switch (message.kind()) {
+            case BUCKETS -> onBuckets(nowNanos, sender, message, out);
+            case ENTRIES -> onEntries(nowNanos, sender, message, out);
+            case WANT -> sendEntries(nowNanos, sender, message.wants(), out);
+            default -> compare(nowNanos, sender, message, periodNanos, out);
+        }
+    }
+
+    private void compare(
+            long nowNanos,
+            MemberEntry sender,
+            Message message,
+            long periodNanos,
+            Consumer<? super MembershipOutput> out) {
+        boolean same = message.rootDigest() == 0 || message.rootDigest() == mDigest.root();
+        if (same || nowNanos < mNextCompareNanos) {
+            return;
+        }
+        mNextCompareNanos = nowNanos + 2 * periodNanos;
+        Outgoing buckets = mSender.open(nowNanos, sender.id(), GossipKind.BUCKETS);
+        buckets.gossip().setBuckets(mDigest.buckets());
+        mSender.send(nowNanos, TrafficClass.STATE, sender, buckets, out);
+    }
+
+    private void onBuckets(
+            long nowNanos,
+            MemberEntry sender,
+            Message message,
+            Consumer<? super MembershipOutput> out) {
+        if (message.buckets().size() != Digest.BUCKETS) {
+            return;
+        }
+        List<Long> lacking = new ArrayList<>();
+        Outgoing answer = mSender.open(nowNanos, sender.id(), GossipKind.ENTRIES);
+        int offset = mRandom.nextInt(Digest.BUCKETS);
+        for (int i = 0; i < Digest.BUCKETS; i++) {
+            int bucket = (offset + i) % Digest.BUCKETS;
+            int theirs = message.buckets().get(bucket);
+            if (theirs == mDigest.bucket(bucket)) {
+                continue;
+            }
+            if (theirs == 0) {
+                lacking.addAll(mDigest.entries(bucket).keySet());
+            } else if (!listBucket(answer, bucket)) {
+                break;
+            }
+        }
+        if (answer.items() > 0) {
+            mSender.send(nowNanos, TrafficClass.STATE, sender, answer, out);
+        }
+        sendEntries(nowNanos, sender, lacking, out);
+    }
+
+    /** Lists a bucket; names it as complete only if all its entries fit. */
+    private boolean listBucket(Outgoing answer, int bucket) {
+        for (Map.Entry<Long, Version> entry : mDigest.entries(bucket).entrySet()) {
+            EntryVersion item = Codec.toWire(new EntryKey(entry.getKey(), entry.getValue()));
+            if (!answer.tryAdd(TrafficClass.STATE, item, Codec.encode(item).length)) {
+                return false;
+            }
+        }
+        return answer.tryAddBucket(bucket);
+    }
+
+    private void onEntries(
+            long nowNanos,
+            MemberEntry sender,
+            Message message,
+            Consumer<? super MembershipOutput> out) {
+        Map<Long, Version> theirs = new HashMap<>();
+        message.entries().forEach(entry -> theirs.put(entry.shortId(), entry.version()));
+        Set<Long> newerHere = new HashSet<>();
+        Set<Long> newerThere = new HashSet<>();
+        for (Map.Entry<Long, Version> entry : theirs.entrySet()) {
+            Version own = versionOf(entry.getKey());
+            if (own == null || own.compareTo(entry.getValue()) < 0) {
+                newerThere.add(entry.getKey());
+            } else if (own.compareTo(entry.getValue()) > 0) {
+                newerHere.add(entry.getKey());
+            }
+        }
+        for (int bucket : message.buckets()) {
+            if (bucket < 0 || bucket >= Digest.BUCKETS) {
+                continue;
+            }
+            for (long shortId : mDigest.entries(bucket).keySet()) {
+                if (!theirs.containsKey(shortId)) {
+                    newerHere.add(shortId);
+                }
+            }
+        }
+        sendEntries(nowNanos, sender, newerHere, out);
+        mSender.want(nowNanos, sender, newerThere, out);
+    }
+
+    /** Returns the held version, also of entries that are no longer in the digest. */
+    private @Nullable Version versionOf(long shortId) {
+        MemberEntry member = mMembers.get(shortId);
+        if (member != null) {
+            return member.mIncarnation;
+        }
+        BackendEntry backend = mDirectory.get(shortId);
+        if (backend != null) {
+            return backend.mBackend.version();
+        }
+        Fact fact = mFacts.get(shortId);
+        return fact == null ? null : Version.of(fact.version(), 0);
+    }
+
+    private @Nullable TBase<?, ?> wireOf(long shortId) {
+        MemberEntry member = mMembers.get(shortId);
+        if (member != null) {
+            return Codec.toFull(member.news(), member.mInfo);
+        }
+        BackendEntry backend = mDirectory.get(shortId);
+        if (backend != null) {
+            return Codec.toWire(backend.mBackend);
+        }
+        Fact fact = mFacts.get(shortId);
+        return fact == null ? null : Codec.toWire(fact);
+    }
+
+    private void sendEntries(
+            long nowNanos,
+            MemberEntry target,
+            Iterable<Long> shortIds,
+            Consumer<? super MembershipOutput> out) {
+        Outgoing message = mSender.open(nowNanos, target.id(), GossipKind.NEWS);
+        int sent = 0;
+        for (long shortId : shortIds) {
+            TBase<?, ?> item = wireOf(shortId);
+            if (item == null) {
+                continue;
+            }
+            int bytes = Codec.encode(item).length;
+            if (message.tryAdd(TrafficClass.STATE, item, bytes)) {
+                continue;
+            }
+            boolean full = message.items() > 0;
+            if (!full || !mSender.send(nowNanos, TrafficClass.STATE, target, message, out)) {
+                return;
+            }
+            sent++;
+            message = mSender.open(nowNanos, target.id(), GossipKind.NEWS);
+            if (sent >= MAX_ANSWERS || !message.tryAdd(TrafficClass.STATE, item, bytes)) {
+                return;
+            }
+        }
+        if (message.items() > 0) {
+            mSender.send(nowNanos, TrafficClass.STATE, target, message, out);
+        }
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/Digest.java
@@ -0,0 +1,71 @@
+package org.hemlockrack.membership.internal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hemlockrack.membership.Version;
+import org.jspecify.annotations.Nullable;
+
+/** Digests over all entries, in buckets by short id, kept up to date entry by entry. */
+final class Digest {
+    /** With 1,220 entries a bucket lists 19 of them, about 350 bytes. */
+    static final int BUCKETS = 64;
+
+    private final int[] mBuckets = new int[BUCKETS];
+    private final List<Map<Long, Version>> mEntries = new ArrayList<>();
+
+    Digest() {
+        for (int i = 0; i < BUCKETS; i++) {
+            mEntries.add(new HashMap<>());
+        }
+    }
+
+    static int bucketOf(long shortId) {
+        return (int) (shortId & (BUCKETS - 1));
+    }
+
+    /** Sets the version of an entry; null removes it. */
+    void put(long shortId, @Nullable Version version) {
+        int bucket = bucketOf(shortId);
+        Map<Long, Version> entries = mEntries.get(bucket);
+        Version old = version == null ? entries.remove(shortId) : entries.put(shortId, version);
+        if (old != null) {
+            mBuckets[bucket] ^= mix(shortId, old);
+        }
+        if (version != null) {
+            mBuckets[bucket] ^= mix(shortId, version);
+        }
+    }
+
+    long root() {
+        long root = 1;
+        for (int bucket : mBuckets) {
+            root = root * 0x9E3779B97F4A7C15L + bucket;
+        }
+        return root >>> 16;
+    }
+
+    List<Integer> buckets() {
+        List<Integer> copy = new ArrayList<>();
+        for (int bucket : mBuckets) {
+            copy.add(bucket);
+        }
+        return copy;
+    }
+
+    int bucket(int index) {
+        return mBuckets[index];
+    }
+
+    Map<Long, Version> entries(int index) {
+        return mEntries.get(index);
+    }
+
+    private static int mix(long shortId, Version version) {
+        long hash = shortId * 0x9E3779B97F4A7C15L;
+        hash = (hash ^ (hash >>> 29) ^ version.epoch()) * 0xBF58476D1CE4E5B9L;
+        hash = (hash ^ (hash >>> 31) ^ version.counter()) * 0x94D049BB133111EBL;
+        return (int) (hash >>> 32);
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/Prober.java
@@ -0,0 +1,130 @@
+package org.hemlockrack.membership.internal;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+
+/** Chooses whom to probe and tracks the probes under way. */
+final class Prober {
+    /** Longest wait for a direct answer: several times the longest round trip between regions. */
+    static final long DIRECT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    /** Longest wait for an answer, by way of other members included. */
+    static final long TOTAL_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
+
+    /** How many members are asked to probe indirectly. */
+    static final int HELPERS = 3;
+
+    /** Bounds the probes under way. */
+    private static final int MAX_PROBES = 256;
+
+    private final Map<Long, Probe> mProbes = new HashMap<>();
+    private final List<Long> mOrder = new ArrayList<>();
+    private final RandomGenerator mRandom;
+    private long mSequence;
+
+    Prober(RandomGenerator random) {
+        mRandom = random;
+        mSequence = random.nextInt(1 << 20);
+    }
+
+    /** Returns the next member in a random order that visits all before it repeats one. */
+    @Nullable MemberEntry next(MemberTable members) {
+        for (int attempt = 0; attempt < 2; attempt++) {
+            while (!mOrder.isEmpty()) {
+                MemberEntry entry = members.get(mOrder.remove(mOrder.size() - 1));
+                if (entry != null && entry.mStatus.isReachable()) {
+                    return entry;
+                }
+            }
+            for (MemberEntry entry : members.others(other -> other.mStatus.isReachable())) {
+                mOrder.add(entry.mShortId);
+            }
+            Collections.shuffle(mOrder, new Random(mRandom.nextLong()));
+        }
+        return null;
+    }
+
+    /** Starts a probe; returns its sequence number. */
+    long start(long nowNanos, long target, boolean expectAnswer) {
+        mSequence++;
+        if (expectAnswer && mProbes.size() < MAX_PROBES) {
+            mProbes.put(mSequence, new Probe(target, nowNanos, 0, 0));
+        }
+        return mSequence;
+    }
+
+    /** Starts a probe for another member. */
+    long startFor(long nowNanos, long target, long requester, long requesterSequence) {
+        mSequence++;
+        if (mProbes.size() < MAX_PROBES) {
+            mProbes.put(mSequence, new Probe(target, nowNanos, requester, requesterSequence));
+        }
+        return mSequence;
+    }
+
+    @Nullable Probe acked(long sequence) {
+        return mProbes.remove(sequence);
+    }
+
+    void clear() {
+        mProbes.clear();
+    }
+
+    long nextDeadlineNanos() {
+        long next = Long.MAX_VALUE;
+        for (Probe probe : mProbes.values()) {
+            next = Math.min(next, probe.deadlineNanos());
+        }
+        return next;
+    }
+
+    /** Returns the probes whose current deadline has passed; those that failed are removed. */
+    Map<Long, Probe> takeDue(long nowNanos) {
+        Map<Long, Probe> due = new HashMap<>();
+        if (mProbes.isEmpty()) {
+            return due;
+        }
+        for (Map.Entry<Long, Probe> entry : mProbes.entrySet()) {
+            if (entry.getValue().deadlineNanos() <= nowNanos) {
+                due.put(entry.getKey(), entry.getValue());
+            }
+        }
+        for (Map.Entry<Long, Probe> entry : due.entrySet()) {
+            Probe probe = entry.getValue();
+            if (probe.mIndirect || probe.mRequester != 0) {
+                mProbes.remove(entry.getKey());
+            }
+        }
+        return due;
+    }
+
+    /** One probe under way. */
+    static final class Probe {
+        final long mTarget;
+        final long mSentNanos;
+        final long mRequester;
+        final long mRequesterSequence;
+
+        /** Whether other members were asked to help. */
+        boolean mIndirect;
+
+        private Probe(long target, long sentNanos, long requester, long requesterSequence) {
+            mTarget = target;
+            mSentNanos = sentNanos;
+            mRequester = requester;
+            mRequesterSequence = requesterSequence;
+        }
+
+        private long deadlineNanos() {
+            boolean direct = !mIndirect && mRequester == 0;
+            return mSentNanos + (direct ? DIRECT_NANOS : TOTAL_NANOS);
+        }
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/Sender.java
@@ -0,0 +1,159 @@
+package org.hemlockrack.membership.internal;
+
+import java.util.Collection;
+import java.util.function.Consumer;
+import org.apache.thrift.TBase;
+import org.hemlockrack.membership.ControlBudget;
+import org.hemlockrack.membership.InstanceInfo;
+import org.hemlockrack.membership.MemberStatus;
+import org.hemlockrack.membership.MembershipOutput;
+import org.hemlockrack.membership.TrafficClass;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.wire.GossipKind;
+import org.hemlockrack.wire.MemberBrief;
+import org.hemlockrack.wire.MemberFull;
+import org.jspecify.annotations.Nullable;
+
+/** Makes messages, fills them with news and charges them to the budget. */
+final class Sender {
+    private final InstanceInfo mSelf;
+    private final ControlBudget mBudget;
+    private final RumorQueue mRumors;
+    private final MemberTable mMembers;
+    private final Digest mDigest;
+
+    Sender(
+            InstanceInfo self,
+            ControlBudget budget,
+            RumorQueue rumors,
+            MemberTable members,
+            Digest digest) {
+        mSelf = self;
+        mBudget = budget;
+        mRumors = rumors;
+        mMembers = members;
+        mDigest = digest;
+    }
+
+    /** Returns a message to a member. */
+    Outgoing open(long nowNanos, InstanceId target, GossipKind kind) {
+        return new Outgoing(mBudget, nowNanos, nameBytes(target), kind);
+    }
+
+    /** Pings a member; returns false if the budget does not allow it. */
+    boolean ping(
+            long nowNanos,
+            MemberEntry target,
+            long sequence,
+            Consumer<? super MembershipOutput> out) {
+        Outgoing message = open(nowNanos, target.id(), GossipKind.PING);
+        message.gossip().setSequence(sequence);
+        return sendWithNews(nowNanos, target, message, out);
+    }
+
+    void ack(
+            long nowNanos,
+            MemberEntry target,
+            long sequence,
+            Consumer<? super MembershipOutput> out) {
+        Outgoing message = open(nowNanos, target.id(), GossipKind.ACK);
+        message.gossip().setSequence(sequence);
+        sendWithNews(nowNanos, target, message, out);
+    }
+
+    void news(long nowNanos, MemberEntry target, Consumer<? super MembershipOutput> out) {
+        sendWithNews(nowNanos, target, open(nowNanos, target.id(), GossipKind.NEWS), out);
+    }
+
+    void pingRequest(
+            long nowNanos,
+            MemberEntry helper,
+            MemberEntry subject,
+            long sequence,
+            Consumer<? super MembershipOutput> out) {
+        Outgoing message = open(nowNanos, helper.id(), GossipKind.PING_REQUEST);
+        message.gossip().setSequence(sequence);
+        message.gossip().setSubject(subject.mShortId);
+        send(nowNanos, TrafficClass.URGENT, helper, message, out);
+    }
+
+    void want(
+            long nowNanos,
+            MemberEntry target,
+            Collection<Long> shortIds,
+            Consumer<? super MembershipOutput> out) {
+        Outgoing message = open(nowNanos, target.id(), GossipKind.WANT);
+        for (long shortId : shortIds) {
+            if (!message.tryAddWant(shortId)) {
+                break;
+            }
+        }
+        if (message.items() > 0) {
+            send(nowNanos, TrafficClass.STATE, target, message, out);
+        }
+    }
+
+    /** Pings an address whose instance is not known; the message introduces this instance. */
+    void pingSeed(
+            long nowNanos, String address, long sequence, Consumer<? super MembershipOutput> out) {
+        Outgoing message = new Outgoing(mBudget, nowNanos, nameBytes(null), GossipKind.PING);
+        message.gossip().setSequence(sequence);
+        message.gossip().setRootDigest(mDigest.root());
+        addSelf(message);
+        emit(nowNanos, TrafficClass.URGENT, null, address, message, out);
+    }
+
+    /** Charges and emits a message; returns false if the budget does not allow it. */
+    boolean send(
+            long nowNanos,
+            TrafficClass trafficClass,
+            MemberEntry target,
+            Outgoing message,
+            Consumer<? super MembershipOutput> out) {
+        String address = target.mInfo.peerAddress();
+        return emit(nowNanos, trafficClass, target.id(), address, message, out);
+    }
+
+    private boolean sendWithNews(
+            long nowNanos,
+            MemberEntry target,
+            Outgoing message,
+            Consumer<? super MembershipOutput> out) {
+        message.gossip().setRootDigest(mDigest.root());
+        if (target.mStatus != MemberStatus.ALIVE) {
+            // The target refutes what is held about it, and learns who asks.
+            MemberBrief doubt = Codec.toBrief(target.news());
+            message.tryAdd(TrafficClass.URGENT, doubt, Codec.encode(doubt).length);
+            addSelf(message);
+        }
+        mRumors.fill(message);
+        return send(nowNanos, TrafficClass.URGENT, target, message, out);
+    }
+
+    private void addSelf(Outgoing message) {
+        MemberFull self = Codec.toFull(mMembers.self().news(), mSelf);
+        message.tryAdd(TrafficClass.URGENT, self, Codec.encode(self).length);
+    }
+
+    private boolean emit(
+            long nowNanos,
+            TrafficClass trafficClass,
+            @Nullable InstanceId target,
+            String address,
+            Outgoing message,
+            Consumer<? super MembershipOutput> out) {
+        TBase<?, ?> gossip = message.gossip();
+        byte[] payload = Codec.encode(gossip);
+        int wireBytes = ControlBudget.messageBytes(payload.length, nameBytes(target));
+        if (!mBudget.tryCharge(nowNanos, trafficClass, wireBytes)) {
+            return false;
+        }
+        out.accept(new MembershipOutput.Send(target, address, payload, wireBytes));
+        return true;
+    }
+
+    private int nameBytes(@Nullable InstanceId target) {
+        int targetBytes = target == null ? 0 : target.value().length();
+        return mSelf.id().value().length() + targetBytes;
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/membership/package-info.java
@@ -0,0 +1,5 @@
+/** Instances, the backend server directory, gossip, the control budget and ownership. */
+@NullMarked
+package org.hemlockrack.membership;
+
+import org.jspecify.annotations.NullMarked;
