--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
@@ -56,6 +56,9 @@
             "the command may have run, but its outcome is not known";
     public static final String CLAIM_NOT_DISPATCHED =
             "the command could not be sent to a backend server and was not run";
+    public static final String MALFORMED_GOSSIP = "malformed gossip message: %s";
+    public static final String BACKEND_ENTRY_TOO_LARGE =
+            "entry of backend server \"%s\" takes %d bytes on the wire; at most %d are allowed";
 
     private ErrorText() {}
 }
