Add owner, entry and fleet services of the daemon

Cause: requests need to reach the owner of a backend server and come back.

Weighed: a Thrift call per request against HTTP/1.1 to the owner's internal port. Thrift calls cannot stream an answer or cancel one.

Change: OwnerService drives one Admission per announced server; EntryService authenticates, places and forwards; CallerExchange feeds the answer tracker. Refusals by owners carry a header field of their own, so that a backend server's 503 is never taken for a refusal.

--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerRequest.java
@@ -0,0 +1,45 @@
+package org.hemlockrack.daemon.entry;
+
+import java.util.Set;
+import org.hemlockrack.config.WorkspaceConfig;
+import org.hemlockrack.daemon.http.HttpCall;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.RequestKind;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.model.WorkspaceId;
+import org.hemlockrack.placement.PlacementFilter;
+import org.hemlockrack.placement.PlacementKey;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A caller's request after it was authenticated and classified.
+ *
+ * @param id id of the request, unique over instances
+ * @param call the request as it is sent to a backend server
+ * @param workspace workspace of the caller
+ * @param workspaceConfig its configuration when the request arrived
+ * @param service the service
+ * @param model the model; the service's name for a plain service
+ * @param kind kind of the request
+ * @param placementKey what decides where it is placed
+ * @param idempotencyKey the caller's key, or null
+ * @param firstByteDeadlineNanos when the first byte of the answer is due
+ * @param deadlineNanos when the whole answer is due
+ */
+public record CallerRequest(
+        String id,
+        HttpCall call,
+        WorkspaceId workspace,
+        WorkspaceConfig workspaceConfig,
+        ServiceId service,
+        String model,
+        RequestKind kind,
+        PlacementKey placementKey,
+        @Nullable String idempotencyKey,
+        long firstByteDeadlineNanos,
+        long deadlineNanos) {
+
+    PlacementFilter filter(Set<BackendId> excluded) {
+        return new PlacementFilter(service, model, excluded);
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/EntryService.java
@@ -0,0 +1,256 @@
+package org.hemlockrack.daemon.entry;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.hemlockrack.admission.WaitMode;
+import org.hemlockrack.admission.WorkspaceLimiter;
+import org.hemlockrack.config.Configuration;
+import org.hemlockrack.config.ServiceConfig;
+import org.hemlockrack.config.WorkspaceConfig;
+import org.hemlockrack.daemon.fleet.Fleet;
+import org.hemlockrack.daemon.http.HttpCall;
+import org.hemlockrack.daemon.http.HttpClient;
+import org.hemlockrack.daemon.http.Responder;
+import org.hemlockrack.daemon.log.EventLog;
+import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.owner.AnswerListener;
+import org.hemlockrack.daemon.owner.Attempt;
+import org.hemlockrack.daemon.owner.ForwardOrder;
+import org.hemlockrack.daemon.owner.OwnerService;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.membership.Backend;
+import org.hemlockrack.membership.Member;
+import org.hemlockrack.membership.MembershipView;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.placement.Choice;
+import org.hemlockrack.placement.Placement;
+import org.hemlockrack.placement.PlacementSettings;
+import org.hemlockrack.retry.RetryBudget;
+import org.hemlockrack.retry.RetryBudgetSettings;
+
+/** Takes callers' requests. {@link #handle} may be called on any thread; the rest on the loop. */
+public final class EntryService {
+    private static final int MAX_CHOICES = 3;
+    private static final int LARGEST_BURST = 1_000_000;
+
+    private final Loop mLoop;
+    private final Fleet mFleet;
+    private final OwnerService mOwner;
+    private final HttpClient mClient;
+    private final HttpClient mCommandClient;
+    private final EventLog mLog;
+    private final RequestReader mReader;
+    private final Placement mPlacement = Placement.create(PlacementSettings.defaults());
+    private final Map<ServiceId, RetryBudget> mBudgets = new HashMap<>();
+    private final Set<CallerExchange> mOpen = new HashSet<>();
+    private final ClaimGate mClaims;
+
+    private WorkspaceLimiter mLimiter = WorkspaceLimiter.create(quota(1, 1));
+    private volatile Configuration mConfiguration = Configuration.empty();
+    private volatile boolean mReady;
+
+    private EntryService(
+            Loop loop,
+            Fleet fleet,
+            OwnerService owner,
+            HttpClient client,
+            HttpClient commandClient,
+            ClaimGate claims,
+            EventLog log,
+            String idPrefix) {
+        mLoop = loop;
+        mFleet = fleet;
+        mOwner = owner;
+        mClient = client;
+        mCommandClient = commandClient;
+        mClaims = claims;
+        mLog = log;
+        mReader = new RequestReader(idPrefix);
+    }
+
+    /**
+     * Creates the service.
+     *
+     * @param loop loop that owns it
+     * @param fleet the fleet
+     * @param owner the backend servers that this instance owns
+     * @param client client for idempotent requests
+     * @param commandClient client that opens a connection for each request
+     * @param claims decides whether a command with an idempotency key may run
+     * @param log the log
+     * @param idPrefix differs between any two processes, to make request ids unique
+     * @return the service
+     */
+    public static EntryService create(
+            Loop loop,
+            Fleet fleet,
+            OwnerService owner,
+            HttpClient client,
+            HttpClient commandClient,
+            ClaimGate claims,
+            EventLog log,
+            String idPrefix) {
+        return new EntryService(loop, fleet, owner, client, commandClient, claims, log, idPrefix);
+    }
+
+    private static WorkspaceLimiter.Quota quota(int maxConcurrent, double ratePerSecond) {
+        int burst = (int) Math.max(1, Math.min(LARGEST_BURST, ratePerSecond));
+        return new WorkspaceLimiter.Quota(maxConcurrent, ratePerSecond, burst);
+    }
+
+    /** Takes the configuration in force. */
+    public void configure(Configuration configuration) {
+        mConfiguration = configuration;
+        configuration
+                .workspaces()
+                .forEach(
+                        (id, config) ->
+                                mLimiter.setQuota(
+                                        id,
+                                        quota(
+                                                config.maxConcurrentRequests(),
+                                                config.requestsPerSecond())));
+        configuration
+                .services()
+                .forEach((id, config) -> mBudgets.computeIfAbsent(id, key -> budget(config)));
+        refreshCandidates(mFleet.view());
+    }
+
+    private static RetryBudget budget(ServiceConfig config) {
+        RetryBudgetSettings defaults = RetryBudgetSettings.defaults();
+        return RetryBudget.create(
+                new RetryBudgetSettings(
+                        config.retryBudgetShare(), defaults.minPerSecond(), defaults.burst()));
+    }
+
+    /** Rebuilds the candidates for placement. */
+    public void refreshCandidates(MembershipView view) {
+        mPlacement.update(mLoop.nowNanos(), Candidates.of(view, mConfiguration, mFleet::inFlight));
+    }
+
+    /** Sets whether requests are taken. */
+    public void setReady(boolean ready) {
+        mReady = ready;
+    }
+
+    /** Returns whether requests are taken. Safe for use from any thread. */
+    public boolean ready() {
+        return mReady;
+    }
+
+    /** Returns the number of open requests. */
+    public int open() {
+        return mOpen.size();
+    }
+
+    /**
+     * Handles a caller's request. Safe for use from any thread.
+     *
+     * @param call the request
+     * @param responder takes the answer
+     */
+    public void handle(HttpCall call, Responder responder) {
+        if (!mReady) {
+            responder.sendError(ErrorKind.NOT_READY, "the instance is not ready", 1_000);
+            return;
+        }
+        try {
+            CallerRequest request = mReader.read(mLoop.nowNanos(), mConfiguration, call);
+            mLoop.execute(() -> accept(request, responder));
+        } catch (HemlockrackException e) {
+            responder.sendError(e.kind(), e.getMessage(), 0);
+        }
+    }
+
+    private void accept(CallerRequest request, Responder responder) {
+        WorkspaceLimiter.Decision decision =
+                mLimiter.tryAcquire(mLoop.nowNanos(), request.workspace());
+        if (!decision.allowed()) {
+            long retryAfterMillis = TimeUnit.NANOSECONDS.toMillis(decision.retryAfterNanos());
+            responder.sendError(
+                    decision.errorKind(),
+                    "workspace \"" + request.workspace() + "\" is over its limit",
+                    Math.max(1, retryAfterMillis));
+            return;
+        }
+        budget(request.service()).onRequest(mLoop.nowNanos());
+        CallerExchange exchange = new CallerExchange(this, mLoop, request, responder);
+        mOpen.add(exchange);
+        exchange.start();
+    }
+
+    /** Notes the end of a request. */
+    void closed(CallerExchange exchange) {
+        if (mOpen.remove(exchange)) {
+            mLimiter.release(exchange.request().workspace());
+        }
+    }
+
+    RetryBudget budget(ServiceId service) {
+        return mBudgets.computeIfAbsent(
+                service, key -> RetryBudget.create(RetryBudgetSettings.defaults()));
+    }
+
+    ClaimGate claims() {
+        return mClaims;
+    }
+
+    EventLog log() {
+        return mLog;
+    }
+
+    List<Choice> choose(CallerRequest request, Set<BackendId> excluded) {
+        return mPlacement.choose(
+                mLoop.nowNanos(), request.placementKey(), request.filter(excluded), MAX_CHOICES);
+    }
+
+    void served(CallerRequest request, Choice choice) {
+        mPlacement.served(mLoop.nowNanos(), request.placementKey(), choice);
+    }
+
+    /** Starts an attempt, or returns empty if the server's owner is not known. */
+    Optional<Attempt> attempt(
+            CallerRequest request,
+            HttpCall call,
+            Choice choice,
+            String attemptId,
+            WaitMode waitMode,
+            AnswerListener listener) {
+        Optional<Backend> backend = mFleet.view().backend(choice.backend());
+        if (backend.isEmpty()) {
+            return Optional.empty();
+        }
+        ForwardOrder order = order(request, choice.backend(), attemptId, waitMode);
+        if (backend.get().owner().equals(mFleet.self())) {
+            return Optional.of(mOwner.run(order, call, listener));
+        }
+        Optional<Member> owner = mFleet.view().member(backend.get().owner());
+        if (owner.isEmpty()) {
+            return Optional.empty();
+        }
+        HttpClient client = request.kind().idempotent() ? mClient : mCommandClient;
+        String address = owner.get().info().forwardAddress();
+        return Optional.of(RemoteOwner.run(client, address, order, call, listener));
+    }
+
+    private ForwardOrder order(
+            CallerRequest request, BackendId backend, String attemptId, WaitMode waitMode) {
+        WorkspaceConfig config = request.workspaceConfig();
+        long leftNanos = request.firstByteDeadlineNanos() - mLoop.nowNanos();
+        return new ForwardOrder(
+                backend,
+                attemptId,
+                request.workspace(),
+                config.priority(),
+                request.kind(),
+                Math.max(0, TimeUnit.NANOSECONDS.toMillis(leftNanos)),
+                waitMode);
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/RemoteOwner.java
@@ -0,0 +1,105 @@
+package org.hemlockrack.daemon.entry;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.hemlockrack.daemon.http.HeaderField;
+import org.hemlockrack.daemon.http.HttpCall;
+import org.hemlockrack.daemon.http.HttpClient;
+import org.hemlockrack.daemon.http.UpstreamCall;
+import org.hemlockrack.daemon.http.UpstreamListener;
+import org.hemlockrack.daemon.owner.AnswerListener;
+import org.hemlockrack.daemon.owner.Attempt;
+import org.hemlockrack.daemon.owner.ForwardOrder;
+import org.hemlockrack.errors.ErrorKind;
+
+/** Forwards a request to the owner on another instance and translates its answer. */
+final class RemoteOwner implements UpstreamListener {
+    private final AnswerListener mListener;
+    private boolean mOver;
+
+    private RemoteOwner(AnswerListener listener) {
+        mListener = listener;
+    }
+
+    static Attempt run(
+            HttpClient client,
+            String address,
+            ForwardOrder order,
+            HttpCall call,
+            AnswerListener listener) {
+        List<HeaderField> headers = new ArrayList<>(call.headers());
+        headers.addAll(order.toHeaders());
+        UpstreamCall upstream =
+                client.send(
+                        address,
+                        call.method(),
+                        call.target(),
+                        headers,
+                        call.body(),
+                        new RemoteOwner(listener));
+        return new UpstreamAttempt(upstream);
+    }
+
+    private record UpstreamAttempt(UpstreamCall upstream) implements Attempt {
+        @Override
+        public void release(int bytes) {
+            upstream.release(bytes);
+        }
+
+        @Override
+        public void cancel() {
+            upstream.cancel();
+        }
+    }
+
+    @Override
+    public boolean onSending() {
+        return true;
+    }
+
+    @Override
+    public void onHead(int status, List<HeaderField> headers, long lengthBytes) {
+        String refused = HeaderField.first(headers, ForwardOrder.REFUSED);
+        String failed = HeaderField.first(headers, ForwardOrder.FAILED);
+        if (failed != null) {
+            mOver = true;
+            String message = "the backend server broke the connection to its owner";
+            mListener.onFailed(ErrorKind.valueOf(failed), message, true);
+            return;
+        }
+        if (refused == null) {
+            mListener.onHead(status, headers, lengthBytes);
+            return;
+        }
+        mOver = true;
+        String retryAfter = HeaderField.first(headers, ForwardOrder.RETRY_AFTER_MILLIS);
+        long retryAfterMillis = retryAfter == null ? 0 : Long.parseLong(retryAfter);
+        mListener.onRefused(ErrorKind.valueOf(refused), retryAfterMillis);
+    }
+
+    @Override
+    public void onBody(ByteBuffer data) {
+        if (mOver) {
+            data.position(data.limit());
+            return;
+        }
+        mListener.onBody(data);
+    }
+
+    @Override
+    public void onEnd() {
+        if (!mOver) {
+            mListener.onEnd();
+        }
+    }
+
+    @Override
+    public void onFailed(Exception cause, boolean mayHaveBeenSent) {
+        if (mOver) {
+            return;
+        }
+        String reason = "forwarding to the owner failed: " + cause.getMessage();
+        mListener.onFailed(ErrorKind.BACKEND_FAILED, reason, mayHaveBeenSent);
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/fleet/Fleet.java
@@ -0,0 +1,189 @@
+package org.hemlockrack.daemon.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.function.Consumer;
+import org.apache.thrift.TDeserializer;
+import org.apache.thrift.TException;
+import org.apache.thrift.TSerializer;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.hemlockrack.admission.HandoverMessage;
+import org.hemlockrack.daemon.loop.DeciderRunner;
+import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.membership.Fact;
+import org.hemlockrack.membership.InstanceInfo;
+import org.hemlockrack.membership.Member;
+import org.hemlockrack.membership.Membership;
+import org.hemlockrack.membership.MembershipInput;
+import org.hemlockrack.membership.MembershipOutput;
+import org.hemlockrack.membership.MembershipView;
+import org.hemlockrack.membership.Owners;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.model.ZoneId;
+import org.hemlockrack.wire.Handover;
+import org.hemlockrack.wire.Slice;
+
+/** Runs the membership of this instance. Confined to the loop except {@link #view()}. */
+public final class Fleet {
+    private final Loop mLoop;
+    private final InstanceInfo mSelf;
+    private final Membership mMembership;
+    private final PeerNetwork mNetwork;
+    private final DeciderRunner<MembershipInput, MembershipOutput> mRunner;
+    private final List<Consumer<MembershipView>> mViewListeners = new ArrayList<>();
+    private final List<Consumer<Fact>> mFactListeners = new ArrayList<>();
+
+    private volatile MembershipView mView;
+
+    private Fleet(Loop loop, InstanceInfo self, Membership membership, PeerNetwork network) {
+        mLoop = loop;
+        mSelf = self;
+        mMembership = membership;
+        mNetwork = network;
+        mView = membership.view(loop.nowNanos());
+        mRunner = DeciderRunner.create(loop, membership, this::carryOut);
+    }
+
+    /**
+     * Creates the fleet. Must be called on the loop.
+     *
+     * @param loop loop that owns it
+     * @param self this instance
+     * @param membership its membership
+     * @param network connections to other instances
+     * @return the fleet
+     */
+    public static Fleet create(
+            Loop loop, InstanceInfo self, Membership membership, PeerNetwork network) {
+        return new Fleet(loop, self, membership, network);
+    }
+
+    /** Adds a listener that is called on the loop after the view changed. */
+    public void onView(Consumer<MembershipView> listener) {
+        mViewListeners.add(listener);
+    }
+
+    /** Adds a listener that is called on the loop when a newer fact was learned. */
+    public void onFact(Consumer<Fact> listener) {
+        mFactListeners.add(listener);
+    }
+
+    /** Returns this instance's id. Safe for use from any thread. */
+    public InstanceId self() {
+        return mSelf.id();
+    }
+
+    /** Returns this instance's addresses. Safe for use from any thread. */
+    public InstanceInfo selfInfo() {
+        return mSelf;
+    }
+
+    /** Returns the newest view. Safe for use from any thread. */
+    public MembershipView view() {
+        return mView;
+    }
+
+    /** Feeds an event. */
+    public void post(MembershipInput event) {
+        mRunner.post(event);
+        refresh();
+    }
+
+    private void refresh() {
+        MembershipView view = mMembership.view(mLoop.nowNanos());
+        if (view == mView) {
+            return;
+        }
+        mView = view;
+        mViewListeners.forEach(listener -> listener.accept(view));
+    }
+
+    private void carryOut(MembershipOutput output) {
+        if (output instanceof MembershipOutput.Send send) {
+            String target = send.target() == null ? "" : send.target().value();
+            mNetwork.send(send.address(), target, Slice.MEMBERSHIP, send.payload());
+            return;
+        }
+        if (output instanceof MembershipOutput.FactLearned learned) {
+            mFactListeners.forEach(listener -> listener.accept(learned.fact()));
+            return;
+        }
+        refresh();
+    }
+
+    /** Returns the instance that should own a backend server. */
+    public Optional<Member> owner(BackendId backend, ZoneId zone) {
+        return Owners.owner(mView, backend, zone).flatMap(mView::member);
+    }
+
+    /** Returns the best owner of a backend server other than this instance. */
+    public Optional<Member> nextOwner(BackendId backend, ZoneId zone) {
+        return Owners.ranking(mView, backend, zone).stream()
+                .filter(id -> !id.equals(mSelf.id()))
+                .findFirst()
+                .flatMap(mView::member);
+    }
+
+    /** Returns the mean work in flight per server of a service, empty while none is known. */
+    public OptionalDouble meanInFlight(ServiceId service) {
+        return OptionalDouble.of(mMembership.meanInFlight(service));
+    }
+
+    /** Returns the last known work in flight of a backend server. */
+    public int inFlight(BackendId backend) {
+        return mMembership.inFlight(backend);
+    }
+
+    /** Sends a handover to the next owner. */
+    public void sendHandover(HandoverMessage message) {
+        Optional<Member> to = mView.member(message.to());
+        if (to.isEmpty()) {
+            return;
+        }
+        Handover wire = new Handover();
+        wire.setBackend(message.backend().value());
+        wire.setFromInstance(message.from().value());
+        wire.setToInstance(message.to().value());
+        wire.setIncarnation(message.incarnation());
+        wire.setFloorSequence(message.floorSequence());
+        wire.setInFlight(message.inFlight());
+        wire.setForeignLoad(message.foreignLoad());
+        try {
+            byte[] payload = new TSerializer(new TCompactProtocol.Factory()).serialize(wire);
+            mNetwork.send(
+                    to.get().info().peerAddress(), message.to().value(), Slice.ADMISSION, payload);
+        } catch (TException e) {
+            throw HemlockrackException.of(ErrorKind.INTERNAL, "handover cannot be encoded", e);
+        }
+    }
+
+    /**
+     * Reads a handover.
+     *
+     * @param payload the payload
+     * @return the message
+     * @throws HemlockrackException with {@link ErrorKind#BAD_REQUEST} if it is malformed
+     */
+    public static HandoverMessage readHandover(byte[] payload) {
+        Handover wire = new Handover();
+        try {
+            new TDeserializer(new TCompactProtocol.Factory()).deserialize(wire, payload);
+        } catch (TException e) {
+            throw HemlockrackException.of(ErrorKind.BAD_REQUEST, "malformed handover", e);
+        }
+        return new HandoverMessage(
+                BackendId.of(wire.getBackend()),
+                InstanceId.of(wire.getFromInstance()),
+                InstanceId.of(wire.getToInstance()),
+                wire.getIncarnation(),
+                wire.getFloorSequence(),
+                wire.getInFlight() == null ? List.of() : wire.getInFlight(),
+                wire.getForeignLoad());
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/fleet/PeerNetwork.java
@@ -0,0 +1,91 @@
+package org.hemlockrack.daemon.fleet;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import org.hemlockrack.daemon.peer.PeerClient;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.wire.Envelope;
+import org.hemlockrack.wire.Slice;
+
+/** Connections to other instances, by peer address. Safe for use from any thread. */
+public final class PeerNetwork implements AutoCloseable {
+    /** Told when messages to an address cannot be delivered. */
+    @FunctionalInterface
+    public interface UnreachableListener {
+        /**
+         * Called on a connection's thread.
+         *
+         * @param address {@code ip:port}
+         * @param cause the cause
+         */
+        void unreachable(String address, Exception cause);
+    }
+
+    private final InstanceId mSelf;
+    private final UnreachableListener mListener;
+    private final ConcurrentMap<String, PeerClient> mMessages = new ConcurrentHashMap<>();
+
+    /** Calls that wait for a reply do not hold up gossip and consensus messages. */
+    private final ConcurrentMap<String, PeerClient> mCalls = new ConcurrentHashMap<>();
+
+    private PeerNetwork(InstanceId self, UnreachableListener listener) {
+        mSelf = self;
+        mListener = listener;
+    }
+
+    /**
+     * Creates the network.
+     *
+     * @param self this instance
+     * @param listener told about unreachable addresses
+     * @return the network
+     */
+    public static PeerNetwork create(InstanceId self, UnreachableListener listener) {
+        return new PeerNetwork(self, listener);
+    }
+
+    /**
+     * Sends one message; it may be lost.
+     *
+     * @param address {@code ip:port}
+     * @param target the receiver, empty if its name is not known
+     * @param slice the slice that reads the payload
+     * @param payload the payload
+     */
+    public void send(String address, String target, Slice slice, byte[] payload) {
+        Envelope envelope = new Envelope();
+        envelope.setSender(mSelf.value());
+        envelope.setTarget(target);
+        envelope.setSlice(slice);
+        envelope.setPayload(ByteBuffer.wrap(payload));
+        client(mMessages, address).deliver(List.of(envelope));
+    }
+
+    /**
+     * Makes a call.
+     *
+     * @param address {@code ip:port}
+     * @param call the call
+     * @param <T> type of the reply
+     * @return completes with the reply or exceptionally
+     */
+    public <T> CompletableFuture<T> ask(String address, PeerClient.Call<T> call) {
+        return client(mCalls, address).ask(call);
+    }
+
+    private PeerClient client(ConcurrentMap<String, PeerClient> clients, String address) {
+        return clients.computeIfAbsent(
+                address, key -> PeerClient.create(key, cause -> mListener.unreachable(key, cause)));
+    }
+
+    @Override
+    public void close() {
+        List<PeerClient> all = new ArrayList<>(mMessages.values());
+        all.addAll(mCalls.values());
+        all.forEach(PeerClient::close);
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
@@ -45,10 +45,12 @@
      * @param ioThreads threads of the reactor
      * @param connectTimeoutMillis longest time to open a connection
      * @param idleTimeoutMillis longest time without any byte on a connection in use
+     * @param reuse whether connections are kept for later requests; a server may close a kept
+     *     connection while a request is on its way, which leaves the outcome unknown
      * @return the client
      */
     public static HttpClient open(
-            int ioThreads, long connectTimeoutMillis, long idleTimeoutMillis) {
+            int ioThreads, long connectTimeoutMillis, long idleTimeoutMillis, boolean reuse) {
         IOReactorConfig reactor =
                 IOReactorConfig.custom()
                         .setIoThreadCount(ioThreads)
@@ -66,7 +68,8 @@
                         .setTimeToLive(Timeout.ofSeconds(MAX_IDLE_SECONDS))
                         .create();
         requester.start();
-        return new HttpClient(requester, sessions, Timeout.ofMilliseconds(connectTimeoutMillis), reuse);
+        return new HttpClient(
+                requester, sessions, Timeout.ofMilliseconds(connectTimeoutMillis), reuse);
     }
 
     /**
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/Responder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/Responder.java
@@ -34,6 +34,9 @@
      */
     int write(ByteBuffer data);
 
+    /** Returns the bytes that are queued and not yet written to the connection. */
+    int queuedBytes();
+
     /** Completes the answer. */
     void end();
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
@@ -163,6 +163,11 @@
         return queued;
     }
 
+    @Override
+    public synchronized int queuedBytes() {
+        return mQueuedBytes;
+    }
+
     @Override
     public void end() {
         finish(false);
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/DeferredAttempt.java
@@ -0,0 +1,51 @@
+package org.hemlockrack.daemon.owner;
+
+import org.jspecify.annotations.Nullable;
+
+/** Stands for an attempt that is opened later on another thread. */
+final class DeferredAttempt implements Attempt {
+    private @Nullable Attempt mAttempt;
+    private boolean mCancelled;
+    private int mReleasedBytes;
+
+    void set(Attempt attempt) {
+        boolean cancelled;
+        int releasedBytes;
+        synchronized (this) {
+            mAttempt = attempt;
+            cancelled = mCancelled;
+            releasedBytes = mReleasedBytes;
+        }
+        if (releasedBytes > 0) {
+            attempt.release(releasedBytes);
+        }
+        if (cancelled) {
+            attempt.cancel();
+        }
+    }
+
+    @Override
+    public void release(int bytes) {
+        Attempt attempt;
+        synchronized (this) {
+            attempt = mAttempt;
+            if (attempt == null) {
+                mReleasedBytes += bytes;
+                return;
+            }
+        }
+        attempt.release(bytes);
+    }
+
+    @Override
+    public void cancel() {
+        Attempt attempt;
+        synchronized (this) {
+            mCancelled = true;
+            attempt = mAttempt;
+        }
+        if (attempt != null) {
+            attempt.cancel();
+        }
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/ForwardOrder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/ForwardOrder.java
@@ -40,6 +40,9 @@
     /** Names the error kind of a refusal by the owner, as opposed to a backend server's answer. */
     public static final String REFUSED = PREFIX + "Refused";
 
+    /** Names the error kind of an attempt that failed after it may have run. */
+    public static final String FAILED = PREFIX + "Failed";
+
     /** States when the owner expects a retry to succeed, in milliseconds. */
     public static final String RETRY_AFTER_MILLIS = PREFIX + "Retry-After-Ms";
 
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnedRequest.java
@@ -0,0 +1,168 @@
+package org.hemlockrack.daemon.owner;
+
+import java.io.IOException;
+import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import org.hemlockrack.admission.AdmissionEvent;
+import org.hemlockrack.admission.Outcome;
+import org.hemlockrack.daemon.http.HeaderField;
+import org.hemlockrack.daemon.http.HttpCall;
+import org.hemlockrack.daemon.http.UpstreamCall;
+import org.hemlockrack.daemon.http.UpstreamListener;
+import org.hemlockrack.errors.ErrorKind;
+import org.jspecify.annotations.Nullable;
+
+/** One request at the owner, from its arrival to the end of the backend server's answer. */
+final class OwnedRequest implements Attempt, UpstreamListener {
+    private static final int FIRST_SERVER_ERROR_STATUS = 500;
+    private static final long NO_FIRST_BYTE = -1;
+
+    private final ForwardOrder mOrder;
+    private final HttpCall mCall;
+    private final AnswerListener mListener;
+    private final OwnedBackend mBackend;
+
+    private volatile @Nullable UpstreamCall mUpstream;
+    private volatile boolean mCancelled;
+    private volatile long mValidUntilNanos;
+    private volatile long mDispatchedNanos;
+    private volatile long mFirstByteNanos = NO_FIRST_BYTE;
+    private volatile int mStatus;
+    private int mReleasedBytes;
+    private boolean mOver;
+
+    OwnedRequest(ForwardOrder order, HttpCall call, AnswerListener listener, OwnedBackend backend) {
+        mOrder = order;
+        mCall = call;
+        mListener = listener;
+        mBackend = backend;
+    }
+
+    ForwardOrder order() {
+        return mOrder;
+    }
+
+    HttpCall call() {
+        return mCall;
+    }
+
+    /** Sends the request; called on the loop. */
+    void dispatch(long validUntilNanos) {
+        mValidUntilNanos = validUntilNanos;
+        mDispatchedNanos = System.nanoTime();
+        UpstreamCall upstream = mBackend.send(this);
+        int releasedBytes;
+        synchronized (this) {
+            mUpstream = upstream;
+            releasedBytes = mReleasedBytes;
+        }
+        if (releasedBytes > 0) {
+            upstream.release(releasedBytes);
+        }
+        if (mCancelled) {
+            upstream.cancel();
+            finish(Outcome.CANCELLED);
+        }
+    }
+
+    /** Passes a refusal on; called on the loop. */
+    void refuse(ErrorKind kind, long retryAfterNanos) {
+        if (markOver()) {
+            mListener.onRefused(kind, retryAfterNanos / 1_000_000);
+        }
+    }
+
+    private synchronized boolean markOver() {
+        boolean first = !mOver;
+        mOver = true;
+        return first;
+    }
+
+    private void finish(Outcome outcome) {
+        if (!markOver()) {
+            return;
+        }
+        long firstByteNanos = mFirstByteNanos;
+        long ttftNanos =
+                firstByteNanos == NO_FIRST_BYTE ? NO_FIRST_BYTE : firstByteNanos - mDispatchedNanos;
+        mBackend.finished(mOrder.requestId(), outcome, ttftNanos);
+    }
+
+    @Override
+    public void release(int bytes) {
+        UpstreamCall upstream;
+        synchronized (this) {
+            upstream = mUpstream;
+            if (upstream == null) {
+                mReleasedBytes += bytes;
+                return;
+            }
+        }
+        upstream.release(bytes);
+    }
+
+    @Override
+    public void cancel() {
+        mCancelled = true;
+        mBackend.cancelled(this);
+    }
+
+    /** Ends a cancelled request; called on the loop. */
+    void abandon() {
+        UpstreamCall upstream = mUpstream;
+        if (upstream == null) {
+            mBackend.post(new AdmissionEvent.Cancelled(mOrder.requestId()));
+            return;
+        }
+        upstream.cancel();
+        finish(Outcome.CANCELLED);
+    }
+
+    @Override
+    public boolean onSending() {
+        return !mCancelled && System.nanoTime() - mValidUntilNanos < 0;
+    }
+
+    @Override
+    public void onHead(int status, List<HeaderField> headers, long lengthBytes) {
+        mStatus = status;
+        if (lengthBytes == 0) {
+            firstByte();
+        }
+        mListener.onHead(status, headers, lengthBytes);
+    }
+
+    @Override
+    public void onBody(ByteBuffer data) {
+        firstByte();
+        mListener.onBody(data);
+    }
+
+    private void firstByte() {
+        if (mFirstByteNanos != NO_FIRST_BYTE) {
+            return;
+        }
+        mFirstByteNanos = System.nanoTime();
+        mBackend.firstByte(mOrder.requestId(), mFirstByteNanos - mDispatchedNanos);
+    }
+
+    @Override
+    public void onEnd() {
+        finish(mStatus >= FIRST_SERVER_ERROR_STATUS ? Outcome.ERROR : Outcome.OK);
+        mListener.onEnd();
+    }
+
+    @Override
+    public void onFailed(Exception cause, boolean mayHaveBeenSent) {
+        if (mCancelled) {
+            finish(Outcome.CANCELLED);
+            return;
+        }
+        boolean timedOut = cause instanceof SocketTimeoutException;
+        finish(timedOut ? Outcome.TIMEOUT : Outcome.ERROR);
+        ErrorKind kind = timedOut ? ErrorKind.BACKEND_TIMEOUT : ErrorKind.BACKEND_FAILED;
+        String reason = cause instanceof IOException ? cause.getMessage() : cause.toString();
+        mListener.onFailed(kind, String.valueOf(reason), mayHaveBeenSent);
+    }
+}
--- a/hemlockrack-wire/src/main/thrift/peer.thrift
+++ b/hemlockrack-wire/src/main/thrift/peer.thrift
@@ -5,7 +5,8 @@
   CONSENSUS = 1,
   MEMBERSHIP = 2,
   CLAIMS = 3,
-  ROLLOUT = 4
+  ROLLOUT = 4,
+  ADMISSION = 5
 }
 
 /** One message of a slice; its answer, if any, is an envelope in the other direction. */
