--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/Member.java
@@ -0,0 +1,9 @@
+package org.hemlockrack.consensus;
+
+/**
+ * One member of the replicated log.
+ *
+ * @param replica the replica
+ * @param standing what it may do
+ */
+public record Member(ReplicaRef replica, Standing standing) {}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/Membership.java
@@ -0,0 +1,124 @@
+package org.hemlockrack.consensus;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongPredicate;
+import org.hemlockrack.model.InstanceId;
+
+/**
+ * The members at one point of the log.
+ *
+ * @param clusterId replica id of the replica that formed the cluster; packets of other clusters are
+ *     ignored
+ * @param members the members
+ */
+public record Membership(long clusterId, List<Member> members) {
+    /** Bounds the quorum arithmetic and the membership entry; the design allows 7 voters. */
+    public static final int MAX_MEMBERS = 16;
+
+    /** The membership of a replica that belongs to no cluster yet. */
+    public static final Membership NONE = new Membership(0, List.of());
+
+    /** Copies the list. */
+    public Membership {
+        members = List.copyOf(members);
+    }
+
+    /** Returns the members that vote. */
+    public List<ReplicaRef> voters() {
+        List<ReplicaRef> voters = new ArrayList<>();
+        for (Member member : members) {
+            if (member.standing().votes()) {
+                voters.add(member.replica());
+            }
+        }
+        return voters;
+    }
+
+    /**
+     * Returns whether a replica votes.
+     *
+     * @param replicaId the replica id
+     * @return true if it is a voter
+     */
+    public boolean isVoter(long replicaId) {
+        return member(replicaId).map(m -> m.standing().votes()).orElse(false);
+    }
+
+    /**
+     * Returns the member with a replica id.
+     *
+     * @param replicaId the replica id
+     * @return the member, or empty
+     */
+    public Optional<Member> member(long replicaId) {
+        return members.stream().filter(m -> m.replica().replicaId() == replicaId).findFirst();
+    }
+
+    /**
+     * Returns the member of an instance that votes, or does not.
+     *
+     * @param instance the instance
+     * @param voting whether the voter is wanted
+     * @return the member, or empty
+     */
+    public Optional<Member> memberOf(InstanceId instance, boolean voting) {
+        return members.stream()
+                .filter(m -> m.replica().instance().equals(instance))
+                .filter(m -> m.standing().votes() == voting)
+                .findFirst();
+    }
+
+    /** Returns the number of voters that form a majority. */
+    public int quorum() {
+        return voters().size() / 2 + 1;
+    }
+
+    /**
+     * Returns whether a majority of the voters satisfies a condition.
+     *
+     * @param condition a condition on replica ids
+     * @return true for a majority; false if there are no voters
+     */
+    public boolean majority(LongPredicate condition) {
+        List<ReplicaRef> voters = voters();
+        long count = voters.stream().filter(v -> condition.test(v.replicaId())).count();
+        return !voters.isEmpty() && count >= quorum();
+    }
+
+    /**
+     * Returns whether a set of replica ids holds a majority of the voters.
+     *
+     * @param replicaIds the replica ids
+     * @return true for a majority
+     */
+    public boolean majority(Set<Long> replicaIds) {
+        return majority(id -> replicaIds.contains(id));
+    }
+
+    /**
+     * Returns the membership with a member added, or changed if its replica id is known.
+     *
+     * @param member the member
+     * @return the new membership
+     */
+    public Membership with(Member member) {
+        List<Member> next = new ArrayList<>(without(member.replica().replicaId()).members);
+        next.add(member);
+        return new Membership(clusterId, next);
+    }
+
+    /**
+     * Returns the membership without a member.
+     *
+     * @param replicaId the replica id
+     * @return the new membership
+     */
+    public Membership without(long replicaId) {
+        List<Member> next = new ArrayList<>(members);
+        next.removeIf(m -> m.replica().replicaId() == replicaId);
+        return new Membership(clusterId, next);
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/Meta.java
@@ -0,0 +1,31 @@
+package org.hemlockrack.consensus;
+
+/**
+ * The small durable state of a replica.
+ *
+ * @param replicaId random id of the data folder, never 0
+ * @param term current term
+ * @param vote replica id voted for in the term, or 0
+ */
+public record Meta(long replicaId, long term, long vote) {
+    /**
+     * Returns the state of a new data folder.
+     *
+     * @param replicaId the random id
+     * @return the state
+     */
+    public static Meta fresh(long replicaId) {
+        return new Meta(replicaId, 0, 0);
+    }
+
+    /**
+     * Returns the state in another term.
+     *
+     * @param newTerm the term
+     * @param newVote the vote in that term, or 0
+     * @return the new state
+     */
+    public Meta inTerm(long newTerm, long newVote) {
+        return new Meta(replicaId, newTerm, newVote);
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/Folder.java
@@ -0,0 +1,140 @@
+package org.hemlockrack.consensus.internal.file;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.ErrorText;
+import org.hemlockrack.errors.HemlockrackException;
+import org.jspecify.annotations.Nullable;
+
+/** A locked data folder with operations that survive a crash at any point. */
+final class Folder implements AutoCloseable {
+    private static final String LOCK = "lock";
+    private static final String TEMP_SUFFIX = ".tmp";
+
+    private final Path mPath;
+    private final FileChannel mLock;
+
+    private Folder(Path path, FileChannel lock) {
+        mPath = path;
+        mLock = lock;
+    }
+
+    static Folder lock(Path path) throws IOException {
+        Files.createDirectories(path);
+        FileChannel channel =
+                FileChannel.open(
+                        path.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        if (tryLock(channel) == null) {
+            channel.close();
+            throw HemlockrackException.of(
+                    ErrorKind.NOT_READY, String.format(ErrorText.STORE_LOCKED, path));
+        }
+        return new Folder(path, channel);
+    }
+
+    private static @Nullable FileLock tryLock(FileChannel channel) throws IOException {
+        try {
+            return channel.tryLock();
+        } catch (OverlappingFileLockException e) {
+            return null; // Held by this process.
+        }
+    }
+
+    Path resolve(String name) {
+        return mPath.resolve(name);
+    }
+
+    /** Returns the names with a prefix, sorted. */
+    List<String> names(String prefix, String suffix) throws IOException {
+        List<String> names = new ArrayList<>();
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(mPath)) {
+            for (Path file : files) {
+                String name = file.getFileName().toString();
+                if (name.startsWith(prefix) && name.endsWith(suffix)) {
+                    names.add(name);
+                }
+            }
+        }
+        names.sort(null);
+        return names;
+    }
+
+    void sync() throws IOException {
+        try (FileChannel channel = FileChannel.open(mPath, StandardOpenOption.READ)) {
+            channel.force(true);
+        }
+    }
+
+    /** Writes a file so that after a crash it holds either the old or the new content. */
+    void replace(String name, ByteBuffer... parts) throws IOException {
+        Path temp = mPath.resolve(name + TEMP_SUFFIX);
+        try (FileChannel channel =
+                FileChannel.open(
+                        temp,
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.TRUNCATE_EXISTING,
+                        StandardOpenOption.WRITE)) {
+            for (ByteBuffer part : parts) {
+                writeFully(channel, part);
+            }
+            channel.force(true);
+        }
+        rename(temp, name);
+    }
+
+    /** Renames a synced file within the folder durably. */
+    void rename(Path from, String name) throws IOException {
+        Files.move(
+                from,
+                mPath.resolve(name),
+                StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
+        sync();
+    }
+
+    void delete(String name) throws IOException {
+        Files.deleteIfExists(mPath.resolve(name));
+    }
+
+    /** Moves all files except the lock to a subfolder, whose earlier files are removed. */
+    void setAside(String subfolder) throws IOException {
+        Path target = mPath.resolve(subfolder);
+        Files.createDirectories(target);
+        try (DirectoryStream<Path> old = Files.newDirectoryStream(target)) {
+            for (Path file : old) {
+                Files.delete(file);
+            }
+        }
+        // The file with the replica id goes first: without it the folder counts as damaged.
+        List<String> names = names("", "");
+        names.sort((a, b) -> Boolean.compare(b.equals("meta"), a.equals("meta")));
+        for (String name : names) {
+            if (!name.equals(LOCK) && !name.equals(subfolder)) {
+                Files.move(mPath.resolve(name), target.resolve(name));
+            }
+        }
+        sync();
+    }
+
+    static void writeFully(FileChannel channel, ByteBuffer bytes) throws IOException {
+        while (bytes.hasRemaining()) {
+            channel.write(bytes);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        mLock.close();
+    }
+}
