--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
@@ -59,6 +59,12 @@
     public static final String MALFORMED_GOSSIP = "malformed gossip message: %s";
     public static final String BACKEND_ENTRY_TOO_LARGE =
             "entry of backend server \"%s\" takes %d bytes on the wire; at most %d are allowed";
+    public static final String WIRE_MALFORMED = "malformed consensus message: %s";
+    public static final String WIRE_ENCODING = "a consensus struct cannot be encoded";
+    public static final String STORE_DAMAGED = "%s is damaged at byte %d: %s";
+    public static final String STORE_MISSING = "%s is missing";
+    public static final String STORE_LOCKED = "another process uses the data folder %s";
+    public static final String STORE_FAILED = "the data folder %s cannot be written or read";
 
     private ErrorText() {}
 }
