--- a/hemlockrack-core/src/main/java/org/hemlockrack/config/Configuration.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/config/Configuration.java
@@ -129,6 +129,16 @@
         return Trees.toJson(mDocument);
     }
 
+    /** Returns a fault if the document is too long to be sent to other instances as TOML. */
+    Optional<Fault> sizeFault() {
+        int chars = toToml().length();
+        if (chars <= Trees.MAX_TEXT_CHARS) {
+            return Optional.empty();
+        }
+        String allowed = "at most " + Trees.MAX_TEXT_CHARS + " characters";
+        return Optional.of(new Fault("(document)", chars + " characters", allowed));
+    }
+
     /** Returns a copy of the document tree, without defaults. */
     public ObjectNode tree() {
         return mDocument.deepCopy();
