--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/placement/PlacementProperties.java
@@ -0,0 +1,397 @@
+package org.hemlockrack.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.ModelVersion;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.model.ZoneId;
+
+/** Properties of the choice of servers, each also run against a version without the mechanism. */
+class PlacementProperties {
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final ServiceId SERVICE = ServiceId.of("assistant");
+    private static final ModelVersion V1 = ModelVersion.of("m", "1");
+    private static final ModelVersion V2 = ModelVersion.of("m", "2");
+    private static final PlacementFilter FILTER = PlacementFilter.of(SERVICE, "m");
+    private static final PlacementSettings SETTINGS =
+            PlacementSettings.defaults().withMaxChats(1024);
+    private static final long KEPT_SEED = 1;
+
+    private static Placement ours() {
+        return Placement.create(SETTINGS);
+    }
+
+    /** Guards against chats that stay away from their server after it flapped. */
+    @Property(tries = 500)
+    void flapDoesNotMoveChats(@ForAll long seed) {
+        flap(seed, ours());
+    }
+
+    /** Guards against a joining server that takes more than its share, or reshuffles others. */
+    @Property(tries = 200)
+    void joinMovesOnlyItsShare(@ForAll long seed) {
+        join(seed, ours());
+    }
+
+    /** Guards against choices that depend on the order in which an instance learned of servers. */
+    @Property(tries = 500)
+    void equalViewsAgree(@ForAll long seed) {
+        agree(seed, PlacementProperties::ours);
+    }
+
+    /** Guards against tables that keep instances apart after their views became equal. */
+    @Property(tries = 200)
+    void differingViewsConverge(@ForAll long seed) {
+        converge(seed, PlacementProperties::ours);
+    }
+
+    /** The first three properties must see a hash over the list of usable servers. */
+    @Example
+    void catchesModuloPlacement() {
+        assertThrows(AssertionError.class, () -> flap(KEPT_SEED, new ModuloPlacement()));
+        assertThrows(AssertionError.class, () -> join(KEPT_SEED, new ModuloPlacement()));
+        assertThrows(AssertionError.class, () -> agree(KEPT_SEED, ModuloPlacement::new));
+    }
+
+    /** Convergence must see a table that follows remembered places without a time limit. */
+    @Example
+    void catchesUnlimitedMemory() {
+        PlacementSettings unlimited = SETTINGS.withColdWindowNanos(TimeUnit.DAYS.toNanos(365));
+        assertThrows(
+                AssertionError.class, () -> converge(KEPT_SEED, () -> Placement.create(unlimited)));
+    }
+
+    /** Guards against a gate that lets a faulty version have more than its share (R4). */
+    @Property(tries = 100)
+    void gateAdmitsItsShareAndGrows(@ForAll long seed) {
+        Random random = new Random(seed);
+        Placement small = ours();
+        Placement large = ours();
+        small.update(0, gated(0.05));
+        large.update(0, gated(0.25));
+        int admitted = 0;
+        for (int i = 0; i < 4000; i++) {
+            PlacementKey key = new PlacementKey(random.nextLong());
+            boolean inSmall = usesVersion2(small, key);
+            admitted += inSmall ? 1 : 0;
+            assertTrue(!inSmall || usesVersion2(large, key), "a larger share lost a chat");
+        }
+        // Six standard deviations of a binomial with 4000 tries at 5% are 83.
+        assertEquals(200, admitted, 83);
+    }
+
+    /** Guards against work for servers that leave (R8), zones that are out (R3), and others. */
+    @Property(tries = 300)
+    void onlyUsableServersAreChosen(@ForAll long seed) {
+        Random random = new Random(seed);
+        Placement placement = ours();
+        Map<BackendId, Candidate> all = new HashMap<>();
+        for (int step = 0; step < 20; step++) {
+            List<Candidate> view = randomView(random);
+            view.forEach(c -> all.put(c.backend(), c));
+            placement.update(step * SECOND, view);
+            long usable = view.stream().filter(Candidate::usable).count();
+            PlacementKey key = new PlacementKey(random.nextInt(5));
+            List<Choice> choices = placement.choose(step * SECOND, key, FILTER, 3);
+            assertEquals(Math.min(3, usable), choices.stream().distinct().count());
+            for (Choice choice : choices) {
+                assertTrue(all.get(choice.backend()).usable());
+                placement.served(step * SECOND, key, choice);
+            }
+        }
+    }
+
+    /** Guards against a cold server that draws chats whose cache another server still holds. */
+    @Example
+    void coldServerYieldsRememberedChats() {
+        Placement placement = ours();
+        List<Candidate> view = servers(4);
+        placement.update(0, view);
+        PlacementKey key = new PlacementKey(42);
+        Choice first = placement.choose(0, key, FILTER, 2).get(0);
+        Choice second = placement.choose(0, key, FILTER, 2).get(1);
+        placement.served(SECOND, key, first);
+        placement.served(2 * SECOND, key, second);
+        assertEquals(first.backend(), firstBackend(placement, 3 * SECOND, key));
+        placement.cacheEvent(4 * SECOND, event(first, 7, List.of(), true));
+        assertEquals(second.backend(), firstBackend(placement, 5 * SECOND, key));
+        placement.cacheEvent(5 * SECOND, event(second, 1, List.of(key), false));
+        assertEquals(first.backend(), firstBackend(placement, 6 * SECOND, key));
+    }
+
+    /** Guards against overflow that ignores a known copy, and against trust in an old one. */
+    @Example
+    void overflowPrefersLiveCopy() {
+        Placement placement = ours();
+        placement.update(0, servers(4));
+        PlacementKey key = new PlacementKey(42);
+        List<Choice> ranked = placement.choose(0, key, FILTER, 3);
+        placement.served(SECOND, key, ranked.get(2));
+        List<Candidate> busy = servers(4);
+        busy.replaceAll(c -> c.backend().equals(ranked.get(0).backend()) ? loaded(c, 50) : c);
+        placement.update(SECOND, busy);
+        assertEquals(ranked.get(2).backend(), firstBackend(placement, 2 * SECOND, key));
+        assertEquals(ranked.get(1).backend(), firstBackend(placement, 3600 * SECOND, key));
+    }
+
+    private static void flap(long seed, Placement placement) {
+        Random random = new Random(seed);
+        List<Candidate> view = servers(3 + random.nextInt(10));
+        placement.update(0, view);
+        Map<PlacementKey, BackendId> before = new HashMap<>();
+        for (int i = 0; i < 100; i++) {
+            PlacementKey key = new PlacementKey(random.nextLong());
+            before.put(key, serve(placement, SECOND, key));
+        }
+        BackendId flapping = view.get(random.nextInt(view.size())).backend();
+        List<Candidate> down = new ArrayList<>(view);
+        down.replaceAll(c -> c.backend().equals(flapping) ? in(c, CandidateState.NOT_LIVE) : c);
+        placement.update(2 * SECOND, down);
+        for (Map.Entry<PlacementKey, BackendId> chat : before.entrySet()) {
+            BackendId during = serve(placement, 3 * SECOND, chat.getKey());
+            if (!chat.getValue().equals(flapping)) {
+                assertEquals(chat.getValue(), during, "a flap moved a chat of another server");
+            }
+        }
+        placement.update(4 * SECOND, view);
+        before.forEach((key, id) -> assertEquals(id, serve(placement, 5 * SECOND, key)));
+    }
+
+    private static void join(long seed, Placement placement) {
+        Random random = new Random(seed);
+        int size = 3 + random.nextInt(10);
+        List<Candidate> view = servers(size);
+        placement.update(0, view.subList(0, size - 1));
+        Map<PlacementKey, BackendId> before = new HashMap<>();
+        for (int i = 0; i < 2000; i++) {
+            PlacementKey key = new PlacementKey(random.nextLong());
+            before.put(key, firstBackend(placement, SECOND, key));
+        }
+        placement.update(2 * SECOND, view);
+        BackendId joined = view.get(size - 1).backend();
+        int moved = 0;
+        for (Map.Entry<PlacementKey, BackendId> chat : before.entrySet()) {
+            BackendId now = firstBackend(placement, 3 * SECOND, chat.getKey());
+            boolean stayed = now.equals(chat.getValue());
+            assertTrue(stayed || now.equals(joined), "a chat moved between old servers");
+            moved += stayed ? 0 : 1;
+        }
+        double share = 1.0 / size;
+        double deviation = Math.sqrt(2000 * share * (1 - share));
+        assertEquals(2000 * share, moved, 6 * deviation);
+    }
+
+    private static void agree(long seed, Supplier<Placement> factory) {
+        Random random = new Random(seed);
+        List<Candidate> view = randomView(random);
+        Placement one = factory.get();
+        Placement other = factory.get();
+        one.update(0, view);
+        List<Candidate> shuffled = new ArrayList<>(view);
+        Collections.shuffle(shuffled, random);
+        other.update(17, shuffled);
+        for (int i = 0; i < 50; i++) {
+            PlacementKey key = new PlacementKey(random.nextLong());
+            assertEquals(one.choose(20, key, FILTER, 3), other.choose(20, key, FILTER, 3));
+        }
+    }
+
+    private static void converge(long seed, Supplier<Placement> factory) {
+        Random random = new Random(seed);
+        List<Candidate> view = servers(6);
+        List<Placement> instances = List.of(factory.get(), factory.get(), factory.get());
+        instances.forEach(p -> p.update(0, view.subList(0, 4)));
+        for (int step = 1; step < 200; step++) {
+            Placement instance = instances.get(random.nextInt(3));
+            if (step < 50) {
+                instance.update(step * SECOND, view.subList(0, 4 + random.nextInt(3)));
+            }
+            serve(instance, step * SECOND, new PlacementKey(random.nextInt(40)));
+            if (step == 50) {
+                instances.forEach(p -> p.update(50 * SECOND, view));
+            }
+        }
+        long end = 200 * SECOND;
+        for (int chat = 0; chat < 40; chat++) {
+            PlacementKey key = new PlacementKey(chat);
+            List<BackendId> order = backends(instances.get(0), end, key);
+            for (Placement instance : instances) {
+                assertEquals(order, backends(instance, end, key));
+            }
+        }
+    }
+
+    private static List<BackendId> backends(Placement placement, long now, PlacementKey key) {
+        return placement.choose(now, key, FILTER, 3).stream().map(Choice::backend).toList();
+    }
+
+    private static BackendId firstBackend(Placement placement, long now, PlacementKey key) {
+        return placement.choose(now, key, FILTER, 1).get(0).backend();
+    }
+
+    private static BackendId serve(Placement placement, long now, PlacementKey key) {
+        Choice choice = placement.choose(now, key, FILTER, 1).get(0);
+        placement.served(now, key, choice);
+        return choice.backend();
+    }
+
+    private static boolean usesVersion2(Placement placement, PlacementKey key) {
+        List<Choice> choices = placement.choose(0, key, FILTER, 8);
+        boolean first = choices.get(0).modelVersion().equals(V2);
+        assertEquals(first, choices.stream().anyMatch(c -> c.modelVersion().equals(V2)));
+        return first;
+    }
+
+    private static List<Candidate> gated(double share) {
+        List<Candidate> view = servers(4);
+        view.add(candidate(7, V2, 1, share));
+        view.add(candidate(8, V2, 1, share));
+        return view;
+    }
+
+    private static List<Candidate> servers(int count) {
+        List<Candidate> view = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            view.add(candidate(i, V1, 1, 1));
+        }
+        return view;
+    }
+
+    private static List<Candidate> randomView(Random random) {
+        List<Candidate> view = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            Candidate c = candidate(i, V1, random.nextInt(4), 1);
+            c = in(c, CandidateState.values()[random.nextInt(3)]);
+            view.add(random.nextInt(3) > 0 ? c : loaded(c, random.nextInt(12)));
+        }
+        return view;
+    }
+
+    private static Candidate candidate(int i, ModelVersion version, double weight, double share) {
+        BackendId id = BackendId.of("server-" + i);
+        ZoneId zone = ZoneId.of("zone-" + i % 3);
+        return new Candidate(
+                SERVICE,
+                id,
+                1,
+                version,
+                zone,
+                true,
+                CandidateState.READY,
+                weight,
+                share,
+                0,
+                10,
+                0,
+                0);
+    }
+
+    private static Candidate in(Candidate c, CandidateState state) {
+        return new Candidate(
+                c.service(),
+                c.backend(),
+                c.incarnation(),
+                c.modelVersion(),
+                c.zone(),
+                true,
+                state,
+                c.weight(),
+                c.permittedShare(),
+                c.load(),
+                c.limit(),
+                0,
+                0);
+    }
+
+    private static Candidate loaded(Candidate c, int load) {
+        return new Candidate(
+                c.service(),
+                c.backend(),
+                c.incarnation(),
+                c.modelVersion(),
+                c.zone(),
+                true,
+                c.state(),
+                c.weight(),
+                c.permittedShare(),
+                load,
+                c.limit(),
+                0,
+                0);
+    }
+
+    private static CacheEvent event(
+            Choice choice, long sequence, List<PlacementKey> removed, boolean cleared) {
+        return new CacheEvent(
+                choice.service(),
+                choice.backend(),
+                choice.modelVersion(),
+                1,
+                sequence,
+                0,
+                List.of(),
+                removed,
+                cleared);
+    }
+
+    /** A hash modulo the list of usable servers, in the order of the list. */
+    private static final class ModuloPlacement implements Placement {
+        private List<Candidate> mUsable = List.of();
+
+        @Override
+        public void update(long nowNanos, List<Candidate> candidates) {
+            mUsable = candidates.stream().filter(Candidate::usable).toList();
+        }
+
+        @Override
+        public List<Choice> choose(
+                long nowNanos, PlacementKey key, PlacementFilter filter, int max) {
+            if (mUsable.isEmpty()) {
+                return List.of();
+            }
+            Candidate c = mUsable.get((int) Long.remainderUnsigned(key.hash(), mUsable.size()));
+            return List.of(
+                    new Choice(
+                            c.service(),
+                            c.backend(),
+                            c.modelVersion(),
+                            c.zone(),
+                            ChoiceReason.HASH));
+        }
+
+        @Override
+        public void served(long nowNanos, PlacementKey key, Choice choice) {}
+
+        @Override
+        public void cacheEvent(long nowNanos, CacheEvent event) {}
+
+        @Override
+        public long turnoverNanos(Choice choice) {
+            return 0;
+        }
+
+        @Override
+        public int rememberedChats() {
+            return 0;
+        }
+
+        @Override
+        public long tableBytes() {
+            return 0;
+        }
+    }
+}
