--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
@@ -30,6 +30,8 @@
             "another attempt for the idempotency key is open; its outcome is not known";
     public static final String CLAIM_KEY_REUSED =
             "the idempotency key was used before with another request body";
+    public static final String CLAIM_KEY_MALFORMED =
+            "an idempotency key has 1 to 200 printable ASCII characters";
     public static final String CLAIM_FULL =
             "no more idempotency keys can be recorded at present; the command was not run";
     public static final String CLAIM_STALE =
