--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/ConfigPolicy.java
@@ -0,0 +1,69 @@
+package org.hemlockrack.daemon;
+
+import java.util.concurrent.TimeUnit;
+import org.hemlockrack.admission.AdmissionSettings;
+import org.hemlockrack.config.Configuration;
+import org.hemlockrack.config.LimitsConfig;
+import org.hemlockrack.config.ServiceConfig;
+import org.hemlockrack.config.WorkspaceConfig;
+import org.hemlockrack.daemon.config.ConfigService;
+import org.hemlockrack.daemon.owner.Announcement;
+import org.hemlockrack.daemon.owner.OwnerService;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.model.ZoneId;
+
+/** Admission settings by the configuration in force. */
+final class ConfigPolicy implements OwnerService.Policy {
+    /** One workspace may hold this part of a queue, so that it cannot fill it alone. */
+    private static final int WORKSPACE_QUEUE_DIVISOR = 4;
+
+    private final ConfigService mConfig;
+
+    ConfigPolicy(ConfigService config) {
+        mConfig = config;
+    }
+
+    @Override
+    public AdmissionSettings settings(Announcement announcement) {
+        Configuration configuration = mConfig.current().configuration();
+        AdmissionSettings defaults = AdmissionSettings.defaults();
+        LimitsConfig limits = configuration.limits();
+        int queue = limits.queueRequests();
+        AdmissionSettings settings =
+                defaults.withQueue(
+                        new AdmissionSettings.Queue(
+                                queue, Math.max(1, queue / WORKSPACE_QUEUE_DIVISOR)));
+        ServiceConfig service = configuration.services().get(announcement.service());
+        if (service == null) {
+            return settings;
+        }
+        AdmissionSettings.Ramp ramp = defaults.ramp();
+        return settings.withLoadMultiple(service.loadMultiple())
+                .withRamp(
+                        new AdmissionSettings.Ramp(
+                                service.coldStartLimit(),
+                                ramp.growthPeriodNanos(),
+                                ramp.fallPeriodNanos(),
+                                promiseNanos(configuration, announcement.service()),
+                                ramp.jumpFactor(),
+                                ramp.jumpMinimumNanos()));
+    }
+
+    /** The strictest promise of the workspaces that use a service decides what is in time. */
+    private static long promiseNanos(Configuration configuration, ServiceId service) {
+        long strictestMillis = Long.MAX_VALUE;
+        for (WorkspaceConfig workspace : configuration.workspaces().values()) {
+            if (workspace.services().contains(service)) {
+                strictestMillis = Math.min(strictestMillis, workspace.promise().firstTokenMillis());
+            }
+        }
+        return strictestMillis == Long.MAX_VALUE
+                ? AdmissionSettings.defaults().ramp().promiseNanos()
+                : TimeUnit.MILLISECONDS.toNanos(strictestMillis);
+    }
+
+    @Override
+    public boolean takesWork(ZoneId zone) {
+        return mConfig.current().configuration().takesWork(zone);
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/PeerHandler.java
@@ -0,0 +1,164 @@
+package org.hemlockrack.daemon;
+
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.hemlockrack.consensus.ConsensusCodec;
+import org.hemlockrack.consensus.ProposalStatus;
+import org.hemlockrack.daemon.config.ConfigService;
+import org.hemlockrack.daemon.entry.ClaimService;
+import org.hemlockrack.daemon.fleet.Fleet;
+import org.hemlockrack.daemon.log.EventLog;
+import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.owner.OwnerService;
+import org.hemlockrack.daemon.replica.ProposalOutcome;
+import org.hemlockrack.daemon.replica.ReplicaService;
+import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.events.LogEvent;
+import org.hemlockrack.membership.MembershipInput;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.wire.ConfigReply;
+import org.hemlockrack.wire.Envelope;
+import org.hemlockrack.wire.Peer;
+import org.hemlockrack.wire.ProposeReply;
+import org.hemlockrack.wire.ProposeRequest;
+import org.hemlockrack.wire.ProposeStatus;
+import org.jspecify.annotations.Nullable;
+
+/** Answers other instances' Thrift calls. Called on the peer port's threads. */
+final class PeerHandler implements Peer.Iface {
+    private static final long MAX_PROPOSE_MILLIS = 10_000;
+
+    private final Loop mLoop;
+    private final Fleet mFleet;
+    private final ConfigService mConfig;
+    private final OwnerService mOwner;
+    private final ClaimService mClaims;
+    private final @Nullable ReplicaService mReplica;
+    private final EventLog mLog;
+
+    PeerHandler(
+            Loop loop,
+            Fleet fleet,
+            ConfigService config,
+            OwnerService owner,
+            ClaimService claims,
+            @Nullable ReplicaService replica,
+            EventLog log) {
+        mLoop = loop;
+        mFleet = fleet;
+        mConfig = config;
+        mOwner = owner;
+        mClaims = claims;
+        mReplica = replica;
+        mLog = log;
+    }
+
+    @Override
+    public void deliver(List<Envelope> envelopes) {
+        for (Envelope envelope : envelopes) {
+            try {
+                deliver(envelope);
+            } catch (HemlockrackException e) {
+                rejected(envelope, e);
+            }
+        }
+    }
+
+    private void rejected(Envelope envelope, HemlockrackException cause) {
+        mLog.log(
+                LogEvent.PEER_MESSAGE_REJECTED,
+                "from \"%s\": %s",
+                envelope.getSender(),
+                cause.getMessage());
+    }
+
+    private void deliver(Envelope envelope) {
+        boolean mine =
+                envelope.getTarget().isEmpty()
+                        || envelope.getTarget().equals(mFleet.self().value());
+        if (!mine || envelope.getSlice() == null) {
+            return;
+        }
+        byte[] payload = envelope.getPayload();
+        switch (envelope.getSlice()) {
+            case CONSENSUS -> {
+                if (mReplica != null) {
+                    mReplica.received(ConsensusCodec.decode(payload));
+                }
+            }
+            case MEMBERSHIP -> {
+                InstanceId sender = InstanceId.of(envelope.getSender());
+                mLoop.execute(() -> gossip(envelope, sender, payload));
+            }
+            case ADMISSION -> {
+                var handover = Fleet.readHandover(payload);
+                mLoop.execute(() -> mOwner.handoverReceived(handover));
+            }
+            default -> {}
+        }
+    }
+
+    private void gossip(Envelope envelope, InstanceId sender, byte[] payload) {
+        try {
+            mFleet.post(new MembershipInput.Received(sender, payload));
+        } catch (HemlockrackException e) {
+            rejected(envelope, e);
+        }
+    }
+
+    @Override
+    public ProposeReply propose(ProposeRequest request) {
+        ProposeReply reply = new ProposeReply();
+        if (mReplica == null) {
+            reply.setStatus(ProposeStatus.NOT_LEADER);
+            return reply;
+        }
+        long waitMillis = Math.min(request.getTimeoutMillis(), MAX_PROPOSE_MILLIS);
+        ProposalOutcome outcome = await(request.getCommand(), waitMillis);
+        reply.setStatus(statusOf(outcome.status()));
+        if (outcome.result() != null) {
+            reply.setResult(outcome.result());
+        }
+        if (outcome.leader() != null) {
+            reply.setLeader(outcome.leader().value());
+        }
+        return reply;
+    }
+
+    private ProposalOutcome await(byte[] command, long waitMillis) {
+        try {
+            return mReplica.propose(command).get(waitMillis, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException | ExecutionException e) {
+            return ProposalOutcome.ended(ProposalStatus.UNKNOWN, null);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return ProposalOutcome.ended(ProposalStatus.UNKNOWN, null);
+        }
+    }
+
+    private static ProposeStatus statusOf(ProposalStatus status) {
+        return switch (status) {
+            case APPLIED -> ProposeStatus.APPLIED;
+            case UNKNOWN -> ProposeStatus.UNKNOWN;
+            default -> ProposeStatus.NOT_LEADER;
+        };
+    }
+
+    @Override
+    public ConfigReply fetchConfig(long haveVersion) {
+        ConfigService.Current current = mConfig.current();
+        ConfigReply reply = new ConfigReply();
+        reply.setVersion(current.version());
+        if (current.version() > haveVersion) {
+            reply.setDocument(current.configuration().toToml());
+        }
+        return reply;
+    }
+
+    @Override
+    public boolean abandoned(String attempt) {
+        return mClaims.isAbandoned(attempt);
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/loop/DeciderRunner.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/loop/DeciderRunner.java
@@ -79,6 +79,11 @@
         }
     }
 
+    /** Looks at the decider's timer again after its state changed without an event. */
+    public void rearm() {
+        arm();
+    }
+
     /** Stops the timer. */
     public void stop() {
         if (mTimer != null) {
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/package-info.java
@@ -0,0 +1,5 @@
+/** Operators' HTTP interface and the platform's health pages. */
+@NullMarked
+package org.hemlockrack.daemon.operator;
+
+import org.jspecify.annotations.NullMarked;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/package-info.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/package-info.java
@@ -1,4 +1,4 @@
-/** The daemon module. */
+/** The daemon: one instance of the fleet, its services and their wiring. */
 @NullMarked
 package org.hemlockrack.daemon;
 
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/VoterState.java
@@ -0,0 +1,95 @@
+package org.hemlockrack.daemon.replica;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hemlockrack.claims.ClaimLimits;
+import org.hemlockrack.claims.ClaimState;
+import org.hemlockrack.config.ConfigCommand;
+import org.hemlockrack.config.ConfigState;
+import org.hemlockrack.config.Configuration;
+import org.hemlockrack.config.Difference;
+import org.hemlockrack.config.HistoryEntry;
+import org.hemlockrack.consensus.CompositeState;
+import org.hemlockrack.consensus.ReplicatedState;
+import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.operator.ConfigCommands;
+import org.jspecify.annotations.Nullable;
+
+/** The states that the log feeds on a voter. Confined to the loop of the log except as stated. */
+public final class VoterState implements ConfigCommands.HistorySource {
+    private final Loop mLoop;
+    private final ConfigState mConfig = ConfigState.create();
+    private final ClaimState mClaims =
+            ClaimState.of(() -> ClaimLimits.of(mConfig.configuration().limits()));
+    private final ReplicatedState mComposite =
+            CompositeState.of(
+                    Map.of(
+                            StateSlice.CONFIG.code(), mConfig,
+                            StateSlice.CLAIMS.code(), mClaims));
+
+    private VoterState(Loop loop) {
+        mLoop = loop;
+    }
+
+    /**
+     * Creates empty states.
+     *
+     * @param loop loop of the log
+     * @return the states
+     */
+    public static VoterState create(Loop loop) {
+        return new VoterState(loop);
+    }
+
+    /** Returns what the log feeds. */
+    public ReplicatedState replicated() {
+        return mComposite;
+    }
+
+    /** Returns the configuration version. */
+    public long configVersion() {
+        return mConfig.version();
+    }
+
+    /** Returns the configuration. */
+    public Configuration configuration() {
+        return mConfig.configuration();
+    }
+
+    /** Returns the number of claims. Safe for use from any thread but the loop of the log. */
+    public int claims() {
+        return mLoop.submit(mClaims::size).join();
+    }
+
+    /** {@inheritDoc} Safe for use from any thread but the loop of the log. */
+    @Override
+    public @Nullable String historyJson() {
+        List<HistoryEntry> history = mLoop.submit(mConfig::history).join();
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        ArrayNode versions = json.putArray("versions");
+        for (HistoryEntry entry : history) {
+            ObjectNode row = versions.addObject();
+            row.put("version", entry.version());
+            row.put("time_ms", entry.timeMillis());
+            row.put("author", entry.author());
+            row.put("request_id", entry.requestId());
+            ArrayNode differences = row.putArray("differences");
+            for (Difference difference : entry.differences()) {
+                differences.add(difference.toString());
+            }
+        }
+        return json.toString();
+    }
+
+    /** {@inheritDoc} Safe for use from any thread but the loop of the log. */
+    @Override
+    public Optional<ConfigCommands.DryRunResult> dryRun(ConfigCommand command) {
+        ConfigState.DryRun run = mLoop.submit(() -> mConfig.dryRun(command)).join();
+        return Optional.of(
+                new ConfigCommands.DryRunResult(run.result(), run.faults(), run.differences()));
+    }
+}
