--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/package-info.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/package-info.java
@@ -1,4 +1,4 @@
-/** The cli module. */
+/** The {@code hemlockrack} command-line tool: one class for each command. */
 @NullMarked
 package org.hemlockrack.cli;
 
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Announcer.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Announcer.java
@@ -9,7 +9,9 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +21,9 @@
 final class Announcer implements AutoCloseable {
     private static final long PERIOD_MILLIS = 500;
     private static final int MAX_REDIRECTS = 3;
+    private static final int STATUS_OK = 200;
+    private static final int STATUS_REDIRECT = 307;
+    private static final long NANOS_PER_MILLI = 1_000_000;
     private static final Duration TIMEOUT = Duration.ofMillis(700);
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -29,11 +34,22 @@
     private final ScheduledExecutorService mTimer =
             Executors.newSingleThreadScheduledExecutor(Announcer::daemonThread);
 
+    private final long mStartedNanos = System.nanoTime();
+    private final Map<String, String> mNames = new HashMap<>();
+
     private String mTarget;
     private int mNextSeed;
-    private @Nullable String mOwner;
-    private @Nullable String mOwnerTarget;
-    private long mOwnerSinceNanos;
+    private long mSequence;
+    private @Nullable Contact mCurrent;
+    private @Nullable Contact mPrevious;
+    private @Nullable Acknowledgement mAcknowledgement;
+
+    /** An announcement that may have given its receiver the right to admit. */
+    private record Contact(String target, long preparedNanos, long sequence) {}
+
+    /** The last acknowledgement of the current target. */
+    private record Acknowledgement(
+            String target, long ownerEpoch, long ownerNanos, long receivedNanos) {}
 
     private Announcer(BackendOptions options, BackendServer server) {
         mOptions = options;
@@ -62,38 +78,47 @@
         try {
             for (int hop = 0; hop < MAX_REDIRECTS; hop++) {
                 HttpResponse<String> answer = post(mTarget);
-                if (answer.statusCode() == 200) {
+                if (answer.statusCode() == STATUS_OK) {
                     accepted(JSON.readTree(answer.body()));
                     return;
                 }
-                if (answer.statusCode() != 307) {
+                if (answer.statusCode() != STATUS_REDIRECT) {
                     nextSeed();
                     return;
                 }
-                released();
-                mTarget = JSON.readTree(answer.body()).path("owner_address").asText();
+                redirected(JSON.readTree(answer.body()));
             }
         } catch (IOException | RuntimeException e) {
-            failed();
+            nextSeed();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
     private HttpResponse<String> post(String target) throws IOException, InterruptedException {
+        if (mCurrent != null && !mCurrent.target().equals(target)) {
+            mPrevious = mCurrent;
+        }
+        if (mPrevious != null && mPrevious.target().equals(target)) {
+            mPrevious = null;
+        }
+        mSequence++;
+        String body = body(target).toString();
+        mCurrent = new Contact(target, System.nanoTime(), mSequence);
         HttpRequest request =
                 HttpRequest.newBuilder(URI.create("http://" + target + "/backend/v1/announce"))
                         .timeout(TIMEOUT)
                         .header("Content-Type", "application/json")
-                        .POST(HttpRequest.BodyPublishers.ofString(body().toString()))
+                        .POST(HttpRequest.BodyPublishers.ofString(body))
                         .build();
         return mClient.send(request, HttpResponse.BodyHandlers.ofString());
     }
 
-    private ObjectNode body() {
+    private ObjectNode body(String target) {
         ObjectNode body = JSON.createObjectNode();
         body.put("id", mOptions.id());
         body.put("incarnation", mIncarnation);
+        body.put("sequence", mSequence);
         body.put("zone", mOptions.zone());
         body.put("address", mServer.address());
         body.put("service", mOptions.service());
@@ -105,34 +130,53 @@
         body.put("limit", mOptions.limit());
         body.put("in_flight", mServer.inFlight());
         body.put("checks_fencing", mOptions.checksFencing());
-        if (mOwner != null) {
-            body.put("previous_owner", mOwner);
-            body.put("previous_age_ms", (System.nanoTime() - mOwnerSinceNanos) / 1_000_000);
-        }
         body.put("state", mServer.leaving() ? "leaving" : "ready");
+        addPrevious(body);
+        addEcho(body, target);
         return body;
     }
 
-    private void accepted(JsonNode answer) {
-        mOwner = answer.path("owner").asText();
-        mOwnerTarget = mTarget;
-        mOwnerSinceNanos = System.nanoTime();
+    private void addPrevious(ObjectNode body) {
+        long nowNanos = System.nanoTime();
+        Contact previous = mPrevious;
+        if (previous == null) {
+            body.put("previous_age_ms", (nowNanos - mStartedNanos) / NANOS_PER_MILLI);
+            return;
+        }
+        body.put("previous_owner", mNames.getOrDefault(previous.target(), "unknown"));
+        body.put("previous_age_ms", (nowNanos - previous.preparedNanos()) / NANOS_PER_MILLI);
+        body.put("previous_sequence", previous.sequence());
     }
 
-    /** An owner that redirects has given up its admission lease before it answered. */
-    private void released() {
-        if (mTarget.equals(mOwnerTarget)) {
-            mOwner = null;
-            mOwnerTarget = null;
+    private void addEcho(ObjectNode body, String target) {
+        Acknowledgement last = mAcknowledgement;
+        if (last == null || !last.target().equals(target)) {
+            return;
         }
+        ObjectNode echo = body.putObject("echo");
+        echo.put("owner_epoch", last.ownerEpoch());
+        echo.put("owner_nanos", last.ownerNanos());
+        echo.put("held_ms", (System.nanoTime() - last.receivedNanos()) / NANOS_PER_MILLI);
     }
 
-    /** The announcement may have arrived although its answer was lost, and renewed the lease. */
-    private void failed() {
-        if (mTarget.equals(mOwnerTarget)) {
-            mOwnerSinceNanos = System.nanoTime();
+    private void accepted(JsonNode answer) {
+        mNames.put(mTarget, answer.path("owner").asText());
+        JsonNode ack = answer.path("ack");
+        if (ack.isObject()) {
+            mAcknowledgement =
+                    new Acknowledgement(
+                            mTarget,
+                            ack.path("owner_epoch").asLong(),
+                            ack.path("owner_nanos").asLong(),
+                            System.nanoTime());
         }
-        nextSeed();
+    }
+
+    /** An instance that redirects holds no right to admit. */
+    private void redirected(JsonNode answer) {
+        mCurrent = null;
+        mTarget = answer.path("owner_address").asText();
+        mNames.put(mTarget, answer.path("owner").asText());
     }
 
     private void nextSeed() {
