--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerClient.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerClient.java
@@ -81,6 +81,8 @@
                 () -> {
                     try {
                         call(client -> deliver(client, copy));
+                    } catch (PausedException ignored) {
+                        // The failed attempt before was reported.
                     } catch (TException e) {
                         mOnUnreachable.accept(e);
                     }
@@ -136,13 +138,22 @@
         }
     }
 
+    /** Thrown without an attempt to connect, shortly after one failed. */
+    private static final class PausedException extends TException {
+        private static final long serialVersionUID = 1L;
+
+        PausedException(String address) {
+            super("not connected to " + address);
+        }
+    }
+
     private Peer.Client connected() throws TException {
         if (mClient != null) {
             return mClient;
         }
         long nowNanos = System.nanoTime();
         if (nowNanos - mPausedUntilNanos < 0) {
-            throw new TException("not connected to " + mAddress);
+            throw new PausedException(mAddress);
         }
         mPausedUntilNanos = nowNanos + RECONNECT_PAUSE_NANOS;
         var address = Settings.toAddress(mAddress);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -1,10 +1,10 @@
 package org.hemlockrack.daemon.replica;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -39,7 +39,8 @@
     private final ConcurrentLinkedQueue<ConsensusEvent> mEvents = new ConcurrentLinkedQueue<>();
     private final AtomicBoolean mScheduled = new AtomicBoolean();
     private final AtomicLong mNextTicket = new AtomicLong();
-    private final Map<Long, CompletableFuture<ProposalOutcome>> mProposals = new HashMap<>();
+    private final Map<Long, CompletableFuture<ProposalOutcome>> mProposals =
+            new ConcurrentHashMap<>();
     private final Outputs mOutputs = new Outputs();
 
     private @Nullable ScheduledFuture<?> mTimer;
@@ -144,7 +145,8 @@
             return future;
         }
         long ticket = mNextTicket.incrementAndGet();
-        mLoop.execute(() -> mProposals.put(ticket, future));
+        // A step that is already queued may take the event, so the future must be known before.
+        mProposals.put(ticket, future);
         post(factory.create(ticket));
         return future;
     }
--- /dev/null
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/settings/SettingsTest.java
@@ -0,0 +1,90 @@
+package org.hemlockrack.daemon.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.HemlockrackException;
+import org.junit.jupiter.api.Test;
+
+class SettingsTest {
+    private static final String VALID =
+            """
+            [instance]
+            id = "i1"
+            zone = "a"
+            [listen]
+            callers = "127.0.0.1:8080"
+            internal = "127.0.0.1:8081"
+            operators = "127.0.0.1:8082"
+            peer = "127.0.0.1:8083"
+            [voter]
+            voters = ["i2=127.0.0.1:1", "i1=127.0.0.1:2"]
+            """;
+
+    /** Guards against voters in another order, which would form two clusters. */
+    @Test
+    void votersKeepTheirOrder() {
+        Settings settings = Settings.parse("test", VALID);
+        assertEquals("[i2, i1]", settings.voters().keySet().toString());
+        assertEquals(1_048_576, settings.integer(SettingKey.HTTP_MAX_BODY_BYTES));
+    }
+
+    /** Guards against reporting one fault at a time. */
+    @Test
+    void allFaultsAreNamedAtOnce() {
+        String faulty =
+                VALID.replace("\"i1\"\nzone", "\"\"\nzone")
+                        + "\n[http]\nmax_body_bytes = 5\nmax_bodies = 1\n[log]\nformat = \"xml\"";
+        HemlockrackException e =
+                assertThrows(HemlockrackException.class, () -> Settings.parse("x.toml", faulty));
+        assertEquals(ErrorKind.SETTINGS_INVALID, e.kind());
+        String text = String.valueOf(e.getMessage());
+        for (String key :
+                Set.of("instance.id", "http.max_body_bytes", "http.max_bodies", "log.format")) {
+            assertTrue(text.contains(key), () -> key + " is not in: " + text);
+        }
+        assertTrue(text.contains("1024 to 67108864"), text);
+        assertEquals(4, text.lines().count());
+    }
+
+    /** Guards against a TOML fault without its place. */
+    @Test
+    void syntaxFaultNamesTheLine() {
+        HemlockrackException e =
+                assertThrows(
+                        HemlockrackException.class,
+                        () -> Settings.parse("x.toml", "[instance]\nid = = 1"));
+        assertTrue(String.valueOf(e.getMessage()).startsWith("x.toml:2"), e.getMessage());
+    }
+
+    /** Guards against keys that operators cannot look up. */
+    @Test
+    void pageMatchesKeys() throws IOException {
+        Path page = Path.of("..", "docs", "settings.md");
+        Set<String> documented =
+                Files.readAllLines(page).stream()
+                        .filter(line -> line.startsWith("| `"))
+                        .map(line -> line.substring(0, line.lastIndexOf('|', line.length() - 2)))
+                        .collect(Collectors.toSet());
+        Set<String> actual =
+                Arrays.stream(SettingKey.values())
+                        .map(SettingsTest::row)
+                        .collect(Collectors.toSet());
+        assertEquals(actual, documented);
+    }
+
+    private static String row(SettingKey key) {
+        String value = key.defaultValue();
+        String shown = value == null ? "required" : value.isEmpty() ? "(empty)" : value;
+        return String.format(
+                "| `%s` | %s | %s ", key.path(), shown, key.allowed().replace("|", ", "));
+    }
+}
