Fix cancellation, wait estimate and foreign load of admission

Cause: the model histories and the unit tests found three faults. (2) The remaining wait overflowed when no other right stood against ours, so OVERLOADED carried a retry time of 292 years and an unreachable deadline was queued. (3) The least own load was taken over up to one second, so a limit that was used in bursts counted its own work as foreign and stopped growing at 8. Ruled out for (3): a shorter window of reports, which only shortens the error. Change: cancellations are handled before the lease check; the wait is 0 unless another right ends later; the own load is kept as a history and compared from the lower bound of the sending time that the echo gives.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/admission/internal/AdmissionDecider.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/admission/internal/AdmissionDecider.java
@@ -79,6 +79,10 @@
     @Override
     public void onEvent(
             long nowNanos, AdmissionEvent event, Consumer<? super AdmissionOutput> out) {
+        if (event instanceof AdmissionEvent.Cancelled cancelled) {
+            // Before the lease check, which could refuse the request in the event that drops it.
+            mQueue.remove(cancelled.requestId());
+        }
         begin(nowNanos, out);
         if (event instanceof Arrived arrived) {
             arrived(nowNanos, arrived, out);
@@ -86,8 +90,6 @@
             firstToken(nowNanos, first, out);
         } else if (event instanceof Finished finished) {
             finished(nowNanos, finished, out);
-        } else if (event instanceof AdmissionEvent.Cancelled cancelled) {
-            mQueue.remove(cancelled.requestId());
         } else {
             control(nowNanos, event, out);
         }
@@ -256,7 +258,6 @@
         if (running == null) {
             return;
         }
-        mForeign.own(mRunning.size());
         if (running.mIncarnation != mIncarnation) {
             return;
         }
@@ -290,16 +291,20 @@
         updateOwner(nowNanos, out);
         if (event.sequence() > mSequence) {
             mSequence = event.sequence();
-            report(event, mOwner && !wasOwner, out);
+            report(nowNanos, event, mOwner && !wasOwner, out);
         }
         out.accept(new AdmissionOutput.Acknowledge(event.sequence(), mOwnerEpoch, nowNanos));
     }
 
-    private void report(Announced event, boolean ownerNow, Consumer<? super AdmissionOutput> out) {
+    private void report(
+            long nowNanos,
+            Announced event,
+            boolean ownerNow,
+            Consumer<? super AdmissionOutput> out) {
         if (ownerNow) {
             mForeign.restart();
         }
-        mForeign.report(event.inFlight(), mRunning.size());
+        mForeign.report(mLease.earliestSentNanos(nowNanos, event), event.inFlight());
         mLimit.stated(event.statedLimit());
         reportLimit(LimitReason.STATED_LIMIT, out);
         mState = event.state();
@@ -366,10 +371,11 @@
         while (mQueue.size() > 0 && canDispatch()) {
             Arrived next = mQueue.take();
             if (next == null) {
-                return;
+                break;
             }
             dispatch(nowNanos, next, out);
         }
+        mForeign.own(nowNanos, mRunning.size());
     }
 
     private boolean canDispatch() {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/admission/internal/OwnershipLease.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/admission/internal/OwnershipLease.java
@@ -98,6 +98,26 @@
         }
     }
 
+    /**
+     * Returns a lower bound of the time at which an announcement was sent.
+     *
+     * @param nowNanos monotonic time
+     * @param event the announcement
+     * @return monotonic time of this process, or {@link Long#MIN_VALUE} if no bound is known
+     */
+    public long earliestSentNanos(long nowNanos, Announced event) {
+        LeaseEcho echo = event.echo();
+        if (echo != null && echo.ownerEpoch() == mOwnerEpoch) {
+            long held = Math.max(0, echo.heldNanos());
+            long sent = echo.ownerNanos() + held - scaled(held, mSettings.driftPpm());
+            return Math.min(nowNanos, sent);
+        }
+        if (mSettings.maxFlightNanos() == 0 || nowNanos < mDistrustUntilNanos) {
+            return NEVER;
+        }
+        return nowNanos - mSettings.maxFlightNanos();
+    }
+
     /**
      * Remembers that another instance stopped admitting, and waits no longer for its right.
      *
@@ -151,7 +171,8 @@
      * @return the wait in nanoseconds, 0 if no right is in sight
      */
     public long remainingWaitNanos(long nowNanos) {
-        return nowNanos < mEndNanos ? Math.max(0, mOthersEndNanos - nowNanos) : 0;
+        boolean waits = nowNanos < mEndNanos && mOthersEndNanos > nowNanos;
+        return waits ? mOthersEndNanos - nowNanos : 0;
     }
 
     /**
@@ -213,16 +234,8 @@
     }
 
     private long rightEndNanos(long nowNanos, Announced event) {
-        LeaseEcho echo = event.echo();
-        if (echo != null && echo.ownerEpoch() == mOwnerEpoch) {
-            long held = Math.max(0, echo.heldNanos());
-            long sent = echo.ownerNanos() + held - scaled(held, mSettings.driftPpm());
-            return Math.min(nowNanos, sent) + mSettings.durationNanos();
-        }
-        if (mSettings.maxFlightNanos() == 0 || nowNanos < mDistrustUntilNanos) {
-            return NEVER;
-        }
-        return nowNanos - mSettings.maxFlightNanos() + mSettings.durationNanos();
+        long sent = earliestSentNanos(nowNanos, event);
+        return sent == NEVER ? NEVER : sent + mSettings.durationNanos();
     }
 
     private static long scaled(long nanos, long ppm) {
