--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/admission/WorkspaceLimiterProperties.java
@@ -0,0 +1,61 @@
+package org.hemlockrack.admission;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.SplittableRandom;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.hemlockrack.model.WorkspaceId;
+
+class WorkspaceLimiterProperties {
+    private static final WorkspaceLimiter.Quota QUOTA = new WorkspaceLimiter.Quota(5, 10, 20);
+    private static final WorkspaceId CALM = WorkspaceId.of("calm");
+
+    /** Guards against more open requests or a higher rate than the quota allows. */
+    @Property(tries = 500)
+    void quotaHolds(@ForAll long seed) {
+        assertTrue(holds(seed, QUOTA));
+    }
+
+    /** The check must notice a limiter with a wider quota. */
+    @Example
+    void widerQuotasAreCaught() {
+        assertFalse(holds(1, new WorkspaceLimiter.Quota(6, 10, 20)));
+        assertFalse(holds(1, new WorkspaceLimiter.Quota(5, 30, 20)));
+    }
+
+    /** Guards against a surge of one workspace that uses up another's quota. */
+    @Example
+    void workspacesAreIndependent() {
+        WorkspaceLimiter limiter = WorkspaceLimiter.create(QUOTA);
+        for (int i = 0; i < 5_000; i++) {
+            limiter.tryAcquire(0, WorkspaceId.of("surge" + i % 3_000));
+        }
+        assertTrue(limiter.tryAcquire(0, CALM).allowed());
+    }
+
+    private static boolean holds(long seed, WorkspaceLimiter.Quota quota) {
+        SplittableRandom random = new SplittableRandom(seed);
+        WorkspaceLimiter limiter = WorkspaceLimiter.create(quota);
+        long now = 0;
+        int open = 0;
+        int accepted = 0;
+        for (int i = 0; i < 2_000; i++) {
+            now += random.nextLong(20_000_000L);
+            if (open > 0 && random.nextInt(2) == 0) {
+                limiter.release(CALM);
+                open--;
+            }
+            if (limiter.tryAcquire(now, CALM).allowed()) {
+                open++;
+                accepted++;
+            }
+            if (open > 5 || accepted > 20 + now / 1e9 * 10 + 1e-6) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/admission/internal/RequestQueueProperties.java
@@ -0,0 +1,124 @@
+package org.hemlockrack.admission.internal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Supplier;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.hemlockrack.admission.AdmissionEvent.Arrived;
+import org.hemlockrack.admission.AdmissionSettings;
+import org.hemlockrack.admission.WaitMode;
+import org.hemlockrack.model.Priority;
+import org.hemlockrack.model.RequestKind;
+import org.hemlockrack.model.WorkspaceId;
+
+class RequestQueueProperties {
+    private static final AdmissionSettings.Queue BIG = new AdmissionSettings.Queue(9_999, 9_999);
+
+    /** Guards against starvation: a waiting class gets its weight, less one turn, of the takes. */
+    @Property(tries = 200)
+    void waitingClassesGetTheirShare(
+            @ForAll @IntRange(min = 13, max = 400) int takes, @ForAll Priority other) {
+        assertTrue(sharesHold(backlog(400), takes), "takes " + takes + " beside " + other);
+    }
+
+    /** The share check must notice strict priority. */
+    @Example
+    void strictPriorityIsCaught() {
+        List<Arrived> all = new ArrayList<>();
+        for (Priority priority : Priority.values()) {
+            for (int i = 0; i < 400; i++) {
+                all.add(request("x" + priority + i, "w", priority, i));
+            }
+        }
+        all.sort(Comparator.comparing(Arrived::priority));
+        assertFalse(sharesHold(() -> all.remove(0), 100));
+    }
+
+    /** Guards against a surge that delays a higher class by more than the lower weights. */
+    @Property(tries = 300)
+    void surgeDoesNotDelayHigherClass(
+            @ForAll @IntRange(min = 1, max = 500) int surge,
+            @ForAll @IntRange(max = 100) int takesBefore) {
+        RequestQueue queue = RequestQueue.create(BIG);
+        for (int i = 0; i < surge; i++) {
+            queue.add(request("low" + i, "surging", Priority.LOW, 0));
+        }
+        for (int i = 0; i < Math.min(takesBefore, surge - 1); i++) {
+            queue.take();
+        }
+        queue.add(request("high", "calm", Priority.HIGH, Long.MAX_VALUE));
+        assertEquals("high", queue.take().requestId());
+    }
+
+    /**
+     * Guards against a surge that delays another workspace of its own class by more than a turn.
+     */
+    @Property(tries = 300)
+    void surgeDoesNotDelayOtherWorkspace(@ForAll @IntRange(min = 1, max = 500) int surge) {
+        RequestQueue queue = RequestQueue.create(BIG);
+        for (int i = 0; i < surge; i++) {
+            queue.add(request("s" + i, "surging", Priority.NORMAL, 0));
+        }
+        queue.add(request("calm", "calm", Priority.NORMAL, Long.MAX_VALUE));
+        int position = 0;
+        while (!queue.take().requestId().equals("calm")) {
+            position++;
+        }
+        assertTrue(position <= 8, "position " + position);
+    }
+
+    /** Guards against dropping a high or old request while a low or newer one waits. */
+    @Example
+    void fullQueueDropsLowestNewest() {
+        RequestQueue queue = RequestQueue.create(new AdmissionSettings.Queue(3, 3));
+        queue.add(request("low1", "a", Priority.LOW, 1));
+        queue.add(request("low2", "a", Priority.LOW, 2));
+        queue.add(request("normal", "b", Priority.NORMAL, 3));
+        assertEquals("low2", queue.add(request("high", "c", Priority.HIGH, 4)).requestId());
+        assertEquals("low3", queue.add(request("low3", "c", Priority.LOW, 0)).requestId());
+        assertEquals(3, queue.size());
+    }
+
+    private static Supplier<Arrived> backlog(int perClass) {
+        RequestQueue queue = RequestQueue.create(BIG);
+        for (Priority priority : Priority.values()) {
+            for (int i = 0; i < perClass; i++) {
+                queue.add(request("x" + priority + i, "w" + i % 3, priority, i));
+            }
+        }
+        return queue::take;
+    }
+
+    private static boolean sharesHold(Supplier<Arrived> queue, int takes) {
+        int[] taken = new int[Priority.values().length];
+        for (int i = 0; i < takes; i++) {
+            taken[queue.get().priority().ordinal()]++;
+        }
+        for (Priority priority : Priority.values()) {
+            int share = takes * priority.shareWeight() / RequestQueue.totalWeight();
+            if (taken[priority.ordinal()] < share - 1) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static Arrived request(String id, String workspace, Priority priority, long deadline) {
+        return new Arrived(
+                id,
+                WorkspaceId.of(workspace),
+                priority,
+                RequestKind.CHAT,
+                deadline,
+                WaitMode.MAY_QUEUE,
+                0);
+    }
+}
