Add the skew bench

Cause: the choice of one owner per server over instances deciding alone and over leased shares was not measured. Ruled out: a bench through the network; the differences come from lag and from the number of instances, which a loop over the decision objects shows. Change: SkewBench with a surge, a cold restart per model, a lost owner and three seconds of disagreement, at 8 instances x 8 servers and 330 x 890.

--- /dev/null
+++ b/hemlockrack-bench/src/main/java/org/hemlockrack/bench/SkewBench.java
@@ -0,0 +1,83 @@
+package org.hemlockrack.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+
+/**
+ * Compares three ways to admit: every instance alone on lagging gossiped load, leased shares of
+ * each limit, and one owner per server.
+ *
+ * <p>Control bytes are counted by message sizes of a compact encoding, per instance, and exclude
+ * membership. Cold servers are modelled to handle one request and twice as many with each second.
+ */
+public final class SkewBench {
+    /** Names of the figures of one run. */
+    static final String[] NAMES = {
+        "ratio_mean",
+        "ratio_max",
+        "ratio_surge",
+        "above_pct",
+        "overshoot",
+        "cold_over",
+        "cold_worst",
+        "bytes_s",
+        "hops",
+        "served_pct"
+    };
+
+    private final long mSeed;
+    private final List<String> mValues = new ArrayList<>();
+
+    private SkewBench(long seed) {
+        mSeed = seed;
+    }
+
+    /**
+     * Runs the bench.
+     *
+     * @param args {@code --seed N}
+     */
+    public static void main(String[] args) {
+        long seed = args.length == 2 && args[0].equals("--seed") ? Long.parseLong(args[1]) : 1;
+        SkewBench bench = new SkewBench(seed);
+        System.out.printf("%-26s", "run");
+        for (String name : NAMES) {
+            System.out.printf(" %11s", name);
+        }
+        System.out.println();
+        bench.size(8, 8, 500);
+        bench.size(330, 890, 2_000);
+        bench.lags();
+        bench.mValues.forEach(System.out::println);
+    }
+
+    private void size(int instances, int servers, long lagMillis) {
+        long lag = lagMillis * SkewSimulation.MS;
+        String size = "_" + instances + "x" + servers;
+        run("alone" + size, instances, servers, sim -> new SkewAlone(sim, lag, false));
+        run("shares" + size, instances, servers, sim -> new SkewAlone(sim, lag, true));
+        run("owner" + size, instances, servers, sim -> new SkewOwners(sim, lag, false));
+        run("owner_demand" + size, instances, servers, sim -> new SkewOwners(sim, lag, true));
+    }
+
+    private void lags() {
+        for (long lagMillis : new long[] {0, 500, 2_000, 5_000}) {
+            long lag = lagMillis * SkewSimulation.MS;
+            run("owner_lag" + lagMillis, 8, 34, sim -> new SkewOwners(sim, lag, false));
+        }
+    }
+
+    private void run(
+            String name, int instances, int servers, Function<SkewSimulation, SkewPolicy> policy) {
+        SkewSimulation sim = new SkewSimulation(instances, servers, 8.0, 2.0, mSeed);
+        sim.run(policy);
+        double[] figures = sim.figures();
+        System.out.printf("%-26s", name);
+        for (int i = 0; i < figures.length; i++) {
+            System.out.printf(" %11.2f", figures[i]);
+            mValues.add(String.format("%s_%s=%.2f", NAMES[i], name, figures[i]));
+        }
+        System.out.println();
+    }
+}
