--- /dev/null
+++ b/hemlockrack-bench/src/main/java/org/hemlockrack/bench/BenchArgs.java
@@ -0,0 +1,16 @@
+package org.hemlockrack.bench;
+
+/** The arguments that the membership benches share. */
+final class BenchArgs {
+    private BenchArgs() {}
+
+    /** Returns the number after {@code --seed}, or 1. */
+    static long seed(String[] args) {
+        for (int i = 0; i + 1 < args.length; i++) {
+            if (args[i].equals("--seed")) {
+                return Long.parseLong(args[i + 1]);
+            }
+        }
+        return 1;
+    }
+}
--- a/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/Codec.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/Codec.java
@@ -15,7 +15,9 @@
 import org.hemlockrack.membership.BackendState;
 import org.hemlockrack.membership.Fact;
 import org.hemlockrack.membership.InstanceInfo;
+import org.hemlockrack.membership.Member;
 import org.hemlockrack.membership.MemberStatus;
+import org.hemlockrack.membership.MembershipView;
 import org.hemlockrack.membership.TrafficClass;
 import org.hemlockrack.membership.Version;
 import org.hemlockrack.model.BackendId;
@@ -90,6 +92,35 @@
         }
     }
 
+    /**
+     * Returns the bytes of everything in a view, as a push of the whole state would carry it.
+     *
+     * @param view the view
+     * @return encoded bytes without message overhead
+     */
+    public static long stateBytes(MembershipView view) {
+        long bytes = 0;
+        for (Member member : view.members().values()) {
+            News news =
+                    new News(
+                            0,
+                            member.info(),
+                            member.incarnation(),
+                            member.status(),
+                            member.ready(),
+                            member.draining(),
+                            member.configVersion());
+            bytes += encode(toFull(news, member.info())).length;
+        }
+        for (Backend backend : view.backends().values()) {
+            bytes += encode(toWire(backend)).length;
+        }
+        for (Fact fact : view.facts().values()) {
+            bytes += encode(toWire(fact)).length;
+        }
+        return bytes;
+    }
+
     private static HemlockrackException malformed(String found, @Nullable Throwable cause) {
         String text = String.format(ErrorText.MALFORMED_GOSSIP, found);
         return cause == null
