Follow known copies and stop trusting summaries that say full

Ruled out: moving a server back because its summary says full. The summary is up to 2 s old, a refusal by the owner costs a hop, and a lost cache costs a prefill.

Change: a live copy on one of the first three servers goes first whenever its server publishes cache events; a first turn goes to the least loaded of the three. Without events the hash decides as before.

--- a/hemlockrack-bench/src/main/java/org/hemlockrack/bench/CacheBench.java
+++ b/hemlockrack-bench/src/main/java/org/hemlockrack/bench/CacheBench.java
@@ -58,8 +58,8 @@
         PLAIN_RENDEZVOUS(0L, false),
         OURS_NO_EVENTS(60L, true),
         OURS(60L, true),
-        OURS_WINDOW_0(0L, true),
-        OURS_WINDOW_300(300L, true),
+        NO_EVENTS_WINDOW_0(0L, true),
+        NO_EVENTS_WINDOW_300(300L, true),
         ORACLE(null, false);
 
         private final Long mWindowSeconds;
@@ -75,7 +75,7 @@
         }
 
         boolean usesEvents() {
-            return mRemembers && this != OURS_NO_EVENTS;
+            return this == OURS;
         }
     }
 
@@ -362,7 +362,7 @@
             PlacementKey key = new PlacementKey(chat.mKey);
             List<Choice> choices =
                     mPolicy.usesPlacement()
-                            ? mPlacements.get(instance).choose(nanos(), key, FILTER, 3)
+                            ? mPlacements.get(instance).choose(nanos(), key, filter(chat), 3)
                             : List.of();
             List<Server> order = mPolicy.usesPlacement() ? servers(choices) : sorted(chat);
             Server server = admit(order);
@@ -377,6 +377,10 @@
             finish(chat, server);
         }
 
+        private static PlacementFilter filter(Chat chat) {
+            return chat.mLastSeconds < 0 ? FILTER.forFirstTurn() : FILTER;
+        }
+
         private List<Server> servers(List<Choice> choices) {
             List<Server> order = new ArrayList<>();
             for (Choice choice : choices) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/placement/ChoiceReason.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/placement/ChoiceReason.java
@@ -4,8 +4,8 @@
 public enum ChoiceReason {
     /** Rank by rendezvous hashing. */
     HASH,
-    /** The table knows a live copy here and none at the servers ranked above. */
+    /** The table knows a live copy here. */
     REMEMBERED,
-    /** A summary says that the server is at its bound; it stands behind all others. */
-    FULL
+    /** Load decides, because no cache is lost and others will learn of the place. */
+    LOAD
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/placement/Placement.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/placement/Placement.java
@@ -34,8 +34,13 @@
     void update(long nowNanos, List<Candidate> candidates);
 
     /**
-     * Chooses servers for a request. Servers of a version whose gate admits the key come before
-     * those of ungated versions; servers of a gated version never serve another key.
+     * Chooses servers for a request. The first {@value #STABLE_CHOICES} ranked servers come in this
+     * order: known live copies by rank, then the rest by load if the chat is new or the table knows
+     * it and the servers publish cache events, otherwise by rank. A summary that says full does not
+     * move a server back, since the owner's refusal is exact and costs less than a lost cache.
+     *
+     * <p>Servers of a version whose gate admits the key come before those of ungated versions;
+     * servers of a gated version never serve another key.
      *
      * @param nowNanos monotonic time
      * @param key the chat
--- a/hemlockrack-core/src/main/java/org/hemlockrack/placement/PlacementFilter.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/placement/PlacementFilter.java
@@ -10,21 +10,32 @@
  * @param service the service
  * @param model name of the model
  * @param excluded servers that this request tried already
+ * @param firstTurn whether the request starts a chat, so that no server can hold its cache
  */
-public record PlacementFilter(ServiceId service, String model, Set<BackendId> excluded) {
+public record PlacementFilter(
+        ServiceId service, String model, Set<BackendId> excluded, boolean firstTurn) {
     /** Copies the set. */
     public PlacementFilter {
         excluded = Set.copyOf(excluded);
     }
 
     /**
-     * Creates a filter that excludes no server.
+     * Creates a filter for a later turn that excludes no server.
      *
      * @param service the service
      * @param model name of the model
      * @return the filter
      */
     public static PlacementFilter of(ServiceId service, String model) {
-        return new PlacementFilter(service, model, Set.of());
+        return new PlacementFilter(service, model, Set.of(), false);
+    }
+
+    /**
+     * Returns this filter for the first turn of a chat.
+     *
+     * @return the filter
+     */
+    public PlacementFilter forFirstTurn() {
+        return new PlacementFilter(service, model, excluded, true);
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/placement/PlacementSettings.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/placement/PlacementSettings.java
@@ -6,32 +6,25 @@
  * Settings of a {@link Placement}.
  *
  * @param maxChats number of chats the table remembers
- * @param loadMultiple bound on the load of a server as a multiple of the mean (R1)
- * @param coldWindowNanos how long a joined or emptied server yields returning chats to the servers
- *     that hold their caches; 0 to follow the hash at once
+ * @param coldWindowNanos how long a joined or emptied server yields returning chats to servers that
+ *     hold their caches but publish no cache events; 0 to follow the hash at once
  * @param defaultTurnoverNanos assumed life of a cached chat where neither evictions nor sizes are
  *     known
  * @param forgetNanos how long a server that left the candidates keeps its cache state
  */
 public record PlacementSettings(
-        int maxChats,
-        double loadMultiple,
-        long coldWindowNanos,
-        long defaultTurnoverNanos,
-        long forgetNanos) {
+        int maxChats, long coldWindowNanos, long defaultTurnoverNanos, long forgetNanos) {
     private static final int DEFAULT_MAX_CHATS = 1 << 17;
-    private static final double DEFAULT_LOAD_MULTIPLE = 1.25;
 
     /**
      * Returns the default settings.
      *
-     * @return settings with 131,072 chats, a load multiple of 1.25, a cold window of 60 s, a
-     *     turnover of 10 min and an hour until a server is forgotten
+     * @return settings with 131,072 chats, a cold window of 60 s, a turnover of 10 min and an hour
+     *     until a server is forgotten
      */
     public static PlacementSettings defaults() {
         return new PlacementSettings(
                 DEFAULT_MAX_CHATS,
-                DEFAULT_LOAD_MULTIPLE,
                 TimeUnit.SECONDS.toNanos(60),
                 TimeUnit.MINUTES.toNanos(10),
                 TimeUnit.HOURS.toNanos(1));
@@ -44,8 +37,7 @@
      * @return the settings
      */
     public PlacementSettings withMaxChats(int chats) {
-        return new PlacementSettings(
-                chats, loadMultiple, coldWindowNanos, defaultTurnoverNanos, forgetNanos);
+        return new PlacementSettings(chats, coldWindowNanos, defaultTurnoverNanos, forgetNanos);
     }
 
     /**
@@ -55,7 +47,6 @@
      * @return the settings
      */
     public PlacementSettings withColdWindowNanos(long nanos) {
-        return new PlacementSettings(
-                maxChats, loadMultiple, nanos, defaultTurnoverNanos, forgetNanos);
+        return new PlacementSettings(maxChats, nanos, defaultTurnoverNanos, forgetNanos);
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/placement/internal/Directory.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/placement/internal/Directory.java
@@ -24,7 +24,6 @@
 
     private record PoolKey(ServiceId service, String model) {}
 
-    private final double mLoadMultiple;
     private final int mForgetTicks;
     private final Map<ServerKey, ServerState> mServers = new HashMap<>();
     private final List<@Nullable ServerState> mSlots = new ArrayList<>();
@@ -32,13 +31,12 @@
     private Map<PoolKey, List<VersionGroup>> mPools = Map.of();
     private boolean mStarted;
 
-    private Directory(double loadMultiple, int forgetTicks) {
-        mLoadMultiple = loadMultiple;
+    private Directory(int forgetTicks) {
         mForgetTicks = forgetTicks;
     }
 
-    static Directory create(double loadMultiple, int forgetTicks) {
-        return new Directory(loadMultiple, forgetTicks);
+    static Directory create(int forgetTicks) {
+        return new Directory(forgetTicks);
     }
 
     void update(int tick, List<Candidate> candidates) {
@@ -121,7 +119,7 @@
         List<VersionGroup> groups = new ArrayList<>();
         gated.forEach((version, list) -> groups.add(gatedGroup(version, list)));
         groups.sort(Comparator.comparingDouble(VersionGroup::share));
-        groups.add(VersionGroup.of(1, "", open, mLoadMultiple));
+        groups.add(VersionGroup.of(1, "", open));
         return groups;
     }
 
@@ -131,6 +129,6 @@
         for (ServerState server : servers) {
             share = Math.min(share, server.candidate().permittedShare());
         }
-        return VersionGroup.of(share, version, servers, mLoadMultiple);
+        return VersionGroup.of(share, version, servers);
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/placement/internal/ServerState.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/placement/internal/ServerState.java
@@ -7,16 +7,22 @@
     /** Eviction ages averaged before they replace the estimate from sizes; one is mostly noise. */
     private static final int MIN_EVICTIONS = 8;
 
+    /** 30 s; a server under load publishes an event every second or so. */
+    private static final int EVENT_SILENCE_TICKS = 300;
+
+    /** CacheBench measured nearly full reuse up to here, and half of it at the turnover. */
+    private static final double LIFE_ACROSS_GAP = 0.75;
+
     private static final double SMOOTHING = 0.1;
     private static final int NEVER = -1;
 
     private final int mSlot;
     private final SequenceWindow mSequence = new SequenceWindow();
     private Candidate mCandidate;
-    private boolean mFull;
     private int mListedTick;
     private int mColdTick;
     private int mGapTick = NEVER;
+    private int mEventTick = NEVER;
     private int mEvictions;
     private double mEvictionAgeTicks;
 
@@ -39,12 +45,18 @@
         return mCandidate;
     }
 
-    boolean full() {
-        return mFull;
+    /** Returns the load per slot by the last summary. */
+    double loadRatio() {
+        return (double) mCandidate.load() / Math.max(1, mCandidate.limit());
+    }
+
+    void eventArrived(int tick) {
+        mEventTick = tick;
     }
 
-    void setFull(boolean full) {
-        mFull = full;
+    /** Returns whether cache events arrive, so that all instances learn where chats are. */
+    boolean publishesEvents(int tick) {
+        return mEventTick != NEVER && tick - mEventTick < EVENT_SILENCE_TICKS;
     }
 
     int listedTick() {
@@ -100,8 +112,8 @@
         if (usedTick <= mColdTick) {
             return false;
         }
-        // Half of the life is trusted across a gap, because the missing events may be evictions.
-        double life = usedTick <= mGapTick ? turnoverTicks / 2 : turnoverTicks;
+        // The missing events may be evictions.
+        double life = usedTick <= mGapTick ? turnoverTicks * LIFE_ACROSS_GAP : turnoverTicks;
         return tick - usedTick < life;
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/placement/internal/TablePlacement.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/placement/internal/TablePlacement.java
@@ -30,7 +30,7 @@
     private TablePlacement(PlacementSettings settings) {
         mTable = ChatTable.create(settings.maxChats());
         int forgetTicks = (int) (settings.forgetNanos() / TICK_NANOS);
-        mDirectory = Directory.create(settings.loadMultiple(), forgetTicks);
+        mDirectory = Directory.create(forgetTicks);
         mColdWindowTicks = (int) (settings.coldWindowNanos() / TICK_NANOS);
         mDefaultTurnoverTicks = (double) settings.defaultTurnoverNanos() / TICK_NANOS;
     }
@@ -61,7 +61,7 @@
             if (group.admits(key.hash())) {
                 mRanking.reset(Math.max(max, STABLE_CHOICES));
                 mRanking.rank(group, key.hash(), filter.excluded());
-                arrange(tick, key, max, choices);
+                arrange(tick, key, filter.firstTurn(), max, choices);
             }
         }
         return choices;
@@ -84,6 +84,7 @@
             return;
         }
         int tick = tick(nowNanos);
+        server.eventArrived(tick);
         switch (server.sequence().accept(event.sequence())) {
             case NEXT -> apply(server, tick, event);
             case AFTER_GAP -> {
@@ -113,49 +114,67 @@
         return mTable.bytes();
     }
 
-    /** Appends the ranked servers: a remembered one, then the rest by rank, full ones last. */
-    private void arrange(int tick, PlacementKey key, int max, List<Choice> choices) {
-        int preferred = preferred(tick, mTable.find(key.hash()));
-        if (preferred >= 0) {
-            add(preferred, ChoiceReason.REMEMBERED, max, choices);
-        }
-        for (int rank = 0; rank < mRanking.size(); rank++) {
-            if (rank != preferred && !mRanking.get(rank).full()) {
-                add(rank, ChoiceReason.HASH, max, choices);
+    /** Appends the ranked servers: known copies, then the rest of the head, then the others. */
+    private void arrange(
+            int tick, PlacementKey key, boolean firstTurn, int max, List<Choice> choices) {
+        int index = mTable.find(key.hash());
+        int head = Math.min(STABLE_CHOICES, mRanking.size());
+        int taken = 0;
+        for (int rank = 0; rank < head && index != ChatTable.NONE; rank++) {
+            if (isTrustedCopy(rank, tick, index)) {
+                taken |= 1 << rank;
+                add(rank, ChoiceReason.REMEMBERED, max, choices);
             }
         }
-        for (int rank = 0; rank < mRanking.size(); rank++) {
-            if (mRanking.get(rank).full()) {
-                add(rank, ChoiceReason.FULL, max, choices);
-            }
+        boolean byLoad = (firstTurn || taken != 0) && allPublishEvents(head, tick);
+        for (int i = Integer.bitCount(taken); i < head; i++) {
+            int rank = next(head, taken, byLoad);
+            taken |= 1 << rank;
+            add(rank, byLoad ? ChoiceReason.LOAD : ChoiceReason.HASH, max, choices);
+        }
+        for (int rank = head; rank < mRanking.size(); rank++) {
+            add(rank, ChoiceReason.HASH, max, choices);
         }
     }
 
     /**
-     * Returns the rank of a live copy that goes before its rank, or -1. The first choice keeps its
-     * chats unless it is full or recently became cold; other instances may have used it meanwhile,
-     * so missing it in this table alone says nothing.
+     * Returns whether a known copy may go before its rank. Without cache events other instances do
+     * not learn of the place and follow the hash, so the first choice then yields only while it is
+     * cold; otherwise instances would keep copies apart for good.
      */
-    private int preferred(int tick, int index) {
-        if (index == ChatTable.NONE || mRanking.size() == 0) {
-            return -1;
-        }
-        ServerState first = mRanking.get(0);
-        if (!first.full() && !yields(first, tick, index)) {
-            return -1;
+    private boolean isTrustedCopy(int rank, int tick, int index) {
+        ServerState server = mRanking.get(rank);
+        if (!holds(server, tick, index)) {
+            return false;
         }
-        int head = Math.min(STABLE_CHOICES, mRanking.size());
-        for (int rank = 1; rank < head; rank++) {
-            ServerState server = mRanking.get(rank);
-            if (!server.full() && holds(server, tick, index)) {
-                return rank;
+        return rank == 0
+                || server.publishesEvents(tick)
+                || mRanking.get(0).coldWithin(tick, mColdWindowTicks);
+    }
+
+    private boolean allPublishEvents(int head, int tick) {
+        for (int rank = 0; rank < head; rank++) {
+            if (!mRanking.get(rank).publishesEvents(tick)) {
+                return false;
             }
         }
-        return -1;
+        return true;
     }
 
-    private boolean yields(ServerState first, int tick, int index) {
-        return first.coldWithin(tick, mColdWindowTicks) && !holds(first, tick, index);
+    /** Returns the first rank not yet taken, or the least loaded one. */
+    private int next(int head, int taken, boolean byLoad) {
+        int best = -1;
+        for (int rank = 0; rank < head; rank++) {
+            if ((taken >> rank & 1) == 1) {
+                continue;
+            }
+            boolean lower =
+                    best < 0 || mRanking.get(rank).loadRatio() < mRanking.get(best).loadRatio();
+            if (best < 0 || (byLoad && lower)) {
+                best = rank;
+            }
+        }
+        return best;
     }
 
     private boolean holds(ServerState server, int tick, int index) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/placement/internal/VersionGroup.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/placement/internal/VersionGroup.java
@@ -23,22 +23,11 @@
     }
 
     /**
-     * Creates a group and marks the servers that are at their bound.
+     * Creates a group.
      *
      * @param version version that seeds the gate, so that gates of versions are independent
      */
-    static VersionGroup of(
-            double share, String version, List<ServerState> servers, double loadMultiple) {
-        long load = 0;
-        for (ServerState server : servers) {
-            load += server.candidate().load();
-        }
-        double mean = Math.max(1, (double) load / Math.max(1, servers.size()));
-        int bound = (int) Math.ceil(loadMultiple * mean);
-        for (ServerState server : servers) {
-            int limit = Math.min(bound, server.candidate().limit());
-            server.setFull(server.candidate().load() >= limit);
-        }
+    static VersionGroup of(double share, String version, List<ServerState> servers) {
         return new VersionGroup(share, Mixer.hash("gate " + version), servers);
     }
 
--- a/hemlockrack-core/src/test/java/org/hemlockrack/placement/internal/ChatTableProperties.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/placement/internal/ChatTableProperties.java
@@ -97,7 +97,7 @@
         for (int i = 0; i < 40; i++) {
             servers.add(ServerState.of(i, candidate(i, 0.1 + 5 * random.nextDouble()), -1));
         }
-        VersionGroup group = VersionGroup.of(1, "", servers, 1.25);
+        VersionGroup group = VersionGroup.of(1, "", servers);
         long key = random.nextLong();
         Ranking ranking = new Ranking();
         ranking.reset(3);
