Check claims over seeded fault histories against an oracle

Change: ClaimHistory drives several entry instances over one log; the oracle counts runs per key, checks that not_run is true, that replays belong to the request and that a key without a run stays usable. Three broken variants check the checker.

--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/claims/ClaimHistoryProperties.java
@@ -0,0 +1,50 @@
+package org.hemlockrack.claims;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import net.jqwik.api.Example;
+
+class ClaimHistoryProperties {
+    /** 1,000 in every build; more with {@code -Dhemlockrack.histories=N}. */
+    private static final int HISTORIES = Integer.getInteger("hemlockrack.histories", 1000);
+
+    /**
+     * Guards against a second run of a command, a refusal that wrongly says not run, an answer of
+     * another command, and a key that stays blocked while its holder lives.
+     */
+    @Example
+    void commandsRunAtMostOnce() {
+        Map<String, Integer> counts = new TreeMap<>();
+        List<String> violations = new ArrayList<>();
+        for (long seed = 0; seed < HISTORIES; seed++) {
+            long current = seed;
+            new ClaimHistory(seed, ClaimHistory.Variant.CORRECT, counts)
+                    .run()
+                    .forEach(text -> violations.add("seed " + current + " " + text));
+        }
+        System.out.println("claim histories=" + HISTORIES + " " + counts);
+        System.out.println("claim violations=" + violations.size());
+        assertEquals(List.of(), violations.subList(0, Math.min(10, violations.size())));
+    }
+
+    /** Checks the checker: each broken variant must be caught. */
+    @Example
+    void brokenVariantsAreCaught() {
+        for (ClaimHistory.Variant variant : ClaimHistory.Variant.values()) {
+            if (variant == ClaimHistory.Variant.CORRECT) {
+                continue;
+            }
+            int caught = 0;
+            for (long seed = 0; seed < 300; seed++) {
+                caught += new ClaimHistory(seed, variant, new TreeMap<>()).run().isEmpty() ? 0 : 1;
+            }
+            System.out.println("claim variant " + variant + " caught in " + caught + " of 300");
+            assertTrue(caught > 0, variant + " was not caught");
+        }
+    }
+}
