Tell placement whether a request starts a chat

Cause: placement now treats first turns by load, since no server can hold their cache.

Change: a chat without an assistant message is a first turn.

--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/StatusCommand.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/StatusCommand.java
@@ -25,9 +25,8 @@
             return EXIT_DONE;
         }
         parse(answer.body())
-                .fields()
-                .forEachRemaining(
-                        field -> out().println(field.getKey() + ": " + text(field.getValue())));
+                .properties()
+                .forEach(field -> out().println(field.getKey() + ": " + text(field.getValue())));
         return EXIT_DONE;
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerRequest.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerRequest.java
@@ -22,6 +22,7 @@
  * @param model the model; the service's name for a plain service
  * @param kind kind of the request
  * @param placementKey what decides where it is placed
+ * @param firstTurn whether the request starts a chat
  * @param idempotencyKey the caller's key, or null
  * @param firstByteDeadlineNanos when the first byte of the answer is due
  * @param deadlineNanos when the whole answer is due
@@ -35,11 +36,12 @@
         String model,
         RequestKind kind,
         PlacementKey placementKey,
+        boolean firstTurn,
         @Nullable String idempotencyKey,
         long firstByteDeadlineNanos,
         long deadlineNanos) {
 
     PlacementFilter filter(Set<BackendId> excluded) {
-        return new PlacementFilter(service, model, excluded);
+        return new PlacementFilter(service, model, excluded, firstTurn);
     }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/RequestReader.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/RequestReader.java
@@ -92,7 +92,8 @@
                 service,
                 model,
                 RequestKind.CHAT,
-                chatKey(workspace, model, call, body));
+                chatKey(workspace, model, call, body),
+                isFirstTurn(body));
     }
 
     private static JsonNode parse(byte[] body) {
@@ -142,6 +143,16 @@
         return PlacementKey.ofPrompt(workspace, model, user + "\n" + system, first);
     }
 
+    /** Returns whether no model has answered in this chat yet. */
+    private static boolean isFirstTurn(JsonNode body) {
+        for (JsonNode message : body.path("messages")) {
+            if (message.path("role").asText().equals("assistant")) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static String firstContent(JsonNode body, String role) {
         for (JsonNode message : body.path("messages")) {
             if (message.path("role").asText().equals(role)) {
@@ -182,7 +193,8 @@
                 service,
                 name,
                 serviceConfig.requestKind(call.method(), path),
-                PlacementKey.ofChat(workspace, path));
+                PlacementKey.ofChat(workspace, path),
+                false);
     }
 
     private CallerRequest request(
@@ -193,7 +205,8 @@
             ServiceId service,
             String model,
             RequestKind kind,
-            PlacementKey key) {
+            PlacementKey key,
+            boolean firstTurn) {
         long statedMillis = deadlineMillis(call);
         long firstMillis = statedMillis > 0 ? statedMillis : config.promise().firstTokenMillis();
         long wholeMillis = statedMillis > 0 ? statedMillis : config.promise().wholeAnswerMillis();
@@ -206,6 +219,7 @@
                 model,
                 kind,
                 key,
+                firstTurn,
                 idempotencyKey(call),
                 nowNanos + TimeUnit.MILLISECONDS.toNanos(firstMillis),
                 nowNanos + TimeUnit.MILLISECONDS.toNanos(wholeMillis));
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
@@ -10,7 +10,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.EnumMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -75,9 +74,7 @@
     }
 
     private static void collect(String prefix, JsonNode table, Map<String, JsonNode> leaves) {
-        Iterator<Map.Entry<String, JsonNode>> fields = table.fields();
-        while (fields.hasNext()) {
-            Map.Entry<String, JsonNode> field = fields.next();
+        for (Map.Entry<String, JsonNode> field : table.properties()) {
             String path = prefix + field.getKey();
             if (field.getValue().isObject()) {
                 collect(path + ".", field.getValue(), leaves);
