--- /dev/null
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Fleet.java
@@ -0,0 +1,318 @@
+package org.hemlockrack.testing;
+
+import com.google.common.io.Closer;
+import com.google.common.io.MoreFiles;
+import com.google.common.io.RecursiveDeleteOption;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+
+/** A fleet of real processes on loopback, for tests and benchmarks. */
+public final class Fleet implements AutoCloseable {
+    private static final long POLL_MILLIS = 50;
+
+    private final Path mFolder;
+    private final Closer mCloser = Closer.create();
+    private final Map<String, Instance> mInstances = new LinkedHashMap<>();
+    private final Map<String, FleetProcess> mBackends = new LinkedHashMap<>();
+
+    /** One instance and its addresses. */
+    public static final class Instance {
+        private final String mId;
+        private final String mZone;
+        private final int[] mPorts;
+        private FleetProcess mProcess;
+
+        private Instance(String id, String zone, int[] ports) {
+            mId = id;
+            mZone = zone;
+            mPorts = ports;
+        }
+
+        /** Returns the instance id. */
+        public String id() {
+            return mId;
+        }
+
+        /** Returns the address for callers. */
+        public String callers() {
+            return address(0);
+        }
+
+        /** Returns the address for backend servers and forwarded requests. */
+        public String internal() {
+            return address(1);
+        }
+
+        /** Returns the address for operators. */
+        public String operators() {
+            return address(2);
+        }
+
+        /** Returns the address for other instances. */
+        public String peer() {
+            return address(3);
+        }
+
+        /** Returns the running process. */
+        public FleetProcess process() {
+            return mProcess;
+        }
+
+        private String address(int index) {
+            return "127.0.0.1:" + mPorts[index];
+        }
+    }
+
+    private Fleet(Path folder) {
+        mFolder = folder;
+    }
+
+    /** Creates a fleet without processes, with a temporary folder of its own. */
+    public static Fleet create() {
+        try {
+            Fleet fleet = new Fleet(Files.createTempDirectory("fleet"));
+            fleet.mCloser.register(() -> deleteFolder(fleet.mFolder));
+            return fleet;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void deleteFolder(Path folder) throws IOException {
+        MoreFiles.deleteRecursively(folder, RecursiveDeleteOption.ALLOW_INSECURE);
+    }
+
+    /** Returns free ports; they are released before the processes bind them. */
+    static int[] freePorts(int count) {
+        List<ServerSocket> sockets = new ArrayList<>();
+        int[] ports = new int[count];
+        try {
+            for (int i = 0; i < count; i++) {
+                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                sockets.add(socket);
+                ports[i] = socket.getLocalPort();
+            }
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return ports;
+    }
+
+    /**
+     * Plans an instance without starting it.
+     *
+     * @param id instance id
+     * @param zone availability zone
+     * @return the instance
+     */
+    public Instance plan(String id, String zone) {
+        Instance instance = new Instance(id, zone, freePorts(4));
+        mInstances.put(id, instance);
+        return instance;
+    }
+
+    /**
+     * Starts all planned instances; the first ones are voters.
+     *
+     * @param voters number of voters
+     * @param moreSettings TOML tables appended to the settings of each instance
+     */
+    public void startInstances(int voters, String moreSettings) {
+        List<Instance> all = List.copyOf(mInstances.values());
+        String seeds = quoted(all.stream().map(Instance::peer).collect(Collectors.toList()));
+        String listed =
+                quoted(
+                        all.stream()
+                                .limit(voters)
+                                .map(instance -> instance.id() + "=" + instance.peer())
+                                .collect(Collectors.toList()));
+        for (int i = 0; i < all.size(); i++) {
+            String folder = i < voters ? dataFolder(all.get(i).id()).toString() : "";
+            start(all.get(i), seeds, folder, listed, moreSettings);
+        }
+    }
+
+    private static String quoted(List<String> texts) {
+        return texts.stream().map(text -> '"' + text + '"').collect(Collectors.joining(", "));
+    }
+
+    /**
+     * Returns the data folder of a voter.
+     *
+     * @param id instance id
+     * @return the folder
+     */
+    public Path dataFolder(String id) {
+        return mFolder.resolve("data-" + id);
+    }
+
+    /** Returns the temporary folder. */
+    public Path folder() {
+        return mFolder;
+    }
+
+    private void start(Instance instance, String seeds, String folder, String voters, String more) {
+        String settings =
+                String.format(
+                        """
+                        [instance]
+                        id = "%s"
+                        zone = "%s"
+                        region = "r1"
+                        [listen]
+                        callers = "%s"
+                        internal = "%s"
+                        operators = "%s"
+                        peer = "%s"
+                        [peers]
+                        seeds = [%s]
+                        [voter]
+                        data_folder = "%s"
+                        voters = [%s]
+                        %s
+                        """,
+                        instance.id(),
+                        instance.mZone,
+                        instance.callers(),
+                        instance.internal(),
+                        instance.operators(),
+                        instance.peer(),
+                        seeds,
+                        folder,
+                        voters,
+                        more);
+        Path file = mFolder.resolve(instance.id() + ".toml");
+        try {
+            Files.writeString(file, settings);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        instance.mProcess =
+                FleetProcess.start(
+                        instance.id(),
+                        mFolder.resolve(instance.id() + ".log"),
+                        "256m",
+                        "org.hemlockrack.daemon.Main",
+                        List.of("--config", file.toString()));
+        mCloser.register(instance.mProcess::close);
+    }
+
+    /**
+     * Starts a stand-in backend server that announces itself to all instances.
+     *
+     * @param id backend server id
+     * @param zone availability zone
+     * @param service service
+     * @param kind {@code model} or {@code plain}
+     * @param more further options of {@link BackendOptions}
+     * @return the process
+     */
+    public FleetProcess startBackend(
+            String id, String zone, String service, String kind, String... more) {
+        List<String> args =
+                new ArrayList<>(
+                        List.of("--id", id, "--zone", zone, "--service", service, "--kind", kind));
+        args.addAll(List.of(more));
+        args.add("--announce");
+        mInstances.values().forEach(instance -> args.add(instance.internal()));
+        FleetProcess process =
+                FleetProcess.start(
+                        id,
+                        mFolder.resolve(id + ".log"),
+                        "64m",
+                        "org.hemlockrack.testing.BackendServer",
+                        args);
+        mCloser.register(process::close);
+        mBackends.put(id, process);
+        return process;
+    }
+
+    /**
+     * Returns an instance.
+     *
+     * @param id its id
+     * @return the instance
+     */
+    public Instance instance(String id) {
+        return mInstances.get(id);
+    }
+
+    /** Returns all instances. */
+    public List<Instance> instances() {
+        return List.copyOf(mInstances.values());
+    }
+
+    /**
+     * Returns a backend server.
+     *
+     * @param id its id
+     * @return its process
+     */
+    public FleetProcess backend(String id) {
+        return mBackends.get(id);
+    }
+
+    /**
+     * Waits for a condition.
+     *
+     * @param what the condition in words, for the message
+     * @param seconds longest wait
+     * @param condition the condition; an exception counts as not met
+     */
+    public void await(String what, int seconds, BooleanSupplier condition) {
+        long endNanos = System.nanoTime() + seconds * 1_000_000_000L;
+        RuntimeException last = null;
+        while (System.nanoTime() - endNanos < 0) {
+            try {
+                if (condition.getAsBoolean()) {
+                    return;
+                }
+            } catch (RuntimeException e) {
+                last = e;
+            }
+            pause(POLL_MILLIS);
+        }
+        StringBuilder logs = new StringBuilder();
+        for (Instance instance : mInstances.values()) {
+            logs.append("\n== ").append(instance.id()).append('\n');
+            logs.append(instance.process().log());
+        }
+        throw new IllegalStateException("not within " + seconds + " s: " + what + logs, last);
+    }
+
+    /**
+     * Sleeps.
+     *
+     * @param millis how long
+     */
+    public static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            mCloser.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
