Record a command's answer before the caller gets it

Cause: FleetTest killed the entry instance right after it had answered a booking; the claim's end was proposed after the answer, so it was lost with the instance and the key stayed in progress. The same test showed NOT_OWNER for servers whose owner still waited for its lease.

Ruled out: a lost claim (it was committed) and a late view (both views were current), by the logs of all three instances.

Change: the answer of a claimed command goes out once its record is committed, at most 2 s later; a server is published only while its owner may admit; an entry instance tries again every 100 ms until the first-byte deadline if choices were refused only for want of an owner.

Before: repeatedCommandRunsOnceThoughItsInstanceIsKilled failed after 20 s.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
@@ -35,10 +35,14 @@
  * answer bytes pass through the tracker on I/O threads under this object's lock.
  */
 final class CallerExchange {
-    /** Refusals by owners cost no engine work, so all choices and then a queue may be tried. */
-    private static final int MAX_ATTEMPTS = 8;
+    /** Refusals by owners cost no engine work, so only the deadline bounds them. */
+    private static final int MAX_ATTEMPTS = 1_000;
 
-    private static final long NANOS_PER_MILLI = 1_000_000;
+    /** Attempts that may have cost engine work. */
+    private static final int MAX_RUNS = 3;
+
+    /** Pause before all choices are tried again while a new owner waits for its lease. */
+    private static final long OWNER_WAIT_NANOS = 100 * 1_000_000L;
 
     private final EntryService mService;
     private final Loop mLoop;
@@ -53,6 +57,7 @@
     private @Nullable Choice mChoice;
     private @Nullable Choice mFirstChoice;
     private int mAttemptNumber;
+    private int mRuns;
     private int mHeldBytes;
     private int mRecordedStatus;
     private List<HeaderField> mRecordedHeaders = List.of();
@@ -124,7 +129,9 @@
         }
         Optional<Choice> choice = nextChoice(lastEventId != null);
         if (choice.isEmpty()) {
-            giveUp();
+            if (!awaitOwner()) {
+                giveUp();
+            }
             return;
         }
         mChoice = choice.get();
@@ -165,6 +172,19 @@
         return Optional.of(mFirstChoice);
     }
 
+    /** Tries all choices again after a pause, if they were refused only for want of an owner. */
+    private boolean awaitOwner() {
+        boolean wanting =
+                mLastRefusal == ErrorKind.NOT_OWNER || mLastRefusal == ErrorKind.NOT_READY;
+        long againNanos = mLoop.nowNanos() + OWNER_WAIT_NANOS;
+        if (!wanting || againNanos - mRequest.firstByteDeadlineNanos() >= 0) {
+            return false;
+        }
+        mExcluded.clear();
+        mLoop.schedule(againNanos, () -> nextAttempt(null));
+        return true;
+    }
+
     private HttpCall resuming(String lastEventId) {
         HttpCall call = mRequest.call();
         List<HeaderField> headers = new ArrayList<>(call.headers());
@@ -173,7 +193,9 @@
     }
 
     private void giveUp() {
-        feed(new AnswerEvent.GaveUp(mLastRefusal));
+        boolean wanting =
+                mLastRefusal == ErrorKind.NOT_OWNER || mLastRefusal == ErrorKind.NOT_READY;
+        feed(new AnswerEvent.GaveUp(wanting ? ErrorKind.NO_BACKEND : mLastRefusal));
     }
 
     private void refused(int number, ErrorKind kind, long retryAfterMillis) {
@@ -196,18 +218,28 @@
         if (output instanceof AnswerOutput.ForwardHead head) {
             forwardHead(head);
         } else if (output instanceof AnswerOutput.ForwardBytes bytes) {
-            mResponder.write(ByteBuffer.wrap(bytes.bytes()));
             if (mTicket != null) {
                 mRecordedBody.writeBytes(bytes.bytes());
+            } else {
+                mResponder.write(ByteBuffer.wrap(bytes.bytes()));
             }
         } else if (output instanceof AnswerOutput.FailStream failed) {
             mResponder.write(ByteBuffer.wrap(failed.eventBytes()));
             mResponder.end();
-        } else if (output instanceof AnswerOutput.Abort) {
-            mResponder.abort();
+        } else if (output instanceof AnswerOutput.Abort aborted) {
+            abort(aborted);
         }
     }
 
+    private void abort(AnswerOutput.Abort aborted) {
+        if (mTicket != null) {
+            // Nothing of a command's answer was passed on yet, so the caller can be told.
+            mResponder.sendError(aborted.kind(), RunState.UNKNOWN, aborted.message(), 0);
+            return;
+        }
+        mResponder.abort();
+    }
+
     private void forwardHead(AnswerOutput.ForwardHead head) {
         List<HeaderField> headers = new ArrayList<>();
         long lengthBytes = Responder.UNKNOWN_LENGTH;
@@ -222,8 +254,11 @@
                 headers.add(field);
             }
         }
-        mRecordedStatus = head.status();
-        mRecordedHeaders = List.copyOf(headers);
+        if (mTicket != null) {
+            mRecordedStatus = head.status();
+            mRecordedHeaders = List.copyOf(headers);
+            return;
+        }
         headers.add(HeaderField.of(ForwardOrder.REQUEST_ID, mRequest.id()));
         mResponder.head(head.status(), headers, lengthBytes);
     }
@@ -252,22 +287,41 @@
                         mService.served(mRequest, mChoice);
                     }
                     if (mTicket != null) {
-                        mTicket.finished(
-                                mRecordedStatus, mRecordedHeaders, mRecordedBody.toByteArray());
-                        mTicket = null;
+                        recordThenAnswer(mTicket);
+                        return;
                     }
                     mResponder.end();
                     close();
                 });
     }
 
+    /** A caller that saw the answer can repeat the command anywhere and gets the same answer. */
+    private void recordThenAnswer(ClaimGate.Ticket ticket) {
+        mTicket = null;
+        byte[] body = mRecordedBody.toByteArray();
+        List<HeaderField> headers = new ArrayList<>(mRecordedHeaders);
+        headers.add(HeaderField.of(ForwardOrder.REQUEST_ID, mRequest.id()));
+        ticket.finished(
+                mRecordedStatus,
+                mRecordedHeaders,
+                body,
+                () -> {
+                    mResponder.send(mRecordedStatus, headers, body);
+                    close();
+                });
+    }
+
     private void again(ErrorKind cause, @Nullable String lastEventId) {
         if (mClosed) {
             return;
         }
         cancelAttempt();
         boolean free = RetryPolicy.of(cause) == RetryPolicy.REFUSED;
-        if (!free && !mService.budget(mRequest.service()).tryTake(mLoop.nowNanos())) {
+        if (!free) {
+            mRuns++;
+        }
+        boolean spent = mRuns >= MAX_RUNS;
+        if (spent || !free && !mService.budget(mRequest.service()).tryTake(mLoop.nowNanos())) {
             mLastRefusal = cause;
             giveUp();
             return;
@@ -293,6 +347,10 @@
     }
 
     private void ended(ErrorKind kind, String message) {
+        if (mTicket != null) {
+            mTicket.unknown();
+            mTicket = null;
+        }
         if (kind.runState() != RunState.NOT_RUN) {
             mService.log().log(
                     LogEvent.REQUEST_FAILED,
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/ClaimGate.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/ClaimGate.java
@@ -39,13 +39,16 @@
     /** A granted claim. */
     interface Ticket {
         /**
-         * The command's answer is complete.
+         * The command's answer is complete. The caller must get it only once it is recorded, or a
+         * repeat after the loss of this instance could not be answered.
          *
          * @param status HTTP status
          * @param headers header fields to record
          * @param body the body to record
+         * @param whenRecorded runs on the loop once the answer is recorded, or when waiting for
+         *     that takes too long
          */
-        void finished(int status, List<HeaderField> headers, byte[] body);
+        void finished(int status, List<HeaderField> headers, byte[] body, Runnable whenRecorded);
 
         /** The command was surely not run. */
         void notRun();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/ClaimService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/ClaimService.java
@@ -35,6 +35,9 @@
     private static final long ASK_MILLIS = 1_000;
     private static final long FINISH_MILLIS = 60_000;
 
+    /** The caller waits no longer than this for its answer to be recorded. */
+    private static final long RECORD_WAIT_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private final Loop mLoop;
     private final Fleet mFleet;
     private final PeerNetwork mNetwork;
@@ -150,6 +153,7 @@
     private final class Claim implements Ticket {
         private final DeciderRunner<ClaimSession.Event, ClaimSession.Output> mRunner;
         private final Decision mDecision;
+        private @Nullable Runnable mWhenRecorded;
         private boolean mDecided;
 
         Claim(ClaimSession session, Decision decision) {
@@ -185,6 +189,7 @@
                 mDecided = true;
                 mDecision.refused(refuse.kind(), refuse.kind().runState(), refuse.message());
             } else if (output instanceof ClaimSession.Ended) {
+                recorded();
                 mRunner.stop();
             }
         }
@@ -200,6 +205,14 @@
             }
         }
 
+        private void recorded() {
+            Runnable action = mWhenRecorded;
+            mWhenRecorded = null;
+            if (action != null) {
+                action.run();
+            }
+        }
+
         private static byte[] requireResult(ProposalOutcome outcome) {
             byte @Nullable [] result = outcome.result();
             if (result == null) {
@@ -242,7 +255,10 @@
         }
 
         @Override
-        public void finished(int status, List<HeaderField> headers, byte[] body) {
+        public void finished(
+                int status, List<HeaderField> headers, byte[] body, Runnable whenRecorded) {
+            mWhenRecorded = whenRecorded;
+            mLoop.schedule(mLoop.nowNanos() + RECORD_WAIT_NANOS, this::recorded);
             List<RecordedAnswer.Header> recorded = new ArrayList<>();
             for (HeaderField field : headers) {
                 recorded.add(new RecordedAnswer.Header(field.name(), field.value()));
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/log/LogFormat.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/log/LogFormat.java
@@ -35,6 +35,9 @@
         }
     };
 
+    /** Kept here because the logging library only holds loggers weakly. */
+    private static final Logger THRIFT_LOGGER = Logger.getLogger("org.apache.thrift");
+
     abstract String format(LogRecord line, String stack);
 
     /**
@@ -59,7 +62,7 @@
         root.addHandler(console);
         root.setLevel(Level.INFO);
         // libthrift logs a stack trace for each connection that a stranger opens and drops.
-        Logger.getLogger("org.apache.thrift").setLevel(Level.OFF);
+        THRIFT_LOGGER.setLevel(Level.OFF);
     }
 
     private static final class LineFormatter extends Formatter {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnerService.java
@@ -140,7 +140,10 @@
         OwnedBackend backend =
                 mBackends.computeIfAbsent(announcement.id(), id -> open(announcement));
         AdmissionOutput.Acknowledge acknowledge = backend.announced(announcement);
-        publish(backend);
+        if (backend.isOwner()) {
+            // Published earlier, the server would attract requests that must still be refused.
+            publish(backend);
+        }
         answer(backend, acknowledge, responder);
     }
 
