--- /dev/null
+++ b/hemlockrack-bench/src/main/java/org/hemlockrack/bench/PathBench.java
@@ -0,0 +1,262 @@
+package org.hemlockrack.bench;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.hemlockrack.daemon.http.HeaderField;
+import org.hemlockrack.daemon.http.HttpClient;
+import org.hemlockrack.daemon.http.UpstreamCall;
+import org.hemlockrack.daemon.http.UpstreamListener;
+import org.hemlockrack.testing.Fleet;
+import org.hemlockrack.testing.FleetClient;
+
+/**
+ * Latency that one instance adds: requests straight to a stand-in backend server and through an
+ * instance alternate in one run. Then many streams are held open at once.
+ */
+public final class PathBench {
+    private static final int RATE_PER_SECOND = 500;
+    private static final int WARM_UP_REQUESTS = 8_000;
+    private static final int REQUESTS = 20_000;
+    private static final int STREAMS = 2_000;
+    private static final long MAX_MICROS = 60_000_000;
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+    private final HttpClient mClient = HttpClient.open(2, 5_000, 60_000, true);
+    private final FleetClient mOperator = FleetClient.create();
+    private final Fleet mFleet = Fleet.create();
+
+    private String mDirect = "";
+    private String mRouted = "";
+
+    private PathBench() {}
+
+    /**
+     * Runs the benchmark.
+     *
+     * @param args none are used
+     */
+    public static void main(String[] args) {
+        PathBench bench = new PathBench();
+        try {
+            bench.start();
+            bench.latency("whole", false);
+            bench.latency("streamed", true);
+            bench.openStreams();
+        } finally {
+            bench.mFleet.close();
+            bench.mClient.close();
+        }
+    }
+
+    private void start() {
+        Fleet.Instance instance = mFleet.plan("i1", "a");
+        mFleet.startInstances(1, "[http]\nmax_connections = 20000");
+        String first =
+                mOperator
+                        .firstConfiguration()
+                        .replace(
+                                "cold_start_limit = 8",
+                                "cold_start_limit = 1024\nload_multiple = 10.0");
+        mFleet.await(
+                "configuration",
+                30,
+                () -> mOperator.patch(instance.operators(), 0, "first", first).status() == 200);
+        mFleet.startBackend(
+                "engine",
+                "a",
+                "assistant",
+                "model",
+                "--limit",
+                "4000",
+                "--token-ms",
+                "1",
+                "--prefill-ms",
+                "1",
+                "--tokens",
+                "4");
+        mFleet.await(
+                "backend server",
+                30,
+                () -> mOperator.chat(instance.callers(), "warm").status() == 200);
+        mRouted = instance.callers();
+        mDirect =
+                mOperator
+                        .page(instance.operators(), "backends")
+                        .path("backends")
+                        .get(0)
+                        .path("address")
+                        .asText();
+    }
+
+    private void latency(String name, boolean stream) {
+        run(
+                WARM_UP_REQUESTS,
+                stream,
+                new ConcurrentHistogram(MAX_MICROS, 3),
+                new ConcurrentHistogram(MAX_MICROS, 3));
+        Histogram direct = new ConcurrentHistogram(MAX_MICROS, 3);
+        Histogram routed = new ConcurrentHistogram(MAX_MICROS, 3);
+        int failed = run(REQUESTS, stream, direct, routed);
+        double addedMedian =
+                (routed.getValueAtPercentile(50) - direct.getValueAtPercentile(50)) / 1_000.0;
+        double addedP99 =
+                (routed.getValueAtPercentile(99) - direct.getValueAtPercentile(99)) / 1_000.0;
+        System.out.printf(
+                "%-9s direct p50 %.3f p99 %.3f ms, routed p50 %.3f p99 %.3f ms, failed %d%n",
+                name,
+                direct.getValueAtPercentile(50) / 1_000.0,
+                direct.getValueAtPercentile(99) / 1_000.0,
+                routed.getValueAtPercentile(50) / 1_000.0,
+                routed.getValueAtPercentile(99) / 1_000.0,
+                failed);
+        System.out.printf("path_%s_added_median_ms=%.3f%n", name, addedMedian);
+        System.out.printf("path_%s_added_p99_ms=%.3f%n", name, addedP99);
+        System.out.printf("path_%s_failed=%d%n", name, failed);
+        System.out.printf(
+                "path_%s_met=%b%n", name, addedMedian <= 1 && addedP99 <= 5 && failed == 0);
+    }
+
+    /** Sends each kind at the full rate, alternating, and returns the number of failures. */
+    private int run(int requests, boolean stream, Histogram direct, Histogram routed) {
+        AtomicInteger failed = new AtomicInteger();
+        CountDownLatch done = new CountDownLatch(2 * requests);
+        long startNanos = System.nanoTime();
+        for (int i = 0; i < requests; i++) {
+            long atNanos = startNanos + i * NANOS_PER_SECOND / RATE_PER_SECOND;
+            while (System.nanoTime() - atNanos < 0) {
+                LockSupport.parkNanos(atNanos - System.nanoTime());
+            }
+            send(mDirect, i, stream, 4, direct, failed, done);
+            LockSupport.parkNanos(NANOS_PER_SECOND / RATE_PER_SECOND / 2);
+            send(mRouted, i, stream, 4, routed, failed, done);
+        }
+        await(done, 60);
+        return failed.get() + (int) done.getCount();
+    }
+
+    private static void await(CountDownLatch done, int seconds) {
+        try {
+            done.await(seconds, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void send(
+            String target,
+            int chat,
+            boolean stream,
+            int tokens,
+            Histogram latency,
+            AtomicInteger failed,
+            CountDownLatch done) {
+        List<HeaderField> headers = new ArrayList<>();
+        headers.add(HeaderField.of("Authorization", "Bearer " + mOperator.bearer()));
+        headers.add(HeaderField.of("X-Chat-Id", "chat-" + chat % 1_000));
+        headers.add(HeaderField.of("X-Deadline-Ms", "60000"));
+        headers.add(HeaderField.of("X-Request-Id", "r" + chat));
+        String body =
+                String.format(
+                        "{\"model\":\"assistant\",\"stream\":%b,\"max_tokens\":%d,\"messages\":"
+                                + "[{\"role\":\"user\",\"content\":\"hello\"}]}",
+                        stream, tokens);
+        Exchange exchange = new Exchange(stream, latency, failed, done);
+        exchange.mCall =
+                mClient.send(
+                        target,
+                        "POST",
+                        "/v1/chat/completions",
+                        headers,
+                        body.getBytes(StandardCharsets.UTF_8),
+                        exchange);
+    }
+
+    private void openStreams() {
+        Histogram latency = new ConcurrentHistogram(MAX_MICROS, 3);
+        AtomicInteger failed = new AtomicInteger();
+        CountDownLatch done = new CountDownLatch(STREAMS);
+        int tokens = 20_000;
+        for (int i = 0; i < STREAMS; i++) {
+            send(mRouted, i, true, tokens, latency, failed, done);
+            LockSupport.parkNanos(NANOS_PER_SECOND / RATE_PER_SECOND);
+        }
+        long open = done.getCount();
+        await(done, 120);
+        int lost = failed.get() + (int) done.getCount();
+        System.out.printf("open streams: %d at once, %d lost%n", open, lost);
+        System.out.printf("path_open_streams=%d%n", open);
+        System.out.printf("path_open_streams_lost=%d%n", lost);
+    }
+
+    /** Measures one exchange and checks that a stream is whole. */
+    private static final class Exchange implements UpstreamListener {
+        private static final byte[] END = "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
+
+        private final boolean mStream;
+        private final Histogram mLatency;
+        private final AtomicInteger mFailed;
+        private final CountDownLatch mDone;
+        private final long mStartNanos = System.nanoTime();
+        private final byte[] mTail = new byte[END.length];
+        private volatile UpstreamCall mCall;
+        private int mStatus;
+
+        Exchange(boolean stream, Histogram latency, AtomicInteger failed, CountDownLatch done) {
+            mStream = stream;
+            mLatency = latency;
+            mFailed = failed;
+            mDone = done;
+        }
+
+        @Override
+        public boolean onSending() {
+            return true;
+        }
+
+        @Override
+        public void onHead(int status, List<HeaderField> headers, long lengthBytes) {
+            mStatus = status;
+        }
+
+        @Override
+        public void onBody(ByteBuffer data) {
+            int bytes = data.remaining();
+            for (int i = 0; i < bytes; i++) {
+                byte next = data.get();
+                if (bytes - i <= mTail.length) {
+                    System.arraycopy(mTail, 1, mTail, 0, mTail.length - 1);
+                    mTail[mTail.length - 1] = next;
+                }
+            }
+            UpstreamCall call = mCall;
+            if (call != null) {
+                call.release(bytes);
+            }
+        }
+
+        @Override
+        public void onEnd() {
+            mLatency.recordValue((System.nanoTime() - mStartNanos) / 1_000);
+            boolean whole = !mStream || Arrays.equals(END, mTail);
+            if (mStatus != 200 || !whole) {
+                mFailed.incrementAndGet();
+            }
+            mDone.countDown();
+        }
+
+        @Override
+        public void onFailed(Exception cause, boolean mayHaveBeenSent) {
+            mFailed.incrementAndGet();
+            mDone.countDown();
+        }
+    }
+}
