Show that the surge checks notice a queue by arrival

Cause: the surge properties of the queue had no broken variant, and one property had a parameter it did not use. Ruled out: reusing the strict priority variant; it passes the surge checks by design. Change: both surge checks use one position function, which a queue by arrival fails.

--- a/hemlockrack-core/src/test/java/org/hemlockrack/admission/internal/RequestQueueProperties.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/admission/internal/RequestQueueProperties.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -24,9 +25,8 @@
 
     /** Guards against starvation: a waiting class gets its weight, less one turn, of the takes. */
     @Property(tries = 200)
-    void waitingClassesGetTheirShare(
-            @ForAll @IntRange(min = 13, max = 400) int takes, @ForAll Priority other) {
-        assertTrue(sharesHold(backlog(400), takes), "takes " + takes + " beside " + other);
+    void waitingClassesGetTheirShare(@ForAll @IntRange(min = 13, max = 400) int takes) {
+        assertTrue(sharesHold(backlog(400), takes), "takes " + takes);
     }
 
     /** The share check must notice strict priority. */
@@ -55,7 +55,7 @@
             queue.take();
         }
         queue.add(request("high", "calm", Priority.HIGH, Long.MAX_VALUE));
-        assertEquals("high", queue.take().requestId());
+        assertEquals(0, position(queue::take, "high"));
     }
 
     /**
@@ -68,11 +68,18 @@
             queue.add(request("s" + i, "surging", Priority.NORMAL, 0));
         }
         queue.add(request("calm", "calm", Priority.NORMAL, Long.MAX_VALUE));
-        int position = 0;
-        while (!queue.take().requestId().equals("calm")) {
-            position++;
+        assertTrue(position(queue::take, "calm") <= 8);
+    }
+
+    /** Both surge checks must notice a queue by arrival. */
+    @Example
+    void queueByArrivalIsCaught() {
+        ArrayDeque<Arrived> queue = new ArrayDeque<>();
+        for (int i = 0; i < 100; i++) {
+            queue.add(request("s" + i, "surging", Priority.NORMAL, 0));
         }
-        assertTrue(position <= 8, "position " + position);
+        queue.add(request("calm", "calm", Priority.HIGH, Long.MAX_VALUE));
+        assertFalse(position(queue::remove, "calm") <= 8);
     }
 
     /** Guards against dropping a high or old request while a low or newer one waits. */
@@ -87,6 +94,14 @@
         assertEquals(3, queue.size());
     }
 
+    private static int position(Supplier<Arrived> queue, String id) {
+        int position = 0;
+        while (!queue.get().requestId().equals(id)) {
+            position++;
+        }
+        return position;
+    }
+
     private static Supplier<Arrived> backlog(int perClass) {
         RequestQueue queue = RequestQueue.create(BIG);
         for (Priority priority : Priority.values()) {
