--- a/hemlockrack-core/src/main/java/org/hemlockrack/placement/internal/ServerState.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/placement/internal/ServerState.java
@@ -10,7 +10,7 @@
     /** 30 s; a server under load publishes an event every second or so. */
     private static final int EVENT_SILENCE_TICKS = 300;
 
-    /** CacheBench measured nearly full reuse up to here, and half of it at the turnover. */
+    /** CacheBench: most reuse remains up to here, and none after a whole turnover. */
     private static final double LIFE_ACROSS_GAP = 0.75;
 
     private static final double SMOOTHING = 0.1;
