--- a/hemlockrack-core/src/test/java/org/hemlockrack/answers/AnswerTrackerProperties.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/answers/AnswerTrackerProperties.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import net.jqwik.api.Example;
@@ -35,69 +36,36 @@
         new HostileEngine(seed, tracker()).run();
     }
 
-    /** The property must see a tracker that accepts events of earlier attempts. */
+    /** The property must see a tracker that leaves out one check, or skips without comparing. */
     @Example
-    void catchesLateAnswers() {
-        Supplier<AnswerTracker> broken =
-                () ->
-                        new Altered(tracker()) {
-                            @Override
-                            AnswerEvent alter(AnswerEvent event) {
-                                if (event instanceof AnswerEvent.BodyReceived body) {
-                                    return new AnswerEvent.BodyReceived(mAttempt, body.bytes());
-                                }
-                                return event;
-                            }
-                        };
-        assertCaught(broken, LATE_SEED);
+    void catchesMissingChecks() {
+        assertCaught(() -> new Altered(AnswerTrackerProperties::current), LATE_SEED);
+        assertCaught(() -> new Altered(AnswerTrackerProperties::identified), FOREIGN_SEED);
+        assertCaught(() -> new Altered(AnswerTrackerProperties::terminated), TERMINATOR_SEED);
+        assertCaught(SkippingTracker::new, JOINED_SEED);
     }
 
-    /** The property must see a tracker that does not compare request ids. */
-    @Example
-    void catchesForeignAnswers() {
-        Supplier<AnswerTracker> broken =
-                () ->
-                        new Altered(tracker()) {
-                            @Override
-                            AnswerEvent alter(AnswerEvent event) {
-                                if (event instanceof AnswerEvent.HeadReceived head) {
-                                    List<Header> headers = new ArrayList<>(head.headers());
-                                    headers.removeIf(
-                                            h -> h.isNamed(AnswerTracker.REQUEST_ID_HEADER));
-                                    headers.add(
-                                            new Header(
-                                                    AnswerTracker.REQUEST_ID_HEADER, mRequestId));
-                                    return new AnswerEvent.HeadReceived(
-                                            head.attempt(), head.status(), headers);
-                                }
-                                return event;
-                            }
-                        };
-        assertCaught(broken, FOREIGN_SEED);
+    private static AnswerEvent current(AnswerEvent.AttemptStarted attempt, AnswerEvent event) {
+        return event instanceof AnswerEvent.BodyReceived body
+                ? new AnswerEvent.BodyReceived(attempt.attempt(), body.bytes())
+                : event;
     }
 
-    /** The property must see a tracker that takes the end of a message for the terminator. */
-    @Example
-    void catchesMissingTerminator() {
-        Supplier<AnswerTracker> broken =
-                () ->
-                        new Altered(tracker()) {
-                            @Override
-                            AnswerEvent alter(AnswerEvent event) {
-                                if (event instanceof AnswerEvent.EndReceived end) {
-                                    byte[] done = HostileEngine.bytes("\n\ndata: [DONE]\n\n");
-                                    return new AnswerEvent.BodyReceived(end.attempt(), done);
-                                }
-                                return event;
-                            }
-                        };
-        assertCaught(broken, TERMINATOR_SEED);
+    private static AnswerEvent identified(AnswerEvent.AttemptStarted attempt, AnswerEvent event) {
+        if (event instanceof AnswerEvent.HeadReceived head) {
+            List<Header> headers = new ArrayList<>(head.headers());
+            headers.removeIf(h -> h.isNamed(AnswerTracker.REQUEST_ID_HEADER));
+            headers.add(new Header(AnswerTracker.REQUEST_ID_HEADER, attempt.requestId()));
+            return new AnswerEvent.HeadReceived(head.attempt(), head.status(), headers);
+        }
+        return event;
     }
 
-    /** The property must see a tracker that skips by count without comparing the runs. */
-    @Example
-    void catchesJoinedRuns() {
-        assertCaught(SkippingTracker::new, JOINED_SEED);
+    private static AnswerEvent terminated(AnswerEvent.AttemptStarted attempt, AnswerEvent event) {
+        byte[] done = HostileEngine.bytes("\n\ndata: [DONE]\n\n");
+        return event instanceof AnswerEvent.EndReceived end
+                ? new AnswerEvent.BodyReceived(end.attempt(), done)
+                : event;
     }
 
     private static void assertCaught(Supplier<AnswerTracker> broken, long seed) {
@@ -112,11 +80,7 @@
     @Example
     void longWholeAnswerIsAborted() {
         List<AnswerOutput> out = new ArrayList<>();
-        AnswerTracker tracker = tracker();
-        tracker.onEvent(0, new AnswerEvent.AttemptStarted(1, "r"), out::add);
-        List<Header> headers =
-                List.of(new Header("x-request-id", "r"), new Header("content-length", "300"));
-        tracker.onEvent(0, new AnswerEvent.HeadReceived(1, 200, headers), out::add);
+        AnswerTracker tracker = started(new Header("content-length", "300"));
         tracker.onEvent(0, new AnswerEvent.BodyReceived(1, new byte[200]), out::add);
         tracker.onEvent(0, new AnswerEvent.EndReceived(1), out::add);
         assertEquals(3, out.size());
@@ -139,39 +103,41 @@
     void oversizedOrOddEventsFail() {
         for (String event : List.of("data: " + "x".repeat(600), "id: %d\ndata: x\n\n")) {
             List<AnswerOutput> out = new ArrayList<>();
-            AnswerTracker tracker = tracker();
-            tracker.onEvent(0, new AnswerEvent.AttemptStarted(1, "r"), out::add);
-            List<Header> headers =
-                    List.of(
-                            new Header("X-Request-Id", "r"),
+            AnswerTracker tracker =
+                    started(
                             new Header("Content-Type", "text/event-stream"),
                             new Header("Transfer-Encoding", "chunked"));
-            tracker.onEvent(0, new AnswerEvent.HeadReceived(1, 200, headers), out::add);
             byte[] bytes = event.getBytes(StandardCharsets.UTF_8);
             tracker.onEvent(0, new AnswerEvent.BodyReceived(1, bytes), out::add);
             assertEquals(List.of(new AnswerOutput.Rerun(0, ErrorKind.BACKEND_FAILED)), out);
         }
     }
 
+    private static AnswerTracker started(Header... headers) {
+        List<Header> all = new ArrayList<>(List.of(headers));
+        all.add(new Header("x-request-id", "r"));
+        AnswerTracker tracker = tracker();
+        tracker.onEvent(0, new AnswerEvent.AttemptStarted(1, "r"), out -> {});
+        tracker.onEvent(0, new AnswerEvent.HeadReceived(1, 200, all), out -> {});
+        return tracker;
+    }
+
     /** The real tracker behind a change of its input that removes one check. */
-    private abstract static class Altered implements AnswerTracker {
-        private final AnswerTracker mInner;
-        int mAttempt;
-        String mRequestId = "";
+    private static final class Altered implements AnswerTracker {
+        private final AnswerTracker mInner = tracker();
+        private final BiFunction<AnswerEvent.AttemptStarted, AnswerEvent, AnswerEvent> mChange;
+        private AnswerEvent.AttemptStarted mAttempt = new AnswerEvent.AttemptStarted(0, "");
 
-        Altered(AnswerTracker inner) {
-            mInner = inner;
+        Altered(BiFunction<AnswerEvent.AttemptStarted, AnswerEvent, AnswerEvent> change) {
+            mChange = change;
         }
 
-        abstract AnswerEvent alter(AnswerEvent event);
-
         @Override
         public void onEvent(long nowNanos, AnswerEvent event, Consumer<? super AnswerOutput> out) {
             if (event instanceof AnswerEvent.AttemptStarted started) {
-                mAttempt = started.attempt();
-                mRequestId = started.requestId();
+                mAttempt = started;
             }
-            mInner.onEvent(nowNanos, alter(event), out);
+            mInner.onEvent(nowNanos, mChange.apply(mAttempt, event), out);
         }
 
         @Override
