--- a/hemlockrack-core/src/main/java/org/hemlockrack/claims/internal/ClaimTable.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/claims/internal/ClaimTable.java
@@ -13,7 +13,7 @@
  */
 public final class ClaimTable {
     /** Heap bytes of a claim beside its key and answer, measured by ConfigBench. */
-    public static final int FIXED_BYTES = 300;
+    public static final int FIXED_BYTES = 450;
 
     private final Map<ClaimKey, Claim> mClaims = new LinkedHashMap<>();
     private long mClaimBytes;
--- a/hemlockrack-core/src/main/java/org/hemlockrack/config/ConfigKey.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/config/ConfigKey.java
@@ -59,7 +59,7 @@
             "limits.claim_expiry_ms", "ms", ValueRule.integer(7_200_000, 604_800_000), "86400000"),
     LIMIT_CLAIMS("limits.claims", "claims", ValueRule.integer(1, 2_000_000), "400000"),
     LIMIT_CLAIM_BYTES(
-            "limits.claim_bytes", "bytes", ValueRule.integer(65_536, 1_073_741_824), "201326592"),
+            "limits.claim_bytes", "bytes", ValueRule.integer(65_536, 1_073_741_824), "402653184"),
     LIMIT_CLAIM_ANSWER("limits.claim_answer_bytes", "bytes", ValueRule.integer(0, 65_536), "16384");
 
     private final String mPattern;
