--- a/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/AntiEntropy.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/AntiEntropy.java
@@ -75,7 +75,9 @@
         }
         mNextCompareNanos = nowNanos + 2 * periodNanos;
         Outgoing buckets = mSender.open(nowNanos, sender.id(), GossipKind.BUCKETS);
-        buckets.gossip().setBuckets(mDigest.buckets());
+        long salt = mRandom.nextInt(1 << 14);
+        buckets.gossip().setSequence(salt);
+        buckets.gossip().setBuckets(mDigest.buckets(salt));
         mSender.send(nowNanos, TrafficClass.STATE, sender, buckets, out);
     }
 
@@ -93,7 +95,7 @@
         for (int i = 0; i < Digest.BUCKETS; i++) {
             int bucket = (offset + i) % Digest.BUCKETS;
             int theirs = message.buckets().get(bucket);
-            if (theirs == mDigest.bucket(bucket)) {
+            if (theirs == mDigest.bucket(bucket, message.sequence())) {
                 continue;
             }
             if (theirs == 0) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/Digest.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/Digest.java
@@ -46,16 +46,25 @@
         return root >>> 16;
     }
 
-    List<Integer> buckets() {
+    /**
+     * Returns 16 bits of each bucket, which take 3 bytes on the wire instead of 5. The salt changes
+     * with each message, so that two buckets that look equal by chance differ the next time.
+     */
+    List<Integer> buckets(long salt) {
         List<Integer> copy = new ArrayList<>();
-        for (int bucket : mBuckets) {
-            copy.add(bucket);
+        for (int i = 0; i < BUCKETS; i++) {
+            copy.add(bucket(i, salt));
         }
         return copy;
     }
 
-    int bucket(int index) {
-        return mBuckets[index];
+    /** Returns 16 bits of a bucket, 0 only if it is empty. */
+    int bucket(int index, long salt) {
+        if (mEntries.get(index).isEmpty()) {
+            return 0;
+        }
+        long hash = (mBuckets[index] ^ salt * 0x9E3779B97F4A7C15L) * 0xBF58476D1CE4E5B9L;
+        return Math.max(1, (int) (hash >>> 48));
     }
 
     Map<Long, Version> entries(int index) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/Node.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/Node.java
@@ -184,6 +184,7 @@
         if (target != null) {
             probe(nowNanos, target, out);
         }
+        probeCut(nowNanos, out);
         revive(nowNanos, out);
         if (target == null || mRandom.nextInt(SEED_ROUNDS) == 0) {
             String seed = unknownSeed();
@@ -193,6 +194,26 @@
         }
     }
 
+    /**
+     * Probes one member that is still taken for reachable in a zone or region that is cut. In the
+     * usual order of 84 members it would be probed only after 50 s.
+     */
+    private void probeCut(long nowNanos, Consumer<? super MembershipOutput> out) {
+        if (mMembers.zonesCut().isEmpty() && mMembers.regionsCut().isEmpty()) {
+            return;
+        }
+        List<MemberEntry> doubtful =
+                mMembers.others(
+                        entry ->
+                                entry.mStatus == MemberStatus.ALIVE
+                                        && (mMembers.zonesCut().contains(entry.mInfo.zone().value())
+                                                || mMembers.regionsCut()
+                                                        .contains(entry.mInfo.region())));
+        if (!doubtful.isEmpty()) {
+            probe(nowNanos, doubtful.get(mRandom.nextInt(doubtful.size())), out);
+        }
+    }
+
     private void revive(long nowNanos, Consumer<? super MembershipOutput> out) {
         List<MemberEntry> lost = mMembers.others(entry -> !entry.mStatus.isReachable());
         double share = REVIVE_PINGS * lost.size() / mMembers.size();
