--- a/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/AntiEntropy.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/AntiEntropy.java
@@ -3,9 +3,12 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.apache.thrift.TBase;
@@ -25,13 +28,28 @@
     /** Messages with entries that answer one request; the rest waits for the next comparison. */
     private static final int MAX_ANSWERS = 4;
 
+    /**
+     * Most members, and entries of each, that are remembered for later. Without this memory an
+     * answer that came after a list of versions never had budget left, and a restarted instance
+     * lacked two servers for good.
+     */
+    private static final int MAX_OWED = 32;
+
+    /** Entries in an answer from which on the comparison goes on at once. */
+    private static final int BULK_ENTRIES = 2;
+
+    /** An answer has several messages; only one of them starts the next comparison. */
+    private static final long BULK_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
     private final Digest mDigest;
     private final MemberTable mMembers;
     private final Directory mDirectory;
     private final FactTable mFacts;
     private final Sender mSender;
     private final RandomGenerator mRandom;
+    private final Map<Long, Set<Long>> mOwed = new LinkedHashMap<>();
     private long mNextCompareNanos = Long.MIN_VALUE;
+    private long mNextBulkNanos = Long.MIN_VALUE;
 
     AntiEntropy(
             Digest digest,
@@ -69,16 +87,35 @@
             Message message,
             long periodNanos,
             Consumer<? super MembershipOutput> out) {
-        boolean same = message.rootDigest() == 0 || message.rootDigest() == mDigest.root();
-        if (same || nowNanos < mNextCompareNanos) {
+        if (!isDue(nowNanos, message)) {
             return;
         }
-        mNextCompareNanos = nowNanos + 2 * periodNanos;
+        mNextCompareNanos = nowNanos + periodNanos;
+        mNextBulkNanos = nowNanos + BULK_GAP_NANOS;
         Outgoing buckets = mSender.open(nowNanos, sender.id(), GossipKind.BUCKETS);
-        buckets.gossip().setBuckets(mDigest.buckets());
+        long salt = mRandom.nextInt(1 << 14);
+        buckets.gossip().setSequence(salt);
+        buckets.gossip().setBuckets(mDigest.buckets(salt));
         mSender.send(nowNanos, TrafficClass.STATE, sender, buckets, out);
     }
 
+    /**
+     * Returns whether to compare now. After an answer with many entries more are likely to be
+     * missing, so the comparison goes on with the same member: at two periods per comparison, 330
+     * instances that started together took 156 s to know each other.
+     */
+    private boolean isDue(long nowNanos, Message message) {
+        boolean answer = message.kind() == GossipKind.NEWS && message.rootDigest() == 0;
+        int entries = message.members().size() + message.backends().size();
+        if (answer) {
+            return entries >= BULK_ENTRIES && nowNanos >= mNextBulkNanos;
+        }
+        // Only the side that pinged compares: when both sent their bucket digests, neither had
+        // budget left to answer, and a restarted instance learned nothing for 120 s.
+        boolean same = message.kind() != GossipKind.ACK || message.rootDigest() == mDigest.root();
+        return !same && nowNanos >= mNextCompareNanos;
+    }
+
     private void onBuckets(
             long nowNanos,
             MemberEntry sender,
@@ -93,7 +130,7 @@
         for (int i = 0; i < Digest.BUCKETS; i++) {
             int bucket = (offset + i) % Digest.BUCKETS;
             int theirs = message.buckets().get(bucket);
-            if (theirs == mDigest.bucket(bucket)) {
+            if (theirs == mDigest.bucket(bucket, message.sequence())) {
                 continue;
             }
             if (theirs == 0) {
@@ -102,10 +139,10 @@
                 break;
             }
         }
+        sendEntries(nowNanos, sender, lacking, out);
         if (answer.items() > 0) {
             mSender.send(nowNanos, TrafficClass.STATE, sender, answer, out);
         }
-        sendEntries(nowNanos, sender, lacking, out);
     }
 
     /** Lists a bucket; names it as complete only if all its entries fit. */
@@ -177,7 +214,19 @@
         return fact == null ? null : Codec.toWire(fact);
     }
 
-    /** Sends entries as the budget allows. */
+    /** Sends what earlier answers had no budget left for. */
+    void flush(long nowNanos, Consumer<? super MembershipOutput> out) {
+        Map<Long, Set<Long>> owed = new LinkedHashMap<>(mOwed);
+        mOwed.clear();
+        for (Map.Entry<Long, Set<Long>> entry : owed.entrySet()) {
+            MemberEntry target = mMembers.get(entry.getKey());
+            if (target != null && target.mStatus.isReachable()) {
+                sendEntries(nowNanos, target, entry.getValue(), out);
+            }
+        }
+    }
+
+    /** Sends entries as the budget allows; the rest waits for {@link #flush}. */
     void sendEntries(
             long nowNanos,
             MemberEntry target,
@@ -194,18 +243,27 @@
             if (message.tryAdd(TrafficClass.STATE, item, bytes)) {
                 continue;
             }
-            boolean full = message.items() > 0;
-            if (!full || !mSender.send(nowNanos, TrafficClass.STATE, target, message, out)) {
-                return;
+            if (message.items() > 0 && sent < MAX_ANSWERS) {
+                mSender.send(nowNanos, TrafficClass.STATE, target, message, out);
+                sent++;
+                message = mSender.open(nowNanos, target.id(), GossipKind.NEWS);
             }
-            sent++;
-            message = mSender.open(nowNanos, target.id(), GossipKind.NEWS);
             if (sent >= MAX_ANSWERS || !message.tryAdd(TrafficClass.STATE, item, bytes)) {
-                return;
+                owe(target, shortId);
             }
         }
         if (message.items() > 0) {
             mSender.send(nowNanos, TrafficClass.STATE, target, message, out);
         }
     }
+
+    private void owe(MemberEntry target, long shortId) {
+        if (mOwed.size() >= MAX_OWED && !mOwed.containsKey(target.mShortId)) {
+            return;
+        }
+        Set<Long> ids = mOwed.computeIfAbsent(target.mShortId, key -> new LinkedHashSet<>());
+        if (ids.size() < MAX_OWED) {
+            ids.add(shortId);
+        }
+    }
 }
