Check the consensus slice with seeded histories and mend what they found

Ruled out: reacting to announcements without a nonce, which caused the last fault; answering a stale nonce with a new one, which made an endless exchange of messages and hung the run.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/Message.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/Message.java
@@ -4,15 +4,21 @@
 
 /** Content of a {@link Packet}. */
 public sealed interface Message {
-    /** Sent by a replica with an empty folder to all listed instances. */
-    record Hello() implements Message {}
+    /**
+     * Sent by a replica with an empty folder to all listed instances.
+     *
+     * @param nonce echo of the leader's {@link HelloReply}, 0 in an announcement
+     */
+    record Hello(long nonce) implements Message {}
 
     /**
      * Answers {@link Hello}.
      *
      * @param empty whether the answering folder is empty
+     * @param nonce a number of the leader that the receiver echoes to show that it still exists, or
+     *     0
      */
-    record HelloReply(boolean empty) implements Message {}
+    record HelloReply(boolean empty, long nonce) implements Message {}
 
     /**
      * Asks whether an election in the packet's term could succeed.
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/BodyCodec.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/BodyCodec.java
@@ -37,11 +37,11 @@
                             r.conflictIndex(),
                             r.round()));
         }
-        if (body instanceof Message.Hello) {
-            return WireBody.hello(new WireHello());
+        if (body instanceof Message.Hello hello) {
+            return WireBody.hello(new WireHello(hello.nonce()));
         }
         if (body instanceof Message.HelloReply reply) {
-            return WireBody.helloReply(new WireHelloReply(reply.empty()));
+            return WireBody.helloReply(new WireHelloReply(reply.empty(), reply.nonce()));
         }
         if (body instanceof Message.SnapshotChunk chunk) {
             return WireBody.snapshotChunk(
@@ -79,9 +79,10 @@
         WireCodec.require(body != null && body.getSetField() != null, "body");
         switch (body.getSetField()) {
             case HELLO:
-                return new Message.Hello();
+                return new Message.Hello(body.getHello().getNonce());
             case HELLO_REPLY:
-                return new Message.HelloReply(body.getHelloReply().isEmpty());
+                WireHelloReply reply = body.getHelloReply();
+                return new Message.HelloReply(reply.isEmpty(), reply.getNonce());
             case PRE_VOTE:
                 WireVote preVote = checked(body.getPreVote());
                 return new Message.PreVote(preVote.getLastIndex(), preVote.getLastTerm());
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Core.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Core.java
@@ -46,6 +46,9 @@
     /** Time of the last valid message of a leader; meaningless before {@link #mHeardLeader}. */
     long mLeaderHeardNanos;
 
+    /** Cluster of the packet being handled; a replica without a log answers within it. */
+    long mAskingCluster;
+
     boolean mHeardLeader;
     long mElectionDeadlineNanos;
     long mNowNanos;
@@ -119,7 +122,8 @@
     }
 
     void send(ReplicaRef to, long term, Message body) {
-        emit(new ConsensusOutput.Send(new Packet(mSelf, to, clusterId(), term, body)));
+        long cluster = empty() ? mAskingCluster : clusterId();
+        emit(new ConsensusOutput.Send(new Packet(mSelf, to, cluster, term, body)));
     }
 
     void persistMeta(Meta meta) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Formation.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Formation.java
@@ -45,7 +45,7 @@
         mHelloDueNanos = mCore.mNowNanos + mCore.mSettings.electionTimeoutNanos();
         for (InstanceId instance : mCore.mSettings.listed()) {
             if (!instance.equals(mCore.mSelf.instance())) {
-                mCore.send(ReplicaRef.of(instance, ReplicaRef.ANY), new Message.Hello());
+                mCore.send(ReplicaRef.of(instance, ReplicaRef.ANY), new Message.Hello(0));
             }
         }
         return formIfAllEmpty();
@@ -56,6 +56,9 @@
         if (!mCore.empty()) {
             return false;
         }
+        if (reply.nonce() != 0) {
+            mCore.send(packet.from(), new Message.Hello(reply.nonce()));
+        }
         if (!reply.empty()) {
             mEmpty.remove(packet.from().instance());
             return false;
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Leading.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Leading.java
@@ -108,7 +108,9 @@
     }
 
     void onHello(Packet packet) {
-        mChanges.onHello(packet.from());
+        if (packet.body() instanceof Message.Hello hello) {
+            mChanges.onHello(packet.from(), hello.nonce());
+        }
     }
 
     void read(long ticket) {
@@ -203,8 +205,7 @@
             }
             List<Entry> entries = mCore.mLog.slice(next, mCore.mSettings.maxBatchBytes());
             sendAppend(progress, next - 1, entries);
-            progress.mNext = next + entries.size();
-            progress.mInflight.add(progress.mNext - 1);
+            progress.sent(next + entries.size() - 1);
         }
     }
 
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/MemberChanges.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/MemberChanges.java
@@ -6,6 +6,7 @@
 import org.hemlockrack.consensus.ConsensusEvent;
 import org.hemlockrack.consensus.Member;
 import org.hemlockrack.consensus.Membership;
+import org.hemlockrack.consensus.Message;
 import org.hemlockrack.consensus.ProposalStatus;
 import org.hemlockrack.consensus.ReplicaRef;
 import org.hemlockrack.consensus.Standing;
@@ -32,21 +33,37 @@
     private final Core mCore;
     private final Leading mLeading;
     private final Map<InstanceId, ReplicaRef> mSeen = new LinkedHashMap<>();
+    private final Map<InstanceId, Long> mNonces = new LinkedHashMap<>();
+    private long mNextNonce;
 
     MemberChanges(Core core, Leading leading) {
         mCore = core;
         mLeading = leading;
+        // Distinct from the numbers of other leaderships for the first million.
+        mNextNonce = core.term() << 20;
     }
 
     private boolean allowed() {
         return mLeading.established() && mCore.membershipIndex() <= mCore.mCommit;
     }
 
-    /** Notes a replica with an empty folder and adds it if it replaces a member. */
-    void onHello(ReplicaRef replica) {
-        if (mSeen.containsKey(replica.instance()) || mSeen.size() < MAX_SEEN) {
-            mSeen.put(replica.instance(), replica);
+    /**
+     * Notes a replica with an empty folder and adds it if it replaces a member.
+     *
+     * <p>Only the echo of the newest nonce for the instance counts. A late announcement of a
+     * replica that was itself replaced would otherwise displace the living one.
+     */
+    void onHello(ReplicaRef replica, long nonce) {
+        if (nonce == 0) {
+            challenge(replica);
+            return;
+        }
+        // A stale echo gets no answer: two echoes would otherwise outdate each other for ever.
+        Long expected = mNonces.get(replica.instance());
+        if (expected == null || expected != nonce) {
+            return;
         }
+        mSeen.put(replica.instance(), replica);
         Membership members = mCore.membership();
         if (!allowed() || members.member(replica.replicaId()).isPresent()) {
             return;
@@ -65,6 +82,15 @@
         }
     }
 
+    private void challenge(ReplicaRef replica) {
+        if (!mNonces.containsKey(replica.instance()) && mNonces.size() >= MAX_SEEN) {
+            return;
+        }
+        mNextNonce++;
+        mNonces.put(replica.instance(), mNextNonce);
+        mCore.send(replica, new Message.HelloReply(false, mNextNonce));
+    }
+
     /** Takes the next step of a replacement, if one is due. */
     void maintain() {
         for (Member member : mCore.membership().members()) {
@@ -97,7 +123,9 @@
 
     private boolean isGhost(Progress learner, Member old) {
         Progress voter = mLeading.progress(old.replica().replicaId());
-        boolean voterAnswers = voter != null && voter.mEverHeard && mLeading.heardWithin(voter, 1);
+        boolean self = old.replica().replicaId() == mCore.selfId();
+        boolean voterAnswers =
+                self || voter != null && voter.mEverHeard && mLeading.heardWithin(voter, 1);
         return voterAnswers && !mLeading.heardWithin(learner, GHOST_TIMEOUTS);
     }
 
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Progress.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Progress.java
@@ -47,6 +47,14 @@
         }
     }
 
+    /** While probing, the next index stays, so that the answer to this append is recognized. */
+    void sent(long lastIndex) {
+        mInflight.add(lastIndex);
+        if (!mProbing) {
+            mNext = lastIndex + 1;
+        }
+    }
+
     void refused(long next) {
         mProbing = true;
         mInflight.clear();
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Raft.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Raft.java
@@ -146,6 +146,7 @@
         if (!addressed(packet)) {
             return;
         }
+        mCore.mAskingCluster = packet.clusterId();
         if (packet.body() instanceof Message.Hello) {
             onHello(packet);
         } else if (packet.body() instanceof Message.HelloReply reply) {
@@ -168,10 +169,18 @@
         return packet.clusterId() == mCore.clusterId() || mCore.empty();
     }
 
+    /** A follower passes an announcement on, since the leader may not be a listed instance. */
     private void onHello(Packet packet) {
-        mCore.send(packet.from(), new Message.HelloReply(mCore.empty()));
         if (mLeading != null) {
             mLeading.onHello(packet);
+            return;
+        }
+        mCore.send(packet.from(), new Message.HelloReply(mCore.empty(), 0));
+        ReplicaRef leader = mCore.mLeader;
+        if (leader != null && packet.to().replicaId() == ReplicaRef.ANY) {
+            mCore.emit(
+                    new ConsensusOutput.Send(
+                            new Packet(packet.from(), leader, 0, 0, packet.body())));
         }
     }
 
@@ -198,14 +207,16 @@
         dispatch(packet, body);
     }
 
+    /**
+     * Tells the sender of an earlier term about the current one. The answer carries nothing of the
+     * request: an echoed read round would count for a later leadership of the same sender.
+     */
     private void answerStale(Packet packet) {
-        if (packet.body() instanceof Message.Append append) {
-            mCore.send(
-                    packet.from(),
-                    new Message.AppendReply(false, append.prevIndex(), 0, 0, append.round()));
-        } else if (packet.body() instanceof Message.SnapshotChunk chunk) {
-            mCore.send(packet.from(), new Message.SnapshotReply(chunk.meta().index(), 0, 0));
-        } else if (packet.body() instanceof Message.Vote) {
+        boolean request =
+                packet.body() instanceof Message.Append
+                        || packet.body() instanceof Message.SnapshotChunk
+                        || packet.body() instanceof Message.Vote;
+        if (request) {
             mCore.send(packet.from(), new Message.VoteReply(false));
         }
     }
--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/HistoriesTest.java
@@ -0,0 +1,80 @@
+package org.hemlockrack.consensus;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class HistoriesTest {
+    private static final long CHAOS_MILLIS = 15_000;
+
+    /** Even seeds have 3 voters, odd ones 5; every third has a spare for voter changes. */
+    private static History run(long seed, Variant variant) {
+        int voters = seed % 2 == 0 ? 3 : 5;
+        History history = new History(seed, voters, seed % 3 == 0 ? 1 : 0, variant, Set.of());
+        try {
+            history.run(CHAOS_MILLIS);
+        } catch (RuntimeException e) {
+            StackTraceElement[] trace = e.getStackTrace();
+            history.mOracle.mViolations.add(e + (trace.length > 0 ? " at " + trace[0] : ""));
+        }
+        return history;
+    }
+
+    /** Guards against lost, reordered or doubled commands, double votes and stale reads. */
+    @Test
+    void noHistoryViolatesTheOracle() {
+        long histories = Long.getLong("histories", 1000);
+        AtomicLong steps = new AtomicLong();
+        AtomicLong commands = new AtomicLong();
+        Map<History.Fault, Integer> faults = new EnumMap<>(History.Fault.class);
+        List<String> violations = Collections.synchronizedList(new ArrayList<>());
+        LongStream.range(0, histories)
+                .parallel()
+                .forEach(
+                        seed -> {
+                            History history = run(seed, Variant.CORRECT);
+                            steps.addAndGet(history.mSteps);
+                            commands.addAndGet(history.mOracle.mAcknowledged.size());
+                            synchronized (faults) {
+                                history.mFaults.forEach((k, v) -> faults.merge(k, v, Integer::sum));
+                            }
+                            if (!history.mOracle.mViolations.isEmpty()) {
+                                violations.add(
+                                        "seed " + seed + ": " + history.mOracle.mViolations.get(0));
+                            }
+                        });
+        System.out.printf(
+                "consensus histories=%d steps=%d acknowledged=%d violations=%d faults=%s%n",
+                histories, steps.get(), commands.get(), violations.size(), faults);
+        Collections.sort(violations);
+        assertEquals(List.of(), violations.subList(0, Math.min(20, violations.size())));
+    }
+
+    /** Guards against a checker that would pass a broken system. */
+    @ParameterizedTest
+    @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "CORRECT")
+    void theOracleCatchesBrokenVariants(Variant variant) {
+        int limit = 400;
+        for (long seed = 0; seed < limit; seed++) {
+            List<String> violations = run(seed, variant).mOracle.mViolations;
+            for (String violation : violations) {
+                if (violation.startsWith(variant.mViolation)) {
+                    System.out.printf("%s caught by seed %d: %s%n", variant, seed, violation);
+                    return;
+                }
+            }
+        }
+        assertTrue(false, variant + " passed " + limit + " histories");
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreTest.java
@@ -0,0 +1,136 @@
+package org.hemlockrack.consensus.internal.file;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.hemlockrack.consensus.Entry;
+import org.hemlockrack.consensus.EntryKind;
+import org.hemlockrack.consensus.LogStore;
+import org.hemlockrack.consensus.Membership;
+import org.hemlockrack.consensus.Meta;
+import org.hemlockrack.consensus.SnapshotMeta;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.HemlockrackException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class FileLogStoreTest {
+    private final SplittableRandom mRandom = new SplittableRandom(1);
+    @TempDir Path mFolder;
+
+    private static List<Entry> entries(long from, long to, int sizeBytes) {
+        List<Entry> entries = new ArrayList<>();
+        for (long i = from; i <= to; i++) {
+            entries.add(new Entry(i, 1, EntryKind.COMMAND, i, new byte[sizeBytes]));
+        }
+        return entries;
+    }
+
+    private LogStore open() {
+        return LogStore.open(mFolder, mRandom);
+    }
+
+    private long write(int count, int sizeBytes) {
+        try (LogStore store = open()) {
+            store.append(entries(1, count, sizeBytes));
+            store.sync();
+            store.saveMeta(store.recovered().meta().inTerm(5, 9));
+            return store.recovered().meta().replicaId();
+        }
+    }
+
+    private Path segment() {
+        return mFolder.resolve(Segment.name(1));
+    }
+
+    private void assertDamaged() {
+        HemlockrackException e = assertThrows(HemlockrackException.class, this::open);
+        assertEquals(ErrorKind.STORAGE_DAMAGED, e.kind());
+    }
+
+    /** Guards against a crash in the middle of a write making the folder unusable. */
+    @Test
+    void everyTornTailIsCutToAPrefix() throws IOException {
+        long id = write(5, 20);
+        byte[] whole = Files.readAllBytes(segment());
+        for (int length = whole.length; length >= 0; length--) {
+            Files.write(segment(), Arrays.copyOf(whole, length));
+            try (LogStore store = open()) {
+                assertEquals(new Meta(id, 5, 9), store.recovered().meta());
+                int expected = length * 5 / whole.length;
+                assertEquals(expected, store.recovered().entries().size());
+            }
+        }
+    }
+
+    /** Guards against serving or dropping acknowledged entries after a flipped bit. */
+    @Test
+    void everyFlippedByteIsRefused() throws IOException {
+        long id = write(3, 20);
+        byte[] whole = Files.readAllBytes(segment());
+        for (int i = 0; i < whole.length; i++) {
+            byte[] damaged = whole.clone();
+            damaged[i] ^= 0x41;
+            Files.write(segment(), damaged);
+            assertDamaged();
+        }
+        try (LogStore store = LogStore.openDamaged(mFolder, mRandom)) {
+            assertTrue(store.recovered().empty());
+            assertNotEquals(id, store.recovered().meta().replicaId());
+        }
+    }
+
+    /** Guards against a shorter log passing for a complete one. */
+    @Test
+    void missingFilesAreRefused() throws IOException {
+        write(3, 20);
+        Path saved = mFolder.resolve("saved");
+        Files.move(segment(), saved);
+        assertDamaged();
+        Files.move(saved, segment());
+        Files.delete(mFolder.resolve("meta"));
+        assertDamaged();
+    }
+
+    /** Guards against two processes writing one folder. */
+    @Test
+    void aLockedFolderIsRefused() {
+        LogStore store = open();
+        assertEquals(
+                ErrorKind.NOT_READY, assertThrows(HemlockrackException.class, this::open).kind());
+        store.close();
+        open().close();
+    }
+
+    /** Guards against unbounded files, and against losing entries behind a snapshot. */
+    @Test
+    void compactionRemovesSegmentsAndTruncationSpansThem() throws IOException {
+        SnapshotMeta meta = new SnapshotMeta(25, 1, 25, Membership.NONE, 0, 0);
+        try (LogStore store = open()) {
+            store.append(entries(1, 40, 500_000));
+            store.append(entries(38, 38, 10));
+            store.sync();
+            store.saveSnapshot(meta, new byte[0]);
+            store.compact(20);
+        }
+        try (LogStore store = open()) {
+            List<Entry> kept = store.recovered().entries();
+            assertEquals(38, kept.get(kept.size() - 1).index());
+            assertTrue(kept.get(0).index() > 1 && kept.get(0).index() <= 20);
+            assertEquals(meta, store.recovered().snapshot());
+            store.storeChunk(meta, 0, new byte[0]);
+            SnapshotMeta next = new SnapshotMeta(99, 2, 25, Membership.NONE, 3, 1);
+            store.storeChunk(next, 0, new byte[3]);
+            assertEquals(false, store.installSnapshot(next));
+        }
+    }
+}
--- a/hemlockrack-wire/src/main/thrift/consensus.thrift
+++ b/hemlockrack-wire/src/main/thrift/consensus.thrift
@@ -44,10 +44,13 @@
 
 /** Sent by a replica with an empty folder. */
 struct WireHello {
+  /** Echo of the leader's number, 0 in an announcement. */
+  1: required i64 nonce
 }
 
 struct WireHelloReply {
-  1: required bool empty
+  1: required bool empty,
+  2: required i64 nonce
 }
 
 /** Asks for a vote or a pre-vote. */
