--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/RegressionsTest.java
@@ -0,0 +1,122 @@
+package org.hemlockrack.consensus;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.model.InstanceId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class RegressionsTest {
+    private static final InstanceId A = InstanceId.of("a");
+    private static final InstanceId B = InstanceId.of("b");
+    private static final ReplicaRef REF_A = ReplicaRef.of(A, 1);
+    private static final ReplicaRef REF_B = ReplicaRef.of(B, 2);
+
+    private static Consensus replica(Meta meta) {
+        ConsensusSettings settings = ConsensusSettings.of(A, List.of(B, A));
+        Recovered recovered = new Recovered(meta, null, List.of());
+        return Consensus.create(settings, recovered, new SplittableRandom(1), 0);
+    }
+
+    private static List<ConsensusOutput> receive(Consensus replica, Packet packet) {
+        List<ConsensusOutput> out = new ArrayList<>();
+        replica.onEvent(0, new ConsensusEvent.Received(packet), out::add);
+        return out;
+    }
+
+    private static Packet packet(ReplicaRef from, long term, Message body) {
+        return new Packet(from, REF_A, 9, term, body);
+    }
+
+    /** Seeds whose histories violated the oracle in earlier versions. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 1, 86, 138, 168, 211, 399, 575, 844})
+    void earlierViolationsStayMended(long seed) {
+        History history =
+                new History(
+                        seed,
+                        seed % 2 == 0 ? 3 : 5,
+                        seed % 3 == 0 ? 1 : 0,
+                        Variant.CORRECT,
+                        Set.of());
+        history.run(15_000);
+        assertEquals(List.of(), history.mOracle.mViolations);
+    }
+
+    /** Guards against a stale read: an echoed round would count for a later leadership. */
+    @Test
+    void theAnswerToAnEarlierTermEchoesNoReadRound() {
+        Consensus replica = replica(new Meta(1, 3, 0));
+        Packet old = packet(REF_B, 2, new Message.Append(0, 0, 0, 30, List.of()));
+        for (ConsensusOutput output : receive(replica, old)) {
+            assertFalse(
+                    output instanceof ConsensusOutput.Send send
+                            && send.packet().body() instanceof Message.AppendReply);
+        }
+    }
+
+    /** Guards against two leaders in one term: a restarted replica keeps its vote. */
+    @Test
+    void aRestartedReplicaDoesNotVoteTwiceInATerm() {
+        Message vote = new Message.Vote(0, 0);
+        Consensus first = replica(new Meta(1, 3, 0));
+        List<ConsensusOutput> out = receive(first, packet(REF_B, 4, vote));
+        int persist = out.lastIndexOf(new ConsensusOutput.PersistMeta(new Meta(1, 4, 2)));
+        Packet granted = new Packet(REF_A, REF_B, 9, 4, new Message.VoteReply(true));
+        assertEquals(out.indexOf(new ConsensusOutput.Send(granted)), persist + 1);
+        Consensus second = replica(new Meta(1, 4, 2));
+        ReplicaRef other = ReplicaRef.of(InstanceId.of("c"), 3);
+        Packet refused = new Packet(REF_A, other, 9, 4, new Message.VoteReply(false));
+        assertEquals(
+                List.of(new ConsensusOutput.Send(refused)),
+                receive(second, packet(other, 4, vote)));
+    }
+
+    /** Guards against a returning isolated replica ending a healthy leadership. */
+    @Test
+    void aLongIsolationDoesNotDisturbTheOthers() {
+        History history = new History(7, 3, 0, Variant.CORRECT, Set.of());
+        history.advance(history.millis(5000));
+        Instance leader = history.leader();
+        long term = leader.consensus().term();
+        int follower = (history.mInstances.indexOf(leader) + 1) % 3;
+        history.isolate(follower, true);
+        history.advance(history.millis(600_000));
+        history.isolate(follower, false);
+        history.advance(history.millis(620_000));
+        assertEquals(leader, history.leader());
+        assertEquals(term, leader.consensus().term());
+    }
+
+    /** Guards against malformed packets ending the process. */
+    @Test
+    void damagedPacketsAreRefusedAsBadRequests() {
+        Entry entry = new Entry(5, 3, EntryKind.COMMAND, 7, new byte[] {1, 2});
+        Message body = new Message.Append(4, 3, 4, 1, List.of(entry));
+        byte[] bytes = ConsensusCodec.encode(packet(REF_B, 3, body));
+        assertArrayEquals(bytes, ConsensusCodec.encode(ConsensusCodec.decode(bytes)));
+        SplittableRandom random = new SplittableRandom(1);
+        for (int i = 0; i < 20_000; i++) {
+            byte[] damaged = Arrays.copyOf(bytes, 1 + random.nextInt(bytes.length));
+            damaged[random.nextInt(damaged.length)] = (byte) random.nextInt();
+            try {
+                ConsensusCodec.decode(damaged);
+            } catch (HemlockrackException e) {
+                assertEquals(ErrorKind.BAD_REQUEST, e.kind());
+            }
+        }
+        byte[] large = new byte[ConsensusCodec.MAX_PACKET_BYTES + 1];
+        assertThrows(HemlockrackException.class, () -> ConsensusCodec.decode(large));
+    }
+}
