--- /dev/null
+++ b/hemlockrack-bench/src/main/java/org/hemlockrack/bench/CountingState.java
@@ -0,0 +1,43 @@
+package org.hemlockrack.bench;
+
+import org.hemlockrack.consensus.NodeOutputs;
+import org.hemlockrack.consensus.Packet;
+import org.hemlockrack.consensus.ProposalStatus;
+import org.hemlockrack.consensus.ReplicatedState;
+import org.hemlockrack.model.InstanceId;
+import org.jspecify.annotations.Nullable;
+
+/** Counts applied commands. */
+final class CountingState implements NodeOutputs, ReplicatedState {
+    long mApplied;
+
+    @Override
+    public byte[] apply(long index, long leaderTimeMillis, byte[] command) {
+        return new byte[0];
+    }
+
+    @Override
+    public byte[] snapshot() {
+        return new byte[0];
+    }
+
+    @Override
+    public void restore(byte[] snapshot) {}
+
+    @Override
+    public void send(Packet packet) {}
+
+    @Override
+    public void applied(long ticket, long index, byte[] result) {
+        mApplied++;
+    }
+
+    @Override
+    public void ended(long ticket, ProposalStatus status, @Nullable InstanceId leader) {}
+
+    @Override
+    public void readReady(long ticket, long index) {}
+
+    @Override
+    public void readFailed(long ticket, @Nullable InstanceId leader) {}
+}
--- a/hemlockrack-bench/src/main/java/org/hemlockrack/bench/LogBench.java
+++ b/hemlockrack-bench/src/main/java/org/hemlockrack/bench/LogBench.java
@@ -10,13 +10,8 @@
 import org.hemlockrack.consensus.ConsensusEvent;
 import org.hemlockrack.consensus.ConsensusSettings;
 import org.hemlockrack.consensus.LogStore;
-import org.hemlockrack.consensus.NodeOutputs;
-import org.hemlockrack.consensus.Packet;
-import org.hemlockrack.consensus.ProposalStatus;
 import org.hemlockrack.consensus.ReplicaNode;
-import org.hemlockrack.consensus.ReplicatedState;
 import org.hemlockrack.model.InstanceId;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Measures accepted commands of one voter with synced files, by the number of commands per batch.
@@ -47,7 +42,7 @@
         ConsensusSettings settings =
                 ConsensusSettings.of(InstanceId.of("a"), List.of(InstanceId.of("a")));
         Histogram latency = new Histogram(3);
-        Counter counter = new Counter();
+        CountingState counter = new CountingState();
         try (LogStore store = LogStore.open(folder, random);
                 ReplicaNode node = ReplicaNode.start(settings, store, counter, 10_000, random, 0)) {
             node.step(System.nanoTime(), List.of(), counter);
@@ -77,39 +72,4 @@
         System.out.printf("log_depth_%d_p50_micros=%d%n", depth, p50);
         System.out.printf("log_depth_%d_p99_micros=%d%n", depth, p99);
     }
-
-    /** Counts applied commands. */
-    private static final class Counter implements NodeOutputs, ReplicatedState {
-        private long mApplied;
-
-        @Override
-        public byte[] apply(long index, long leaderTimeMillis, byte[] command) {
-            return new byte[0];
-        }
-
-        @Override
-        public byte[] snapshot() {
-            return new byte[0];
-        }
-
-        @Override
-        public void restore(byte[] snapshot) {}
-
-        @Override
-        public void send(Packet packet) {}
-
-        @Override
-        public void applied(long ticket, long index, byte[] result) {
-            mApplied++;
-        }
-
-        @Override
-        public void ended(long ticket, ProposalStatus status, @Nullable InstanceId leader) {}
-
-        @Override
-        public void readReady(long ticket, long index) {}
-
-        @Override
-        public void readFailed(long ticket, @Nullable InstanceId leader) {}
-    }
 }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/Oracle.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/Oracle.java
@@ -18,6 +18,7 @@
     final Map<Long, Long> mAcknowledged = new HashMap<>();
     final List<String> mViolations = new ArrayList<>();
     long mAcknowledgedIndex;
+    long mRefusedAppends;
 
     private void check(boolean valid, String what) {
         if (!valid) {
@@ -53,6 +54,9 @@
 
     void sent(Packet packet) {
         long voter = packet.from().replicaId();
+        if (packet.body() instanceof Message.AppendReply reply && !reply.success()) {
+            mRefusedAppends++;
+        }
         if (packet.body() instanceof Message.Vote) {
             voted(voter, packet.term(), voter);
         } else if (packet.body() instanceof Message.VoteReply reply && reply.granted()) {
