--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/PlatformPages.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/PlatformPages.java
@@ -1,7 +1,6 @@
 package org.hemlockrack.daemon.operator;
 
 import com.codahale.metrics.Counter;
-import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -79,9 +78,7 @@
         for (Map.Entry<String, Counter> entry : mMetrics.getCounters().entrySet()) {
             line(text, entry.getKey(), "counter", entry.getValue().getCount());
         }
-        for (Map.Entry<String, Gauge> entry : mMetrics.getGauges().entrySet()) {
-            line(text, entry.getKey(), "gauge", entry.getValue().getValue());
-        }
+        mMetrics.getGauges().forEach((name, gauge) -> line(text, name, "gauge", gauge.getValue()));
         return text.toString();
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnedBackend.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnedBackend.java
@@ -47,9 +47,11 @@
             Loop loop,
             InstanceId self,
             long ownerEpoch,
+            long processStartNanos,
             AdmissionSettings settings,
             Announcement first) {
-        Admission admission = Admission.create(settings, self, first.id(), ownerEpoch);
+        Admission admission =
+                Admission.create(settings, self, first.id(), ownerEpoch, processStartNanos);
         return new OwnedBackend(service, loop, admission, first);
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnerService.java
@@ -64,6 +64,7 @@
     private final HttpClient mCommandClient;
     private final EventLog mLog;
     private final long mOwnerEpoch;
+    private final long mStartNanos;
     private final Map<BackendId, OwnedBackend> mBackends = new LinkedHashMap<>();
     private boolean mStopping;
 
@@ -82,6 +83,7 @@
         mCommandClient = commandClient;
         mLog = log;
         mOwnerEpoch = ownerEpoch;
+        mStartNanos = loop.nowNanos();
     }
 
     /**
@@ -150,7 +152,13 @@
     private OwnedBackend open(Announcement first) {
         OwnedBackend backend =
                 OwnedBackend.create(
-                        this, mLoop, mFleet.self(), mOwnerEpoch, mPolicy.settings(first), first);
+                        this,
+                        mLoop,
+                        mFleet.self(),
+                        mOwnerEpoch,
+                        mStartNanos,
+                        mPolicy.settings(first),
+                        first);
         if (!mPolicy.takesWork(first.zone())) {
             backend.post(new AdmissionEvent.ZoneOut());
         }
--- a/hemlockrack-testing/src/test/java/org/hemlockrack/testing/FleetTest.java
+++ b/hemlockrack-testing/src/test/java/org/hemlockrack/testing/FleetTest.java
@@ -46,8 +46,7 @@
         for (JsonNode row : mClient.page(instance.operators(), "backends").path("backends")) {
             ready += row.path("state").asText().equals("READY") ? 1 : 0;
         }
-        int status =
-                mClient.send(instance.callers(), "GET", "/readyz", Map.of(), "").status();
+        int status = mClient.send(instance.callers(), "GET", "/readyz", Map.of(), "").status();
         return ready == count && status == 200;
     }
 
