Let a learner announce itself when its membership entry was lost

Cause: a run of 5,000 histories (-Dhistories=5000) found 2 clusters that did not become whole again (seeds 2117 and 2841): a learner held the uncommitted entry that added it, the leader fell, and the learner, whose log was no longer empty, never announced itself again.

Ruled out: treating such a replica as new with another id; its log is valid.

Change: a replica that is no voter and hears no leader announces itself, and answers a nonce.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Formation.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Formation.java
@@ -43,22 +43,31 @@
             return false;
         }
         mHelloDueNanos = mCore.mNowNanos + mCore.mSettings.electionTimeoutNanos();
+        announce();
+        return formIfAllEmpty();
+    }
+
+    /**
+     * Announces this replica to the listed instances. A learner that hears no leader does it too:
+     * the entry that added it may have been lost with its leader.
+     */
+    void announce() {
         for (InstanceId instance : mCore.mSettings.listed()) {
             if (!instance.equals(mCore.mSelf.instance())) {
                 mCore.send(ReplicaRef.of(instance, ReplicaRef.ANY), new Message.Hello(0));
             }
         }
-        return formIfAllEmpty();
     }
 
     /** Notes an answer. Returns whether the cluster was formed. */
     boolean onReply(Packet packet, Message.HelloReply reply) {
+        boolean voter = mCore.membership().isVoter(mCore.selfId());
+        if (reply.nonce() != 0 && !voter) {
+            mCore.send(packet.from(), new Message.Hello(reply.nonce()));
+        }
         if (!mCore.empty()) {
             return false;
         }
-        if (reply.nonce() != 0) {
-            mCore.send(packet.from(), new Message.Hello(reply.nonce()));
-        }
         if (!reply.empty()) {
             mEmpty.remove(packet.from().instance());
             return false;
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Raft.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Raft.java
@@ -68,12 +68,19 @@
         } else if (mCore.empty()) {
             elect(mFormation.onTimer());
         } else if (nowNanos >= mCore.mElectionDeadlineNanos) {
-            leadIf(mElections.start());
+            electOrAnnounce();
         }
         checkLeadership();
         mCore.drain(out);
     }
 
+    private void electOrAnnounce() {
+        if (!mCore.membership().isVoter(mCore.selfId())) {
+            mFormation.announce();
+        }
+        leadIf(mElections.start());
+    }
+
     @Override
     public long nextTimerNanos() {
         if (mLeading != null) {
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/RegressionsTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/RegressionsTest.java
@@ -41,7 +41,7 @@
 
     /** Seeds whose histories violated the oracle in earlier versions. */
     @ParameterizedTest
-    @ValueSource(longs = {0, 1, 86, 138, 168, 211, 399, 575, 844})
+    @ValueSource(longs = {0, 1, 86, 138, 168, 211, 399, 575, 844, 2117, 2841})
     void earlierViolationsStayMended(long seed) {
         History history =
                 new History(
