--- a/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/Prober.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/Prober.java
@@ -16,9 +16,8 @@
     static final long ATTEMPT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
     /**
-     * Attempts before a suspicion. With 20% loss and helpers a single direct attempt fails 7 times
-     * in 100, and 12 instances spent their whole budget on suspicions (seed 989); three fail less
-     * than once in 100.
+     * Attempts before a suspicion. With a single direct attempt and 20% loss, 12 instances spent
+     * their whole budget on suspicions (seed 989).
      */
     static final int ATTEMPTS = 3;
 
