--- a/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/RumorQueue.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/membership/internal/RumorQueue.java
@@ -16,8 +16,8 @@
     static final int MAX_PER_CLASS = 512;
 
     /**
-     * Urgent news is repeated more often: with the usual number and 20% loss single instances lacked
-     * it after 3 s (seeds 207 and 808).
+     * Urgent news is repeated more often: with the usual number and 20% loss single instances
+     * lacked it after 3 s (seeds 207 and 808).
      */
     private static final int URGENT_FACTOR = 2;
 
