Try refused commands elsewhere; take cache events and early handovers

Cause: a command whose first choice refused it failed at once, although a refusal means that nothing ran. Handovers that arrived before the first announcement were lost, so each drain cost the 2 s lease. A server that had moved on could be reported gone by its old owner.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/answers/AnswerTracker.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/answers/AnswerTracker.java
@@ -24,7 +24,8 @@
  *       ends with an error.
  * </ul>
  *
- * <p>Only idempotent requests are attempted again. There are no timers.
+ * <p>Only idempotent requests are attempted again, and others after attempts that surely did not
+ * run. There are no timers.
  */
 public interface AnswerTracker extends Decider<AnswerEvent, AnswerOutput> {
     /** Echoes the id of the attempt. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -22,6 +22,7 @@
 import org.hemlockrack.consensus.Packet;
 import org.hemlockrack.consensus.ReplicaNode;
 import org.hemlockrack.daemon.config.ConfigService;
+import org.hemlockrack.daemon.entry.CacheEventReader;
 import org.hemlockrack.daemon.entry.ClaimService;
 import org.hemlockrack.daemon.entry.EntryService;
 import org.hemlockrack.daemon.fleet.Fleet;
@@ -56,6 +57,7 @@
 import org.hemlockrack.membership.MembershipSettings;
 import org.hemlockrack.membership.MembershipView;
 import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.placement.CacheEvent;
 import org.hemlockrack.wire.Slice;
 import org.jspecify.annotations.Nullable;
 
@@ -368,9 +370,26 @@
             mOwner.announce(call, responder);
             return;
         }
+        if (call.path().equals("/backend/v1/cache-events")) {
+            cacheEvent(call, responder);
+            return;
+        }
         ForwardedExchange.run(mOwner, call, responder);
     }
 
+    private void cacheEvent(HttpCall call, Responder responder) {
+        try {
+            CacheEvent event = CacheEventReader.parse(call.body());
+            if (event.cleared()) {
+                mOwner.cacheCleared(event.backend(), event.incarnation());
+            }
+            mLoop.execute(() -> mEntry.cacheEvent(event));
+            responder.sendJson(200, "{}");
+        } catch (HemlockrackException e) {
+            responder.sendError(e.kind(), String.valueOf(e.getMessage()), 0);
+        }
+    }
+
     /** Answers on instances that do not hold the log. */
     private static final class NoHistory implements ConfigCommands.HistorySource {
         @Override
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/EntryService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/EntryService.java
@@ -29,6 +29,7 @@
 import org.hemlockrack.membership.MembershipView;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.placement.CacheEvent;
 import org.hemlockrack.placement.Choice;
 import org.hemlockrack.placement.Placement;
 import org.hemlockrack.placement.PlacementSettings;
@@ -135,6 +136,11 @@
         mPlacement.update(mLoop.nowNanos(), Candidates.of(view, mConfiguration, mFleet::inFlight));
     }
 
+    /** Corrects the chat table by what a backend server says about its cache. */
+    public void cacheEvent(CacheEvent event) {
+        mPlacement.cacheEvent(mLoop.nowNanos(), event);
+    }
+
     /** Sets whether requests are taken. */
     public void setReady(boolean ready) {
         mReady = ready;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/RequestReader.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/RequestReader.java
@@ -212,7 +212,7 @@
         long wholeMillis = statedMillis > 0 ? statedMillis : config.promise().wholeAnswerMillis();
         return new CallerRequest(
                 mIdPrefix + mNextId.incrementAndGet(),
-                stripped(call),
+                forwarded(call, key),
                 workspace,
                 config,
                 service,
@@ -225,18 +225,23 @@
                 nowNanos + TimeUnit.MILLISECONDS.toNanos(wholeMillis));
     }
 
-    /** Drops what must not reach a backend server: the bearer key and internal fields. */
-    private static HttpCall stripped(HttpCall call) {
+    /**
+     * Drops what must not reach a backend server, the bearer key and internal fields, and adds the
+     * placement key.
+     */
+    private static HttpCall forwarded(HttpCall call, PlacementKey key) {
         List<HeaderField> kept = new ArrayList<>();
         for (HeaderField field : call.headers()) {
             boolean dropped =
                     ForwardOrder.isInternal(field)
                             || field.is("Authorization")
+                            || field.is(ForwardOrder.PLACEMENT_KEY)
                             || field.is(ForwardOrder.REQUEST_ID);
             if (!dropped) {
                 kept.add(field);
             }
         }
+        kept.add(HeaderField.of(ForwardOrder.PLACEMENT_KEY, Long.toHexString(key.hash())));
         return new HttpCall(call.method(), call.path(), call.query(), kept, call.body());
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/ForwardOrder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/ForwardOrder.java
@@ -49,6 +49,9 @@
     /** Echoed by backend servers. */
     public static final String REQUEST_ID = "X-Request-Id";
 
+    /** Tells a model engine the key by which its cache events name the chat. */
+    public static final String PLACEMENT_KEY = "X-Placement-Key";
+
     private static final String BACKEND = PREFIX + "Backend";
     private static final String WORKSPACE = PREFIX + "Workspace";
     private static final String PRIORITY = PREFIX + "Priority";
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnedBackend.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnedBackend.java
@@ -71,8 +71,9 @@
         return mAdmission.isOwner(mLoop.nowNanos());
     }
 
-    int inFlight() {
-        return mAdmission.inFlight() + mAdmission.foreignLoad();
+    /** Returns running and queued work; a mean without the queue would hide a surge. */
+    int assignedWork() {
+        return mAdmission.inFlight() + mAdmission.foreignLoad() + mAdmission.queueLength();
     }
 
     /** Returns the acknowledgement, or null if the announcement gave no right to admit. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnerService.java
@@ -2,6 +2,9 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -35,6 +38,7 @@
     private static final long GONE_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(3_500);
 
     private static final long SWEEP_MILLIS = 500;
+    private static final int MAX_EARLY_HANDOVERS = 256;
     private static final int STATUS_REDIRECT = 307;
     private static final int STATUS_OK = 200;
 
@@ -66,6 +70,14 @@
     private final long mOwnerEpoch;
     private final long mStartNanos;
     private final Map<BackendId, OwnedBackend> mBackends = new LinkedHashMap<>();
+
+    /** Handovers that arrived before the first announcement of their server. */
+    private final Cache<BackendId, HandoverMessage> mHandovers =
+            CacheBuilder.newBuilder()
+                    .maximumSize(MAX_EARLY_HANDOVERS)
+                    .expireAfterWrite(Duration.ofSeconds(10))
+                    .build();
+
     private boolean mStopping;
 
     private OwnerService(
@@ -141,6 +153,11 @@
         }
         OwnedBackend backend =
                 mBackends.computeIfAbsent(announcement.id(), id -> open(announcement));
+        HandoverMessage handover = mHandovers.getIfPresent(announcement.id());
+        if (handover != null) {
+            mHandovers.invalidate(announcement.id());
+            backend.post(new AdmissionEvent.HandoverReceived(handover));
+        }
         AdmissionOutput.Acknowledge acknowledge = backend.announced(announcement);
         if (backend.isOwner()) {
             // Published earlier, the server would attract requests that must still be refused.
@@ -197,7 +214,7 @@
     private void publish(OwnedBackend backend) {
         mFleet.post(
                 new MembershipInput.BackendAnnounced(
-                        backend.last().toDirectoryEntry(mFleet.self()), backend.inFlight()));
+                        backend.last().toDirectoryEntry(mFleet.self()), backend.assignedWork()));
         mFleet.meanInFlight(backend.last().service())
                 .ifPresent(mean -> backend.post(new AdmissionEvent.LoadSummary(mean, 0)));
     }
@@ -208,11 +225,21 @@
             if (nowNanos - backend.lastNanos() < GONE_AFTER_NANOS || !backend.isIdle()) {
                 continue;
             }
-            mFleet.post(new MembershipInput.BackendGone(backend.last().id()));
+            if (isListedOwner(backend.last().id())) {
+                mFleet.post(new MembershipInput.BackendGone(backend.last().id()));
+            }
             drop(backend);
         }
     }
 
+    /** Another instance may own the server by now; then its silence here means nothing. */
+    private boolean isListedOwner(BackendId id) {
+        return mFleet.view()
+                .backend(id)
+                .filter(entry -> entry.owner().equals(mFleet.self()))
+                .isPresent();
+    }
+
     private void dropIfIdle(OwnedBackend backend) {
         if (backend.isIdle()) {
             drop(backend);
@@ -224,6 +251,22 @@
         backend.stop();
     }
 
+    /**
+     * Takes a cache event of an owned server. Safe for use from any thread.
+     *
+     * @param backend the server
+     * @param incarnation its incarnation
+     */
+    public void cacheCleared(BackendId backend, long incarnation) {
+        mLoop.execute(
+                () -> {
+                    OwnedBackend owned = mBackends.get(backend);
+                    if (owned != null) {
+                        owned.post(new AdmissionEvent.CacheCleared(incarnation));
+                    }
+                });
+    }
+
     /**
      * Runs a request on an owned backend server. Safe for use from any thread.
      *
@@ -255,9 +298,11 @@
      */
     public void handoverReceived(HandoverMessage message) {
         OwnedBackend backend = mBackends.get(message.backend());
-        if (backend != null) {
-            backend.post(new AdmissionEvent.HandoverReceived(message));
+        if (backend == null) {
+            mHandovers.put(message.backend(), message);
+            return;
         }
+        backend.post(new AdmissionEvent.HandoverReceived(message));
     }
 
     /** Applies changed settings and zones to all owned servers. */
