Add the replicated roll-out state, the local gate and the evidence collector

Cause: a version must be judged per route and load level, stopped at once by the instance that sees a fault, and moved by exactly one controller. Ruled out: a fixed error-rate threshold, which cannot bound false alarms at small samples; Wald's sequential test, which needs a stated rate of the old version; approximation by the normal distribution, which is wrong at the few requests that 5% of a route's traffic gives; gossip of evidence outside the log, which a new leader would lose.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
@@ -67,6 +67,17 @@
     public static final String STORE_MISSING = "%s is missing";
     public static final String STORE_LOCKED = "another process uses the data folder %s";
     public static final String STORE_FAILED = "the data folder %s cannot be written or read";
+    public static final String ROLLOUT_SAME_VERSION =
+            "the version to roll out is the version in use";
+    public static final String ROLLOUT_DEADLINE_PAST = "the deadline has passed";
+    public static final String ROLLOUT_RUNNING =
+            "roll-out %d to %s is running; stop it or wait for its end";
+    public static final String ROLLOUT_NONE = "no roll-out of model \"%2$s\" in service \"%1$s\"";
+    public static final String ROLLOUT_NOT_RUNNING = "roll-out %d is not running";
+    public static final String ROLLOUT_FULL =
+            "%d services and models have a running roll-out; no more are allowed";
+    public static final String ROLLOUT_AUTHORITY =
+            "the controller has authority %d, but authority %d is in force";
 
     private ErrorText() {}
 }
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/rollout/RolloutOutcome.java
@@ -0,0 +1,42 @@
+package org.hemlockrack.rollout;
+
+import org.hemlockrack.errors.ErrorKind;
+
+/** Outcome of a roll-out command. */
+public enum RolloutOutcome {
+    ACCEPTED(ErrorKind.INTERNAL),
+    /** A roll-out of the service and model is running. */
+    RUNNING_ALREADY(ErrorKind.VERSION_CONFLICT),
+    /** No such roll-out is running. */
+    NOT_RUNNING(ErrorKind.NOT_FOUND),
+    /** Another controller has taken over. */
+    STALE_AUTHORITY(ErrorKind.STALE_FENCE),
+    /** The roll-out is at another stage. */
+    STALE_STAGE(ErrorKind.VERSION_CONFLICT),
+    /** The report was counted before. */
+    DUPLICATE(ErrorKind.VERSION_CONFLICT),
+    /** The command is well-formed but not allowed. */
+    INVALID(ErrorKind.BAD_REQUEST),
+    /** The command could not be read. */
+    MALFORMED(ErrorKind.BAD_REQUEST),
+    /** The request id was used with another command. */
+    REQUEST_ID_REUSED(ErrorKind.BAD_REQUEST),
+    /** No more roll-outs can run at present. */
+    FULL(ErrorKind.RATE_LIMITED);
+
+    private final ErrorKind mKind;
+
+    RolloutOutcome(ErrorKind kind) {
+        mKind = kind;
+    }
+
+    /** Returns whether the command took effect. */
+    public boolean accepted() {
+        return this == ACCEPTED;
+    }
+
+    /** Returns the kind of error that a refusal is answered with. */
+    public ErrorKind errorKind() {
+        return mKind;
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/rollout/RolloutState.java
@@ -0,0 +1,391 @@
+package org.hemlockrack.rollout;
+
+import com.google.common.hash.HashCode;
+import com.google.common.hash.Hashing;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hemlockrack.codec.StructCodec;
+import org.hemlockrack.consensus.ReplicatedState;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.ErrorText;
+import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.rollout.internal.FleetEvidence;
+import org.hemlockrack.rollout.internal.ResultMemory;
+import org.hemlockrack.rollout.internal.RolloutCodec;
+import org.hemlockrack.wire.RolloutEvidenceData;
+import org.hemlockrack.wire.RolloutRememberedData;
+import org.hemlockrack.wire.RolloutSnapshotData;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The roll-outs as replicated by the voters. One roll-out of a service and model runs at a time. A
+ * resend with the same request id gets the first result. Only the controller with the highest
+ * authority number moves a roll-out; the state hands out these numbers from the log.
+ */
+public final class RolloutState implements ReplicatedState {
+    /** Bounds the memory of evidence; more models than the projected size has. */
+    private static final int MAX_KEYS = 64;
+
+    private static final int MAX_HISTORY = 200;
+
+    /** Covers the evidence of all running roll-outs with all cells and buckets in use. */
+    private static final int MAX_SNAPSHOT_BYTES = 128 << 20;
+
+    private final Map<RolloutKey, Rollout> mCurrent = new LinkedHashMap<>();
+    private final Map<Long, FleetEvidence> mEvidence = new LinkedHashMap<>();
+    private final Deque<Rollout> mHistory = new ArrayDeque<>();
+    private ResultMemory mResults = ResultMemory.create();
+    private long mTimeMillis;
+    private long mAuthority;
+
+    private RolloutState() {}
+
+    /** Returns a state without roll-outs. */
+    public static RolloutState create() {
+        return new RolloutState();
+    }
+
+    /** Returns the running roll-outs and the last ended one of each service and model. */
+    public List<Rollout> current() {
+        return List.copyOf(mCurrent.values());
+    }
+
+    /** Returns the ended roll-outs from the oldest on, at most 200. */
+    public List<Rollout> history() {
+        return List.copyOf(mHistory);
+    }
+
+    /** Returns the highest authority number so far; 0 before the first. */
+    public long authority() {
+        return mAuthority;
+    }
+
+    /** Returns the leader time of the last command. */
+    public long timeMillis() {
+        return mTimeMillis;
+    }
+
+    /**
+     * Finds a roll-out.
+     *
+     * @param id id of the roll-out
+     * @return the roll-out if it runs or is the last one of its service and model
+     */
+    public Optional<Rollout> find(long id) {
+        return mCurrent.values().stream().filter(each -> each.id() == id).findFirst();
+    }
+
+    /**
+     * Returns the evidence of a running roll-out; the caller must not change it.
+     *
+     * @param id id of the roll-out
+     * @return the evidence, empty unless the roll-out runs
+     */
+    public Optional<FleetEvidence> evidence(long id) {
+        return Optional.ofNullable(mEvidence.get(id));
+    }
+
+    @Override
+    public byte[] apply(long index, long leaderTimeMillis, byte[] command) {
+        mTimeMillis = Math.max(mTimeMillis, leaderTimeMillis);
+        RolloutCommand decoded;
+        try {
+            decoded = RolloutCodec.decodeCommand(command);
+        } catch (HemlockrackException e) {
+            return RolloutCodec.encodeResult(
+                    refused(RolloutOutcome.MALFORMED, 0, String.valueOf(e.getMessage())));
+        }
+        if (decoded instanceof RolloutCommand.ReportEvidence evidence) {
+            return RolloutCodec.encodeResult(count(evidence.report()));
+        }
+        return RolloutCodec.encodeResult(
+                applyOnce(index, decoded, Hashing.sha256().hashBytes(command)));
+    }
+
+    @Override
+    public byte[] snapshot() {
+        List<RolloutEvidenceData> evidence = new ArrayList<>();
+        mEvidence.forEach((id, each) -> evidence.add(each.toData(id)));
+        List<RolloutRememberedData> results = new ArrayList<>();
+        for (ResultMemory.Entry entry : mResults.entries()) {
+            results.add(
+                    new RolloutRememberedData()
+                            .setRequestId(entry.requestId())
+                            .setCommandHash(entry.commandHash().asBytes())
+                            .setResult(RolloutCodec.toData(entry.result())));
+        }
+        return StructCodec.encode(
+                new RolloutSnapshotData(
+                        mTimeMillis,
+                        mAuthority,
+                        RolloutCodec.toData(mCurrent.values()),
+                        RolloutCodec.toData(mHistory),
+                        evidence,
+                        results));
+    }
+
+    /**
+     * Replaces the whole state.
+     *
+     * @param snapshot bytes from {@link #snapshot}
+     * @throws HemlockrackException with {@link ErrorKind#BAD_REQUEST} if they are malformed; the
+     *     state is then unchanged
+     */
+    @Override
+    public void restore(byte[] snapshot) {
+        RolloutSnapshotData data =
+                StructCodec.decode(snapshot, MAX_SNAPSHOT_BYTES, new RolloutSnapshotData());
+        List<Rollout> current =
+                RolloutCodec.fromData(StructCodec.require("current", data.getCurrent()));
+        List<Rollout> history =
+                RolloutCodec.fromData(StructCodec.require("history", data.getHistory()));
+        Map<Long, FleetEvidence> evidence = new LinkedHashMap<>();
+        for (RolloutEvidenceData each : StructCodec.require("evidence", data.getEvidence())) {
+            evidence.put(each.getRolloutId(), FleetEvidence.fromData(each));
+        }
+        requireEvidence(current, evidence.keySet());
+        ResultMemory results = ResultMemory.create();
+        for (RolloutRememberedData each : StructCodec.require("results", data.getResults())) {
+            results.add(fromData(each));
+        }
+        mTimeMillis = data.getTimeMillis();
+        mAuthority = data.getAuthority();
+        mCurrent.clear();
+        current.forEach(each -> mCurrent.put(each.key(), each));
+        mHistory.clear();
+        mHistory.addAll(history);
+        mEvidence.clear();
+        mEvidence.putAll(evidence);
+        mResults = results;
+    }
+
+    private RolloutResult count(EvidenceReport report) {
+        Optional<Rollout> rollout = find(report.rolloutId()).filter(Rollout::running);
+        FleetEvidence evidence = mEvidence.get(report.rolloutId());
+        if (rollout.isEmpty() || evidence == null) {
+            return notRunning(report.rolloutId());
+        }
+        long ageMillis = mTimeMillis - rollout.get().startedMillis();
+        boolean added = evidence.add(report, rollout.get().stage(), ageMillis);
+        return added
+                ? accepted(report.rolloutId())
+                : refused(RolloutOutcome.DUPLICATE, report.rolloutId(), "");
+    }
+
+    private RolloutResult applyOnce(long index, RolloutCommand command, HashCode hash) {
+        ResultMemory.Entry known = mResults.find(command.requestId());
+        if (known != null && known.commandHash().equals(hash)) {
+            return known.result();
+        }
+        if (known != null) {
+            String text = String.format(ErrorText.REQUEST_ID_REUSED, command.requestId());
+            return refused(RolloutOutcome.REQUEST_ID_REUSED, 0, text);
+        }
+        RolloutResult result = apply(index, command);
+        mResults.add(new ResultMemory.Entry(command.requestId(), hash, result));
+        return result;
+    }
+
+    private RolloutResult apply(long index, RolloutCommand command) {
+        if (command instanceof RolloutCommand.Start start) {
+            return start(index, start);
+        }
+        if (command instanceof RolloutCommand.ReportFault fault) {
+            return reportFault(fault);
+        }
+        if (command instanceof RolloutCommand.Stop stop) {
+            return stop(index, stop);
+        }
+        if (command instanceof RolloutCommand.Advance advance) {
+            return advance(index, advance);
+        }
+        if (command instanceof RolloutCommand.RollBack back) {
+            return end(
+                    index,
+                    back.authority(),
+                    back.rolloutId(),
+                    RolloutStatus.ROLLED_BACK,
+                    back.reason(),
+                    back.detail());
+        }
+        if (command instanceof RolloutCommand.Complete complete) {
+            return end(
+                    index,
+                    complete.authority(),
+                    complete.rolloutId(),
+                    RolloutStatus.COMPLETED,
+                    RolloutReason.NONE,
+                    "");
+        }
+        return accepted(++mAuthority);
+    }
+
+    private RolloutResult start(long index, RolloutCommand.Start start) {
+        if (start.from().equals(start.to())) {
+            return refused(RolloutOutcome.INVALID, 0, ErrorText.ROLLOUT_SAME_VERSION);
+        }
+        if (start.deadlineMillis() <= mTimeMillis) {
+            return refused(RolloutOutcome.INVALID, 0, ErrorText.ROLLOUT_DEADLINE_PAST);
+        }
+        RolloutKey key = new RolloutKey(start.service(), start.to().model());
+        Rollout present = mCurrent.get(key);
+        if (present != null && present.running()) {
+            String text =
+                    String.format(ErrorText.ROLLOUT_RUNNING, present.id(), present.to().toString());
+            return refused(RolloutOutcome.RUNNING_ALREADY, present.id(), text);
+        }
+        if (present == null && !makeRoom()) {
+            String text = String.format(ErrorText.ROLLOUT_FULL, MAX_KEYS);
+            return refused(RolloutOutcome.FULL, 0, text);
+        }
+        mCurrent.remove(key);
+        mCurrent.put(
+                key,
+                new Rollout(
+                        index,
+                        index,
+                        start.service(),
+                        start.from(),
+                        start.to(),
+                        start.deadlineMillis(),
+                        start.firstShare(),
+                        start.completeUnjudged(),
+                        start.author(),
+                        mTimeMillis,
+                        0,
+                        mTimeMillis,
+                        RolloutStatus.RUNNING,
+                        RolloutReason.NONE,
+                        ""));
+        mEvidence.put(index, FleetEvidence.create());
+        return accepted(index);
+    }
+
+    private RolloutResult reportFault(RolloutCommand.ReportFault fault) {
+        FleetEvidence evidence = mEvidence.get(fault.rolloutId());
+        if (evidence == null) {
+            return notRunning(fault.rolloutId());
+        }
+        evidence.reportFault(fault.finding());
+        return accepted(fault.rolloutId());
+    }
+
+    private RolloutResult stop(long index, RolloutCommand.Stop stop) {
+        Rollout present = mCurrent.get(new RolloutKey(stop.service(), stop.model()));
+        if (present == null || !present.running()) {
+            String text = String.format(ErrorText.ROLLOUT_NONE, stop.service(), stop.model());
+            return refused(RolloutOutcome.NOT_RUNNING, 0, text);
+        }
+        String text = stop.detail().isEmpty() ? "stopped by " + stop.author() : stop.detail();
+        finish(present.ended(index, RolloutStatus.STOPPED, RolloutReason.OPERATOR, text));
+        return accepted(present.id());
+    }
+
+    private RolloutResult advance(long index, RolloutCommand.Advance advance) {
+        RolloutResult refusal = refusal(advance.authority(), advance.rolloutId());
+        if (refusal != null) {
+            return refusal;
+        }
+        Rollout present = find(advance.rolloutId()).orElseThrow();
+        if (present.stage() != advance.stage() || present.stage() == Stages.last()) {
+            return refused(RolloutOutcome.STALE_STAGE, present.id(), "");
+        }
+        mCurrent.put(present.key(), present.atStage(index, mTimeMillis, present.stage() + 1));
+        mEvidence.get(present.id()).table().nextStage();
+        return accepted(present.id());
+    }
+
+    private RolloutResult end(
+            long index,
+            long authority,
+            long rolloutId,
+            RolloutStatus status,
+            RolloutReason reason,
+            String detail) {
+        RolloutResult refusal = refusal(authority, rolloutId);
+        if (refusal != null) {
+            return refusal;
+        }
+        finish(find(rolloutId).orElseThrow().ended(index, status, reason, detail));
+        return accepted(rolloutId);
+    }
+
+    private @Nullable RolloutResult refusal(long authority, long rolloutId) {
+        if (authority != mAuthority) {
+            String text = String.format(ErrorText.ROLLOUT_AUTHORITY, authority, mAuthority);
+            return refused(RolloutOutcome.STALE_AUTHORITY, rolloutId, text);
+        }
+        return mEvidence.containsKey(rolloutId) ? null : notRunning(rolloutId);
+    }
+
+    private void finish(Rollout ended) {
+        mEvidence.remove(ended.id());
+        mCurrent.put(ended.key(), ended);
+        mHistory.addLast(ended);
+        if (mHistory.size() > MAX_HISTORY) {
+            mHistory.removeFirst();
+        }
+    }
+
+    /** Forgets the ended roll-out that was started first, if there are too many keys. */
+    private boolean makeRoom() {
+        if (mCurrent.size() < MAX_KEYS) {
+            return true;
+        }
+        for (Rollout each : mCurrent.values()) {
+            if (!each.running()) {
+                mCurrent.remove(each.key());
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static RolloutResult notRunning(long id) {
+        return refused(
+                RolloutOutcome.NOT_RUNNING, id, String.format(ErrorText.ROLLOUT_NOT_RUNNING, id));
+    }
+
+    private static RolloutResult accepted(long number) {
+        return new RolloutResult(RolloutOutcome.ACCEPTED, number, "");
+    }
+
+    private static RolloutResult refused(RolloutOutcome outcome, long number, String message) {
+        return new RolloutResult(outcome, number, message);
+    }
+
+    private static void requireEvidence(List<Rollout> current, Set<Long> evidence) {
+        Set<Long> running = new HashSet<>();
+        for (Rollout rollout : current) {
+            if (rollout.running()) {
+                running.add(rollout.id());
+            }
+        }
+        if (!running.equals(evidence)) {
+            throw malformed("evidence", "not that of the running roll-outs");
+        }
+    }
+
+    private static ResultMemory.Entry fromData(RolloutRememberedData data) {
+        byte[] hash = StructCodec.require("command hash", data.getCommandHash());
+        if (hash.length == 0) {
+            throw malformed("command hash", "empty");
+        }
+        return new ResultMemory.Entry(
+                StructCodec.requireText("request id", data.getRequestId(), 200),
+                HashCode.fromBytes(hash),
+                RolloutCodec.fromData(data.getResult()));
+    }
+
+    private static HemlockrackException malformed(String what, String reason) {
+        return HemlockrackException.of(
+                ErrorKind.BAD_REQUEST, String.format(ErrorText.STRUCT_MALFORMED, what, reason));
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/rollout/Route.java
@@ -0,0 +1,17 @@
+package org.hemlockrack.rollout;
+
+import org.hemlockrack.model.RequestKind;
+import org.hemlockrack.model.WorkspaceId;
+
+/**
+ * Requests of one model that are judged together.
+ *
+ * @param workspace the workspace
+ * @param kind kind of the requests
+ */
+public record Route(WorkspaceId workspace, RequestKind kind) {
+    @Override
+    public String toString() {
+        return workspace + "/" + kind;
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/rollout/internal/LocalEvidence.java
@@ -0,0 +1,268 @@
+package org.hemlockrack.rollout.internal;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.model.ModelVersion;
+import org.hemlockrack.rollout.EvidenceCell;
+import org.hemlockrack.rollout.EvidenceEvent;
+import org.hemlockrack.rollout.EvidenceReport;
+import org.hemlockrack.rollout.Finding;
+import org.hemlockrack.rollout.Rollout;
+import org.hemlockrack.rollout.RolloutCommand;
+import org.hemlockrack.rollout.RolloutSettings;
+import org.hemlockrack.rollout.VersionStats;
+import org.jspecify.annotations.Nullable;
+
+/** Evidence of this instance on one running roll-out, and what of it is still to be reported. */
+public final class LocalEvidence {
+    private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+    /** A fault is repeated this often until the roll-out has ended. */
+    private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** Answers of the old version between two updates of the bound of slow answers. */
+    private static final int SLOW_UPDATE_ANSWERS = 100;
+
+    private static final double SLOW_SHARE = 0.01;
+
+    private final InstanceId mInstance;
+    private final long mIncarnation;
+    private final RolloutSettings mSettings;
+    private final long mStartNanos;
+    private final EvidenceTable mTable = EvidenceTable.create();
+    private final FaultDetector mDetector;
+    private final Map<CellKey, Comparison> mPending = new LinkedHashMap<>();
+    private final VersionStats mOlder = VersionStats.create();
+    private Rollout mRollout;
+    private @Nullable CellKey mChanged;
+    private @Nullable EvidenceReport mUnconfirmed;
+    private @Nullable Finding mFault;
+    private boolean mUrgent;
+    private boolean mFlush;
+    private long mReportedNanos;
+    private int mSlowBucket = VersionStats.BUCKETS;
+
+    private LocalEvidence(
+            Rollout rollout,
+            InstanceId instance,
+            long incarnation,
+            RolloutSettings settings,
+            long nowNanos) {
+        mRollout = rollout;
+        mInstance = instance;
+        mIncarnation = incarnation;
+        mSettings = settings;
+        mStartNanos = nowNanos;
+        mReportedNanos = nowNanos;
+        mDetector = FaultDetector.of(settings.localFalseAlarmRate());
+    }
+
+    /**
+     * Creates evidence without requests.
+     *
+     * @param rollout the roll-out
+     * @param instance this instance
+     * @param incarnation incarnation of its process
+     * @param settings settings
+     * @param nowNanos monotonic time
+     * @return the evidence
+     */
+    public static LocalEvidence of(
+            Rollout rollout,
+            InstanceId instance,
+            long incarnation,
+            RolloutSettings settings,
+            long nowNanos) {
+        return new LocalEvidence(rollout, instance, incarnation, settings, nowNanos);
+    }
+
+    /** Returns the roll-out at the stage in which evidence is collected. */
+    public Rollout rollout() {
+        return mRollout;
+    }
+
+    /** Returns whether the next report is about a fault or a suspicion. */
+    public boolean urgent() {
+        return mUrgent || mFault != null;
+    }
+
+    /**
+     * Counts an answer.
+     *
+     * @param nowNanos monotonic time
+     * @param event the answer
+     */
+    public void answered(long nowNanos, EvidenceEvent.Answered event) {
+        VersionStats stats = VersionStats.create();
+        stats.addAnswer(event.firstTokenNanos());
+        if (event.version().equals(mRollout.from())) {
+            mOlder.merge(stats);
+            if (mOlder.requests() % SLOW_UPDATE_ANSWERS == 0) {
+                updateSlowBucket();
+            }
+        } else if (VersionStats.bucket(event.firstTokenNanos()) > mSlowBucket) {
+            mUrgent = true;
+        }
+        add(nowNanos, new CellKey(event.route(), event.level()), event.version(), stats);
+    }
+
+    /**
+     * Counts a failure.
+     *
+     * @param nowNanos monotonic time
+     * @param event the failure
+     */
+    public void failed(long nowNanos, EvidenceEvent.Failed event) {
+        VersionStats stats = VersionStats.create();
+        stats.addError();
+        mUrgent |= event.version().equals(mRollout.to());
+        add(nowNanos, new CellKey(event.route(), event.level()), event.version(), stats);
+    }
+
+    /** Returns the fault that the evidence shows after the last request, if it shows one. */
+    public Optional<Finding> judge() {
+        if (mChanged == null) {
+            return Optional.empty();
+        }
+        return mDetector.test(mTable, mRollout.stage(), List.of(mChanged));
+    }
+
+    /**
+     * Begins to report a fault.
+     *
+     * @param finding the fault
+     */
+    public void stop(Finding finding) {
+        mFault = finding;
+        mFlush = true;
+    }
+
+    /** Makes the next report due at once; evidence of a stage is of no use in the next. */
+    public void flush() {
+        mFlush = true;
+    }
+
+    /**
+     * Moves to another stage. Evidence that was not reported by then is dropped.
+     *
+     * @param rollout the roll-out at its new stage
+     */
+    public void moveTo(Rollout rollout) {
+        mRollout = rollout;
+        mTable.nextStage();
+        mPending.clear();
+        mFlush = false;
+        mUrgent = false;
+    }
+
+    /**
+     * Forgets a report that needs no more repetition.
+     *
+     * @param requestId request id of its command
+     */
+    public void reportEnded(String requestId) {
+        EvidenceReport report = mUnconfirmed;
+        boolean mine =
+                report != null
+                        && new RolloutCommand.ReportEvidence(report).requestId().equals(requestId);
+        if (mine) {
+            mUnconfirmed = null;
+        }
+    }
+
+    /** Returns when the next report is due. */
+    public long nextReportNanos() {
+        if (mFlush) {
+            return mReportedNanos;
+        }
+        if (mFault != null) {
+            return mReportedNanos + RETRY_NANOS;
+        }
+        long wait = mUrgent ? mSettings.urgentReportNanos() : mSettings.reportNanos();
+        return mReportedNanos + wait;
+    }
+
+    /**
+     * Returns what is to be reported now.
+     *
+     * @param nowNanos monotonic time
+     * @param sequence sequence number for a new report
+     * @return the command, empty if there is nothing to report
+     */
+    public Optional<RolloutCommand> nextReport(long nowNanos, long sequence) {
+        mReportedNanos = nowNanos;
+        mFlush = false;
+        if (mFault != null) {
+            String id = mInstance + "/" + mIncarnation + "/fault/" + mRollout.id();
+            return Optional.of(new RolloutCommand.ReportFault(id, mRollout.id(), mFault));
+        }
+        if (mUnconfirmed == null) {
+            List<EvidenceCell> cells = takePending();
+            if (cells.isEmpty()) {
+                return Optional.empty();
+            }
+            mUrgent = false;
+            mUnconfirmed =
+                    new EvidenceReport(
+                            mRollout.id(),
+                            mRollout.stage(),
+                            mInstance,
+                            mIncarnation,
+                            sequence,
+                            cells);
+        }
+        return Optional.of(new RolloutCommand.ReportEvidence(mUnconfirmed));
+    }
+
+    private void add(long nowNanos, CellKey key, ModelVersion version, VersionStats stats) {
+        mTable.moveTo((nowNanos - mStartNanos) / WINDOW_NANOS);
+        boolean isNew = version.equals(mRollout.to());
+        VersionStats none = VersionStats.create();
+        CellKey known = mTable.add(key, isNew ? stats : none, isNew ? none : stats);
+        mPending.computeIfAbsent(known, any -> Comparison.create())
+                .add(isNew ? stats : none, isNew ? none : stats);
+        mChanged = known;
+    }
+
+    /**
+     * Takes the cells with the most failures and requests of the new version. Cells that it got no
+     * request in are kept back, since they compare nothing yet.
+     */
+    private List<EvidenceCell> takePending() {
+        List<CellKey> keys = new ArrayList<>();
+        mPending.forEach(
+                (key, pair) -> {
+                    if (pair.newer().requests() > 0) {
+                        keys.add(key);
+                    }
+                });
+        keys.sort(Comparator.comparingLong(this::weight).reversed());
+        List<EvidenceCell> cells = new ArrayList<>();
+        for (CellKey key : keys.subList(0, Math.min(keys.size(), EvidenceReport.MAX_CELLS))) {
+            Comparison pair = mPending.remove(key);
+            cells.add(new EvidenceCell(key.route(), key.level(), pair.newer(), pair.older()));
+        }
+        return cells;
+    }
+
+    private long weight(CellKey key) {
+        VersionStats newer = mPending.get(key).newer();
+        return newer.requests() + VersionStats.BUCKETS * newer.errors();
+    }
+
+    private void updateSlowBucket() {
+        long[] atLeast = mOlder.atLeast();
+        int bucket = 0;
+        while (bucket < VersionStats.BUCKETS - 1
+                && atLeast[bucket] > SLOW_SHARE * mOlder.requests()) {
+            bucket++;
+        }
+        mSlowBucket = bucket;
+    }
+}
