--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/burn/internal/package-info.java
@@ -0,0 +1,5 @@
+/** Implementation of the burn slice. */
+@NullMarked
+package org.hemlockrack.burn.internal;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/rollout/BackendStatus.java
@@ -0,0 +1,28 @@
+package org.hemlockrack.rollout;
+
+import java.util.Set;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.model.ModelVersion;
+import org.hemlockrack.model.ServiceId;
+
+/**
+ * A backend server as the controller knows it.
+ *
+ * @param backend the server
+ * @param service its service
+ * @param owner the instance that sends orders to it
+ * @param versions the versions that it has loaded
+ * @param ready whether it takes new work
+ */
+public record BackendStatus(
+        BackendId backend,
+        ServiceId service,
+        InstanceId owner,
+        Set<ModelVersion> versions,
+        boolean ready) {
+    /** Copies the set. */
+    public BackendStatus {
+        versions = Set.copyOf(versions);
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/rollout/OrderSender.java
@@ -0,0 +1,150 @@
+package org.hemlockrack.rollout;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.hemlockrack.decider.Decider;
+import org.hemlockrack.model.BackendId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends orders to the backend servers that this instance owns.
+ *
+ * <p>A server that checks fencing numbers refuses outdated orders itself. For one that does not,
+ * the order waits until the lease of the earlier owner has ended, is then confirmed by the
+ * controller in charge, and is sent only within the own lease. So two owners never send at the same
+ * time, and an order of a deposed controller is not confirmed.
+ */
+public final class OrderSender implements Decider<OrderEvent, OrderOutput> {
+    /** More than the backend servers of the projected size. */
+    private static final int MAX_REMEMBERED = 4_096;
+
+    private final Map<BackendId, OrderEvent.Owned> mOwned = new HashMap<>();
+    private final Map<BackendId, Order> mWaiting = new LinkedHashMap<>();
+    private final Map<BackendId, Order> mAsked = new HashMap<>();
+
+    /** Highest fencing numbers; kept beyond ownership, in case it returns. */
+    private final Map<BackendId, Fence> mHighest =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<BackendId, Fence> eldest) {
+                    return size() > MAX_REMEMBERED;
+                }
+            };
+
+    private OrderSender() {}
+
+    /** Returns a sender that owns no server. */
+    public static OrderSender create() {
+        return new OrderSender();
+    }
+
+    @Override
+    public void onEvent(long nowNanos, OrderEvent event, Consumer<? super OrderOutput> out) {
+        if (event instanceof OrderEvent.Owned owned) {
+            mOwned.put(owned.backend(), owned);
+        } else if (event instanceof OrderEvent.Disowned gone) {
+            disown(gone.backend(), out);
+        } else if (event instanceof OrderEvent.OrderReceived received) {
+            receive(nowNanos, received.order(), out);
+        } else if (event instanceof OrderEvent.OrderConfirmed confirmed) {
+            confirmed(nowNanos, confirmed, out);
+        }
+        onTimer(nowNanos, out);
+    }
+
+    @Override
+    public void onTimer(long nowNanos, Consumer<? super OrderOutput> out) {
+        var each = mWaiting.values().iterator();
+        while (each.hasNext()) {
+            Order order = each.next();
+            OrderEvent.Owned owned = mOwned.get(order.backend());
+            if (owned == null || nowNanos < owned.waitUntilNanos()) {
+                continue;
+            }
+            each.remove();
+            if (!holdsLease(nowNanos, owned)) {
+                out.accept(new OrderOutput.RefuseOrder(order, OrderRefusal.NOT_OWNER));
+                continue;
+            }
+            mAsked.put(order.backend(), order);
+            out.accept(new OrderOutput.ConfirmOrder(order));
+        }
+    }
+
+    @Override
+    public long nextTimerNanos() {
+        long next = NO_TIMER;
+        for (BackendId backend : mWaiting.keySet()) {
+            OrderEvent.Owned owned = mOwned.get(backend);
+            if (owned != null) {
+                next = Math.min(next, owned.waitUntilNanos());
+            }
+        }
+        return next;
+    }
+
+    private void receive(long nowNanos, Order order, Consumer<? super OrderOutput> out) {
+        OrderEvent.Owned owned = mOwned.get(order.backend());
+        if (!holdsLease(nowNanos, owned)) {
+            out.accept(new OrderOutput.RefuseOrder(order, OrderRefusal.NOT_OWNER));
+            return;
+        }
+        Fence highest = mHighest.get(order.backend());
+        if (highest != null && order.fence().compareTo(highest) < 0) {
+            out.accept(new OrderOutput.RefuseOrder(order, OrderRefusal.STALE));
+            return;
+        }
+        mHighest.put(order.backend(), order.fence());
+        drop(order.backend(), order, OrderRefusal.STALE, out);
+        if (owned.checksFencing()) {
+            out.accept(new OrderOutput.SendOrder(order, owned.leaseEndNanos()));
+        } else {
+            mWaiting.put(order.backend(), order);
+        }
+    }
+
+    private void confirmed(
+            long nowNanos, OrderEvent.OrderConfirmed confirmed, Consumer<? super OrderOutput> out) {
+        Order order = confirmed.order();
+        if (!mAsked.remove(order.backend(), order)) {
+            return;
+        }
+        OrderEvent.Owned owned = mOwned.get(order.backend());
+        if (!confirmed.valid()) {
+            out.accept(new OrderOutput.RefuseOrder(order, OrderRefusal.UNCONFIRMED));
+        } else if (!holdsLease(nowNanos, owned) || nowNanos < owned.waitUntilNanos()) {
+            out.accept(new OrderOutput.RefuseOrder(order, OrderRefusal.NOT_OWNER));
+        } else {
+            out.accept(new OrderOutput.SendOrder(order, owned.leaseEndNanos()));
+        }
+    }
+
+    private void disown(BackendId backend, Consumer<? super OrderOutput> out) {
+        mOwned.remove(backend);
+        drop(backend, null, OrderRefusal.NOT_OWNER, out);
+    }
+
+    /** Refuses what is held for a server, unless it is a repetition of the given order. */
+    private void drop(
+            BackendId backend,
+            @Nullable Order except,
+            OrderRefusal refusal,
+            Consumer<? super OrderOutput> out) {
+        Order waiting = mWaiting.remove(backend);
+        if (waiting != null && !waiting.equals(except)) {
+            out.accept(new OrderOutput.RefuseOrder(waiting, refusal));
+        }
+        Order asked = mAsked.remove(backend);
+        if (asked != null && !asked.equals(except)) {
+            out.accept(new OrderOutput.RefuseOrder(asked, refusal));
+        }
+    }
+
+    private static boolean holdsLease(long nowNanos, OrderEvent.@Nullable Owned owned) {
+        return owned != null && nowNanos < owned.leaseEndNanos();
+    }
+}
