--- a/hemlockrack-core/src/main/java/org/hemlockrack/burn/internal/BurnHtml.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/burn/internal/BurnHtml.java
@@ -123,8 +123,18 @@
     private static void cells(StringBuilder page, String tag, List<String> texts) {
         for (String text : texts) {
             page.append('<').append(tag).append('>');
-            page.append(HtmlEscapers.htmlEscaper().escape(text));
+            page.append(escape(text));
             page.append("</").append(tag).append('>');
         }
     }
+
+    /**
+     * Escapes a text for an element or a quoted attribute.
+     *
+     * @param text the text
+     * @return the escaped text
+     */
+    public static String escape(String text) {
+        return HtmlEscapers.htmlEscaper().escape(text);
+    }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/rollout/OrderEvent.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/rollout/OrderEvent.java
@@ -37,4 +37,12 @@
      *     false also if nobody could be asked
      */
     record OrderConfirmed(Order order, boolean valid) implements OrderEvent {}
+
+    /**
+     * The server answered an order. Without an answer the order counts as under way until the time
+     * at which it is given up.
+     *
+     * @param order the order
+     */
+    record OrderAnswered(Order order) implements OrderEvent {}
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/rollout/OrderSender.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/rollout/OrderSender.java
@@ -13,8 +13,9 @@
  *
  * <p>A server that checks fencing numbers refuses outdated orders itself. For one that does not,
  * the order waits until the lease of the earlier owner has ended, is then confirmed by the
- * controller in charge, and is sent only within the own lease. So two owners never send at the same
- * time, and an order of a deposed controller is not confirmed.
+ * controller in charge, and is sent only within the own lease and after the order before it has
+ * ended. So two orders are never under way to it at the same time, and an order of a deposed
+ * controller is not confirmed.
  */
 public final class OrderSender implements Decider<OrderEvent, OrderOutput> {
     /** More than the backend servers of the projected size. */
@@ -24,6 +25,9 @@
     private final Map<BackendId, Order> mWaiting = new LinkedHashMap<>();
     private final Map<BackendId, Order> mAsked = new HashMap<>();
 
+    /** Orders under way to servers that do not check fencing; the next one must not pass them. */
+    private final Map<BackendId, OrderOutput.SendOrder> mUnderWay = new HashMap<>();
+
     /** Highest fencing numbers; kept beyond ownership, in case it returns. */
     private final Map<BackendId, Fence> mHighest =
             new LinkedHashMap<>(16, 0.75f, true) {
@@ -52,6 +56,8 @@
             receive(nowNanos, received.order(), out);
         } else if (event instanceof OrderEvent.OrderConfirmed confirmed) {
             confirmed(nowNanos, confirmed, out);
+        } else if (event instanceof OrderEvent.OrderAnswered answered) {
+            mUnderWay.values().removeIf(underWay -> underWay.order().equals(answered.order()));
         }
         onTimer(nowNanos, out);
     }
@@ -62,7 +68,7 @@
         while (each.hasNext()) {
             Order order = each.next();
             OrderEvent.Owned owned = mOwned.get(order.backend());
-            if (owned == null || nowNanos < owned.waitUntilNanos()) {
+            if (owned == null || nowNanos < readyNanos(owned)) {
                 continue;
             }
             each.remove();
@@ -81,7 +87,7 @@
         for (BackendId backend : mWaiting.keySet()) {
             OrderEvent.Owned owned = mOwned.get(backend);
             if (owned != null) {
-                next = Math.min(next, owned.waitUntilNanos());
+                next = Math.min(next, readyNanos(owned));
             }
         }
         return next;
@@ -119,10 +125,18 @@
         } else if (!holdsLease(nowNanos, owned) || nowNanos < owned.waitUntilNanos()) {
             out.accept(new OrderOutput.RefuseOrder(order, OrderRefusal.NOT_OWNER));
         } else {
-            out.accept(new OrderOutput.SendOrder(order, owned.leaseEndNanos()));
+            OrderOutput.SendOrder send = new OrderOutput.SendOrder(order, owned.leaseEndNanos());
+            mUnderWay.put(order.backend(), send);
+            out.accept(send);
         }
     }
 
+    private long readyNanos(OrderEvent.Owned owned) {
+        OrderOutput.SendOrder underWay = mUnderWay.get(owned.backend());
+        long freeNanos = underWay == null ? Long.MIN_VALUE : underWay.giveUpNanos();
+        return Math.max(owned.waitUntilNanos(), freeNanos);
+    }
+
     private void disown(BackendId backend, Consumer<? super OrderOutput> out) {
         mOwned.remove(backend);
         drop(backend, null, OrderRefusal.NOT_OWNER, out);
