Test the command-line tool and correct its exit codes and messages

Cause: the tool had no tests. Ruled out: printing help through the parser, which only knows standard output. The test of config wait failed first, because unreachable instances were printed as a JSON array; the output is corrected.

--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Command.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Command.java
@@ -2,20 +2,28 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.errors.RunState;
+import org.jspecify.annotations.Nullable;
 
 /** One command: options are set from the command line or by setters, then it is called. */
 public abstract class Command {
     static final int EXIT_DONE = 0;
     static final int EXIT_FAILED = 1;
 
+    /** A foreign server may answer with a whole page; its start is enough to recognise it. */
+    private static final int MAX_SHOWN_CHARS = 200;
+
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private String mAddress = "127.0.0.1:8083";
@@ -79,8 +87,15 @@
         declare(parser);
     }
 
+    /**
+     * Takes all options.
+     *
+     * @throws HemlockrackException with {@link ErrorKind#BAD_REQUEST} if an option is malformed,
+     *     which is a usage fault
+     */
     final Command takeAll(Namespace options) {
         mAddress = options.getString("address");
+        OperatorClient.of(mAddress);
         mJson = options.getBoolean("json");
         take(options);
         return this;
@@ -90,12 +105,32 @@
         return mJson;
     }
 
+    final String address() {
+        return mAddress;
+    }
+
     final PrintStream out() {
         return mOut;
     }
 
+    final PrintStream err() {
+        return mErr;
+    }
+
+    /** Returns a name as one segment of a path; names may hold slashes. */
+    static String segment(String name) {
+        return URLEncoder.encode(name, StandardCharsets.UTF_8);
+    }
+
     final OperatorClient.Answer send(String method, String path) {
-        return OperatorClient.of(mAddress).send(method, path, List.of(), null);
+        return send(method, path, List.of(), null);
+    }
+
+    /** Sends a request that the instance answers only after a wait. */
+    final OperatorClient.Answer sendAndWait(String method, String path, long waitMillis) {
+        return OperatorClient.of(mAddress)
+                .addWaitMillis(waitMillis)
+                .send(method, path, List.of(), null);
     }
 
     final OperatorClient.Answer send(
@@ -105,12 +140,20 @@
 
     /** Prints a refusal and returns the exit code for it. */
     final int refused(OperatorClient.Answer answer) {
+        return refused(answer, "");
+    }
+
+    /** Prints a refusal, with a hint if the outcome is unknown, and returns the exit code. */
+    final int refused(OperatorClient.Answer answer, String unknownHint) {
+        JsonNode json = parse(answer.body());
+        JsonNode error = json.path("error");
+        if (!error.isObject()) {
+            throw notOurs(answer.body(), null);
+        }
         if (mJson) {
             mOut.println(answer.body());
             return EXIT_FAILED;
         }
-        JsonNode json = parse(answer.body());
-        JsonNode error = json.path("error");
         mErr.println(
                 "hemlockrack: "
                         + error.path("kind").asText()
@@ -119,15 +162,45 @@
         for (JsonNode fault : json.path("faults")) {
             mErr.println("  " + fault.asText());
         }
+        boolean unknown = error.path("ran").asText().equals(RunState.UNKNOWN.wireName());
+        if (unknown && !unknownHint.isEmpty()) {
+            mErr.println("  " + unknownHint);
+        }
         return EXIT_FAILED;
     }
 
+    /** Prints a fault that this command met itself and returns the exit code for it. */
+    final int failed(HemlockrackException fault) {
+        if (mJson) {
+            ObjectNode json = JSON.createObjectNode();
+            ObjectNode error = json.putObject("error");
+            error.put("kind", fault.kind().name());
+            error.put("message", fault.getMessage());
+            error.put("ran", fault.kind().runState().wireName());
+            mOut.println(json);
+            return EXIT_FAILED;
+        }
+        mErr.println("hemlockrack: " + fault.kind() + ": " + fault.getMessage());
+        return EXIT_FAILED;
+    }
+
+    static ObjectNode emptyJson() {
+        return JSON.createObjectNode();
+    }
+
     static JsonNode parse(String body) {
         try {
             return JSON.readTree(body);
         } catch (IOException e) {
-            throw HemlockrackException.of(
-                    ErrorKind.INTERNAL, "the instance did not answer in JSON: " + body, e);
+            throw notOurs(body, e);
         }
     }
+
+    private static HemlockrackException notOurs(String body, @Nullable Throwable cause) {
+        String start = body.length() > MAX_SHOWN_CHARS ? body.substring(0, MAX_SHOWN_CHARS) : body;
+        String text = "the answer is not one of an operator port: \"" + start + "\"";
+        return cause == null
+                ? HemlockrackException.of(ErrorKind.INTERNAL, text)
+                : HemlockrackException.of(ErrorKind.INTERNAL, text, cause);
+    }
 }
--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/ConfigCheckCommand.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/ConfigCheckCommand.java
@@ -1,11 +1,15 @@
 package org.hemlockrack.cli;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.hemlockrack.config.Configuration;
+import org.hemlockrack.config.Fault;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 
@@ -37,13 +41,32 @@
 
     @Override
     public int call() {
+        List<Fault> faults = Configuration.checkToml(read()).faults();
+        if (json()) {
+            printJson(faults);
+        } else if (faults.isEmpty()) {
+            out().println("the configuration is valid");
+        } else {
+            err().println("hemlockrack: CONFIG_INVALID: " + faults.size() + " faults");
+            faults.forEach(fault -> err().println("  " + fault));
+        }
+        return faults.isEmpty() ? EXIT_DONE : EXIT_FAILED;
+    }
+
+    private String read() {
         try {
-            Configuration.parseToml(Files.readString(Path.of(mFile)));
+            return Files.readString(Path.of(mFile));
         } catch (IOException e) {
             throw HemlockrackException.of(
                     ErrorKind.BAD_REQUEST, "file " + mFile + " cannot be read: " + e, e);
         }
-        out().println(json() ? "{\"valid\":true}" : "the configuration is valid");
-        return EXIT_DONE;
+    }
+
+    private void printJson(List<Fault> faults) {
+        ObjectNode json = emptyJson();
+        json.put("valid", faults.isEmpty());
+        ArrayNode list = json.putArray("faults");
+        faults.forEach(fault -> list.add(fault.toString()));
+        out().println(json);
     }
 }
--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/ConfigGetCommand.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/ConfigGetCommand.java
@@ -1,5 +1,6 @@
 package org.hemlockrack.cli;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
@@ -26,9 +27,15 @@
         if (answer.isError()) {
             return refused(answer);
         }
-        if (!json()) {
-            out().println("# version " + answer.etag().replace("\"", ""));
+        String version = answer.etag().replace("\"", "");
+        if (json()) {
+            ObjectNode json = emptyJson();
+            json.put("version", Long.parseLong(version));
+            json.set("configuration", parse(answer.body()));
+            out().println(json);
+            return EXIT_DONE;
         }
+        out().println("# version " + version);
         out().println(answer.body());
         return EXIT_DONE;
     }
--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/ConfigPatchCommand.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/ConfigPatchCommand.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.UUID;
 import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.MutuallyExclusiveGroup;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.hemlockrack.errors.ErrorKind;
@@ -70,8 +71,9 @@
     @Override
     void declare(Subparser parser) {
         parser.help("change the configuration");
-        parser.addArgument("-f", "--file").help("TOML patch");
-        parser.addArgument("--rollback").type(Long.class).help("return to this version");
+        MutuallyExclusiveGroup change = parser.addMutuallyExclusiveGroup().required(true);
+        change.addArgument("-f", "--file").help("TOML patch");
+        change.addArgument("--rollback").type(Long.class).help("return to this version");
         parser.addArgument("--base").type(Long.class).required(true).help("version to change");
         parser.addArgument("--dry-run").action(Arguments.storeTrue()).help("only show the change");
         parser.addArgument("--request-id").help("marks a resend of the same change");
@@ -88,10 +90,6 @@
         if (options.getString("request_id") != null) {
             mRequestId = options.getString("request_id");
         }
-        if ((mFile == null) == (mRollback == null)) {
-            throw HemlockrackException.of(
-                    ErrorKind.BAD_REQUEST, "give exactly one of --file and --rollback");
-        }
     }
 
     @Override
@@ -100,9 +98,9 @@
         fields.add(new OperatorClient.Field("If-Match", "\"" + mBase + "\""));
         fields.add(new OperatorClient.Field("X-Request-Id", mRequestId));
         fields.add(new OperatorClient.Field("X-Author", mAuthor));
-        OperatorClient.Answer answer = send("PATCH", path(), fields, body());
+        OperatorClient.Answer answer = sendPatch(fields);
         if (answer.isError()) {
-            return refused(answer);
+            return refused(answer, resendHint());
         }
         if (json()) {
             out().println(answer.body());
@@ -121,6 +119,22 @@
         return EXIT_DONE;
     }
 
+    private OperatorClient.Answer sendPatch(List<OperatorClient.Field> fields) {
+        try {
+            return send("PATCH", path(), fields, body());
+        } catch (HemlockrackException e) {
+            if (e.kind() != ErrorKind.OUTCOME_UNKNOWN) {
+                throw e;
+            }
+            throw HemlockrackException.of(e.kind(), e.getMessage() + "; " + resendHint(), e);
+        }
+    }
+
+    /** The id was made here, so the operator can only resend if told about it. */
+    private String resendHint() {
+        return "resend with --request-id " + mRequestId;
+    }
+
     private String path() {
         String path = "/operator/v1/config?dry_run=" + mDryRun;
         return mRollback == null ? path : path + "&rollback=" + mRollback;
--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/ConfigWaitCommand.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/ConfigWaitCommand.java
@@ -20,11 +20,25 @@
         return this;
     }
 
+    /**
+     * Sets when to give up.
+     *
+     * @param timeoutMillis longest wait in milliseconds
+     * @return this command
+     */
+    public ConfigWaitCommand setTimeoutMillis(long timeoutMillis) {
+        mTimeoutMillis = timeoutMillis;
+        return this;
+    }
+
     @Override
     void declare(Subparser parser) {
         parser.help("wait until a version is in force everywhere");
         parser.addArgument("version").type(Long.class);
-        parser.addArgument("--timeout-ms").type(Long.class).setDefault(mTimeoutMillis);
+        parser.addArgument("--timeout-ms")
+                .type(Long.class)
+                .setDefault(mTimeoutMillis)
+                .help("longest wait in milliseconds");
     }
 
     @Override
@@ -36,12 +50,13 @@
     @Override
     public int call() {
         OperatorClient.Answer answer =
-                send(
+                sendAndWait(
                         "GET",
                         "/operator/v1/config/wait?version="
                                 + mVersion
                                 + "&timeout_ms="
-                                + mTimeoutMillis);
+                                + mTimeoutMillis,
+                        mTimeoutMillis);
         if (answer.isError()) {
             return refused(answer);
         }
@@ -60,7 +75,7 @@
 
     private void list(String label, JsonNode names) {
         if (!names.isEmpty()) {
-            out().println(label + ": " + names);
+            out().println(label + ": " + Table.join(names, ", "));
         }
     }
 }
--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/DrainCommand.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/DrainCommand.java
@@ -4,7 +4,7 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 
 /** Drains an instance or ends its drain. */
-public final class DrainCommand extends Command {
+public final class DrainCommand extends VersionedCommand {
     private final String mState;
     private String mName = "";
 
@@ -37,26 +37,17 @@
     void declare(Subparser parser) {
         parser.help("change whether an instance owns backend servers");
         parser.addArgument("name").help("id of the instance");
+        declareWait(parser);
     }
 
     @Override
     void take(Namespace options) {
         mName = options.getString("name");
+        takeWait(options);
     }
 
     @Override
     public int call() {
-        OperatorClient.Answer answer =
-                send("POST", "/operator/v1/instances/" + mName + "/" + mState);
-        if (answer.isError()) {
-            return refused(answer);
-        }
-        if (json()) {
-            out().println(answer.body());
-            return EXIT_DONE;
-        }
-        long version = parse(answer.body()).path("version").asLong();
-        out().println("accepted as version " + version);
-        return EXIT_DONE;
+        return change("/operator/v1/instances/" + segment(mName) + "/" + mState);
     }
 }
--- /dev/null
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/HelpAction.java
@@ -0,0 +1,39 @@
+package org.hemlockrack.cli;
+
+import java.util.Map;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
+import net.sourceforge.argparse4j.inf.Argument;
+import net.sourceforge.argparse4j.inf.ArgumentAction;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+
+/**
+ * Ends parsing without printing, so that {@link Main} prints the help to the stream it was given.
+ */
+final class HelpAction implements ArgumentAction {
+    private HelpAction() {}
+
+    /** Adds {@code -h} and {@code --help} to a parser that was created without them. */
+    static void addTo(ArgumentParser parser) {
+        parser.addArgument("-h", "--help").action(new HelpAction()).help("print this help");
+    }
+
+    @Override
+    public void run(
+            ArgumentParser parser,
+            Argument argument,
+            Map<String, Object> attributes,
+            String flag,
+            Object value)
+            throws ArgumentParserException {
+        throw new HelpScreenException(parser);
+    }
+
+    @Override
+    public void onAttach(Argument argument) {}
+
+    @Override
+    public boolean consumeArgument() {
+        return false;
+    }
+}
--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Main.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Main.java
@@ -1,15 +1,18 @@
 package org.hemlockrack.cli;
 
 import java.io.PrintStream;
+import java.io.PrintWriter;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.hemlockrack.errors.HemlockrackException;
+import org.jspecify.annotations.Nullable;
 
 /** Entry point of the command-line tool. */
 public final class Main {
@@ -17,11 +20,13 @@
 
     private final ArgumentParser mParser =
             ArgumentParsers.newFor("hemlockrack")
+                    .addHelp(false)
                     .build()
                     .description("Operates a hemlockrack router fleet.");
     private final Map<String, Command> mCommands = new LinkedHashMap<>();
 
     private Main() {
+        HelpAction.addTo(mParser);
         Subparsers top = mParser.addSubparsers().dest("command").metavar("COMMAND");
         Subparsers config = group(top, "config", "read and change the configuration");
         add(config, "config get", new ConfigGetCommand());
@@ -37,15 +42,22 @@
         add(zone, "zone in", ZoneCommand.of("in"));
         add(top, "drain", DrainCommand.of("drain"));
         add(top, "undrain", DrainCommand.of("undrain"));
+        Subparsers voters = group(top, "voters", "list and change the voters");
+        add(voters, "voters list", new VotersListCommand());
+        add(voters, "voters add", VotersChangeCommand.of("add"));
+        add(voters, "voters remove", VotersChangeCommand.of("remove"));
     }
 
     private static Subparsers group(Subparsers top, String name, String help) {
-        return top.addParser(name).help(help).addSubparsers().dest("action").metavar("ACTION");
+        Subparser parser = top.addParser(name, false).help(help);
+        HelpAction.addTo(parser);
+        return parser.addSubparsers().dest("action").metavar("ACTION");
     }
 
     private void add(Subparsers group, String path, Command command) {
         String name = path.substring(path.lastIndexOf(' ') + 1);
-        Subparser parser = group.addParser(name);
+        Subparser parser = group.addParser(name, false);
+        HelpAction.addTo(parser);
         command.declareAll(parser);
         parser.setDefault("path", path);
         mCommands.put(path, command);
@@ -60,21 +72,36 @@
      * @return exit code: 0 done, 1 refused or failed, 2 usage
      */
     public static int run(String[] args, PrintStream out, PrintStream err) {
-        Main main = new Main();
-        Namespace options;
+        Command command;
         try {
-            options = main.mParser.parseArgs(args);
+            command = new Main().parse(args, out, err);
+        } catch (HemlockrackException e) {
+            err.println("hemlockrack: " + e.getMessage());
+            return EXIT_USAGE;
+        } catch (HelpScreenException e) {
+            out.print(e.getParser().formatHelp());
+            return Command.EXIT_DONE;
         } catch (ArgumentParserException e) {
-            main.mParser.handleError(e);
+            PrintWriter writer = new PrintWriter(err);
+            e.getParser().handleError(e, writer);
+            writer.flush();
             return EXIT_USAGE;
         }
         try {
-            Command command = main.mCommands.get(options.getString("path"));
-            return command.setOutput(out, err).takeAll(options).call();
+            return command.call();
         } catch (HemlockrackException e) {
-            err.println("hemlockrack: " + e.kind() + ": " + e.getMessage());
-            return Command.EXIT_FAILED;
+            return command.failed(e);
+        }
+    }
+
+    private Command parse(String[] args, PrintStream out, PrintStream err)
+            throws ArgumentParserException {
+        Namespace options = mParser.parseArgs(args);
+        @Nullable Command command = mCommands.get(options.getString("path"));
+        if (command == null) {
+            throw new ArgumentParserException("the command is missing", mParser);
         }
+        return command.setOutput(out, err).takeAll(options);
     }
 
     /**
--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/OperatorClient.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/OperatorClient.java
@@ -1,12 +1,16 @@
 package org.hemlockrack.cli;
 
 import java.io.IOException;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.net.UnknownHostException;
 import java.util.List;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.impl.bootstrap.HttpRequester;
 import org.apache.hc.core5.http.impl.bootstrap.RequesterBootstrap;
+import org.apache.hc.core5.http.io.SocketConfig;
 import org.apache.hc.core5.http.io.entity.EntityUtils;
 import org.apache.hc.core5.http.io.entity.StringEntity;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
@@ -19,9 +23,15 @@
 
 /** Talks to the operator port of one instance. */
 public final class OperatorClient {
-    private static final Timeout TIMEOUT = Timeout.ofSeconds(90);
+    private static final Timeout CONNECT_TIMEOUT = Timeout.ofSeconds(5);
+
+    /** Longer than any page takes by itself; a proposal is given up after 5 s. */
+    private static final long ANSWER_MILLIS = 20_000;
+
+    private static final int MAX_PORT = 65_535;
 
     private final HttpHost mHost;
+    private long mAnswerMillis = ANSWER_MILLIS;
 
     private OperatorClient(HttpHost host) {
         mHost = host;
@@ -36,14 +46,26 @@
      */
     public static OperatorClient of(String address) {
         int colon = address.lastIndexOf(':');
-        if (colon <= 0 || !address.substring(colon + 1).matches("[0-9]{1,5}")) {
+        boolean digits = colon > 0 && address.substring(colon + 1).matches("[0-9]{1,5}");
+        int port = digits ? Integer.parseInt(address.substring(colon + 1)) : 0;
+        if (port < 1 || port > MAX_PORT) {
             throw HemlockrackException.of(
                     ErrorKind.BAD_REQUEST, "address \"" + address + "\"; allowed: ip:port");
         }
-        int port = Integer.parseInt(address.substring(colon + 1));
         return new OperatorClient(new HttpHost("http", address.substring(0, colon), port));
     }
 
+    /**
+     * Lets the instance take longer for its answer.
+     *
+     * @param waitMillis how long the request itself asks the instance to wait, in milliseconds
+     * @return this client
+     */
+    public OperatorClient addWaitMillis(long waitMillis) {
+        mAnswerMillis = ANSWER_MILLIS + waitMillis;
+        return this;
+    }
+
     /**
      * One header field of a request.
      *
@@ -60,8 +82,8 @@
      * @param fields header fields
      * @param body the body, or null
      * @return the answer
-     * @throws HemlockrackException with {@link ErrorKind#NO_BACKEND} if the instance does not
-     *     answer
+     * @throws HemlockrackException with {@link ErrorKind#NO_BACKEND} if no connection was made,
+     *     with {@link ErrorKind#OUTCOME_UNKNOWN} if the answer is missing or broken
      */
     public Answer send(String method, String path, List<Field> fields, @Nullable String body) {
         BasicClassicHttpRequest request = new BasicClassicHttpRequest(method, mHost, path);
@@ -71,11 +93,14 @@
         if (body != null) {
             request.setEntity(new StringEntity(body, ContentType.TEXT_PLAIN));
         }
-        try (HttpRequester requester = RequesterBootstrap.bootstrap().create()) {
+        SocketConfig sockets =
+                SocketConfig.custom().setSoTimeout(Timeout.ofMilliseconds(mAnswerMillis)).build();
+        try (HttpRequester requester =
+                RequesterBootstrap.bootstrap().setSocketConfig(sockets).create()) {
             return requester.execute(
                     mHost,
                     request,
-                    TIMEOUT,
+                    CONNECT_TIMEOUT,
                     HttpCoreContext.create(),
                     response ->
                             new Answer(
@@ -83,15 +108,20 @@
                                     response.getFirstHeader("ETag") == null
                                             ? ""
                                             : response.getFirstHeader("ETag").getValue(),
-                                    EntityUtils.toString(response.getEntity())));
+                                    response.getEntity() == null
+                                            ? ""
+                                            : EntityUtils.toString(response.getEntity())));
+        } catch (ConnectException | NoRouteToHostException | UnknownHostException e) {
+            throw HemlockrackException.of(ErrorKind.NO_BACKEND, fault("cannot be reached", e), e);
         } catch (IOException | HttpException e) {
-            throw HemlockrackException.of(
-                    ErrorKind.NO_BACKEND,
-                    "instance at " + mHost.toHostString() + " does not answer: " + e.getMessage(),
-                    e);
+            throw HemlockrackException.of(ErrorKind.OUTCOME_UNKNOWN, fault("did not answer", e), e);
         }
     }
 
+    private String fault(String what, Exception cause) {
+        return "instance at " + mHost.toHostString() + " " + what + ": " + cause.getMessage();
+    }
+
     /**
      * An answer.
      *
--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Table.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Table.java
@@ -23,17 +23,17 @@
             List<String> cells = new ArrayList<>();
             for (String column : mColumns) {
                 JsonNode cell = row.path(column);
-                cells.add(cell.isArray() ? join(cell) : cell.asText());
+                cells.add(cell.isArray() ? join(cell, ",") : cell.asText());
             }
             mRows.add(cells);
         }
         return this;
     }
 
-    private static String join(JsonNode array) {
+    static String join(JsonNode array, String separator) {
         List<String> parts = new ArrayList<>();
         array.forEach(part -> parts.add(part.asText()));
-        return String.join(",", parts);
+        return String.join(separator, parts);
     }
 
     void print(PrintStream out) {
--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/ZoneCommand.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/ZoneCommand.java
@@ -4,7 +4,7 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 
 /** Takes an availability zone out of service or back in. */
-public final class ZoneCommand extends Command {
+public final class ZoneCommand extends VersionedCommand {
     private final String mState;
     private String mName = "";
 
@@ -37,25 +37,17 @@
     void declare(Subparser parser) {
         parser.help("change whether a zone takes work");
         parser.addArgument("name").help("name of the availability zone");
+        declareWait(parser);
     }
 
     @Override
     void take(Namespace options) {
         mName = options.getString("name");
+        takeWait(options);
     }
 
     @Override
     public int call() {
-        OperatorClient.Answer answer = send("POST", "/operator/v1/zones/" + mName + "/" + mState);
-        if (answer.isError()) {
-            return refused(answer);
-        }
-        if (json()) {
-            out().println(answer.body());
-            return EXIT_DONE;
-        }
-        long version = parse(answer.body()).path("version").asLong();
-        out().println("accepted as version " + version);
-        return EXIT_DONE;
+        return change("/operator/v1/zones/" + segment(mName) + "/" + mState);
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/config/Configuration.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/config/Configuration.java
@@ -85,7 +85,7 @@
      *     {@link ErrorKind#CONFIG_INVALID} and all faults if it is not allowed
      */
     public static Configuration parseToml(String text) {
-        return require(check(Trees.parseToml(text)));
+        return require(checkToml(text));
     }
 
     /**
@@ -99,6 +99,17 @@
         return require(check(Trees.parseJson(text)));
     }
 
+    /**
+     * Checks a TOML document.
+     *
+     * @param text the document
+     * @return the configuration or all faults
+     * @throws HemlockrackException with {@link ErrorKind#BAD_REQUEST} if it is not TOML
+     */
+    public static Check checkToml(String text) {
+        return check(Trees.parseToml(text));
+    }
+
     /**
      * Checks a document tree.
      *
