Add voter commands and use the core's propagation for config waits

Cause: config wait had its own copy of the rule in ConfigPropagation and polled; a malformed timeout_ms ended as an internal fault; instances without the log answered "ask a voter" without saying which; voters could not be changed at all. Ruled out: forwarding history and dry runs to a voter. Instances know each other's peer and internal ports only, and the internal port is open to backend servers, which must not read the history. Gossiping the operator address would change the membership messages for a rare request. Change: ConfigWaits drives ConfigPropagation, and a wait ends with its operator's connection; Parameters reads numbers and encoded names; VoterDirectory names the voters with their IP addresses; VoterCommands lists, adds (learner, catch-up, promotion) and removes on the leader, and names the leader elsewhere. ReplicaService publishes the members before a role or an outcome, because the list test saw a leader without members.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -38,6 +38,8 @@
 import org.hemlockrack.daemon.operator.ConfigCommands;
 import org.hemlockrack.daemon.operator.OperatorPort;
 import org.hemlockrack.daemon.operator.PlatformPages;
+import org.hemlockrack.daemon.operator.VoterCommands;
+import org.hemlockrack.daemon.operator.VoterDirectory;
 import org.hemlockrack.daemon.owner.ForwardedExchange;
 import org.hemlockrack.daemon.owner.OwnerService;
 import org.hemlockrack.daemon.peer.PeerServer;
@@ -339,13 +341,17 @@
                         });
         openPort("internal", SettingKey.LISTEN_INTERNAL, HttpLimits.internal(), this::internalCall);
         ConfigCommands.HistorySource history = mVoterState == null ? new NoHistory() : mVoterState;
-        ConfigCommands commands = ConfigCommands.create(mLoop, mFleet, mConfig, mProposer, history);
+        VoterDirectory voters = VoterDirectory.of(mSettings.voters());
+        VoterCommands voterCommands = VoterCommands.create(mLoop, mReplica, voters);
+        ConfigCommands commands =
+                ConfigCommands.create(mLoop, mFleet, mConfig, mProposer, history, voters);
         mOperatorPort =
                 openPort(
                         "operators",
                         SettingKey.LISTEN_OPERATORS,
                         HttpLimits.internal(),
-                        OperatorPort.create(mFleet, mConfig, mProposer, commands, pages));
+                        OperatorPort.create(
+                                mFleet, mConfig, mProposer, commands, voterCommands, pages));
         PeerServer peers =
                 PeerServer.open(
                         mSettings.address(SettingKey.LISTEN_PEER),
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/ConfigCommands.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/ConfigCommands.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
@@ -27,15 +26,13 @@
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.errors.RunState;
-import org.hemlockrack.membership.Member;
-import org.hemlockrack.model.Names;
 import org.jspecify.annotations.Nullable;
 
 /** Changes of the configuration asked for by operators. */
 public final class ConfigCommands {
     private static final long PROPOSE_MILLIS = 5_000;
     private static final long WAIT_DEFAULT_MILLIS = 10_000;
-    private static final long WAIT_POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    private static final long CONFLICT_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     private static final int STATUS_OK = 200;
 
     /** Other operators' changes between reading and proposing are met by trying again. */
@@ -46,6 +43,8 @@
     private final ConfigService mConfig;
     private final Proposer mProposer;
     private final HistorySource mHistory;
+    private final ConfigWaits mWaits;
+    private final VoterDirectory mVoters;
 
     /** Reads the history of versions; only voters hold it. */
     public interface HistorySource {
@@ -76,12 +75,15 @@
             Fleet fleet,
             ConfigService config,
             Proposer proposer,
-            HistorySource history) {
+            HistorySource history,
+            VoterDirectory voters) {
         mLoop = loop;
         mFleet = fleet;
         mConfig = config;
         mProposer = proposer;
         mHistory = history;
+        mVoters = voters;
+        mWaits = ConfigWaits.create(loop, fleet, config);
     }
 
     /**
@@ -92,6 +94,7 @@
      * @param config the configuration in force
      * @param proposer brings commands to the log
      * @param history the history
+     * @param voters where the voters are
      * @return the commands
      */
     public static ConfigCommands create(
@@ -99,8 +102,9 @@
             Fleet fleet,
             ConfigService config,
             Proposer proposer,
-            HistorySource history) {
-        return new ConfigCommands(loop, fleet, config, proposer, history);
+            HistorySource history,
+            VoterDirectory voters) {
+        return new ConfigCommands(loop, fleet, config, proposer, history, voters);
     }
 
     void patch(HttpCall call, Responder responder) {
@@ -125,23 +129,13 @@
                     ErrorKind.PRECONDITION_REQUIRED,
                     "the If-Match header with the base version is missing");
         }
-        String digits = match.replace("\"", "").trim();
-        if (!digits.matches("[0-9]{1,18}")) {
-            throw HemlockrackException.of(
-                    ErrorKind.BAD_REQUEST, "If-Match is \"" + match + "\"; allowed: a version");
-        }
-        return Long.parseLong(digits);
+        return Parameters.version("If-Match", match.replace("\"", "").trim());
     }
 
     private static ConfigCommand.Change change(HttpCall call) {
         String rollback = call.parameter("rollback");
         if (rollback != null) {
-            if (!rollback.matches("[0-9]{1,18}")) {
-                throw HemlockrackException.of(
-                        ErrorKind.BAD_REQUEST,
-                        "rollback is \"" + rollback + "\"; allowed: a version");
-            }
-            return new ConfigCommand.Rollback(Long.parseLong(rollback));
+            return new ConfigCommand.Rollback(Parameters.version("rollback", rollback));
         }
         boolean json = String.valueOf(call.header("Content-Type")).contains("json");
         return json
@@ -152,8 +146,7 @@
     private void dryRun(ConfigCommand command, Responder responder) {
         Optional<DryRunResult> run = mHistory.dryRun(command);
         if (run.isEmpty()) {
-            responder.sendError(
-                    ErrorKind.NOT_READY, "this instance holds no log; ask a voter", 1_000);
+            responder.sendError(ErrorKind.NOT_READY, mVoters.noLogHint(), 1_000);
             return;
         }
         ObjectNode json = resultJson(run.get().result());
@@ -215,52 +208,20 @@
     void history(HttpCall call, Responder responder) {
         String json = mHistory.historyJson();
         if (json == null) {
-            responder.sendError(
-                    ErrorKind.NOT_READY, "this instance holds no log; ask a voter", 1_000);
+            responder.sendError(ErrorKind.NOT_READY, mVoters.noLogHint(), 1_000);
             return;
         }
         responder.sendJson(STATUS_OK, json);
     }
 
     void await(HttpCall call, Responder responder) {
-        String version = call.parameter("version");
-        if (version == null || !version.matches("[0-9]{1,18}")) {
-            throw HemlockrackException.of(
-                    ErrorKind.BAD_REQUEST, "version is " + version + "; allowed: a version");
-        }
-        String timeout = call.parameter("timeout_ms");
-        long timeoutMillis = timeout == null ? WAIT_DEFAULT_MILLIS : Long.parseLong(timeout);
-        long endNanos = mLoop.nowNanos() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-        mLoop.execute(() -> poll(Long.parseLong(version), endNanos, responder));
-    }
-
-    private void poll(long version, long endNanos, Responder responder) {
-        List<String> missing = new ArrayList<>();
-        List<String> unreachable = new ArrayList<>();
-        for (Member member : mFleet.view().members().values()) {
-            boolean self = member.id().equals(mFleet.self());
-            long held = self ? mConfig.current().version() : member.configVersion();
-            if (held >= version) {
-                continue;
-            }
-            (member.status().isReachable() ? missing : unreachable).add(member.id().value());
-        }
-        long nowNanos = mLoop.nowNanos();
-        if (!missing.isEmpty() && nowNanos - endNanos < 0) {
-            mLoop.schedule(nowNanos + WAIT_POLL_NANOS, () -> poll(version, endNanos, responder));
-            return;
-        }
-        ObjectNode json = JsonNodeFactory.instance.objectNode();
-        json.put("version", version);
-        json.put("in_force", missing.isEmpty());
-        missing.forEach(json.putArray("missing")::add);
-        unreachable.forEach(json.putArray("unreachable")::add);
-        responder.sendJson(STATUS_OK, json.toString());
+        long version = Parameters.version("version", call.parameter("version"));
+        long timeoutMillis = Parameters.timeoutMillis(call, WAIT_DEFAULT_MILLIS);
+        mWaits.start(version, timeoutMillis, responder);
     }
 
     void zone(String[] parts, Responder responder) {
-        String zone = parts[1];
-        Names.requireValid("zone name", zone);
+        String zone = Parameters.name("zone name", parts[1]);
         if (!parts[2].equals("in") && !parts[2].equals("out")) {
             throw HemlockrackException.of(
                     ErrorKind.NOT_FOUND, "zone state \"" + parts[2] + "\"; allowed: in, out");
@@ -269,13 +230,13 @@
     }
 
     void drain(String[] parts, Responder responder) {
-        Names.requireValid("instance id", parts[1]);
+        String instance = Parameters.name("instance id", parts[1]);
         if (!parts[2].equals("drain") && !parts[2].equals("undrain")) {
             throw HemlockrackException.of(
                     ErrorKind.NOT_FOUND, "allowed: drain, undrain; found: " + parts[2]);
         }
         String value = Boolean.toString(parts[2].equals("drain"));
-        change("instances", parts[1], "drain", value, responder);
+        change("instances", instance, "drain", value, responder);
     }
 
     private void change(
@@ -297,7 +258,7 @@
                         outcome -> {
                             if (isConflict(outcome) && round < MAX_CONFLICT_RETRIES) {
                                 mLoop.schedule(
-                                        mLoop.nowNanos() + WAIT_POLL_NANOS,
+                                        mLoop.nowNanos() + CONFLICT_PAUSE_NANOS,
                                         () -> changeOnCurrent(patch, id, round + 1, responder));
                                 return;
                             }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/OperatorPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/OperatorPort.java
@@ -26,6 +26,7 @@
     private final ConfigService mConfig;
     private final Proposer mProposer;
     private final ConfigCommands mCommands;
+    private final VoterCommands mVoters;
     private final PlatformPages mPages;
 
     private OperatorPort(
@@ -33,11 +34,13 @@
             ConfigService config,
             Proposer proposer,
             ConfigCommands commands,
+            VoterCommands voters,
             PlatformPages pages) {
         mFleet = fleet;
         mConfig = config;
         mProposer = proposer;
         mCommands = commands;
+        mVoters = voters;
         mPages = pages;
     }
 
@@ -48,6 +51,7 @@
      * @param config the configuration in force
      * @param proposer brings commands to the log
      * @param commands configuration commands
+     * @param voters commands on the voters
      * @param pages health pages, served here too
      * @return the handler
      */
@@ -56,8 +60,9 @@
             ConfigService config,
             Proposer proposer,
             ConfigCommands commands,
+            VoterCommands voters,
             PlatformPages pages) {
-        return new OperatorPort(fleet, config, proposer, commands, pages);
+        return new OperatorPort(fleet, config, proposer, commands, voters, pages);
     }
 
     @Override
@@ -87,6 +92,8 @@
             case "GET backends" -> responder.sendJson(200, backends().toString());
             case "POST zones" -> mCommands.zone(requireParts(parts, 3, call), responder);
             case "POST instances" -> mCommands.drain(requireParts(parts, 3, call), responder);
+            case "GET voters" -> mVoters.handle(requireParts(parts, 1, call), call, responder);
+            case "POST voters" -> mVoters.handle(requireParts(parts, 3, call), call, responder);
             default -> throw notFound(call);
         }
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.hemlockrack.consensus.ConsensusEvent;
+import org.hemlockrack.consensus.Membership;
 import org.hemlockrack.consensus.NodeOutputs;
 import org.hemlockrack.consensus.Packet;
 import org.hemlockrack.consensus.ProposalStatus;
@@ -47,6 +48,7 @@
     private volatile @Nullable InstanceId mLeader;
     private volatile Role mRole = Role.FOLLOWER;
     private volatile long mTerm;
+    private volatile Membership mMembership = Membership.NONE;
     private volatile boolean mFailed;
 
     private ReplicaService(
@@ -98,6 +100,11 @@
         return mTerm;
     }
 
+    /** Returns the members in force here, which are up to date on the leader only. */
+    public Membership membership() {
+        return mMembership;
+    }
+
     /** Takes a packet of another replica. */
     public void received(Packet packet) {
         post(new ConsensusEvent.Received(packet));
@@ -175,6 +182,7 @@
         }
         try {
             mNode.step(mLoop.nowNanos(), batch, mOutputs);
+            refreshMembership();
         } catch (RuntimeException e) {
             fail(e);
             return;
@@ -194,6 +202,11 @@
         mProposals.clear();
     }
 
+    /** Runs before a role or an outcome is published, so that nobody sees older members then. */
+    private void refreshMembership() {
+        mMembership = mNode.consensus().membership();
+    }
+
     private void arm() {
         if (mTimer != null) {
             mTimer.cancel(false);
@@ -222,6 +235,7 @@
 
         @Override
         public void ended(long ticket, ProposalStatus status, @Nullable InstanceId leader) {
+            refreshMembership();
             complete(ticket, ProposalOutcome.ended(status, leader));
         }
 
@@ -238,6 +252,7 @@
         @Override
         public void roleChanged(Role role, long term, @Nullable InstanceId leader) {
             boolean changed = leader == null ? mLeader != null : !leader.equals(mLeader);
+            refreshMembership();
             mRole = role;
             mTerm = term;
             mLeader = leader;
--- /dev/null
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/TestInstance.java
@@ -0,0 +1,213 @@
+package org.hemlockrack.daemon.operator;
+
+import com.codahale.metrics.MetricRegistry;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.hemlockrack.config.ConfigCommand;
+import org.hemlockrack.consensus.ConsensusSettings;
+import org.hemlockrack.consensus.LogStore;
+import org.hemlockrack.consensus.ReplicaNode;
+import org.hemlockrack.consensus.Role;
+import org.hemlockrack.daemon.config.ConfigService;
+import org.hemlockrack.daemon.fleet.Fleet;
+import org.hemlockrack.daemon.fleet.PeerNetwork;
+import org.hemlockrack.daemon.http.HeaderField;
+import org.hemlockrack.daemon.http.HttpCall;
+import org.hemlockrack.daemon.log.EventLog;
+import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.replica.Proposer;
+import org.hemlockrack.daemon.replica.ReplicaService;
+import org.hemlockrack.daemon.replica.VoterState;
+import org.hemlockrack.membership.ControlBudget;
+import org.hemlockrack.membership.InstanceInfo;
+import org.hemlockrack.membership.Membership;
+import org.hemlockrack.membership.MembershipInput;
+import org.hemlockrack.membership.MembershipOutput;
+import org.hemlockrack.membership.MembershipSettings;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.model.ZoneId;
+import org.jspecify.annotations.Nullable;
+
+/** The operator port of one instance without sockets; as a voter it is the only one. */
+final class TestInstance implements AutoCloseable {
+    static final InstanceId SELF = InstanceId.of("i1");
+    static final InstanceId PEER = InstanceId.of("i2");
+    static final String VOTER_ADDRESS = "192.0.2.1:7000";
+
+    private static final long BUDGET_BYTES = 1 << 20;
+
+    private final List<Throwable> mFaults = new ArrayList<>();
+    private final Loop mLoop = Loop.open("test", mFaults::add);
+    private final Loop mLogLoop = Loop.open("test-log", mFaults::add);
+    private final Membership mPeer = membership(PEER);
+    private final PeerNetwork mNetwork = PeerNetwork.create(SELF, (address, cause) -> {});
+    private final @Nullable ReplicaService mReplica;
+    private final Fleet mFleet;
+    private final ConfigService mConfig;
+    private final OperatorPort mPort;
+
+    private TestInstance(@Nullable Path folder) {
+        EventLog log = EventLog.create();
+        mFleet = onLoop(() -> Fleet.create(mLoop, info(SELF), membership(SELF), mNetwork));
+        mConfig = onLoop(() -> ConfigService.create(mLoop, mFleet, mNetwork, log));
+        VoterState state = folder == null ? null : VoterState.create(mLogLoop);
+        mReplica = state == null ? null : replica(folder, state, log);
+        Map<InstanceId, String> listed = Map.of(SELF, VOTER_ADDRESS);
+        Proposer proposer =
+                Proposer.create(
+                        mLoop, SELF, mReplica == null ? Map.of() : listed, mNetwork, mReplica);
+        VoterDirectory voters = VoterDirectory.of(listed);
+        ConfigCommands commands =
+                ConfigCommands.create(
+                        mLoop,
+                        mFleet,
+                        mConfig,
+                        proposer,
+                        state == null ? new NoHistory() : state,
+                        voters);
+        mPort =
+                OperatorPort.create(
+                        mFleet,
+                        mConfig,
+                        proposer,
+                        commands,
+                        VoterCommands.create(mLoop, mReplica, voters),
+                        PlatformPages.create(() -> true, new MetricRegistry()));
+    }
+
+    static TestInstance withoutLog() {
+        return new TestInstance(null);
+    }
+
+    static TestInstance leader(Path folder) throws InterruptedException {
+        TestInstance instance = new TestInstance(folder);
+        while (instance.mReplica.role() != Role.LEADER) {
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+        return instance;
+    }
+
+    private ReplicaService replica(Path folder, VoterState state, EventLog log) {
+        ReplicaNode node =
+                ReplicaNode.start(
+                        ConsensusSettings.of(SELF, List.of(SELF)),
+                        LogStore.open(folder, new Random(1)),
+                        state.replicated(),
+                        1_000,
+                        new Random(1),
+                        mLogLoop.nowNanos());
+        return ReplicaService.start(mLogLoop, node, packet -> {}, log, () -> publish(state));
+    }
+
+    private void publish(VoterState state) {
+        long version = state.configVersion();
+        var configuration = state.configuration();
+        if (version > 0) {
+            mLoop.execute(() -> mConfig.offer(version, configuration));
+        }
+    }
+
+    private static InstanceInfo info(InstanceId id) {
+        return new InstanceInfo(
+                id, ZoneId.of("a"), "r1", "127.0.0.1:" + (id.equals(SELF) ? 1 : 2), "127.0.0.1:3");
+    }
+
+    private static Membership membership(InstanceId id) {
+        long nowNanos = System.nanoTime();
+        return Membership.create(
+                new MembershipSettings(info(id), 1, List.of("127.0.0.1:1")),
+                ControlBudget.of(BUDGET_BYTES, nowNanos),
+                new Random(1),
+                nowNanos);
+    }
+
+    private <T> T onLoop(Supplier<T> task) {
+        return mLoop.submit(task).join();
+    }
+
+    /** Lets another instance report a version by its own gossip. */
+    void peerReports(long version) {
+        List<MembershipOutput> outputs = new ArrayList<>();
+        long nowNanos = System.nanoTime();
+        mPeer.onEvent(
+                nowNanos, new MembershipInput.SelfChanged(true, false, version), outputs::add);
+        mPeer.onTimer(Math.max(nowNanos, mPeer.nextTimerNanos()), outputs::add);
+        for (MembershipOutput output : outputs) {
+            if (output instanceof MembershipOutput.Send send) {
+                onLoop(() -> received(send));
+            }
+        }
+    }
+
+    private boolean received(MembershipOutput.Send send) {
+        mFleet.post(new MembershipInput.Received(PEER, send.payload()));
+        return true;
+    }
+
+    void awaitHeld(long version) throws InterruptedException {
+        while (mConfig.current().version() < version) {
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+    }
+
+    Optional<Long> peerVersion() {
+        return mFleet.view().member(PEER).map(member -> member.configVersion());
+    }
+
+    FakeResponder call(String method, String target, String body, HeaderField... headers) {
+        int mark = target.indexOf('?');
+        FakeResponder responder = new FakeResponder();
+        HttpCall call =
+                new HttpCall(
+                        method,
+                        mark < 0 ? target : target.substring(0, mark),
+                        mark < 0 ? null : target.substring(mark + 1),
+                        List.of(headers),
+                        body.getBytes(StandardCharsets.UTF_8));
+        mPort.handle(call, responder);
+        return responder;
+    }
+
+    FakeResponder.Answer ask(String method, String target) {
+        return call(method, target, "").await();
+    }
+
+    /** Runs everything that was handed to the loop before. */
+    void settle() {
+        CompletableFuture<Boolean> done = mLoop.submit(() -> true);
+        done.join();
+    }
+
+    @Override
+    public void close() {
+        if (mReplica != null) {
+            mReplica.close();
+        }
+        mNetwork.close();
+        mLoop.close();
+        mLogLoop.close();
+        if (!mFaults.isEmpty()) {
+            throw new AssertionError("a task failed", mFaults.get(0));
+        }
+    }
+
+    private static final class NoHistory implements ConfigCommands.HistorySource {
+        @Override
+        public @Nullable String historyJson() {
+            return null;
+        }
+
+        @Override
+        public Optional<ConfigCommands.DryRunResult> dryRun(ConfigCommand command) {
+            return Optional.empty();
+        }
+    }
+}
