Keep log lines of the graceful stop; log cut zones; explain CONFIG_INVALID

Cause: runs against a local fleet showed that i2.log ended without HR1002 and HR1003 after SIGTERM: the log manager of the JDK removes all handlers in its own shutdown hook. HR1302 and HR1303 were listed but nothing logged them. A patch with faults was refused with an empty message. Ruled out: stopping from a signal handler instead of a shutdown hook; the API for it is not part of the platform. Change: LastingLogManager keeps the handlers; ZoneWatch logs changes of the cut zones; the message of CONFIG_INVALID counts the faults.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -27,6 +27,7 @@
 import org.hemlockrack.daemon.entry.EntryService;
 import org.hemlockrack.daemon.fleet.Fleet;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
+import org.hemlockrack.daemon.fleet.ZoneWatch;
 import org.hemlockrack.daemon.http.CallHandler;
 import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.HttpClient;
@@ -294,6 +295,7 @@
         mConfig.onChange(this::configured);
         configured(mConfig.current());
         mFleet.onView(this::viewChanged);
+        mFleet.onView(ZoneWatch.of(mLog));
     }
 
     private void configured(ConfigService.Current current) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Main.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Main.java
@@ -6,6 +6,7 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
+import org.hemlockrack.daemon.log.LastingLogManager;
 import org.hemlockrack.daemon.log.LogFormat;
 import org.hemlockrack.daemon.settings.SettingKey;
 import org.hemlockrack.daemon.settings.Settings;
@@ -25,6 +26,7 @@
      * @throws InterruptedException if interrupted
      */
     public static void main(String[] args) throws InterruptedException {
+        LastingLogManager.use();
         ArgumentParser parser =
                 ArgumentParsers.newFor("hemlockrackd")
                         .build()
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/ConfigCommands.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/ConfigCommands.java
@@ -195,7 +195,7 @@
             ErrorKind kind = result.outcome().errorKind().get();
             ObjectNode error = json.putObject("error");
             error.put("kind", kind.name());
-            error.put("message", result.message());
+            error.put("message", message(result));
             error.put("ran", kind.runState().wireName());
         }
         ArrayNode faults = json.putArray("faults");
@@ -205,6 +205,11 @@
         return json;
     }
 
+    private static String message(ConfigResult result) {
+        boolean bare = result.message().isEmpty();
+        return bare ? "faults in the document: " + result.faults().size() : result.message();
+    }
+
     void history(HttpCall call, Responder responder) {
         String json = mHistory.historyJson();
         if (json == null) {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/OperatorPortTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/OperatorPortTest.java
@@ -93,6 +93,18 @@
         }
     }
 
+    /** Guards against a refusal with an empty message. */
+    @Test
+    void faultyChangeIsRefusedWithItsFaults() throws InterruptedException {
+        try (TestInstance instance = TestInstance.leader(mFolder)) {
+            acceptFirst(instance);
+            FakeResponder.Answer answer = instance.ask("POST", "/operator/v1/zones/d/out");
+            assertEquals("CONFIG_INVALID", answer.kind());
+            assertEquals("faults in the document: 1", answer.message());
+            assertEquals(1, answer.json().path("faults").size());
+        }
+    }
+
     @Test
     void zoneAndDrainAnswerWithTheVersion() throws InterruptedException {
         try (TestInstance instance = TestInstance.leader(mFolder)) {
