--- a/tools/local-fleet.sh
+++ b/tools/local-fleet.sh
@@ -94,25 +94,38 @@
     esac
 }
 
-stop_process() { # NAME SIGNAL
-    running "$1" || return 0
-    local pid time end=$((SECONDS + STOP_SECONDS))
-    read -r pid time < "$DIR/$1.pid"
-    kill "-$2" "$pid" 2> /dev/null || true
+signal() { # NAME SIGNAL
+    local pid time
+    if running "$1"; then
+        read -r pid time < "$DIR/$1.pid"
+        kill "-$2" "$pid" 2> /dev/null || true
+    fi
+}
+
+await_end() { # NAME
+    local end=$((SECONDS + STOP_SECONDS))
     while running "$1"; do
         if [ "$SECONDS" -ge "$end" ]; then
             echo "local-fleet: $1 did not stop; killing it" >&2
-            kill -KILL "$pid" 2> /dev/null || true
+            signal "$1" KILL
             end=$((SECONDS + STOP_SECONDS))
         fi
         sleep 0.1
     done
 }
 
-stop_all() {
+stop_process() { # NAME SIGNAL
+    signal "$1" "$2"
+    await_end "$1"
+}
+
+stop_all() { # SIGNAL
     local file
-    for file in "$DIR"/engine-*.pid "$DIR"/booking-*.pid "$DIR"/i?.pid; do
-        [ -f "$file" ] && stop_process "$(basename "$file" .pid)" "${1:-TERM}"
+    for file in "$DIR"/*.pid; do
+        [ -f "$file" ] && signal "$(basename "$file" .pid)" "$1"
+    done
+    for file in "$DIR"/*.pid; do
+        [ -f "$file" ] && await_end "$(basename "$file" .pid)"
     done
     return 0
 }
