--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Main.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Main.java
@@ -26,7 +26,7 @@
      * @throws InterruptedException if interrupted
      */
     public static void main(String[] args) throws InterruptedException {
-        LastingLogManager.use();
+        System.setProperty("java.util.logging.manager", LastingLogManager.class.getName());
         ArgumentParser parser =
                 ArgumentParsers.newFor("hemlockrackd")
                         .build()
