--- a/hemlockrack-core/src/test/java/org/hemlockrack/events/LogEventTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/events/LogEventTest.java
@@ -9,11 +9,13 @@
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.logging.Level;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 
 class LogEventTest {
     private static final Path PAGE = Path.of("..", "docs", "log-events.md");
+    private static final Path OPERATORS_PAGE = Path.of("..", "docs", "operators", "log-events.md");
 
     /** Guards against events that operators cannot look up. */
     @Test
@@ -29,6 +31,23 @@
         assertEquals(actual, documented);
     }
 
+    /** Guards against warnings that an operator finds no advice for. */
+    @Test
+    void operatorsPageCoversAllWarnings() throws IOException {
+        Set<String> documented =
+                Files.readAllLines(OPERATORS_PAGE).stream()
+                        .filter(line -> line.startsWith("| HR"))
+                        .map(line -> line.split("\\|"))
+                        .map(cells -> cells[1].trim() + " " + cells[2].trim())
+                        .collect(Collectors.toSet());
+        Set<String> actual =
+                Arrays.stream(LogEvent.values())
+                        .filter(event -> event.level().intValue() >= Level.WARNING.intValue())
+                        .map(event -> event.tag() + " " + event.level())
+                        .collect(Collectors.toSet());
+        assertEquals(actual, documented);
+    }
+
     /** Guards against two events under one number. */
     @Test
     void numbersAreUnique() {
