--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Main.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Main.java
@@ -37,6 +37,12 @@
         add(zone, "zone in", ZoneCommand.of("in"));
         add(top, "drain", DrainCommand.of("drain"));
         add(top, "undrain", DrainCommand.of("undrain"));
+        Subparsers rollout = group(top, "rollout", "move traffic between model versions");
+        add(rollout, "rollout start", new RolloutStartCommand());
+        add(rollout, "rollout status", new RolloutStatusCommand());
+        add(rollout, "rollout stop", new RolloutStopCommand());
+        Subparsers report = group(top, "report", "print reports");
+        add(report, "report burn", new ReportBurnCommand());
     }
 
     private static Subparsers group(Subparsers top, String name, String help) {
--- /dev/null
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/RolloutStopCommand.java
@@ -0,0 +1,54 @@
+package org.hemlockrack.cli;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+
+/** Stops a roll-out; all traffic returns to the version that was in use. */
+public final class RolloutStopCommand extends Command {
+    private String mService = "";
+    private String mModel = "";
+    private String mReason = "";
+
+    /**
+     * Sets what to stop.
+     *
+     * @param service the service
+     * @param model name of the model
+     * @return this command
+     */
+    public RolloutStopCommand setModel(String service, String model) {
+        mService = service;
+        mModel = model;
+        return this;
+    }
+
+    @Override
+    void declare(Subparser parser) {
+        parser.help("stop a roll-out and return to the version in use");
+        parser.addArgument("service");
+        parser.addArgument("model");
+        parser.addArgument("--reason").setDefault("").help("words for the history");
+    }
+
+    @Override
+    void take(Namespace options) {
+        setModel(options.getString("service"), options.getString("model"));
+        mReason = options.getString("reason");
+    }
+
+    @Override
+    public int call() {
+        String reason = URLEncoder.encode(mReason, StandardCharsets.UTF_8);
+        OperatorClient.Answer answer =
+                send(
+                        "DELETE",
+                        "/operator/v1/rollouts/" + mService + "/" + mModel + "?reason=" + reason);
+        if (answer.isError()) {
+            return refused(answer);
+        }
+        out().println(json() ? answer.body() : "stopped");
+        return EXIT_DONE;
+    }
+}
--- a/hemlockrack-core/src/main/java/org/hemlockrack/events/LogEvent.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/events/LogEvent.java
@@ -23,7 +23,8 @@
     CONFIG_IN_FORCE(1501, Level.INFO),
     CONFIG_UNKNOWN(1502, Level.WARNING),
     ROLLOUT_STAGE_CHANGED(1601, Level.INFO),
-    ROLLOUT_ROLLED_BACK(1602, Level.WARNING);
+    ROLLOUT_ROLLED_BACK(1602, Level.WARNING),
+    BURN_FILE_REFUSED(1701, Level.WARNING);
 
     private final int mNumber;
     private final Level mLevel;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -21,6 +21,7 @@
 import org.hemlockrack.consensus.LogStore;
 import org.hemlockrack.consensus.Packet;
 import org.hemlockrack.consensus.ReplicaNode;
+import org.hemlockrack.daemon.burn.BurnService;
 import org.hemlockrack.daemon.config.ConfigService;
 import org.hemlockrack.daemon.entry.CacheEventReader;
 import org.hemlockrack.daemon.entry.ClaimService;
@@ -38,12 +39,16 @@
 import org.hemlockrack.daemon.operator.ConfigCommands;
 import org.hemlockrack.daemon.operator.OperatorPort;
 import org.hemlockrack.daemon.operator.PlatformPages;
+import org.hemlockrack.daemon.operator.RolloutCommands;
 import org.hemlockrack.daemon.owner.ForwardedExchange;
 import org.hemlockrack.daemon.owner.OwnerService;
 import org.hemlockrack.daemon.peer.PeerServer;
 import org.hemlockrack.daemon.replica.Proposer;
 import org.hemlockrack.daemon.replica.ReplicaService;
 import org.hemlockrack.daemon.replica.VoterState;
+import org.hemlockrack.daemon.rollout.OrderService;
+import org.hemlockrack.daemon.rollout.RolloutLead;
+import org.hemlockrack.daemon.rollout.RolloutService;
 import org.hemlockrack.daemon.settings.SettingKey;
 import org.hemlockrack.daemon.settings.Settings;
 import org.hemlockrack.errors.ErrorKind;
@@ -58,6 +63,7 @@
 import org.hemlockrack.membership.MembershipView;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.placement.CacheEvent;
+import org.hemlockrack.rollout.Rollout;
 import org.hemlockrack.wire.Slice;
 import org.jspecify.annotations.Nullable;
 
@@ -88,9 +94,15 @@
     private OwnerService mOwner;
     private EntryService mEntry;
     private ClaimService mClaims;
+    private RolloutService mRollouts;
+    private OrderService mOrders;
+    private BurnService mBurn;
+    private volatile @Nullable RolloutLead mRolloutLead;
     private Proposer mProposer;
     private HttpPort mCallerPort;
     private HttpPort mOperatorPort;
+    private long mPublishedRollouts;
+    private volatile boolean mStarted;
     private volatile boolean mDraining;
     private volatile boolean mReady;
 
@@ -201,7 +213,7 @@
         mVoterState = state;
         mReplica =
                 ReplicaService.start(
-                        mLogLoop, node, this::send, mLog, () -> publish(state, published));
+                        mLogLoop, node, this::send, mLog, () -> published(state, published));
         closing(mReplica::close);
     }
 
@@ -218,6 +230,13 @@
         }
     }
 
+    private void published(VoterState state, AtomicLong version) {
+        publish(state, version);
+        if (mStarted) {
+            publishRollouts(state);
+        }
+    }
+
     private void publish(VoterState state, AtomicLong published) {
         long version = state.configVersion();
         if (version == published.get()) {
@@ -228,6 +247,20 @@
         mLoop.execute(() -> mConfig.offer(version, configuration));
     }
 
+    private void publishRollouts(VoterState state) {
+        List<Rollout> rollouts = state.rollouts().current();
+        long revision = rollouts.stream().mapToLong(Rollout::revision).max().orElse(0);
+        RolloutLead lead = mRolloutLead;
+        if (lead != null) {
+            lead.stateChanged();
+        }
+        if (revision == mPublishedRollouts) {
+            return;
+        }
+        mPublishedRollouts = revision;
+        mLoop.execute(() -> mRollouts.learn(rollouts));
+    }
+
     private void send(Packet packet) {
         String address = mSettings.voters().get(packet.to().instance());
         if (address != null) {
@@ -279,6 +312,20 @@
                         mFleet.self(),
                         AttemptSource.incarnation(System.currentTimeMillis(), mRandom));
         mClaims = ClaimService.create(mLoop, mFleet, mNetwork, mProposer, source);
+        long startMillis = System.currentTimeMillis();
+        mRollouts =
+                RolloutService.create(
+                        mLoop,
+                        mFleet,
+                        mNetwork,
+                        mProposer,
+                        mLog,
+                        startMillis,
+                        () -> mEntry.refreshCandidates(mFleet.view()));
+        mOrders =
+                OrderService.create(mLoop, mNetwork, mProposer, mSettings.voters(), commandClient);
+        mOwner.setListener(new OrderRights(mLoop, mOrders));
+        mBurn = BurnService.create(mLoop, mFleet, mNetwork, mConfig, mLog, mSettings.burnFile());
         mEntry =
                 EntryService.create(
                         mLoop,
@@ -287,11 +334,34 @@
                         client,
                         commandClient,
                         mClaims,
+                        mRollouts,
+                        new Observations(mFleet, mRollouts, mBurn),
                         mLog,
                         mFleet.self() + "-" + Long.toString(epoch, Character.MAX_RADIX) + "-");
         mConfig.onChange(this::configured);
         configured(mConfig.current());
         mFleet.onView(this::viewChanged);
+        startRolloutLead();
+    }
+
+    private void startRolloutLead() {
+        ReplicaService replica = mReplica;
+        VoterState state = mVoterState;
+        mStarted = true;
+        if (replica == null || state == null) {
+            return;
+        }
+        mLogLoop.execute(
+                () ->
+                        mRolloutLead =
+                                RolloutLead.create(
+                                        mLogLoop,
+                                        mFleet,
+                                        mNetwork,
+                                        replica,
+                                        state.rollouts(),
+                                        new SplittableRandom(mRandom.nextLong())));
+        mLogLoop.execute(() -> publishRollouts(state));
     }
 
     private void configured(ConfigService.Current current) {
@@ -345,11 +415,27 @@
                         "operators",
                         SettingKey.LISTEN_OPERATORS,
                         HttpLimits.internal(),
-                        OperatorPort.create(mFleet, mConfig, mProposer, commands, pages));
+                        OperatorPort.create(
+                                mFleet,
+                                mConfig,
+                                mProposer,
+                                commands,
+                                RolloutCommands.create(mProposer, mRollouts),
+                                mBurn,
+                                pages));
         PeerServer peers =
                 PeerServer.open(
                         mSettings.address(SettingKey.LISTEN_PEER),
-                        new PeerHandler(mLoop, mFleet, mConfig, mOwner, mClaims, mReplica, mLog));
+                        new PeerHandler(
+                                mLoop,
+                                mFleet,
+                                mConfig,
+                                mOwner,
+                                mClaims,
+                                mReplica,
+                                new PeerHandler.RolloutPeers(
+                                        mRollouts, mOrders, () -> mRolloutLead, mBurn),
+                                mLog));
         closing(peers::close);
     }
 
@@ -439,6 +525,7 @@
             mLog.log(LogEvent.DRAIN_TIMED_OUT, "%d requests were cut", left);
         }
         onLoop(() -> mFleet.post(new MembershipInput.Leave()));
+        onLoop(mBurn::save);
         pause(DRAIN_POLL_MILLIS);
         close();
         mLog.log(LogEvent.DAEMON_STOPPED, "instance %s", mSettings.instanceId());
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Observations.java
@@ -0,0 +1,59 @@
+package org.hemlockrack.daemon;
+
+import org.hemlockrack.burn.BurnFacts;
+import org.hemlockrack.burn.BurnSample;
+import org.hemlockrack.daemon.burn.BurnService;
+import org.hemlockrack.daemon.entry.CallerRequest;
+import org.hemlockrack.daemon.entry.RequestObserver;
+import org.hemlockrack.daemon.fleet.Fleet;
+import org.hemlockrack.daemon.rollout.RolloutService;
+import org.hemlockrack.membership.Backend;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.placement.Choice;
+import org.hemlockrack.rollout.EvidenceEvent;
+import org.hemlockrack.rollout.LoadLevel;
+import org.hemlockrack.rollout.Route;
+
+/** Passes what is seen of requests on to roll-outs and burn accounts. */
+final class Observations implements RequestObserver {
+    private final Fleet mFleet;
+    private final RolloutService mRollouts;
+    private final BurnService mBurn;
+
+    Observations(Fleet fleet, RolloutService rollouts, BurnService burn) {
+        mFleet = fleet;
+        mRollouts = rollouts;
+        mBurn = burn;
+    }
+
+    @Override
+    public void answered(CallerRequest request, Choice choice, long firstByteNanos) {
+        mRollouts.evidence(
+                new EvidenceEvent.Answered(
+                        choice.service(),
+                        choice.modelVersion(),
+                        new Route(request.workspace(), request.kind()),
+                        level(choice.backend()),
+                        firstByteNanos));
+    }
+
+    @Override
+    public void failed(CallerRequest request, Choice choice) {
+        mRollouts.evidence(
+                new EvidenceEvent.Failed(
+                        choice.service(),
+                        choice.modelVersion(),
+                        new Route(request.workspace(), request.kind()),
+                        level(choice.backend())));
+    }
+
+    private LoadLevel level(BackendId id) {
+        int limit = mFleet.view().backend(id).map(Backend::limit).orElse(1);
+        return LoadLevel.of((double) mFleet.inFlight(id) / Math.max(1, limit));
+    }
+
+    @Override
+    public void finished(CallerRequest request, BurnSample sample, BurnFacts facts) {
+        mBurn.count(request.workspace(), request.workspaceConfig().promise(), sample, facts);
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/OrderRights.java
@@ -0,0 +1,38 @@
+package org.hemlockrack.daemon;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.owner.Announcement;
+import org.hemlockrack.daemon.owner.OwnerService;
+import org.hemlockrack.daemon.rollout.OrderService;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.rollout.OrderEvent;
+
+/** Tells the order service which servers this instance may give orders to. */
+final class OrderRights implements OwnerService.OwnershipListener {
+    private final Loop mLoop;
+    private final OrderService mOrders;
+    private final Map<BackendId, Long> mSinceNanos = new HashMap<>();
+
+    OrderRights(Loop loop, OrderService orders) {
+        mLoop = loop;
+        mOrders = orders;
+    }
+
+    @Override
+    public void owned(Announcement announcement, long leaseEndNanos) {
+        // Admission began only after the earlier owner's right had ended.
+        long sinceNanos = mSinceNanos.computeIfAbsent(announcement.id(), id -> mLoop.nowNanos());
+        mOrders.owned(
+                new OrderEvent.Owned(
+                        announcement.id(), announcement.checksFencing(), sinceNanos, leaseEndNanos),
+                announcement.address());
+    }
+
+    @Override
+    public void disowned(BackendId backend) {
+        mSinceNanos.remove(backend);
+        mOrders.disowned(backend);
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/PeerHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/PeerHandler.java
@@ -1,11 +1,14 @@
 package org.hemlockrack.daemon;
 
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
 import org.hemlockrack.consensus.ConsensusCodec;
 import org.hemlockrack.consensus.ProposalStatus;
+import org.hemlockrack.daemon.burn.BurnService;
 import org.hemlockrack.daemon.config.ConfigService;
 import org.hemlockrack.daemon.entry.ClaimService;
 import org.hemlockrack.daemon.fleet.Fleet;
@@ -14,12 +17,17 @@
 import org.hemlockrack.daemon.owner.OwnerService;
 import org.hemlockrack.daemon.replica.ProposalOutcome;
 import org.hemlockrack.daemon.replica.ReplicaService;
+import org.hemlockrack.daemon.rollout.OrderService;
+import org.hemlockrack.daemon.rollout.RolloutLead;
+import org.hemlockrack.daemon.rollout.RolloutService;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.events.LogEvent;
 import org.hemlockrack.membership.MembershipInput;
 import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.rollout.Rollout;
 import org.hemlockrack.wire.ConfigReply;
 import org.hemlockrack.wire.Envelope;
+import org.hemlockrack.wire.OrderMessage;
 import org.hemlockrack.wire.Peer;
 import org.hemlockrack.wire.ProposeReply;
 import org.hemlockrack.wire.ProposeRequest;
@@ -36,6 +44,7 @@
     private final OwnerService mOwner;
     private final ClaimService mClaims;
     private final @Nullable ReplicaService mReplica;
+    private final RolloutPeers mRollouts;
     private final EventLog mLog;
 
     PeerHandler(
@@ -45,6 +54,7 @@
             OwnerService owner,
             ClaimService claims,
             @Nullable ReplicaService replica,
+            RolloutPeers rollouts,
             EventLog log) {
         mLoop = loop;
         mFleet = fleet;
@@ -52,6 +62,7 @@
         mOwner = owner;
         mClaims = claims;
         mReplica = replica;
+        mRollouts = rollouts;
         mLog = log;
     }
 
@@ -161,4 +172,39 @@
     public boolean abandoned(String attempt) {
         return mClaims.isAbandoned(attempt);
     }
+
+    /**
+     * What other instances ask about roll-outs and burn.
+     *
+     * @param service roll-outs known here
+     * @param orders orders to owned servers
+     * @param lead gives the controller once it runs on this voter
+     * @param burn burn accounts
+     */
+    record RolloutPeers(
+            RolloutService service,
+            OrderService orders,
+            Supplier<@Nullable RolloutLead> lead,
+            BurnService burn) {}
+
+    @Override
+    public ByteBuffer fetchRollouts() {
+        return ByteBuffer.wrap(Rollout.encode(mRollouts.service().known()));
+    }
+
+    @Override
+    public boolean order(OrderMessage message) {
+        return mRollouts.orders().take(message);
+    }
+
+    @Override
+    public boolean confirmOrder(OrderMessage message) {
+        RolloutLead lead = mRollouts.lead().get();
+        return lead != null && lead.confirms(message);
+    }
+
+    @Override
+    public ByteBuffer fetchBurn() {
+        return ByteBuffer.wrap(mRollouts.burn().encoded());
+    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.hemlockrack.admission.WaitMode;
 import org.hemlockrack.answers.AnswerEvent;
@@ -13,6 +14,8 @@
 import org.hemlockrack.answers.AnswerSettings;
 import org.hemlockrack.answers.AnswerTracker;
 import org.hemlockrack.answers.Header;
+import org.hemlockrack.burn.BurnFacts;
+import org.hemlockrack.burn.BurnSample;
 import org.hemlockrack.daemon.http.HeaderField;
 import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.Responder;
@@ -38,6 +41,8 @@
     /** Refusals by owners cost no engine work, so only the deadline bounds them. */
     private static final int MAX_ATTEMPTS = 1_000;
 
+    private static final int FIRST_SERVER_ERROR_STATUS = 500;
+
     /** Attempts that may have cost engine work. */
     private static final int MAX_RUNS = 3;
 
@@ -49,6 +54,7 @@
     private final CallerRequest mRequest;
     private final Responder mResponder;
     private final AnswerTracker mTracker;
+    private final RequestTimes mTimes = new RequestTimes(System.nanoTime());
     private final Set<BackendId> mExcluded = new HashSet<>();
     private final ByteArrayOutputStream mRecordedBody = new ByteArrayOutputStream();
 
@@ -65,6 +71,9 @@
     private long mRetryAfterMillis;
     private boolean mQueued;
     private boolean mClosed;
+    private boolean mComplete;
+    private boolean mCallerGone;
+    private volatile boolean mServerError;
 
     CallerExchange(EntryService service, Loop loop, CallerRequest request, Responder responder) {
         mService = service;
@@ -142,9 +151,12 @@
         mAttemptNumber++;
         String attemptId = mRequest.id() + "." + mAttemptNumber;
         int number = mAttemptNumber;
+        synchronized (this) {
+            mTimes.attemptStarted(mLoop.nowNanos());
+        }
         feed(new AnswerEvent.AttemptStarted(number, attemptId));
         WaitMode waitMode = mQueued ? WaitMode.MAY_QUEUE : WaitMode.TRY_ONLY;
-        HttpCall call = lastEventId == null ? mRequest.call() : resuming(lastEventId);
+        HttpCall call = attemptCall(mChoice, lastEventId);
         Optional<Attempt> attempt =
                 mService.attempt(
                         mRequest, call, mChoice, attemptId, waitMode, new Listener(number));
@@ -185,10 +197,13 @@
         return true;
     }
 
-    private HttpCall resuming(String lastEventId) {
+    private HttpCall attemptCall(Choice choice, @Nullable String lastEventId) {
         HttpCall call = mRequest.call();
         List<HeaderField> headers = new ArrayList<>(call.headers());
-        headers.add(HeaderField.of("Last-Event-ID", lastEventId));
+        headers.add(HeaderField.of(ForwardOrder.MODEL_VERSION, choice.modelVersion().version()));
+        if (lastEventId != null) {
+            headers.add(HeaderField.of("Last-Event-ID", lastEventId));
+        }
         return new HttpCall(call.method(), call.path(), call.query(), headers, call.body());
     }
 
@@ -283,6 +298,7 @@
     private void completed() {
         mLoop.execute(
                 () -> {
+                    mComplete = true;
                     if (mChoice != null) {
                         mService.served(mRequest, mChoice);
                     }
@@ -316,6 +332,7 @@
             return;
         }
         cancelAttempt();
+        noteFailure(cause);
         boolean free = RetryPolicy.of(cause) == RetryPolicy.REFUSED;
         if (!free) {
             mRuns++;
@@ -329,7 +346,21 @@
         nextAttempt(lastEventId);
     }
 
+    private void noteFirst(long firstNanos) {
+        if (mChoice != null) {
+            mService.observer().answered(mRequest, mChoice, firstNanos);
+        }
+    }
+
+    private void noteFailure(ErrorKind cause) {
+        boolean atBackend = cause.runState() != RunState.NOT_RUN;
+        if (atBackend && mChoice != null) {
+            mService.observer().failed(mRequest, mChoice);
+        }
+    }
+
     private void fail(AnswerOutput.Fail failed) {
+        noteFailure(failed.kind());
         String message = failed.message();
         if (failed.kind() == ErrorKind.NO_BACKEND) {
             message = String.format(ErrorText.NO_BACKEND, mRequest.service());
@@ -386,6 +417,7 @@
         if (mClosed) {
             return;
         }
+        mCallerGone = true;
         cancelAttempt();
         if (mTicket != null) {
             mTicket.unknown();
@@ -407,9 +439,32 @@
             return;
         }
         mClosed = true;
+        if (!mCallerGone) {
+            report();
+        }
         mService.closed(this);
     }
 
+    private void report() {
+        long nowNanos = mLoop.nowNanos();
+        BurnSample sample;
+        BurnFacts facts;
+        synchronized (this) {
+            sample = mTimes.sample(nowNanos, mComplete && !mServerError);
+            boolean atBackend = mChoice != null && sample.firstTokenMillis().isPresent();
+            facts =
+                    new BurnFacts(
+                            !atBackend && !mComplete,
+                            mChoice != null && mService.outOfZone(mRequest),
+                            false,
+                            mChoice != null && mService.isNew(mChoice),
+                            mTimes.waitedNanos(),
+                            mTimes.totalNanos(nowNanos),
+                            atBackend);
+        }
+        mService.observer().finished(mRequest, sample, facts);
+    }
+
     private void releaseHeld() {
         Attempt attempt = mAttempt;
         if (attempt == null) {
@@ -444,6 +499,10 @@
             for (HeaderField field : headers) {
                 copied.add(new Header(field.name(), field.value()));
             }
+            if (status >= FIRST_SERVER_ERROR_STATUS) {
+                mServerError = true;
+                mLoop.execute(() -> noteFailure(ErrorKind.BACKEND_FAILED));
+            }
             feed(new AnswerEvent.HeadReceived(mNumber, status, copied));
         }
 
@@ -452,8 +511,13 @@
             byte[] bytes = new byte[data.remaining()];
             data.get(bytes);
             feed(new AnswerEvent.BodyReceived(mNumber, bytes));
+            OptionalLong firstNanos;
             synchronized (CallerExchange.this) {
                 mHeldBytes += bytes.length;
+                firstNanos = mTimes.received(System.nanoTime());
+            }
+            if (firstNanos.isPresent() && !mServerError) {
+                mLoop.execute(() -> noteFirst(firstNanos.getAsLong()));
             }
             if (mResponder.queuedBytes() < UpstreamCall.WINDOW_BYTES) {
                 releaseHeld();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/Candidates.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/Candidates.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.ToIntFunction;
 import org.hemlockrack.config.Configuration;
+import org.hemlockrack.daemon.rollout.RolloutService;
 import org.hemlockrack.membership.Backend;
 import org.hemlockrack.membership.MembershipView;
 import org.hemlockrack.model.BackendId;
@@ -19,7 +20,10 @@
     private Candidates() {}
 
     static List<Candidate> of(
-            MembershipView view, Configuration configuration, ToIntFunction<BackendId> inFlight) {
+            MembershipView view,
+            Configuration configuration,
+            RolloutService rollouts,
+            ToIntFunction<BackendId> inFlight) {
         List<Candidate> candidates = new ArrayList<>();
         for (Backend backend : view.backends().values()) {
             List<ModelVersion> models = backend.models();
@@ -27,7 +31,7 @@
                 models = List.of(ModelVersion.of(backend.service().value(), NO_VERSION));
             }
             for (ModelVersion model : models) {
-                candidates.add(candidate(backend, model, configuration, inFlight));
+                candidates.add(candidate(backend, model, configuration, rollouts, inFlight));
             }
         }
         return candidates;
@@ -37,6 +41,7 @@
             Backend backend,
             ModelVersion model,
             Configuration configuration,
+            RolloutService rollouts,
             ToIntFunction<BackendId> inFlight) {
         return new Candidate(
                 backend.service(),
@@ -47,7 +52,7 @@
                 configuration.takesWork(backend.zone()),
                 state(backend),
                 Math.max(1, backend.limit()),
-                1,
+                rollouts.permittedShare(backend.service(), model),
                 inFlight.applyAsInt(backend.id()),
                 backend.limit(),
                 0,
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/EntryService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/EntryService.java
@@ -22,6 +22,7 @@
 import org.hemlockrack.daemon.owner.Attempt;
 import org.hemlockrack.daemon.owner.ForwardOrder;
 import org.hemlockrack.daemon.owner.OwnerService;
+import org.hemlockrack.daemon.rollout.RolloutService;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.membership.Backend;
@@ -52,6 +53,8 @@
     private final Map<ServiceId, RetryBudget> mBudgets = new HashMap<>();
     private final Set<CallerExchange> mOpen = new HashSet<>();
     private final ClaimGate mClaims;
+    private final RolloutService mRollouts;
+    private final RequestObserver mObserver;
 
     private WorkspaceLimiter mLimiter = WorkspaceLimiter.create(quota(1, 1));
     private volatile Configuration mConfiguration = Configuration.empty();
@@ -64,6 +67,8 @@
             HttpClient client,
             HttpClient commandClient,
             ClaimGate claims,
+            RolloutService rollouts,
+            RequestObserver observer,
             EventLog log,
             String idPrefix) {
         mLoop = loop;
@@ -72,6 +77,8 @@
         mClient = client;
         mCommandClient = commandClient;
         mClaims = claims;
+        mRollouts = rollouts;
+        mObserver = observer;
         mLog = log;
         mReader = new RequestReader(idPrefix);
     }
@@ -85,6 +92,8 @@
      * @param client client for idempotent requests
      * @param commandClient client that opens a connection for each request
      * @param claims decides whether a command with an idempotency key may run
+     * @param rollouts shares of versions
+     * @param observer learns how requests went
      * @param log the log
      * @param idPrefix differs between any two processes, to make request ids unique
      * @return the service
@@ -96,9 +105,21 @@
             HttpClient client,
             HttpClient commandClient,
             ClaimGate claims,
+            RolloutService rollouts,
+            RequestObserver observer,
             EventLog log,
             String idPrefix) {
-        return new EntryService(loop, fleet, owner, client, commandClient, claims, log, idPrefix);
+        return new EntryService(
+                loop,
+                fleet,
+                owner,
+                client,
+                commandClient,
+                claims,
+                rollouts,
+                observer,
+                log,
+                idPrefix);
     }
 
     private static WorkspaceLimiter.Quota quota(int maxConcurrent, double ratePerSecond) {
@@ -133,7 +154,8 @@
 
     /** Rebuilds the candidates for placement. */
     public void refreshCandidates(MembershipView view) {
-        mPlacement.update(mLoop.nowNanos(), Candidates.of(view, mConfiguration, mFleet::inFlight));
+        mPlacement.update(
+                mLoop.nowNanos(), Candidates.of(view, mConfiguration, mRollouts, mFleet::inFlight));
     }
 
     /** Corrects the chat table by what a backend server says about its cache. */
@@ -208,6 +230,28 @@
         return mClaims;
     }
 
+    RequestObserver observer() {
+        return mObserver;
+    }
+
+    boolean isNew(Choice choice) {
+        return mRollouts.isNew(choice.service(), choice.modelVersion());
+    }
+
+    /** Returns whether a zone that could serve the request is out of service or cut off. */
+    boolean outOfZone(CallerRequest request) {
+        MembershipView view = mFleet.view();
+        for (Backend backend : view.backends().values()) {
+            boolean out =
+                    !mConfiguration.takesWork(backend.zone())
+                            || view.zonesCut().contains(backend.zone());
+            if (out && backend.service().equals(request.service())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     EventLog log() {
         return mLog;
     }
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/RequestObserver.java
@@ -0,0 +1,34 @@
+package org.hemlockrack.daemon.entry;
+
+import org.hemlockrack.burn.BurnFacts;
+import org.hemlockrack.burn.BurnSample;
+import org.hemlockrack.placement.Choice;
+
+/** Learns how requests went. Called on the loop. */
+public interface RequestObserver {
+    /**
+     * A backend server sent the first bytes of an answer.
+     *
+     * @param request the request
+     * @param choice the server and version
+     * @param firstByteNanos time from the start of the attempt
+     */
+    void answered(CallerRequest request, Choice choice, long firstByteNanos);
+
+    /**
+     * A backend server failed a request.
+     *
+     * @param request the request
+     * @param choice the server and version
+     */
+    void failed(CallerRequest request, Choice choice);
+
+    /**
+     * A request is over.
+     *
+     * @param request the request
+     * @param sample its times
+     * @param facts what explains a missed promise
+     */
+    void finished(CallerRequest request, BurnSample sample, BurnFacts facts);
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/RequestReader.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/RequestReader.java
@@ -236,6 +236,7 @@
                     ForwardOrder.isInternal(field)
                             || field.is("Authorization")
                             || field.is(ForwardOrder.PLACEMENT_KEY)
+                            || field.is(ForwardOrder.MODEL_VERSION)
                             || field.is(ForwardOrder.REQUEST_ID);
             if (!dropped) {
                 kept.add(field);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/OperatorPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/OperatorPort.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.hemlockrack.daemon.burn.BurnService;
 import org.hemlockrack.daemon.config.ConfigService;
 import org.hemlockrack.daemon.fleet.Fleet;
 import org.hemlockrack.daemon.http.CallHandler;
@@ -26,6 +27,8 @@
     private final ConfigService mConfig;
     private final Proposer mProposer;
     private final ConfigCommands mCommands;
+    private final RolloutCommands mRollouts;
+    private final BurnService mBurn;
     private final PlatformPages mPages;
 
     private OperatorPort(
@@ -33,11 +36,15 @@
             ConfigService config,
             Proposer proposer,
             ConfigCommands commands,
+            RolloutCommands rollouts,
+            BurnService burn,
             PlatformPages pages) {
         mFleet = fleet;
         mConfig = config;
         mProposer = proposer;
         mCommands = commands;
+        mRollouts = rollouts;
+        mBurn = burn;
         mPages = pages;
     }
 
@@ -48,6 +55,8 @@
      * @param config the configuration in force
      * @param proposer brings commands to the log
      * @param commands configuration commands
+     * @param rollouts roll-out commands
+     * @param burn the burn report
      * @param pages health pages, served here too
      * @return the handler
      */
@@ -56,8 +65,10 @@
             ConfigService config,
             Proposer proposer,
             ConfigCommands commands,
+            RolloutCommands rollouts,
+            BurnService burn,
             PlatformPages pages) {
-        return new OperatorPort(fleet, config, proposer, commands, pages);
+        return new OperatorPort(fleet, config, proposer, commands, rollouts, burn, pages);
     }
 
     @Override
@@ -87,6 +98,10 @@
             case "GET backends" -> responder.sendJson(200, backends().toString());
             case "POST zones" -> mCommands.zone(requireParts(parts, 3, call), responder);
             case "POST instances" -> mCommands.drain(requireParts(parts, 3, call), responder);
+            case "GET rollouts" -> mRollouts.status(responder);
+            case "POST rollouts" -> mRollouts.start(call, responder);
+            case "DELETE rollouts" -> mRollouts.stop(requireParts(parts, 3, call), call, responder);
+            case "GET burn" -> mBurn.report(call, responder);
             default -> throw notFound(call);
         }
     }
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/RolloutCommands.java
@@ -0,0 +1,148 @@
+package org.hemlockrack.daemon.operator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.UUID;
+import org.hemlockrack.daemon.http.HttpCall;
+import org.hemlockrack.daemon.http.Responder;
+import org.hemlockrack.daemon.replica.ProposalOutcome;
+import org.hemlockrack.daemon.replica.Proposer;
+import org.hemlockrack.daemon.replica.StateSlice;
+import org.hemlockrack.daemon.rollout.RolloutService;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.errors.RunState;
+import org.hemlockrack.model.ModelVersion;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.rollout.Rollout;
+import org.hemlockrack.rollout.RolloutCommand;
+import org.hemlockrack.rollout.RolloutResult;
+
+/** Roll-outs asked for by operators. */
+public final class RolloutCommands {
+    private static final long PROPOSE_MILLIS = 5_000;
+    private static final double DEFAULT_FIRST_SHARE = 0.05;
+    private static final int STATUS_OK = 200;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final Proposer mProposer;
+    private final RolloutService mRollouts;
+
+    private RolloutCommands(Proposer proposer, RolloutService rollouts) {
+        mProposer = proposer;
+        mRollouts = rollouts;
+    }
+
+    /**
+     * Creates the commands.
+     *
+     * @param proposer brings commands to the log
+     * @param rollouts roll-outs known here
+     * @return the commands
+     */
+    public static RolloutCommands create(Proposer proposer, RolloutService rollouts) {
+        return new RolloutCommands(proposer, rollouts);
+    }
+
+    void start(HttpCall call, Responder responder) {
+        JsonNode body = parse(call.body());
+        long deadlineMillis = body.path("deadline_ms").asLong();
+        if (deadlineMillis <= 0) {
+            throw HemlockrackException.of(
+                    ErrorKind.BAD_REQUEST, "deadline_ms must be a number of milliseconds above 0");
+        }
+        String model = body.path("model").asText();
+        RolloutCommand.Start start =
+                new RolloutCommand.Start(
+                        requestId(call),
+                        author(call),
+                        ServiceId.of(body.path("service").asText()),
+                        ModelVersion.of(model, body.path("from").asText()),
+                        ModelVersion.of(model, body.path("to").asText()),
+                        System.currentTimeMillis() + deadlineMillis,
+                        body.path("first_share").asDouble(DEFAULT_FIRST_SHARE),
+                        body.path("complete_unjudged").asBoolean());
+        propose(start, responder);
+    }
+
+    private static JsonNode parse(byte[] body) {
+        try {
+            return JSON.readTree(body);
+        } catch (IOException e) {
+            throw HemlockrackException.of(ErrorKind.BAD_REQUEST, "the body is not JSON", e);
+        }
+    }
+
+    private static String requestId(HttpCall call) {
+        String id = call.header("X-Request-Id");
+        return id == null || id.isEmpty() ? UUID.randomUUID().toString() : id;
+    }
+
+    private static String author(HttpCall call) {
+        String author = call.header("X-Author");
+        return author == null ? "operator" : author;
+    }
+
+    void stop(String[] parts, HttpCall call, Responder responder) {
+        String reason = call.parameter("reason");
+        propose(
+                new RolloutCommand.Stop(
+                        requestId(call),
+                        author(call),
+                        ServiceId.of(parts[1]),
+                        parts[2],
+                        reason == null ? "" : reason),
+                responder);
+    }
+
+    private void propose(RolloutCommand command, Responder responder) {
+        mProposer
+                .propose(StateSlice.ROLLOUT.command(command.encode()), PROPOSE_MILLIS)
+                .thenAccept(outcome -> answer(outcome, responder));
+    }
+
+    private static void answer(ProposalOutcome outcome, Responder responder) {
+        byte[] bytes = outcome.result();
+        if (bytes == null) {
+            responder.sendError(
+                    ErrorKind.NO_QUORUM,
+                    RunState.UNKNOWN,
+                    "the command was not decided in time; resend it with the same X-Request-Id",
+                    1_000);
+            return;
+        }
+        RolloutResult result = RolloutResult.decode(bytes);
+        if (!result.outcome().accepted()) {
+            responder.sendError(
+                    result.outcome().errorKind(),
+                    RunState.NOT_RUN,
+                    result.outcome() + ": " + result.message(),
+                    0);
+            return;
+        }
+        responder.sendJson(STATUS_OK, "{\"rollout\":" + result.number() + "}");
+    }
+
+    void status(Responder responder) {
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        ArrayNode rows = json.putArray("rollouts");
+        for (Rollout rollout : mRollouts.known()) {
+            ObjectNode row = rows.addObject();
+            row.put("id", rollout.id());
+            row.put("service", rollout.service().value());
+            row.put("model", rollout.to().model());
+            row.put("from", rollout.from().version());
+            row.put("to", rollout.to().version());
+            row.put("status", rollout.status().name());
+            row.put("share", rollout.share());
+            row.put("deadline_ms", rollout.deadlineMillis());
+            row.put("reason", rollout.reason().name());
+            row.put("detail", rollout.detail());
+        }
+        responder.sendJson(STATUS_OK, json.toString());
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/ForwardOrder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/ForwardOrder.java
@@ -52,6 +52,9 @@
     /** Tells a model engine the key by which its cache events name the chat. */
     public static final String PLACEMENT_KEY = "X-Placement-Key";
 
+    /** Names the model version that a server with several loaded ones must use. */
+    public static final String MODEL_VERSION = "X-Model-Version";
+
     private static final String BACKEND = PREFIX + "Backend";
     private static final String WORKSPACE = PREFIX + "Workspace";
     private static final String PRIORITY = PREFIX + "Priority";
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnerService.java
@@ -61,9 +61,28 @@
         boolean takesWork(ZoneId zone);
     }
 
+    /** Learns which servers this instance may give orders to. */
+    public interface OwnershipListener {
+        /**
+         * The right to a server was renewed.
+         *
+         * @param announcement the server
+         * @param leaseEndNanos monotonic time at which the right ends
+         */
+        void owned(Announcement announcement, long leaseEndNanos);
+
+        /**
+         * The right to a server ended.
+         *
+         * @param backend the server
+         */
+        void disowned(BackendId backend);
+    }
+
     private final Loop mLoop;
     private final Fleet mFleet;
     private final Policy mPolicy;
+    private OwnershipListener mListener = new NoListener();
     private final HttpClient mClient;
     private final HttpClient mCommandClient;
     private final EventLog mLog;
@@ -124,6 +143,20 @@
         return service;
     }
 
+    /** Stands in until a listener is set. */
+    private static final class NoListener implements OwnershipListener {
+        @Override
+        public void owned(Announcement announcement, long leaseEndNanos) {}
+
+        @Override
+        public void disowned(BackendId backend) {}
+    }
+
+    /** Sets the listener. */
+    public void setListener(OwnershipListener listener) {
+        mListener = listener;
+    }
+
     /**
      * Answers an announcement. Safe for use from any thread.
      *
@@ -162,10 +195,19 @@
         if (backend.isOwner()) {
             // Published earlier, the server would attract requests that must still be refused.
             publish(backend);
+            mListener.owned(announcement, leaseEndNanos(announcement));
         }
         answer(backend, acknowledge, responder);
     }
 
+    /**
+     * Counts the longest flight of the announcement against the lease, to stay on the safe side.
+     */
+    private long leaseEndNanos(Announcement announcement) {
+        AdmissionSettings.Lease lease = mPolicy.settings(announcement).lease();
+        return mLoop.nowNanos() + lease.durationNanos() - lease.maxFlightNanos();
+    }
+
     private OwnedBackend open(Announcement first) {
         OwnedBackend backend =
                 OwnedBackend.create(
@@ -348,6 +390,9 @@
     void ownershipChanged(OwnedBackend backend, boolean owner) {
         BackendId id = backend.last().id();
         LogEvent event = owner ? LogEvent.BACKEND_OWNED : LogEvent.BACKEND_RELEASED;
+        if (!owner) {
+            mListener.disowned(id);
+        }
         mLog.log(event, "backend server %s at %s", id, backend.last().address());
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/VoterState.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/VoterState.java
@@ -17,6 +17,7 @@
 import org.hemlockrack.consensus.ReplicatedState;
 import org.hemlockrack.daemon.loop.Loop;
 import org.hemlockrack.daemon.operator.ConfigCommands;
+import org.hemlockrack.rollout.RolloutState;
 import org.jspecify.annotations.Nullable;
 
 /** The states that the log feeds on a voter. Confined to the loop of the log except as stated. */
@@ -25,11 +26,13 @@
     private final ConfigState mConfig = ConfigState.create();
     private final ClaimState mClaims =
             ClaimState.of(() -> ClaimLimits.of(mConfig.configuration().limits()));
+    private final RolloutState mRollouts = RolloutState.create();
     private final ReplicatedState mComposite =
             CompositeState.of(
                     Map.of(
                             StateSlice.CONFIG.code(), mConfig,
-                            StateSlice.CLAIMS.code(), mClaims));
+                            StateSlice.CLAIMS.code(), mClaims,
+                            StateSlice.ROLLOUT.code(), mRollouts));
 
     private VoterState(Loop loop) {
         mLoop = loop;
@@ -50,6 +53,11 @@
         return mComposite;
     }
 
+    /** Returns the roll-outs. */
+    public RolloutState rollouts() {
+        return mRollouts;
+    }
+
     /** Returns the configuration version. */
     public long configVersion() {
         return mConfig.version();
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/rollout/Orders.java
@@ -0,0 +1,31 @@
+package org.hemlockrack.daemon.rollout;
+
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.ModelVersion;
+import org.hemlockrack.rollout.Fence;
+import org.hemlockrack.rollout.Order;
+import org.hemlockrack.rollout.OrderKind;
+import org.hemlockrack.wire.OrderMessage;
+
+/** The wire form of orders. */
+final class Orders {
+    private Orders() {}
+
+    static OrderMessage toWire(Order order) {
+        OrderMessage message = new OrderMessage();
+        message.setFence(order.fence().value());
+        message.setLoad(order.kind() == OrderKind.LOAD);
+        message.setBackend(order.backend().value());
+        message.setModel(order.version().model());
+        message.setVersion(order.version().version());
+        return message;
+    }
+
+    static Order fromWire(OrderMessage message) {
+        return new Order(
+                Fence.of(message.getFence()),
+                message.isLoad() ? OrderKind.LOAD : OrderKind.UNLOAD,
+                BackendId.of(message.getBackend()),
+                ModelVersion.of(message.getModel(), message.getVersion()));
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
@@ -22,6 +22,7 @@
     PEERS_SEEDS("peers.seeds", ADDRESS_LIST, "", "ip:port list"),
     VOTER_DATA_FOLDER("voter.data_folder", PATH, "", "path"),
     VOTER_VOTERS("voter.voters", VOTER_LIST, "", "id=ip:port list"),
+    BURN_FILE("burn.file", PATH, "", "path"),
     LOG_FORMAT("log.format", CHOICE, "text", "text|json"),
     HTTP_MAX_BODY_BYTES("http.max_body_bytes", 1_048_576, 1_024, 67_108_864),
     HTTP_MAX_HEADER_COUNT("http.max_header_count", 100, 10, 1_000),
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
@@ -189,6 +189,12 @@
         return folder.isEmpty() ? null : Path.of(folder);
     }
 
+    /** Returns the file of the burn accounts, or null if none is kept. */
+    public @Nullable Path burnFile() {
+        String file = text(SettingKey.BURN_FILE);
+        return file.isEmpty() ? null : Path.of(file);
+    }
+
     /** Returns the listed voters and their peer addresses, in the order of the file. */
     public Map<InstanceId, String> voters() {
         Map<InstanceId, String> voters = new LinkedHashMap<>();
--- a/hemlockrack-wire/src/main/thrift/peer.thrift
+++ b/hemlockrack-wire/src/main/thrift/peer.thrift
@@ -47,10 +47,27 @@
   2: optional string document
 }
 
+/** An order of the roll-out controller to a backend server. */
+struct OrderMessage {
+  1: i64 fence,
+  2: bool load,
+  3: string backend,
+  4: string model,
+  5: string version
+}
+
 service Peer {
   oneway void deliver(1: list<Envelope> envelopes),
   ProposeReply propose(1: ProposeRequest request),
   ConfigReply fetchConfig(1: i64 haveVersion),
   /** Asks the holder of an attempt for a claimed key whether it abandoned the attempt without dispatch. */
-  bool abandoned(1: string attempt)
+  bool abandoned(1: string attempt),
+  /** The encoded roll-outs that the receiver knows. */
+  binary fetchRollouts(),
+  /** Gives an order to the owner of its server; false if it was refused at once. */
+  bool order(1: OrderMessage message),
+  /** Asks the leader whether an order is the newest of the controller in charge. */
+  bool confirmOrder(1: OrderMessage message),
+  /** The encoded burn accounts of the receiver. */
+  binary fetchBurn()
 }
