Add address routes, relays between instances and faults of the stand-in

Tests on real processes must cut single directions between instances. An advertised relay address cannot tell who connects, so peers.routes lets each instance connect to a given address in place of an advertised one; it also serves operators whose zones meet through tunnels. The stand-in can spoil answers (foreign or missing id, cut, late), and the status page tells whether the replica of the instance votes, so that a repair can be awaited.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -128,7 +128,8 @@
     private void start() {
         closing(mLogLoop::close);
         closing(mLoop::close);
-        mNetwork = PeerNetwork.create(mSettings.instanceId(), this::unreachable);
+        mNetwork =
+                PeerNetwork.create(mSettings.instanceId(), mSettings.routes(), this::unreachable);
         closing(mNetwork::close);
         onLoop(this::startFleet);
         startReplica();
@@ -199,7 +200,12 @@
         mVoterState = state;
         mReplica =
                 ReplicaService.start(
-                        mLogLoop, node, this::send, mLog, () -> publish(state, published));
+                        mLogLoop,
+                        store.recovered().meta().replicaId(),
+                        node,
+                        this::send,
+                        mLog,
+                        () -> publish(state, published));
         closing(mReplica::close);
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/EntryService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/EntryService.java
@@ -236,7 +236,7 @@
             return Optional.empty();
         }
         HttpClient client = request.kind().idempotent() ? mClient : mCommandClient;
-        String address = owner.get().info().forwardAddress();
+        String address = mFleet.forwardRoute(owner.get());
         return Optional.of(RemoteOwner.run(client, address, order, call, listener));
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/fleet/Fleet.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/fleet/Fleet.java
@@ -140,6 +140,11 @@
         return mMembership.inFlight(backend);
     }
 
+    /** Returns where to connect to forward requests to an instance. */
+    public String forwardRoute(Member member) {
+        return mNetwork.route(member.info().forwardAddress());
+    }
+
     /** Sends a handover to the next owner. */
     public void sendHandover(HandoverMessage message) {
         Optional<Member> to = mView.member(message.to());
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/fleet/PeerNetwork.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/fleet/PeerNetwork.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
@@ -26,14 +27,16 @@
     }
 
     private final InstanceId mSelf;
+    private final Map<String, String> mRoutes;
     private final UnreachableListener mListener;
     private final ConcurrentMap<String, PeerClient> mMessages = new ConcurrentHashMap<>();
 
     /** Calls that wait for a reply do not hold up gossip and consensus messages. */
     private final ConcurrentMap<String, PeerClient> mCalls = new ConcurrentHashMap<>();
 
-    private PeerNetwork(InstanceId self, UnreachableListener listener) {
+    private PeerNetwork(InstanceId self, Map<String, String> routes, UnreachableListener listener) {
         mSelf = self;
+        mRoutes = Map.copyOf(routes);
         mListener = listener;
     }
 
@@ -41,11 +44,23 @@
      * Creates the network.
      *
      * @param self this instance
+     * @param routes where to connect instead of an advertised address
      * @param listener told about unreachable addresses
      * @return the network
      */
-    public static PeerNetwork create(InstanceId self, UnreachableListener listener) {
-        return new PeerNetwork(self, listener);
+    public static PeerNetwork create(
+            InstanceId self, Map<String, String> routes, UnreachableListener listener) {
+        return new PeerNetwork(self, routes, listener);
+    }
+
+    /**
+     * Returns where to connect to reach an address.
+     *
+     * @param address {@code ip:port} as another instance advertises it
+     * @return the address of the route, or the same address if there is none
+     */
+    public String route(String address) {
+        return mRoutes.getOrDefault(address, address);
     }
 
     /**
@@ -79,7 +94,8 @@
 
     private PeerClient client(ConcurrentMap<String, PeerClient> clients, String address) {
         return clients.computeIfAbsent(
-                address, key -> PeerClient.create(key, cause -> mListener.unreachable(key, cause)));
+                address,
+                key -> PeerClient.create(route(key), cause -> mListener.unreachable(key, cause)));
     }
 
     @Override
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/Proposer.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/Proposer.java
@@ -66,6 +66,11 @@
         return mLocal == null ? mLeader : mLocal.leader();
     }
 
+    /** Returns whether the replica of this instance is a voter. */
+    public boolean voter() {
+        return mLocal != null && mLocal.voter();
+    }
+
     /**
      * Proposes a command and retries until a time.
      *
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -32,6 +32,7 @@
  */
 public final class ReplicaService implements AutoCloseable {
     private final Loop mLoop;
+    private final long mReplicaId;
     private final ReplicaNode mNode;
     private final Consumer<Packet> mTransport;
     private final EventLog mLog;
@@ -47,15 +48,18 @@
     private volatile @Nullable InstanceId mLeader;
     private volatile Role mRole = Role.FOLLOWER;
     private volatile long mTerm;
+    private volatile boolean mVoter;
     private volatile boolean mFailed;
 
     private ReplicaService(
             Loop loop,
+            long replicaId,
             ReplicaNode node,
             Consumer<Packet> transport,
             EventLog log,
             Runnable afterStep) {
         mLoop = loop;
+        mReplicaId = replicaId;
         mNode = node;
         mTransport = transport;
         mLog = log;
@@ -66,6 +70,7 @@
      * Starts driving a replica.
      *
      * @param loop loop of its own, because it waits for the disk
+     * @param replicaId id of the replica
      * @param node the replica
      * @param transport sends packets; must not block
      * @param log the log
@@ -74,11 +79,13 @@
      */
     public static ReplicaService start(
             Loop loop,
+            long replicaId,
             ReplicaNode node,
             Consumer<Packet> transport,
             EventLog log,
             Runnable afterStep) {
-        ReplicaService service = new ReplicaService(loop, node, transport, log, afterStep);
+        ReplicaService service =
+                new ReplicaService(loop, replicaId, node, transport, log, afterStep);
         service.schedule();
         return service;
     }
@@ -88,6 +95,11 @@
         return mLeader;
     }
 
+    /** Returns whether this replica, not only an earlier one of the instance, is a voter. */
+    public boolean voter() {
+        return mVoter;
+    }
+
     /** Returns the role of this replica. */
     public Role role() {
         return mRole;
@@ -179,6 +191,7 @@
             fail(e);
             return;
         }
+        mVoter = mNode.consensus().membership().isVoter(mReplicaId);
         mAfterStep.run();
         arm();
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
@@ -6,6 +6,7 @@
 import static org.hemlockrack.daemon.settings.SettingType.INTEGER;
 import static org.hemlockrack.daemon.settings.SettingType.NAME;
 import static org.hemlockrack.daemon.settings.SettingType.PATH;
+import static org.hemlockrack.daemon.settings.SettingType.ROUTE_LIST;
 import static org.hemlockrack.daemon.settings.SettingType.VOTER_LIST;
 
 import org.jspecify.annotations.Nullable;
@@ -20,6 +21,7 @@
     LISTEN_INTERNAL("listen.internal", ADDRESS, null, "ip:port"),
     LISTEN_PEER("listen.peer", ADDRESS, null, "ip:port"),
     PEERS_SEEDS("peers.seeds", ADDRESS_LIST, "", "ip:port list"),
+    PEERS_ROUTES("peers.routes", ROUTE_LIST, "", "ip:port=ip:port list"),
     VOTER_DATA_FOLDER("voter.data_folder", PATH, "", "path"),
     VOTER_VOTERS("voter.voters", VOTER_LIST, "", "id=ip:port list"),
     LOG_FORMAT("log.format", CHOICE, "text", "text|json"),
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingType.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingType.java
@@ -35,6 +35,13 @@
             return everyText(value, SettingType::isVoter);
         }
     },
+    /** A list of {@code ip:port=ip:port}. */
+    ROUTE_LIST {
+        @Override
+        boolean accepts(SettingKey key, JsonNode value) {
+            return everyText(value, SettingType::isRoute);
+        }
+    },
     /** A path of a folder or file. */
     PATH {
         @Override
@@ -87,6 +94,11 @@
         return eq > 0 && Names.isValid(text.substring(0, eq)) && isAddress(text.substring(eq + 1));
     }
 
+    private static boolean isRoute(String text) {
+        int eq = text.indexOf('=');
+        return eq > 0 && isAddress(text.substring(0, eq)) && isAddress(text.substring(eq + 1));
+    }
+
     private static boolean isAddress(String text) {
         int colon = text.lastIndexOf(':');
         if (colon <= 0 || !text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:]+\\]")) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
@@ -199,6 +199,16 @@
         return voters;
     }
 
+    /** Returns the addresses that stand for advertised addresses of other instances. */
+    public Map<String, String> routes() {
+        Map<String, String> routes = new LinkedHashMap<>();
+        for (String route : list(SettingKey.PEERS_ROUTES)) {
+            int eq = route.indexOf('=');
+            routes.put(route.substring(0, eq), route.substring(eq + 1));
+        }
+        return routes;
+    }
+
     /** Returns the limits of the caller port. */
     public HttpLimits callerLimits() {
         return new HttpLimits(
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Announcer.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Announcer.java
@@ -120,7 +120,7 @@
         body.put("incarnation", mIncarnation);
         body.put("sequence", mSequence);
         body.put("zone", mOptions.zone());
-        body.put("address", mServer.address());
+        body.put("address", mServer.advertised());
         body.put("service", mOptions.service());
         if (mOptions.kind().equals("model")) {
             ObjectNode model = body.putArray("models").addObject();
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/BackendOptions.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/BackendOptions.java
@@ -17,6 +17,7 @@
  * @param version version of the model
  * @param announceTo addresses of instances' backend ports
  * @param port port to listen on, 0 for a free one
+ * @param advertised address it announces, empty for the one it listens on
  * @param limit concurrent requests it states it can bear
  * @param tokenMillis time between two tokens
  * @param tokens tokens in an answer
@@ -34,6 +35,7 @@
         String version,
         List<String> announceTo,
         int port,
+        String advertised,
         int limit,
         int tokenMillis,
         int tokens,
@@ -58,6 +60,7 @@
         parser.addArgument("--model-version").setDefault("v1");
         parser.addArgument("--announce").nargs("+").required(true);
         parser.addArgument("--port").type(Integer.class).setDefault(0);
+        parser.addArgument("--advertise").setDefault("");
         parser.addArgument("--limit").type(Integer.class).setDefault(16);
         parser.addArgument("--token-ms").type(Integer.class).setDefault(5);
         parser.addArgument("--tokens").type(Integer.class).setDefault(8);
@@ -84,6 +87,7 @@
                 options.getString("model_version"),
                 options.getList("announce"),
                 options.getInt("port"),
+                options.getString("advertise"),
                 options.getInt("limit"),
                 options.getInt("token_ms"),
                 options.getInt("tokens"),
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/BackendServer.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/BackendServer.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
@@ -47,9 +48,26 @@
 
     private volatile String mVersion;
     private volatile double mErrorRate;
+    private volatile AnswerFault mFault = AnswerFault.NONE;
+    private volatile int mLateMillis;
+    private volatile String mLastRequestId = "none";
     private HttpPort mPort;
     private Announcer mAnnouncer;
 
+    /** How answers are spoiled; set by {@code POST /faults}. */
+    private enum AnswerFault {
+        /** Answers are right. */
+        NONE,
+        /** Answers carry the id of the request before. */
+        WRONG_ID,
+        /** Answers carry no id. */
+        NO_ID,
+        /** Answers end in the middle. */
+        CUT,
+        /** Answers start late. */
+        LATE
+    }
+
     private BackendServer(BackendOptions options) {
         mOptions = options;
         mVersion = options.version();
@@ -91,6 +109,11 @@
         return "127.0.0.1:" + mPort.address().getPort();
     }
 
+    /** Returns {@code ip:port} that the server announces. */
+    String advertised() {
+        return mOptions.advertised().isEmpty() ? address() : mOptions.advertised();
+    }
+
     int inFlight() {
         return mInFlight.get();
     }
@@ -110,8 +133,7 @@
             return;
         }
         if (path.equals("/faults") && call.method().equals("POST")) {
-            mErrorRate = Double.parseDouble(call.bodyText().trim());
-            responder.sendJson(200, "{}");
+            takeFault(call.bodyText().trim(), responder);
             return;
         }
         if (path.equals("/leave") && call.method().equals("POST")) {
@@ -127,6 +149,18 @@
         serve(call, responder);
     }
 
+    /** Takes a share of failed requests, or a mode and the milliseconds that it needs. */
+    private void takeFault(String text, Responder responder) {
+        if (text.matches("[01](\\.[0-9]+)?")) {
+            mErrorRate = Double.parseDouble(text);
+        } else {
+            String[] words = text.split(" ");
+            mLateMillis = words.length > 1 ? Integer.parseInt(words[1]) : 0;
+            mFault = AnswerFault.valueOf(words[0].toUpperCase(Locale.ROOT));
+        }
+        responder.sendJson(200, "{}");
+    }
+
     private ObjectNode stats() {
         ObjectNode stats = JSON.createObjectNode();
         stats.put("id", mOptions.id());
@@ -200,19 +234,42 @@
         ObjectNode answer = JSON.createObjectNode();
         answer.put("served_by", mOptions.id());
         answer.put("path", call.path());
+        answer.put("command", call.bodyText());
         answer.put("run", runs);
+        HeaderField identity = identity(call);
         mTimers.schedule(
                 () -> {
                     finish.run();
-                    responder.sendJson(200, answer.toString(), identity(call), served());
+                    sendPlain(responder, answer.toString(), identity);
                 },
-                mOptions.tokenMillis(),
+                mOptions.tokenMillis() + lateMillis(),
                 TimeUnit.MILLISECONDS);
     }
 
+    private void sendPlain(Responder responder, String json, HeaderField identity) {
+        if (mFault != AnswerFault.CUT) {
+            responder.sendJson(200, json, identity, served());
+            return;
+        }
+        byte[] bytes = json.getBytes(StandardCharsets.UTF_8);
+        responder.head(200, List.of(identity, served()), bytes.length);
+        responder.write(ByteBuffer.wrap(bytes, 0, bytes.length / 2));
+        responder.abort();
+    }
+
+    private int lateMillis() {
+        return mFault == AnswerFault.LATE ? mLateMillis : 0;
+    }
+
     private HeaderField identity(HttpCall call) {
-        String id = call.header("X-Request-Id");
-        return HeaderField.of("X-Request-Id", id == null ? "" : id);
+        String own = call.header("X-Request-Id") == null ? "" : call.header("X-Request-Id");
+        String before = mLastRequestId;
+        mLastRequestId = own;
+        return switch (mFault) {
+            case WRONG_ID -> HeaderField.of("X-Request-Id", before);
+            case NO_ID -> HeaderField.of("X-No-Request-Id", own);
+            default -> HeaderField.of("X-Request-Id", own);
+        };
     }
 
     private HeaderField served() {
@@ -239,11 +296,12 @@
         headers.add(served());
         headers.add(HeaderField.of("X-Cache", hit ? "hit" : "miss"));
         headers.add(HeaderField.of("X-Model-Version", mVersion));
-        long firstMillis = hit ? mOptions.tokenMillis() : mOptions.prefillMillis();
+        long firstMillis = (hit ? mOptions.tokenMillis() : mOptions.prefillMillis()) + lateMillis();
         int tokens = body.path("max_tokens").asInt(mOptions.tokens());
         if (body.path("stream").asBoolean()) {
             headers.add(HeaderField.of("Content-Type", "text/event-stream"));
-            TokenStream stream = new TokenStream(responder, finish, done, tokens);
+            TokenStream stream =
+                    new TokenStream(responder, finish, done, tokens, String.valueOf(chat));
             mTimers.schedule(
                     () -> {
                         responder.head(200, headers, Responder.UNKNOWN_LENGTH);
@@ -281,9 +339,12 @@
         private final Runnable mFinish;
         private final AtomicBoolean mDone;
         private final int mTokens;
+        private final String mChat;
         private int mSent;
 
-        TokenStream(Responder responder, Runnable finish, AtomicBoolean done, int tokens) {
+        TokenStream(
+                Responder responder, Runnable finish, AtomicBoolean done, int tokens, String chat) {
+            mChat = chat;
             mResponder = responder;
             mFinish = finish;
             mDone = done;
@@ -300,13 +361,20 @@
                 mResponder.end();
                 return;
             }
+            if (mFault == AnswerFault.CUT && mSent == mTokens / 2) {
+                mFinish.run();
+                mResponder.abort();
+                return;
+            }
             mSent++;
             write("id: " + mSent + "\ndata: " + chunk(mSent) + "\n\n");
             mTimers.schedule(this::next, mOptions.tokenMillis(), TimeUnit.MILLISECONDS);
         }
 
         private String chunk(int number) {
-            return "{\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,"
+            return "{\"object\":\"chat.completion.chunk\",\"chat\":\""
+                    + mChat
+                    + "\",\"choices\":[{\"index\":0,"
                     + "\"delta\":{\"content\":\"token"
                     + number
                     + " \"}}]}";
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Fleet.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Fleet.java
@@ -15,6 +15,8 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
+import org.hemlockrack.daemon.settings.Settings;
+import org.jspecify.annotations.Nullable;
 
 /** A fleet of real processes on loopback, for tests and benchmarks. */
 public final class Fleet implements AutoCloseable {
@@ -24,6 +26,9 @@
     private final Closer mCloser = Closer.create();
     private final Map<String, Instance> mInstances = new LinkedHashMap<>();
     private final Map<String, FleetProcess> mBackends = new LinkedHashMap<>();
+    private final Map<String, String> mBackendAddresses = new LinkedHashMap<>();
+    private final Map<String, Relay> mBackendRelays = new LinkedHashMap<>();
+    private @Nullable Links mLinks;
 
     /** One instance and its addresses. */
     public static final class Instance {
@@ -149,6 +154,60 @@
         return texts.stream().map(text -> '"' + text + '"').collect(Collectors.joining(", "));
     }
 
+    /** Puts relays between all planned instances, and before backend servers started later. */
+    public void link() {
+        Links links = Links.open(instances());
+        mCloser.register(links::close);
+        mLinks = links;
+    }
+
+    /**
+     * Returns the relays between instances.
+     *
+     * @throws IllegalStateException without {@link #link}
+     */
+    public Links links() {
+        if (mLinks == null) {
+            throw new IllegalStateException("the fleet has no relays");
+        }
+        return mLinks;
+    }
+
+    /**
+     * Returns the relay between owners and a backend server.
+     *
+     * @param id backend server id
+     * @return the relay
+     */
+    public Relay backendRelay(String id) {
+        return mBackendRelays.get(id);
+    }
+
+    /**
+     * Returns the own address of a backend server, for its pages.
+     *
+     * @param id backend server id
+     * @return {@code ip:port}
+     */
+    public String backendAddress(String id) {
+        return mBackendAddresses.get(id);
+    }
+
+    /**
+     * Ends an instance with SIGKILL, removes its data folder and starts it again.
+     *
+     * @param id instance id
+     */
+    public void replaceDisk(String id) {
+        mInstances.get(id).process().kill();
+        try {
+            deleteFolder(dataFolder(id));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        mInstances.get(id).process().restart();
+    }
+
     /**
      * Returns the data folder of a voter.
      *
@@ -179,6 +238,7 @@
                         peer = "%s"
                         [peers]
                         seeds = [%s]
+                        routes = [%s]
                         [voter]
                         data_folder = "%s"
                         voters = [%s]
@@ -191,6 +251,7 @@
                         instance.operators(),
                         instance.peer(),
                         seeds,
+                        mLinks == null ? "" : quoted(mLinks.routes(instance.id())),
                         folder,
                         voters,
                         more);
@@ -226,6 +287,7 @@
                 new ArrayList<>(
                         List.of("--id", id, "--zone", zone, "--service", service, "--kind", kind));
         args.addAll(List.of(more));
+        addAddress(id, args);
         args.add("--announce");
         mInstances.values().forEach(instance -> args.add(instance.internal()));
         FleetProcess process =
@@ -240,6 +302,19 @@
         return process;
     }
 
+    private void addAddress(String id, List<String> args) {
+        int port = freePorts(1)[0];
+        String address = "127.0.0.1:" + port;
+        args.addAll(List.of("--port", Integer.toString(port)));
+        mBackendAddresses.put(id, address);
+        if (mLinks != null) {
+            Relay relay = Relay.open(0, Settings.toAddress(address));
+            mCloser.register(relay::close);
+            mBackendRelays.put(id, relay);
+            args.addAll(List.of("--advertise", relay.address()));
+        }
+    }
+
     /**
      * Returns an instance.
      *
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/FleetClient.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/FleetClient.java
@@ -16,6 +16,7 @@
 /** A caller and operator of a test fleet. Safe for use from any thread. */
 public final class FleetClient {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long DEADLINE_MILLIS = 15_000;
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
     private final HttpClient mClient =
@@ -171,6 +172,19 @@
      * @return the whole answer
      */
     public Answer chat(String callers, String chat) {
+        return chat(callers, chat, DEADLINE_MILLIS, 8);
+    }
+
+    /**
+     * Sends a streamed chat request.
+     *
+     * @param callers caller address of an instance
+     * @param chat chat id
+     * @param deadlineMillis how long the caller waits
+     * @param tokens length of the answer
+     * @return the whole answer
+     */
+    public Answer chat(String callers, String chat, long deadlineMillis, int tokens) {
         return send(
                 callers,
                 "POST",
@@ -181,8 +195,10 @@
                         "X-Chat-Id",
                         chat,
                         "X-Deadline-Ms",
-                        "15000"),
-                "{\"model\":\"assistant\",\"stream\":true,\"messages\":"
+                        Long.toString(deadlineMillis)),
+                "{\"model\":\"assistant\",\"stream\":true,\"max_tokens\":"
+                        + tokens
+                        + ",\"messages\":"
                         + "[{\"role\":\"user\",\"content\":\"hello\"}]}");
     }
 
@@ -195,6 +211,19 @@
      * @return the answer
      */
     public Answer book(String callers, String key, String body) {
+        return book(callers, key, body, DEADLINE_MILLIS);
+    }
+
+    /**
+     * Sends a command of the bookings service.
+     *
+     * @param callers caller address of an instance
+     * @param key idempotency key
+     * @param body the body
+     * @param deadlineMillis how long the caller waits
+     * @return the answer
+     */
+    public Answer book(String callers, String key, String body, long deadlineMillis) {
         return send(
                 callers,
                 "POST",
@@ -205,7 +234,7 @@
                         "Idempotency-Key",
                         key,
                         "X-Deadline-Ms",
-                        "15000"),
+                        Long.toString(deadlineMillis)),
                 body);
     }
 }
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Relay.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Relay.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -61,8 +62,13 @@
 
     /** Passes new connections on again; the connections of the cut time are closed. */
     public void heal() {
+        if (!mCut) {
+            return;
+        }
+        List<Socket> old = List.copyOf(mSockets);
         mCut = false;
-        mSockets.forEach(Relay::closeQuietly);
+        old.forEach(Relay::closeQuietly);
+        old.forEach(mSockets::remove);
     }
 
     private void start(String name, Runnable task) {
