Report evidence at fixed times and keep a control share to the end

(1) Instances reported at once after a failure of the new version and sent cells with failures first, so the merged evidence had the failures before the answers that belong to them. (2) In the last stage the new version was compared with the old one of earlier stages, so an incident that hit both versions looked like a fault. Ruled out: a likelihood ratio on failures alone with the nominal share, which is valid for any reporting time but not where the versions differ in load. Change: reports at fixed times, cells in the order of their first requests, no urgent evidence; 5% of chats stay at the old version until completion; the reference of earlier stages is gone. A report of a fault is still sent at once.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/rollout/EvidenceCollector.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/rollout/EvidenceCollector.java
@@ -14,8 +14,7 @@
 
 /**
  * Compares the versions of running roll-outs on what this instance sees. On a fault it closes the
- * gate within the same call and reports the fault; otherwise it reports evidence, more often while
- * the new version fails or is slow.
+ * gate within the same call and reports the fault; otherwise it reports evidence at fixed times.
  */
 public final class EvidenceCollector implements Decider<EvidenceEvent, EvidenceOutput> {
     private final InstanceId mInstance;
--- a/hemlockrack-core/src/main/java/org/hemlockrack/rollout/Rollout.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/rollout/Rollout.java
@@ -48,7 +48,8 @@
 
     /** Returns the share of traffic that the new version may get, 0 to 1. */
     public double share() {
-        return status.share(Stages.share(stage, firstShare));
+        double running = Math.min(Stages.share(stage, firstShare), 1 - Stages.CONTROL_SHARE);
+        return status.share(running);
     }
 
     /** Returns whether it is running. */
--- a/hemlockrack-core/src/main/java/org/hemlockrack/rollout/RolloutSettings.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/rollout/RolloutSettings.java
@@ -9,7 +9,6 @@
  *     roll-out
  * @param fleetFalseAlarmRate largest probability that the merged evidence rolls back a good version
  * @param reportNanos time between two reports of an instance
- * @param urgentReportNanos time between two reports while the new version fails or is slow
  * @param minStageNanos shortest time in a stage
  * @param maxStageNanos longest time in a stage for which enough evidence was seen
  * @param minStageRequests requests of the new version after which a stage is judged
@@ -23,7 +22,6 @@
         double localFalseAlarmRate,
         double fleetFalseAlarmRate,
         long reportNanos,
-        long urgentReportNanos,
         long minStageNanos,
         long maxStageNanos,
         long minStageRequests,
@@ -32,8 +30,8 @@
         long loadTimeoutNanos,
         long loadEstimateNanos,
         long drainNanos) {
-    /** Keeps the reports of all instances below ten a second in the replicated log. */
-    private static final long REPORT_NANOS_PER_INSTANCE = TimeUnit.MILLISECONDS.toNanos(100);
+    /** Keeps the reports of all instances below 67 a second in the replicated log. */
+    private static final long REPORT_NANOS_PER_INSTANCE = TimeUnit.MILLISECONDS.toNanos(15);
 
     /**
      * Returns the usual settings.
@@ -48,7 +46,6 @@
                 1e-5,
                 1e-3,
                 reportNanos,
-                TimeUnit.MILLISECONDS.toNanos(500),
                 TimeUnit.SECONDS.toNanos(5),
                 TimeUnit.MINUTES.toNanos(10),
                 200,
--- a/hemlockrack-core/src/main/java/org/hemlockrack/rollout/Stages.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/rollout/Stages.java
@@ -8,6 +8,13 @@
     /** Share of traffic in stage 1 unless the operator states another. */
     public static final double DEFAULT_FIRST_SHARE = 0.05;
 
+    /**
+     * Share of traffic that stays at the old version until the roll-out has completed. Without it
+     * the last stage has nothing to compare with, and an incident that hits both versions would
+     * look like a fault of the new one.
+     */
+    public static final double CONTROL_SHARE = 0.05;
+
     private static final double[] SHARES = {0, 0, 0.10, 0.25, 0.50, 1.0};
 
     private Stages() {}
--- a/hemlockrack-core/src/main/java/org/hemlockrack/rollout/internal/EvidenceCodec.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/rollout/internal/EvidenceCodec.java
@@ -89,8 +89,7 @@
      * @return the struct
      */
     public static RolloutTableCellData toData(CellKey key, Cell cell) {
-        return new RolloutTableCellData(
-                toData(key, cell.stage()), toData(key, cell.window()), toData(cell.reference()));
+        return new RolloutTableCellData(toData(key, cell.stage()), toData(key, cell.window()));
     }
 
     /**
@@ -107,8 +106,7 @@
                 new CellKey(stage.route(), stage.level()),
                 Cell.of(
                         new Comparison(stage.newer(), stage.older()),
-                        new Comparison(window.newer(), window.older()),
-                        fromData(data.getReference())));
+                        new Comparison(window.newer(), window.older())));
     }
 
     private static RolloutCellData toData(CellKey key, Comparison pair) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/rollout/internal/FaultDetector.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/rollout/internal/FaultDetector.java
@@ -181,12 +181,10 @@
         return strata;
     }
 
-    private List<Comparison> comparisons(Collection<Cell> cells, boolean window) {
+    private static List<Comparison> comparisons(Collection<Cell> cells, boolean window) {
         List<Comparison> pairs = new ArrayList<>(cells.size());
         for (Cell cell : cells) {
-            Comparison pair = window ? cell.window() : cell.stage();
-            boolean alone = mStage == Stages.last();
-            pairs.add(alone ? new Comparison(pair.newer(), cell.reference()) : pair);
+            pairs.add(window ? cell.window() : cell.stage());
         }
         return pairs;
     }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/rollout/internal/LocalEvidence.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/rollout/internal/LocalEvidence.java
@@ -1,7 +1,7 @@
 package org.hemlockrack.rollout.internal;
 
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,10 +26,8 @@
     /** A fault is repeated this often until the roll-out has ended. */
     private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-    /** Answers of the old version between two updates of the bound of slow answers. */
-    private static final int SLOW_UPDATE_ANSWERS = 100;
-
-    private static final double SLOW_SHARE = 0.01;
+    /** Pause before the next report if not all cells fitted into one. */
+    private static final long BACKLOG_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private final InstanceId mInstance;
     private final long mIncarnation;
@@ -38,15 +36,13 @@
     private final EvidenceTable mTable = EvidenceTable.create();
     private final FaultDetector mDetector;
     private final Map<CellKey, Comparison> mPending = new LinkedHashMap<>();
-    private final VersionStats mOlder = VersionStats.create();
     private Rollout mRollout;
     private @Nullable CellKey mChanged;
     private @Nullable EvidenceReport mUnconfirmed;
     private @Nullable Finding mFault;
-    private boolean mUrgent;
+    private boolean mBacklog;
     private boolean mFlush;
     private long mReportedNanos;
-    private int mSlowBucket = VersionStats.BUCKETS;
 
     private LocalEvidence(
             Rollout rollout,
@@ -87,9 +83,9 @@
         return mRollout;
     }
 
-    /** Returns whether the next report is about a fault or a suspicion. */
+    /** Returns whether the next report is about a fault. */
     public boolean urgent() {
-        return mUrgent || mFault != null;
+        return mFault != null;
     }
 
     /**
@@ -101,14 +97,6 @@
     public void answered(long nowNanos, EvidenceEvent.Answered event) {
         VersionStats stats = VersionStats.create();
         stats.addAnswer(event.firstTokenNanos());
-        if (event.version().equals(mRollout.from())) {
-            mOlder.merge(stats);
-            if (mOlder.requests() % SLOW_UPDATE_ANSWERS == 0) {
-                updateSlowBucket();
-            }
-        } else if (VersionStats.bucket(event.firstTokenNanos()) > mSlowBucket) {
-            mUrgent = true;
-        }
         add(nowNanos, new CellKey(event.route(), event.level()), event.version(), stats);
     }
 
@@ -121,7 +109,6 @@
     public void failed(long nowNanos, EvidenceEvent.Failed event) {
         VersionStats stats = VersionStats.create();
         stats.addError();
-        mUrgent |= event.version().equals(mRollout.to());
         add(nowNanos, new CellKey(event.route(), event.level()), event.version(), stats);
     }
 
@@ -158,7 +145,7 @@
         mTable.nextStage();
         mPending.clear();
         mFlush = false;
-        mUrgent = false;
+        mBacklog = false;
     }
 
     /**
@@ -184,8 +171,7 @@
         if (mFault != null) {
             return mReportedNanos + RETRY_NANOS;
         }
-        long wait = mUrgent ? mSettings.urgentReportNanos() : mSettings.reportNanos();
-        return mReportedNanos + wait;
+        return mReportedNanos + (mBacklog ? BACKLOG_NANOS : mSettings.reportNanos());
     }
 
     /**
@@ -207,7 +193,6 @@
             if (cells.isEmpty()) {
                 return Optional.empty();
             }
-            mUrgent = false;
             mUnconfirmed =
                     new EvidenceReport(
                             mRollout.id(),
@@ -231,38 +216,29 @@
     }
 
     /**
-     * Takes the cells with the most failures and requests of the new version. Cells that it got no
-     * request in are kept back, since they compare nothing yet.
+     * Takes the cells in the order of their first requests. When and what is reported must not
+     * depend on the outcome of requests: early news of failures, with the answers still to come,
+     * would look like a higher failure rate. Cells without a request of the new version are kept
+     * back, since they compare nothing yet.
      */
     private List<EvidenceCell> takePending() {
-        List<CellKey> keys = new ArrayList<>();
-        mPending.forEach(
-                (key, pair) -> {
-                    if (pair.newer().requests() > 0) {
-                        keys.add(key);
-                    }
-                });
-        keys.sort(Comparator.comparingLong(this::weight).reversed());
         List<EvidenceCell> cells = new ArrayList<>();
-        for (CellKey key : keys.subList(0, Math.min(keys.size(), EvidenceReport.MAX_CELLS))) {
-            Comparison pair = mPending.remove(key);
+        mBacklog = false;
+        Iterator<Map.Entry<CellKey, Comparison>> each = mPending.entrySet().iterator();
+        while (each.hasNext()) {
+            Map.Entry<CellKey, Comparison> entry = each.next();
+            Comparison pair = entry.getValue();
+            if (pair.newer().requests() == 0) {
+                continue;
+            }
+            if (cells.size() == EvidenceReport.MAX_CELLS) {
+                mBacklog = true;
+                break;
+            }
+            CellKey key = entry.getKey();
             cells.add(new EvidenceCell(key.route(), key.level(), pair.newer(), pair.older()));
+            each.remove();
         }
         return cells;
     }
-
-    private long weight(CellKey key) {
-        VersionStats newer = mPending.get(key).newer();
-        return newer.requests() + VersionStats.BUCKETS * newer.errors();
-    }
-
-    private void updateSlowBucket() {
-        long[] atLeast = mOlder.atLeast();
-        int bucket = 0;
-        while (bucket < VersionStats.BUCKETS - 1
-                && atLeast[bucket] > SLOW_SHARE * mOlder.requests()) {
-            bucket++;
-        }
-        mSlowBucket = bucket;
-    }
 }
--- a/hemlockrack-wire/src/main/thrift/rollout.thrift
+++ b/hemlockrack-wire/src/main/thrift/rollout.thrift
@@ -133,7 +133,6 @@
 struct RolloutTableCellData {
     1: RolloutCellData stage
     2: RolloutCellData window
-    3: RolloutStatsData reference
 }
 
 struct RolloutEvidenceData {
