Limit what a slow or bad caller can take and answer in JSON

Cause: HttpCore's default server answers protocol errors in text or not at all, http.head_timeout_ms and http.body_timeout_ms had no effect, a caller that did not read held its stream until the idle timeout, each pipelined request ran at once without a bound, and a claimed command's answer was kept whole in memory. An answer without a body was reported as cancelled, because HttpCore releases it before end() is called.

Ruled out: filters of the bootstrap, which see no malformed head; a raw answer for every fault, which would overtake pipelined answers.

Change: RequestParser turns a bad head into a RefusedRequest that passes through the pipeline; BodyDecoder discards input after a refusal so that no reset takes the refusal away; ConnectionTable checks head, body, write and linger limits on a timer; RATE_LIMITED above http.max_connections, closed without an answer above an eighth (at least 16) more; at most 16 pipelined requests; 100-continue only for acceptable bodies; AnswerRecord bounds a command's answer to 4 MiB. Unread and queued answer bytes of an exchange no longer exceed the window.

The end of a command with too large an answer is tested at the record only, not over a whole instance.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
@@ -3,6 +3,22 @@
 /** Message texts of errors, with the placeholders of {@link String#format}. */
 public final class ErrorText {
     public static final String BODY_TOO_LARGE = "request body exceeds the limit of %d bytes";
+    public static final String BODY_TIMEOUT = "the request body was not complete within %d ms";
+    public static final String HEAD_TIMEOUT = "the request head was not complete within %d ms";
+    public static final String HTTP_CONNECTIONS = "more than %d connections are open";
+    public static final String HTTP_PIPELINED =
+            "more than %d requests of one connection are open at once";
+    public static final String HTTP_VERSION = "protocol version %s is not supported";
+    public static final String HTTP_HOST = "the request needs exactly one Host field";
+    public static final String HTTP_TWO_FRAMINGS =
+            "the request states both Content-Length and Transfer-Encoding";
+    public static final String HTTP_TRANSFER_ENCODING =
+            "the only allowed Transfer-Encoding is one chunked, in HTTP/1.1";
+    public static final String HTTP_CONTENT_LENGTH =
+            "the request needs at most one Content-Length, a whole number";
+    public static final String HTTP_EXPECT = "the only allowed Expect value is 100-continue";
+    public static final String ANSWER_RECORD_TOO_LARGE =
+            "the answer of the command exceeds %d bytes, so it cannot be recorded";
     public static final String UNKNOWN_KEY = "the bearer key does not belong to a workspace";
     public static final String NO_BACKEND = "no backend server can take work for service \"%s\"";
     public static final String ADMISSION_SETTING = "admission setting %s must be %s";
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/AnswerRecord.java
@@ -0,0 +1,60 @@
+package org.hemlockrack.daemon.entry;
+
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import org.hemlockrack.daemon.http.HeaderField;
+
+/** The answer of a claimed command, kept until its record is committed. Not thread-safe. */
+final class AnswerRecord {
+    /**
+     * Largest body. An instance with a heap of 256 MB can hold some tens of answers of this size.
+     */
+    static final int MAX_BODY_BYTES = 4 << 20;
+
+    private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+    private List<HeaderField> mHeaders = List.of();
+    private int mStatus;
+    private boolean mTooLarge;
+
+    private AnswerRecord() {}
+
+    static AnswerRecord create() {
+        return new AnswerRecord();
+    }
+
+    void head(int status, List<HeaderField> headers) {
+        mStatus = status;
+        mHeaders = List.copyOf(headers);
+    }
+
+    /**
+     * Adds body bytes.
+     *
+     * @param bytes the bytes
+     * @return false once, when the body becomes too large; its bytes are dropped from then on
+     */
+    boolean append(byte[] bytes) {
+        if (mTooLarge) {
+            return true;
+        }
+        if (mBody.size() + bytes.length > MAX_BODY_BYTES) {
+            mTooLarge = true;
+            mBody.reset();
+            return false;
+        }
+        mBody.writeBytes(bytes);
+        return true;
+    }
+
+    int status() {
+        return mStatus;
+    }
+
+    List<HeaderField> headers() {
+        return mHeaders;
+    }
+
+    byte[] body() {
+        return mBody.toByteArray();
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
@@ -1,6 +1,5 @@
 package org.hemlockrack.daemon.entry;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -16,7 +15,6 @@
 import org.hemlockrack.daemon.http.HeaderField;
 import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.Responder;
-import org.hemlockrack.daemon.http.UpstreamCall;
 import org.hemlockrack.daemon.loop.Loop;
 import org.hemlockrack.daemon.owner.AnswerListener;
 import org.hemlockrack.daemon.owner.Attempt;
@@ -50,7 +48,7 @@
     private final Responder mResponder;
     private final AnswerTracker mTracker;
     private final Set<BackendId> mExcluded = new HashSet<>();
-    private final ByteArrayOutputStream mRecordedBody = new ByteArrayOutputStream();
+    private final AnswerRecord mRecord = AnswerRecord.create();
 
     private ClaimGate.@Nullable Ticket mTicket;
     private volatile @Nullable Attempt mAttempt;
@@ -59,8 +57,6 @@
     private int mAttemptNumber;
     private int mRuns;
     private int mHeldBytes;
-    private int mRecordedStatus;
-    private List<HeaderField> mRecordedHeaders = List.of();
     private ErrorKind mLastRefusal = ErrorKind.NO_BACKEND;
     private long mRetryAfterMillis;
     private boolean mQueued;
@@ -219,7 +215,7 @@
             forwardHead(head);
         } else if (output instanceof AnswerOutput.ForwardBytes bytes) {
             if (mTicket != null) {
-                mRecordedBody.writeBytes(bytes.bytes());
+                record(bytes.bytes());
             } else {
                 mResponder.write(ByteBuffer.wrap(bytes.bytes()));
             }
@@ -231,6 +227,24 @@
         }
     }
 
+    private void record(byte[] bytes) {
+        if (!mRecord.append(bytes)) {
+            mLoop.execute(this::recordTooLarge);
+        }
+    }
+
+    /** Ends a command that has run and whose answer is too large to keep. */
+    private void recordTooLarge() {
+        if (mClosed) {
+            return;
+        }
+        cancelAttempt();
+        String message =
+                String.format(ErrorText.ANSWER_RECORD_TOO_LARGE, AnswerRecord.MAX_BODY_BYTES);
+        mResponder.sendError(ErrorKind.OUTCOME_UNKNOWN, RunState.UNKNOWN, message, 0);
+        ended(ErrorKind.OUTCOME_UNKNOWN, message);
+    }
+
     private void abort(AnswerOutput.Abort aborted) {
         if (mTicket != null) {
             // Nothing of a command's answer was passed on yet, so the caller can be told.
@@ -255,8 +269,7 @@
             }
         }
         if (mTicket != null) {
-            mRecordedStatus = head.status();
-            mRecordedHeaders = List.copyOf(headers);
+            mRecord.head(head.status(), headers);
             return;
         }
         headers.add(HeaderField.of(ForwardOrder.REQUEST_ID, mRequest.id()));
@@ -297,16 +310,19 @@
 
     /** A caller that saw the answer can repeat the command anywhere and gets the same answer. */
     private void recordThenAnswer(ClaimGate.Ticket ticket) {
+        if (mClosed) {
+            return;
+        }
         mTicket = null;
-        byte[] body = mRecordedBody.toByteArray();
-        List<HeaderField> headers = new ArrayList<>(mRecordedHeaders);
+        byte[] body = mRecord.body();
+        List<HeaderField> headers = new ArrayList<>(mRecord.headers());
         headers.add(HeaderField.of(ForwardOrder.REQUEST_ID, mRequest.id()));
         ticket.finished(
-                mRecordedStatus,
-                mRecordedHeaders,
+                mRecord.status(),
+                mRecord.headers(),
                 body,
                 () -> {
-                    mResponder.send(mRecordedStatus, headers, body);
+                    mResponder.send(mRecord.status(), headers, body);
                     close();
                 });
     }
@@ -417,8 +433,9 @@
         }
         int bytes;
         synchronized (this) {
-            bytes = mHeldBytes;
-            mHeldBytes = 0;
+            // Unreleased and queued bytes together never exceed the window.
+            bytes = Math.max(0, mHeldBytes - mResponder.queuedBytes());
+            mHeldBytes -= bytes;
         }
         if (bytes > 0) {
             attempt.release(bytes);
@@ -455,9 +472,7 @@
             synchronized (CallerExchange.this) {
                 mHeldBytes += bytes.length;
             }
-            if (mResponder.queuedBytes() < UpstreamCall.WINDOW_BYTES) {
-                releaseHeld();
-            }
+            releaseHeld();
         }
 
         @Override
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/BodyDecoder.java
@@ -0,0 +1,78 @@
+package org.hemlockrack.daemon.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
+import java.util.List;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.MalformedChunkCodingException;
+import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads a request body. After a malformed chunk, or from the start for a refused request, all input
+ * up to the end of the connection is discarded.
+ */
+final class BodyDecoder implements ContentDecoder {
+    private static final int SCRATCH_BYTES = 4 << 10;
+
+    private final @Nullable ContentDecoder mDecoder;
+    private final ReadableByteChannel mChannel;
+    private final SessionInputBuffer mBuffer;
+    private final ClientConnection mConnection;
+    private boolean mDiscarding;
+    private boolean mAtEnd;
+
+    BodyDecoder(
+            @Nullable ContentDecoder decoder,
+            ReadableByteChannel channel,
+            SessionInputBuffer buffer,
+            ClientConnection connection) {
+        mDecoder = decoder;
+        mChannel = channel;
+        mBuffer = buffer;
+        mConnection = connection;
+        mDiscarding = decoder == null;
+    }
+
+    @Override
+    public int read(ByteBuffer dst) throws IOException {
+        if (mDiscarding || mDecoder == null) {
+            discard();
+            return 0;
+        }
+        try {
+            return mDecoder.read(dst);
+        } catch (MalformedChunkCodingException | MessageConstraintException e) {
+            mDiscarding = true;
+            mConnection.bodyFault("malformed request body: " + e.getMessage());
+            discard();
+            return 0;
+        }
+    }
+
+    private void discard() throws IOException {
+        ByteBuffer scratch = ByteBuffer.allocate(SCRATCH_BYTES);
+        while (mBuffer.hasData()) {
+            scratch.clear();
+            mBuffer.read(scratch);
+        }
+        scratch.clear();
+        mAtEnd = mChannel.read(scratch) < 0;
+    }
+
+    @Override
+    public boolean isCompleted() {
+        if (mDiscarding || mDecoder == null) {
+            return mAtEnd;
+        }
+        return mDecoder.isCompleted();
+    }
+
+    @Override
+    public @Nullable List<? extends Header> getTrailers() {
+        return mDiscarding || mDecoder == null ? null : mDecoder.getTrailers();
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
@@ -5,8 +5,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.URIScheme;
-import org.apache.hc.core5.http.config.Http1Config;
-import org.apache.hc.core5.http.impl.bootstrap.AsyncServerBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
@@ -18,10 +16,12 @@
 /** A listening HTTP/1.1 port. */
 public final class HttpPort implements AutoCloseable {
     private final HttpAsyncServer mServer;
+    private final ConnectionTable mTable;
     private final InetSocketAddress mAddress;
 
-    private HttpPort(HttpAsyncServer server, InetSocketAddress address) {
+    private HttpPort(HttpAsyncServer server, ConnectionTable table, InetSocketAddress address) {
         mServer = server;
+        mTable = table;
         mAddress = address;
     }
 
@@ -38,25 +38,27 @@
      */
     public static HttpPort open(
             String name, InetSocketAddress address, HttpLimits limits, CallHandler handler) {
-        HttpAsyncServer server = bootstrap(limits, handler);
+        ConnectionTable table = ConnectionTable.start(name, limits);
+        HttpAsyncServer server = create(table, handler);
         server.start();
         try {
             ListenerEndpoint endpoint = server.listen(address, URIScheme.HTTP).get();
-            return new HttpPort(server, (InetSocketAddress) endpoint.getAddress());
+            return new HttpPort(server, table, (InetSocketAddress) endpoint.getAddress());
         } catch (ExecutionException e) {
-            server.close(CloseMode.IMMEDIATE);
+            closeQuietly(server, table);
             throw HemlockrackException.of(
                     ErrorKind.SETTINGS_INVALID,
                     String.format("port \"%s\" cannot listen on %s", name, address),
                     e.getCause());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            server.close(CloseMode.IMMEDIATE);
+            closeQuietly(server, table);
             throw HemlockrackException.of(ErrorKind.INTERNAL, "interrupted at start", e);
         }
     }
 
-    private static HttpAsyncServer bootstrap(HttpLimits limits, CallHandler handler) {
+    private static HttpAsyncServer create(ConnectionTable table, CallHandler handler) {
+        HttpLimits limits = table.limits();
         IOReactorConfig reactor =
                 IOReactorConfig.custom()
                         .setIoThreadCount(limits.ioThreads())
@@ -65,20 +67,20 @@
                         .setSoReuseAddress(true)
                         .setBacklogSize(1_024)
                         .build();
-        Http1Config http =
-                Http1Config.custom()
-                        .setMaxHeaderCount(limits.maxHeaderCount())
-                        .setMaxLineLength(limits.maxHeaderLineBytes())
-                        .build();
-        ConnectionLimiter limiter = ConnectionLimiter.of(limits);
-        return AsyncServerBootstrap.bootstrap()
-                .setIOReactorConfig(reactor)
-                .setHttp1Config(http)
-                .setIOSessionListener(limiter)
-                .setRequestRouter(
-                        (request, context) ->
-                                () -> new ServerExchange(handler, limits.maxBodyBytes()))
-                .create();
+        return new HttpAsyncServer(
+                new ServerConnections(handler, table),
+                reactor,
+                null,
+                null,
+                table,
+                null,
+                null,
+                null);
+    }
+
+    private static void closeQuietly(HttpAsyncServer server, ConnectionTable table) {
+        server.close(CloseMode.IMMEDIATE);
+        table.close();
     }
 
     /** Returns the bound address. */
@@ -99,6 +101,6 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        mServer.close(CloseMode.IMMEDIATE);
+        closeQuietly(mServer, mTable);
     }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
@@ -6,6 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -24,8 +25,12 @@
 
 /** One request and its answer on a server connection: collects the body, then writes the answer. */
 final class ServerExchange implements AsyncServerExchangeHandler, Responder {
+    private static final int CONTINUE_STATUS = 100;
+    private static final int NO_CONTENT_STATUS = 204;
+    private static final int NOT_MODIFIED_STATUS = 304;
+
     private final CallHandler mHandler;
-    private final int mMaxBodyBytes;
+    private final ClientConnection mConnection;
     private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
     private final Deque<ByteBuffer> mQueue = new ArrayDeque<>();
 
@@ -41,10 +46,15 @@
     private boolean mAborted;
     private boolean mReleased;
     private boolean mComplete;
+    private boolean mHeadOnly;
+    private boolean mBodyComplete;
+    private volatile boolean mClosing;
+    private long mBodyStartNanos;
+    private long mProgressNanos;
 
-    ServerExchange(CallHandler handler, int maxBodyBytes) {
+    ServerExchange(CallHandler handler, ClientConnection connection) {
         mHandler = handler;
-        mMaxBodyBytes = maxBodyBytes;
+        mConnection = connection;
     }
 
     @Override
@@ -52,25 +62,83 @@
             HttpRequest request,
             @Nullable EntityDetails entity,
             ResponseChannel responseChannel,
-            HttpContext context) {
+            HttpContext context)
+            throws HttpException, IOException {
         mRequest = request;
         mResponseChannel = responseChannel;
         mContext = context;
+        mHeadOnly = request.getMethod().equals("HEAD");
+        mConnection.opened(this);
         if (entity == null) {
+            mBodyComplete = true;
             dispatch();
             return;
         }
-        if (entity.getContentLength() > mMaxBodyBytes) {
+        mBodyStartNanos = System.nanoTime();
+        if (request instanceof RefusedRequest) {
+            dispatch();
+            return;
+        }
+        if (entity.getContentLength() > maxBodyBytes()) {
             refuseLargeBody();
+            return;
+        }
+        answerExpectation(request);
+    }
+
+    /** Tells a client that waits with its body to send it. */
+    private void answerExpectation(HttpRequest request) throws HttpException, IOException {
+        Header expect = request.getFirstHeader("Expect");
+        if (expect == null) {
+            return;
         }
+        if (!"100-continue".equalsIgnoreCase(expect.getValue())) {
+            refuseBody(ErrorKind.BAD_REQUEST, ErrorText.HTTP_EXPECT);
+            return;
+        }
+        mResponseChannel.sendInformation(new BasicHttpResponse(CONTINUE_STATUS), mContext);
+    }
+
+    private int maxBodyBytes() {
+        return mConnection.limits().maxBodyBytes();
     }
 
     private void refuseLargeBody() {
-        mHeadSent = false;
-        sendError(
-                ErrorKind.BODY_TOO_LARGE,
-                String.format(ErrorText.BODY_TOO_LARGE, mMaxBodyBytes),
-                0);
+        refuseBody(
+                ErrorKind.BODY_TOO_LARGE, String.format(ErrorText.BODY_TOO_LARGE, maxBodyBytes()));
+    }
+
+    /** Refuses a request whose body is not complete; the connection is closed afterwards. */
+    void refuseBody(ErrorKind kind, String message) {
+        sendError(kind, message, 0);
+    }
+
+    /** Acts on time limits that have passed. */
+    void check(long nowNanos) {
+        HttpLimits limits = mConnection.limits();
+        boolean bodyLate;
+        boolean stalled;
+        synchronized (this) {
+            bodyLate =
+                    !mBodyComplete && late(nowNanos, mBodyStartNanos, limits.bodyTimeoutMillis());
+            stalled =
+                    mOutput != null
+                            && mQueuedBytes > 0
+                            && late(nowNanos, mProgressNanos, limits.writeTimeoutMillis());
+        }
+        if (stalled) {
+            mConnection.closeNow();
+            return;
+        }
+        if (bodyLate) {
+            refuseBody(
+                    ErrorKind.REQUEST_TIMEOUT,
+                    String.format(ErrorText.BODY_TIMEOUT, limits.bodyTimeoutMillis()));
+        }
+    }
+
+    private static boolean late(long nowNanos, long sinceNanos, long timeoutMillis) {
+        return nowNanos - sinceNanos >= TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
     }
 
     @Override
@@ -80,11 +148,11 @@
 
     @Override
     public void consume(ByteBuffer src) {
-        if (mHeadSent) {
+        if (isHeadSent()) {
             src.position(src.limit());
             return;
         }
-        if (mBody.size() + src.remaining() > mMaxBodyBytes) {
+        if (mBody.size() + src.remaining() > maxBodyBytes()) {
             src.position(src.limit());
             refuseLargeBody();
             return;
@@ -96,11 +164,18 @@
 
     @Override
     public void streamEnd(@Nullable List<? extends Header> trailers) {
-        if (!mHeadSent) {
+        synchronized (this) {
+            mBodyComplete = true;
+        }
+        if (!isHeadSent()) {
             dispatch();
         }
     }
 
+    private synchronized boolean isHeadSent() {
+        return mHeadSent;
+    }
+
     private void dispatch() {
         HttpRequest request = mRequest;
         String target = request.getPath() == null ? "/" : request.getPath();
@@ -133,8 +208,17 @@
                 return;
             }
             mHeadSent = true;
+            if (!mBodyComplete) {
+                mClosing = true;
+                response.addHeader("Connection", "close");
+            }
+            // HttpCore releases an answer without a body before end() is called.
+            mComplete |= lengthBytes == 0 || mHeadOnly || isBodyless(status);
         }
         EntityDetails entity = lengthBytes == 0 ? null : new BasicEntityDetails(lengthBytes, null);
+        if (mClosing && entity == null) {
+            mConnection.linger();
+        }
         try {
             mResponseChannel.sendResponse(response, entity, mContext);
         } catch (IOException | HttpException e) {
@@ -142,6 +226,10 @@
         }
     }
 
+    private static boolean isBodyless(int status) {
+        return status == NO_CONTENT_STATUS || status == NOT_MODIFIED_STATUS;
+    }
+
     @Override
     public int write(ByteBuffer data) {
         DataStreamChannel output;
@@ -150,6 +238,9 @@
             if (mReleased) {
                 return 0;
             }
+            if (mQueuedBytes == 0) {
+                mProgressNanos = System.nanoTime();
+            }
             ByteBuffer copy = ByteBuffer.allocate(data.remaining());
             copy.put(data).flip();
             mQueue.add(copy);
@@ -223,8 +314,14 @@
         boolean aborted;
         DrainListener listener;
         synchronized (this) {
+            if (mOutput == null) {
+                mProgressNanos = System.nanoTime();
+            }
             mOutput = channel;
             written = writeQueued(channel);
+            if (written > 0) {
+                mProgressNanos = System.nanoTime();
+            }
             ended = mEnded && mQueue.isEmpty();
             aborted = mAborted;
             listener = mOnDrain;
@@ -240,6 +337,9 @@
             throw new IOException("answer cut short: the backend server did not complete it");
         }
         channel.endStream();
+        if (mClosing) {
+            mConnection.linger();
+        }
     }
 
     private int writeQueued(DataStreamChannel channel) throws IOException {
@@ -278,6 +378,7 @@
             mQueuedBytes = 0;
             action = mComplete ? null : mOnCancel;
         }
+        mConnection.closed(this);
         if (action != null) {
             action.run();
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
@@ -30,6 +30,7 @@
     HTTP_IDLE_TIMEOUT_MS("http.idle_timeout_ms", 180_000, 100, 3_600_000),
     HTTP_HEAD_TIMEOUT_MS("http.head_timeout_ms", 10_000, 100, 600_000),
     HTTP_BODY_TIMEOUT_MS("http.body_timeout_ms", 30_000, 100, 600_000),
+    HTTP_WRITE_TIMEOUT_MS("http.write_timeout_ms", 30_000, 100, 600_000),
     CONTROL_BUDGET_BYTES_PER_S("control.budget_bytes_per_s", 4_096, 512, 1_048_576),
     SHUTDOWN_DRAIN_TIMEOUT_MS("shutdown.drain_timeout_ms", 120_000, 0, 3_600_000);
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
@@ -208,6 +208,8 @@
                 (int) integer(SettingKey.HTTP_MAX_CONNECTIONS),
                 integer(SettingKey.HTTP_IDLE_TIMEOUT_MS),
                 integer(SettingKey.HTTP_HEAD_TIMEOUT_MS),
+                integer(SettingKey.HTTP_BODY_TIMEOUT_MS),
+                integer(SettingKey.HTTP_WRITE_TIMEOUT_MS),
                 CALLER_IO_THREADS);
     }
 
--- /dev/null
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/RawClient.java
@@ -0,0 +1,90 @@
+package org.hemlockrack.daemon.http;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+
+/** A caller that writes and reads bytes as they are. */
+final class RawClient implements AutoCloseable {
+    /** Guards against a test that hangs; no test waits for it to pass. */
+    private static final int READ_TIMEOUT_MILLIS = 60_000;
+
+    private final Socket mSocket = new Socket();
+
+    private RawClient() {}
+
+    static RawClient connect(HttpPort port) throws IOException {
+        return connect(port, 0);
+    }
+
+    static RawClient connect(HttpPort port, int receiveBufferBytes) throws IOException {
+        RawClient client = new RawClient();
+        if (receiveBufferBytes > 0) {
+            client.mSocket.setReceiveBufferSize(receiveBufferBytes);
+        }
+        client.mSocket.setSoTimeout(READ_TIMEOUT_MILLIS);
+        client.mSocket.setTcpNoDelay(true);
+        client.mSocket.connect(new InetSocketAddress("127.0.0.1", port.address().getPort()));
+        return client;
+    }
+
+    RawClient write(String text) throws IOException {
+        OutputStream out = mSocket.getOutputStream();
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+        return this;
+    }
+
+    /** Writes until the server closes the connection, at most so often. */
+    void writeUntilClosed(String text, int times) throws InterruptedException {
+        try {
+            for (int i = 0; i < times; i++) {
+                write(text);
+                Thread.sleep(1);
+            }
+        } catch (IOException ignored) {
+            // The server closed the connection, which the test expects.
+        }
+    }
+
+    /** Reads up to the end of the connection; a reset counts as the end. */
+    String readAll() throws IOException {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        byte[] buffer = new byte[4 << 10];
+        InputStream in = mSocket.getInputStream();
+        try {
+            int count = in.read(buffer);
+            while (count >= 0) {
+                all.write(buffer, 0, count);
+                count = in.read(buffer);
+            }
+        } catch (SocketException ignored) {
+            // The bytes before the reset are what the server sent.
+        }
+        return all.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Reads until the text read so far ends with a mark. */
+    String readUntil(String mark) throws IOException {
+        StringBuilder text = new StringBuilder();
+        InputStream in = mSocket.getInputStream();
+        while (text.indexOf(mark) < 0) {
+            int next = in.read();
+            if (next < 0) {
+                throw new IOException("the connection ended after: " + text);
+            }
+            text.append((char) next);
+        }
+        return text.toString();
+    }
+
+    @Override
+    public void close() throws IOException {
+        mSocket.close();
+    }
+}
