--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Announcer.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Announcer.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.URI;
@@ -123,9 +124,12 @@
         body.put("address", mServer.advertised());
         body.put("service", mOptions.service());
         if (mOptions.kind().equals("model")) {
-            ObjectNode model = body.putArray("models").addObject();
-            model.put("model", mOptions.model());
-            model.put("version", mServer.version());
+            ArrayNode models = body.putArray("models");
+            for (String version : mServer.versions()) {
+                ObjectNode model = models.addObject();
+                model.put("model", mOptions.model());
+                model.put("version", version);
+            }
         }
         body.put("limit", mOptions.limit());
         body.put("in_flight", mServer.inFlight());
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/BackendServer.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/BackendServer.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -46,7 +47,8 @@
     private final Map<String, Boolean> mCachedChats;
     private final List<String> mOrders = new ArrayList<>();
 
-    private volatile String mVersion;
+    private final Set<String> mVersions = ConcurrentHashMap.newKeySet();
+    private volatile String mFaultyVersion = "";
     private volatile double mErrorRate;
     private volatile AnswerFault mFault = AnswerFault.NONE;
     private volatile int mLateMillis;
@@ -70,7 +72,7 @@
 
     private BackendServer(BackendOptions options) {
         mOptions = options;
-        mVersion = options.version();
+        mVersions.add(options.version());
         mErrorRate = options.errorRate();
         mTimers = Executors.newScheduledThreadPool(2, task -> daemonThread(task, options.id()));
         mCachedChats =
@@ -122,8 +124,8 @@
         return mLeaving.get();
     }
 
-    String version() {
-        return mVersion;
+    Set<String> versions() {
+        return mVersions;
     }
 
     private void handle(HttpCall call, Responder responder) {
@@ -149,12 +151,16 @@
         serve(call, responder);
     }
 
-    /** Takes a share of failed requests, or a mode and the milliseconds that it needs. */
+    /**
+     * Takes a share of failed requests and optionally their version, or a mode and the milliseconds
+     * that it needs.
+     */
     private void takeFault(String text, Responder responder) {
-        if (text.matches("[01](\\.[0-9]+)?")) {
-            mErrorRate = Double.parseDouble(text);
+        String[] words = text.split(" ");
+        if (words[0].matches("[01](\\.[0-9]+)?")) {
+            mFaultyVersion = words.length > 1 ? words[1] : "";
+            mErrorRate = Double.parseDouble(words[0]);
         } else {
-            String[] words = text.split(" ");
             mLateMillis = words.length > 1 ? Integer.parseInt(words[1]) : 0;
             mFault = AnswerFault.valueOf(words[0].toUpperCase(Locale.ROOT));
         }
@@ -168,7 +174,7 @@
         stats.put("in_flight", mInFlight.get());
         stats.put("max_in_flight", mMaxInFlight.get());
         stats.put("cancelled", mCancelled.get());
-        stats.put("version", mVersion);
+        mVersions.forEach(stats.putArray("versions")::add);
         ObjectNode runs = stats.putObject("runs");
         mRunsByCommand.forEach(runs::put);
         synchronized (mOrders) {
@@ -177,6 +183,26 @@
         return stats;
     }
 
+    private void loadOrUnload(String kind, String version) {
+        if (kind.equals("unload")) {
+            mVersions.remove(version);
+        } else {
+            mVersions.add(version);
+        }
+        mAnnouncer.announceNow();
+    }
+
+    private String requestedVersion(HttpCall call) {
+        String version = call.header("X-Model-Version");
+        return version == null ? mOptions.version() : version;
+    }
+
+    private boolean isFaulty(HttpCall call) {
+        boolean concerned =
+                mFaultyVersion.isEmpty() || mFaultyVersion.equals(requestedVersion(call));
+        return concerned && Math.random() < mErrorRate;
+    }
+
     private void takeOrder(HttpCall call, Responder responder) {
         JsonNode order;
         try {
@@ -195,7 +221,7 @@
             mOrders.add(order.toString());
         }
         if (order.has("version")) {
-            mVersion = order.path("version").asText();
+            loadOrUnload(order.path("kind").asText(), order.path("version").asText());
         }
         responder.sendJson(200, "{\"fence\":" + highest + "}");
     }
@@ -216,7 +242,7 @@
                     mCancelled.incrementAndGet();
                     finish.run();
                 });
-        if (Math.random() < mErrorRate) {
+        if (isFaulty(call)) {
             finish.run();
             responder.sendJson(500, "{\"error\":\"injected fault\"}", identity(call));
             return;
@@ -295,7 +321,7 @@
         headers.add(identity(call));
         headers.add(served());
         headers.add(HeaderField.of("X-Cache", hit ? "hit" : "miss"));
-        headers.add(HeaderField.of("X-Model-Version", mVersion));
+        headers.add(HeaderField.of("X-Model-Version", requestedVersion(call)));
         long firstMillis = (hit ? mOptions.tokenMillis() : mOptions.prefillMillis()) + lateMillis();
         int tokens = body.path("max_tokens").asInt(mOptions.tokens());
         if (body.path("stream").asBoolean()) {
--- /dev/null
+++ b/hemlockrack-testing/src/test/java/org/hemlockrack/testing/FleetRolloutTest.java
@@ -0,0 +1,163 @@
+package org.hemlockrack.testing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Moves of traffic between model versions over real processes. */
+class FleetRolloutTest {
+    private static final int THREADS = 12;
+
+    private final Fleet mFleet = Fleet.create();
+    private final FleetClient mClient = FleetClient.create();
+    private final ExecutorService mCallers = Executors.newFixedThreadPool(THREADS);
+    private final AtomicInteger mNextChat = new AtomicInteger();
+
+    @BeforeEach
+    void start() {
+        mFleet.plan("i1", "a");
+        mFleet.plan("i2", "b");
+        mFleet.plan("i3", "c");
+        mFleet.startInstances(3, "");
+        String first = mClient.firstConfiguration();
+        mFleet.await(
+                "configuration",
+                30,
+                () -> mClient.patch(operators("i1"), 0, "first", first).status() == 200);
+        for (String zone : List.of("a", "b", "c")) {
+            mFleet.startBackend(
+                    "engine-" + zone,
+                    zone,
+                    "assistant",
+                    "model",
+                    "--tokens",
+                    "2",
+                    "--token-ms",
+                    "1",
+                    "--prefill-ms",
+                    "2",
+                    "--limit",
+                    "64");
+        }
+        mFleet.await(
+                "engines on every instance",
+                30,
+                () -> mFleet.instances().stream().allMatch(i -> engines(i.id()).size() == 3));
+    }
+
+    @AfterEach
+    void stop() {
+        mCallers.shutdownNow();
+        mFleet.close();
+    }
+
+    private String operators(String instance) {
+        return mFleet.instance(instance).operators();
+    }
+
+    private List<String> engines(String instance) {
+        List<String> addresses = new ArrayList<>();
+        for (JsonNode row : mClient.page(operators(instance), "backends").path("backends")) {
+            if (row.path("state").asText().equals("READY")) {
+                addresses.add(row.path("address").asText());
+            }
+        }
+        return addresses;
+    }
+
+    private void startRollout(double firstShare) {
+        String body =
+                String.format(
+                        "{\"service\":\"assistant\",\"model\":\"assistant\",\"from\":\"v1\","
+                                + "\"to\":\"v2\",\"deadline_ms\":300000,\"first_share\":%s}",
+                        firstShare);
+        FleetClient.Answer answer =
+                mClient.send(operators("i2"), "POST", "/operator/v1/rollouts", Map.of(), body);
+        assertEquals(200, answer.status(), answer.body());
+    }
+
+    private JsonNode rollout(String instance) {
+        return mClient.page(operators(instance), "rollouts").path("rollouts").path(0);
+    }
+
+    /** Sends chats over all instances and returns how many each version answered. */
+    private Map<String, Integer> chats(int count) throws Exception {
+        Map<String, Integer> byVersion = new ConcurrentHashMap<>();
+        List<Future<?>> all = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            all.add(
+                    mCallers.submit(
+                            () -> {
+                                int chat = mNextChat.incrementAndGet();
+                                String instance = "i" + (1 + chat % 3);
+                                FleetClient.Answer answer =
+                                        mClient.chat(
+                                                mFleet.instance(instance).callers(), "r" + chat);
+                                byVersion.merge(answer.header("X-Model-Version"), 1, Integer::sum);
+                            }));
+        }
+        for (Future<?> each : all) {
+            each.get();
+        }
+        return byVersion;
+    }
+
+    /** Guards against a good version that never gets its traffic, or a lost roll-out. */
+    @Test
+    void goodVersionGetsAllTraffic() throws Exception {
+        assertEquals(Map.of("v1", 30), chats(30));
+        startRollout(0.5);
+        long endNanos = System.nanoTime() + 90_000_000_000L;
+        while (!rollout("i1").path("status").asText().equals("COMPLETED")) {
+            chats(60);
+            assertTrue(System.nanoTime() - endNanos < 0, () -> "not completed: " + rollout("i1"));
+        }
+        mFleet.await(
+                "completion on every instance",
+                10,
+                () ->
+                        mFleet.instances().stream()
+                                .allMatch(
+                                        i ->
+                                                rollout(i.id())
+                                                        .path("status")
+                                                        .asText()
+                                                        .equals("COMPLETED")));
+        assertEquals(Map.of("v2", 30), chats(30));
+    }
+
+    /** Guards against a bad version that keeps getting traffic after its fault showed. */
+    @Test
+    void badVersionIsRolledBackAndGetsNoMoreTraffic() throws Exception {
+        for (String engine : engines("i1")) {
+            mClient.send(engine, "POST", "/faults", Map.of(), "1.0 v2");
+        }
+        startRollout(0.2);
+        long endNanos = System.nanoTime() + 60_000_000_000L;
+        while (!rollout("i3").path("status").asText().equals("ROLLED_BACK")) {
+            chats(30);
+            assertTrue(System.nanoTime() - endNanos < 0, () -> "not rolled back: " + rollout("i3"));
+        }
+        mFleet.await(
+                "rollback on every instance within the 2 s of the fleet",
+                2,
+                () ->
+                        mFleet.instances().stream()
+                                .allMatch(i -> rollout(i.id()).path("share").asDouble() == 0));
+        assertEquals(Map.of("v1", 60), chats(60));
+        assertFalse(rollout("i1").path("reason").asText().equals("NONE"));
+    }
+}
