Connect before asking for a request, and prove commands run at most once

Cause: HttpAsyncRequester.execute asks the exchange handler for the request before it connects. A refused connection to a killed owner therefore counted as sent, and the lease check of onSending ran up to a connect timeout before the send.

Ruled out: the relay (the peer relays of the same instance refused connections) and the retry of the tracker.

Change: HttpClient connects first and starts the exchange on the open connection. The stand-in no longer counts a refused announcement as a contact with an owner, and Relay refuses connections while its target does.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/answers/internal/ForwardingTracker.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/answers/internal/ForwardingTracker.java
@@ -351,7 +351,9 @@
         if (kind.runState() != RunState.NOT_RUN) {
             mRunState = RunState.UNKNOWN;
         }
-        if (!mKind.idempotent() || mAttempts >= mSettings.maxAttempts()) {
+        // A command that owners refused did not run, so another server or owner may take it.
+        boolean repeatable = mKind.idempotent() || mRunState == RunState.NOT_RUN;
+        if (!repeatable || mAttempts >= mSettings.maxAttempts()) {
             fail(kind, mMessage, out);
             return;
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
@@ -8,7 +8,6 @@
 import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
-import org.apache.hc.core5.http.protocol.HttpCoreContext;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.util.TimeValue;
@@ -101,7 +100,9 @@
             request.addHeader("Connection", "close");
         }
         UpstreamCall call = new UpstreamCall(request, body, listener, mSessions);
-        mRequester.execute(host, call.handler(), null, mConnectTimeout, HttpCoreContext.create());
+        // HttpAsyncRequester.execute asks for the request before it connects, so a refused
+        // connection would count as sent and a lease could end between the check and the send.
+        mRequester.connect(host, mConnectTimeout, null, call.onConnected());
         return call;
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamCall.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamCall.java
@@ -3,12 +3,14 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
+import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
 import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
 import org.apache.hc.core5.http.nio.CapacityChannel;
 import org.apache.hc.core5.http.nio.DataStreamChannel;
@@ -28,6 +30,7 @@
     private final SessionRegistry mSessions;
     private final Handler mHandler = new Handler();
 
+    private volatile @Nullable AsyncClientEndpoint mEndpoint;
     private @Nullable CapacityChannel mCapacity;
     private @Nullable HttpContext mContext;
     private int mReleasedBytes = WINDOW_BYTES;
@@ -45,8 +48,39 @@
         mListener = listener;
     }
 
-    AsyncClientExchangeHandler handler() {
-        return mHandler;
+    /** Returns what sends the request once there is a connection. */
+    FutureCallback<AsyncClientEndpoint> onConnected() {
+        return new FutureCallback<>() {
+            @Override
+            public void completed(AsyncClientEndpoint endpoint) {
+                mEndpoint = endpoint;
+                endpoint.execute(mHandler, HttpCoreContext.create());
+            }
+
+            @Override
+            public void failed(Exception cause) {
+                mHandler.failed(cause);
+            }
+
+            @Override
+            public void cancelled() {
+                mHandler.cancel();
+            }
+        };
+    }
+
+    private void reuseEndpoint() {
+        AsyncClientEndpoint endpoint = mEndpoint;
+        if (endpoint != null) {
+            endpoint.releaseAndReuse();
+        }
+    }
+
+    private void discardEndpoint() {
+        AsyncClientEndpoint endpoint = mEndpoint;
+        if (endpoint != null) {
+            endpoint.releaseAndDiscard();
+        }
     }
 
     /**
@@ -137,6 +171,9 @@
         @Override
         public void consumeResponse(
                 HttpResponse response, @Nullable EntityDetails entity, HttpContext context) {
+            if (entity == null) {
+                reuseEndpoint();
+            }
             if (isDone()) {
                 return;
             }
@@ -171,6 +208,7 @@
 
         @Override
         public void streamEnd(@Nullable List<? extends Header> trailers) {
+            reuseEndpoint();
             if (finish()) {
                 mListener.onEnd();
             }
@@ -183,6 +221,7 @@
 
         @Override
         public void failed(Exception cause) {
+            discardEndpoint();
             if (finish()) {
                 mListener.onFailed(cause, mSending);
             }
@@ -190,6 +229,7 @@
 
         @Override
         public void releaseResources() {
+            discardEndpoint();
             failed(new IOException("the connection was closed before the answer was complete"));
         }
     }
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Announcer.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Announcer.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -104,14 +105,21 @@
         }
         mSequence++;
         String body = body(target).toString();
-        mCurrent = new Contact(target, System.nanoTime(), mSequence);
         HttpRequest request =
                 HttpRequest.newBuilder(URI.create("http://" + target + "/backend/v1/announce"))
                         .timeout(TIMEOUT)
                         .header("Content-Type", "application/json")
                         .POST(HttpRequest.BodyPublishers.ofString(body))
                         .build();
-        return mClient.send(request, HttpResponse.BodyHandlers.ofString());
+        Contact before = mCurrent;
+        mCurrent = new Contact(target, System.nanoTime(), mSequence);
+        try {
+            return mClient.send(request, HttpResponse.BodyHandlers.ofString());
+        } catch (ConnectException e) {
+            // A refused connection gave nobody the right to admit.
+            mCurrent = before;
+            throw e;
+        }
     }
 
     private ObjectNode body(String target) {
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Relay.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Relay.java
@@ -1,5 +1,6 @@
 package org.hemlockrack.testing;
 
+import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -15,18 +16,24 @@
 /**
  * Passes TCP connections to another port, until it is cut: then it swallows all bytes of open
  * connections silently and accepts new ones without an answer, like a network that loses packets.
+ * While nothing listens at the target, it does not listen either, so that callers are refused as
+ * they would be without a relay; only the connection that finds this out is accepted and closed.
  */
 public final class Relay implements AutoCloseable {
     private static final int BUFFER_BYTES = 16 << 10;
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final long TARGET_POLL_MILLIS = 20;
 
-    private final ServerSocket mServer;
+    private final InetSocketAddress mAddress;
     private final InetSocketAddress mTarget;
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
+    private volatile ServerSocket mServer;
     private volatile boolean mCut;
+    private volatile boolean mClosed;
 
     private Relay(ServerSocket server, InetSocketAddress target) {
         mServer = server;
+        mAddress = (InetSocketAddress) server.getLocalSocketAddress();
         mTarget = target;
     }
 
@@ -39,20 +46,26 @@
      */
     public static Relay open(int port, InetSocketAddress target) {
         try {
-            ServerSocket server = new ServerSocket();
-            server.setReuseAddress(true);
-            server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            ServerSocket server =
+                    listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
             Relay relay = new Relay(server, target);
-            relay.start("relay-" + server.getLocalPort(), relay::accept);
+            relay.start("relay-" + server.getLocalPort(), () -> relay.accept(server));
             return relay;
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
+    private static ServerSocket listen(InetSocketAddress address) throws IOException {
+        ServerSocket server = new ServerSocket();
+        server.setReuseAddress(true);
+        server.bind(address);
+        return server;
+    }
+
     /** Returns {@code ip:port} of the relay. */
     public String address() {
-        return "127.0.0.1:" + mServer.getLocalPort();
+        return "127.0.0.1:" + mAddress.getPort();
     }
 
     /** Loses everything from now on. */
@@ -77,15 +90,55 @@
         thread.start();
     }
 
-    private void accept() {
-        while (!mServer.isClosed()) {
+    private void accept(ServerSocket server) {
+        while (!server.isClosed()) {
             try {
-                Socket client = mServer.accept();
+                Socket client = server.accept();
                 mSockets.add(client);
                 start("relay-connect", () -> connect(client));
             } catch (IOException ignored) {
-                // The relay was closed; the loop ends.
+                // The server socket was closed; the loop ends.
+            }
+        }
+    }
+
+    /** Stops listening until the target listens again. */
+    private void refuse() {
+        synchronized (this) {
+            if (mServer.isClosed()) {
+                return;
             }
+            closeQuietly(mServer);
+        }
+        while (!mClosed && !targetListens()) {
+            Fleet.pause(TARGET_POLL_MILLIS);
+        }
+        while (!mClosed && !listenAgain()) {
+            Fleet.pause(TARGET_POLL_MILLIS);
+        }
+    }
+
+    private boolean targetListens() {
+        try (Socket probe = new Socket()) {
+            probe.connect(mTarget, CONNECT_TIMEOUT_MILLIS);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private synchronized boolean listenAgain() {
+        if (mClosed) {
+            return true;
+        }
+        try {
+            ServerSocket server = listen(mAddress);
+            mServer = server;
+            start("relay-" + mAddress.getPort(), () -> accept(server));
+            return true;
+        } catch (IOException e) {
+            // An outgoing connection of another process holds the port for a moment.
+            return false;
         }
     }
 
@@ -99,8 +152,12 @@
             start("relay-up", () -> pump(client, server));
             pump(server, client);
         } catch (IOException e) {
+            if (mCut) {
+                return;
+            }
             closeQuietly(client);
             closeQuietly(server);
+            refuse();
         }
     }
 
@@ -126,7 +183,7 @@
         closeQuietly(to);
     }
 
-    private static void closeQuietly(Socket socket) {
+    private static void closeQuietly(Closeable socket) {
         try {
             socket.close();
         } catch (IOException ignored) {
@@ -135,12 +192,9 @@
     }
 
     @Override
-    public void close() {
-        try {
-            mServer.close();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+    public synchronized void close() {
+        mClosed = true;
+        closeQuietly(mServer);
         mSockets.forEach(Relay::closeQuietly);
     }
 }
--- a/hemlockrack-testing/src/test/java/org/hemlockrack/testing/FleetAtMostOnceTest.java
+++ b/hemlockrack-testing/src/test/java/org/hemlockrack/testing/FleetAtMostOnceTest.java
@@ -150,15 +150,18 @@
         return switch (mRandom.nextInt(3)) {
             case 0 -> new Strike(fault, "owner", mRig.owner("i1", BACKEND));
             case 1 -> new Strike(fault, "leader", mRig.leader());
-            default -> new Strike(fault, "entry", "i" + (1 + mRandom.nextInt(3)));
+            default -> new Strike(fault, "entry", anyInstance(mRandom));
         };
     }
 
+    private static String anyInstance(Random random) {
+        return FleetRig.INSTANCES.get(random.nextInt(FleetRig.INSTANCES.size()));
+    }
+
     private void resend(Command command, Random random) {
         for (int n = 0; n < ATTEMPTS; n++) {
             Fleet.pause(random.nextInt(60));
-            String instance = FleetRig.INSTANCES.get(random.nextInt(FleetRig.INSTANCES.size()));
-            send(instance, command);
+            send(anyInstance(random), command);
         }
     }
 
@@ -166,7 +169,8 @@
     private void probe(List<Strike> strikes, long beginNanos) {
         List<String> free = new ArrayList<>(FleetRig.INSTANCES);
         strikes.forEach(strike -> free.remove(strike.instance()));
-        String kind = strikes.size() == 1 ? strikes.get(0).fault().name() : "PAIR";
+        Strike first = strikes.get(0);
+        String kind = strikes.size() == 1 ? first.fault() + "-" + first.role() : "PAIR";
         mRig.fleet()
                 .await(
                         "a new command after " + strikes,
--- a/hemlockrack-testing/src/test/java/org/hemlockrack/testing/FleetRig.java
+++ b/hemlockrack-testing/src/test/java/org/hemlockrack/testing/FleetRig.java
@@ -4,9 +4,13 @@
 import java.util.List;
 import java.util.Map;
 
-/** A fleet of three instances in three zones with relays between all processes. */
+/**
+ * A fleet of four instances in three zones with relays between all processes. Zone c has two
+ * instances, so that the loss of one of them is the loss of an owner and not of a zone. The first
+ * three instances are voters.
+ */
 final class FleetRig implements AutoCloseable {
-    static final List<String> INSTANCES = List.of("i1", "i2", "i3");
+    static final List<String> INSTANCES = List.of("i1", "i2", "i3", "i4");
 
     private final Fleet mFleet = Fleet.create();
     private final FleetClient mClient = FleetClient.create();
@@ -30,6 +34,7 @@
         mFleet.plan("i1", "a");
         mFleet.plan("i2", "b");
         mFleet.plan("i3", "c");
+        mFleet.plan("i4", "c");
         mFleet.link();
         mFleet.startInstances(3, "");
         String first = mClient.firstConfiguration();
