--- a/hemlockrack-testing/src/test/java/org/hemlockrack/testing/FleetRolloutTest.java
+++ b/hemlockrack-testing/src/test/java/org/hemlockrack/testing/FleetRolloutTest.java
@@ -20,6 +20,7 @@
 /** Moves of traffic between model versions over real processes. */
 class FleetRolloutTest {
     private static final int THREADS = 12;
+    private static final long DEADLINE_MILLIS = 45_000;
 
     private final Fleet mFleet = Fleet.create();
     private final FleetClient mClient = FleetClient.create();
@@ -82,8 +83,8 @@
         String body =
                 String.format(
                         "{\"service\":\"assistant\",\"model\":\"assistant\",\"from\":\"v1\","
-                                + "\"to\":\"v2\",\"deadline_ms\":300000,\"first_share\":%s}",
-                        firstShare);
+                                + "\"to\":\"v2\",\"deadline_ms\":%d,\"first_share\":%s}",
+                        DEADLINE_MILLIS, firstShare);
         FleetClient.Answer answer =
                 mClient.send(operators("i2"), "POST", "/operator/v1/rollouts", Map.of(), body);
         assertEquals(200, answer.status(), answer.body());
@@ -115,15 +116,27 @@
         return byVersion;
     }
 
+    private String describe() {
+        StringBuilder text = new StringBuilder("not ended: ").append(rollout("i1"));
+        for (Fleet.Instance instance : mFleet.instances()) {
+            instance.process()
+                    .log()
+                    .lines()
+                    .filter(line -> line.contains("HR16") || line.contains("HR10"))
+                    .forEach(line -> text.append('\n').append(instance.id()).append(line));
+        }
+        return text.append(" chats ").append(mNextChat).toString();
+    }
+
     /** Guards against a good version that never gets its traffic, or a lost roll-out. */
     @Test
     void goodVersionGetsAllTraffic() throws Exception {
         assertEquals(Map.of("v1", 30), chats(30));
         startRollout(0.5);
-        long endNanos = System.nanoTime() + 90_000_000_000L;
+        long endNanos = System.nanoTime() + DEADLINE_MILLIS * 1_000_000;
         while (!rollout("i1").path("status").asText().equals("COMPLETED")) {
             chats(60);
-            assertTrue(System.nanoTime() - endNanos < 0, () -> "not completed: " + rollout("i1"));
+            assertTrue(System.nanoTime() - endNanos < 0, this::describe);
         }
         mFleet.await(
                 "completion on every instance",
@@ -146,10 +159,10 @@
             mClient.send(engine, "POST", "/faults", Map.of(), "1.0 v2");
         }
         startRollout(0.2);
-        long endNanos = System.nanoTime() + 60_000_000_000L;
+        long endNanos = System.nanoTime() + DEADLINE_MILLIS * 1_000_000;
         while (!rollout("i3").path("status").asText().equals("ROLLED_BACK")) {
             chats(30);
-            assertTrue(System.nanoTime() - endNanos < 0, () -> "not rolled back: " + rollout("i3"));
+            assertTrue(System.nanoTime() - endNanos < 0, this::describe);
         }
         mFleet.await(
                 "rollback on every instance within the 2 s of the fleet",
