--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -40,6 +40,8 @@
 import org.hemlockrack.daemon.operator.OperatorPort;
 import org.hemlockrack.daemon.operator.PlatformPages;
 import org.hemlockrack.daemon.operator.RolloutCommands;
+import org.hemlockrack.daemon.operator.VoterCommands;
+import org.hemlockrack.daemon.operator.VoterDirectory;
 import org.hemlockrack.daemon.owner.ForwardedExchange;
 import org.hemlockrack.daemon.owner.OwnerService;
 import org.hemlockrack.daemon.peer.PeerServer;
@@ -415,7 +417,10 @@
                         });
         openPort("internal", SettingKey.LISTEN_INTERNAL, HttpLimits.internal(), this::internalCall);
         ConfigCommands.HistorySource history = mVoterState == null ? new NoHistory() : mVoterState;
-        ConfigCommands commands = ConfigCommands.create(mLoop, mFleet, mConfig, mProposer, history);
+        VoterDirectory voters = VoterDirectory.of(mSettings.voters());
+        VoterCommands voterCommands = VoterCommands.create(mLoop, mReplica, voters);
+        ConfigCommands commands =
+                ConfigCommands.create(mLoop, mFleet, mConfig, mProposer, history, voters);
         mOperatorPort =
                 openPort(
                         "operators",
@@ -426,6 +431,7 @@
                                 mConfig,
                                 mProposer,
                                 commands,
+                                voterCommands,
                                 RolloutCommands.create(mProposer, mRollouts),
                                 mBurn,
                                 pages));
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/OperatorPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/OperatorPort.java
@@ -27,6 +27,7 @@
     private final ConfigService mConfig;
     private final Proposer mProposer;
     private final ConfigCommands mCommands;
+    private final VoterCommands mVoters;
     private final RolloutCommands mRollouts;
     private final BurnService mBurn;
     private final PlatformPages mPages;
@@ -36,6 +37,7 @@
             ConfigService config,
             Proposer proposer,
             ConfigCommands commands,
+            VoterCommands voters,
             RolloutCommands rollouts,
             BurnService burn,
             PlatformPages pages) {
@@ -43,6 +45,7 @@
         mConfig = config;
         mProposer = proposer;
         mCommands = commands;
+        mVoters = voters;
         mRollouts = rollouts;
         mBurn = burn;
         mPages = pages;
@@ -55,6 +58,7 @@
      * @param config the configuration in force
      * @param proposer brings commands to the log
      * @param commands configuration commands
+     * @param voters commands on the voters
      * @param rollouts roll-out commands
      * @param burn the burn report
      * @param pages health pages, served here too
@@ -65,10 +69,11 @@
             ConfigService config,
             Proposer proposer,
             ConfigCommands commands,
+            VoterCommands voters,
             RolloutCommands rollouts,
             BurnService burn,
             PlatformPages pages) {
-        return new OperatorPort(fleet, config, proposer, commands, rollouts, burn, pages);
+        return new OperatorPort(fleet, config, proposer, commands, voters, rollouts, burn, pages);
     }
 
     @Override
@@ -98,6 +103,8 @@
             case "GET backends" -> responder.sendJson(200, backends().toString());
             case "POST zones" -> mCommands.zone(requireParts(parts, 3, call), responder);
             case "POST instances" -> mCommands.drain(requireParts(parts, 3, call), responder);
+            case "GET voters" -> mVoters.handle(requireParts(parts, 1, call), call, responder);
+            case "POST voters" -> mVoters.handle(requireParts(parts, 3, call), call, responder);
             case "GET rollouts" -> mRollouts.status(responder);
             case "POST rollouts" -> mRollouts.start(call, responder);
             case "DELETE rollouts" -> mRollouts.stop(requireParts(parts, 3, call), call, responder);
