--- /dev/null
+++ b/hemlockrack-bench/src/main/java/org/hemlockrack/bench/CapacityClaims.java
@@ -0,0 +1,125 @@
+package org.hemlockrack.bench;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.hemlockrack.claims.AttemptId;
+import org.hemlockrack.claims.AttemptSource;
+import org.hemlockrack.claims.BodyHash;
+import org.hemlockrack.claims.ClaimCommand;
+import org.hemlockrack.claims.ClaimKey;
+import org.hemlockrack.claims.ClaimLimits;
+import org.hemlockrack.claims.ClaimState;
+import org.hemlockrack.claims.RecordedAnswer;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.model.WorkspaceId;
+
+/** Claims on a voter against the number of commands that are kept. */
+final class CapacityClaims {
+    private static final int[] CLAIMS = {50_000, 100_000, 200_000, 400_000};
+    private static final int[] ANSWER_BYTES = {100, 512, 1_024, 4_096};
+
+    /** Stated inputs, not measured: non-idempotent commands a day. */
+    private static final int[] COMMANDS_PER_DAY = {50_000, 400_000, 2_000_000};
+
+    private static final int USUAL_ANSWER_BYTES = 100;
+
+    private final SplittableRandom mRandom;
+
+    CapacityClaims(long seed) {
+        mRandom = new SplittableRandom(seed);
+    }
+
+    void run() {
+        Slope.Points heap = Slope.points("claims_heap_bytes_by_claims");
+        Slope.Points snapshot = Slope.points("claims_snapshot_bytes_by_claims");
+        Slope.Points save = Slope.points("claims_snapshot_ms_by_claims");
+        Slope.Points restore = Slope.points("claims_restore_ms_by_claims");
+        warmUp();
+        for (int claims : CLAIMS) {
+            long before = CapacityBench.heapBytes();
+            Filled filled = fill(claims, USUAL_ANSWER_BYTES);
+            heap.add(claims, CapacityBench.heapBytes() - before);
+            long start = System.nanoTime();
+            byte[] bytes = filled.state().snapshot();
+            save.add(claims, (System.nanoTime() - start) / 1e6);
+            snapshot.add(claims, bytes.length);
+            start = System.nanoTime();
+            ClaimState.of(CapacityClaims::limits).restore(bytes);
+            restore.add(claims, (System.nanoTime() - start) / 1e6);
+        }
+        Slope[] lines = {heap.print(400_000), snapshot.print(400_000)};
+        Slope[] times = {save.print(400_000), restore.print(400_000)};
+        for (int commands : COMMANDS_PER_DAY) {
+            String prefix = "claims_" + commands + "_a_day_";
+            CapacityBench.value(prefix + "heap_bytes", lines[0].at(commands));
+            CapacityBench.value(prefix + "snapshot_bytes", lines[1].at(commands));
+            CapacityBench.value(prefix + "snapshot_ms", times[0].at(commands));
+            CapacityBench.value(prefix + "restore_ms", times[1].at(commands));
+        }
+        answers();
+    }
+
+    private void warmUp() {
+        ClaimState state = fill(20_000, USUAL_ANSWER_BYTES).state();
+        for (int i = 0; i < 10; i++) {
+            ClaimState.of(CapacityClaims::limits).restore(state.snapshot());
+        }
+    }
+
+    private void answers() {
+        Slope.Points heap = Slope.points("claims_heap_bytes_per_claim_by_answer_bytes");
+        Slope.Points log = Slope.points("claims_log_bytes_per_claim_by_answer_bytes");
+        int claims = 20_000;
+        for (int answerBytes : ANSWER_BYTES) {
+            long before = CapacityBench.heapBytes();
+            Filled filled = fill(claims, answerBytes);
+            heap.add(answerBytes, (CapacityBench.heapBytes() - before) / (double) claims);
+            log.add(answerBytes, filled.commandBytes() / (double) claims);
+            if (filled.state().size() != claims) {
+                throw new IllegalStateException("claims were refused");
+            }
+        }
+        heap.print(1_024);
+        log.print(1_024);
+    }
+
+    /** A state and the bytes of the commands that filled it. */
+    private record Filled(ClaimState state, long commandBytes) {}
+
+    private static ClaimLimits limits() {
+        return new ClaimLimits(86_400_000, 4_000_000, 1L << 40, 16_384);
+    }
+
+    private Filled fill(int claims, int answerBytes) {
+        ClaimState state = ClaimState.of(CapacityClaims::limits);
+        AttemptSource source = AttemptSource.of(InstanceId.of("router-100"), 1);
+        long bytes = 0;
+        for (int i = 0; i < claims; i++) {
+            List<byte[]> commands = commands(source, mRandom, i, answerBytes);
+            for (byte[] command : commands) {
+                bytes += command.length;
+                state.apply(i, i, command);
+            }
+        }
+        return new Filled(state, bytes);
+    }
+
+    /** Returns the claim and the end of one command. */
+    static List<byte[]> commands(
+            AttemptSource source, SplittableRandom random, int number, int answerBytes) {
+        ClaimKey key =
+                new ClaimKey(
+                        WorkspaceId.of("w" + number % 1300),
+                        Long.toHexString(random.nextLong()) + "-" + number);
+        AttemptId attempt = source.next().orElseThrow();
+        BodyHash hash = BodyHash.of("POST", "/bookings", new byte[] {(byte) number});
+        byte[] claim =
+                new ClaimCommand.Claim(key, attempt, source.lowestPending(), hash, Optional.empty())
+                        .encode();
+        source.settled(attempt);
+        RecordedAnswer answer = RecordedAnswer.complete(200, List.of(), new byte[answerBytes]);
+        byte[] end = new ClaimCommand.Finish(key, attempt, source.lowestPending(), answer).encode();
+        return List.of(claim, end);
+    }
+}
--- a/hemlockrack-bench/src/main/java/org/hemlockrack/bench/ConfigBench.java
+++ b/hemlockrack-bench/src/main/java/org/hemlockrack/bench/ConfigBench.java
@@ -54,7 +54,7 @@
     }
 
     private void measurePatches(int workspaces, boolean print) {
-        String document = document(workspaces);
+        String document = document(workspaces, mRandom);
         ConfigState state = ConfigState.create();
         state.apply(0, 0, patch("first", 0, Configuration.parseToml(document).toJson()));
         long start = System.nanoTime();
@@ -133,11 +133,12 @@
                 new ClaimCommand.Finish(key, attempt, source.lowestPending(), answer).encode());
     }
 
-    private String document(int workspaces) {
+    /** Returns a document with one bearer key for each workspace. */
+    static String document(int workspaces, SplittableRandom random) {
         StringBuilder text =
                 new StringBuilder("[services.s]\nkind = \"model\"\nmodels = [\"m\"]\n");
         for (int i = 0; i < workspaces; i++) {
-            BearerKey.Stored key = BearerKey.create("k" + i, mRandom).store(mRandom);
+            BearerKey.Stored key = BearerKey.create("k" + i, random).store(random);
             text.append("[workspaces.w").append(i).append("]\npriority = \"high\"\n");
             text.append("services = [\"s\"]\nmax_concurrent_requests = 50\n");
             text.append("promise = {first_token_ms = 720, between_tokens_ms = 28}\n");
@@ -151,7 +152,7 @@
         return text.toString();
     }
 
-    private static byte[] patch(String requestId, long base, String json) {
+    static byte[] patch(String requestId, long base, String json) {
         ConfigCommand.Change change = new ConfigCommand.JsonPatch(json);
         return ConfigCommand.of(requestId, "bench", base, change).encode();
     }
--- a/hemlockrack-bench/src/main/java/org/hemlockrack/bench/GossipFleet.java
+++ b/hemlockrack-bench/src/main/java/org/hemlockrack/bench/GossipFleet.java
@@ -40,6 +40,8 @@
     final Shape mShape;
     long mNowNanos = 1;
     long mCpuNanos;
+    long mSentMessages;
+    long mViewChanges;
     BiConsumer<Node, Fact> mOnFact = (node, fact) -> {};
 
     private final PriorityQueue<Event> mEvents = new PriorityQueue<>();
@@ -109,6 +111,7 @@
 
     private void transmit(Node from, MembershipOutput.Send send) {
         from.mSentBytes += send.wireBytes();
+        mSentMessages++;
         if (mRandom.nextDouble() < LOSS) {
             return;
         }
@@ -189,6 +192,8 @@
                 transmit(this, send);
             } else if (output instanceof MembershipOutput.FactLearned learned) {
                 mOnFact.accept(this, learned.fact());
+            } else if (output instanceof MembershipOutput.ViewChanged) {
+                mViewChanges++;
             }
         }
 
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Relay.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Relay.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Passes TCP connections to another port, until it is cut: then it swallows all bytes of open
@@ -22,6 +23,8 @@
     private final ServerSocket mServer;
     private final InetSocketAddress mTarget;
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
+    private final AtomicLong mPassedBytes = new AtomicLong();
+    private final AtomicLong mPassedReads = new AtomicLong();
     private volatile boolean mCut;
 
     private Relay(ServerSocket server, InetSocketAddress target) {
@@ -54,6 +57,16 @@
         return "127.0.0.1:" + mServer.getLocalPort();
     }
 
+    /** Returns the bytes passed on so far in both directions. */
+    public long passedBytes() {
+        return mPassedBytes.get();
+    }
+
+    /** Returns in how many reads these bytes arrived, about one for each TCP segment. */
+    public long passedReads() {
+        return mPassedReads.get();
+    }
+
     /** Loses everything from now on. */
     public void cut() {
         mCut = true;
@@ -107,6 +120,8 @@
             while (count >= 0) {
                 if (!mCut) {
                     out.write(buffer, 0, count);
+                    mPassedBytes.addAndGet(count);
+                    mPassedReads.incrementAndGet();
                 }
                 count = in.read(buffer);
             }
