Take test ports below the range of outgoing connections

Cause: FleetRolloutTest failed once because an instance could not bind its internal port; the port came from the ephemeral range and an outgoing connection had taken it between the check and the bind.

Change: ports come from 10000 to 31999, each tried before use.

--- a/demo.sh
+++ b/demo.sh
@@ -5,7 +5,8 @@
 
 WORK="$(mktemp -d)"
 PIDS=()
-BASE_PORT="${DEMO_BASE_PORT:-$((20000 + RANDOM % 20000))}"
+# Below the range of outgoing connections, which could take a port first.
+BASE_PORT="${DEMO_BASE_PORT:-$((10000 + RANDOM % 20000))}"
 
 cleanup() {
     local status=$?
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Fleet.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Fleet.java
@@ -13,6 +13,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.hemlockrack.daemon.settings.Settings;
@@ -21,6 +23,12 @@
 /** A fleet of real processes on loopback, for tests and benchmarks. */
 public final class Fleet implements AutoCloseable {
     private static final long POLL_MILLIS = 50;
+    private static final int FIRST_PORT = 10_000;
+    private static final int PORT_COUNT = 22_000;
+
+    /** Starts at a random port, so that two test runs on one machine rarely meet. */
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger(ThreadLocalRandom.current().nextInt(PORT_COUNT));
 
     private final Path mFolder;
     private final Closer mCloser = Closer.create();
@@ -97,25 +105,31 @@
         MoreFiles.deleteRecursively(folder, RecursiveDeleteOption.ALLOW_INSECURE);
     }
 
-    /** Returns free ports; they are released before the processes bind them. */
+    /**
+     * Returns free ports below the range that the kernel gives to outgoing connections. From that
+     * range, a connection of another process could take a port before its listener binds it.
+     */
     static int[] freePorts(int count) {
-        List<ServerSocket> sockets = new ArrayList<>();
         int[] ports = new int[count];
-        try {
-            for (int i = 0; i < count; i++) {
-                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                sockets.add(socket);
-                ports[i] = socket.getLocalPort();
-            }
-            for (ServerSocket socket : sockets) {
-                socket.close();
-            }
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+        for (int i = 0; i < count; i++) {
+            ports[i] = nextFreePort();
         }
         return ports;
     }
 
+    private static int nextFreePort() {
+        while (true) {
+            int offset = NEXT_PORT.getAndIncrement() % PORT_COUNT;
+            int port = FIRST_PORT + offset;
+            try (ServerSocket socket =
+                    new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (IOException ignored) {
+                // Another process uses the port; the next one is tried.
+            }
+        }
+    }
+
     /**
      * Plans an instance without starting it.
      *
