--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Main.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Main.java
@@ -46,6 +46,12 @@
         add(voters, "voters list", new VotersListCommand());
         add(voters, "voters add", VotersChangeCommand.of("add"));
         add(voters, "voters remove", VotersChangeCommand.of("remove"));
+        Subparsers rollout = group(top, "rollout", "move traffic between model versions");
+        add(rollout, "rollout start", new RolloutStartCommand());
+        add(rollout, "rollout status", new RolloutStatusCommand());
+        add(rollout, "rollout stop", new RolloutStopCommand());
+        Subparsers report = group(top, "report", "print reports");
+        add(report, "report burn", new ReportBurnCommand());
     }
 
     private static Subparsers group(Subparsers top, String name, String help) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/OperatorPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/OperatorPort.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import org.hemlockrack.daemon.burn.BurnService;
 import org.hemlockrack.daemon.config.ConfigService;
 import org.hemlockrack.daemon.fleet.Fleet;
 import org.hemlockrack.daemon.http.CallHandler;
@@ -27,6 +28,8 @@
     private final Proposer mProposer;
     private final ConfigCommands mCommands;
     private final VoterCommands mVoters;
+    private final RolloutCommands mRollouts;
+    private final BurnService mBurn;
     private final PlatformPages mPages;
 
     private OperatorPort(
@@ -35,12 +38,16 @@
             Proposer proposer,
             ConfigCommands commands,
             VoterCommands voters,
+            RolloutCommands rollouts,
+            BurnService burn,
             PlatformPages pages) {
         mFleet = fleet;
         mConfig = config;
         mProposer = proposer;
         mCommands = commands;
         mVoters = voters;
+        mRollouts = rollouts;
+        mBurn = burn;
         mPages = pages;
     }
 
@@ -52,6 +59,8 @@
      * @param proposer brings commands to the log
      * @param commands configuration commands
      * @param voters commands on the voters
+     * @param rollouts roll-out commands
+     * @param burn the burn report
      * @param pages health pages, served here too
      * @return the handler
      */
@@ -61,8 +70,10 @@
             Proposer proposer,
             ConfigCommands commands,
             VoterCommands voters,
+            RolloutCommands rollouts,
+            BurnService burn,
             PlatformPages pages) {
-        return new OperatorPort(fleet, config, proposer, commands, voters, pages);
+        return new OperatorPort(fleet, config, proposer, commands, voters, rollouts, burn, pages);
     }
 
     @Override
@@ -94,6 +105,10 @@
             case "POST instances" -> mCommands.drain(requireParts(parts, 3, call), responder);
             case "GET voters" -> mVoters.handle(requireParts(parts, 1, call), call, responder);
             case "POST voters" -> mVoters.handle(requireParts(parts, 3, call), call, responder);
+            case "GET rollouts" -> mRollouts.status(responder);
+            case "POST rollouts" -> mRollouts.start(call, responder);
+            case "DELETE rollouts" -> mRollouts.stop(requireParts(parts, 3, call), call, responder);
+            case "GET burn" -> mBurn.report(call, responder);
             default -> throw notFound(call);
         }
     }
@@ -142,6 +157,7 @@
         json.put("config_version", mConfig.current().version());
         json.put("config_version_known", view.configVersion());
         json.put("leader", mProposer.leader() == null ? "" : mProposer.leader().value());
+        json.put("voter", mProposer.voter());
         json.put("instances", view.members().size());
         json.put("backends", view.backends().size());
         json.put("isolated", view.isolated());
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -33,6 +33,7 @@
  */
 public final class ReplicaService implements AutoCloseable {
     private final Loop mLoop;
+    private final long mReplicaId;
     private final ReplicaNode mNode;
     private final Consumer<Packet> mTransport;
     private final EventLog mLog;
@@ -49,15 +50,18 @@
     private volatile Role mRole = Role.FOLLOWER;
     private volatile long mTerm;
     private volatile Membership mMembership = Membership.NONE;
+    private volatile boolean mVoter;
     private volatile boolean mFailed;
 
     private ReplicaService(
             Loop loop,
+            long replicaId,
             ReplicaNode node,
             Consumer<Packet> transport,
             EventLog log,
             Runnable afterStep) {
         mLoop = loop;
+        mReplicaId = replicaId;
         mNode = node;
         mTransport = transport;
         mLog = log;
@@ -68,6 +72,7 @@
      * Starts driving a replica.
      *
      * @param loop loop of its own, because it waits for the disk
+     * @param replicaId id of the replica
      * @param node the replica
      * @param transport sends packets; must not block
      * @param log the log
@@ -76,11 +81,13 @@
      */
     public static ReplicaService start(
             Loop loop,
+            long replicaId,
             ReplicaNode node,
             Consumer<Packet> transport,
             EventLog log,
             Runnable afterStep) {
-        ReplicaService service = new ReplicaService(loop, node, transport, log, afterStep);
+        ReplicaService service =
+                new ReplicaService(loop, replicaId, node, transport, log, afterStep);
         service.schedule();
         return service;
     }
@@ -90,6 +97,11 @@
         return mLeader;
     }
 
+    /** Returns whether this replica, not only an earlier one of the instance, is a voter. */
+    public boolean voter() {
+        return mVoter;
+    }
+
     /** Returns the role of this replica. */
     public Role role() {
         return mRole;
@@ -187,6 +199,7 @@
             fail(e);
             return;
         }
+        mVoter = mNode.consensus().membership().isVoter(mReplicaId);
         mAfterStep.run();
         arm();
     }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/TestInstance.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/TestInstance.java
@@ -16,6 +16,7 @@
 import org.hemlockrack.consensus.LogStore;
 import org.hemlockrack.consensus.ReplicaNode;
 import org.hemlockrack.consensus.Role;
+import org.hemlockrack.daemon.burn.BurnService;
 import org.hemlockrack.daemon.config.ConfigService;
 import org.hemlockrack.daemon.fleet.Fleet;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
@@ -26,6 +27,7 @@
 import org.hemlockrack.daemon.replica.Proposer;
 import org.hemlockrack.daemon.replica.ReplicaService;
 import org.hemlockrack.daemon.replica.VoterState;
+import org.hemlockrack.daemon.rollout.RolloutService;
 import org.hemlockrack.membership.ControlBudget;
 import org.hemlockrack.membership.InstanceInfo;
 import org.hemlockrack.membership.Membership;
@@ -48,7 +50,7 @@
     private final Loop mLoop = Loop.open("test", mFaults::add);
     private final Loop mLogLoop = Loop.open("test-log", mFaults::add);
     private final Membership mPeer = membership(PEER);
-    private final PeerNetwork mNetwork = PeerNetwork.create(SELF, (address, cause) -> {});
+    private final PeerNetwork mNetwork = PeerNetwork.create(SELF, Map.of(), (address, cause) -> {});
     private final @Nullable ReplicaService mReplica;
     private final Fleet mFleet;
     private final ConfigService mConfig;
@@ -80,9 +82,16 @@
                         proposer,
                         commands,
                         VoterCommands.create(mLoop, mReplica, voters),
+                        RolloutCommands.create(proposer, rollouts(proposer, log)),
+                        BurnService.create(mLoop, mFleet, mNetwork, mConfig, log, null),
                         PlatformPages.create(() -> true, new MetricRegistry()));
     }
 
+    private RolloutService rollouts(Proposer proposer, EventLog log) {
+        return onLoop(
+                () -> RolloutService.create(mLoop, mFleet, mNetwork, proposer, log, 1, () -> {}));
+    }
+
     static TestInstance withoutLog() {
         return new TestInstance(null);
     }
@@ -96,15 +105,22 @@
     }
 
     private ReplicaService replica(Path folder, VoterState state, EventLog log) {
+        LogStore store = LogStore.open(folder, new Random(1));
         ReplicaNode node =
                 ReplicaNode.start(
                         ConsensusSettings.of(SELF, List.of(SELF)),
-                        LogStore.open(folder, new Random(1)),
+                        store,
                         state.replicated(),
                         1_000,
                         new Random(1),
                         mLogLoop.nowNanos());
-        return ReplicaService.start(mLogLoop, node, packet -> {}, log, () -> publish(state));
+        return ReplicaService.start(
+                mLogLoop,
+                store.recovered().meta().replicaId(),
+                node,
+                packet -> {},
+                log,
+                () -> publish(state));
     }
 
     private void publish(VoterState state) {
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Announcer.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Announcer.java
@@ -2,8 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -104,14 +106,21 @@
         }
         mSequence++;
         String body = body(target).toString();
-        mCurrent = new Contact(target, System.nanoTime(), mSequence);
         HttpRequest request =
                 HttpRequest.newBuilder(URI.create("http://" + target + "/backend/v1/announce"))
                         .timeout(TIMEOUT)
                         .header("Content-Type", "application/json")
                         .POST(HttpRequest.BodyPublishers.ofString(body))
                         .build();
-        return mClient.send(request, HttpResponse.BodyHandlers.ofString());
+        Contact before = mCurrent;
+        mCurrent = new Contact(target, System.nanoTime(), mSequence);
+        try {
+            return mClient.send(request, HttpResponse.BodyHandlers.ofString());
+        } catch (ConnectException e) {
+            // A refused connection gave nobody the right to admit.
+            mCurrent = before;
+            throw e;
+        }
     }
 
     private ObjectNode body(String target) {
@@ -120,12 +129,15 @@
         body.put("incarnation", mIncarnation);
         body.put("sequence", mSequence);
         body.put("zone", mOptions.zone());
-        body.put("address", mServer.address());
+        body.put("address", mServer.advertised());
         body.put("service", mOptions.service());
         if (mOptions.kind().equals("model")) {
-            ObjectNode model = body.putArray("models").addObject();
-            model.put("model", mOptions.model());
-            model.put("version", mServer.version());
+            ArrayNode models = body.putArray("models");
+            for (String version : mServer.versions()) {
+                ObjectNode model = models.addObject();
+                model.put("model", mOptions.model());
+                model.put("version", version);
+            }
         }
         body.put("limit", mOptions.limit());
         body.put("in_flight", mServer.inFlight());
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Relay.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Relay.java
@@ -1,5 +1,6 @@
 package org.hemlockrack.testing;
 
+import java.io.Closeable;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -8,24 +9,34 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Passes TCP connections to another port, until it is cut: then it swallows all bytes of open
  * connections silently and accepts new ones without an answer, like a network that loses packets.
+ * While nothing listens at the target, it does not listen either, so that callers are refused as
+ * they would be without a relay; only the connection that finds this out is accepted and closed.
  */
 public final class Relay implements AutoCloseable {
     private static final int BUFFER_BYTES = 16 << 10;
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final long TARGET_POLL_MILLIS = 20;
 
-    private final ServerSocket mServer;
+    private final InetSocketAddress mAddress;
     private final InetSocketAddress mTarget;
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
+    private final AtomicLong mPassedBytes = new AtomicLong();
+    private final AtomicLong mPassedReads = new AtomicLong();
+    private volatile ServerSocket mServer;
     private volatile boolean mCut;
+    private volatile boolean mClosed;
 
     private Relay(ServerSocket server, InetSocketAddress target) {
         mServer = server;
+        mAddress = (InetSocketAddress) server.getLocalSocketAddress();
         mTarget = target;
     }
 
@@ -38,20 +49,36 @@
      */
     public static Relay open(int port, InetSocketAddress target) {
         try {
-            ServerSocket server = new ServerSocket();
-            server.setReuseAddress(true);
-            server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            ServerSocket server =
+                    listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
             Relay relay = new Relay(server, target);
-            relay.start("relay-" + server.getLocalPort(), relay::accept);
+            relay.start("relay-" + server.getLocalPort(), () -> relay.accept(server));
             return relay;
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
+    private static ServerSocket listen(InetSocketAddress address) throws IOException {
+        ServerSocket server = new ServerSocket();
+        server.setReuseAddress(true);
+        server.bind(address);
+        return server;
+    }
+
     /** Returns {@code ip:port} of the relay. */
     public String address() {
-        return "127.0.0.1:" + mServer.getLocalPort();
+        return "127.0.0.1:" + mAddress.getPort();
+    }
+
+    /** Returns the bytes passed on so far in both directions. */
+    public long passedBytes() {
+        return mPassedBytes.get();
+    }
+
+    /** Returns in how many reads these bytes arrived, about one for each TCP segment. */
+    public long passedReads() {
+        return mPassedReads.get();
     }
 
     /** Loses everything from now on. */
@@ -61,8 +88,13 @@
 
     /** Passes new connections on again; the connections of the cut time are closed. */
     public void heal() {
+        if (!mCut) {
+            return;
+        }
+        List<Socket> old = List.copyOf(mSockets);
         mCut = false;
-        mSockets.forEach(Relay::closeQuietly);
+        old.forEach(Relay::closeQuietly);
+        old.forEach(mSockets::remove);
     }
 
     private void start(String name, Runnable task) {
@@ -71,18 +103,58 @@
         thread.start();
     }
 
-    private void accept() {
-        while (!mServer.isClosed()) {
+    private void accept(ServerSocket server) {
+        while (!server.isClosed()) {
             try {
-                Socket client = mServer.accept();
+                Socket client = server.accept();
                 mSockets.add(client);
                 start("relay-connect", () -> connect(client));
             } catch (IOException ignored) {
-                // The relay was closed; the loop ends.
+                // The server socket was closed; the loop ends.
             }
         }
     }
 
+    /** Stops listening until the target listens again. */
+    private void refuse() {
+        synchronized (this) {
+            if (mServer.isClosed()) {
+                return;
+            }
+            closeQuietly(mServer);
+        }
+        while (!mClosed && !targetListens()) {
+            Fleet.pause(TARGET_POLL_MILLIS);
+        }
+        while (!mClosed && !listenAgain()) {
+            Fleet.pause(TARGET_POLL_MILLIS);
+        }
+    }
+
+    private boolean targetListens() {
+        try (Socket probe = new Socket()) {
+            probe.connect(mTarget, CONNECT_TIMEOUT_MILLIS);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private synchronized boolean listenAgain() {
+        if (mClosed) {
+            return true;
+        }
+        try {
+            ServerSocket server = listen(mAddress);
+            mServer = server;
+            start("relay-" + mAddress.getPort(), () -> accept(server));
+            return true;
+        } catch (IOException e) {
+            // An outgoing connection of another process holds the port for a moment.
+            return false;
+        }
+    }
+
     private void connect(Socket client) {
         Socket server = new Socket();
         mSockets.add(server);
@@ -93,8 +165,12 @@
             start("relay-up", () -> pump(client, server));
             pump(server, client);
         } catch (IOException e) {
+            if (mCut) {
+                return;
+            }
             closeQuietly(client);
             closeQuietly(server);
+            refuse();
         }
     }
 
@@ -107,6 +183,8 @@
             while (count >= 0) {
                 if (!mCut) {
                     out.write(buffer, 0, count);
+                    mPassedBytes.addAndGet(count);
+                    mPassedReads.incrementAndGet();
                 }
                 count = in.read(buffer);
             }
@@ -120,7 +198,7 @@
         closeQuietly(to);
     }
 
-    private static void closeQuietly(Socket socket) {
+    private static void closeQuietly(Closeable socket) {
         try {
             socket.close();
         } catch (IOException ignored) {
@@ -129,12 +207,9 @@
     }
 
     @Override
-    public void close() {
-        try {
-            mServer.close();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+    public synchronized void close() {
+        mClosed = true;
+        closeQuietly(mServer);
         mSockets.forEach(Relay::closeQuietly);
     }
 }
