--- a/hemlockrack-cli/src/test/java/org/hemlockrack/cli/MainTest.java
+++ b/hemlockrack-cli/src/test/java/org/hemlockrack/cli/MainTest.java
@@ -45,7 +45,23 @@
                 new Case("POST /operator/v1/instances/i2/undrain", List.of("undrain", "i2")),
                 new Case("GET /operator/v1/voters", List.of("voters", "list")),
                 new Case("POST /operator/v1/voters/i2/add", List.of("voters", "add", "i2")),
-                new Case("POST /operator/v1/voters/i2/remove", List.of("voters", "remove", "i2")));
+                new Case("POST /operator/v1/voters/i2/remove", List.of("voters", "remove", "i2")),
+                new Case(
+                        "POST /operator/v1/rollouts",
+                        List.of(
+                                "rollout",
+                                "start",
+                                "s",
+                                "m",
+                                "--from",
+                                "v1",
+                                "--to",
+                                "v2",
+                                "--deadline-ms",
+                                "60000")),
+                new Case("GET /operator/v1/rollouts", List.of("rollout", "status")),
+                new Case("DELETE /operator/v1/rollouts/s/m", List.of("rollout", "stop", "s", "m")),
+                new Case("GET /operator/v1/burn", List.of("report", "burn")));
     }
 
     /** Guards against a command that reports success after a refusal, or hides its reason. */
@@ -102,7 +118,8 @@
     void helpNamesAllCommands() {
         ToolRun run = ToolRun.of("--help");
         assertEquals(0, run.code());
-        for (String command : List.of("config", "status", "zone", "drain", "voters")) {
+        assertEquals(0, ToolRun.of("config", "check", "--help").code());
+        for (String command : List.of("config", "status", "zone", "drain", "voters", "rollout")) {
             assertTrue(run.out().contains(command), command);
         }
     }
@@ -127,7 +144,11 @@
                 "config patch --base 1 --rollback 1 --file x.toml",
                 "zone out",
                 "drain",
-                "voters add"
+                "voters add",
+                "rollout",
+                "rollout start s m",
+                "rollout stop s",
+                "report"
             })
     void usageFaultExitsWithTwo(String line) {
         ToolRun run = ToolRun.of(line.isEmpty() ? new String[0] : line.split(" "));
