Add TLS with certificates of both sides between processes

Cause: whoever reached the peer or the internal port could join the fleet and give orders.

Ruled out: TSSLTransportFactory and an SSLServerSocket, which keep the keys they were opened with; the accepted sockets are wrapped with the keys in force instead.

Before: no TLS.

Conclusion: only processes with a trusted certificate are served. Not shown: a whole fleet with TLS. Not done: the control budget does not count the bytes that TLS adds to each message.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -14,6 +14,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.apache.hc.core5.http.nio.ssl.TlsStrategy;
 import org.hemlockrack.claims.AttemptSource;
 import org.hemlockrack.config.ConfigCommand;
 import org.hemlockrack.consensus.ConsensusCodec;
@@ -45,6 +46,9 @@
 import org.hemlockrack.daemon.replica.VoterState;
 import org.hemlockrack.daemon.settings.SettingKey;
 import org.hemlockrack.daemon.settings.Settings;
+import org.hemlockrack.daemon.tls.MutualTls;
+import org.hemlockrack.daemon.tls.PemFiles;
+import org.hemlockrack.daemon.tls.TlsKeys;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.events.LogEvent;
@@ -78,6 +82,7 @@
     private final Loop mLogLoop;
     private final SecureRandom mRandom = new SecureRandom();
 
+    private @Nullable TlsKeys mTls;
     private @Nullable ReplicaService mReplica;
     private @Nullable VoterState mVoterState;
     private PeerNetwork mNetwork;
@@ -128,7 +133,8 @@
     private void start() {
         closing(mLogLoop::close);
         closing(mLoop::close);
-        mNetwork = PeerNetwork.create(mSettings.instanceId(), this::unreachable);
+        mTls = openTls();
+        mNetwork = PeerNetwork.create(mSettings.instanceId(), mTls, this::unreachable);
         closing(mNetwork::close);
         onLoop(this::startFleet);
         startReplica();
@@ -144,6 +150,29 @@
                 mOperatorPort.address());
     }
 
+    private @Nullable TlsKeys openTls() {
+        PemFiles files = mSettings.tlsFiles();
+        if (files == null) {
+            mLog.log(LogEvent.TLS_OFF, "tls.mode is off");
+            return null;
+        }
+        TlsKeys keys = TlsKeys.open(files, mLog);
+        closing(keys::close);
+        return keys;
+    }
+
+    private @Nullable TlsStrategy tlsStrategy() {
+        return mTls == null ? null : MutualTls.of(mTls);
+    }
+
+    private HttpClient openClient(int ioThreads, boolean reuse, @Nullable TlsStrategy tls) {
+        HttpClient client =
+                HttpClient.open(
+                        ioThreads, CONNECT_TIMEOUT_MILLIS, UPSTREAM_IDLE_MILLIS, reuse, tls);
+        closing(client::close);
+        return client;
+    }
+
     private void onLoop(Runnable task) {
         mLoop.submit(
                         () -> {
@@ -256,11 +285,11 @@
     }
 
     private void startServices() {
-        HttpClient client = HttpClient.open(2, CONNECT_TIMEOUT_MILLIS, UPSTREAM_IDLE_MILLIS, true);
-        closing(client::close);
-        HttpClient commandClient =
-                HttpClient.open(1, CONNECT_TIMEOUT_MILLIS, UPSTREAM_IDLE_MILLIS, false);
-        closing(commandClient::close);
+        HttpClient client = openClient(2, true, null);
+        HttpClient commandClient = openClient(1, false, null);
+        TlsStrategy tls = tlsStrategy();
+        HttpClient forwarding = tls == null ? client : openClient(2, true, tls);
+        HttpClient commandForwarding = tls == null ? commandClient : openClient(1, false, tls);
         mProposer = Proposer.create(mLoop, mFleet.self(), mSettings.voters(), mNetwork, mReplica);
         long epoch = mRandom.nextLong() >>> 1;
         mOwner =
@@ -282,8 +311,8 @@
                         mLoop,
                         mFleet,
                         mOwner,
-                        client,
-                        commandClient,
+                        forwarding,
+                        commandForwarding,
                         mClaims,
                         mLog,
                         mFleet.self() + "-" + Long.toString(epoch, Character.MAX_RADIX) + "-");
@@ -328,6 +357,7 @@
                         "callers",
                         SettingKey.LISTEN_CALLERS,
                         mSettings.callerLimits(),
+                        null,
                         (call, responder) -> {
                             if (pages.handles(call.path())) {
                                 pages.handle(call, responder);
@@ -335,7 +365,12 @@
                             }
                             mEntry.handle(call, responder);
                         });
-        openPort("internal", SettingKey.LISTEN_INTERNAL, HttpLimits.internal(), this::internalCall);
+        openPort(
+                "internal",
+                SettingKey.LISTEN_INTERNAL,
+                HttpLimits.internal(),
+                tlsStrategy(),
+                this::internalCall);
         ConfigCommands.HistorySource history = mVoterState == null ? new NoHistory() : mVoterState;
         ConfigCommands commands = ConfigCommands.create(mLoop, mFleet, mConfig, mProposer, history);
         mOperatorPort =
@@ -343,11 +378,13 @@
                         "operators",
                         SettingKey.LISTEN_OPERATORS,
                         HttpLimits.internal(),
+                        null,
                         OperatorPort.create(mFleet, mConfig, mProposer, commands, pages));
         PeerServer peers =
                 PeerServer.open(
                         mSettings.address(SettingKey.LISTEN_PEER),
-                        new PeerHandler(mLoop, mFleet, mConfig, mOwner, mClaims, mReplica, mLog));
+                        new PeerHandler(mLoop, mFleet, mConfig, mOwner, mClaims, mReplica, mLog),
+                        mTls);
         closing(peers::close);
     }
 
@@ -357,8 +394,13 @@
                 "hemlockrack_config_version", (Gauge<Long>) () -> mConfig.current().version());
     }
 
-    private HttpPort openPort(String name, SettingKey key, HttpLimits limits, CallHandler handler) {
-        HttpPort port = HttpPort.open(name, mSettings.address(key), limits, handler);
+    private HttpPort openPort(
+            String name,
+            SettingKey key,
+            HttpLimits limits,
+            @Nullable TlsStrategy tls,
+            CallHandler handler) {
+        HttpPort port = HttpPort.open(name, mSettings.address(key), limits, handler, tls);
         closing(port::close);
         return port;
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/fleet/PeerNetwork.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/fleet/PeerNetwork.java
@@ -7,9 +7,11 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import org.hemlockrack.daemon.peer.PeerClient;
+import org.hemlockrack.daemon.tls.TlsKeys;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.wire.Envelope;
 import org.hemlockrack.wire.Slice;
+import org.jspecify.annotations.Nullable;
 
 /** Connections to other instances, by peer address. Safe for use from any thread. */
 public final class PeerNetwork implements AutoCloseable {
@@ -26,14 +28,16 @@
     }
 
     private final InstanceId mSelf;
+    private final @Nullable TlsKeys mKeys;
     private final UnreachableListener mListener;
     private final ConcurrentMap<String, PeerClient> mMessages = new ConcurrentHashMap<>();
 
     /** Calls that wait for a reply do not hold up gossip and consensus messages. */
     private final ConcurrentMap<String, PeerClient> mCalls = new ConcurrentHashMap<>();
 
-    private PeerNetwork(InstanceId self, UnreachableListener listener) {
+    private PeerNetwork(InstanceId self, @Nullable TlsKeys keys, UnreachableListener listener) {
         mSelf = self;
+        mKeys = keys;
         mListener = listener;
     }
 
@@ -41,11 +45,13 @@
      * Creates the network.
      *
      * @param self this instance
+     * @param keys keys for TLS, or null for none
      * @param listener told about unreachable addresses
      * @return the network
      */
-    public static PeerNetwork create(InstanceId self, UnreachableListener listener) {
-        return new PeerNetwork(self, listener);
+    public static PeerNetwork create(
+            InstanceId self, @Nullable TlsKeys keys, UnreachableListener listener) {
+        return new PeerNetwork(self, keys, listener);
     }
 
     /**
@@ -79,7 +85,8 @@
 
     private PeerClient client(ConcurrentMap<String, PeerClient> clients, String address) {
         return clients.computeIfAbsent(
-                address, key -> PeerClient.create(key, cause -> mListener.unreachable(key, cause)));
+                address,
+                key -> PeerClient.create(key, mKeys, cause -> mListener.unreachable(key, cause)));
     }
 
     @Override
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
@@ -8,12 +8,14 @@
 import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.ssl.TlsStrategy;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
+import org.jspecify.annotations.Nullable;
 
 /** Sends requests to other servers. Safe for use from any thread. */
 public final class HttpClient implements AutoCloseable {
@@ -32,12 +34,15 @@
     private final SessionRegistry mSessions;
     private final Timeout mConnectTimeout;
     private final boolean mReuse;
+    private final URIScheme mScheme;
 
     private HttpClient(
             HttpAsyncRequester requester,
             SessionRegistry sessions,
             Timeout connectTimeout,
-            boolean reuse) {
+            boolean reuse,
+            URIScheme scheme) {
+        mScheme = scheme;
         mRequester = requester;
         mSessions = sessions;
         mConnectTimeout = connectTimeout;
@@ -56,6 +61,21 @@
      */
     public static HttpClient open(
             int ioThreads, long connectTimeoutMillis, long idleTimeoutMillis, boolean reuse) {
+        return open(ioThreads, connectTimeoutMillis, idleTimeoutMillis, reuse, null);
+    }
+
+    /**
+     * Opens a client that may use TLS; the other parameters are those of {@link #open(int, long,
+     * long, boolean)}.
+     *
+     * @param tls starts TLS on each connection, or null for none
+     */
+    public static HttpClient open(
+            int ioThreads,
+            long connectTimeoutMillis,
+            long idleTimeoutMillis,
+            boolean reuse,
+            @Nullable TlsStrategy tls) {
         IOReactorConfig reactor =
                 IOReactorConfig.custom()
                         .setIoThreadCount(ioThreads)
@@ -66,6 +86,8 @@
         HttpAsyncRequester requester =
                 AsyncRequesterBootstrap.bootstrap()
                         .setIOReactorConfig(reactor)
+                        .setTlsStrategy(tls)
+                        .setTlsHandshakeTimeout(Timeout.ofMilliseconds(connectTimeoutMillis))
                         .setIOSessionDecorator(PausableSession::new)
                         .setIOSessionListener(sessions)
                         .setHttp1Config(
@@ -81,7 +103,11 @@
                         .create();
         requester.start();
         return new HttpClient(
-                requester, sessions, Timeout.ofMilliseconds(connectTimeoutMillis), reuse);
+                requester,
+                sessions,
+                Timeout.ofMilliseconds(connectTimeoutMillis),
+                reuse,
+                tls == null ? URIScheme.HTTP : URIScheme.HTTPS);
     }
 
     /**
@@ -119,14 +145,14 @@
         return call;
     }
 
-    private static HttpHost parse(String target) {
+    private HttpHost parse(String target) {
         int colon = target.lastIndexOf(':');
         if (colon < 0) {
             throw HemlockrackException.of(
                     ErrorKind.BAD_REQUEST, String.format("address \"%s\" has no port", target));
         }
         int port = Integer.parseInt(target.substring(colon + 1));
-        return new HttpHost(URIScheme.HTTP.id, target.substring(0, colon), port);
+        return new HttpHost(mScheme.id, target.substring(0, colon), port);
     }
 
     @Override
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
@@ -6,12 +6,14 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
+import org.apache.hc.core5.http.nio.ssl.TlsStrategy;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.util.TimeValue;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
+import org.jspecify.annotations.Nullable;
 
 /** A listening HTTP/1.1 port. */
 public final class HttpPort implements AutoCloseable {
@@ -38,8 +40,23 @@
      */
     public static HttpPort open(
             String name, InetSocketAddress address, HttpLimits limits, CallHandler handler) {
+        return open(name, address, limits, handler, null);
+    }
+
+    /**
+     * Opens a port that may use TLS; the other parameters are those of {@link #open(String,
+     * InetSocketAddress, HttpLimits, CallHandler)}.
+     *
+     * @param tls starts TLS on each connection, or null for none
+     */
+    public static HttpPort open(
+            String name,
+            InetSocketAddress address,
+            HttpLimits limits,
+            CallHandler handler,
+            @Nullable TlsStrategy tls) {
         ConnectionTable table = ConnectionTable.start(name, limits);
-        HttpAsyncServer server = create(table, handler);
+        HttpAsyncServer server = create(table, handler, tls);
         server.start();
         try {
             ListenerEndpoint endpoint = server.listen(address, URIScheme.HTTP).get();
@@ -57,7 +74,8 @@
         }
     }
 
-    private static HttpAsyncServer create(ConnectionTable table, CallHandler handler) {
+    private static HttpAsyncServer create(
+            ConnectionTable table, CallHandler handler, @Nullable TlsStrategy tls) {
         HttpLimits limits = table.limits();
         IOReactorConfig reactor =
                 IOReactorConfig.custom()
@@ -68,7 +86,7 @@
                         .setBacklogSize(1_024)
                         .build();
         return new HttpAsyncServer(
-                new ServerConnections(handler, table),
+                new ServerConnections(handler, table, tls),
                 reactor,
                 null,
                 null,
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnections.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnections.java
@@ -5,6 +5,7 @@
 import java.nio.channels.ReadableByteChannel;
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpMessage;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -18,11 +19,13 @@
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.ContentDecoder;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.http.nio.ssl.TlsStrategy;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOEventHandlerFactory;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
+import org.apache.hc.core5.util.Timeout;
 import org.jspecify.annotations.Nullable;
 
 /** Creates the server side of each accepted connection, with its limits. */
@@ -31,10 +34,12 @@
 
     private final CallHandler mHandler;
     private final ConnectionTable mTable;
+    private final @Nullable TlsStrategy mTls;
     private final Http1Config mConfig;
 
-    ServerConnections(CallHandler handler, ConnectionTable table) {
+    ServerConnections(CallHandler handler, ConnectionTable table, @Nullable TlsStrategy tls) {
         mHandler = handler;
+        mTls = tls;
         mTable = table;
         mConfig =
                 Http1Config.custom()
@@ -46,6 +51,10 @@
     @Override
     public IOEventHandler createHandler(ProtocolIOSession session, @Nullable Object attachment) {
         ClientConnection connection = new ClientConnection(session, mTable.limits());
+        if (mTls != null) {
+            Timeout timeout = Timeout.ofMilliseconds(mTable.limits().headTimeoutMillis());
+            mTls.upgrade(session, null, attachment, timeout, null);
+        }
         return new Events(new Duplexer(session, connection), connection);
     }
 
@@ -59,8 +68,7 @@
     }
 
     /** A refused request has no end that could be trusted, so its body lasts to the end. */
-    private static long bodyLength(org.apache.hc.core5.http.HttpMessage message)
-            throws HttpException {
+    private static long bodyLength(HttpMessage message) throws HttpException {
         return message instanceof RefusedRequest
                 ? ContentLengthStrategy.CHUNKED
                 : DefaultContentLengthStrategy.INSTANCE.determineLength(message);
@@ -137,8 +145,7 @@
         }
 
         @Override
-        public void timeout(IOSession session, org.apache.hc.core5.util.Timeout timeout)
-                throws IOException {
+        public void timeout(IOSession session, Timeout timeout) throws IOException {
             mEvents.timeout(session, timeout);
         }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerClient.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerClient.java
@@ -1,5 +1,8 @@
 package org.hemlockrack.daemon.peer;
 
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -7,11 +10,14 @@
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import javax.net.ssl.SSLSocket;
 import org.apache.thrift.TException;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.transport.TSocket;
+import org.apache.thrift.transport.TTransportException;
 import org.apache.thrift.transport.layered.TFramedTransport;
 import org.hemlockrack.daemon.settings.Settings;
+import org.hemlockrack.daemon.tls.TlsKeys;
 import org.hemlockrack.wire.Envelope;
 import org.hemlockrack.wire.Peer;
 import org.jspecify.annotations.Nullable;
@@ -31,6 +37,7 @@
     private static final int MAX_QUEUED = 256;
 
     private final String mAddress;
+    private final @Nullable TlsKeys mKeys;
     private final Consumer<Exception> mOnUnreachable;
     private final ThreadPoolExecutor mThread;
 
@@ -38,8 +45,9 @@
     private Peer.@Nullable Client mClient;
     private long mPausedUntilNanos = System.nanoTime();
 
-    private PeerClient(String address, Consumer<Exception> onUnreachable) {
+    private PeerClient(String address, @Nullable TlsKeys keys, Consumer<Exception> onUnreachable) {
         mAddress = address;
+        mKeys = keys;
         mOnUnreachable = onUnreachable;
         mThread =
                 new ThreadPoolExecutor(
@@ -63,11 +71,13 @@
      * Creates a client; it connects when first used.
      *
      * @param address {@code ip:port}
+     * @param keys keys for TLS, or null for none
      * @param onUnreachable told when a message could not be sent
      * @return the client
      */
-    public static PeerClient create(String address, Consumer<Exception> onUnreachable) {
-        return new PeerClient(address, onUnreachable);
+    public static PeerClient create(
+            String address, @Nullable TlsKeys keys, Consumer<Exception> onUnreachable) {
+        return new PeerClient(address, keys, onUnreachable);
     }
 
     /**
@@ -157,6 +167,13 @@
         }
         mPausedUntilNanos = nowNanos + RECONNECT_PAUSE_NANOS;
         var address = Settings.toAddress(mAddress);
+        TSocket socket = mKeys == null ? plain(address) : secure(address, mKeys);
+        mSocket = socket;
+        mClient = new Peer.Client(new TCompactProtocol(new TFramedTransport(socket)));
+        return mClient;
+    }
+
+    private static TSocket plain(InetSocketAddress address) throws TException {
         TSocket socket =
                 new TSocket(
                         null,
@@ -165,9 +182,39 @@
                         READ_TIMEOUT_MILLIS,
                         CONNECT_TIMEOUT_MILLIS);
         socket.open();
-        mSocket = socket;
-        mClient = new Peer.Client(new TCompactProtocol(new TFramedTransport(socket)));
-        return mClient;
+        return socket;
+    }
+
+    private static TSocket secure(InetSocketAddress address, TlsKeys keys) throws TException {
+        Socket plain = new Socket();
+        try {
+            plain.connect(address, CONNECT_TIMEOUT_MILLIS);
+            SSLSocket socket =
+                    (SSLSocket)
+                            keys.current()
+                                    .getSocketFactory()
+                                    .createSocket(
+                                            plain,
+                                            address.getHostString(),
+                                            address.getPort(),
+                                            true);
+            socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+            socket.startHandshake();
+            TSocket transport = new TSocket(socket);
+            transport.setTimeout(READ_TIMEOUT_MILLIS);
+            return transport;
+        } catch (IOException e) {
+            closeQuietly(plain);
+            throw new TTransportException(TTransportException.NOT_OPEN, e);
+        }
+    }
+
+    private static void closeQuietly(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException ignored) {
+            // Nothing is left to be done with the socket.
+        }
     }
 
     private void disconnect() {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
@@ -2,17 +2,22 @@
 
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import java.net.InetSocketAddress;
+import java.util.concurrent.RejectedExecutionHandler;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.server.THsHaServer;
+import org.apache.thrift.server.TServer;
+import org.apache.thrift.server.TThreadPoolServer;
 import org.apache.thrift.transport.TNonblockingServerSocket;
 import org.apache.thrift.transport.TTransportException;
 import org.apache.thrift.transport.layered.TFramedTransport;
+import org.hemlockrack.daemon.tls.TlsKeys;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.wire.Peer;
+import org.jspecify.annotations.Nullable;
 
 /** The Thrift port of one instance. */
 public final class PeerServer implements AutoCloseable {
@@ -22,13 +27,19 @@
     /** Proposals wait for their commit on these threads. */
     private static final int MAX_WORKERS = 64;
 
+    /**
+     * Threads with TLS, one for each connection. An instance opens two connections to each of its
+     * peers, of which 330 are projected.
+     */
+    private static final int MAX_TLS_CONNECTIONS = 1_024;
+
     private static final int CLIENT_TIMEOUT_MILLIS = 60_000;
 
-    private final THsHaServer mServer;
+    private final TServer mServer;
     private final ThreadPoolExecutor mWorkers;
     private final InetSocketAddress mAddress;
 
-    private PeerServer(THsHaServer server, ThreadPoolExecutor workers, InetSocketAddress address) {
+    private PeerServer(TServer server, ThreadPoolExecutor workers, InetSocketAddress address) {
         mServer = server;
         mWorkers = workers;
         mAddress = address;
@@ -39,39 +50,17 @@
      *
      * @param address address to listen on
      * @param handler answers the calls; may block up to the timeout that a call states
+     * @param keys keys for TLS, or null for none
      * @return the open port
      * @throws HemlockrackException with {@link ErrorKind#SETTINGS_INVALID} if the address cannot be
      *     bound
      */
-    public static PeerServer open(InetSocketAddress address, Peer.Iface handler) {
+    public static PeerServer open(
+            InetSocketAddress address, Peer.Iface handler, @Nullable TlsKeys keys) {
         try {
-            TNonblockingServerSocket socket =
-                    new TNonblockingServerSocket(address, CLIENT_TIMEOUT_MILLIS, MAX_FRAME_BYTES);
-            ThreadPoolExecutor workers =
-                    new ThreadPoolExecutor(
-                            4,
-                            MAX_WORKERS,
-                            10,
-                            TimeUnit.SECONDS,
-                            new SynchronousQueue<>(),
-                            new ThreadFactoryBuilder()
-                                    .setNameFormat("peer-%d")
-                                    .setDaemon(true)
-                                    .build(),
-                            new ThreadPoolExecutor.DiscardPolicy());
-            THsHaServer server =
-                    new THsHaServer(
-                            new THsHaServer.Args(socket)
-                                    .processor(new Peer.Processor<>(handler))
-                                    .protocolFactory(new TCompactProtocol.Factory())
-                                    .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
-                                    .executorService(workers));
             PeerServer opened =
-                    new PeerServer(
-                            server,
-                            workers,
-                            new InetSocketAddress(address.getAddress(), socket.getPort()));
-            Thread acceptor = new Thread(server::serve, "peer-accept");
+                    keys == null ? openPlain(address, handler) : openTls(address, handler, keys);
+            Thread acceptor = new Thread(opened.mServer::serve, "peer-accept");
             acceptor.setDaemon(true);
             acceptor.start();
             return opened;
@@ -81,6 +70,49 @@
         }
     }
 
+    private static PeerServer openPlain(InetSocketAddress address, Peer.Iface handler)
+            throws TTransportException {
+        TNonblockingServerSocket socket =
+                new TNonblockingServerSocket(address, CLIENT_TIMEOUT_MILLIS, MAX_FRAME_BYTES);
+        ThreadPoolExecutor workers = workers(MAX_WORKERS, new ThreadPoolExecutor.DiscardPolicy());
+        THsHaServer server =
+                new THsHaServer(
+                        new THsHaServer.Args(socket)
+                                .processor(new Peer.Processor<>(handler))
+                                .protocolFactory(new TCompactProtocol.Factory())
+                                .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
+                                .executorService(workers));
+        return new PeerServer(
+                server, workers, new InetSocketAddress(address.getAddress(), socket.getPort()));
+    }
+
+    private static PeerServer openTls(InetSocketAddress address, Peer.Iface handler, TlsKeys keys)
+            throws TTransportException {
+        TlsServerTransport transport = TlsServerTransport.open(address, keys);
+        ThreadPoolExecutor workers =
+                workers(MAX_TLS_CONNECTIONS, new ThreadPoolExecutor.AbortPolicy());
+        TThreadPoolServer server =
+                new TThreadPoolServer(
+                        new TThreadPoolServer.Args(transport)
+                                .processor(new Peer.Processor<>(handler))
+                                .protocolFactory(new TCompactProtocol.Factory())
+                                .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
+                                .executorService(workers));
+        return new PeerServer(
+                server, workers, new InetSocketAddress(address.getAddress(), transport.port()));
+    }
+
+    private static ThreadPoolExecutor workers(int maxThreads, RejectedExecutionHandler whenFull) {
+        return new ThreadPoolExecutor(
+                4,
+                maxThreads,
+                10,
+                TimeUnit.SECONDS,
+                new SynchronousQueue<>(),
+                new ThreadFactoryBuilder().setNameFormat("peer-%d").setDaemon(true).build(),
+                whenFull);
+    }
+
     /** Returns the bound address. */
     public InetSocketAddress address() {
         return mAddress;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
@@ -32,6 +32,10 @@
     HTTP_BODY_TIMEOUT_MS("http.body_timeout_ms", 30_000, 100, 600_000),
     HTTP_WRITE_TIMEOUT_MS("http.write_timeout_ms", 30_000, 100, 600_000),
     CONTROL_BUDGET_BYTES_PER_S("control.budget_bytes_per_s", 4_096, 512, 1_048_576),
+    TLS_MODE("tls.mode", CHOICE, "off", "off|on"),
+    TLS_CERTIFICATE_FILE("tls.certificate_file", PATH, "", "path"),
+    TLS_KEY_FILE("tls.key_file", PATH, "", "path"),
+    TLS_TRUST_FILE("tls.trust_file", PATH, "", "path"),
     SHUTDOWN_DRAIN_TIMEOUT_MS("shutdown.drain_timeout_ms", 120_000, 0, 3_600_000);
 
     private final String mPath;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import org.hemlockrack.daemon.http.HttpLimits;
+import org.hemlockrack.daemon.tls.PemFiles;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.InstanceId;
@@ -25,6 +26,13 @@
     /** Reactor threads of the caller port; two suffice for 500 requests a second. */
     private static final int CALLER_IO_THREADS = 2;
 
+    private static final String TLS_ON = "on";
+    private static final List<SettingKey> TLS_FILES =
+            List.of(
+                    SettingKey.TLS_CERTIFICATE_FILE,
+                    SettingKey.TLS_KEY_FILE,
+                    SettingKey.TLS_TRUST_FILE);
+
     private final Map<SettingKey, JsonNode> mValues;
 
     private Settings(Map<SettingKey, JsonNode> values) {
@@ -107,6 +115,7 @@
         for (String unknown : leaves.keySet()) {
             faults.add(name + ": " + unknown + " is not a known key");
         }
+        checkTls(name, values, faults);
         if (!faults.isEmpty()) {
             throw HemlockrackException.of(
                     ErrorKind.SETTINGS_INVALID, String.join(System.lineSeparator(), faults));
@@ -114,6 +123,31 @@
         return new Settings(values);
     }
 
+    private static void checkTls(
+            String name, Map<SettingKey, JsonNode> values, List<String> faults) {
+        JsonNode mode = values.get(SettingKey.TLS_MODE);
+        if (mode == null || !mode.textValue().equals(TLS_ON)) {
+            return;
+        }
+        for (SettingKey file : TLS_FILES) {
+            JsonNode value = values.get(file);
+            if (value == null || value.textValue().isEmpty()) {
+                faults.add(name + ": " + file.path() + " is missing; tls.mode is on");
+            }
+        }
+    }
+
+    /** Returns the files for TLS between processes, or null if it is off. */
+    public @Nullable PemFiles tlsFiles() {
+        if (!text(SettingKey.TLS_MODE).equals(TLS_ON)) {
+            return null;
+        }
+        return new PemFiles(
+                Path.of(text(SettingKey.TLS_CERTIFICATE_FILE)),
+                Path.of(text(SettingKey.TLS_KEY_FILE)),
+                Path.of(text(SettingKey.TLS_TRUST_FILE)));
+    }
+
     /**
      * Returns the text of a setting.
      *
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/settings/SettingsTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/settings/SettingsTest.java
@@ -55,6 +55,18 @@
         assertEquals(4, text.lines().count());
     }
 
+    /** Guards against TLS that is asked for and cannot start. */
+    @Test
+    void tlsNeedsAllItsFiles() {
+        String faulty = VALID + "[tls]\nmode = \"on\"\nkey_file = \"k\"";
+        HemlockrackException e =
+                assertThrows(HemlockrackException.class, () -> Settings.parse("x.toml", faulty));
+        String text = String.valueOf(e.getMessage());
+        assertTrue(text.contains("tls.certificate_file"), text);
+        assertTrue(text.contains("tls.trust_file"), text);
+        assertEquals(2, text.lines().count());
+    }
+
     /** Guards against a TOML fault without its place. */
     @Test
     void syntaxFaultNamesTheLine() {
--- /dev/null
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/tls/TlsPortsTest.java
@@ -0,0 +1,248 @@
+package org.hemlockrack.daemon.tls;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.attribute.FileTime;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import javax.net.ssl.SSLContext;
+import org.hemlockrack.daemon.http.HeaderField;
+import org.hemlockrack.daemon.http.HttpClient;
+import org.hemlockrack.daemon.http.HttpLimits;
+import org.hemlockrack.daemon.http.HttpPort;
+import org.hemlockrack.daemon.http.UpstreamListener;
+import org.hemlockrack.daemon.peer.PeerClient;
+import org.hemlockrack.daemon.peer.PeerServer;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.wire.Peer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Who may use the internal and the peer port with TLS. */
+@Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class TlsPortsTest {
+    private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
+
+    private final AtomicInteger mCalls = new AtomicInteger();
+    private final List<AutoCloseable> mOpen = new ArrayList<>();
+
+    @TempDir private Path mFolder;
+    private PemFiles mFiles;
+    private TlsKeys mKeys;
+
+    @BeforeEach
+    void open() throws Exception {
+        mFiles = TestKeys.create(mFolder, "fleet", "fleet");
+        mKeys = opened(TestKeys.open(mFiles));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        for (AutoCloseable resource : mOpen) {
+            resource.close();
+        }
+    }
+
+    private <T extends AutoCloseable> T opened(T resource) {
+        mOpen.add(resource);
+        return resource;
+    }
+
+    /** A certificate that the fleet does not trust, though it trusts the fleet. */
+    private TlsKeys stranger() throws Exception {
+        return opened(TestKeys.open(TestKeys.create(mFolder, "stranger", "fleet")));
+    }
+
+    private HttpPort openPort() {
+        return opened(
+                HttpPort.open(
+                        "test",
+                        ANY,
+                        HttpLimits.internal(),
+                        (call, responder) -> {
+                            mCalls.incrementAndGet();
+                            responder.send(200, List.of(), call.body());
+                        },
+                        MutualTls.of(mKeys)));
+    }
+
+    /** Returns the status, or 0 if the exchange failed. */
+    private int post(HttpPort port, HttpClient client, String body) throws InterruptedException {
+        AtomicInteger status = new AtomicInteger();
+        CountDownLatch done = new CountDownLatch(1);
+        client.send(
+                "127.0.0.1:" + port.address().getPort(),
+                "POST",
+                "/",
+                List.of(),
+                body.getBytes(StandardCharsets.UTF_8),
+                new UpstreamListener() {
+                    @Override
+                    public boolean onSending() {
+                        return true;
+                    }
+
+                    @Override
+                    public void onHead(int code, List<HeaderField> headers, long lengthBytes) {
+                        status.set(code);
+                    }
+
+                    @Override
+                    public void onBody(ByteBuffer data) {
+                        data.position(data.limit());
+                    }
+
+                    @Override
+                    public void onEnd() {
+                        done.countDown();
+                    }
+
+                    @Override
+                    public void onFailed(Exception cause, boolean mayHaveBeenSent) {
+                        status.set(0);
+                        done.countDown();
+                    }
+                });
+        assertTrue(done.await(60, TimeUnit.SECONDS), "the call did not end");
+        return status.get();
+    }
+
+    private HttpClient client(TlsKeys keys) {
+        MutualTls tls = keys == null ? null : MutualTls.of(keys);
+        return opened(HttpClient.open(1, 10_000, 60_000, true, tls));
+    }
+
+    /** Guards against TLS that hinders the fleet itself, with a body of many records. */
+    @Test
+    void internalPortServesTheFleet() throws Exception {
+        HttpPort port = openPort();
+        HttpClient client = client(mKeys);
+        assertEquals(200, post(port, client, "x".repeat(40_000)));
+        assertEquals(200, post(port, client, "again"));
+    }
+
+    /** Guards against forwarded orders from whoever merely reaches the internal port. */
+    @Test
+    void internalPortServesNoStranger() throws Exception {
+        HttpPort port = openPort();
+        assertEquals(0, post(port, client(stranger()), "x"));
+        assertEquals(0, post(port, client(null), "x"));
+        assertEquals(0, mCalls.get());
+        assertEquals(200, post(port, client(mKeys), "x"));
+    }
+
+    /** Guards against a client that forwards requests to an instance that it does not trust. */
+    @Test
+    void clientTrustsNoStranger() throws Exception {
+        HttpPort port = openPort();
+        TlsKeys other = opened(TestKeys.open(TestKeys.create(mFolder, "other", "other")));
+        assertEquals(0, post(port, client(other), "x"));
+        assertEquals(0, mCalls.get());
+    }
+
+    private PeerServer openPeer() {
+        Peer.Iface handler =
+                (Peer.Iface)
+                        Proxy.newProxyInstance(
+                                Peer.Iface.class.getClassLoader(),
+                                new Class<?>[] {Peer.Iface.class},
+                                (proxy, method, args) -> {
+                                    mCalls.incrementAndGet();
+                                    return method.getName().equals("abandoned");
+                                });
+        return opened(PeerServer.open(ANY, handler, mKeys));
+    }
+
+    /** Returns whether a call with a reply got through. */
+    private boolean asks(PeerServer server, TlsKeys keys) throws Exception {
+        String address = "127.0.0.1:" + server.address().getPort();
+        PeerClient client = opened(PeerClient.create(address, keys, cause -> {}));
+        try {
+            return client.ask(peer -> peer.abandoned("attempt")).get(60, TimeUnit.SECONDS);
+        } catch (ExecutionException e) {
+            return false;
+        }
+    }
+
+    /** Guards against messages from whoever merely reaches the peer port. */
+    @Test
+    void peerPortServesTheFleetAndNoStranger() throws Exception {
+        PeerServer server = openPeer();
+        assertFalse(asks(server, stranger()));
+        assertFalse(asks(server, null));
+        assertEquals(0, mCalls.get());
+        assertTrue(asks(server, mKeys));
+    }
+
+    /** Guards against a stranger without a handshake that holds up the peers. */
+    @Test
+    void silentStrangersDoNotHoldUpPeers() throws Exception {
+        PeerServer server = openPeer();
+        for (int i = 0; i < 100; i++) {
+            opened(new Socket("127.0.0.1", server.address().getPort()));
+        }
+        assertTrue(asks(server, mKeys));
+    }
+
+    /** Guards against keys that need a restart, and against a faulty file that ends TLS. */
+    @Test
+    void changedKeysServeNewConnections() throws Exception {
+        HttpPort port = openPort();
+        SSLContext first = mKeys.current();
+        PemFiles next = TestKeys.create(mFolder, "next", "next");
+        TlsKeys nextKeys = opened(TestKeys.open(next));
+        assertEquals(0, post(port, client(nextKeys), "x"));
+        replace(next.certificate(), mFiles.certificate(), 1);
+        replace(next.key(), mFiles.key(), 1);
+        mKeys.reload(TlsPortsTest::unexpected);
+        assertNotSame(first, mKeys.current());
+        assertEquals(200, post(port, client(nextKeys), "x"));
+
+        SSLContext second = mKeys.current();
+        Files.writeString(mFiles.key(), "no key");
+        Files.setLastModifiedTime(mFiles.key(), FileTime.fromMillis(3));
+        List<Exception> failures = new ArrayList<>();
+        mKeys.reload(failures::add);
+        assertSame(second, mKeys.current());
+    }
+
+    private static void replace(Path from, Path to, long time) throws IOException {
+        Files.copy(from, to, StandardCopyOption.REPLACE_EXISTING);
+        Files.setLastModifiedTime(to, FileTime.fromMillis(time));
+    }
+
+    private static void unexpected(Exception cause) {
+        throw new IllegalStateException(cause);
+    }
+
+    /** Guards against an instance that starts with unusable keys and reaches no peer. */
+    @Test
+    void unusableFilesAreASettingsFault() throws Exception {
+        Files.writeString(mFiles.key(), "no key");
+        HemlockrackException e =
+                assertThrows(HemlockrackException.class, () -> TestKeys.open(mFiles));
+        assertEquals(ErrorKind.SETTINGS_INVALID, e.kind());
+    }
+}
