--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/fleet/PeerNetwork.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/fleet/PeerNetwork.java
@@ -8,9 +8,11 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import org.hemlockrack.daemon.peer.PeerClient;
+import org.hemlockrack.daemon.tls.TlsKeys;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.wire.Envelope;
 import org.hemlockrack.wire.Slice;
+import org.jspecify.annotations.Nullable;
 
 /** Connections to other instances, by peer address. Safe for use from any thread. */
 public final class PeerNetwork implements AutoCloseable {
@@ -28,15 +30,21 @@
 
     private final InstanceId mSelf;
     private final Map<String, String> mRoutes;
+    private final @Nullable TlsKeys mKeys;
     private final UnreachableListener mListener;
     private final ConcurrentMap<String, PeerClient> mMessages = new ConcurrentHashMap<>();
 
     /** Calls that wait for a reply do not hold up gossip and consensus messages. */
     private final ConcurrentMap<String, PeerClient> mCalls = new ConcurrentHashMap<>();
 
-    private PeerNetwork(InstanceId self, Map<String, String> routes, UnreachableListener listener) {
+    private PeerNetwork(
+            InstanceId self,
+            Map<String, String> routes,
+            @Nullable TlsKeys keys,
+            UnreachableListener listener) {
         mSelf = self;
         mRoutes = Map.copyOf(routes);
+        mKeys = keys;
         mListener = listener;
     }
 
@@ -45,12 +53,16 @@
      *
      * @param self this instance
      * @param routes where to connect instead of an advertised address
+     * @param keys keys for TLS, or null for none
      * @param listener told about unreachable addresses
      * @return the network
      */
     public static PeerNetwork create(
-            InstanceId self, Map<String, String> routes, UnreachableListener listener) {
-        return new PeerNetwork(self, routes, listener);
+            InstanceId self,
+            Map<String, String> routes,
+            @Nullable TlsKeys keys,
+            UnreachableListener listener) {
+        return new PeerNetwork(self, routes, keys, listener);
     }
 
     /**
@@ -95,7 +107,9 @@
     private PeerClient client(ConcurrentMap<String, PeerClient> clients, String address) {
         return clients.computeIfAbsent(
                 address,
-                key -> PeerClient.create(route(key), cause -> mListener.unreachable(key, cause)));
+                key ->
+                        PeerClient.create(
+                                route(key), mKeys, cause -> mListener.unreachable(key, cause)));
     }
 
     @Override
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/TestInstance.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/TestInstance.java
@@ -50,7 +50,8 @@
     private final Loop mLoop = Loop.open("test", mFaults::add);
     private final Loop mLogLoop = Loop.open("test-log", mFaults::add);
     private final Membership mPeer = membership(PEER);
-    private final PeerNetwork mNetwork = PeerNetwork.create(SELF, Map.of(), (address, cause) -> {});
+    private final PeerNetwork mNetwork =
+            PeerNetwork.create(SELF, Map.of(), null, (address, cause) -> {});
     private final @Nullable ReplicaService mReplica;
     private final Fleet mFleet;
     private final ConfigService mConfig;
