--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -21,7 +21,9 @@
 import org.hemlockrack.consensus.LogStore;
 import org.hemlockrack.consensus.Packet;
 import org.hemlockrack.consensus.ReplicaNode;
+import org.hemlockrack.daemon.burn.BurnService;
 import org.hemlockrack.daemon.config.ConfigService;
+import org.hemlockrack.daemon.entry.CacheEventReader;
 import org.hemlockrack.daemon.entry.ClaimService;
 import org.hemlockrack.daemon.entry.EntryService;
 import org.hemlockrack.daemon.fleet.Fleet;
@@ -37,12 +39,18 @@
 import org.hemlockrack.daemon.operator.ConfigCommands;
 import org.hemlockrack.daemon.operator.OperatorPort;
 import org.hemlockrack.daemon.operator.PlatformPages;
+import org.hemlockrack.daemon.operator.RolloutCommands;
+import org.hemlockrack.daemon.operator.VoterCommands;
+import org.hemlockrack.daemon.operator.VoterDirectory;
 import org.hemlockrack.daemon.owner.ForwardedExchange;
 import org.hemlockrack.daemon.owner.OwnerService;
 import org.hemlockrack.daemon.peer.PeerServer;
 import org.hemlockrack.daemon.replica.Proposer;
 import org.hemlockrack.daemon.replica.ReplicaService;
 import org.hemlockrack.daemon.replica.VoterState;
+import org.hemlockrack.daemon.rollout.OrderService;
+import org.hemlockrack.daemon.rollout.RolloutLead;
+import org.hemlockrack.daemon.rollout.RolloutService;
 import org.hemlockrack.daemon.settings.SettingKey;
 import org.hemlockrack.daemon.settings.Settings;
 import org.hemlockrack.errors.ErrorKind;
@@ -56,6 +64,8 @@
 import org.hemlockrack.membership.MembershipSettings;
 import org.hemlockrack.membership.MembershipView;
 import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.placement.CacheEvent;
+import org.hemlockrack.rollout.Rollout;
 import org.hemlockrack.wire.Slice;
 import org.jspecify.annotations.Nullable;
 
@@ -86,9 +96,15 @@
     private OwnerService mOwner;
     private EntryService mEntry;
     private ClaimService mClaims;
+    private RolloutService mRollouts;
+    private OrderService mOrders;
+    private BurnService mBurn;
+    private volatile @Nullable RolloutLead mRolloutLead;
     private Proposer mProposer;
     private HttpPort mCallerPort;
     private HttpPort mOperatorPort;
+    private long mPublishedRollouts;
+    private volatile boolean mStarted;
     private volatile boolean mDraining;
     private volatile boolean mReady;
 
@@ -128,7 +144,8 @@
     private void start() {
         closing(mLogLoop::close);
         closing(mLoop::close);
-        mNetwork = PeerNetwork.create(mSettings.instanceId(), this::unreachable);
+        mNetwork =
+                PeerNetwork.create(mSettings.instanceId(), mSettings.routes(), this::unreachable);
         closing(mNetwork::close);
         onLoop(this::startFleet);
         startReplica();
@@ -199,7 +216,12 @@
         mVoterState = state;
         mReplica =
                 ReplicaService.start(
-                        mLogLoop, node, this::send, mLog, () -> publish(state, published));
+                        mLogLoop,
+                        store.recovered().meta().replicaId(),
+                        node,
+                        this::send,
+                        mLog,
+                        () -> published(state, published));
         closing(mReplica::close);
     }
 
@@ -216,6 +238,13 @@
         }
     }
 
+    private void published(VoterState state, AtomicLong version) {
+        publish(state, version);
+        if (mStarted) {
+            publishRollouts(state);
+        }
+    }
+
     private void publish(VoterState state, AtomicLong published) {
         long version = state.configVersion();
         if (version == published.get()) {
@@ -226,6 +255,20 @@
         mLoop.execute(() -> mConfig.offer(version, configuration));
     }
 
+    private void publishRollouts(VoterState state) {
+        List<Rollout> rollouts = state.rollouts().current();
+        long revision = rollouts.stream().mapToLong(Rollout::revision).max().orElse(0);
+        RolloutLead lead = mRolloutLead;
+        if (lead != null) {
+            lead.stateChanged();
+        }
+        if (revision == mPublishedRollouts) {
+            return;
+        }
+        mPublishedRollouts = revision;
+        mLoop.execute(() -> mRollouts.learn(rollouts));
+    }
+
     private void send(Packet packet) {
         String address = mSettings.voters().get(packet.to().instance());
         if (address != null) {
@@ -277,6 +320,20 @@
                         mFleet.self(),
                         AttemptSource.incarnation(System.currentTimeMillis(), mRandom));
         mClaims = ClaimService.create(mLoop, mFleet, mNetwork, mProposer, source);
+        long startMillis = System.currentTimeMillis();
+        mRollouts =
+                RolloutService.create(
+                        mLoop,
+                        mFleet,
+                        mNetwork,
+                        mProposer,
+                        mLog,
+                        startMillis,
+                        () -> mEntry.refreshCandidates(mFleet.view()));
+        mOrders =
+                OrderService.create(mLoop, mNetwork, mProposer, mSettings.voters(), commandClient);
+        mOwner.setListener(new OrderRights(mLoop, mOrders));
+        mBurn = BurnService.create(mLoop, mFleet, mNetwork, mConfig, mLog, mSettings.burnFile());
         mEntry =
                 EntryService.create(
                         mLoop,
@@ -285,11 +342,34 @@
                         client,
                         commandClient,
                         mClaims,
+                        mRollouts,
+                        new Observations(mFleet, mRollouts, mBurn),
                         mLog,
                         mFleet.self() + "-" + Long.toString(epoch, Character.MAX_RADIX) + "-");
         mConfig.onChange(this::configured);
         configured(mConfig.current());
         mFleet.onView(this::viewChanged);
+        startRolloutLead();
+    }
+
+    private void startRolloutLead() {
+        ReplicaService replica = mReplica;
+        VoterState state = mVoterState;
+        mStarted = true;
+        if (replica == null || state == null) {
+            return;
+        }
+        mLogLoop.execute(
+                () ->
+                        mRolloutLead =
+                                RolloutLead.create(
+                                        mLogLoop,
+                                        mFleet,
+                                        mNetwork,
+                                        replica,
+                                        state.rollouts(),
+                                        new SplittableRandom(mRandom.nextLong())));
+        mLogLoop.execute(() -> publishRollouts(state));
     }
 
     private void configured(ConfigService.Current current) {
@@ -337,17 +417,37 @@
                         });
         openPort("internal", SettingKey.LISTEN_INTERNAL, HttpLimits.internal(), this::internalCall);
         ConfigCommands.HistorySource history = mVoterState == null ? new NoHistory() : mVoterState;
-        ConfigCommands commands = ConfigCommands.create(mLoop, mFleet, mConfig, mProposer, history);
+        VoterDirectory voters = VoterDirectory.of(mSettings.voters());
+        VoterCommands voterCommands = VoterCommands.create(mLoop, mReplica, voters);
+        ConfigCommands commands =
+                ConfigCommands.create(mLoop, mFleet, mConfig, mProposer, history, voters);
         mOperatorPort =
                 openPort(
                         "operators",
                         SettingKey.LISTEN_OPERATORS,
                         HttpLimits.internal(),
-                        OperatorPort.create(mFleet, mConfig, mProposer, commands, pages));
+                        OperatorPort.create(
+                                mFleet,
+                                mConfig,
+                                mProposer,
+                                commands,
+                                voterCommands,
+                                RolloutCommands.create(mProposer, mRollouts),
+                                mBurn,
+                                pages));
         PeerServer peers =
                 PeerServer.open(
                         mSettings.address(SettingKey.LISTEN_PEER),
-                        new PeerHandler(mLoop, mFleet, mConfig, mOwner, mClaims, mReplica, mLog));
+                        new PeerHandler(
+                                mLoop,
+                                mFleet,
+                                mConfig,
+                                mOwner,
+                                mClaims,
+                                mReplica,
+                                new PeerHandler.RolloutPeers(
+                                        mRollouts, mOrders, () -> mRolloutLead, mBurn),
+                                mLog));
         closing(peers::close);
     }
 
@@ -368,9 +468,26 @@
             mOwner.announce(call, responder);
             return;
         }
+        if (call.path().equals("/backend/v1/cache-events")) {
+            cacheEvent(call, responder);
+            return;
+        }
         ForwardedExchange.run(mOwner, call, responder);
     }
 
+    private void cacheEvent(HttpCall call, Responder responder) {
+        try {
+            CacheEvent event = CacheEventReader.parse(call.body());
+            if (event.cleared()) {
+                mOwner.cacheCleared(event.backend(), event.incarnation());
+            }
+            mLoop.execute(() -> mEntry.cacheEvent(event));
+            responder.sendJson(200, "{}");
+        } catch (HemlockrackException e) {
+            responder.sendError(e.kind(), String.valueOf(e.getMessage()), 0);
+        }
+    }
+
     /** Answers on instances that do not hold the log. */
     private static final class NoHistory implements ConfigCommands.HistorySource {
         @Override
@@ -420,6 +537,7 @@
             mLog.log(LogEvent.DRAIN_TIMED_OUT, "%d requests were cut", left);
         }
         onLoop(() -> mFleet.post(new MembershipInput.Leave()));
+        onLoop(mBurn::save);
         pause(DRAIN_POLL_MILLIS);
         close();
         mLog.log(LogEvent.DAEMON_STOPPED, "instance %s", mSettings.instanceId());
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnerService.java
@@ -2,6 +2,9 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -35,6 +38,7 @@
     private static final long GONE_AFTER_NANOS = TimeUnit.MILLISECONDS.toNanos(3_500);
 
     private static final long SWEEP_MILLIS = 500;
+    private static final int MAX_EARLY_HANDOVERS = 256;
     private static final int STATUS_REDIRECT = 307;
     private static final int STATUS_OK = 200;
 
@@ -57,15 +61,42 @@
         boolean takesWork(ZoneId zone);
     }
 
+    /** Learns which servers this instance may give orders to. */
+    public interface OwnershipListener {
+        /**
+         * The right to a server was renewed.
+         *
+         * @param announcement the server
+         * @param leaseEndNanos monotonic time at which the right ends
+         */
+        void owned(Announcement announcement, long leaseEndNanos);
+
+        /**
+         * The right to a server ended.
+         *
+         * @param backend the server
+         */
+        void disowned(BackendId backend);
+    }
+
     private final Loop mLoop;
     private final Fleet mFleet;
     private final Policy mPolicy;
+    private OwnershipListener mListener = new NoListener();
     private final HttpClient mClient;
     private final HttpClient mCommandClient;
     private final EventLog mLog;
     private final long mOwnerEpoch;
     private final long mStartNanos;
     private final Map<BackendId, OwnedBackend> mBackends = new LinkedHashMap<>();
+
+    /** Handovers that arrived before the first announcement of their server. */
+    private final Cache<BackendId, HandoverMessage> mHandovers =
+            CacheBuilder.newBuilder()
+                    .maximumSize(MAX_EARLY_HANDOVERS)
+                    .expireAfterWrite(Duration.ofSeconds(10))
+                    .build();
+
     private boolean mStopping;
 
     private OwnerService(
@@ -112,6 +143,20 @@
         return service;
     }
 
+    /** Stands in until a listener is set. */
+    private static final class NoListener implements OwnershipListener {
+        @Override
+        public void owned(Announcement announcement, long leaseEndNanos) {}
+
+        @Override
+        public void disowned(BackendId backend) {}
+    }
+
+    /** Sets the listener. */
+    public void setListener(OwnershipListener listener) {
+        mListener = listener;
+    }
+
     /**
      * Answers an announcement. Safe for use from any thread.
      *
@@ -141,14 +186,28 @@
         }
         OwnedBackend backend =
                 mBackends.computeIfAbsent(announcement.id(), id -> open(announcement));
+        HandoverMessage handover = mHandovers.getIfPresent(announcement.id());
+        if (handover != null) {
+            mHandovers.invalidate(announcement.id());
+            backend.post(new AdmissionEvent.HandoverReceived(handover));
+        }
         AdmissionOutput.Acknowledge acknowledge = backend.announced(announcement);
         if (backend.isOwner()) {
             // Published earlier, the server would attract requests that must still be refused.
             publish(backend);
+            mListener.owned(announcement, leaseEndNanos(announcement));
         }
         answer(backend, acknowledge, responder);
     }
 
+    /**
+     * Counts the longest flight of the announcement against the lease, to stay on the safe side.
+     */
+    private long leaseEndNanos(Announcement announcement) {
+        AdmissionSettings.Lease lease = mPolicy.settings(announcement).lease();
+        return mLoop.nowNanos() + lease.durationNanos() - lease.maxFlightNanos();
+    }
+
     private OwnedBackend open(Announcement first) {
         OwnedBackend backend =
                 OwnedBackend.create(
@@ -197,7 +256,7 @@
     private void publish(OwnedBackend backend) {
         mFleet.post(
                 new MembershipInput.BackendAnnounced(
-                        backend.last().toDirectoryEntry(mFleet.self()), backend.inFlight()));
+                        backend.last().toDirectoryEntry(mFleet.self()), backend.assignedWork()));
         mFleet.meanInFlight(backend.last().service())
                 .ifPresent(mean -> backend.post(new AdmissionEvent.LoadSummary(mean, 0)));
     }
@@ -208,11 +267,21 @@
             if (nowNanos - backend.lastNanos() < GONE_AFTER_NANOS || !backend.isIdle()) {
                 continue;
             }
-            mFleet.post(new MembershipInput.BackendGone(backend.last().id()));
+            if (isListedOwner(backend.last().id())) {
+                mFleet.post(new MembershipInput.BackendGone(backend.last().id()));
+            }
             drop(backend);
         }
     }
 
+    /** Another instance may own the server by now; then its silence here means nothing. */
+    private boolean isListedOwner(BackendId id) {
+        return mFleet.view()
+                .backend(id)
+                .filter(entry -> entry.owner().equals(mFleet.self()))
+                .isPresent();
+    }
+
     private void dropIfIdle(OwnedBackend backend) {
         if (backend.isIdle()) {
             drop(backend);
@@ -224,6 +293,22 @@
         backend.stop();
     }
 
+    /**
+     * Takes a cache event of an owned server. Safe for use from any thread.
+     *
+     * @param backend the server
+     * @param incarnation its incarnation
+     */
+    public void cacheCleared(BackendId backend, long incarnation) {
+        mLoop.execute(
+                () -> {
+                    OwnedBackend owned = mBackends.get(backend);
+                    if (owned != null) {
+                        owned.post(new AdmissionEvent.CacheCleared(incarnation));
+                    }
+                });
+    }
+
     /**
      * Runs a request on an owned backend server. Safe for use from any thread.
      *
@@ -255,9 +340,11 @@
      */
     public void handoverReceived(HandoverMessage message) {
         OwnedBackend backend = mBackends.get(message.backend());
-        if (backend != null) {
-            backend.post(new AdmissionEvent.HandoverReceived(message));
+        if (backend == null) {
+            mHandovers.put(message.backend(), message);
+            return;
         }
+        backend.post(new AdmissionEvent.HandoverReceived(message));
     }
 
     /** Applies changed settings and zones to all owned servers. */
@@ -303,6 +390,9 @@
     void ownershipChanged(OwnedBackend backend, boolean owner) {
         BackendId id = backend.last().id();
         LogEvent event = owner ? LogEvent.BACKEND_OWNED : LogEvent.BACKEND_RELEASED;
+        if (!owner) {
+            mListener.disowned(id);
+        }
         mLog.log(event, "backend server %s at %s", id, backend.last().address());
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.hemlockrack.consensus.ConsensusEvent;
+import org.hemlockrack.consensus.Membership;
 import org.hemlockrack.consensus.NodeOutputs;
 import org.hemlockrack.consensus.Packet;
 import org.hemlockrack.consensus.ProposalStatus;
@@ -32,6 +33,7 @@
  */
 public final class ReplicaService implements AutoCloseable {
     private final Loop mLoop;
+    private final long mReplicaId;
     private final ReplicaNode mNode;
     private final Consumer<Packet> mTransport;
     private final EventLog mLog;
@@ -47,15 +49,19 @@
     private volatile @Nullable InstanceId mLeader;
     private volatile Role mRole = Role.FOLLOWER;
     private volatile long mTerm;
+    private volatile Membership mMembership = Membership.NONE;
+    private volatile boolean mVoter;
     private volatile boolean mFailed;
 
     private ReplicaService(
             Loop loop,
+            long replicaId,
             ReplicaNode node,
             Consumer<Packet> transport,
             EventLog log,
             Runnable afterStep) {
         mLoop = loop;
+        mReplicaId = replicaId;
         mNode = node;
         mTransport = transport;
         mLog = log;
@@ -66,6 +72,7 @@
      * Starts driving a replica.
      *
      * @param loop loop of its own, because it waits for the disk
+     * @param replicaId id of the replica
      * @param node the replica
      * @param transport sends packets; must not block
      * @param log the log
@@ -74,11 +81,13 @@
      */
     public static ReplicaService start(
             Loop loop,
+            long replicaId,
             ReplicaNode node,
             Consumer<Packet> transport,
             EventLog log,
             Runnable afterStep) {
-        ReplicaService service = new ReplicaService(loop, node, transport, log, afterStep);
+        ReplicaService service =
+                new ReplicaService(loop, replicaId, node, transport, log, afterStep);
         service.schedule();
         return service;
     }
@@ -88,6 +97,11 @@
         return mLeader;
     }
 
+    /** Returns whether this replica, not only an earlier one of the instance, is a voter. */
+    public boolean voter() {
+        return mVoter;
+    }
+
     /** Returns the role of this replica. */
     public Role role() {
         return mRole;
@@ -98,6 +112,11 @@
         return mTerm;
     }
 
+    /** Returns the members in force here, which are up to date on the leader only. */
+    public Membership membership() {
+        return mMembership;
+    }
+
     /** Takes a packet of another replica. */
     public void received(Packet packet) {
         post(new ConsensusEvent.Received(packet));
@@ -175,10 +194,12 @@
         }
         try {
             mNode.step(mLoop.nowNanos(), batch, mOutputs);
+            refreshMembership();
         } catch (RuntimeException e) {
             fail(e);
             return;
         }
+        mVoter = mNode.consensus().membership().isVoter(mReplicaId);
         mAfterStep.run();
         arm();
     }
@@ -194,6 +215,11 @@
         mProposals.clear();
     }
 
+    /** Runs before a role or an outcome is published, so that nobody sees older members then. */
+    private void refreshMembership() {
+        mMembership = mNode.consensus().membership();
+    }
+
     private void arm() {
         if (mTimer != null) {
             mTimer.cancel(false);
@@ -222,6 +248,7 @@
 
         @Override
         public void ended(long ticket, ProposalStatus status, @Nullable InstanceId leader) {
+            refreshMembership();
             complete(ticket, ProposalOutcome.ended(status, leader));
         }
 
@@ -238,6 +265,7 @@
         @Override
         public void roleChanged(Role role, long term, @Nullable InstanceId leader) {
             boolean changed = leader == null ? mLeader != null : !leader.equals(mLeader);
+            refreshMembership();
             mRole = role;
             mTerm = term;
             mLeader = leader;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
@@ -6,6 +6,7 @@
 import static org.hemlockrack.daemon.settings.SettingType.INTEGER;
 import static org.hemlockrack.daemon.settings.SettingType.NAME;
 import static org.hemlockrack.daemon.settings.SettingType.PATH;
+import static org.hemlockrack.daemon.settings.SettingType.ROUTE_LIST;
 import static org.hemlockrack.daemon.settings.SettingType.VOTER_LIST;
 
 import org.jspecify.annotations.Nullable;
@@ -20,8 +21,10 @@
     LISTEN_INTERNAL("listen.internal", ADDRESS, null, "ip:port"),
     LISTEN_PEER("listen.peer", ADDRESS, null, "ip:port"),
     PEERS_SEEDS("peers.seeds", ADDRESS_LIST, "", "ip:port list"),
+    PEERS_ROUTES("peers.routes", ROUTE_LIST, "", "ip:port=ip:port list"),
     VOTER_DATA_FOLDER("voter.data_folder", PATH, "", "path"),
     VOTER_VOTERS("voter.voters", VOTER_LIST, "", "id=ip:port list"),
+    BURN_FILE("burn.file", PATH, "", "path"),
     LOG_FORMAT("log.format", CHOICE, "text", "text|json"),
     HTTP_MAX_BODY_BYTES("http.max_body_bytes", 1_048_576, 1_024, 67_108_864),
     HTTP_MAX_HEADER_COUNT("http.max_header_count", 100, 10, 1_000),
@@ -30,6 +33,7 @@
     HTTP_IDLE_TIMEOUT_MS("http.idle_timeout_ms", 180_000, 100, 3_600_000),
     HTTP_HEAD_TIMEOUT_MS("http.head_timeout_ms", 10_000, 100, 600_000),
     HTTP_BODY_TIMEOUT_MS("http.body_timeout_ms", 30_000, 100, 600_000),
+    HTTP_WRITE_TIMEOUT_MS("http.write_timeout_ms", 30_000, 100, 600_000),
     CONTROL_BUDGET_BYTES_PER_S("control.budget_bytes_per_s", 4_096, 512, 1_048_576),
     SHUTDOWN_DRAIN_TIMEOUT_MS("shutdown.drain_timeout_ms", 120_000, 0, 3_600_000);
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
@@ -189,6 +189,12 @@
         return folder.isEmpty() ? null : Path.of(folder);
     }
 
+    /** Returns the file of the burn accounts, or null if none is kept. */
+    public @Nullable Path burnFile() {
+        String file = text(SettingKey.BURN_FILE);
+        return file.isEmpty() ? null : Path.of(file);
+    }
+
     /** Returns the listed voters and their peer addresses, in the order of the file. */
     public Map<InstanceId, String> voters() {
         Map<InstanceId, String> voters = new LinkedHashMap<>();
@@ -199,6 +205,16 @@
         return voters;
     }
 
+    /** Returns the addresses that stand for advertised addresses of other instances. */
+    public Map<String, String> routes() {
+        Map<String, String> routes = new LinkedHashMap<>();
+        for (String route : list(SettingKey.PEERS_ROUTES)) {
+            int eq = route.indexOf('=');
+            routes.put(route.substring(0, eq), route.substring(eq + 1));
+        }
+        return routes;
+    }
+
     /** Returns the limits of the caller port. */
     public HttpLimits callerLimits() {
         return new HttpLimits(
@@ -208,6 +224,8 @@
                 (int) integer(SettingKey.HTTP_MAX_CONNECTIONS),
                 integer(SettingKey.HTTP_IDLE_TIMEOUT_MS),
                 integer(SettingKey.HTTP_HEAD_TIMEOUT_MS),
+                integer(SettingKey.HTTP_BODY_TIMEOUT_MS),
+                integer(SettingKey.HTTP_WRITE_TIMEOUT_MS),
                 CALLER_IO_THREADS);
     }
 
