--- a/hemlockrack-bench/src/main/java/org/hemlockrack/bench/CapacityProcess.java
+++ b/hemlockrack-bench/src/main/java/org/hemlockrack/bench/CapacityProcess.java
@@ -21,6 +21,10 @@
     private static final int[] WORKERS = {1, 2, 3, 4};
     private static final int SETTLE_MILLIS = 20_000;
     private static final int IDLE_MILLIS = 60_000;
+
+    /** Compilation takes a good part of the first minute. */
+    private static final int IDLE_WINDOWS = 3;
+
     private static final int ANNOUNCE_MILLIS = 10_000;
 
     private final FleetClient mClient = FleetClient.create();
@@ -46,6 +50,20 @@
 
     private static void idle(Fleet fleet) throws IOException {
         Fleet.pause(SETTLE_MILLIS);
+        for (int window = 1; window <= IDLE_WINDOWS; window++) {
+            processorTime(fleet, "_minute_" + window + "_core_percent");
+        }
+        for (Fleet.Instance instance : fleet.instances()) {
+            FleetProcess process = instance.process();
+            String prefix = "idle_" + instance.id() + "_";
+            CapacityBench.value(prefix + "rss_mb", status(process, "VmRSS:") / 1024.0);
+            CapacityBench.value(prefix + "threads", status(process, "Threads:"));
+            heap(prefix, process);
+        }
+    }
+
+    /** Prints the processor time of each process over one window. */
+    private static void processorTime(Fleet fleet, String name) {
         List<Duration> before = new ArrayList<>();
         for (Fleet.Instance instance : fleet.instances()) {
             before.add(cpu(instance.process()));
@@ -55,13 +73,8 @@
         double seconds = (System.nanoTime() - start) / 1e9;
         for (int i = 0; i < before.size(); i++) {
             Fleet.Instance instance = fleet.instances().get(i);
-            FleetProcess process = instance.process();
-            String prefix = "idle_" + instance.id() + "_";
-            double used = cpu(process).minus(before.get(i)).toNanos() / 1e9;
-            CapacityBench.value(prefix + "core_percent", 100 * used / seconds);
-            CapacityBench.value(prefix + "rss_mb", status(process, "VmRSS:") / 1024.0);
-            CapacityBench.value(prefix + "threads", status(process, "Threads:"));
-            heap(prefix, process);
+            double used = cpu(instance.process()).minus(before.get(i)).toNanos() / 1e9;
+            CapacityBench.value("idle_" + instance.id() + name, 100 * used / seconds);
         }
     }
 
@@ -121,6 +134,8 @@
                 bytes.add(workers, (wireBytes(relay) - bytesBefore) / seconds);
                 cpu.add(workers, cpu(owner).minus(before).toNanos() / 1e7 / seconds);
             }
+            // The points above include the compilation of the path; this window comes after it.
+            processorTime(fleet, "_after_announcements_core_percent");
         } finally {
             started.forEach(FleetProcess::close);
         }
