--- a/hemlockrack-testing/src/test/java/org/hemlockrack/testing/FleetAnswersTest.java
+++ b/hemlockrack-testing/src/test/java/org/hemlockrack/testing/FleetAnswersTest.java
@@ -115,7 +115,8 @@
     }
 
     private int stat(String name) {
-        return mRig.stats("engine-a").path(name).asInt() + mRig.stats("engine-c").path(name).asInt();
+        return mRig.stats("engine-a").path(name).asInt()
+                + mRig.stats("engine-c").path(name).asInt();
     }
 
     private void leaveInTheMiddle(String instance, String chat) throws IOException {
