--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
 import org.hemlockrack.admission.WaitMode;
 import org.hemlockrack.answers.AnswerEvent;
 import org.hemlockrack.answers.AnswerOutput;
@@ -51,6 +52,7 @@
     private final AnswerRecord mRecord = AnswerRecord.create();
 
     private ClaimGate.@Nullable Ticket mTicket;
+    private @Nullable ScheduledFuture<?> mDeadline;
     private volatile @Nullable Attempt mAttempt;
     private @Nullable Choice mChoice;
     private @Nullable Choice mFirstChoice;
@@ -83,7 +85,7 @@
     void start() {
         mResponder.onDrain(bytes -> releaseHeld());
         mResponder.onCancel(() -> mLoop.execute(this::callerGone));
-        mLoop.schedule(mRequest.deadlineNanos(), this::deadlinePassed);
+        mDeadline = mLoop.schedule(mRequest.deadlineNanos(), this::deadlinePassed);
         boolean claimed = !mRequest.kind().idempotent() && mRequest.idempotencyKey() != null;
         if (claimed) {
             mService.claims().claim(mRequest, new ClaimDecision());
@@ -423,6 +425,10 @@
             return;
         }
         mClosed = true;
+        if (mDeadline != null) {
+            // The timer would hold the whole exchange in memory until the caller's deadline.
+            mDeadline.cancel(false);
+        }
         mService.closed(this);
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnections.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnections.java
@@ -32,6 +32,9 @@
 final class ServerConnections implements IOEventHandlerFactory {
     private static final HttpProcessor PROCESSOR = HttpProcessors.server("hemlockrack");
 
+    /** Each connection holds three buffers of this size; longer header lines enlarge one. */
+    private static final int BUFFER_BYTES = 4 << 10;
+
     private final CallHandler mHandler;
     private final ConnectionTable mTable;
     private final @Nullable TlsStrategy mTls;
@@ -43,6 +46,7 @@
         mTable = table;
         mConfig =
                 Http1Config.custom()
+                        .setBufferSize(BUFFER_BYTES)
                         .setMaxHeaderCount(table.limits().maxHeaderCount())
                         .setMaxLineLength(table.limits().maxHeaderLineBytes())
                         .build();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/loop/Loop.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/loop/Loop.java
@@ -86,6 +86,11 @@
                 guarded(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS);
     }
 
+    /** Returns the number of tasks that wait, timers included. Safe for use from any thread. */
+    public int waitingTasks() {
+        return mExecutor.getQueue().size();
+    }
+
     private Runnable guarded(Runnable task) {
         return () -> {
             try {
--- /dev/null
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/entry/CallerExchangeTest.java
@@ -0,0 +1,138 @@
+package org.hemlockrack.daemon.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.hemlockrack.daemon.fleet.Fleet;
+import org.hemlockrack.daemon.fleet.PeerNetwork;
+import org.hemlockrack.daemon.http.HeaderField;
+import org.hemlockrack.daemon.http.HttpCall;
+import org.hemlockrack.daemon.http.Responder;
+import org.hemlockrack.daemon.log.EventLog;
+import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.membership.ControlBudget;
+import org.hemlockrack.membership.InstanceInfo;
+import org.hemlockrack.membership.Membership;
+import org.hemlockrack.membership.MembershipSettings;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.model.RequestKind;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.model.WorkspaceId;
+import org.hemlockrack.model.ZoneId;
+import org.hemlockrack.placement.PlacementKey;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class CallerExchangeTest {
+    private static final int REQUESTS = 200;
+    private static final long HOUR_NANOS = TimeUnit.HOURS.toNanos(1);
+
+    private final Loop mLoop = Loop.open("test", Throwable::printStackTrace);
+    private final InstanceInfo mSelf =
+            new InstanceInfo(
+                    InstanceId.of("i1"), ZoneId.of("a"), "r1", "127.0.0.1:1", "127.0.0.1:2");
+    private final PeerNetwork mNetwork =
+            PeerNetwork.create(mSelf.id(), null, (address, cause) -> {});
+
+    @AfterEach
+    void close() {
+        mLoop.close();
+        mNetwork.close();
+    }
+
+    /** Counts answers. */
+    private static final class Answers implements Responder {
+        private final CountDownLatch mEnded;
+
+        Answers(CountDownLatch ended) {
+            mEnded = ended;
+        }
+
+        @Override
+        public void head(int status, List<HeaderField> headers, long lengthBytes) {
+            assertEquals(503, status);
+        }
+
+        @Override
+        public int write(ByteBuffer data) {
+            return 0;
+        }
+
+        @Override
+        public int queuedBytes() {
+            return 0;
+        }
+
+        @Override
+        public void end() {
+            mEnded.countDown();
+        }
+
+        @Override
+        public void abort() {}
+
+        @Override
+        public void onCancel(Runnable action) {}
+
+        @Override
+        public void onDrain(DrainListener action) {}
+    }
+
+    private EntryService service() {
+        long nowNanos = mLoop.nowNanos();
+        Membership membership =
+                Membership.create(
+                        new MembershipSettings(mSelf, 1, List.of()),
+                        ControlBudget.of(ControlBudget.DEFAULT_BYTES_PER_SECOND, nowNanos),
+                        new SplittableRandom(1),
+                        nowNanos);
+        Fleet fleet = Fleet.create(mLoop, mSelf, membership, mNetwork);
+        return EntryService.create(
+                mLoop, fleet, null, null, null, null, EventLog.create(), "test-");
+    }
+
+    private CallerRequest request(int number) {
+        WorkspaceId workspace = WorkspaceId.of("demo");
+        long deadlineNanos = mLoop.nowNanos() + HOUR_NANOS;
+        return new CallerRequest(
+                "request-" + number,
+                new HttpCall("POST", "/v1/chat/completions", null, List.of(), new byte[0]),
+                workspace,
+                null,
+                ServiceId.of("assistant"),
+                "assistant",
+                RequestKind.CHAT,
+                PlacementKey.ofChat(workspace, "chat"),
+                true,
+                null,
+                deadlineNanos,
+                deadlineNanos);
+    }
+
+    /**
+     * Guards against a deadline timer that keeps a finished request in memory. At 500 requests a
+     * second with deadlines of 60 s, 256 MB of heap overflowed.
+     */
+    @Test
+    void finishedRequestLeavesNoTimer() throws InterruptedException {
+        CountDownLatch ended = new CountDownLatch(REQUESTS);
+        mLoop.submit(
+                        () -> {
+                            EntryService service = service();
+                            for (int i = 0; i < REQUESTS; i++) {
+                                new CallerExchange(service, mLoop, request(i), new Answers(ended))
+                                        .start();
+                            }
+                            return true;
+                        })
+                .join();
+        assertTrue(ended.await(60, TimeUnit.SECONDS), "not all requests were answered");
+        int waiting = mLoop.submit(mLoop::waitingTasks).join();
+        assertTrue(waiting < REQUESTS / 4, waiting + " tasks wait");
+    }
+}
