Name the metrics and show them with HELP and TYPE

Cause: /metrics showed two gauges without help.

Open claims and log sync times are missing, memory is the heap only, and requests that the caller gave up, replays and refusals by the claim or the deadline before the first attempt are not counted.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -1,7 +1,5 @@
 package org.hemlockrack.daemon;
 
-import com.codahale.metrics.Gauge;
-import com.codahale.metrics.MetricRegistry;
 import com.google.common.io.Closer;
 import java.io.Closeable;
 import java.io.IOException;
@@ -9,11 +7,16 @@
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.ToIntFunction;
+import java.util.function.ToLongBiFunction;
 import org.apache.hc.core5.http.nio.ssl.TlsStrategy;
 import org.hemlockrack.claims.AttemptSource;
 import org.hemlockrack.config.ConfigCommand;
@@ -22,6 +25,7 @@
 import org.hemlockrack.consensus.LogStore;
 import org.hemlockrack.consensus.Packet;
 import org.hemlockrack.consensus.ReplicaNode;
+import org.hemlockrack.consensus.Role;
 import org.hemlockrack.daemon.config.ConfigService;
 import org.hemlockrack.daemon.entry.ClaimService;
 import org.hemlockrack.daemon.entry.EntryService;
@@ -35,6 +39,8 @@
 import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.metrics.MetricName;
+import org.hemlockrack.daemon.metrics.Metrics;
 import org.hemlockrack.daemon.operator.ConfigCommands;
 import org.hemlockrack.daemon.operator.OperatorPort;
 import org.hemlockrack.daemon.operator.PlatformPages;
@@ -59,6 +65,7 @@
 import org.hemlockrack.membership.MembershipInput;
 import org.hemlockrack.membership.MembershipSettings;
 import org.hemlockrack.membership.MembershipView;
+import org.hemlockrack.membership.TrafficClass;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.wire.Slice;
 import org.jspecify.annotations.Nullable;
@@ -70,6 +77,7 @@
     private static final long SNAPSHOT_ENTRIES = 10_000;
     private static final long STATE_MILLIS = 100;
     private static final long DRAIN_POLL_MILLIS = 20;
+    private static final double NANOS_PER_SECOND = 1e9;
 
     /** After readiness has ended, the balancer may send requests for this long. */
     private static final long SETTLE_MILLIS = 1_000;
@@ -77,7 +85,7 @@
     private final Settings mSettings;
     private final EventLog mLog = EventLog.create();
     private final Closer mCloser = Closer.create();
-    private final MetricRegistry mMetrics = new MetricRegistry();
+    private final Metrics mMetrics = Metrics.create();
     private final Loop mLoop;
     private final Loop mLogLoop;
     private final SecureRandom mRandom = new SecureRandom();
@@ -86,6 +94,12 @@
     private @Nullable ReplicaService mReplica;
     private @Nullable VoterState mVoterState;
     private PeerNetwork mNetwork;
+
+    /** Confined to the loop; metrics read its counters, which may lag on another thread. */
+    private ControlBudget mBudget;
+
+    private Membership mMembership;
+    private volatile long mGossipPeriodNanos;
     private Fleet mFleet;
     private ConfigService mConfig;
     private OwnerService mOwner;
@@ -191,7 +205,7 @@
                         mSettings.text(SettingKey.LISTEN_PEER),
                         mSettings.text(SettingKey.LISTEN_INTERNAL));
         long nowNanos = mLoop.nowNanos();
-        ControlBudget budget =
+        mBudget =
                 ControlBudget.of(
                         mSettings.integer(SettingKey.CONTROL_BUDGET_BYTES_PER_S), nowNanos);
         Membership membership =
@@ -200,9 +214,10 @@
                                 self,
                                 System.currentTimeMillis(),
                                 mSettings.list(SettingKey.PEERS_SEEDS)),
-                        budget,
+                        mBudget,
                         new SplittableRandom(mRandom.nextLong()),
                         nowNanos);
+        mMembership = membership;
         mFleet = Fleet.create(mLoop, self, membership, mNetwork);
         mConfig = ConfigService.create(mLoop, mFleet, mNetwork, mLog);
     }
@@ -315,6 +330,7 @@
                         commandForwarding,
                         mClaims,
                         mLog,
+                        mMetrics,
                         mFleet.self() + "-" + Long.toString(epoch, Character.MAX_RADIX) + "-");
         mConfig.onChange(this::configured);
         configured(mConfig.current());
@@ -334,6 +350,7 @@
     }
 
     private void refreshState() {
+        mGossipPeriodNanos = mMembership.gossipPeriodNanos();
         mReady |= mConfig.settled();
         mEntry.setReady(mReady);
         boolean draining = mDraining || mConfig.current().configuration().drains(mFleet.self());
@@ -389,9 +406,54 @@
     }
 
     private void registerGauges() {
-        mMetrics.register("hemlockrack_open_requests", (Gauge<Integer>) () -> mEntry.open());
-        mMetrics.register(
-                "hemlockrack_config_version", (Gauge<Long>) () -> mConfig.current().version());
+        mMetrics.value(MetricName.OPEN_REQUESTS, () -> mEntry.open());
+        mMetrics.value(MetricName.CONFIG_VERSION, () -> mConfig.current().version());
+        mMetrics.value(MetricName.LEADER, () -> leads() ? 1 : 0);
+        mMetrics.value(MetricName.TERM, () -> mReplica == null ? 0 : mReplica.term());
+        mMetrics.value(MetricName.HEAP_BYTES, Daemon::heapBytes);
+        mMetrics.value(MetricName.HEAP_MAX_BYTES, () -> Runtime.getRuntime().maxMemory());
+        work(MetricName.QUEUE_LENGTH, OwnerService.Work::queued);
+        work(MetricName.IN_FLIGHT, OwnerService.Work::inFlight);
+        work(MetricName.LIMIT, OwnerService.Work::limit);
+        control(MetricName.CONTROL_BYTES, ControlBudget::sentBytes);
+        control(MetricName.CONTROL_DEFERRED, ControlBudget::deferred);
+        control(MetricName.CONTROL_DROPPED, ControlBudget::dropped);
+        mMetrics.value(MetricName.GOSSIP_PERIOD, () -> mGossipPeriodNanos / NANOS_PER_SECOND);
+    }
+
+    private boolean leads() {
+        return mReplica != null && mReplica.role() == Role.LEADER;
+    }
+
+    private static long heapBytes() {
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
+    private void work(MetricName name, ToIntFunction<OwnerService.Work> read) {
+        mMetrics.values(
+                name,
+                "backend",
+                () -> {
+                    Map<String, Number> values = new HashMap<>();
+                    mOwner.work()
+                            .forEach((id, work) -> values.put(id.value(), read.applyAsInt(work)));
+                    return values;
+                });
+    }
+
+    private void control(MetricName name, ToLongBiFunction<ControlBudget, TrafficClass> read) {
+        mMetrics.values(
+                name,
+                "class",
+                () -> {
+                    Map<String, Number> values = new HashMap<>();
+                    for (TrafficClass trafficClass : TrafficClass.values()) {
+                        values.put(
+                                trafficClass.name().toLowerCase(Locale.ROOT),
+                                read.applyAsLong(mBudget, trafficClass));
+                    }
+                    return values;
+                });
     }
 
     private HttpPort openPort(
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
@@ -17,6 +17,7 @@
 import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.metrics.MetricName;
 import org.hemlockrack.daemon.owner.AnswerListener;
 import org.hemlockrack.daemon.owner.Attempt;
 import org.hemlockrack.daemon.owner.ForwardOrder;
@@ -43,6 +44,7 @@
     /** Pause before all choices are tried again while a new owner waits for its lease. */
     private static final long OWNER_WAIT_NANOS = 100 * 1_000_000L;
 
+    private final long mStartNanos = System.nanoTime();
     private final EntryService mService;
     private final Loop mLoop;
     private final CallerRequest mRequest;
@@ -138,6 +140,9 @@
         }
         mExcluded.add(mChoice.backend());
         mAttemptNumber++;
+        if (mAttemptNumber > 1) {
+            mService.metrics().count(MetricName.RETRIES, "", "");
+        }
         String attemptId = mRequest.id() + "." + mAttemptNumber;
         int number = mAttemptNumber;
         feed(new AnswerEvent.AttemptStarted(number, attemptId));
@@ -257,6 +262,7 @@
     }
 
     private void forwardHead(AnswerOutput.ForwardHead head) {
+        mService.metrics().record(MetricName.FIRST_BYTE, mLoop.nowNanos() - mStartNanos);
         List<HeaderField> headers = new ArrayList<>();
         long lengthBytes = Responder.UNKNOWN_LENGTH;
         for (Header header : head.headers()) {
@@ -295,12 +301,18 @@
         }
     }
 
+    private void countEnd(String outcome) {
+        mService.metrics().count(MetricName.REQUESTS, "kind", outcome);
+        mService.metrics().record(MetricName.WHOLE, mLoop.nowNanos() - mStartNanos);
+    }
+
     private void completed() {
         mLoop.execute(
                 () -> {
                     if (mChoice != null) {
                         mService.served(mRequest, mChoice);
                     }
+                    countEnd("OK");
                     if (mTicket != null) {
                         recordThenAnswer(mTicket);
                         return;
@@ -360,11 +372,13 @@
             }
             mTicket = null;
         }
+        mService.metrics().count(MetricName.REFUSALS, "kind", failed.kind().name());
         mResponder.sendError(failed.kind(), failed.runState(), message, mRetryAfterMillis);
         ended(failed.kind(), message);
     }
 
     private void ended(ErrorKind kind, String message) {
+        countEnd(kind.name());
         if (mTicket != null) {
             mTicket.unknown();
             mTicket = null;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/EntryService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/EntryService.java
@@ -18,6 +18,8 @@
 import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.metrics.MetricName;
+import org.hemlockrack.daemon.metrics.Metrics;
 import org.hemlockrack.daemon.owner.AnswerListener;
 import org.hemlockrack.daemon.owner.Attempt;
 import org.hemlockrack.daemon.owner.ForwardOrder;
@@ -34,6 +36,7 @@
 import org.hemlockrack.placement.PlacementSettings;
 import org.hemlockrack.retry.RetryBudget;
 import org.hemlockrack.retry.RetryBudgetSettings;
+import org.jspecify.annotations.Nullable;
 
 /** Takes callers' requests. {@link #handle} may be called on any thread; the rest on the loop. */
 public final class EntryService {
@@ -46,6 +49,7 @@
     private final HttpClient mClient;
     private final HttpClient mCommandClient;
     private final EventLog mLog;
+    private final Metrics mMetrics;
     private final RequestReader mReader;
     private final Placement mPlacement = Placement.create(PlacementSettings.defaults());
     private final Map<ServiceId, RetryBudget> mBudgets = new HashMap<>();
@@ -64,7 +68,9 @@
             HttpClient commandClient,
             ClaimGate claims,
             EventLog log,
+            Metrics metrics,
             String idPrefix) {
+        mMetrics = metrics;
         mLoop = loop;
         mFleet = fleet;
         mOwner = owner;
@@ -85,6 +91,7 @@
      * @param commandClient client that opens a connection for each request
      * @param claims decides whether a command with an idempotency key may run
      * @param log the log
+     * @param metrics the metrics
      * @param idPrefix differs between any two processes, to make request ids unique
      * @return the service
      */
@@ -96,8 +103,10 @@
             HttpClient commandClient,
             ClaimGate claims,
             EventLog log,
+            Metrics metrics,
             String idPrefix) {
-        return new EntryService(loop, fleet, owner, client, commandClient, claims, log, idPrefix);
+        return new EntryService(
+                loop, fleet, owner, client, commandClient, claims, log, metrics, idPrefix);
     }
 
     private static WorkspaceLimiter.Quota quota(int maxConcurrent, double ratePerSecond) {
@@ -158,14 +167,14 @@
      */
     public void handle(HttpCall call, Responder responder) {
         if (!mReady) {
-            responder.sendError(ErrorKind.NOT_READY, "the instance is not ready", 1_000);
+            refuse(responder, ErrorKind.NOT_READY, "the instance is not ready", 1_000);
             return;
         }
         try {
             CallerRequest request = mReader.read(mLoop.nowNanos(), mConfiguration, call);
             mLoop.execute(() -> accept(request, responder));
         } catch (HemlockrackException e) {
-            responder.sendError(e.kind(), e.getMessage(), 0);
+            refuse(responder, e.kind(), e.getMessage(), 0);
         }
     }
 
@@ -174,7 +183,8 @@
                 mLimiter.tryAcquire(mLoop.nowNanos(), request.workspace());
         if (!decision.allowed()) {
             long retryAfterMillis = TimeUnit.NANOSECONDS.toMillis(decision.retryAfterNanos());
-            responder.sendError(
+            refuse(
+                    responder,
                     decision.errorKind(),
                     "workspace \"" + request.workspace() + "\" is over its limit",
                     Math.max(1, retryAfterMillis));
@@ -202,6 +212,17 @@
         return mClaims;
     }
 
+    Metrics metrics() {
+        return mMetrics;
+    }
+
+    /** Sends a refusal and counts it. */
+    private void refuse(
+            Responder responder, ErrorKind kind, @Nullable String message, long retryAfterMillis) {
+        mMetrics.count(MetricName.REFUSALS, "kind", kind.name());
+        responder.sendError(kind, String.valueOf(message), retryAfterMillis);
+    }
+
     EventLog log() {
         return mLog;
     }
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
@@ -0,0 +1,59 @@
+package org.hemlockrack.daemon.metrics;
+
+/** Every metric; {@code docs/metrics.md} lists the same. */
+public enum MetricName {
+    REQUESTS("requests_total", MetricType.COUNTER, "requests", "Ended requests by outcome kind"),
+    REFUSALS("refusals_total", MetricType.COUNTER, "requests", "Refusals of callers by kind"),
+    RETRIES("retries_total", MetricType.COUNTER, "attempts", "Attempts after the first"),
+    FIRST_BYTE("first_byte_seconds", MetricType.SUMMARY, "s", "Time to the answer's head"),
+    WHOLE("request_seconds", MetricType.SUMMARY, "s", "Time to the end of the answer"),
+    OPEN_REQUESTS("open_requests", MetricType.GAUGE, "requests", "Open requests of callers"),
+    QUEUE_LENGTH("queue_length", MetricType.GAUGE, "requests", "Queue by owned backend server"),
+    IN_FLIGHT("in_flight", MetricType.GAUGE, "requests", "In flight by owned backend server"),
+    LIMIT("limit", MetricType.GAUGE, "requests", "Limit by owned backend server"),
+    CONTROL_BYTES("control_bytes_total", MetricType.COUNTER, "B", "Wire bytes by traffic class"),
+    CONTROL_DEFERRED(
+            "control_deferred_total", MetricType.COUNTER, "messages", "Deferrals by traffic class"),
+    CONTROL_DROPPED(
+            "control_dropped_total", MetricType.COUNTER, "messages", "Drops by traffic class"),
+    GOSSIP_PERIOD("gossip_period_seconds", MetricType.GAUGE, "s", "Current gossip period"),
+    CONFIG_VERSION("config_version", MetricType.GAUGE, "1", "Configuration version in force"),
+    LEADER("leader", MetricType.GAUGE, "1", "1 while this instance leads the log, else 0"),
+    TERM("term", MetricType.GAUGE, "1", "Term of the log; 0 without a replica"),
+    HEAP_BYTES("heap_bytes", MetricType.GAUGE, "B", "Heap in use"),
+    HEAP_MAX_BYTES("heap_max_bytes", MetricType.GAUGE, "B", "Largest heap");
+
+    private static final String PREFIX = "hemlockrack_";
+
+    private final String mName;
+    private final MetricType mType;
+    private final String mUnit;
+    private final String mHelp;
+
+    MetricName(String name, MetricType type, String unit, String help) {
+        mName = name;
+        mType = type;
+        mUnit = unit;
+        mHelp = help;
+    }
+
+    /** Returns the name in the text form. */
+    public String text() {
+        return PREFIX + mName;
+    }
+
+    /** Returns how the metric is shown. */
+    public MetricType type() {
+        return mType;
+    }
+
+    /** Returns the unit. */
+    public String unit() {
+        return mUnit;
+    }
+
+    /** Returns what is measured. */
+    public String help() {
+        return mHelp;
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricType.java
@@ -0,0 +1,15 @@
+package org.hemlockrack.daemon.metrics;
+
+import java.util.Locale;
+
+/** Types of the text form. */
+public enum MetricType {
+    COUNTER,
+    GAUGE,
+    SUMMARY;
+
+    /** Returns the word in TYPE lines. */
+    public String text() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/Metrics.java
@@ -0,0 +1,125 @@
+package org.hemlockrack.daemon.metrics;
+
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+
+/** The metrics of one instance, kept in a {@link MetricRegistry}. Safe for use from any thread. */
+public final class Metrics {
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double[] QUANTILES = {0.5, 0.95, 0.99};
+
+    private final MetricRegistry mRegistry = new MetricRegistry();
+    private final Map<MetricName, Supplier<Map<String, Number>>> mValues =
+            new ConcurrentHashMap<>();
+    private final Map<MetricName, Map<String, String>> mLabels = new ConcurrentHashMap<>();
+
+    private Metrics() {}
+
+    /** Creates empty metrics. */
+    public static Metrics create() {
+        return new Metrics();
+    }
+
+    /**
+     * Counts one event.
+     *
+     * @param name a counter
+     * @param label name of the label, empty for none
+     * @param value value of the label; callers must not choose it
+     */
+    public void count(MetricName name, String label, String value) {
+        String labels = labels(label, value);
+        mLabels.computeIfAbsent(name, key -> new ConcurrentHashMap<>())
+                .putIfAbsent(labels, name.text() + labels);
+        mRegistry.counter(name.text() + labels).inc();
+    }
+
+    /**
+     * Records a duration.
+     *
+     * @param name a summary
+     * @param nanos the duration
+     */
+    public void record(MetricName name, long nanos) {
+        mRegistry.histogram(name.text()).update(nanos);
+    }
+
+    /**
+     * Sets how the values of a metric are read; the reader is called on any thread.
+     *
+     * @param name a gauge or counter
+     * @param value reads the value
+     */
+    public void value(MetricName name, Supplier<Number> value) {
+        mValues.put(name, () -> Map.of("", value.get()));
+    }
+
+    /**
+     * Sets how the values of a metric with a label are read.
+     *
+     * @param name a gauge or counter
+     * @param label name of the label
+     * @param values reads the values by value of the label
+     */
+    public void values(MetricName name, String label, Supplier<Map<String, Number>> values) {
+        mValues.put(
+                name,
+                () -> {
+                    Map<String, Number> all = new TreeMap<>();
+                    values.get().forEach((value, number) -> all.put(labels(label, value), number));
+                    return all;
+                });
+    }
+
+    private static String labels(String label, String value) {
+        return label.isEmpty() ? "" : "{" + label + "=\"" + value + "\"}";
+    }
+
+    /** Returns the text form, with HELP and TYPE of every metric. */
+    public String text() {
+        StringBuilder text = new StringBuilder();
+        for (MetricName name : MetricName.values()) {
+            text.append("# HELP ").append(name.text()).append(' ').append(name.help());
+            text.append(" (").append(name.unit()).append(")\n");
+            text.append("# TYPE ").append(name.text()).append(' ').append(name.type().text());
+            text.append('\n');
+            appendValues(text, name);
+        }
+        return text.toString();
+    }
+
+    private void appendValues(StringBuilder text, MetricName name) {
+        if (name.type() == MetricType.SUMMARY) {
+            appendSummary(text, name);
+            return;
+        }
+        Supplier<Map<String, Number>> values = mValues.get(name);
+        if (values != null) {
+            values.get().forEach((labels, value) -> line(text, name.text() + labels, value));
+        }
+        for (String key : mLabels.getOrDefault(name, Map.of()).values()) {
+            line(text, key, mRegistry.counter(key).getCount());
+        }
+    }
+
+    private void appendSummary(StringBuilder text, MetricName name) {
+        Histogram histogram = mRegistry.histogram(name.text());
+        Snapshot snapshot = histogram.getSnapshot();
+        for (double quantile : QUANTILES) {
+            line(
+                    text,
+                    name.text() + "{quantile=\"" + quantile + "\"}",
+                    snapshot.getValue(quantile) / NANOS_PER_SECOND);
+        }
+        line(text, name.text() + "_count", histogram.getCount());
+    }
+
+    private static void line(StringBuilder text, String key, Number value) {
+        text.append(key).append(' ').append(value).append('\n');
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/PlatformPages.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/PlatformPages.java
@@ -1,15 +1,13 @@
 package org.hemlockrack.daemon.operator;
 
-import com.codahale.metrics.Counter;
-import com.codahale.metrics.MetricRegistry;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.hemlockrack.daemon.http.HeaderField;
 import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.Responder;
+import org.hemlockrack.daemon.metrics.Metrics;
 import org.hemlockrack.errors.ErrorKind;
 
 /** Pages for the platform: health, readiness and metrics. */
@@ -17,9 +15,9 @@
     private static final Set<String> PATHS = Set.of("/healthz", "/readyz", "/metrics");
 
     private final BooleanSupplier mReady;
-    private final MetricRegistry mMetrics;
+    private final Metrics mMetrics;
 
-    private PlatformPages(BooleanSupplier ready, MetricRegistry metrics) {
+    private PlatformPages(BooleanSupplier ready, Metrics metrics) {
         mReady = ready;
         mMetrics = metrics;
     }
@@ -31,7 +29,7 @@
      * @param metrics the metrics to show
      * @return the pages
      */
-    public static PlatformPages create(BooleanSupplier ready, MetricRegistry metrics) {
+    public static PlatformPages create(BooleanSupplier ready, Metrics metrics) {
         return new PlatformPages(ready, metrics);
     }
 
@@ -54,7 +52,7 @@
         switch (call.path()) {
             case "/healthz" -> text(responder, "ok\n");
             case "/readyz" -> readiness(responder);
-            default -> text(responder, exposition());
+            default -> text(responder, mMetrics.text());
         }
     }
 
@@ -72,18 +70,4 @@
                 List.of(HeaderField.of("Content-Type", "text/plain; version=0.0.4")),
                 body.getBytes(StandardCharsets.UTF_8));
     }
-
-    private String exposition() {
-        StringBuilder text = new StringBuilder();
-        for (Map.Entry<String, Counter> entry : mMetrics.getCounters().entrySet()) {
-            line(text, entry.getKey(), "counter", entry.getValue().getCount());
-        }
-        mMetrics.getGauges().forEach((name, gauge) -> line(text, name, "gauge", gauge.getValue()));
-        return text.toString();
-    }
-
-    private static void line(StringBuilder text, String name, String type, Object value) {
-        text.append("# TYPE ").append(name).append(' ').append(type).append('\n');
-        text.append(name).append(' ').append(value).append('\n');
-    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnerService.java
@@ -66,6 +66,7 @@
     private final long mOwnerEpoch;
     private final long mStartNanos;
     private final Map<BackendId, OwnedBackend> mBackends = new LinkedHashMap<>();
+    private volatile Map<BackendId, Work> mWork = Map.of();
     private boolean mStopping;
 
     private OwnerService(
@@ -202,7 +203,35 @@
                 .ifPresent(mean -> backend.post(new AdmissionEvent.LoadSummary(mean, 0)));
     }
 
+    /**
+     * The work of one owned backend server.
+     *
+     * @param queued requests that wait
+     * @param inFlight requests it works on
+     * @param limit most requests it may work on
+     */
+    public record Work(int queued, int inFlight, int limit) {}
+
+    /** Returns the work of the owned backend servers as of the last sweep, from any thread. */
+    public Map<BackendId, Work> work() {
+        return mWork;
+    }
+
+    private void noteWork() {
+        Map<BackendId, Work> work = new LinkedHashMap<>();
+        mBackends.forEach(
+                (id, backend) ->
+                        work.put(
+                                id,
+                                new Work(
+                                        backend.admission().queueLength(),
+                                        backend.admission().inFlight(),
+                                        backend.admission().limit())));
+        mWork = Map.copyOf(work);
+    }
+
     private void sweep() {
+        noteWork();
         long nowNanos = mLoop.nowNanos();
         for (OwnedBackend backend : new ArrayList<>(mBackends.values())) {
             if (nowNanos - backend.lastNanos() < GONE_AFTER_NANOS || !backend.isIdle()) {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/entry/CallerExchangeTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/entry/CallerExchangeTest.java
@@ -15,6 +15,7 @@
 import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.metrics.Metrics;
 import org.hemlockrack.membership.ControlBudget;
 import org.hemlockrack.membership.InstanceInfo;
 import org.hemlockrack.membership.Membership;
@@ -93,7 +94,7 @@
                         nowNanos);
         Fleet fleet = Fleet.create(mLoop, mSelf, membership, mNetwork);
         return EntryService.create(
-                mLoop, fleet, null, null, null, null, EventLog.create(), "test-");
+                mLoop, fleet, null, null, null, null, EventLog.create(), Metrics.create(), "test-");
     }
 
     private CallerRequest request(int number) {
