--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
 import org.hemlockrack.admission.WaitMode;
 import org.hemlockrack.answers.AnswerEvent;
 import org.hemlockrack.answers.AnswerOutput;
@@ -19,6 +20,7 @@
 import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.metrics.MetricName;
 import org.hemlockrack.daemon.owner.AnswerListener;
 import org.hemlockrack.daemon.owner.Attempt;
 import org.hemlockrack.daemon.owner.ForwardOrder;
@@ -47,6 +49,7 @@
     /** Pause before all choices are tried again while a new owner waits for its lease. */
     private static final long OWNER_WAIT_NANOS = 100 * 1_000_000L;
 
+    private final long mStartNanos = System.nanoTime();
     private final EntryService mService;
     private final Loop mLoop;
     private final CallerRequest mRequest;
@@ -57,6 +60,7 @@
     private final AnswerRecord mRecord = AnswerRecord.create();
 
     private ClaimGate.@Nullable Ticket mTicket;
+    private @Nullable ScheduledFuture<?> mDeadline;
     private volatile @Nullable Attempt mAttempt;
     private @Nullable Choice mChoice;
     private @Nullable Choice mFirstChoice;
@@ -92,7 +96,7 @@
     void start() {
         mResponder.onDrain(bytes -> releaseHeld());
         mResponder.onCancel(() -> mLoop.execute(this::callerGone));
-        mLoop.schedule(mRequest.deadlineNanos(), this::deadlinePassed);
+        mDeadline = mLoop.schedule(mRequest.deadlineNanos(), this::deadlinePassed);
         boolean claimed = !mRequest.kind().idempotent() && mRequest.idempotencyKey() != null;
         if (claimed) {
             mService.claims().claim(mRequest, new ClaimDecision());
@@ -145,6 +149,9 @@
         }
         mExcluded.add(mChoice.backend());
         mAttemptNumber++;
+        if (mAttemptNumber > 1) {
+            mService.metrics().count(MetricName.RETRIES, "", "");
+        }
         String attemptId = mRequest.id() + "." + mAttemptNumber;
         int number = mAttemptNumber;
         synchronized (this) {
@@ -270,6 +277,7 @@
     }
 
     private void forwardHead(AnswerOutput.ForwardHead head) {
+        mService.metrics().record(MetricName.FIRST_BYTE, mLoop.nowNanos() - mStartNanos);
         List<HeaderField> headers = new ArrayList<>();
         long lengthBytes = Responder.UNKNOWN_LENGTH;
         for (Header header : head.headers()) {
@@ -308,6 +316,11 @@
         }
     }
 
+    private void countEnd(String outcome) {
+        mService.metrics().count(MetricName.REQUESTS, "kind", outcome);
+        mService.metrics().record(MetricName.WHOLE, mLoop.nowNanos() - mStartNanos);
+    }
+
     private void completed() {
         mLoop.execute(
                 () -> {
@@ -315,6 +328,7 @@
                     if (mChoice != null) {
                         mService.served(mRequest, mChoice);
                     }
+                    countEnd("OK");
                     if (mTicket != null) {
                         recordThenAnswer(mTicket);
                         return;
@@ -389,11 +403,13 @@
             }
             mTicket = null;
         }
+        mService.metrics().count(MetricName.REFUSALS, "kind", failed.kind().name());
         mResponder.sendError(failed.kind(), failed.runState(), message, mRetryAfterMillis);
         ended(failed.kind(), message);
     }
 
     private void ended(ErrorKind kind, String message) {
+        countEnd(kind.name());
         if (mTicket != null) {
             mTicket.unknown();
             mTicket = null;
@@ -458,6 +474,10 @@
         if (!mCallerGone) {
             report();
         }
+        if (mDeadline != null) {
+            // The timer would hold the whole exchange in memory until the caller's deadline.
+            mDeadline.cancel(false);
+        }
         mService.closed(this);
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/EntryService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/EntryService.java
@@ -18,6 +18,8 @@
 import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.metrics.MetricName;
+import org.hemlockrack.daemon.metrics.Metrics;
 import org.hemlockrack.daemon.owner.AnswerListener;
 import org.hemlockrack.daemon.owner.Attempt;
 import org.hemlockrack.daemon.owner.ForwardOrder;
@@ -36,6 +38,7 @@
 import org.hemlockrack.placement.PlacementSettings;
 import org.hemlockrack.retry.RetryBudget;
 import org.hemlockrack.retry.RetryBudgetSettings;
+import org.jspecify.annotations.Nullable;
 
 /** Takes callers' requests. {@link #handle} may be called on any thread; the rest on the loop. */
 public final class EntryService {
@@ -48,6 +51,7 @@
     private final HttpClient mClient;
     private final HttpClient mCommandClient;
     private final EventLog mLog;
+    private final Metrics mMetrics;
     private final RequestReader mReader;
     private final Placement mPlacement = Placement.create(PlacementSettings.defaults());
     private final Map<ServiceId, RetryBudget> mBudgets = new HashMap<>();
@@ -70,7 +74,9 @@
             RolloutService rollouts,
             RequestObserver observer,
             EventLog log,
+            Metrics metrics,
             String idPrefix) {
+        mMetrics = metrics;
         mLoop = loop;
         mFleet = fleet;
         mOwner = owner;
@@ -95,6 +101,7 @@
      * @param rollouts shares of versions
      * @param observer learns how requests went
      * @param log the log
+     * @param metrics the metrics
      * @param idPrefix differs between any two processes, to make request ids unique
      * @return the service
      */
@@ -108,6 +115,7 @@
             RolloutService rollouts,
             RequestObserver observer,
             EventLog log,
+            Metrics metrics,
             String idPrefix) {
         return new EntryService(
                 loop,
@@ -119,6 +127,7 @@
                 rollouts,
                 observer,
                 log,
+                metrics,
                 idPrefix);
     }
 
@@ -186,14 +195,14 @@
      */
     public void handle(HttpCall call, Responder responder) {
         if (!mReady) {
-            responder.sendError(ErrorKind.NOT_READY, "the instance is not ready", 1_000);
+            refuse(responder, ErrorKind.NOT_READY, "the instance is not ready", 1_000);
             return;
         }
         try {
             CallerRequest request = mReader.read(mLoop.nowNanos(), mConfiguration, call);
             mLoop.execute(() -> accept(request, responder));
         } catch (HemlockrackException e) {
-            responder.sendError(e.kind(), e.getMessage(), 0);
+            refuse(responder, e.kind(), e.getMessage(), 0);
         }
     }
 
@@ -202,7 +211,8 @@
                 mLimiter.tryAcquire(mLoop.nowNanos(), request.workspace());
         if (!decision.allowed()) {
             long retryAfterMillis = TimeUnit.NANOSECONDS.toMillis(decision.retryAfterNanos());
-            responder.sendError(
+            refuse(
+                    responder,
                     decision.errorKind(),
                     "workspace \"" + request.workspace() + "\" is over its limit",
                     Math.max(1, retryAfterMillis));
@@ -252,6 +262,17 @@
         return false;
     }
 
+    Metrics metrics() {
+        return mMetrics;
+    }
+
+    /** Sends a refusal and counts it. */
+    private void refuse(
+            Responder responder, ErrorKind kind, @Nullable String message, long retryAfterMillis) {
+        mMetrics.count(MetricName.REFUSALS, "kind", kind.name());
+        responder.sendError(kind, String.valueOf(message), retryAfterMillis);
+    }
+
     EventLog log() {
         return mLog;
     }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/TestInstance.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/TestInstance.java
@@ -1,6 +1,5 @@
 package org.hemlockrack.daemon.operator;
 
-import com.codahale.metrics.MetricRegistry;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -24,6 +23,7 @@
 import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.metrics.Metrics;
 import org.hemlockrack.daemon.replica.Proposer;
 import org.hemlockrack.daemon.replica.ReplicaService;
 import org.hemlockrack.daemon.replica.VoterState;
@@ -85,7 +85,7 @@
                         VoterCommands.create(mLoop, mReplica, voters),
                         RolloutCommands.create(proposer, rollouts(proposer, log)),
                         BurnService.create(mLoop, mFleet, mNetwork, mConfig, log, null),
-                        PlatformPages.create(() -> true, new MetricRegistry()));
+                        PlatformPages.create(() -> true, Metrics.create()));
     }
 
     private RolloutService rollouts(Proposer proposer, EventLog log) {
