--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
@@ -8,30 +8,41 @@
 import org.apache.hc.core5.http.impl.bootstrap.AsyncRequesterBootstrap;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncRequester;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.ssl.TlsStrategy;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
+import org.jspecify.annotations.Nullable;
 
 /** Sends requests to other servers. Safe for use from any thread. */
 public final class HttpClient implements AutoCloseable {
     /** Pooled connections idle for longer are not reused; servers commonly close after more. */
     private static final int MAX_IDLE_SECONDS = 10;
 
+    /**
+     * Size of a connection's read and parse buffers. HttpCore closes the window after it has passed
+     * on what they hold, so both are kept back from the window.
+     */
+    private static final int BUFFER_BYTES = 8 << 10;
+
     private static final int MAX_CONNECTIONS_PER_TARGET = 10_000;
 
     private final HttpAsyncRequester mRequester;
     private final SessionRegistry mSessions;
     private final Timeout mConnectTimeout;
     private final boolean mReuse;
+    private final URIScheme mScheme;
 
     private HttpClient(
             HttpAsyncRequester requester,
             SessionRegistry sessions,
             Timeout connectTimeout,
-            boolean reuse) {
+            boolean reuse,
+            URIScheme scheme) {
+        mScheme = scheme;
         mRequester = requester;
         mSessions = sessions;
         mConnectTimeout = connectTimeout;
@@ -50,6 +61,21 @@
      */
     public static HttpClient open(
             int ioThreads, long connectTimeoutMillis, long idleTimeoutMillis, boolean reuse) {
+        return open(ioThreads, connectTimeoutMillis, idleTimeoutMillis, reuse, null);
+    }
+
+    /**
+     * Opens a client that may use TLS; the other parameters are those of {@link #open(int, long,
+     * long, boolean)}.
+     *
+     * @param tls starts TLS on each connection, or null for none
+     */
+    public static HttpClient open(
+            int ioThreads,
+            long connectTimeoutMillis,
+            long idleTimeoutMillis,
+            boolean reuse,
+            @Nullable TlsStrategy tls) {
         IOReactorConfig reactor =
                 IOReactorConfig.custom()
                         .setIoThreadCount(ioThreads)
@@ -60,15 +86,28 @@
         HttpAsyncRequester requester =
                 AsyncRequesterBootstrap.bootstrap()
                         .setIOReactorConfig(reactor)
+                        .setTlsStrategy(tls)
+                        .setTlsHandshakeTimeout(Timeout.ofMilliseconds(connectTimeoutMillis))
+                        .setIOSessionDecorator(PausableSession::new)
                         .setIOSessionListener(sessions)
-                        .setHttp1Config(Http1Config.custom().setMaxHeaderCount(200).build())
+                        .setHttp1Config(
+                                Http1Config.custom()
+                                        .setMaxHeaderCount(200)
+                                        .setBufferSize(BUFFER_BYTES)
+                                        .setInitialWindowSize(
+                                                UpstreamCall.WINDOW_BYTES - 2 * BUFFER_BYTES)
+                                        .build())
                         .setDefaultMaxPerRoute(MAX_CONNECTIONS_PER_TARGET)
                         .setMaxTotal(MAX_CONNECTIONS_PER_TARGET)
                         .setTimeToLive(Timeout.ofSeconds(MAX_IDLE_SECONDS))
                         .create();
         requester.start();
         return new HttpClient(
-                requester, sessions, Timeout.ofMilliseconds(connectTimeoutMillis), reuse);
+                requester,
+                sessions,
+                Timeout.ofMilliseconds(connectTimeoutMillis),
+                reuse,
+                tls == null ? URIScheme.HTTP : URIScheme.HTTPS);
     }
 
     /**
@@ -100,20 +139,20 @@
             request.addHeader("Connection", "close");
         }
         UpstreamCall call = new UpstreamCall(request, body, listener, mSessions);
-        // HttpAsyncRequester.execute asks for the request before it connects, so a refused
-        // connection would count as sent and a lease could end between the check and the send.
-        mRequester.connect(host, mConnectTimeout, null, call.onConnected());
+        // HttpAsyncRequester.execute asks for the request before it connects, which would report
+        // a refused connection as sent.
+        mRequester.connect(host, mConnectTimeout, null, call.whenConnected());
         return call;
     }
 
-    private static HttpHost parse(String target) {
+    private HttpHost parse(String target) {
         int colon = target.lastIndexOf(':');
         if (colon < 0) {
             throw HemlockrackException.of(
                     ErrorKind.BAD_REQUEST, String.format("address \"%s\" has no port", target));
         }
         int port = Integer.parseInt(target.substring(colon + 1));
-        return new HttpHost(URIScheme.HTTP.id, target.substring(0, colon), port);
+        return new HttpHost(mScheme.id, target.substring(0, colon), port);
     }
 
     @Override
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamCall.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamCall.java
@@ -30,10 +30,10 @@
     private final SessionRegistry mSessions;
     private final Handler mHandler = new Handler();
 
-    private volatile @Nullable AsyncClientEndpoint mEndpoint;
     private @Nullable CapacityChannel mCapacity;
     private @Nullable HttpContext mContext;
-    private int mReleasedBytes = WINDOW_BYTES;
+    private int mReleasedBytes;
+    private @Nullable AsyncClientEndpoint mEndpoint;
     private boolean mSending;
     private boolean mDone;
 
@@ -48,13 +48,12 @@
         mListener = listener;
     }
 
-    /** Returns what sends the request once there is a connection. */
-    FutureCallback<AsyncClientEndpoint> onConnected() {
+    /** Returns what starts the exchange once a connection is open. */
+    FutureCallback<AsyncClientEndpoint> whenConnected() {
         return new FutureCallback<>() {
             @Override
             public void completed(AsyncClientEndpoint endpoint) {
-                mEndpoint = endpoint;
-                endpoint.execute(mHandler, HttpCoreContext.create());
+                start(endpoint);
             }
 
             @Override
@@ -69,20 +68,39 @@
         };
     }
 
-    private void reuseEndpoint() {
-        AsyncClientEndpoint endpoint = mEndpoint;
+    private void start(AsyncClientEndpoint endpoint) {
+        boolean cancelled;
+        synchronized (this) {
+            mEndpoint = endpoint;
+            cancelled = mDone;
+        }
+        if (cancelled) {
+            endpoint.releaseAndReuse();
+            return;
+        }
+        endpoint.execute(mHandler, HttpCoreContext.create());
+    }
+
+    private void reuseConnection() {
+        AsyncClientEndpoint endpoint = takeEndpoint();
         if (endpoint != null) {
             endpoint.releaseAndReuse();
         }
     }
 
-    private void discardEndpoint() {
-        AsyncClientEndpoint endpoint = mEndpoint;
+    private void discardConnection() {
+        AsyncClientEndpoint endpoint = takeEndpoint();
         if (endpoint != null) {
             endpoint.releaseAndDiscard();
         }
     }
 
+    private synchronized @Nullable AsyncClientEndpoint takeEndpoint() {
+        AsyncClientEndpoint endpoint = mEndpoint;
+        mEndpoint = null;
+        return endpoint;
+    }
+
     /**
      * Allows the server to send more.
      *
@@ -129,6 +147,10 @@
         return mDone;
     }
 
+    private synchronized boolean isSending() {
+        return mSending;
+    }
+
     private final class Handler implements AsyncClientExchangeHandler {
         @Override
         public void produceRequest(RequestChannel channel, HttpContext context)
@@ -172,7 +194,7 @@
         public void consumeResponse(
                 HttpResponse response, @Nullable EntityDetails entity, HttpContext context) {
             if (entity == null) {
-                reuseEndpoint();
+                reuseConnection();
             }
             if (isDone()) {
                 return;
@@ -208,7 +230,7 @@
 
         @Override
         public void streamEnd(@Nullable List<? extends Header> trailers) {
-            reuseEndpoint();
+            reuseConnection();
             if (finish()) {
                 mListener.onEnd();
             }
@@ -221,15 +243,14 @@
 
         @Override
         public void failed(Exception cause) {
-            discardEndpoint();
+            discardConnection();
             if (finish()) {
-                mListener.onFailed(cause, mSending);
+                mListener.onFailed(cause, isSending());
             }
         }
 
         @Override
         public void releaseResources() {
-            discardEndpoint();
             failed(new IOException("the connection was closed before the answer was complete"));
         }
     }
