Keep the connect timeout off open connections and end exchanges before reuse

Cause: the timeout given to HttpAsyncRequester.connect stays as the timeout of the socket. A forwarded request that waited 1 s in a queue broke with BACKEND_FAILED. Found by FleetDrainTest; the stack traces name SocketTimeoutException: 1000 MILLISECONDS. A connection also returned to the pool before its exchange was marked as ended, so that a late cancellation could close it under the next request (found by reading).

Tried and dropped: setting the timeout through SessionRegistry; its session is not the one whose timeout fires.

Change: the idle timeout is given to connect, and a timer ends attempts without a connection. Marking a call as sent and ending it exclude each other. HttpClientTest failed before and passes after.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
@@ -1,6 +1,8 @@
 package org.hemlockrack.daemon.http;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.URIScheme;
@@ -24,17 +26,21 @@
 
     private final HttpAsyncRequester mRequester;
     private final SessionRegistry mSessions;
-    private final Timeout mConnectTimeout;
+    private final Executor mConnectTimer;
+    private final Timeout mIdleTimeout;
     private final boolean mReuse;
 
     private HttpClient(
             HttpAsyncRequester requester,
             SessionRegistry sessions,
-            Timeout connectTimeout,
+            long connectTimeoutMillis,
+            Timeout idleTimeout,
             boolean reuse) {
         mRequester = requester;
         mSessions = sessions;
-        mConnectTimeout = connectTimeout;
+        mConnectTimer =
+                CompletableFuture.delayedExecutor(connectTimeoutMillis, TimeUnit.MILLISECONDS);
+        mIdleTimeout = idleTimeout;
         mReuse = reuse;
     }
 
@@ -68,7 +74,11 @@
                         .create();
         requester.start();
         return new HttpClient(
-                requester, sessions, Timeout.ofMilliseconds(connectTimeoutMillis), reuse);
+                requester,
+                sessions,
+                connectTimeoutMillis,
+                Timeout.ofMilliseconds(idleTimeoutMillis),
+                reuse);
     }
 
     /**
@@ -102,7 +112,11 @@
         UpstreamCall call = new UpstreamCall(request, body, listener, mSessions);
         // HttpAsyncRequester.execute asks for the request before it connects, so a refused
         // connection would count as sent and a lease could end between the check and the send.
-        mRequester.connect(host, mConnectTimeout, null, call.onConnected());
+        // The timeout given to connect stays that of the socket, so it must be the idle timeout.
+        var connecting = mRequester.connect(host, mIdleTimeout, null, call.onConnected());
+        if (!connecting.isDone()) {
+            mConnectTimer.execute(call::connectTimedOut);
+        }
         return call;
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamCall.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamCall.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.daemon.http;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.util.List;
 import org.apache.hc.core5.concurrent.FutureCallback;
@@ -53,6 +54,10 @@
         return new FutureCallback<>() {
             @Override
             public void completed(AsyncClientEndpoint endpoint) {
+                if (isDone()) {
+                    endpoint.releaseAndDiscard();
+                    return;
+                }
                 mEndpoint = endpoint;
                 endpoint.execute(mHandler, HttpCoreContext.create());
             }
@@ -69,11 +74,27 @@
         };
     }
 
-    private void reuseEndpoint() {
+    /** Ends the exchange if there is no connection yet. */
+    void connectTimedOut() {
+        if (mEndpoint == null) {
+            mHandler.failed(new ConnectException("the connection took too long"));
+        }
+    }
+
+    /**
+     * Ends the exchange before its connection returns to the pool. In the other order, a late
+     * {@link #cancel} would close the connection under the request that leased it next.
+     */
+    private void ended() {
+        if (!finish()) {
+            discardEndpoint();
+            return;
+        }
         AsyncClientEndpoint endpoint = mEndpoint;
         if (endpoint != null) {
             endpoint.releaseAndReuse();
         }
+        mListener.onEnd();
     }
 
     private void discardEndpoint() {
@@ -137,6 +158,9 @@
                 throw new IOException("the call was cancelled before it was sent");
             }
             synchronized (UpstreamCall.this) {
+                if (mDone) {
+                    throw new IOException("the call ended before it was sent");
+                }
                 mSending = true;
             }
             EntityDetails entity =
@@ -171,16 +195,13 @@
         @Override
         public void consumeResponse(
                 HttpResponse response, @Nullable EntityDetails entity, HttpContext context) {
-            if (entity == null) {
-                reuseEndpoint();
-            }
             if (isDone()) {
                 return;
             }
             long lengthBytes = entity == null ? 0 : entity.getContentLength();
             mListener.onHead(response.getCode(), HeaderField.listOf(response), lengthBytes);
-            if (entity == null && finish()) {
-                mListener.onEnd();
+            if (entity == null) {
+                ended();
             }
         }
 
@@ -208,10 +229,7 @@
 
         @Override
         public void streamEnd(@Nullable List<? extends Header> trailers) {
-            reuseEndpoint();
-            if (finish()) {
-                mListener.onEnd();
-            }
+            ended();
         }
 
         @Override
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpClientTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpClientTest.java
@@ -10,6 +10,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -102,6 +103,24 @@
         }
     }
 
+    /** Guards against the connect timeout ending a wait for an answer. */
+    @Test
+    void answerMayTakeLongerThanConnecting() throws Exception {
+        InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+        Executor later = CompletableFuture.delayedExecutor(1_500, TimeUnit.MILLISECONDS);
+        try (HttpPort port =
+                        HttpPort.open(
+                                "test",
+                                any,
+                                HttpLimits.defaults(),
+                                (call, responder) ->
+                                        later.execute(() -> responder.sendJson(200, "{}")));
+                HttpClient client = HttpClient.open(1, 500, 60_000, false)) {
+            send(client, "127.0.0.1:" + port.address().getPort(), true);
+            assertEquals(200, get(mStatus));
+        }
+    }
+
     /** Guards against a connection that closes without an answer being taken as not sent. */
     @Test
     void closedConnectionMayHaveBeenSent() throws Exception {
