Show no version before it is known, and reroute requests of leaving servers

Causes, each found by a test on real processes: a restarted instance showed version 0 until its log was applied (FleetConfigTest: dozens of such answers a run); requests queued at a server that leaves were refused with NO_BACKEND although another server was free (FleetDrainTest); a stopping instance closed 20 ms after it left, under requests that others still forwarded to it.

Change: a replica publishes its state once it votes and has applied an entry of the current term; until then the configuration page answers NOT_READY. A NO_BACKEND refusal lets the request choose anew without that server. A stopping instance waits 1 s after it left.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/retry/RetryPolicy.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/retry/RetryPolicy.java
@@ -65,7 +65,7 @@
      */
     public static RetryPolicy of(ErrorKind kind) {
         return switch (kind) {
-            case NOT_OWNER, OVERLOADED, NOT_READY -> REFUSED;
+            case NOT_OWNER, OVERLOADED, NOT_READY, NO_BACKEND -> REFUSED;
             case BACKEND_FAILED, BACKEND_TIMEOUT, ANSWER_MISMATCH -> SERVER_FAILED;
             default -> FINAL;
         };
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -64,12 +64,16 @@
     private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final long UPSTREAM_IDLE_MILLIS = 120_000;
     private static final long SNAPSHOT_ENTRIES = 10_000;
+    private static final long NOT_PUBLISHED = -1;
     private static final long STATE_MILLIS = 100;
     private static final long DRAIN_POLL_MILLIS = 20;
 
     /** After readiness has ended, the balancer may send requests for this long. */
     private static final long SETTLE_MILLIS = 1_000;
 
+    /** Until others know that this instance left, they forward requests, which it must refuse. */
+    private static final long LEAVE_MILLIS = 1_000;
+
     private final Settings mSettings;
     private final EventLog mLog = EventLog.create();
     private final Closer mCloser = Closer.create();
@@ -196,7 +200,7 @@
                         SNAPSHOT_ENTRIES,
                         new SplittableRandom(mRandom.nextLong()),
                         mLogLoop.nowNanos());
-        AtomicLong published = new AtomicLong();
+        AtomicLong published = new AtomicLong(NOT_PUBLISHED);
         mVoterState = state;
         mReplica =
                 ReplicaService.start(
@@ -426,7 +430,7 @@
             mLog.log(LogEvent.DRAIN_TIMED_OUT, "%d requests were cut", left);
         }
         onLoop(() -> mFleet.post(new MembershipInput.Leave()));
-        pause(DRAIN_POLL_MILLIS);
+        pause(LEAVE_MILLIS);
         close();
         mLog.log(LogEvent.DAEMON_STOPPED, "instance %s", mSettings.instanceId());
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/config/ConfigService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/config/ConfigService.java
@@ -19,7 +19,8 @@
 
 /**
  * Keeps the configuration in force: takes versions from the local log on voters, else pulls them
- * from a peer when gossip tells a higher number. Confined to the loop except {@link #current()}.
+ * from a peer when gossip tells a higher number. Confined to the loop except {@link #current()} and
+ * {@link #known()}.
  */
 public final class ConfigService {
     private static final long CHECK_MILLIS = 200;
@@ -44,7 +45,7 @@
     private final long mStartedNanos;
 
     private volatile Current mCurrent = new Current(0, Configuration.empty());
-    private boolean mAsked;
+    private volatile boolean mAsked;
     private boolean mPulling;
     private boolean mWarned;
     private int mNextPeer;
@@ -89,12 +90,21 @@
                 && mCurrent.version() >= mFleet.view().configVersion();
     }
 
-    /** Takes a version that the local log applied. */
+    /**
+     * Returns whether {@link #current()} is more than the lack of any information after a start.
+     * Safe for use from any thread.
+     */
+    public boolean known() {
+        return mAsked;
+    }
+
+    /** Takes a version that the local log applied; 0 if there is none yet. */
     public void offer(long version, Configuration configuration) {
-        mAsked = true;
-        if (mReplica.offer(version, configuration)) {
+        if (version > 0 && mReplica.offer(version, configuration)) {
             changed();
         }
+        // Set last, or a reader of another thread would take the old version for a known one.
+        mAsked = true;
     }
 
     private void changed() {
@@ -141,10 +151,14 @@
         if (reply == null) {
             return;
         }
-        mAsked = true;
-        if (!reply.isSetDocument()) {
-            return;
+        if (reply.isSetDocument()) {
+            take(peer, reply);
         }
+        // A peer that starts itself has no version yet and does not know the highest one.
+        mAsked |= reply.getVersion() > 0 && mCurrent.version() > 0;
+    }
+
+    private void take(InstanceId peer, ConfigReply reply) {
         try {
             if (mReplica.offer(reply.getVersion(), reply.getDocument())) {
                 changed();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
@@ -50,6 +50,10 @@
     private final Responder mResponder;
     private final AnswerTracker mTracker;
     private final Set<BackendId> mExcluded = new HashSet<>();
+
+    /** Servers that stopped to take work since this request saw them as choices. */
+    private final Set<BackendId> mStopped = new HashSet<>();
+
     private final ByteArrayOutputStream mRecordedBody = new ByteArrayOutputStream();
 
     private ClaimGate.@Nullable Ticket mTicket;
@@ -180,11 +184,25 @@
         if (!wanting || againNanos - mRequest.firstByteDeadlineNanos() >= 0) {
             return false;
         }
-        mExcluded.clear();
+        chooseAnew();
         mLoop.schedule(againNanos, () -> nextAttempt(null));
         return true;
     }
 
+    private void chooseAnew() {
+        mExcluded.clear();
+        mExcluded.addAll(mStopped);
+    }
+
+    /** A request that waited in the queue of a server that leaves must find another queue. */
+    private void stoppedTakingWork() {
+        if (mChoice != null && mStopped.add(mChoice.backend())) {
+            mQueued = false;
+            mFirstChoice = null;
+            chooseAnew();
+        }
+    }
+
     private HttpCall resuming(String lastEventId) {
         HttpCall call = mRequest.call();
         List<HeaderField> headers = new ArrayList<>(call.headers());
@@ -201,6 +219,9 @@
     private void refused(int number, ErrorKind kind, long retryAfterMillis) {
         mLastRefusal = kind;
         mRetryAfterMillis = retryAfterMillis;
+        if (kind == ErrorKind.NO_BACKEND) {
+            stoppedTakingWork();
+        }
         feed(new AnswerEvent.AttemptFailed(number, kind));
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/OperatorPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/OperatorPort.java
@@ -105,6 +105,10 @@
 
     private void getConfig(String[] parts, HttpCall call, Responder responder) {
         if (parts.length == 1) {
+            if (!mConfig.known()) {
+                throw HemlockrackException.of(
+                        ErrorKind.NOT_READY, "this instance does not know the configuration yet");
+            }
             ConfigService.Current current = mConfig.current();
             boolean json = String.valueOf(call.header("Accept")).contains("json");
             String text =
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import org.hemlockrack.consensus.Consensus;
 import org.hemlockrack.consensus.ConsensusEvent;
 import org.hemlockrack.consensus.NodeOutputs;
 import org.hemlockrack.consensus.Packet;
@@ -49,6 +50,7 @@
     private volatile Role mRole = Role.FOLLOWER;
     private volatile long mTerm;
     private volatile boolean mVoter;
+    private boolean mCaughtUp;
     private volatile boolean mFailed;
 
     private ReplicaService(
@@ -74,7 +76,8 @@
      * @param node the replica
      * @param transport sends packets; must not block
      * @param log the log
-     * @param afterStep runs on the loop after each batch, to publish what the state holds
+     * @param afterStep runs on the loop after each batch, to publish what the state holds; not
+     *     before the state has caught up with what was committed before the start
      * @return the service
      */
     public static ReplicaService start(
@@ -192,10 +195,23 @@
             return;
         }
         mVoter = mNode.consensus().membership().isVoter(mReplicaId);
-        mAfterStep.run();
+        mCaughtUp |= mVoter && hasAppliedCurrentTerm();
+        if (mCaughtUp) {
+            mAfterStep.run();
+        }
         arm();
     }
 
+    /**
+     * After a restart the state goes through all old versions again. It holds everything that it
+     * held before once the whole log is committed up to an entry of the current term.
+     */
+    private boolean hasAppliedCurrentTerm() {
+        Consensus consensus = mNode.consensus();
+        return consensus.lastTerm() == consensus.term()
+                && consensus.commitIndex() == consensus.lastIndex();
+    }
+
     /** What reached the disk is not known after a failed write, so the replica must stop. */
     private void fail(RuntimeException cause) {
         mFailed = true;
