--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Fleet.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Fleet.java
@@ -6,13 +6,16 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.hemlockrack.daemon.settings.Settings;
@@ -21,6 +24,12 @@
 /** A fleet of real processes on loopback, for tests and benchmarks. */
 public final class Fleet implements AutoCloseable {
     private static final long POLL_MILLIS = 50;
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 12_000;
+
+    /** Starts anywhere, so that test processes that run at the same time rarely meet. */
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger(new SecureRandom().nextInt(PORTS));
 
     private final Path mFolder;
     private final Closer mCloser = Closer.create();
@@ -97,25 +106,30 @@
         MoreFiles.deleteRecursively(folder, RecursiveDeleteOption.ALLOW_INSECURE);
     }
 
-    /** Returns free ports; they are released before the processes bind them. */
+    /**
+     * Returns free ports; they are released before the processes bind them. They lie below the
+     * range from which Linux assigns ports, because an assigned one can be assigned again to a
+     * connection or another socket in between. None is returned twice.
+     */
     static int[] freePorts(int count) {
-        List<ServerSocket> sockets = new ArrayList<>();
         int[] ports = new int[count];
-        try {
-            for (int i = 0; i < count; i++) {
-                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-                sockets.add(socket);
-                ports[i] = socket.getLocalPort();
-            }
-            for (ServerSocket socket : sockets) {
-                socket.close();
-            }
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+        for (int i = 0; i < count; i++) {
+            do {
+                ports[i] = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
+            } while (!isFree(ports[i]));
         }
         return ports;
     }
 
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /**
      * Plans an instance without starting it.
      *
