--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -86,6 +86,7 @@
     private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
     private static final long UPSTREAM_IDLE_MILLIS = 120_000;
     private static final long SNAPSHOT_ENTRIES = 10_000;
+    private static final long NOT_PUBLISHED = -1;
     private static final long STATE_MILLIS = 100;
     private static final long DRAIN_POLL_MILLIS = 20;
     private static final double NANOS_PER_SECOND = 1e9;
@@ -93,6 +94,9 @@
     /** After readiness has ended, the balancer may send requests for this long. */
     private static final long SETTLE_MILLIS = 1_000;
 
+    /** Until others know that this instance left, they forward requests, which it must refuse. */
+    private static final long LEAVE_MILLIS = 1_000;
+
     private final Settings mSettings;
     private final EventLog mLog = EventLog.create();
     private final Closer mCloser = Closer.create();
@@ -258,7 +262,7 @@
                         SNAPSHOT_ENTRIES,
                         new SplittableRandom(mRandom.nextLong()),
                         mLogLoop.nowNanos());
-        AtomicLong published = new AtomicLong();
+        AtomicLong published = new AtomicLong(NOT_PUBLISHED);
         mVoterState = state;
         mReplica =
                 ReplicaService.start(
@@ -645,7 +649,7 @@
         }
         onLoop(() -> mFleet.post(new MembershipInput.Leave()));
         onLoop(mBurn::save);
-        pause(DRAIN_POLL_MILLIS);
+        pause(LEAVE_MILLIS);
         close();
         mLog.log(LogEvent.DAEMON_STOPPED, "instance %s", mSettings.instanceId());
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
@@ -1,6 +1,8 @@
 package org.hemlockrack.daemon.http;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.URIScheme;
@@ -32,20 +34,24 @@
 
     private final HttpAsyncRequester mRequester;
     private final SessionRegistry mSessions;
-    private final Timeout mConnectTimeout;
+    private final Executor mConnectTimer;
+    private final Timeout mIdleTimeout;
     private final boolean mReuse;
     private final URIScheme mScheme;
 
     private HttpClient(
             HttpAsyncRequester requester,
             SessionRegistry sessions,
-            Timeout connectTimeout,
+            long connectTimeoutMillis,
+            Timeout idleTimeout,
             boolean reuse,
             URIScheme scheme) {
         mScheme = scheme;
         mRequester = requester;
         mSessions = sessions;
-        mConnectTimeout = connectTimeout;
+        mConnectTimer =
+                CompletableFuture.delayedExecutor(connectTimeoutMillis, TimeUnit.MILLISECONDS);
+        mIdleTimeout = idleTimeout;
         mReuse = reuse;
     }
 
@@ -105,7 +111,8 @@
         return new HttpClient(
                 requester,
                 sessions,
-                Timeout.ofMilliseconds(connectTimeoutMillis),
+                connectTimeoutMillis,
+                Timeout.ofMilliseconds(idleTimeoutMillis),
                 reuse,
                 tls == null ? URIScheme.HTTP : URIScheme.HTTPS);
     }
@@ -139,9 +146,13 @@
             request.addHeader("Connection", "close");
         }
         UpstreamCall call = new UpstreamCall(request, body, listener, mSessions);
-        // HttpAsyncRequester.execute asks for the request before it connects, which would report
-        // a refused connection as sent.
-        mRequester.connect(host, mConnectTimeout, null, call.whenConnected());
+        // HttpAsyncRequester.execute asks for the request before it connects, so a refused
+        // connection would count as sent and a lease could end between the check and the send.
+        // The timeout given to connect stays that of the socket, so it must be the idle timeout.
+        var connecting = mRequester.connect(host, mIdleTimeout, null, call.whenConnected());
+        if (!connecting.isDone()) {
+            mConnectTimer.execute(call::connectTimedOut);
+        }
         return call;
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamCall.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamCall.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.daemon.http;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.util.List;
 import org.apache.hc.core5.concurrent.FutureCallback;
@@ -81,11 +82,31 @@
         endpoint.execute(mHandler, HttpCoreContext.create());
     }
 
-    private void reuseConnection() {
+    /** Ends the exchange if there is no connection yet. */
+    void connectTimedOut() {
+        boolean connected;
+        synchronized (this) {
+            connected = mEndpoint != null;
+        }
+        if (!connected) {
+            mHandler.failed(new ConnectException("the connection took too long"));
+        }
+    }
+
+    /**
+     * Ends the exchange before its connection returns to the pool. In the other order, a late
+     * {@link #cancel} would close the connection under the request that leased it next.
+     */
+    private void ended() {
+        if (!finish()) {
+            discardConnection();
+            return;
+        }
         AsyncClientEndpoint endpoint = takeEndpoint();
         if (endpoint != null) {
             endpoint.releaseAndReuse();
         }
+        mListener.onEnd();
     }
 
     private void discardConnection() {
@@ -159,6 +180,9 @@
                 throw new IOException("the call was cancelled before it was sent");
             }
             synchronized (UpstreamCall.this) {
+                if (mDone) {
+                    throw new IOException("the call ended before it was sent");
+                }
                 mSending = true;
             }
             EntityDetails entity =
@@ -193,16 +217,13 @@
         @Override
         public void consumeResponse(
                 HttpResponse response, @Nullable EntityDetails entity, HttpContext context) {
-            if (entity == null) {
-                reuseConnection();
-            }
             if (isDone()) {
                 return;
             }
             long lengthBytes = entity == null ? 0 : entity.getContentLength();
             mListener.onHead(response.getCode(), HeaderField.listOf(response), lengthBytes);
-            if (entity == null && finish()) {
-                mListener.onEnd();
+            if (entity == null) {
+                ended();
             }
         }
 
@@ -230,10 +251,7 @@
 
         @Override
         public void streamEnd(@Nullable List<? extends Header> trailers) {
-            reuseConnection();
-            if (finish()) {
-                mListener.onEnd();
-            }
+            ended();
         }
 
         @Override
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Fleet.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Fleet.java
@@ -6,14 +6,15 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
@@ -23,12 +24,12 @@
 /** A fleet of real processes on loopback, for tests and benchmarks. */
 public final class Fleet implements AutoCloseable {
     private static final long POLL_MILLIS = 50;
-    private static final int FIRST_PORT = 10_000;
-    private static final int PORT_COUNT = 22_000;
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 12_000;
 
-    /** Starts at a random port, so that two test runs on one machine rarely meet. */
+    /** Starts anywhere, so that test processes that run at the same time rarely meet. */
     private static final AtomicInteger NEXT_PORT =
-            new AtomicInteger(ThreadLocalRandom.current().nextInt(PORT_COUNT));
+            new AtomicInteger(new SecureRandom().nextInt(PORTS));
 
     private final Path mFolder;
     private final Closer mCloser = Closer.create();
@@ -106,27 +107,26 @@
     }
 
     /**
-     * Returns free ports below the range that the kernel gives to outgoing connections. From that
-     * range, a connection of another process could take a port before its listener binds it.
+     * Returns free ports; they are released before the processes bind them. They lie below the
+     * range from which Linux assigns ports, because an assigned one can be assigned again to a
+     * connection or another socket in between. None is returned twice.
      */
     static int[] freePorts(int count) {
         int[] ports = new int[count];
         for (int i = 0; i < count; i++) {
-            ports[i] = nextFreePort();
+            do {
+                ports[i] = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
+            } while (!isFree(ports[i]));
         }
         return ports;
     }
 
-    private static int nextFreePort() {
-        while (true) {
-            int offset = NEXT_PORT.getAndIncrement() % PORT_COUNT;
-            int port = FIRST_PORT + offset;
-            try (ServerSocket socket =
-                    new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                return socket.getLocalPort();
-            } catch (IOException ignored) {
-                // Another process uses the port; the next one is tried.
-            }
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            return true;
+        } catch (IOException e) {
+            return false;
         }
     }
 
