--- a/hemlockrack-core/src/main/java/org/hemlockrack/burn/internal/BurnHtml.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/burn/internal/BurnHtml.java
@@ -9,7 +9,7 @@
 
 /** Prints a burn report as one HTML page with inline SVG plots. */
 public final class BurnHtml {
-    private static final int PLOT_WIDTH = 432;
+    private static final int PLOT_WIDTH = 216;
     private static final int PLOT_HEIGHT = 60;
 
     /** Lowest upper end of a plot, so that a quiet hour does not look like a burn. */
--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
@@ -95,5 +95,10 @@
     public static final String ROLLOUT_AUTHORITY =
             "the controller has authority %d, but authority %d is in force";
 
+    public static final String OVERLOADED =
+            "all backend servers that can take the request are at their limit";
+    public static final String DEADLINE_UNREACHABLE =
+            "the deadline cannot be met at the current load";
+
     private ErrorText() {}
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -7,16 +7,11 @@
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.ToIntFunction;
-import java.util.function.ToLongBiFunction;
 import org.apache.hc.core5.http.nio.ssl.TlsStrategy;
 import org.hemlockrack.claims.AttemptSource;
 import org.hemlockrack.config.ConfigCommand;
@@ -28,18 +23,15 @@
 import org.hemlockrack.consensus.Role;
 import org.hemlockrack.daemon.burn.BurnService;
 import org.hemlockrack.daemon.config.ConfigService;
-import org.hemlockrack.daemon.entry.CacheEventReader;
 import org.hemlockrack.daemon.entry.ClaimService;
 import org.hemlockrack.daemon.entry.EntryService;
 import org.hemlockrack.daemon.fleet.Fleet;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.fleet.ZoneWatch;
 import org.hemlockrack.daemon.http.CallHandler;
-import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.HttpClient;
 import org.hemlockrack.daemon.http.HttpLimits;
 import org.hemlockrack.daemon.http.HttpPort;
-import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.Loop;
 import org.hemlockrack.daemon.metrics.MetricName;
@@ -50,7 +42,6 @@
 import org.hemlockrack.daemon.operator.RolloutCommands;
 import org.hemlockrack.daemon.operator.VoterCommands;
 import org.hemlockrack.daemon.operator.VoterDirectory;
-import org.hemlockrack.daemon.owner.ForwardedExchange;
 import org.hemlockrack.daemon.owner.OwnerService;
 import org.hemlockrack.daemon.peer.PeerServer;
 import org.hemlockrack.daemon.replica.Proposer;
@@ -74,9 +65,7 @@
 import org.hemlockrack.membership.MembershipInput;
 import org.hemlockrack.membership.MembershipSettings;
 import org.hemlockrack.membership.MembershipView;
-import org.hemlockrack.membership.TrafficClass;
 import org.hemlockrack.model.InstanceId;
-import org.hemlockrack.placement.CacheEvent;
 import org.hemlockrack.rollout.Rollout;
 import org.hemlockrack.wire.Slice;
 import org.jspecify.annotations.Nullable;
@@ -474,7 +463,7 @@
                 SettingKey.LISTEN_INTERNAL,
                 HttpLimits.internal(),
                 tlsStrategy(),
-                this::internalCall);
+                new InternalHandler(mLoop, mOwner, mEntry));
         ConfigCommands.HistorySource history = mVoterState == null ? new NoHistory() : mVoterState;
         VoterDirectory voters = VoterDirectory.of(mSettings.voters());
         VoterCommands voterCommands = VoterCommands.create(mLoop, mReplica, voters);
@@ -517,52 +506,17 @@
         mMetrics.value(MetricName.CONFIG_VERSION, () -> mConfig.current().version());
         mMetrics.value(MetricName.LEADER, () -> leads() ? 1 : 0);
         mMetrics.value(MetricName.TERM, () -> mReplica == null ? 0 : mReplica.term());
-        mMetrics.value(MetricName.HEAP_BYTES, Daemon::heapBytes);
-        mMetrics.value(MetricName.HEAP_MAX_BYTES, () -> Runtime.getRuntime().maxMemory());
-        work(MetricName.QUEUE_LENGTH, OwnerService.Work::queued);
-        work(MetricName.IN_FLIGHT, OwnerService.Work::inFlight);
-        work(MetricName.LIMIT, OwnerService.Work::limit);
-        control(MetricName.CONTROL_BYTES, ControlBudget::sentBytes);
-        control(MetricName.CONTROL_DEFERRED, ControlBudget::deferred);
-        control(MetricName.CONTROL_DROPPED, ControlBudget::dropped);
         mMetrics.value(MetricName.GOSSIP_PERIOD, () -> mGossipPeriodNanos / NANOS_PER_SECOND);
+        Gauges gauges = new Gauges(mMetrics);
+        gauges.registerProcess();
+        gauges.registerOwner(mOwner);
+        gauges.registerControl(mBudget);
     }
 
     private boolean leads() {
         return mReplica != null && mReplica.role() == Role.LEADER;
     }
 
-    private static long heapBytes() {
-        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
-    }
-
-    private void work(MetricName name, ToIntFunction<OwnerService.Work> read) {
-        mMetrics.values(
-                name,
-                "backend",
-                () -> {
-                    Map<String, Number> values = new HashMap<>();
-                    mOwner.work()
-                            .forEach((id, work) -> values.put(id.value(), read.applyAsInt(work)));
-                    return values;
-                });
-    }
-
-    private void control(MetricName name, ToLongBiFunction<ControlBudget, TrafficClass> read) {
-        mMetrics.values(
-                name,
-                "class",
-                () -> {
-                    Map<String, Number> values = new HashMap<>();
-                    for (TrafficClass trafficClass : TrafficClass.values()) {
-                        values.put(
-                                trafficClass.name().toLowerCase(Locale.ROOT),
-                                read.applyAsLong(mBudget, trafficClass));
-                    }
-                    return values;
-                });
-    }
-
     private HttpPort openPort(
             String name,
             SettingKey key,
@@ -574,31 +528,6 @@
         return port;
     }
 
-    private void internalCall(HttpCall call, Responder responder) {
-        if (call.path().equals("/backend/v1/announce")) {
-            mOwner.announce(call, responder);
-            return;
-        }
-        if (call.path().equals("/backend/v1/cache-events")) {
-            cacheEvent(call, responder);
-            return;
-        }
-        ForwardedExchange.run(mOwner, call, responder);
-    }
-
-    private void cacheEvent(HttpCall call, Responder responder) {
-        try {
-            CacheEvent event = CacheEventReader.parse(call.body());
-            if (event.cleared()) {
-                mOwner.cacheCleared(event.backend(), event.incarnation());
-            }
-            mLoop.execute(() -> mEntry.cacheEvent(event));
-            responder.sendJson(200, "{}");
-        } catch (HemlockrackException e) {
-            responder.sendError(e.kind(), String.valueOf(e.getMessage()), 0);
-        }
-    }
-
     /** Answers on instances that do not hold the log. */
     private static final class NoHistory implements ConfigCommands.HistorySource {
         @Override
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Gauges.java
@@ -0,0 +1,72 @@
+package org.hemlockrack.daemon;
+
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.ToIntFunction;
+import java.util.function.ToLongBiFunction;
+import org.hemlockrack.daemon.metrics.MetricName;
+import org.hemlockrack.daemon.metrics.Metrics;
+import org.hemlockrack.daemon.owner.OwnerService;
+import org.hemlockrack.membership.ControlBudget;
+import org.hemlockrack.membership.TrafficClass;
+
+/** Registers the metrics that are read from services when they are shown. */
+final class Gauges {
+    private final Metrics mMetrics;
+
+    Gauges(Metrics metrics) {
+        mMetrics = metrics;
+    }
+
+    void registerProcess() {
+        mMetrics.value(MetricName.HEAP_BYTES, Gauges::heapBytes);
+        mMetrics.value(MetricName.HEAP_MAX_BYTES, () -> Runtime.getRuntime().maxMemory());
+    }
+
+    private static long heapBytes() {
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
+    void registerOwner(OwnerService owner) {
+        work(owner, MetricName.QUEUE_LENGTH, OwnerService.Work::queued);
+        work(owner, MetricName.IN_FLIGHT, OwnerService.Work::inFlight);
+        work(owner, MetricName.LIMIT, OwnerService.Work::limit);
+    }
+
+    private void work(OwnerService owner, MetricName name, ToIntFunction<OwnerService.Work> read) {
+        mMetrics.values(
+                name,
+                "backend",
+                () -> {
+                    Map<String, Number> values = new HashMap<>();
+                    owner.work()
+                            .forEach((id, work) -> values.put(id.value(), read.applyAsInt(work)));
+                    return values;
+                });
+    }
+
+    void registerControl(ControlBudget budget) {
+        control(budget, MetricName.CONTROL_BYTES, ControlBudget::sentBytes);
+        control(budget, MetricName.CONTROL_DEFERRED, ControlBudget::deferred);
+        control(budget, MetricName.CONTROL_DROPPED, ControlBudget::dropped);
+    }
+
+    private void control(
+            ControlBudget budget,
+            MetricName name,
+            ToLongBiFunction<ControlBudget, TrafficClass> read) {
+        mMetrics.values(
+                name,
+                "class",
+                () -> {
+                    Map<String, Number> values = new HashMap<>();
+                    for (TrafficClass trafficClass : TrafficClass.values()) {
+                        values.put(
+                                trafficClass.name().toLowerCase(Locale.ROOT),
+                                read.applyAsLong(budget, trafficClass));
+                    }
+                    return values;
+                });
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/InternalHandler.java
@@ -0,0 +1,53 @@
+package org.hemlockrack.daemon;
+
+import org.hemlockrack.daemon.entry.CacheEventReader;
+import org.hemlockrack.daemon.entry.EntryService;
+import org.hemlockrack.daemon.http.CallHandler;
+import org.hemlockrack.daemon.http.HttpCall;
+import org.hemlockrack.daemon.http.Responder;
+import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.owner.ForwardedExchange;
+import org.hemlockrack.daemon.owner.OwnerService;
+import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.placement.CacheEvent;
+
+/** Answers backend servers and the requests that other instances forward to this owner. */
+final class InternalHandler implements CallHandler {
+    private static final String ANNOUNCE_PATH = "/backend/v1/announce";
+    private static final String CACHE_EVENTS_PATH = "/backend/v1/cache-events";
+    private static final int STATUS_OK = 200;
+
+    private final Loop mLoop;
+    private final OwnerService mOwner;
+    private final EntryService mEntry;
+
+    InternalHandler(Loop loop, OwnerService owner, EntryService entry) {
+        mLoop = loop;
+        mOwner = owner;
+        mEntry = entry;
+    }
+
+    @Override
+    public void handle(HttpCall call, Responder responder) {
+        switch (call.path()) {
+            case ANNOUNCE_PATH -> mOwner.announce(call, responder);
+            case CACHE_EVENTS_PATH -> cacheEvent(call, responder);
+            default -> ForwardedExchange.run(mOwner, call, responder);
+        }
+    }
+
+    private void cacheEvent(HttpCall call, Responder responder) {
+        CacheEvent event;
+        try {
+            event = CacheEventReader.parse(call.body());
+        } catch (HemlockrackException e) {
+            responder.sendError(e.kind(), String.valueOf(e.getMessage()), 0);
+            return;
+        }
+        if (event.cleared()) {
+            mOwner.cacheCleared(event.backend(), event.incarnation());
+        }
+        mLoop.execute(() -> mEntry.cacheEvent(event));
+        responder.sendJson(STATUS_OK, "{}");
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
@@ -409,12 +409,19 @@
         }
     }
 
+    /** A refusal before dispatch has no answer that could have ended, so it needs its own text. */
+    private String failureText(AnswerOutput.Fail failed) {
+        return switch (failed.kind()) {
+            case NO_BACKEND -> String.format(ErrorText.NO_BACKEND, mRequest.service());
+            case OVERLOADED -> ErrorText.OVERLOADED;
+            case DEADLINE_UNREACHABLE -> ErrorText.DEADLINE_UNREACHABLE;
+            default -> failed.message();
+        };
+    }
+
     private void fail(AnswerOutput.Fail failed) {
         noteFailure(failed.kind());
-        String message = failed.message();
-        if (failed.kind() == ErrorKind.NO_BACKEND) {
-            message = String.format(ErrorText.NO_BACKEND, mRequest.service());
-        }
+        String message = failureText(failed);
         if (mTicket != null) {
             if (failed.runState() == RunState.NOT_RUN) {
                 mTicket.notRun();
