Lower the default limits of claims to what a voter's heap holds

Cause: 400,000 claims take 231 MB of heap on the measured line, and claim_bytes allowed 384 MiB, so a voter with 256 MB would have run out of memory instead of refusing.

Change: 150,000 claims and 96 MiB by default; beyond that commands are refused as OVERLOADED, not_run.

Measured: 87 MB by the line of CAPACITY.md; not run at that size again.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/config/ConfigKey.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/config/ConfigKey.java
@@ -57,9 +57,9 @@
             "limits.queue_bytes", "bytes", ValueRule.integer(0, 1_073_741_824), "33554432"),
     LIMIT_CLAIM_EXPIRY(
             "limits.claim_expiry_ms", "ms", ValueRule.integer(7_200_000, 604_800_000), "86400000"),
-    LIMIT_CLAIMS("limits.claims", "claims", ValueRule.integer(1, 2_000_000), "400000"),
+    LIMIT_CLAIMS("limits.claims", "claims", ValueRule.integer(1, 2_000_000), "150000"),
     LIMIT_CLAIM_BYTES(
-            "limits.claim_bytes", "bytes", ValueRule.integer(65_536, 1_073_741_824), "402653184"),
+            "limits.claim_bytes", "bytes", ValueRule.integer(65_536, 1_073_741_824), "100663296"),
     LIMIT_CLAIM_ANSWER("limits.claim_answer_bytes", "bytes", ValueRule.integer(0, 65_536), "16384");
 
     private final String mPattern;
