--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnedBackend.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnedBackend.java
@@ -24,12 +24,6 @@
 final class OwnedBackend {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
-    /**
-     * A server sees a closed connection later than the owner closes it. Until its next announcement
-     * counts the work that it still does, the place of that work must stay taken.
-     */
-    private static final long CLOSE_SETTLE_NANOS = 500 * NANOS_PER_MILLI;
-
     private final OwnerService mService;
     private final Loop mLoop;
     private final Admission mAdmission;
@@ -189,11 +183,6 @@
                 });
     }
 
-    /** Runs an action once the server must have seen that its connection was closed. */
-    void afterClose(Runnable action) {
-        mLoop.schedule(mLoop.nowNanos() + CLOSE_SETTLE_NANOS, action);
-    }
-
     void cancelled(OwnedRequest request) {
         mLoop.execute(
                 () -> {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnedRequest.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnedRequest.java
@@ -62,7 +62,7 @@
         }
         if (mCancelled) {
             upstream.cancel();
-            mBackend.afterClose(() -> finish(Outcome.CANCELLED));
+            finish(Outcome.CANCELLED);
         }
     }
 
@@ -116,7 +116,7 @@
             return;
         }
         upstream.cancel();
-        mBackend.afterClose(() -> finish(Outcome.CANCELLED));
+        finish(Outcome.CANCELLED);
     }
 
     @Override
@@ -160,11 +160,7 @@
             return;
         }
         boolean timedOut = cause instanceof SocketTimeoutException;
-        if (timedOut) {
-            mBackend.afterClose(() -> finish(Outcome.TIMEOUT));
-        } else {
-            finish(Outcome.ERROR);
-        }
+        finish(timedOut ? Outcome.TIMEOUT : Outcome.ERROR);
         ErrorKind kind = timedOut ? ErrorKind.BACKEND_TIMEOUT : ErrorKind.BACKEND_FAILED;
         String reason = cause instanceof IOException ? cause.getMessage() : cause.toString();
         mListener.onFailed(kind, String.valueOf(reason), mayHaveBeenSent);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnerService.java
@@ -229,9 +229,8 @@
         OwnedBackend backend = mBackends.get(announcement.id());
         if (backend != null) {
             // The lease must end before the server is told to turn to the next owner.
-            // The sweep drops the object later: until then it remembers which announcements it must
-            // no longer take a lease from.
             backend.post(new AdmissionEvent.HandoverOrdered(owner.id()));
+            dropIfIdle(backend);
         }
         ObjectNode json = JsonNodeFactory.instance.objectNode();
         json.put("owner", owner.id().value());
@@ -312,6 +311,12 @@
                 .isPresent();
     }
 
+    private void dropIfIdle(OwnedBackend backend) {
+        if (backend.isIdle()) {
+            drop(backend);
+        }
+    }
+
     private void drop(OwnedBackend backend) {
         mBackends.remove(backend.last().id());
         backend.stop();
