Drop timers that are set while a loop closes

Cause: the build failed once in OperatorPortTest: a task that was still running set a timer on the closing loop, and the rejection was reported as a fault. Tasks given to a closed loop are dropped already.

Change: schedule drops them too.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/loop/Loop.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/loop/Loop.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 
 /** A single thread that owns the state confined to it, with a monotonic clock and timers. */
 public final class Loop implements Executor, AutoCloseable {
@@ -68,11 +69,16 @@
      *
      * @param atNanos monotonic time
      * @param task the task
-     * @return the timer
+     * @return the timer, or null if the loop is closed
      */
-    public ScheduledFuture<?> schedule(long atNanos, Runnable task) {
+    public @Nullable ScheduledFuture<?> schedule(long atNanos, Runnable task) {
         long delayNanos = Math.max(0, atNanos - nowNanos());
-        return mExecutor.schedule(guarded(task), delayNanos, TimeUnit.NANOSECONDS);
+        try {
+            return mExecutor.schedule(guarded(task), delayNanos, TimeUnit.NANOSECONDS);
+        } catch (RejectedExecutionException ignored) {
+            // As in execute: a task that still runs while the loop closes may set a timer.
+            return null;
+        }
     }
 
     /**
