Hold the shared part of the drain and zone commands once

Cause: DrainCommand and ZoneCommand were the same 45 lines but for four texts.

Change: VersionedCommand, which only they extend, keeps name, options and call; each command states its page and help.

--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/VersionedCommand.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/VersionedCommand.java
@@ -4,11 +4,37 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 
-/** A command that makes a new configuration version and can wait until it is in force. */
+/**
+ * A command that sets the state of one named thing in a new configuration version and can wait
+ * until that version is in force.
+ */
 public abstract class VersionedCommand extends Command {
+    private final String mPage;
+    private final String mState;
+    private final String mHelp;
+    private final String mNameHelp;
+    private String mName = "";
     private boolean mWait;
     private long mTimeoutMillis = 10_000;
 
+    VersionedCommand(String page, String state, String help, String nameHelp) {
+        mPage = page;
+        mState = state;
+        mHelp = help;
+        mNameHelp = nameHelp;
+    }
+
+    /**
+     * Sets what to change.
+     *
+     * @param name its name
+     * @return this command
+     */
+    public VersionedCommand setName(String name) {
+        mName = name;
+        return this;
+    }
+
     /**
      * Sets whether the command waits until the version is in force on every reachable instance.
      *
@@ -20,7 +46,10 @@
         return this;
     }
 
-    final void declareWait(Subparser parser) {
+    @Override
+    void declare(Subparser parser) {
+        parser.help(mHelp);
+        parser.addArgument("name").help(mNameHelp);
         parser.addArgument("--wait")
                 .action(Arguments.storeTrue())
                 .help("wait until the change is in force on every reachable instance");
@@ -30,14 +59,18 @@
                 .help("longest wait in milliseconds");
     }
 
-    final void takeWait(Namespace options) {
+    @Override
+    void take(Namespace options) {
+        mName = options.getString("name");
         mWait = options.getBoolean("wait");
         mTimeoutMillis = options.getLong("timeout_ms");
     }
 
     /** Posts the change, prints the version that it made, and waits if asked to. */
-    final int change(String path) {
-        OperatorClient.Answer answer = send("POST", path);
+    @Override
+    public int call() {
+        OperatorClient.Answer answer =
+                send("POST", "/operator/v1/" + mPage + "/" + segment(mName) + "/" + mState);
         if (answer.isError()) {
             return refused(answer);
         }
