Hold the unused connection events of the HTTP ports once

Cause: ConnectionTable and SessionRegistry each had the same five empty methods.

Change: both extend ConnectionListener, which leaves only the start and the end of a connection to them.

--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionListener.java
@@ -0,0 +1,22 @@
+package org.hemlockrack.daemon.http;
+
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.IOSessionListener;
+
+/** Follows only the start and the end of connections. */
+abstract class ConnectionListener implements IOSessionListener {
+    @Override
+    public final void startTls(IOSession session) {}
+
+    @Override
+    public final void inputReady(IOSession session) {}
+
+    @Override
+    public final void outputReady(IOSession session) {}
+
+    @Override
+    public final void timeout(IOSession session) {}
+
+    @Override
+    public final void exception(IOSession session, Exception cause) {}
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionTable.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionTable.java
@@ -8,10 +8,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
-import org.apache.hc.core5.reactor.IOSessionListener;
 
 /** Counts the connections of one port and enforces their time limits. */
-final class ConnectionTable implements IOSessionListener, AutoCloseable {
+final class ConnectionTable extends ConnectionListener implements AutoCloseable {
     private static final long MIN_PERIOD_MILLIS = 10;
     private static final long MAX_PERIOD_MILLIS = 500;
 
@@ -92,21 +91,6 @@
         mSessions.decrementAndGet();
     }
 
-    @Override
-    public void startTls(IOSession session) {}
-
-    @Override
-    public void inputReady(IOSession session) {}
-
-    @Override
-    public void outputReady(IOSession session) {}
-
-    @Override
-    public void timeout(IOSession session) {}
-
-    @Override
-    public void exception(IOSession session, Exception cause) {}
-
     @Override
     public void close() {
         mTimer.shutdownNow();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/SessionRegistry.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/SessionRegistry.java
@@ -6,14 +6,13 @@
 import org.apache.hc.core5.http.EndpointDetails;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
-import org.apache.hc.core5.reactor.IOSessionListener;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Finds the session of an exchange, to close it at once. HttpCore's own endpoints only close after
  * the exchange in progress, which would let a backend server finish work nobody waits for.
  */
-final class SessionRegistry implements IOSessionListener {
+final class SessionRegistry extends ConnectionListener {
     private record Key(SocketAddress local, SocketAddress remote) {}
 
     private final ConcurrentMap<Key, IOSession> mSessions = new ConcurrentHashMap<>();
@@ -48,19 +47,4 @@
             mSessions.remove(key, session);
         }
     }
-
-    @Override
-    public void startTls(IOSession session) {}
-
-    @Override
-    public void inputReady(IOSession session) {}
-
-    @Override
-    public void outputReady(IOSession session) {}
-
-    @Override
-    public void timeout(IOSession session) {}
-
-    @Override
-    public void exception(IOSession session, Exception cause) {}
 }
