--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlCommand.java
@@ -0,0 +1,97 @@
+package org.hemlockrack.control;
+
+import java.nio.ByteBuffer;
+import org.hemlockrack.codec.StructCodec;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.ZoneId;
+import org.hemlockrack.wire.ControlCommandData;
+import org.hemlockrack.wire.ControlCommandKind;
+import org.hemlockrack.wire.DepartureData;
+
+/** Builds the commands of {@link ControlState}. Each has the same effect when applied again. */
+public final class ControlCommand {
+    private ControlCommand() {}
+
+    /**
+     * Publishes a route table.
+     *
+     * @param version its version; a table that is not newer changes nothing
+     * @param document the table as the operator sent it
+     * @return the command
+     */
+    public static byte[] publishTable(long version, byte[] document) {
+        ControlCommandData data = of(ControlCommandKind.PUBLISH_TABLE);
+        data.setTableVersion(version);
+        data.setTableDocument(ByteBuffer.wrap(document));
+        return StructCodec.encode(data);
+    }
+
+    /**
+     * Takes a zone out of service, or back.
+     *
+     * @param zone the zone
+     * @param evacuated whether its backend servers get nothing
+     * @return the command
+     */
+    public static byte[] setZone(ZoneId zone, boolean evacuated) {
+        ControlCommandData data =
+                of(evacuated ? ControlCommandKind.EVACUATE_ZONE : ControlCommandKind.RESTORE_ZONE);
+        data.setZone(zone.value());
+        return StructCodec.encode(data);
+    }
+
+    /**
+     * Records that a backend server leaves.
+     *
+     * @param id its id
+     * @param bornMillis start of the incarnation
+     * @return the command
+     */
+    public static byte[] depart(BackendId id, long bornMillis) {
+        ControlCommandData data = of(ControlCommandKind.DEPART);
+        data.setDeparture(new DepartureData(id.value(), bornMillis, 0));
+        return StructCodec.encode(data);
+    }
+
+    /**
+     * Starts a move. A move to the same target that is in progress goes on unchanged.
+     *
+     * @param move the move; its times are relative and set when the command is applied
+     * @return the command
+     */
+    public static byte[] startMove(TrafficMove move) {
+        return withMove(ControlCommandKind.START_MOVE, move);
+    }
+
+    /**
+     * Changes the share of a move in progress.
+     *
+     * @param move the move with the new share
+     * @return the command
+     */
+    public static byte[] advanceMove(TrafficMove move) {
+        return withMove(ControlCommandKind.ADVANCE_MOVE, move);
+    }
+
+    /**
+     * Ends a move in progress.
+     *
+     * @param move the move with its final status
+     * @return the command
+     */
+    public static byte[] finishMove(TrafficMove move) {
+        return withMove(ControlCommandKind.FINISH_MOVE, move);
+    }
+
+    private static byte[] withMove(ControlCommandKind kind, TrafficMove move) {
+        ControlCommandData data = of(kind);
+        data.setMove(move.toData());
+        return StructCodec.encode(data);
+    }
+
+    private static ControlCommandData of(ControlCommandKind kind) {
+        ControlCommandData data = new ControlCommandData();
+        data.setKind(kind);
+        return data;
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/Outcome.java
@@ -0,0 +1,42 @@
+package org.hemlockrack.dispatch;
+
+/** How an attempt at a backend server ended, and what it says about the server. */
+public enum Outcome {
+    /** A complete, successful answer. */
+    SERVED(false, false),
+    /** The server answered with a failure. */
+    FAILED(true, false),
+    /** The answer was broken off or was not a valid answer to the request. */
+    BROKEN(true, true),
+    /** No connection could be opened. */
+    UNREACHABLE(true, true),
+    /** The server refused because it is full. */
+    REJECTED(false, false),
+    /** The server at the address is another one. */
+    MISDIRECTED(true, true),
+    /** The caller left, or time ran out, before the server had answered. */
+    ABANDONED(false, false);
+
+    private final boolean mFailure;
+    private final boolean mSuspends;
+
+    Outcome(boolean failure, boolean suspends) {
+        mFailure = failure;
+        mSuspends = suspends;
+    }
+
+    /** Returns whether the outcome counts against the server. */
+    public boolean failure() {
+        return mFailure;
+    }
+
+    /** Returns whether the server is left out for a short time at once. */
+    public boolean suspends() {
+        return mSuspends;
+    }
+
+    /** Returns whether the outcome tells nothing about the server's health. */
+    public boolean neutral() {
+        return this == REJECTED || this == ABANDONED;
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -0,0 +1,334 @@
+package org.hemlockrack.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.hemlockrack.control.ControlFacts;
+import org.hemlockrack.control.TrafficMove;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.model.ZoneId;
+import org.hemlockrack.registry.RegisteredServer;
+import org.hemlockrack.registry.Registration;
+import org.hemlockrack.routing.RouteTable;
+import org.hemlockrack.routing.ServiceSpec;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The backend servers that one gateway may use, with the load of the fleet. Not thread-safe; time
+ * is monotonic and passed in.
+ */
+public final class ServerPool {
+    /** Load up to this multiple of the mean does not move a request from its first choice. */
+    private static final double AFFINITY_BOUND = 1.3;
+
+    /** Requests above the mean that are allowed on a first choice in any case. */
+    private static final int AFFINITY_SLACK = 3;
+
+    /** Failure rate at which a server is used only if nothing better is left. */
+    private static final double MAX_FAILURE_RATE = 0.15;
+
+    /** Requests per slot, waiting ones included, that a plain server may hold. */
+    private static final int PLAIN_DEPTH = 4;
+
+    /** Load difference, in slots, that outweighs the way to another availability zone. */
+    private static final double ZONE_PENALTY = 0.5;
+
+    /** Gateways assumed until a controller has told their number. */
+    private static final int INITIAL_GATEWAYS = 16;
+
+    /** Share of the cold limit that is used; the rest covers late news of a cold start. */
+    private static final double COLD_SHARE = 0.8;
+
+    private final ZoneId mHome;
+    private final RandomGenerator mRandom;
+    private final Map<BackendId, ServerSlot> mSlots = new HashMap<>();
+    private Map<ServiceId, List<ServerSlot>> mByService = new HashMap<>();
+    private ControlFacts mFacts = ControlFacts.NONE;
+    private Map<ServiceId, ServiceSpec> mSpecs = Map.of();
+    private int mGateways = INITIAL_GATEWAYS;
+
+    private ServerPool(ZoneId home, RandomGenerator random) {
+        mHome = home;
+        mRandom = random;
+    }
+
+    /**
+     * Creates an empty pool.
+     *
+     * @param home availability zone of the gateway
+     * @param random breaks ties
+     * @return the pool
+     */
+    public static ServerPool create(ZoneId home, RandomGenerator random) {
+        return new ServerPool(home, random);
+    }
+
+    /**
+     * Takes over what the gateway knows now.
+     *
+     * @param nowNanos monotonic time
+     * @param servers all registered servers
+     * @param facts evacuated zones, moves, departures
+     * @param table the route table, or null if none is known
+     */
+    public void update(
+            long nowNanos,
+            Collection<RegisteredServer> servers,
+            ControlFacts facts,
+            @Nullable RouteTable table) {
+        mFacts = facts;
+        mSpecs = table == null ? Map.of() : table.services();
+        Set<BackendId> present = new HashSet<>();
+        Map<String, RegisteredServer> byAddress = new HashMap<>();
+        for (RegisteredServer server : servers) {
+            byAddress.merge(server.registration().address(), server, ServerPool::newer);
+        }
+        for (RegisteredServer server : byAddress.values()) {
+            Registration registration = server.registration();
+            present.add(registration.id());
+            ServerSlot slot = mSlots.get(registration.id());
+            if (slot == null
+                    || slot.mServer.registration().bornMillis() != registration.bornMillis()) {
+                mSlots.put(registration.id(), new ServerSlot(server, nowNanos));
+            } else {
+                slot.mServer = server;
+            }
+        }
+        mSlots.keySet().retainAll(present);
+        mByService = new HashMap<>();
+        for (ServerSlot slot : mSlots.values()) {
+            ServiceId service = slot.mServer.registration().service();
+            mByService.computeIfAbsent(service, key -> new ArrayList<>()).add(slot);
+        }
+    }
+
+    /** An address belongs to the incarnation that started last, or else was heard last. */
+    private static RegisteredServer newer(RegisteredServer a, RegisteredServer b) {
+        long bornA = a.registration().bornMillis();
+        long bornB = b.registration().bornMillis();
+        if (bornA != bornB) {
+            return bornA > bornB ? a : b;
+        }
+        return a.heardNanos() - b.heardNanos() > 0 ? a : b;
+    }
+
+    /**
+     * Notes the load of the fleet.
+     *
+     * @param fleet requests in progress at each server, all gateways together
+     * @param ownAtReport the part of this gateway in it
+     * @param gateways number of gateways
+     */
+    public void fleetLoad(
+            Map<BackendId, Integer> fleet, Map<BackendId, Integer> ownAtReport, int gateways) {
+        mGateways = Math.max(1, gateways);
+        mSlots.forEach(
+                (id, slot) -> {
+                    slot.mFleet = fleet.getOrDefault(id, 0);
+                    slot.mOwnAtReport = ownAtReport.getOrDefault(id, 0);
+                });
+    }
+
+    /** Returns the number of gateways that share the limits. */
+    public int gateways() {
+        return mGateways;
+    }
+
+    /** Returns the requests that this gateway has in progress at each server. */
+    public Map<BackendId, Integer> ownLoad() {
+        Map<BackendId, Integer> own = new HashMap<>();
+        mSlots.forEach(
+                (id, slot) -> {
+                    if (slot.mOwn > 0) {
+                        own.put(id, slot.mOwn);
+                    }
+                });
+        return own;
+    }
+
+    /** Returns whether the pool holds any server. */
+    public boolean empty() {
+        return mSlots.isEmpty();
+    }
+
+    /**
+     * Chooses a server and counts the request as in progress there.
+     *
+     * @param nowNanos monotonic time
+     * @param demand what the request asks for
+     * @return the choice
+     */
+    public Choice choose(long nowNanos, Demand demand) {
+        List<ServerSlot> allowed = allowed(nowNanos, demand);
+        if (allowed.isEmpty()) {
+            return Choice.none(Choice.Reason.NO_SERVER);
+        }
+        ServiceSpec spec = mSpecs.get(demand.service());
+        List<ServerSlot> open = withRoom(allowed, spec);
+        if (open.isEmpty()) {
+            return Choice.none(Choice.Reason.ALL_FULL);
+        }
+        List<ServerSlot> usable = withColdRoom(nowNanos, open, spec);
+        if (usable.isEmpty()) {
+            return Choice.none(Choice.Reason.ALL_COLD);
+        }
+        usable = healthy(nowNanos, usable);
+        Choice choice =
+                demand.affinityKey() == 0
+                        ? leastLoaded(usable)
+                        : byAffinity(usable, demand.affinityKey());
+        take(nowNanos, choice);
+        return choice;
+    }
+
+    private List<ServerSlot> allowed(long nowNanos, Demand demand) {
+        TrafficMove move = mFacts.move(demand.service());
+        List<ServerSlot> ready = new ArrayList<>();
+        for (ServerSlot slot : mByService.getOrDefault(demand.service(), List.of())) {
+            Registration server = slot.mServer.registration();
+            if (server.leaving()
+                    || mFacts.departed(server.id(), server.bornMillis())
+                    || mFacts.evacuatedZones().contains(server.zone())
+                    || demand.tried().contains(server.id())) {
+                continue;
+            }
+            ready.add(slot);
+        }
+        List<ServerSlot> allowed = versionsOf(ready, move, demand.draw());
+        if (allowed.isEmpty() && move != null) {
+            // The drawn side has no server; a request of the canary share may run on the old side.
+            allowed = versionsOf(ready, move, 1);
+        }
+        List<ServerSlot> reachable = new ArrayList<>();
+        for (ServerSlot slot : allowed) {
+            if (!slot.suspended(nowNanos)) {
+                reachable.add(slot);
+            }
+        }
+        return reachable.isEmpty() ? allowed : reachable;
+    }
+
+    private static List<ServerSlot> versionsOf(
+            List<ServerSlot> slots, @Nullable TrafficMove move, double draw) {
+        List<ServerSlot> allowed = new ArrayList<>();
+        for (ServerSlot slot : slots) {
+            String version = slot.mServer.registration().softwareVersion();
+            if (VersionGate.allows(move, version, draw)) {
+                allowed.add(slot);
+            }
+        }
+        return allowed;
+    }
+
+    private static List<ServerSlot> withRoom(List<ServerSlot> slots, @Nullable ServiceSpec spec) {
+        boolean engines = spec != null && spec.engines();
+        List<ServerSlot> open = new ArrayList<>();
+        for (ServerSlot slot : slots) {
+            int most = engines ? slot.slots() : PLAIN_DEPTH * slot.slots();
+            if (slot.load() < most) {
+                open.add(slot);
+            }
+        }
+        return open;
+    }
+
+    private List<ServerSlot> withColdRoom(
+            long nowNanos, List<ServerSlot> slots, @Nullable ServiceSpec spec) {
+        List<ServerSlot> usable = new ArrayList<>();
+        for (ServerSlot slot : slots) {
+            if (!slot.mServer.cold(nowNanos)
+                    || spec == null
+                    || spec.coldRequestsPerSecond() <= 0
+                    || slot.coldRoom(nowNanos, coldShare(spec))) {
+                usable.add(slot);
+            }
+        }
+        return usable;
+    }
+
+    private double coldShare(ServiceSpec spec) {
+        return spec.coldRequestsPerSecond() * COLD_SHARE / mGateways;
+    }
+
+    private static List<ServerSlot> healthy(long nowNanos, List<ServerSlot> slots) {
+        List<ServerSlot> good = new ArrayList<>();
+        for (ServerSlot slot : slots) {
+            if (slot.failureRate(nowNanos) <= MAX_FAILURE_RATE) {
+                good.add(slot);
+            }
+        }
+        return good.isEmpty() ? slots : good;
+    }
+
+    private Choice leastLoaded(List<ServerSlot> slots) {
+        ServerSlot best = slots.get(0);
+        double bestCost = Double.MAX_VALUE;
+        for (ServerSlot slot : slots) {
+            boolean away = !slot.mServer.registration().zone().equals(mHome);
+            double cost =
+                    (double) slot.load() / slot.slots()
+                            + (away ? ZONE_PENALTY : 0)
+                            + mRandom.nextDouble() / (4 * slot.slots());
+            if (cost < bestCost) {
+                best = slot;
+                bestCost = cost;
+            }
+        }
+        return chosen(best, Choice.Reason.LEAST_LOAD, slots.size());
+    }
+
+    private Choice byAffinity(List<ServerSlot> slots, long key) {
+        int total = 0;
+        for (ServerSlot slot : slots) {
+            total += slot.load();
+        }
+        double mean = (double) total / slots.size();
+        double bound = mean * AFFINITY_BOUND + AFFINITY_SLACK;
+        List<ServerSlot> ranked = new ArrayList<>(slots);
+        ranked.sort((a, b) -> Long.compareUnsigned(rank(b, key), rank(a, key)));
+        for (ServerSlot slot : ranked) {
+            if (slot.load() < bound) {
+                Choice.Reason reason =
+                        slot == ranked.get(0) ? Choice.Reason.AFFINITY : Choice.Reason.OVERFLOW;
+                return chosen(slot, reason, slots.size());
+            }
+        }
+        return leastLoaded(slots);
+    }
+
+    private static long rank(ServerSlot slot, long key) {
+        return PromptHash.mix(key ^ PromptHash.of(slot.mServer.registration().id().value()));
+    }
+
+    private static Choice chosen(ServerSlot slot, Choice.Reason reason, int candidates) {
+        return new Choice(slot.mServer.registration(), reason, slot.load(), candidates);
+    }
+
+    private void take(long nowNanos, Choice choice) {
+        ServerSlot slot = mSlots.get(choice.server().id());
+        slot.mOwn++;
+        if (slot.mServer.cold(nowNanos)) {
+            slot.takeColdToken();
+        }
+    }
+
+    /**
+     * Ends a request that was chosen.
+     *
+     * @param nowNanos monotonic time
+     * @param id the server
+     * @param outcome how it ended
+     */
+    public void finished(long nowNanos, BackendId id, Outcome outcome) {
+        ServerSlot slot = mSlots.get(id);
+        if (slot != null) {
+            slot.finished(nowNanos, outcome);
+        }
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerSlot.java
@@ -0,0 +1,97 @@
+package org.hemlockrack.dispatch;
+
+import java.util.concurrent.TimeUnit;
+import org.hemlockrack.registry.RegisteredServer;
+
+/** One backend server in the pool: load, health and cold limit. */
+final class ServerSlot {
+    /** A failed connection suspends a server for this long, doubled for each further one. */
+    private static final long SUSPEND_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** Longest suspension; then one request tries the server again. */
+    private static final long MAX_SUSPEND_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+    /** Time in which the weight of an outcome falls to a half. */
+    private static final double HEALTH_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+    /** Outcomes that are assumed to be good, so that one failure does not condemn a server. */
+    private static final double PRIOR_OUTCOMES = 4;
+
+    private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    RegisteredServer mServer;
+    int mOwn;
+    int mFleet;
+    int mOwnAtReport;
+
+    private int mSuspensions;
+    private long mSuspendedUntilNanos;
+    private double mFailures;
+    private double mOutcomes;
+    private long mHealthNanos;
+    private double mColdTokens = 1;
+    private long mColdNanos;
+
+    ServerSlot(RegisteredServer server, long nowNanos) {
+        mServer = server;
+        mSuspendedUntilNanos = nowNanos;
+        mHealthNanos = nowNanos;
+        mColdNanos = nowNanos;
+    }
+
+    /** Requests of the whole fleet in progress here, as far as this gateway can know. */
+    int load() {
+        return Math.max(mOwn, mFleet - mOwnAtReport + mOwn);
+    }
+
+    int slots() {
+        return Math.max(1, mServer.registration().slots());
+    }
+
+    boolean suspended(long nowNanos) {
+        return mSuspendedUntilNanos - nowNanos > 0;
+    }
+
+    double failureRate(long nowNanos) {
+        decay(nowNanos);
+        return mFailures / (mOutcomes + PRIOR_OUTCOMES);
+    }
+
+    void finished(long nowNanos, Outcome outcome) {
+        mOwn = Math.max(0, mOwn - 1);
+        if (outcome.neutral()) {
+            return;
+        }
+        decay(nowNanos);
+        mOutcomes++;
+        if (!outcome.failure()) {
+            mSuspensions = 0;
+            return;
+        }
+        mFailures++;
+        if (outcome.suspends() && !suspended(nowNanos)) {
+            long nanos = SUSPEND_NANOS << Math.min(3, mSuspensions);
+            mSuspendedUntilNanos = nowNanos + Math.min(MAX_SUSPEND_NANOS, nanos);
+            mSuspensions++;
+        }
+    }
+
+    private void decay(long nowNanos) {
+        double factor = Math.pow(0.5, (nowNanos - mHealthNanos) / HEALTH_HALF_LIFE_NANOS);
+        mFailures *= factor;
+        mOutcomes *= factor;
+        mHealthNanos = nowNanos;
+    }
+
+    /** Returns whether the cold limit leaves room for one request now. */
+    boolean coldRoom(long nowNanos, double perSecond) {
+        double gained = (nowNanos - mColdNanos) / NANOS_PER_SECOND * perSecond;
+        mColdTokens = Math.min(1, mColdTokens + gained);
+        mColdNanos = nowNanos;
+        return mColdTokens >= 1;
+    }
+
+    void takeColdToken() {
+        mColdTokens--;
+    }
+}
--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
@@ -19,6 +19,13 @@
     public static final String HTTP_EXPECT = "the only allowed Expect value is 100-continue";
     public static final String ANSWER_RECORD_TOO_LARGE =
             "the answer of the command exceeds %d bytes, so it cannot be recorded";
+    public static final String ROUTE_TWICE = "two routes share host \"%s\" and prefix \"%s\"";
+    public static final String ROUTE_TIMEOUT = "route \"%s\" needs a timeout above 0";
+    public static final String ROUTE_WEIGHTS =
+            "route \"%s\" needs weights that are not negative and add up to more than 0";
+    public static final String ROUTE_SERVICE = "route \"%s\" names the unknown service \"%s\"";
+    public static final String NO_ROUTE = "no route for host \"%s\" and path \"%s\"";
+    public static final String KEY_SHARED = "workspaces \"%s\" and \"%s\" share a key";
     public static final String UNKNOWN_KEY = "the bearer key does not belong to a workspace";
     public static final String NO_BACKEND = "no backend server can take work for service \"%s\"";
     public static final String ADMISSION_SETTING = "admission setting %s must be %s";
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/routing/WorkspaceKeys.java
@@ -0,0 +1,18 @@
+package org.hemlockrack.routing;
+
+import java.util.List;
+import org.hemlockrack.model.WorkspaceId;
+
+/**
+ * The keys of one workspace.
+ *
+ * @param workspace the workspace
+ * @param keys its bearer keys
+ * @param rank rank that replaces the rank of the route, 0 is the most urgent; -1 if it has none
+ */
+public record WorkspaceKeys(WorkspaceId workspace, List<String> keys, int rank) {
+    /** Copies the list. */
+    public WorkspaceKeys {
+        keys = List.copyOf(keys);
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -343,7 +343,7 @@
         TlsStrategy tls = tlsStrategy();
         HttpClient forwarding = tls == null ? client : openClient(2, true, tls);
         HttpClient commandForwarding = tls == null ? commandClient : openClient(1, false, tls);
-        mProposer = Proposer.create(mLoop, mFleet.self(), mSettings.voters(), mNetwork, mReplica);
+        mProposer = Proposer.create(mLoop, mFleet.self(), mSettings::voters, mNetwork, mReplica);
         long epoch = mRandom.nextLong() >>> 1;
         mOwner =
                 OwnerService.create(
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/PeerHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/PeerHandler.java
@@ -2,12 +2,10 @@
 
 import java.nio.ByteBuffer;
 import java.util.List;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
+import org.apache.thrift.TApplicationException;
+import org.apache.thrift.TException;
 import org.hemlockrack.consensus.ConsensusCodec;
-import org.hemlockrack.consensus.ProposalStatus;
 import org.hemlockrack.daemon.burn.BurnService;
 import org.hemlockrack.daemon.config.ConfigService;
 import org.hemlockrack.daemon.entry.ClaimService;
@@ -15,7 +13,7 @@
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.Loop;
 import org.hemlockrack.daemon.owner.OwnerService;
-import org.hemlockrack.daemon.replica.ProposalOutcome;
+import org.hemlockrack.daemon.replica.ProposalEndpoint;
 import org.hemlockrack.daemon.replica.ReplicaService;
 import org.hemlockrack.daemon.rollout.OrderService;
 import org.hemlockrack.daemon.rollout.RolloutLead;
@@ -31,13 +29,12 @@
 import org.hemlockrack.wire.Peer;
 import org.hemlockrack.wire.ProposeReply;
 import org.hemlockrack.wire.ProposeRequest;
-import org.hemlockrack.wire.ProposeStatus;
+import org.hemlockrack.wire.SyncReply;
+import org.hemlockrack.wire.SyncRequest;
 import org.jspecify.annotations.Nullable;
 
 /** Answers other instances' Thrift calls. Called on the peer port's threads. */
 final class PeerHandler implements Peer.Iface {
-    private static final long MAX_PROPOSE_MILLIS = 10_000;
-
     private final Loop mLoop;
     private final Fleet mFleet;
     private final ConfigService mConfig;
@@ -121,40 +118,7 @@
 
     @Override
     public ProposeReply propose(ProposeRequest request) {
-        ProposeReply reply = new ProposeReply();
-        if (mReplica == null) {
-            reply.setStatus(ProposeStatus.NOT_LEADER);
-            return reply;
-        }
-        long waitMillis = Math.min(request.getTimeoutMillis(), MAX_PROPOSE_MILLIS);
-        ProposalOutcome outcome = await(request.getCommand(), waitMillis);
-        reply.setStatus(statusOf(outcome.status()));
-        if (outcome.result() != null) {
-            reply.setResult(outcome.result());
-        }
-        if (outcome.leader() != null) {
-            reply.setLeader(outcome.leader().value());
-        }
-        return reply;
-    }
-
-    private ProposalOutcome await(byte[] command, long waitMillis) {
-        try {
-            return mReplica.propose(command).get(waitMillis, TimeUnit.MILLISECONDS);
-        } catch (TimeoutException | ExecutionException e) {
-            return ProposalOutcome.ended(ProposalStatus.UNKNOWN, null);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return ProposalOutcome.ended(ProposalStatus.UNKNOWN, null);
-        }
-    }
-
-    private static ProposeStatus statusOf(ProposalStatus status) {
-        return switch (status) {
-            case APPLIED -> ProposeStatus.APPLIED;
-            case UNKNOWN -> ProposeStatus.UNKNOWN;
-            default -> ProposeStatus.NOT_LEADER;
-        };
+        return ProposalEndpoint.answer(mReplica, request);
     }
 
     @Override
@@ -203,6 +167,12 @@
         return lead != null && lead.confirms(message);
     }
 
+    @Override
+    public SyncReply sync(SyncRequest request) throws TException {
+        throw new TApplicationException(
+                TApplicationException.UNKNOWN_METHOD, "this instance is not a controller");
+    }
+
     @Override
     public ByteBuffer fetchBurn() {
         return ByteBuffer.wrap(mRollouts.burn().encoded());
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/ServiceProcess.java
@@ -0,0 +1,90 @@
+package org.hemlockrack.daemon;
+
+import java.nio.file.Path;
+import java.util.function.Function;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.hemlockrack.daemon.log.LastingLogManager;
+import org.hemlockrack.daemon.log.LogFormat;
+import org.hemlockrack.daemon.settings.SettingKey;
+import org.hemlockrack.daemon.settings.Settings;
+import org.hemlockrack.errors.HemlockrackException;
+
+/** Runs one instance as a process: arguments, settings, logs, graceful stop. */
+public final class ServiceProcess {
+    private static final int EXIT_FAILED = 1;
+    private static final int EXIT_USAGE = 2;
+
+    private ServiceProcess() {}
+
+    /** A running instance that can be stopped gracefully. */
+    public interface Instance {
+        /** Stops gracefully; returns once the process may end. */
+        void shutDown();
+    }
+
+    /** Starts an instance. */
+    public interface Starter extends Function<StartOptions, Instance> {}
+
+    /**
+     * What an instance starts from.
+     *
+     * @param settings checked settings
+     * @param file the file that they came from
+     */
+    public record StartOptions(Settings settings, Path file) {}
+
+    /**
+     * Runs an instance until SIGTERM or SIGINT, then stops it gracefully with exit code 0.
+     *
+     * @param program name of the program
+     * @param args {@code --config FILE}
+     * @param starter starts the instance
+     * @throws InterruptedException if interrupted
+     */
+    public static void run(String program, String[] args, Starter starter)
+            throws InterruptedException {
+        System.setProperty("java.util.logging.manager", LastingLogManager.class.getName());
+        ArgumentParser parser =
+                ArgumentParsers.newFor(program)
+                        .build()
+                        .description("Runs one instance of the hemlockrack router fleet.");
+        parser.addArgument("--config").required(true).help("settings file (TOML)");
+        parser.addArgument("--check")
+                .action(Arguments.storeTrue())
+                .help("check the settings and exit");
+        try {
+            run(parser.parseArgs(args), starter);
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            System.exit(EXIT_USAGE);
+        } catch (HemlockrackException e) {
+            System.err.println(program + ": " + e.getMessage());
+            System.exit(EXIT_FAILED);
+        }
+    }
+
+    private static void run(Namespace options, Starter starter) throws InterruptedException {
+        Path file = Path.of(options.getString("config"));
+        Settings settings = Settings.load(file);
+        if (options.getBoolean("check")) {
+            System.out.println("settings are valid");
+            return;
+        }
+        LogFormat.of(settings.text(SettingKey.LOG_FORMAT)).install();
+        Instance instance = starter.apply(new StartOptions(settings, file));
+        Thread shutdown =
+                new Thread(
+                        () -> {
+                            instance.shutDown();
+                            // A signal would otherwise end the process with its own exit code.
+                            Runtime.getRuntime().halt(0);
+                        },
+                        "shutdown");
+        Runtime.getRuntime().addShutdownHook(shutdown);
+        Thread.currentThread().join();
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -0,0 +1,263 @@
+package org.hemlockrack.daemon.controller;
+
+import com.google.common.io.Closer;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.hemlockrack.consensus.ConsensusCodec;
+import org.hemlockrack.consensus.ConsensusSettings;
+import org.hemlockrack.consensus.LogStore;
+import org.hemlockrack.consensus.Member;
+import org.hemlockrack.consensus.Packet;
+import org.hemlockrack.consensus.ReplicaNode;
+import org.hemlockrack.control.ControlState;
+import org.hemlockrack.daemon.ServiceProcess;
+import org.hemlockrack.daemon.fleet.PeerNetwork;
+import org.hemlockrack.daemon.gateway.Dialect;
+import org.hemlockrack.daemon.http.CallHandler;
+import org.hemlockrack.daemon.http.HttpLimits;
+import org.hemlockrack.daemon.http.HttpPort;
+import org.hemlockrack.daemon.log.DecisionLog;
+import org.hemlockrack.daemon.log.EventLog;
+import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.metrics.Metrics;
+import org.hemlockrack.daemon.operator.PlatformPages;
+import org.hemlockrack.daemon.peer.PeerServer;
+import org.hemlockrack.daemon.replica.Proposer;
+import org.hemlockrack.daemon.replica.ReplicaService;
+import org.hemlockrack.daemon.settings.SettingKey;
+import org.hemlockrack.daemon.settings.Settings;
+import org.hemlockrack.daemon.settings.SettingsWatch;
+import org.hemlockrack.daemon.sync.ControllerLinks;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.wire.Slice;
+
+/** One running controller. */
+public final class ControllerInstance implements ServiceProcess.Instance, AutoCloseable {
+    /** Committed commands between snapshots; keeps the replay after a restart short. */
+    private static final long SNAPSHOT_ENTRIES = 400;
+
+    /** Steps of moves and expiry of silent servers need no finer resolution. */
+    private static final long MAINTAIN_MILLIS = 200;
+
+    /** Creates the handler of operators' and backend servers' calls. */
+    public interface HandlerFactory {
+        /**
+         * Creates the handler.
+         *
+         * @param service what the controller does
+         * @return the handler
+         */
+        CallHandler create(ControllerService service);
+    }
+
+    private final Settings mSettings;
+    private final Closer mCloser = Closer.create();
+    private final DecisionLog mLog;
+    private final Loop mLoop;
+    private final Loop mLogLoop;
+    private final PeerNetwork mNetwork;
+    private final ReplicaService mReplica;
+    private final ControllerService mService;
+    private final ControllerLinks mLinks;
+    private volatile List<String> mSeeds;
+    private volatile boolean mStarted;
+
+    private ControllerInstance(
+            Settings settings, Path file, Dialect dialect, HandlerFactory handlers) {
+        mSettings = settings;
+        mSeeds = settings.controllerPeers();
+        SecureRandom random = new SecureRandom();
+        mLog = DecisionLog.open(settings.instanceId().value());
+        mCloser.register(mLog::close);
+        mLoop = Loop.open("controller", this::fault);
+        mLogLoop = Loop.open("log", this::fault);
+        mCloser.register(mLoop::close);
+        mCloser.register(mLogLoop::close);
+        mNetwork =
+                PeerNetwork.create(settings.instanceId(), Map.of(), null, (address, cause) -> {});
+        mCloser.register(mNetwork::close);
+        ControlState state = ControlState.create();
+        mReplica = startReplica(state, random);
+        mCloser.register(mReplica::close);
+        Proposer proposer =
+                Proposer.create(
+                        mLoop, settings.instanceId(), this::voterAddresses, mNetwork, mReplica);
+        mService =
+                new ControllerService(
+                        mLoop,
+                        settings.instanceId(),
+                        dialect,
+                        proposer,
+                        mReplica,
+                        (int) settings.integer(SettingKey.FLEET_PEER_PORT),
+                        mLog,
+                        random.nextLong());
+        mLinks = ControllerLinks.create(mLoop, mNetwork, mService);
+        mStarted = true;
+        PeerServer peers =
+                PeerServer.open(
+                        settings.address(SettingKey.LISTEN_PEER),
+                        new ControllerPeers(
+                                settings.instanceId().value(), mReplica, mService, mLog),
+                        null);
+        mCloser.register(peers::close);
+        HttpPort port = openPort(handlers.create(mService));
+        mCloser.register(port::close);
+        mLoop.repeat(MAINTAIN_MILLIS, this::maintain);
+        SettingsWatch.start(mLoop, file, changed -> mSeeds = changed.controllerPeers(), mLog);
+        mLog.state("started").put("zone", settings.zone().value()).write();
+    }
+
+    /**
+     * Starts a controller.
+     *
+     * @param settings checked settings
+     * @param file the file that they came from, read again when it changes
+     * @param dialect how operators write a route table
+     * @param handlers creates the handler of the control port
+     * @return the running controller
+     */
+    public static ControllerInstance open(
+            Settings settings, Path file, Dialect dialect, HandlerFactory handlers) {
+        return new ControllerInstance(settings, file, dialect, handlers);
+    }
+
+    private ReplicaService startReplica(ControlState state, SecureRandom random) {
+        Path folder = mSettings.dataFolder();
+        if (folder == null) {
+            throw HemlockrackException.of(
+                    ErrorKind.SETTINGS_INVALID, "a controller needs voter.data_folder");
+        }
+        LogStore store = openStore(folder, random);
+        ReplicaNode node =
+                ReplicaNode.start(
+                        ConsensusSettings.of(mSettings.instanceId(), listed()),
+                        store,
+                        state,
+                        SNAPSHOT_ENTRIES,
+                        new SplittableRandom(random.nextLong()),
+                        mLogLoop.nowNanos());
+        return ReplicaService.start(
+                mLogLoop,
+                store.recovered().meta().replicaId(),
+                node,
+                this::send,
+                EventLog.create(),
+                () -> published(state));
+    }
+
+    private void published(ControlState state) {
+        if (mStarted) {
+            mService.publish(state);
+        }
+    }
+
+    private LogStore openStore(Path folder, SecureRandom random) {
+        try {
+            return LogStore.open(folder, random);
+        } catch (HemlockrackException e) {
+            if (e.kind() != ErrorKind.STORAGE_DAMAGED) {
+                throw e;
+            }
+            mLog.state("storage_damaged")
+                    .put("cause", e.getMessage())
+                    .put("action", "joins as a new replica")
+                    .write();
+            return LogStore.openDamaged(folder, random);
+        }
+    }
+
+    /**
+     * Only the first listed instance forms a log. Where none may be formed, this instance is listed
+     * last, so that it joins what exists.
+     */
+    private List<InstanceId> listed() {
+        List<InstanceId> listed = new ArrayList<>();
+        for (String peer : mSeeds) {
+            listed.add(hostOf(peer));
+        }
+        if (mSettings.text(SettingKey.FLEET_FORM_LOG).equals("false")) {
+            listed.remove(mSettings.instanceId());
+            listed.add(mSettings.instanceId());
+        }
+        return listed;
+    }
+
+    private static InstanceId hostOf(String address) {
+        return InstanceId.of(address.substring(0, address.lastIndexOf(':')));
+    }
+
+    private void send(Packet packet) {
+        mNetwork.send(
+                addressOf(packet.to().instance()),
+                packet.to().instance().value(),
+                Slice.CONSENSUS,
+                ConsensusCodec.encode(packet));
+    }
+
+    private String addressOf(InstanceId controller) {
+        return controller.value() + ":" + mSettings.integer(SettingKey.FLEET_PEER_PORT);
+    }
+
+    private Map<InstanceId, String> voterAddresses() {
+        Map<InstanceId, String> voters = new HashMap<>();
+        for (Member member : mReplica.membership().members()) {
+            InstanceId id = member.replica().instance();
+            voters.put(id, addressOf(id));
+        }
+        return voters;
+    }
+
+    private HttpPort openPort(CallHandler handler) {
+        PlatformPages pages =
+                PlatformPages.create(() -> mReplica.leader() != null, Metrics.create());
+        return HttpPort.open(
+                "control",
+                mSettings.address(SettingKey.LISTEN_OPERATORS),
+                HttpLimits.internal(),
+                (call, responder) -> {
+                    if (pages.handles(call.path())) {
+                        pages.handle(call, responder);
+                        return;
+                    }
+                    handler.handle(call, responder);
+                });
+    }
+
+    private void maintain() {
+        Set<String> wanted = new HashSet<>(mSeeds);
+        wanted.addAll(voterAddresses().values());
+        wanted.remove(addressOf(mSettings.instanceId()));
+        mLinks.follow(wanted);
+        mService.maintain();
+    }
+
+    private void fault(Throwable cause) {
+        mLog.state("internal_fault").put("cause", cause.toString()).write();
+    }
+
+    @Override
+    public void shutDown() {
+        mLog.state("stopping").write();
+        close();
+    }
+
+    @Override
+    public void close() {
+        try {
+            mCloser.close();
+        } catch (IOException e) {
+            fault(e);
+        }
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerPeers.java
@@ -0,0 +1,99 @@
+package org.hemlockrack.daemon.controller;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import org.apache.thrift.TApplicationException;
+import org.apache.thrift.TException;
+import org.hemlockrack.consensus.ConsensusCodec;
+import org.hemlockrack.daemon.log.DecisionLog;
+import org.hemlockrack.daemon.replica.ProposalEndpoint;
+import org.hemlockrack.daemon.replica.ReplicaService;
+import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.wire.ConfigReply;
+import org.hemlockrack.wire.Envelope;
+import org.hemlockrack.wire.OrderMessage;
+import org.hemlockrack.wire.Peer;
+import org.hemlockrack.wire.ProposeReply;
+import org.hemlockrack.wire.ProposeRequest;
+import org.hemlockrack.wire.Slice;
+import org.hemlockrack.wire.SyncReply;
+import org.hemlockrack.wire.SyncRequest;
+
+/** Answers gateways and other controllers. Called on the peer port's threads. */
+final class ControllerPeers implements Peer.Iface {
+    private final String mSelf;
+    private final ReplicaService mReplica;
+    private final ControllerService mService;
+    private final DecisionLog mLog;
+
+    ControllerPeers(
+            String self, ReplicaService replica, ControllerService service, DecisionLog log) {
+        mSelf = self;
+        mReplica = replica;
+        mService = service;
+        mLog = log;
+    }
+
+    @Override
+    public void deliver(List<Envelope> envelopes) {
+        for (Envelope envelope : envelopes) {
+            boolean mine = envelope.getTarget().equals(mSelf);
+            if (!mine || envelope.getSlice() != Slice.CONSENSUS) {
+                continue;
+            }
+            try {
+                mReplica.received(ConsensusCodec.decode(envelope.getPayload()));
+            } catch (HemlockrackException e) {
+                mLog.state("peer_message_rejected")
+                        .put("sender", envelope.getSender())
+                        .put("cause", e.getMessage())
+                        .write();
+            }
+        }
+    }
+
+    @Override
+    public ProposeReply propose(ProposeRequest request) {
+        return ProposalEndpoint.answer(mReplica, request);
+    }
+
+    @Override
+    public SyncReply sync(SyncRequest request) {
+        return mService.sync(request);
+    }
+
+    private static TException unsupported() {
+        return new TApplicationException(
+                TApplicationException.UNKNOWN_METHOD, "controllers do not answer this call");
+    }
+
+    @Override
+    public ConfigReply fetchConfig(long haveVersion) throws TException {
+        throw unsupported();
+    }
+
+    @Override
+    public boolean abandoned(String attempt) throws TException {
+        throw unsupported();
+    }
+
+    @Override
+    public ByteBuffer fetchRollouts() throws TException {
+        throw unsupported();
+    }
+
+    @Override
+    public boolean order(OrderMessage message) throws TException {
+        throw unsupported();
+    }
+
+    @Override
+    public boolean confirmOrder(OrderMessage message) throws TException {
+        throw unsupported();
+    }
+
+    @Override
+    public ByteBuffer fetchBurn() throws TException {
+        throw unsupported();
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -0,0 +1,436 @@
+package org.hemlockrack.daemon.controller;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.hemlockrack.codec.Deflate;
+import org.hemlockrack.consensus.Member;
+import org.hemlockrack.consensus.ProposalStatus;
+import org.hemlockrack.consensus.Role;
+import org.hemlockrack.control.ControlCommand;
+import org.hemlockrack.control.ControlFacts;
+import org.hemlockrack.control.ControlState;
+import org.hemlockrack.control.MoveJudge;
+import org.hemlockrack.control.MoveJudge.VersionAnswers;
+import org.hemlockrack.control.MoveStatus;
+import org.hemlockrack.control.TrafficMove;
+import org.hemlockrack.daemon.gateway.Dialect;
+import org.hemlockrack.daemon.log.DecisionLog;
+import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.replica.ProposalOutcome;
+import org.hemlockrack.daemon.replica.Proposer;
+import org.hemlockrack.daemon.replica.ReplicaService;
+import org.hemlockrack.daemon.sync.ControllerLink;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.model.ZoneId;
+import org.hemlockrack.registry.RegisteredServer;
+import org.hemlockrack.registry.Registration;
+import org.hemlockrack.registry.ServerRegistry;
+import org.hemlockrack.routing.RouteTable;
+import org.hemlockrack.wire.SyncReply;
+import org.hemlockrack.wire.SyncRequest;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a controller does for operators, backend servers and gateways. Safe for use from any thread;
+ * operations complete exceptionally with a {@link HemlockrackException} if they were refused.
+ */
+public final class ControllerService implements ControllerLink.Owner {
+    /** Operators give up after a few seconds; then they ask another controller. */
+    private static final long PROPOSE_MILLIS = 2_500;
+
+    private final Loop mLoop;
+    private final String mSelf;
+    private final Dialect mDialect;
+    private final Proposer mProposer;
+    private final ReplicaService mReplica;
+    private final int mPeerPort;
+    private final DecisionLog mLog;
+    private final long mEpoch;
+    private final ServerRegistry mRegistry = ServerRegistry.create();
+    private final GatewayReports mReports = new GatewayReports();
+    private final Map<TrafficMove, Long> mMoveSeenNanos = new HashMap<>();
+    private volatile ControlView mView = ControlView.EMPTY;
+    private volatile boolean mPublished;
+
+    ControllerService(
+            Loop loop,
+            InstanceId self,
+            Dialect dialect,
+            Proposer proposer,
+            ReplicaService replica,
+            int peerPort,
+            DecisionLog log,
+            long epoch) {
+        mLoop = loop;
+        mSelf = self.value();
+        mDialect = dialect;
+        mProposer = proposer;
+        mReplica = replica;
+        mPeerPort = peerPort;
+        mLog = log;
+        mEpoch = epoch;
+    }
+
+    /** Takes over what the log has committed. Called on the loop of the log. */
+    void publish(ControlState state) {
+        ControlView view = mView;
+        mPublished = true;
+        if (state.revision() == view.revision()) {
+            return;
+        }
+        byte[] table =
+                state.tableVersion() == view.tableVersion()
+                        ? view.deflatedTable()
+                        : Deflate.deflate(state.tableDocument());
+        ControlFacts facts = state.facts();
+        mView = new ControlView(state.revision(), state.tableVersion(), table, facts);
+        mLog.state("control_state")
+                .put("revision", state.revision())
+                .put("table", state.tableVersion())
+                .put("evacuated", facts.evacuatedZones().size())
+                .put("moves", facts.moves().size())
+                .write();
+    }
+
+    /** Returns whether the state held here is as new as a controller can know without asking. */
+    private boolean caughtUp() {
+        return mPublished && mReplica.leader() != null;
+    }
+
+    /**
+     * Notes a heartbeat of a backend server.
+     *
+     * @param registration the heartbeat
+     * @return completes once it may be acknowledged; for a server that leaves, once the departure
+     *     is durable
+     */
+    public CompletableFuture<Void> heartbeat(Registration registration) {
+        boolean news;
+        synchronized (this) {
+            news = mRegistry.find(registration.id()) == null;
+            mRegistry.offer(mLoop.nowNanos(), registration, 0);
+        }
+        if (news || registration.leaving()) {
+            mLog.state(registration.leaving() ? "server_leaving" : "server_registered")
+                    .put("server", registration.id().value())
+                    .put("service", registration.service().value())
+                    .put("zone", registration.zone().value())
+                    .put("version", registration.softwareVersion())
+                    .put("sequence", registration.sequence())
+                    .put("cold_ms", registration.coldMillis())
+                    .write();
+        }
+        if (!registration.leaving()) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return departed(registration.id(), registration.bornMillis());
+    }
+
+    /**
+     * Notes that a backend server leaves.
+     *
+     * @param id its id
+     * @param bornMillis start of the incarnation, or null if it is not stated
+     * @return completes once the departure is durable
+     */
+    public CompletableFuture<Void> departed(BackendId id, @Nullable Long bornMillis) {
+        long born = bornMillis == null ? bornOf(id) : bornMillis;
+        if (mView.facts().departed(id, born)) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return propose("server_departed " + id, ControlCommand.depart(id, born));
+    }
+
+    /** An incarnation that is not known here has started before now. */
+    private synchronized long bornOf(BackendId id) {
+        RegisteredServer known = mRegistry.find(id);
+        return known == null ? System.currentTimeMillis() : known.registration().bornMillis();
+    }
+
+    /**
+     * Publishes a route table.
+     *
+     * @param document the table as the operator sent it
+     * @return completes once a table of this or a higher version is durable
+     * @throws HemlockrackException with {@link ErrorKind#CONFIG_INVALID} if it is not valid
+     */
+    public CompletableFuture<Void> publishTable(byte[] document) {
+        RouteTable table = mDialect.readTable(document);
+        if (table.version() <= mView.tableVersion()) {
+            return CompletableFuture.completedFuture(null);
+        }
+        return propose(
+                "table " + table.version(), ControlCommand.publishTable(table.version(), document));
+    }
+
+    /**
+     * Reads the newest route table. Only the leader can be sure which one that is.
+     *
+     * @return completes with the table as it was published
+     */
+    public CompletableFuture<byte[]> readTable() {
+        return newest().thenApply(
+                        view -> {
+                            if (view.tableVersion() == 0) {
+                                throw HemlockrackException.of(
+                                        ErrorKind.NOT_READY, "no route table was published yet");
+                            }
+                            return Deflate.inflate(view.deflatedTable());
+                        });
+    }
+
+    private CompletableFuture<ControlView> newest() {
+        return mReplica.readIndex()
+                .thenApply(
+                        outcome -> {
+                            if (outcome.status() != ProposalStatus.APPLIED) {
+                                throw noQuorum(outcome);
+                            }
+                            return mView;
+                        });
+    }
+
+    /**
+     * Returns the instance that leads, if it is another one.
+     *
+     * @return its id, or null if this instance leads or no leader is known
+     */
+    public @Nullable InstanceId otherLeader() {
+        InstanceId leader = mReplica.leader();
+        return leader == null || leader.value().equals(mSelf) ? null : leader;
+    }
+
+    /**
+     * Takes a zone out of service, or back.
+     *
+     * @param zone the zone
+     * @param evacuated whether its backend servers get nothing
+     * @return completes once the order is durable
+     */
+    public CompletableFuture<Void> setZone(ZoneId zone, boolean evacuated) {
+        return propose(
+                (evacuated ? "evacuate " : "restore ") + zone,
+                ControlCommand.setZone(zone, evacuated));
+    }
+
+    /**
+     * Orders a move of a service's traffic.
+     *
+     * @param service the service
+     * @param target the software version
+     * @param durationMillis time until it must be over
+     * @return completes once the order is durable
+     */
+    public CompletableFuture<Void> startMove(
+            ServiceId service, String target, long durationMillis) {
+        TrafficMove order =
+                new TrafficMove(
+                        service,
+                        target,
+                        MoveStatus.IN_PROGRESS,
+                        MoveJudge.CANARY_PER_MILLE,
+                        0,
+                        durationMillis);
+        return propose(
+                "move " + service + " to " + target + " in " + durationMillis + " ms",
+                ControlCommand.startMove(order));
+    }
+
+    /**
+     * Reads the newest move of a service. Only the leader can be sure which one that is.
+     *
+     * @param service the service
+     * @return completes with the move, or null if there was none
+     */
+    public CompletableFuture<@Nullable TrafficMove> readMove(ServiceId service) {
+        return newest().thenApply(view -> view.facts().move(service));
+    }
+
+    private CompletableFuture<Void> propose(String what, byte[] command) {
+        long startNanos = mLoop.nowNanos();
+        return mProposer
+                .propose(command, PROPOSE_MILLIS)
+                .thenAccept(
+                        outcome -> {
+                            boolean done =
+                                    outcome.status() == ProposalStatus.APPLIED
+                                            && outcome.result() != null
+                                            && ControlState.isDone(outcome.result());
+                            mLog.state("order")
+                                    .put("order", what)
+                                    .put("outcome", done ? "committed" : outcome.status().name())
+                                    .put(
+                                            "elapsed_ms",
+                                            TimeUnit.NANOSECONDS.toMillis(
+                                                    mLoop.nowNanos() - startNanos))
+                                    .write();
+                            if (!done) {
+                                throw noQuorum(outcome);
+                            }
+                        });
+    }
+
+    private static HemlockrackException noQuorum(ProposalOutcome outcome) {
+        return HemlockrackException.of(
+                ErrorKind.NO_QUORUM,
+                "no majority of controllers confirmed the order: " + outcome.status());
+    }
+
+    /**
+     * Answers a gateway or another controller.
+     *
+     * @param request what it has and reports
+     * @return what it lacks
+     */
+    SyncReply sync(SyncRequest request) {
+        ControlView view = mView;
+        SyncReply reply = new SyncReply();
+        reply.setCaughtUp(caughtUp());
+        reply.setRevision(view.revision());
+        reply.setTableVersion(view.tableVersion());
+        if (view.revision() > request.getHaveRevision()) {
+            reply.setFacts(view.facts().toData());
+        }
+        if (view.tableVersion() > request.getHaveTableVersion()) {
+            reply.setTableDocument(ByteBuffer.wrap(view.deflatedTable()));
+        }
+        reply.setControllers(controllers());
+        synchronized (this) {
+            long nowNanos = mLoop.nowNanos();
+            if (request.isGateway()) {
+                mReports.note(nowNanos, request);
+            }
+            long have = request.getRegistryEpoch() == mEpoch ? request.getRegistryRevision() : 0;
+            reply.setRegistryEpoch(mEpoch);
+            reply.setRegistryRevision(mRegistry.revision());
+            reply.setServers(mRegistry.changesSince(nowNanos, have));
+            reply.setGateways(mReports.gateways(nowNanos));
+            reply.setFleetInFlight(
+                    request.isGateway() ? mReports.fleetInFlight(nowNanos) : List.of());
+        }
+        return reply;
+    }
+
+    private List<String> controllers() {
+        List<String> peers = new ArrayList<>();
+        for (Member member : mReplica.membership().members()) {
+            peers.add(peerAddress(member.replica().instance()));
+        }
+        return peers;
+    }
+
+    /** All instances use one port for peers, and a controller is named by its host. */
+    String peerAddress(InstanceId controller) {
+        return controller.value() + ":" + mPeerPort;
+    }
+
+    @Override
+    public SyncRequest request(Map<BackendId, Integer> ownLoad) {
+        SyncRequest request = new SyncRequest();
+        request.setSender(mSelf);
+        request.setGateway(false);
+        request.setHaveRevision(Long.MAX_VALUE);
+        request.setHaveTableVersion(Long.MAX_VALUE);
+        request.setInFlight(List.of());
+        request.setCounts(List.of());
+        return request;
+    }
+
+    @Override
+    public Map<BackendId, Integer> ownLoad() {
+        return Map.of();
+    }
+
+    @Override
+    public synchronized void replied(
+            String address, SyncReply reply, Map<BackendId, Integer> ownAtRequest) {
+        mRegistry.offerAll(mLoop.nowNanos(), reply.getServers());
+    }
+
+    @Override
+    public void reachable(String address, boolean reachable, @Nullable Throwable cause) {
+        mLog.state(reachable ? "controller_reached" : "controller_lost")
+                .put("controller", address)
+                .put("cause", cause == null ? "" : String.valueOf(cause.getMessage()))
+                .write();
+    }
+
+    /** Drops silent servers and decides the next steps of moves. Called on the loop. */
+    void maintain() {
+        synchronized (this) {
+            for (RegisteredServer server : mRegistry.expire(mLoop.nowNanos())) {
+                mLog.state("server_expired")
+                        .put("server", server.registration().id().value())
+                        .write();
+            }
+        }
+        if (mReplica.role() != Role.LEADER) {
+            return;
+        }
+        for (TrafficMove move : mView.facts().moves().values()) {
+            if (move.status() == MoveStatus.IN_PROGRESS) {
+                judge(move);
+            }
+        }
+    }
+
+    private void judge(TrafficMove move) {
+        Map<String, VersionAnswers> answers;
+        synchronized (this) {
+            answers = mReports.answers(move.service());
+        }
+        VersionAnswers target = answers.getOrDefault(move.target(), VersionAnswers.NONE);
+        VersionAnswers others = VersionAnswers.NONE;
+        for (Map.Entry<String, VersionAnswers> each : answers.entrySet()) {
+            if (!each.getKey().equals(move.target())) {
+                others = others.plus(each.getValue());
+            }
+        }
+        TrafficMove next = MoveJudge.next(move, leftMillis(move), target, others);
+        if (next == null) {
+            return;
+        }
+        byte[] command =
+                next.status() == MoveStatus.IN_PROGRESS
+                        ? ControlCommand.advanceMove(next)
+                        : ControlCommand.finishMove(next);
+        mLog.state("move_step")
+                .put("service", move.service().value())
+                .put("target", move.target())
+                .put("status", next.status().name())
+                .put("share_per_mille", next.sharePerMille())
+                .put("target_succeeded", target.succeeded())
+                .put("target_failed", target.failed())
+                .put("others_succeeded", others.succeeded())
+                .put("others_failed", others.failed())
+                .write();
+        mReplica.propose(command);
+    }
+
+    /**
+     * Time to the deadline by the monotonic clock, because the time of day may jump while a move is
+     * in progress.
+     */
+    private long leftMillis(TrafficMove move) {
+        long nowNanos = mLoop.nowNanos();
+        long durationMillis = move.deadlineMillis() - move.startMillis();
+        TrafficMove key = move.withShare(0);
+        Long seenNanos = mMoveSeenNanos.get(key);
+        if (seenNanos == null) {
+            long goneMillis = System.currentTimeMillis() - move.startMillis();
+            long clampedMillis = Math.max(0, Math.min(durationMillis, goneMillis));
+            seenNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(clampedMillis);
+            mMoveSeenNanos.put(key, seenNanos);
+        }
+        return durationMillis - TimeUnit.NANOSECONDS.toMillis(nowNanos - seenNanos);
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/FleetFollower.java
@@ -0,0 +1,173 @@
+package org.hemlockrack.daemon.gateway;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.hemlockrack.codec.Deflate;
+import org.hemlockrack.control.ControlFacts;
+import org.hemlockrack.daemon.fleet.PeerNetwork;
+import org.hemlockrack.daemon.log.DecisionLog;
+import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.sync.ControllerLink;
+import org.hemlockrack.daemon.sync.ControllerLinks;
+import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.registry.RegisteredServer;
+import org.hemlockrack.routing.RouteTable;
+import org.hemlockrack.wire.SyncReply;
+import org.hemlockrack.wire.SyncRequest;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps a gateway's view up to date with all controllers that it knows. The table version and the
+ * revision of the control state never go back.
+ */
+final class FleetFollower implements ControllerLink.Owner {
+    /** Without news from a controller for this long, the view may be superseded. */
+    private static final long STALE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    private final Loop mLoop;
+    private final String mSelf;
+    private final Dialect mDialect;
+    private final SharedPool mPool;
+    private final DecisionLog mLog;
+    private final ControllerLinks mLinks;
+    private Set<String> mSeeds = Set.of();
+    private Set<String> mMembers = Set.of();
+
+    private volatile GatewayView mView = GatewayView.EMPTY;
+    private volatile long mFreshNanos;
+    private volatile boolean mEverFresh;
+
+    FleetFollower(
+            Loop loop,
+            PeerNetwork network,
+            String self,
+            Dialect dialect,
+            SharedPool pool,
+            DecisionLog log) {
+        mLoop = loop;
+        mLinks = ControllerLinks.create(loop, network, this);
+        mSelf = self;
+        mDialect = dialect;
+        mPool = pool;
+        mLog = log;
+    }
+
+    GatewayView view() {
+        return mView;
+    }
+
+    /** Returns whether a controller has confirmed the view a short time ago. */
+    boolean fresh() {
+        return mEverFresh && mLoop.nowNanos() - mFreshNanos < STALE_NANOS;
+    }
+
+    /** Sets the controllers that the settings name. Called on the loop. */
+    void seeds(List<String> addresses) {
+        mSeeds = Set.copyOf(addresses);
+        relink();
+    }
+
+    private void relink() {
+        Set<String> wanted = new HashSet<>(mSeeds);
+        wanted.addAll(mMembers);
+        mLinks.follow(wanted);
+    }
+
+    @Override
+    public Map<BackendId, Integer> ownLoad() {
+        return mPool.ownLoad();
+    }
+
+    @Override
+    public SyncRequest request(Map<BackendId, Integer> ownLoad) {
+        GatewayView view = mView;
+        SyncRequest request = new SyncRequest();
+        request.setSender(mSelf);
+        request.setGateway(true);
+        request.setHaveRevision(view.revision());
+        request.setHaveTableVersion(view.tableVersion());
+        request.setInFlight(ControllerLink.toData(ownLoad));
+        request.setCounts(mPool.counts());
+        return request;
+    }
+
+    @Override
+    public void replied(String address, SyncReply reply, Map<BackendId, Integer> ownAtRequest) {
+        long nowNanos = mLoop.nowNanos();
+        if (!reply.getServers().isEmpty()) {
+            mPool.merge(nowNanos, reply.getServers());
+        }
+        mPool.fleetLoad(reply.getFleetInFlight(), ownAtRequest, reply.getGateways());
+        if (!reply.isCaughtUp()) {
+            return;
+        }
+        adopt(nowNanos, reply);
+        mFreshNanos = nowNanos;
+        mEverFresh = true;
+        if (!reply.getControllers().isEmpty()) {
+            Set<String> members = Set.copyOf(reply.getControllers());
+            if (!members.equals(mMembers)) {
+                mMembers = members;
+                relink();
+            }
+        }
+    }
+
+    private void adopt(long nowNanos, SyncReply reply) {
+        GatewayView view = mView;
+        RouteTable table = view.table();
+        if (reply.getTableVersion() > view.tableVersion() && reply.isSetTableDocument()) {
+            table = readTable(reply);
+        }
+        boolean newer = reply.isSetFacts() && reply.getRevision() > view.revision();
+        if (table == view.table() && !newer) {
+            return;
+        }
+        ControlFacts facts = newer ? ControlFacts.of(reply.getFacts()) : view.facts();
+        long revision = newer ? reply.getRevision() : view.revision();
+        GatewayView next = new GatewayView(table, facts, revision);
+        mView = next;
+        mPool.adopt(nowNanos, next);
+        mLog.state("view")
+                .put("table", next.tableVersion())
+                .put("revision", revision)
+                .put("evacuated", facts.evacuatedZones().size())
+                .put("moves", facts.moves().size())
+                .write();
+    }
+
+    private @Nullable RouteTable readTable(SyncReply reply) {
+        try {
+            return mDialect.readTable(Deflate.inflate(reply.getTableDocument()));
+        } catch (HemlockrackException e) {
+            mLog.state("table_refused")
+                    .put("table", reply.getTableVersion())
+                    .put("cause", String.valueOf(e.getMessage()))
+                    .write();
+            return mView.table();
+        }
+    }
+
+    @Override
+    public void reachable(String address, boolean reachable, @Nullable Throwable cause) {
+        mLog.state(reachable ? "controller_reached" : "controller_lost")
+                .put("controller", address)
+                .put("cause", cause == null ? "" : String.valueOf(cause.getMessage()))
+                .write();
+    }
+
+    /** Drops servers whose heartbeats have stopped. Called on the loop. */
+    void expire() {
+        // While no controller answers, heartbeats stop arriving here though servers may be well.
+        if (!fresh()) {
+            return;
+        }
+        for (RegisteredServer server : mPool.expire(mLoop.nowNanos())) {
+            mLog.state("server_expired").put("server", server.registration().id().value()).write();
+        }
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -0,0 +1,249 @@
+package org.hemlockrack.daemon.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.hemlockrack.daemon.http.HeaderField;
+import org.hemlockrack.daemon.http.HttpCall;
+import org.hemlockrack.daemon.http.HttpClient;
+import org.hemlockrack.daemon.http.Responder;
+import org.hemlockrack.daemon.http.UpstreamCall;
+import org.hemlockrack.daemon.http.UpstreamListener;
+import org.hemlockrack.dispatch.Choice;
+import org.hemlockrack.dispatch.Outcome;
+import org.hemlockrack.registry.Registration;
+import org.jspecify.annotations.Nullable;
+
+/** One attempt of an exchange at one backend server. */
+final class ForwardAttempt implements UpstreamListener {
+    private static final int FIRST_SUCCESS = 200;
+    private static final int FIRST_REDIRECT = 300;
+    private static final int FIRST_SERVER_ERROR = 500;
+
+    /** Whole answers up to this length are collected, so that a broken one can be replaced. */
+    private static final long MAX_COLLECTED_BYTES = 64 << 10;
+
+    private final GatewayExchange mExchange;
+    private final Registration mServer;
+    private final Choice mChoice;
+    private final long mStartNanos;
+    private final ByteArrayOutputStream mCollected = new ByteArrayOutputStream();
+
+    private volatile @Nullable UpstreamCall mUpstream;
+    private volatile boolean mCancelled;
+    private Mode mMode = Mode.WAITING;
+    private int mStatus;
+    private List<HeaderField> mHeaders = List.of();
+    private long mFirstByteNanos;
+
+    /** What happens with the body of the answer. */
+    private enum Mode {
+        WAITING,
+        COLLECT,
+        STREAM,
+        REFUSED,
+        MISDIRECTED,
+        ENDED
+    }
+
+    ForwardAttempt(GatewayExchange exchange, Registration server, Choice choice, long startNanos) {
+        mExchange = exchange;
+        mServer = server;
+        mChoice = choice;
+        mStartNanos = startNanos;
+    }
+
+    Registration server() {
+        return mServer;
+    }
+
+    Choice choice() {
+        return mChoice;
+    }
+
+    long firstByteMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(firstByteNanos());
+    }
+
+    private long firstByteNanos() {
+        return mFirstByteNanos == 0 ? 0 : mFirstByteNanos - mStartNanos;
+    }
+
+    void send() {
+        HttpCall call = mExchange.call();
+        GatewayContext context = mExchange.context();
+        List<HeaderField> headers =
+                context.dialect()
+                        .forward(
+                                call,
+                                mServer,
+                                mExchange.workspace(),
+                                Math.max(1, mExchange.leftMillis()),
+                                null);
+        HttpClient client =
+                mExchange.route().allowsRerun() || mExchange.route().streaming()
+                        ? context.client()
+                        : context.singleUseClient();
+        UpstreamCall upstream =
+                client.send(
+                        mServer.address(),
+                        call.method(),
+                        call.target(),
+                        headers,
+                        call.body(),
+                        this);
+        mUpstream = upstream;
+        if (mCancelled) {
+            upstream.cancel();
+        }
+    }
+
+    void cancel() {
+        mCancelled = true;
+        UpstreamCall upstream = mUpstream;
+        if (upstream != null) {
+            upstream.cancel();
+        }
+    }
+
+    @Override
+    public boolean onSending() {
+        return !mCancelled && mExchange.onSending(this);
+    }
+
+    @Override
+    public void onHead(int status, List<HeaderField> headers, long lengthBytes) {
+        mFirstByteNanos = System.nanoTime();
+        mStatus = status;
+        mHeaders = headers;
+        ServerFacts facts = mExchange.context().dialect().readAnswer(status, headers);
+        if (!mExchange.caller().attemptId().equals(facts.attemptId()) && !facts.misdirected()) {
+            stop(Outcome.BROKEN, "the answer belongs to another request");
+            return;
+        }
+        if (facts.misdirected() || facts.refused()) {
+            mMode = facts.misdirected() ? Mode.MISDIRECTED : Mode.REFUSED;
+            return;
+        }
+        boolean success = status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
+        if (success && !facts.signed()) {
+            stop(Outcome.BROKEN, "the answer is not signed");
+            return;
+        }
+        boolean whole = lengthBytes >= 0 && lengthBytes <= MAX_COLLECTED_BYTES;
+        if (whole || !success) {
+            mMode = Mode.COLLECT;
+            return;
+        }
+        if (!mExchange.beginAnswer(this)) {
+            cancel();
+            return;
+        }
+        mMode = Mode.STREAM;
+        Responder responder = mExchange.responder();
+        responder.onDrain(this::release);
+        responder.head(status, headers, lengthBytes);
+    }
+
+    private void release(int bytes) {
+        UpstreamCall upstream = mUpstream;
+        if (upstream != null) {
+            upstream.release(bytes);
+        }
+    }
+
+    /** Gives the attempt up after the request may have run. */
+    private void stop(Outcome outcome, String cause) {
+        mMode = Mode.ENDED;
+        cancel();
+        mExchange.mayHaveRun(this, outcome, cause);
+    }
+
+    @Override
+    public void onBody(ByteBuffer data) {
+        int bytes = data.remaining();
+        switch (mMode) {
+            case STREAM -> mExchange.responder().write(data);
+            case COLLECT -> {
+                byte[] chunk = new byte[bytes];
+                data.get(chunk);
+                mCollected.writeBytes(chunk);
+                release(bytes);
+            }
+            default -> {
+                data.position(data.limit());
+                release(bytes);
+            }
+        }
+    }
+
+    @Override
+    public void onEnd() {
+        Mode mode = mMode;
+        mMode = Mode.ENDED;
+        switch (mode) {
+            case STREAM -> {
+                mExchange.responder().end();
+                count(true);
+                mExchange.delivered(this, mStatus, Outcome.SERVED);
+            }
+            case COLLECT -> collected();
+            case REFUSED ->
+                    mExchange.notRun(this, Outcome.REJECTED, "refused with status " + mStatus);
+            case MISDIRECTED ->
+                    mExchange.notRun(this, Outcome.MISDIRECTED, "another server is at the address");
+            default -> {}
+        }
+    }
+
+    private void collected() {
+        boolean failure = mStatus >= FIRST_SERVER_ERROR;
+        count(!failure);
+        if (failure && mExchange.route().allowsRerun() && mExchange.retryAllowed()) {
+            mExchange.failedAnswer(this, "status " + mStatus);
+            return;
+        }
+        if (!mExchange.beginAnswer(this)) {
+            return;
+        }
+        mExchange.responder().send(mStatus, mHeaders, mCollected.toByteArray());
+        mExchange.delivered(this, mStatus, failure ? Outcome.FAILED : Outcome.SERVED);
+    }
+
+    private void count(boolean success) {
+        mExchange
+                .context()
+                .pool()
+                .answered(
+                        mExchange.service(),
+                        mServer.softwareVersion(),
+                        success,
+                        TimeUnit.NANOSECONDS.toMicros(firstByteNanos()));
+    }
+
+    @Override
+    public void onFailed(Exception cause, boolean mayHaveBeenSent) {
+        Mode mode = mMode;
+        mMode = Mode.ENDED;
+        String text = String.valueOf(cause.getMessage());
+        if (mode == Mode.ENDED || mCancelled) {
+            return;
+        }
+        if (mode == Mode.STREAM) {
+            count(false);
+            mExchange.cut(this, text);
+            return;
+        }
+        if (!mayHaveBeenSent) {
+            mExchange.notRun(this, Outcome.UNREACHABLE, text);
+            return;
+        }
+        if (mode == Mode.REFUSED || mode == Mode.MISDIRECTED) {
+            mExchange.notRun(this, Outcome.REJECTED, text);
+            return;
+        }
+        count(false);
+        mExchange.mayHaveRun(this, Outcome.BROKEN, text);
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -0,0 +1,340 @@
+package org.hemlockrack.daemon.gateway;
+
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.hemlockrack.daemon.http.HttpCall;
+import org.hemlockrack.daemon.http.Responder;
+import org.hemlockrack.dispatch.Choice;
+import org.hemlockrack.dispatch.Demand;
+import org.hemlockrack.dispatch.Outcome;
+import org.hemlockrack.dispatch.PromptHash;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.registry.Registration;
+import org.hemlockrack.routing.Route;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One request of a caller: its attempts at backend servers and its answer. Safe for use from any
+ * thread; a lock of its own guards the state.
+ */
+final class GatewayExchange {
+    private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+    private final GatewayContext mContext;
+    private final HttpCall mCall;
+    private final Responder mResponder;
+    private final CallerFacts mCaller;
+    private final Route mRoute;
+    private final @Nullable String mWorkspace;
+    private final ServiceId mService;
+    private final double mDraw;
+    private final long mStartNanos;
+    private final long mDeadlineNanos;
+    private final Set<BackendId> mTried = new HashSet<>();
+
+    private @Nullable ForwardAttempt mAttempt;
+    private @Nullable ScheduledFuture<?> mTimer;
+    private int mArrivals;
+    private boolean mMayHaveRun;
+    private boolean mHeadSent;
+    private boolean mDone;
+
+    GatewayExchange(
+            GatewayContext context,
+            HttpCall call,
+            Responder responder,
+            CallerFacts caller,
+            Route route,
+            @Nullable String workspace) {
+        mContext = context;
+        mCall = call;
+        mResponder = responder;
+        mCaller = caller;
+        mRoute = route;
+        mWorkspace = workspace;
+        mDraw = PromptHash.unit(caller.attemptId());
+        mService = route.chooseService(PromptHash.unit(route.name() + caller.attemptId()));
+        mStartNanos = System.nanoTime();
+        long waitMillis = route.timeoutMillis();
+        if (caller.waitMillis() >= 0) {
+            waitMillis = Math.min(waitMillis, caller.waitMillis());
+        }
+        mDeadlineNanos = mStartNanos + waitMillis * NANOS_PER_MILLI;
+    }
+
+    Route route() {
+        return mRoute;
+    }
+
+    HttpCall call() {
+        return mCall;
+    }
+
+    Responder responder() {
+        return mResponder;
+    }
+
+    GatewayContext context() {
+        return mContext;
+    }
+
+    @Nullable String workspace() {
+        return mWorkspace;
+    }
+
+    CallerFacts caller() {
+        return mCaller;
+    }
+
+    ServiceId service() {
+        return mService;
+    }
+
+    long leftMillis() {
+        return (mDeadlineNanos - System.nanoTime()) / NANOS_PER_MILLI;
+    }
+
+    void start() {
+        mContext.pool().onRequest(mStartNanos, mService);
+        mTimer = mContext.loop().schedule(mDeadlineNanos, this::timedOut);
+        mResponder.onCancel(this::callerLeft);
+        tryNext();
+    }
+
+    private void tryNext() {
+        ForwardAttempt attempt;
+        synchronized (this) {
+            if (mDone) {
+                return;
+            }
+            long nowNanos = System.nanoTime();
+            long key = mRoute.prefixAffinity() ? PromptHash.ofShared(mCaller.promptParts()) : 0;
+            Choice choice =
+                    mContext.pool()
+                            .choose(nowNanos, new Demand(mService, key, mDraw, Set.copyOf(mTried)));
+            if (choice.server() == null) {
+                refuseFor(choice);
+                return;
+            }
+            mTried.add(choice.server().id());
+            attempt = new ForwardAttempt(this, choice.server(), choice, nowNanos);
+            mAttempt = attempt;
+        }
+        attempt.send();
+    }
+
+    private void refuseFor(Choice choice) {
+        if (mMayHaveRun) {
+            fail(ErrorKind.BACKEND_FAILED, choice.reason().name());
+            return;
+        }
+        ErrorKind kind =
+                choice.reason() == Choice.Reason.NO_SERVER
+                        ? ErrorKind.NO_BACKEND
+                        : ErrorKind.OVERLOADED;
+        fail(kind, choice.reason().name());
+    }
+
+    /** Called by an attempt before its first byte goes out. */
+    synchronized boolean onSending(ForwardAttempt attempt) {
+        if (mDone || attempt != mAttempt || leftMillis() <= 0) {
+            return false;
+        }
+        mArrivals++;
+        return true;
+    }
+
+    /** Ends an attempt whose request has certainly not run. */
+    void notRun(ForwardAttempt attempt, Outcome outcome, String cause) {
+        boolean arrived = outcome == Outcome.REJECTED || outcome == Outcome.MISDIRECTED;
+        ended(attempt, outcome, cause, !arrived || retryAllowed());
+    }
+
+    /** Ends an attempt whose request may have run, without an answer for the caller. */
+    void mayHaveRun(ForwardAttempt attempt, Outcome outcome, String cause) {
+        synchronized (this) {
+            mMayHaveRun = true;
+        }
+        ended(attempt, outcome, cause, mRoute.allowsRerun() && retryAllowed());
+    }
+
+    /** Ends an attempt that the server answered with a failure; the retry was granted already. */
+    void failedAnswer(ForwardAttempt attempt, String cause) {
+        synchronized (this) {
+            mMayHaveRun = true;
+        }
+        ended(attempt, Outcome.FAILED, cause, true);
+    }
+
+    private void ended(ForwardAttempt attempt, Outcome outcome, String cause, boolean again) {
+        Registration server = attempt.server();
+        mContext.pool().finished(System.nanoTime(), server.id(), outcome);
+        synchronized (this) {
+            if (mDone || attempt != mAttempt) {
+                return;
+            }
+            mAttempt = null;
+        }
+        mContext.log()
+                .request("attempt_failed", mCaller.attemptId())
+                .put("route", mRoute.name())
+                .put("server", server.id().value())
+                .put("outcome", outcome.name())
+                .put("cause", cause)
+                .put("load", attempt.choice().load())
+                .put("elapsed_ms", elapsedMillis())
+                .put("again", again ? "yes" : "no")
+                .write();
+        if (again) {
+            tryNext();
+            return;
+        }
+        synchronized (this) {
+            if (!mDone) {
+                fail(mMayHaveRun ? ErrorKind.BACKEND_FAILED : ErrorKind.OVERLOADED, cause);
+            }
+        }
+    }
+
+    /**
+     * Returns whether one more arrival at a server is within the route's and the fleet's limits.
+     */
+    boolean retryAllowed() {
+        synchronized (this) {
+            if (mDone || mArrivals >= mRoute.maxAttempts()) {
+                return false;
+            }
+        }
+        return mContext.pool().tryRetry(System.nanoTime(), mService);
+    }
+
+    /** Takes the right to answer the caller. Returns false if the exchange is over. */
+    synchronized boolean beginAnswer(ForwardAttempt attempt) {
+        if (mDone || attempt != mAttempt) {
+            return false;
+        }
+        mHeadSent = true;
+        return true;
+    }
+
+    /** Ends the exchange after an attempt has delivered an answer. */
+    void delivered(ForwardAttempt attempt, int status, Outcome outcome) {
+        mContext.pool().finished(System.nanoTime(), attempt.server().id(), outcome);
+        synchronized (this) {
+            if (mDone) {
+                return;
+            }
+            mDone = true;
+            cancelTimer();
+        }
+        long elapsedMillis = elapsedMillis();
+        boolean late = attempt.firstByteMillis() > mRoute.targetLatencyMillis();
+        if (status < 400 && !late && mTried.size() == 1 && !mContext.log().sampled()) {
+            return;
+        }
+        mContext.log()
+                .request(late ? "answered_late" : "answered", mCaller.attemptId())
+                .put("route", mRoute.name())
+                .put("workspace", mWorkspace)
+                .put("server", attempt.server().id().value())
+                .put("why", attempt.choice().reason().name())
+                .put("load", attempt.choice().load())
+                .put("status", status)
+                .put("attempts", mTried.size())
+                .put("first_byte_ms", attempt.firstByteMillis())
+                .put("elapsed_ms", elapsedMillis)
+                .write();
+    }
+
+    /** Ends the exchange after an answer has begun that cannot be completed. */
+    void cut(ForwardAttempt attempt, String cause) {
+        mContext.pool().finished(System.nanoTime(), attempt.server().id(), Outcome.BROKEN);
+        synchronized (this) {
+            if (mDone) {
+                return;
+            }
+            mDone = true;
+            cancelTimer();
+        }
+        logEnd("answer_cut", attempt.server().id().value(), cause);
+        mResponder.abort();
+    }
+
+    private void logEnd(String event, @Nullable String server, String cause) {
+        mContext.log()
+                .request(event, mCaller.attemptId())
+                .put("route", mRoute.name())
+                .put("workspace", mWorkspace)
+                .put("server", server)
+                .put("cause", cause)
+                .put("attempts", mTried.size())
+                .put("elapsed_ms", elapsedMillis())
+                .write();
+    }
+
+    private void callerLeft() {
+        ForwardAttempt attempt;
+        synchronized (this) {
+            if (mDone) {
+                return;
+            }
+            mDone = true;
+            cancelTimer();
+            attempt = mAttempt;
+        }
+        logEnd("caller_left", attempt == null ? null : attempt.server().id().value(), "");
+        abandon(attempt);
+    }
+
+    private void timedOut() {
+        ForwardAttempt attempt;
+        synchronized (this) {
+            if (mDone) {
+                return;
+            }
+            attempt = mAttempt;
+            if (mHeadSent) {
+                mDone = true;
+                mResponder.abort();
+                logEnd("answer_cut", null, "the time limit passed within the answer");
+            } else {
+                boolean sent = mMayHaveRun || mArrivals > 0;
+                fail(
+                        sent ? ErrorKind.BACKEND_TIMEOUT : ErrorKind.DEADLINE_UNREACHABLE,
+                        "the time limit passed");
+            }
+        }
+        abandon(attempt);
+    }
+
+    private void abandon(@Nullable ForwardAttempt attempt) {
+        if (attempt != null) {
+            attempt.cancel();
+            mContext.pool().finished(System.nanoTime(), attempt.server().id(), Outcome.ABANDONED);
+        }
+    }
+
+    /** Sends a failure of this gateway's own. Called with the lock held. */
+    private void fail(ErrorKind kind, String cause) {
+        mDone = true;
+        cancelTimer();
+        logEnd("failed_" + kind.name().toLowerCase(Locale.ROOT), null, cause);
+        mContext.refuse(mResponder, kind, cause);
+    }
+
+    private void cancelTimer() {
+        ScheduledFuture<?> timer = mTimer;
+        if (timer != null) {
+            timer.cancel(false);
+        }
+    }
+
+    long elapsedMillis() {
+        return (System.nanoTime() - mStartNanos) / NANOS_PER_MILLI;
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
@@ -0,0 +1,84 @@
+package org.hemlockrack.daemon.gateway;
+
+import org.hemlockrack.daemon.http.CallHandler;
+import org.hemlockrack.daemon.http.HttpCall;
+import org.hemlockrack.daemon.http.Responder;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.ErrorText;
+import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.routing.Route;
+import org.hemlockrack.routing.RouteTable;
+import org.hemlockrack.routing.WorkspaceKeys;
+import org.jspecify.annotations.Nullable;
+
+/** Finds the route of each request, checks its key and starts its exchange. */
+final class GatewayHandler implements CallHandler {
+    private final GatewayContext mContext;
+    private final FleetFollower mFollower;
+
+    GatewayHandler(GatewayContext context, FleetFollower follower) {
+        mContext = context;
+        mFollower = follower;
+    }
+
+    @Override
+    public void handle(HttpCall call, Responder responder) {
+        CallerFacts caller;
+        Route route;
+        WorkspaceKeys workspace;
+        try {
+            caller = mContext.dialect().read(call);
+        } catch (HemlockrackException e) {
+            mContext.refuse(responder, e.kind(), String.valueOf(e.getMessage()));
+            return;
+        }
+        try {
+            RouteTable table = mFollower.view().table();
+            if (table == null) {
+                throw HemlockrackException.of(ErrorKind.NOT_READY, "no route table is known yet");
+            }
+            route = routeOf(table, call, caller);
+            workspace = workspaceOf(table, route, caller);
+        } catch (HemlockrackException e) {
+            refuse(responder, caller, e);
+            return;
+        }
+        String name = workspace == null ? null : workspace.workspace().value();
+        new GatewayExchange(mContext, call, responder, caller, route, name).start();
+    }
+
+    /** A table that may be superseded proves nothing against a request. */
+    private void refuse(Responder responder, CallerFacts caller, HemlockrackException cause) {
+        ErrorKind kind = mFollower.fresh() ? cause.kind() : ErrorKind.NOT_READY;
+        mContext.log()
+                .request("refused", caller.attemptId())
+                .put("kind", kind.name())
+                .put("cause", cause.getMessage())
+                .put("table", mFollower.view().tableVersion())
+                .write();
+        mContext.refuse(responder, kind, String.valueOf(cause.getMessage()));
+    }
+
+    private static Route routeOf(RouteTable table, HttpCall call, CallerFacts caller) {
+        Route route = table.match(caller.host(), call.path());
+        if (route == null) {
+            throw HemlockrackException.of(
+                    ErrorKind.NOT_FOUND,
+                    String.format(ErrorText.NO_ROUTE, caller.host(), call.path()));
+        }
+        return route;
+    }
+
+    private static @Nullable WorkspaceKeys workspaceOf(
+            RouteTable table, Route route, CallerFacts caller) {
+        if (!table.keysRequired() || route.open()) {
+            return null;
+        }
+        String key = caller.bearerKey();
+        WorkspaceKeys workspace = key == null ? null : table.workspaceOf(key);
+        if (workspace == null) {
+            throw HemlockrackException.of(ErrorKind.UNAUTHENTICATED, ErrorText.UNKNOWN_KEY);
+        }
+        return workspace;
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayView.java
@@ -0,0 +1,20 @@
+package org.hemlockrack.daemon.gateway;
+
+import org.hemlockrack.control.ControlFacts;
+import org.hemlockrack.routing.RouteTable;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What a gateway knows at one moment. Immutable.
+ *
+ * @param table the route table in force, or null if none is known yet
+ * @param facts evacuated zones, moves, departures
+ * @param revision revision of the control state that the facts belong to
+ */
+record GatewayView(@Nullable RouteTable table, ControlFacts facts, long revision) {
+    static final GatewayView EMPTY = new GatewayView(null, ControlFacts.NONE, 0);
+
+    long tableVersion() {
+        return table == null ? 0 : table.version();
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/SharedPool.java
@@ -0,0 +1,137 @@
+package org.hemlockrack.daemon.gateway;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hemlockrack.control.ControlFacts;
+import org.hemlockrack.dispatch.Choice;
+import org.hemlockrack.dispatch.Demand;
+import org.hemlockrack.dispatch.Outcome;
+import org.hemlockrack.dispatch.ServerPool;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.registry.RegisteredServer;
+import org.hemlockrack.registry.ServerRegistry;
+import org.hemlockrack.retry.RetryBudget;
+import org.hemlockrack.retry.RetryBudgetSettings;
+import org.hemlockrack.routing.RouteTable;
+import org.hemlockrack.wire.LoadData;
+import org.hemlockrack.wire.ServerData;
+import org.hemlockrack.wire.VersionCountsData;
+import org.jspecify.annotations.Nullable;
+
+/** The pool, registry, budgets and counts of a gateway behind one lock. Safe for any thread. */
+final class SharedPool {
+    /** Part of the fleet's retry allowance that is used; gateways get uneven shares of traffic. */
+    private static final double BUDGET_SHARE = 0.6;
+
+    private final ServerRegistry mRegistry = ServerRegistry.create();
+    private final ServerPool mPool;
+    private final RetryLimits mLimits;
+    private final Map<ServiceId, RetryBudget> mBudgets = new HashMap<>();
+    private final Map<VersionKey, VersionCountsData> mCounts = new HashMap<>();
+    private ControlFacts mFacts = ControlFacts.NONE;
+    private @Nullable RouteTable mTable;
+    private int mBudgetGateways;
+
+    private record VersionKey(String service, String softwareVersion) {}
+
+    private SharedPool(ServerPool pool, RetryLimits limits) {
+        mPool = pool;
+        mLimits = limits;
+    }
+
+    static SharedPool create(ServerPool pool, RetryLimits limits) {
+        return new SharedPool(pool, limits);
+    }
+
+    synchronized Choice choose(long nowNanos, Demand demand) {
+        return mPool.choose(nowNanos, demand);
+    }
+
+    synchronized void finished(long nowNanos, BackendId id, Outcome outcome) {
+        mPool.finished(nowNanos, id, outcome);
+    }
+
+    synchronized void onRequest(long nowNanos, ServiceId service) {
+        budget(service).onRequest(nowNanos);
+    }
+
+    synchronized boolean tryRetry(long nowNanos, ServiceId service) {
+        return budget(service).tryTake(nowNanos);
+    }
+
+    private RetryBudget budget(ServiceId service) {
+        if (mBudgetGateways != mPool.gateways()) {
+            mBudgets.clear();
+            mBudgetGateways = mPool.gateways();
+        }
+        return mBudgets.computeIfAbsent(service, key -> RetryBudget.create(budgetSettings()));
+    }
+
+    private RetryBudgetSettings budgetSettings() {
+        double slack = mLimits.slack() * BUDGET_SHARE / mBudgetGateways;
+        double perSecond = slack / 2 / mLimits.windowSeconds();
+        return new RetryBudgetSettings(mLimits.ratio() * BUDGET_SHARE, perSecond, slack / 2);
+    }
+
+    synchronized void answered(
+            ServiceId service, String softwareVersion, boolean success, long firstByteMicros) {
+        VersionCountsData counts =
+                mCounts.computeIfAbsent(
+                        new VersionKey(service.value(), softwareVersion),
+                        key ->
+                                new VersionCountsData(
+                                        key.service(), key.softwareVersion(), 0, 0, 0));
+        if (success) {
+            counts.setSucceeded(counts.getSucceeded() + 1);
+            counts.setFirstByteMicros(counts.getFirstByteMicros() + firstByteMicros);
+        } else {
+            counts.setFailed(counts.getFailed() + 1);
+        }
+    }
+
+    synchronized List<VersionCountsData> counts() {
+        return mCounts.values().stream().map(VersionCountsData::new).toList();
+    }
+
+    synchronized Map<BackendId, Integer> ownLoad() {
+        return mPool.ownLoad();
+    }
+
+    synchronized void merge(long nowNanos, List<ServerData> servers) {
+        mRegistry.offerAll(nowNanos, servers);
+        refresh(nowNanos);
+    }
+
+    synchronized void adopt(long nowNanos, GatewayView view) {
+        mFacts = view.facts();
+        mTable = view.table();
+        refresh(nowNanos);
+    }
+
+    synchronized List<RegisteredServer> expire(long nowNanos) {
+        List<RegisteredServer> dropped = mRegistry.expire(nowNanos);
+        if (!dropped.isEmpty()) {
+            refresh(nowNanos);
+        }
+        return dropped;
+    }
+
+    private void refresh(long nowNanos) {
+        mPool.update(nowNanos, mRegistry.servers(), mFacts, mTable);
+    }
+
+    synchronized void fleetLoad(
+            List<LoadData> fleet, Map<BackendId, Integer> ownAtReport, int gateways) {
+        Map<BackendId, Integer> loads = new HashMap<>();
+        for (LoadData each : fleet) {
+            loads.put(BackendId.of(each.getServer()), each.getRequests());
+        }
+        mPool.fleetLoad(loads, ownAtReport, gateways);
+    }
+
+    synchronized boolean empty() {
+        return mPool.empty();
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/package-info.java
@@ -0,0 +1,5 @@
+/** A gateway: takes callers' requests and forwards them to registered backend servers. */
+@NullMarked
+package org.hemlockrack.daemon.gateway;
+
+import org.jspecify.annotations.NullMarked;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/PlatformPages.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/PlatformPages.java
@@ -56,6 +56,21 @@
         }
     }
 
+    /**
+     * Answers a request on a port that has no other pages.
+     *
+     * @param call the request
+     * @param responder takes the answer
+     */
+    public void handleOrRefuse(HttpCall call, Responder responder) {
+        if (handles(call.path())) {
+            handle(call, responder);
+            return;
+        }
+        responder.sendError(
+                ErrorKind.NOT_FOUND, "no such page: " + call.method() + " " + call.path(), 0);
+    }
+
     private void readiness(Responder responder) {
         if (ready()) {
             text(responder, "ready\n");
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ProposalEndpoint.java
@@ -0,0 +1,61 @@
+package org.hemlockrack.daemon.replica;
+
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.hemlockrack.consensus.ProposalStatus;
+import org.hemlockrack.wire.ProposeReply;
+import org.hemlockrack.wire.ProposeRequest;
+import org.hemlockrack.wire.ProposeStatus;
+import org.jspecify.annotations.Nullable;
+
+/** Answers proposals that other instances forward to the replica of this one. */
+public final class ProposalEndpoint {
+    private static final long MAX_PROPOSE_MILLIS = 10_000;
+
+    private ProposalEndpoint() {}
+
+    /**
+     * Proposes a forwarded command and waits for its outcome.
+     *
+     * @param replica the replica of this instance, or null if it has none
+     * @param request the command and how long to wait
+     * @return the reply
+     */
+    public static ProposeReply answer(@Nullable ReplicaService replica, ProposeRequest request) {
+        ProposeReply reply = new ProposeReply();
+        if (replica == null) {
+            reply.setStatus(ProposeStatus.NOT_LEADER);
+            return reply;
+        }
+        long waitMillis = Math.min(request.getTimeoutMillis(), MAX_PROPOSE_MILLIS);
+        ProposalOutcome outcome = await(replica, request.getCommand(), waitMillis);
+        reply.setStatus(statusOf(outcome.status()));
+        if (outcome.result() != null) {
+            reply.setResult(outcome.result());
+        }
+        if (outcome.leader() != null) {
+            reply.setLeader(outcome.leader().value());
+        }
+        return reply;
+    }
+
+    private static ProposalOutcome await(ReplicaService replica, byte[] command, long waitMillis) {
+        try {
+            return replica.propose(command).get(waitMillis, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException | ExecutionException e) {
+            return ProposalOutcome.ended(ProposalStatus.UNKNOWN, null);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return ProposalOutcome.ended(ProposalStatus.UNKNOWN, null);
+        }
+    }
+
+    private static ProposeStatus statusOf(ProposalStatus status) {
+        return switch (status) {
+            case APPLIED -> ProposeStatus.APPLIED;
+            case UNKNOWN -> ProposeStatus.UNKNOWN;
+            default -> ProposeStatus.NOT_LEADER;
+        };
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/Proposer.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/Proposer.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.hemlockrack.consensus.ProposalStatus;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.loop.Loop;
@@ -23,7 +24,7 @@
 
     private final Loop mLoop;
     private final InstanceId mSelf;
-    private final Map<InstanceId, String> mVoters;
+    private final Supplier<Map<InstanceId, String>> mVoters;
     private final PeerNetwork mNetwork;
     private final @Nullable ReplicaService mLocal;
 
@@ -32,7 +33,7 @@
     private Proposer(
             Loop loop,
             InstanceId self,
-            Map<InstanceId, String> voters,
+            Supplier<Map<InstanceId, String>> voters,
             PeerNetwork network,
             @Nullable ReplicaService local) {
         mLoop = loop;
@@ -47,7 +48,7 @@
      *
      * @param loop runs retries
      * @param self this instance
-     * @param voters peer addresses of the voters
+     * @param voters peer addresses of the voters at any moment
      * @param network connections to other instances
      * @param local the replica of this instance, or null
      * @return the proposer
@@ -55,10 +56,10 @@
     public static Proposer create(
             Loop loop,
             InstanceId self,
-            Map<InstanceId, String> voters,
+            Supplier<Map<InstanceId, String>> voters,
             PeerNetwork network,
             @Nullable ReplicaService local) {
-        return new Proposer(loop, self, Map.copyOf(voters), network, local);
+        return new Proposer(loop, self, voters, network, local);
     }
 
     /** Returns the instance that this instance believes to lead, or null. */
@@ -117,20 +118,20 @@
             request.setSender(mSelf.value());
             request.setCommand(mCommand);
             request.setTimeoutMillis(Math.max(1, leftMillis));
-            mNetwork.ask(mVoters.get(target), client -> client.propose(request))
+            mNetwork.ask(mVoters.get().get(target), client -> client.propose(request))
                     .whenComplete((reply, fault) -> replied(reply, fault));
         }
 
         private @Nullable InstanceId target() {
             InstanceId leader = leader();
-            if (mRound == 0 && leader != null && mVoters.containsKey(leader)) {
+            if (mRound == 0 && leader != null && mVoters.get().containsKey(leader)) {
                 return leader;
             }
-            List<InstanceId> all = new ArrayList<>(mVoters.keySet());
+            List<InstanceId> all = new ArrayList<>(mVoters.get().keySet());
             if (all.isEmpty()) {
                 return null;
             }
-            if (leader != null && mRound % 2 == 0 && mVoters.containsKey(leader)) {
+            if (leader != null && mRound % 2 == 0 && mVoters.get().containsKey(leader)) {
                 return leader;
             }
             all.sort(null);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
@@ -3,6 +3,7 @@
 import static org.hemlockrack.daemon.settings.SettingType.ADDRESS;
 import static org.hemlockrack.daemon.settings.SettingType.ADDRESS_LIST;
 import static org.hemlockrack.daemon.settings.SettingType.CHOICE;
+import static org.hemlockrack.daemon.settings.SettingType.DECIMAL;
 import static org.hemlockrack.daemon.settings.SettingType.INTEGER;
 import static org.hemlockrack.daemon.settings.SettingType.NAME;
 import static org.hemlockrack.daemon.settings.SettingType.PATH;
@@ -15,6 +16,7 @@
 public enum SettingKey {
     INSTANCE_ID("instance.id", NAME, null, "name"),
     INSTANCE_ZONE("instance.zone", NAME, null, "name"),
+    INSTANCE_ROLE("instance.role", CHOICE, "full", "full|gateway|controller"),
     INSTANCE_REGION("instance.region", NAME, "default", "name"),
     LISTEN_CALLERS("listen.callers", ADDRESS, null, "ip:port"),
     LISTEN_OPERATORS("listen.operators", ADDRESS, null, "ip:port"),
@@ -24,6 +26,12 @@
     PEERS_ROUTES("peers.routes", ROUTE_LIST, "", "ip:port=ip:port list"),
     VOTER_DATA_FOLDER("voter.data_folder", PATH, "", "path"),
     VOTER_VOTERS("voter.voters", VOTER_LIST, "", "id=ip:port list"),
+    FLEET_CONTROLLERS("fleet.controllers", ADDRESS_LIST, "", "ip:port list"),
+    FLEET_PEER_PORT("fleet.peer_port", 7_340, 1, 65_535),
+    FLEET_FORM_LOG("fleet.form_log", CHOICE, "false", "true|false"),
+    FLEET_RETRY_RATIO("fleet.retry_ratio", DECIMAL, "0.1", "0 to 1"),
+    FLEET_RETRY_SLACK("fleet.retry_slack", DECIMAL, "30", "number"),
+    FLEET_RETRY_WINDOW_S("fleet.retry_window_s", DECIMAL, "10", "number"),
     BURN_FILE("burn.file", PATH, "", "path"),
     LOG_FORMAT("log.format", CHOICE, "text", "text|json"),
     HTTP_MAX_BODY_BYTES("http.max_body_bytes", 1_048_576, 1_024, 67_108_864),
@@ -81,6 +89,20 @@
         return mDefault;
     }
 
+    /** Returns whether an instance of a role may leave the key out. */
+    boolean optionalFor(String role) {
+        if (mDefault != null) {
+            return true;
+        }
+        boolean full = role.equals(INSTANCE_ROLE.mDefault);
+        return switch (this) {
+            case LISTEN_INTERNAL -> !full;
+            case LISTEN_CALLERS -> role.equals("controller");
+            case LISTEN_PEER -> role.equals("gateway");
+            default -> false;
+        };
+    }
+
     /** Returns a description of the allowed values. */
     public String allowed() {
         return mAllowed;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingType.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingType.java
@@ -57,6 +57,13 @@
                     && Arrays.asList(key.allowed().split("\\|")).contains(value.textValue());
         }
     },
+    /** A number that is not negative. */
+    DECIMAL {
+        @Override
+        boolean accepts(SettingKey key, JsonNode value) {
+            return value.isNumber() && value.doubleValue() >= 0;
+        }
+    },
     /** A whole number in the range of the key. */
     INTEGER {
         @Override
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
@@ -94,11 +94,13 @@
 
     private static Settings check(String name, Map<String, JsonNode> leaves) {
         List<String> faults = new ArrayList<>();
+        JsonNode role = leaves.get(SettingKey.INSTANCE_ROLE.path());
+        String roleName = role == null ? "full" : role.asText();
         Map<SettingKey, JsonNode> values = new EnumMap<>(SettingKey.class);
         for (SettingKey key : SettingKey.values()) {
             JsonNode value = leaves.remove(key.path());
             if (value == null) {
-                if (key.defaultValue() == null) {
+                if (!key.optionalFor(roleName)) {
                     faults.add(name + ": " + key.path() + " is missing; allowed: " + key.allowed());
                 }
                 continue;
@@ -170,6 +172,17 @@
         return value == null ? Long.parseLong(requireDefault(key)) : value.longValue();
     }
 
+    /**
+     * Returns a number that may have a fraction.
+     *
+     * @param key a key of type {@link SettingType#DECIMAL}
+     * @return the value or its default, in the unit of the key
+     */
+    public double decimal(SettingKey key) {
+        JsonNode value = mValues.get(key);
+        return value == null ? Double.parseDouble(requireDefault(key)) : value.doubleValue();
+    }
+
     /**
      * Returns a list of texts.
      *
@@ -239,6 +252,19 @@
         return voters;
     }
 
+    /**
+     * Returns the peer addresses of the controllers that the file names. All instances use one port
+     * for peers, so the address follows from the host.
+     */
+    public List<String> controllerPeers() {
+        List<String> peers = new ArrayList<>();
+        for (String address : list(SettingKey.FLEET_CONTROLLERS)) {
+            String host = address.substring(0, address.lastIndexOf(':'));
+            peers.add(host + ":" + integer(SettingKey.FLEET_PEER_PORT));
+        }
+        return peers;
+    }
+
     /** Returns the addresses that stand for advertised addresses of other instances. */
     public Map<String, String> routes() {
         Map<String, String> routes = new LinkedHashMap<>();
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
@@ -0,0 +1,122 @@
+package org.hemlockrack.daemon.sync;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.hemlockrack.daemon.fleet.PeerNetwork;
+import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.wire.LoadData;
+import org.hemlockrack.wire.SyncReply;
+import org.hemlockrack.wire.SyncRequest;
+import org.jspecify.annotations.Nullable;
+
+/** Exchanges state with one controller, again and again. Confined to the loop. */
+public final class ControllerLink {
+    /** Pause between two exchanges; four of them fit into a second. */
+    private static final long PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    private final Loop mLoop;
+    private final PeerNetwork mNetwork;
+    private final String mAddress;
+    private final Owner mOwner;
+    private long mRegistryEpoch;
+    private long mRegistryRevision;
+    private boolean mReachable;
+    private boolean mStopped;
+
+    /** Supplies requests and takes replies; called on the loop. */
+    public interface Owner {
+        /** Returns a request without the registry fields. */
+        SyncRequest request(Map<BackendId, Integer> ownLoad);
+
+        /** Returns the requests that this instance has in progress at each server. */
+        Map<BackendId, Integer> ownLoad();
+
+        /**
+         * Takes a reply.
+         *
+         * @param address the controller
+         * @param reply its reply
+         * @param ownAtRequest own load that the request stated
+         */
+        void replied(String address, SyncReply reply, Map<BackendId, Integer> ownAtRequest);
+
+        /**
+         * Told when the controller was lost or reached again.
+         *
+         * @param address the controller
+         * @param reachable whether it answers
+         * @param cause why it does not, or null
+         */
+        void reachable(String address, boolean reachable, @Nullable Throwable cause);
+    }
+
+    private ControllerLink(Loop loop, PeerNetwork network, String address, Owner owner) {
+        mLoop = loop;
+        mNetwork = network;
+        mAddress = address;
+        mOwner = owner;
+    }
+
+    /**
+     * Starts exchanging.
+     *
+     * @param loop runs the exchanges
+     * @param network connections to other instances
+     * @param address peer address of the controller
+     * @param owner supplies requests and takes replies
+     * @return the link
+     */
+    public static ControllerLink start(
+            Loop loop, PeerNetwork network, String address, Owner owner) {
+        ControllerLink link = new ControllerLink(loop, network, address, owner);
+        link.exchange();
+        return link;
+    }
+
+    /** Ends the exchanges. */
+    public void stop() {
+        mStopped = true;
+    }
+
+    private void exchange() {
+        if (mStopped) {
+            return;
+        }
+        Map<BackendId, Integer> own = mOwner.ownLoad();
+        SyncRequest request = mOwner.request(own);
+        request.setRegistryEpoch(mRegistryEpoch);
+        request.setRegistryRevision(mRegistryRevision);
+        mNetwork.ask(mAddress, client -> client.sync(request))
+                .whenComplete((reply, fault) -> mLoop.execute(() -> ended(reply, fault, own)));
+    }
+
+    private void ended(
+            @Nullable SyncReply reply, @Nullable Throwable fault, Map<BackendId, Integer> own) {
+        mLoop.schedule(mLoop.nowNanos() + PERIOD_NANOS, this::exchange);
+        if (mReachable != (reply != null)) {
+            mReachable = reply != null;
+            mOwner.reachable(mAddress, mReachable, fault);
+        }
+        if (reply == null) {
+            return;
+        }
+        mOwner.replied(mAddress, reply, own);
+        mRegistryEpoch = reply.getRegistryEpoch();
+        mRegistryRevision = reply.getRegistryRevision();
+    }
+
+    /**
+     * Converts a load.
+     *
+     * @param load requests in progress at each server
+     * @return the same as Thrift data
+     */
+    public static List<LoadData> toData(Map<BackendId, Integer> load) {
+        List<LoadData> data = new ArrayList<>(load.size());
+        load.forEach((id, requests) -> data.add(new LoadData(id.value(), requests)));
+        return data;
+    }
+}
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/package-info.java
@@ -0,0 +1,5 @@
+/** Exchange of registry, loads and control state between gateways and controllers. */
+@NullMarked
+package org.hemlockrack.daemon.sync;
+
+import org.jspecify.annotations.NullMarked;
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/TestInstance.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/TestInstance.java
@@ -66,7 +66,11 @@
         Map<InstanceId, String> listed = Map.of(SELF, VOTER_ADDRESS);
         Proposer proposer =
                 Proposer.create(
-                        mLoop, SELF, mReplica == null ? Map.of() : listed, mNetwork, mReplica);
+                        mLoop,
+                        SELF,
+                        () -> mReplica == null ? Map.of() : listed,
+                        mNetwork,
+                        mReplica);
         VoterDirectory voters = VoterDirectory.of(listed);
         ConfigCommands commands =
                 ConfigCommands.create(
--- /dev/null
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -0,0 +1,125 @@
+namespace java org.hemlockrack.wire
+
+// State shared by controllers and gateways: the replicated control state, the registry of backend
+// servers, and the exchange by which gateways follow both.
+
+/** One registered backend server as a controller knows it. */
+struct ServerData {
+  1: string id,
+  /** Start of the process in milliseconds since the epoch; 0 if the server does not state it. */
+  2: i64 bornMillis,
+  3: i64 sequence,
+  4: string serviceName,
+  5: string address,
+  6: string zone,
+  7: string softwareVersion,
+  8: i32 slots,
+  9: bool leaving,
+  /** Remaining cold-start time when the reply was built. */
+  10: i64 coldMillis,
+  /** Time since the newest heartbeat when the reply was built. */
+  11: i64 ageMillis
+}
+
+/** Requests in progress at one backend server. */
+struct LoadData {
+  1: string server,
+  2: i32 requests
+}
+
+/** What one gateway has seen of one software version since the gateway started. */
+struct VersionCountsData {
+  1: string serviceName,
+  2: string softwareVersion,
+  3: i64 succeeded,
+  4: i64 failed,
+  /** Sum of the times to the first byte of successful answers. */
+  5: i64 firstByteMicros
+}
+
+struct DepartureData {
+  1: string server,
+  2: i64 bornMillis,
+  /** Leader time at which the departure was applied. */
+  3: i64 atMillis
+}
+
+enum MoveStatusData {
+  IN_PROGRESS = 1,
+  COMPLETED = 2,
+  REVERTED = 3
+}
+
+/** The move of one service's traffic to a software version. */
+struct MoveData {
+  1: string serviceName,
+  2: string target,
+  3: MoveStatusData status,
+  /** Share of requests for the target, in parts of 1000. */
+  4: i32 sharePerMille,
+  /** Leader time at which the order was applied, and its deadline. */
+  5: i64 startMillis,
+  6: i64 deadlineMillis
+}
+
+/** The part of the replicated state that gateways need beside the route table. */
+struct ControlFactsData {
+  1: set<string> evacuatedZones,
+  2: list<MoveData> moves,
+  3: list<DepartureData> departures
+}
+
+struct ControlSnapshotData {
+  1: i64 tableVersion,
+  2: binary tableDocument,
+  3: ControlFactsData facts,
+  4: i64 revision
+}
+
+enum ControlCommandKind {
+  PUBLISH_TABLE = 1,
+  EVACUATE_ZONE = 2,
+  RESTORE_ZONE = 3,
+  DEPART = 4,
+  START_MOVE = 5,
+  ADVANCE_MOVE = 6,
+  FINISH_MOVE = 7
+}
+
+struct ControlCommandData {
+  1: ControlCommandKind kind,
+  2: optional i64 tableVersion,
+  3: optional binary tableDocument,
+  4: optional string zone,
+  5: optional DepartureData departure,
+  6: optional MoveData move
+}
+
+struct SyncRequest {
+  1: string sender,
+  2: bool gateway,
+  3: i64 haveRevision,
+  4: i64 haveTableVersion,
+  /** Identifies the registry that the revision belongs to. */
+  5: i64 registryEpoch,
+  6: i64 registryRevision,
+  7: list<LoadData> inFlight,
+  8: list<VersionCountsData> counts
+}
+
+struct SyncReply {
+  /** Whether the receiver's replicated state holds what was committed before its start. */
+  1: bool caughtUp,
+  2: i64 revision,
+  3: optional ControlFactsData facts,
+  4: i64 tableVersion,
+  /** The deflated route table, absent if the caller has this version. */
+  5: optional binary tableDocument,
+  6: i64 registryEpoch,
+  7: i64 registryRevision,
+  8: list<ServerData> servers,
+  9: list<LoadData> fleetInFlight,
+  10: i32 gateways,
+  /** Peer addresses of the replicas of the control state. */
+  11: list<string> controllers
+}
--- a/hemlockrack-wire/src/main/thrift/peer.thrift
+++ b/hemlockrack-wire/src/main/thrift/peer.thrift
@@ -1,5 +1,7 @@
 namespace java org.hemlockrack.wire
 
+include "gateway.thrift"
+
 /** The slice that reads an envelope's payload. */
 enum Slice {
   CONSENSUS = 1,
@@ -69,5 +71,7 @@
   /** Asks the leader whether an order is the newest of the controller in charge. */
   bool confirmOrder(1: OrderMessage message),
   /** The encoded burn accounts of the receiver. */
-  binary fetchBurn()
+  binary fetchBurn(),
+  /** Brings a gateway or another controller up to date with what the receiver knows. */
+  gateway.SyncReply sync(1: gateway.SyncRequest request)
 }
