--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/Outcome.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/Outcome.java
@@ -8,6 +8,8 @@
     FAILED(true, false),
     /** The answer was broken off or was not a valid answer to the request. */
     BROKEN(true, true),
+    /** Nothing came from the server for much longer than usual. */
+    SILENT(true, true),
     /** No connection could be opened. */
     UNREACHABLE(true, true),
     /** The server refused because it is full. */
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -25,13 +25,13 @@
  */
 public final class ServerPool {
     /** Load up to this multiple of the mean does not move a request from its first choice. */
-    private static final double AFFINITY_BOUND = 1.3;
+    private static final double AFFINITY_BOUND = 1.5;
 
     /** Requests above the mean that are allowed on a first choice in any case. */
-    private static final int AFFINITY_SLACK = 3;
+    private static final int AFFINITY_SLACK = 2;
 
-    /** Failure rate at which a server is used only if nothing better is left. */
-    private static final double MAX_FAILURE_RATE = 0.15;
+    /** Failure rate above that of the best server at which another one is preferred. */
+    private static final double FAILURE_MARGIN = 0.2;
 
     /** Requests per slot, waiting ones included, that a plain server may hold. */
     private static final int PLAIN_DEPTH = 4;
@@ -180,9 +180,7 @@
         }
         usable = healthy(nowNanos, usable);
         Choice choice =
-                demand.affinityKey() == 0
-                        ? leastLoaded(usable)
-                        : byAffinity(usable, demand.affinityKey());
+                demand.affinityKey() == 0 ? leastLoaded(usable) : byAffinity(usable, demand);
         take(nowNanos, choice);
         return choice;
     }
@@ -257,13 +255,17 @@
     }
 
     private static List<ServerSlot> healthy(long nowNanos, List<ServerSlot> slots) {
+        double best = 1;
+        for (ServerSlot slot : slots) {
+            best = Math.min(best, slot.failureRate(nowNanos));
+        }
         List<ServerSlot> good = new ArrayList<>();
         for (ServerSlot slot : slots) {
-            if (slot.failureRate(nowNanos) <= MAX_FAILURE_RATE) {
+            if (slot.failureRate(nowNanos) <= best + FAILURE_MARGIN) {
                 good.add(slot);
             }
         }
-        return good.isEmpty() ? slots : good;
+        return good;
     }
 
     private Choice leastLoaded(List<ServerSlot> slots) {
@@ -283,13 +285,9 @@
         return chosen(best, Choice.Reason.LEAST_LOAD, slots.size());
     }
 
-    private Choice byAffinity(List<ServerSlot> slots, long key) {
-        int total = 0;
-        for (ServerSlot slot : slots) {
-            total += slot.load();
-        }
-        double mean = (double) total / slots.size();
-        double bound = mean * AFFINITY_BOUND + AFFINITY_SLACK;
+    private Choice byAffinity(List<ServerSlot> slots, Demand demand) {
+        long key = demand.affinityKey();
+        double bound = meanLoad(demand.service()) * AFFINITY_BOUND + AFFINITY_SLACK;
         List<ServerSlot> ranked = new ArrayList<>(slots);
         ranked.sort((a, b) -> Long.compareUnsigned(rank(b, key), rank(a, key)));
         for (ServerSlot slot : ranked) {
@@ -302,6 +300,16 @@
         return leastLoaded(slots);
     }
 
+    /** Servers that get nothing now, such as those of an evacuated zone, count with their load. */
+    private double meanLoad(ServiceId service) {
+        List<ServerSlot> all = mByService.getOrDefault(service, List.of());
+        int total = 0;
+        for (ServerSlot slot : all) {
+            total += slot.load();
+        }
+        return (double) total / Math.max(1, all.size());
+    }
+
     private static long rank(ServerSlot slot, long key) {
         return PromptHash.mix(key ^ PromptHash.of(slot.mServer.registration().id().value()));
     }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerSlot.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerSlot.java
@@ -6,7 +6,7 @@
 /** One backend server in the pool: load, health and cold limit. */
 final class ServerSlot {
     /** A failed connection suspends a server for this long, doubled for each further one. */
-    private static final long SUSPEND_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final long SUSPEND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
     /** Longest suspension; then one request tries the server again. */
     private static final long MAX_SUSPEND_NANOS = TimeUnit.SECONDS.toNanos(4);
--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/VoterKeeperTest.java
@@ -0,0 +1,90 @@
+package org.hemlockrack.consensus;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.hemlockrack.model.InstanceId;
+import org.junit.jupiter.api.Test;
+
+class VoterKeeperTest {
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private final VoterKeeper mKeeper = VoterKeeper.create();
+
+    private static Set<InstanceId> ids(String... names) {
+        return Stream.of(names).map(InstanceId::of).collect(Collectors.toSet());
+    }
+
+    private static Membership members(List<String> voters, List<String> learners) {
+        List<Member> members = new ArrayList<>();
+        long replica = 1;
+        for (String voter : voters) {
+            members.add(new Member(ReplicaRef.of(InstanceId.of(voter), replica++), Standing.VOTER));
+        }
+        for (String learner : learners) {
+            members.add(
+                    new Member(ReplicaRef.of(InstanceId.of(learner), replica++), Standing.LEARNER));
+        }
+        return new Membership(1, members);
+    }
+
+    private VoterChange next(long nowNanos, Membership members, String... answering) {
+        mKeeper.note(nowNanos, ids(answering));
+        return mKeeper.next(nowNanos, members, ids(answering));
+    }
+
+    /** Guards against a replaced instance whose successor never votes. */
+    @Test
+    void successorTakesThePlaceOfTheLostVoter() {
+        Membership full = members(List.of("a", "b", "c"), List.of());
+        assertNull(next(0, full, "a", "b", "c"));
+        VoterChange add = next(SECOND, full, "a", "b", "d");
+        assertEquals(new VoterChange(VoterChange.Action.ADD_LEARNER, InstanceId.of("d")), add);
+        Membership learning = members(List.of("a", "b", "c"), List.of("d"));
+        assertEquals(
+                new VoterChange(VoterChange.Action.PROMOTE, InstanceId.of("d")),
+                next(2 * SECOND, learning, "a", "b", "d"));
+        Membership four = members(List.of("a", "b", "c", "d"), List.of());
+        assertEquals(
+                new VoterChange(VoterChange.Action.REMOVE, InstanceId.of("c")),
+                next(2 * SECOND, four, "a", "b", "d"));
+        assertNull(next(3 * SECOND, members(List.of("a", "b", "d"), List.of()), "a", "b", "d"));
+    }
+
+    /** Guards against voters that are removed though they come back after a pause. */
+    @Test
+    void pausedVoterStays() {
+        Membership full = members(List.of("a", "b", "c"), List.of());
+        next(0, full, "a", "b", "c");
+        assertNull(next(10 * SECOND, full, "a", "b"));
+        assertNull(next(60 * SECOND, full, "a", "b"));
+    }
+
+    /** Guards against a fleet of five controllers that bears the loss of one only. */
+    @Test
+    void fiveControllersVote() {
+        Membership three = members(List.of("a", "b", "c"), List.of("d", "e"));
+        VoterChange change = next(0, three, "a", "b", "c", "d", "e");
+        assertEquals(VoterChange.Action.PROMOTE, change.action());
+        Membership five = members(List.of("a", "b", "c", "d", "e"), List.of("f"));
+        assertNull(next(SECOND, five, "a", "b", "c", "d", "e", "f"));
+    }
+
+    /** Guards against a spare that replaces a voter during a short pause. */
+    @Test
+    void spareWaitsLongerThanSuccessor() {
+        Membership five = members(List.of("a", "b", "c", "d", "e"), List.of("f"));
+        next(0, five, "a", "b", "c", "d", "e", "f");
+        mKeeper.note(20 * SECOND, ids("a", "b", "c", "d", "f"));
+        assertNull(next(18 * SECOND, five, "a", "b", "c", "d", "f"));
+        assertEquals(
+                VoterChange.Action.PROMOTE,
+                next(30 * SECOND, five, "a", "b", "c", "d", "f").action());
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/control/ControlStateTest.java
@@ -0,0 +1,111 @@
+package org.hemlockrack.control;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.model.ZoneId;
+import org.junit.jupiter.api.Test;
+
+class ControlStateTest {
+    private static final ServiceId SERVICE = ServiceId.of("s");
+    private static final BackendId SERVER = BackendId.of("i-1");
+
+    private static byte[] document(long version) {
+        return ("table " + version).getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static TrafficMove order(String target) {
+        return new TrafficMove(SERVICE, target, MoveStatus.IN_PROGRESS, 70, 0, 12_000);
+    }
+
+    /** Guards against an older table that comes in force again, in any order of arrival. */
+    @Property(tries = 200)
+    void highestTableWins(@ForAll long seed) {
+        Random random = new Random(seed);
+        ControlState state = ControlState.create();
+        long highest = 0;
+        for (int index = 1; index <= 20; index++) {
+            long version = 1 + random.nextInt(30);
+            byte[] result =
+                    state.apply(index, 0, ControlCommand.publishTable(version, document(version)));
+            assertTrue(ControlState.isDone(result));
+            highest = Math.max(highest, version);
+            assertEquals(highest, state.tableVersion());
+            assertArrayEquals(document(highest), state.tableDocument());
+        }
+    }
+
+    /** Guards against other content under a version that is held. */
+    @Test
+    void sameVersionChangesNothing() {
+        ControlState state = ControlState.create();
+        state.apply(1, 0, ControlCommand.publishTable(3, document(3)));
+        state.apply(2, 0, ControlCommand.publishTable(3, document(4)));
+        assertArrayEquals(document(3), state.tableDocument());
+    }
+
+    /** Guards against anything that a snapshot forgets. */
+    @Test
+    void snapshotHoldsEverything() {
+        ControlState state = ControlState.create();
+        state.apply(1, 5, ControlCommand.publishTable(3, document(3)));
+        state.apply(2, 5, ControlCommand.setZone(ZoneId.of("a"), true));
+        state.apply(3, 5, ControlCommand.depart(SERVER, 77));
+        state.apply(4, 5, ControlCommand.startMove(order("v2")));
+        ControlState other = ControlState.create();
+        other.restore(state.snapshot());
+        assertEquals(state.facts(), other.facts());
+        assertEquals(state.revision(), other.revision());
+        assertArrayEquals(document(3), other.tableDocument());
+    }
+
+    /** Guards against a server that gets work again after its departure was acknowledged. */
+    @Test
+    void departureHoldsForTheIncarnation() {
+        ControlState state = ControlState.create();
+        state.apply(1, 0, ControlCommand.depart(SERVER, 50));
+        assertTrue(state.facts().departed(SERVER, 50));
+        assertTrue(state.facts().departed(SERVER, 49));
+        assertFalse(state.facts().departed(SERVER, 51));
+    }
+
+    /** Guards against an order that was sent again and starts the move anew. */
+    @Test
+    void repeatedOrderChangesNothing() {
+        ControlState state = ControlState.create();
+        state.apply(1, 1_000, ControlCommand.startMove(order("v2")));
+        TrafficMove started = state.facts().move(SERVICE);
+        assertEquals(13_000, started.deadlineMillis());
+        state.apply(2, 2_000, ControlCommand.finishMove(started.withStatus(MoveStatus.REVERTED)));
+        state.apply(3, 3_000, ControlCommand.startMove(order("v2")));
+        assertEquals(MoveStatus.REVERTED, state.facts().move(SERVICE).status());
+        state.apply(4, 4_000, ControlCommand.startMove(order("v3")));
+        assertEquals(MoveStatus.IN_PROGRESS, state.facts().move(SERVICE).status());
+    }
+
+    /** Guards against a late step of an earlier leader that undoes the end of a move. */
+    @Test
+    void finishedMoveStays() {
+        ControlState state = ControlState.create();
+        state.apply(1, 1_000, ControlCommand.startMove(order("v2")));
+        TrafficMove started = state.facts().move(SERVICE);
+        state.apply(2, 1_000, ControlCommand.finishMove(started.withStatus(MoveStatus.COMPLETED)));
+        state.apply(3, 1_000, ControlCommand.finishMove(started.withStatus(MoveStatus.REVERTED)));
+        state.apply(4, 1_000, ControlCommand.advanceMove(started.withShare(1_000)));
+        assertEquals(MoveStatus.COMPLETED, state.facts().move(SERVICE).status());
+    }
+
+    /** Guards against replicas that stop at bytes which no replica can read. */
+    @Test
+    void unreadableCommandIsRefused() {
+        assertFalse(ControlState.isDone(ControlState.create().apply(1, 0, new byte[] {1, 2})));
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/ServerPoolTest.java
@@ -0,0 +1,232 @@
+package org.hemlockrack.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.hemlockrack.control.ControlFacts;
+import org.hemlockrack.control.MoveStatus;
+import org.hemlockrack.control.TrafficMove;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.model.ZoneId;
+import org.hemlockrack.registry.RegisteredServer;
+import org.hemlockrack.registry.Registration;
+import org.hemlockrack.routing.RouteTable;
+import org.hemlockrack.routing.ServiceSpec;
+import org.junit.jupiter.api.Test;
+
+class ServerPoolTest {
+    private static final ServiceId SERVICE = ServiceId.of("s");
+    private static final ZoneId HOME = ZoneId.of("a");
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final int SLOTS = 32;
+    private static final double COLD_PER_SECOND = 24;
+
+    private final List<RegisteredServer> mServers = new ArrayList<>();
+    private final ServerPool mPool = ServerPool.create(HOME, new SplittableRandom(1));
+
+    private void add(int number, String zone, String version, long coldUntilNanos) {
+        Registration registration =
+                new Registration(
+                        BackendId.of("i-" + number),
+                        1,
+                        1,
+                        SERVICE,
+                        "10.0.0." + number + ":80",
+                        ZoneId.of(zone),
+                        version,
+                        SLOTS,
+                        false,
+                        0);
+        mServers.add(new RegisteredServer(registration, 0, coldUntilNanos));
+    }
+
+    private void fleet(int count) {
+        for (int i = 1; i <= count; i++) {
+            add(i, i % 2 == 0 ? "a" : "b", "v1", 0);
+        }
+        update(ControlFacts.NONE);
+    }
+
+    private void update(ControlFacts facts) {
+        ServiceSpec spec = new ServiceSpec(SERVICE, 600, COLD_PER_SECOND, SLOTS);
+        mPool.update(0, mServers, facts, RouteTable.of(1, List.of(), List.of(spec), null));
+    }
+
+    private static Demand demand(long key, double draw) {
+        return new Demand(SERVICE, key, draw, Set.of());
+    }
+
+    private BackendId choose(long nowNanos, long key) {
+        Choice choice = mPool.choose(nowNanos, demand(key, 0.5));
+        return choice.server() == null ? null : choice.server().id();
+    }
+
+    /** Guards against prompts of one kind that are read on a new server each time. */
+    @Test
+    void samePartsGoToTheSameServer() {
+        fleet(8);
+        Set<BackendId> chosen = new HashSet<>();
+        for (int i = 0; i < 20; i++) {
+            BackendId id = choose(0, 77);
+            chosen.add(id);
+            mPool.finished(0, id, Outcome.SERVED);
+        }
+        assertEquals(1, chosen.size());
+    }
+
+    /** Hot key: guards against one server that carries all requests about one thing. */
+    @Test
+    void hotKeySpreadsWithinTheLoadBound() {
+        fleet(8);
+        Map<BackendId, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 80; i++) {
+            counts.merge(choose(0, 77), 1, Integer::sum);
+        }
+        int most = counts.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+        assertTrue(most <= 2 * 10 + 3, "one server carries " + most + " of 80");
+    }
+
+    /** Hot key: guards against an idle, evacuated zone that raises or lowers the bound. */
+    @Test
+    void boundCountsServersThatGetNothing() {
+        fleet(8);
+        update(ControlFacts.NONE);
+        ControlFacts out = new ControlFacts(Set.of(ZoneId.of("b")), Map.of(), Map.of());
+        update(out);
+        Map<BackendId, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 16; i++) {
+            counts.merge(choose(0, 77), 1, Integer::sum);
+        }
+        int most = counts.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+        assertTrue(most <= 2 * 2 + 3, "one server carries " + most + " of 16");
+    }
+
+    /** Burst: guards against requests that wait at full servers instead of being refused. */
+    @Test
+    void fullServersRefuse() {
+        fleet(2);
+        for (int i = 0; i < 2 * SLOTS; i++) {
+            assertNotEquals(null, choose(0, 0));
+        }
+        Choice refused = mPool.choose(0, demand(0, 0.5));
+        assertNull(refused.server());
+        assertEquals(Choice.Reason.ALL_FULL, refused.reason());
+    }
+
+    /** Evacuation under load: guards against requests to a zone that was taken out. */
+    @Test
+    void evacuatedZoneGetsNothing() {
+        fleet(6);
+        update(new ControlFacts(Set.of(ZoneId.of("b")), Map.of(), Map.of()));
+        for (int i = 0; i < 40; i++) {
+            Choice choice = mPool.choose(0, demand(i, 0.5));
+            assertEquals(HOME, choice.server().zone());
+        }
+    }
+
+    /** Cold return: guards against a cold server that falls over under the usual load. */
+    @Test
+    void coldServerGetsItsShareOfTheLimit() {
+        add(1, "a", "v1", 10 * SECOND);
+        update(ControlFacts.NONE);
+        mPool.fleetLoad(Map.of(), Map.of(), 8);
+        int granted = 0;
+        for (long now = 0; now < 4 * SECOND; now += SECOND / 100) {
+            BackendId id = choose(now, 0);
+            if (id != null) {
+                granted++;
+                mPool.finished(now, id, Outcome.SERVED);
+            }
+        }
+        double limit = COLD_PER_SECOND * 4 / 8;
+        assertTrue(granted <= limit + 1, granted + " of " + limit + " in 4 s");
+        assertTrue(granted >= limit / 2, granted + " of " + limit + " in 4 s");
+    }
+
+    /** Lost zone: guards against requests that each wait for a connection to a dead server. */
+    @Test
+    void unreachableServerIsLeftOut() {
+        fleet(4);
+        BackendId dead = choose(0, 77);
+        mPool.finished(0, dead, Outcome.UNREACHABLE);
+        for (int i = 0; i < 10; i++) {
+            assertNotEquals(dead, choose(SECOND / 10, 77));
+        }
+    }
+
+    /** Failing server: guards against one that answers with failures and keeps its share. */
+    @Test
+    void failingServerIsAvoided() {
+        fleet(4);
+        BackendId bad = BackendId.of("i-2");
+        for (int i = 0; i < 200; i++) {
+            Choice choice = mPool.choose(0, demand(0, 0.5));
+            BackendId id = choice.server().id();
+            mPool.finished(0, id, id.equals(bad) ? Outcome.FAILED : Outcome.SERVED);
+        }
+        for (int i = 0; i < 20; i++) {
+            BackendId id = choose(0, 0);
+            assertNotEquals(bad, id);
+            mPool.finished(0, id, Outcome.SERVED);
+        }
+    }
+
+    /** Roll-out: guards against more requests for a new version than its share. */
+    @Test
+    void newVersionGetsItsShare() {
+        fleet(3);
+        add(9, "a", "v2", 0);
+        TrafficMove move = new TrafficMove(SERVICE, "v2", MoveStatus.IN_PROGRESS, 70, 0, 10_000);
+        update(new ControlFacts(Set.of(), Map.of(SERVICE, move), Map.of()));
+        int onNew = 0;
+        for (int i = 0; i < 1_000; i++) {
+            Choice choice = mPool.choose(0, demand(0, i / 1_000.0));
+            if (choice.server().softwareVersion().equals("v2")) {
+                onNew++;
+            }
+            mPool.finished(0, choice.server().id(), Outcome.SERVED);
+        }
+        assertEquals(70, onNew);
+        update(
+                new ControlFacts(
+                        Set.of(), Map.of(SERVICE, move.withStatus(MoveStatus.REVERTED)), Map.of()));
+        for (int i = 0; i < 100; i++) {
+            Choice choice = mPool.choose(0, demand(0, i / 100.0));
+            assertEquals("v1", choice.server().softwareVersion());
+            mPool.finished(0, choice.server().id(), Outcome.SERVED);
+        }
+    }
+
+    /** Guards against an address that a new incarnation has taken over. */
+    @Test
+    void newestIncarnationOwnsTheAddress() {
+        add(1, "a", "v1", 0);
+        Registration old = mServers.get(0).registration();
+        Registration next =
+                new Registration(
+                        BackendId.of("i-99"),
+                        2,
+                        1,
+                        SERVICE,
+                        old.address(),
+                        HOME,
+                        "v1",
+                        SLOTS,
+                        false,
+                        0);
+        mServers.add(new RegisteredServer(next, 0, 0));
+        update(ControlFacts.NONE);
+        assertEquals(BackendId.of("i-99"), choose(0, 0));
+    }
+}
--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/registry/ServerRegistryTest.java
@@ -0,0 +1,87 @@
+package org.hemlockrack.registry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.model.ZoneId;
+import org.junit.jupiter.api.Test;
+
+class ServerRegistryTest {
+    private static final BackendId ID = BackendId.of("i-1");
+
+    private static Registration beat(long born, long sequence, boolean leaving) {
+        return new Registration(
+                ID,
+                born,
+                sequence,
+                ServiceId.of("s"),
+                "10.0.0.1:80",
+                ZoneId.of("a"),
+                "v1",
+                4,
+                leaving,
+                0);
+    }
+
+    /** Guards against a late heartbeat that takes back a server's departure. */
+    @Property(tries = 100)
+    void newestHeartbeatWinsInAnyOrder(@ForAll long seed) {
+        List<Registration> beats = new ArrayList<>();
+        for (int i = 1; i <= 5; i++) {
+            beats.add(beat(100, i, i == 5));
+            beats.add(beat(90, i + 10, false));
+        }
+        Collections.shuffle(beats, new Random(seed));
+        ServerRegistry registry = ServerRegistry.create();
+        beats.forEach(beat -> registry.offer(0, beat, 0));
+        Registration held = registry.find(ID).registration();
+        assertEquals(100, held.bornMillis());
+        assertEquals(5, held.sequence());
+        assertTrue(held.leaving());
+    }
+
+    /** Guards against gateways that never learn of a change, and against needless traffic. */
+    @Test
+    void changesArePassedOnOnce() {
+        ServerRegistry registry = ServerRegistry.create();
+        registry.offer(0, beat(1, 1, false), 0);
+        long revision = registry.revision();
+        assertEquals(1, registry.changesSince(0, 0).size());
+        registry.offer(1, beat(1, 2, false), 0);
+        assertTrue(registry.changesSince(1, revision).isEmpty());
+        registry.offer(2, beat(1, 3, true), 0);
+        assertTrue(registry.changesSince(2, revision).get(0).isLeaving());
+    }
+
+    /** Guards against relayed entries that keep a dead server alive. */
+    @Test
+    void ageTravelsWithTheEntry() {
+        ServerRegistry first = ServerRegistry.create();
+        first.offer(0, beat(1, 1, false), 0);
+        long laterNanos = TimeUnit.SECONDS.toNanos(5);
+        ServerRegistry second = ServerRegistry.create();
+        second.offerAll(laterNanos, first.changesSince(laterNanos, 0));
+        assertTrue(second.expire(laterNanos).isEmpty());
+        assertEquals(1, second.expire(ServerRegistry.EXPIRY_NANOS).size());
+        assertNull(second.find(ID));
+    }
+
+    /** Guards against a duplicate heartbeat that counts as news. */
+    @Test
+    void sameHeartbeatIsIgnored() {
+        ServerRegistry registry = ServerRegistry.create();
+        assertTrue(registry.offer(0, beat(1, 1, false), 0));
+        assertFalse(registry.offer(0, beat(1, 1, false), 0));
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/ServiceProcess.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/ServiceProcess.java
@@ -50,6 +50,8 @@
         System.setProperty("java.util.logging.manager", LastingLogManager.class.getName());
         ArgumentParser parser =
                 ArgumentParsers.newFor(program)
+                        // Detection would start another process.
+                        .terminalWidthDetection(false)
                         .build()
                         .description("Runs one instance of the hemlockrack router fleet.");
         parser.addArgument("--config").required(true).help("settings file (TOML)");
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -3,14 +3,19 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.hemlockrack.codec.Deflate;
 import org.hemlockrack.consensus.Member;
 import org.hemlockrack.consensus.ProposalStatus;
 import org.hemlockrack.consensus.Role;
+import org.hemlockrack.consensus.VoterChange;
+import org.hemlockrack.consensus.VoterKeeper;
 import org.hemlockrack.control.ControlCommand;
 import org.hemlockrack.control.ControlFacts;
 import org.hemlockrack.control.ControlState;
@@ -47,6 +52,9 @@
     /** Operators give up after a few seconds; then they ask another controller. */
     private static final long PROPOSE_MILLIS = 2_500;
 
+    /** Controllers ask each other four times a second; a silent one is out of reach. */
+    private static final long CONTROLLER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
+
     private final Loop mLoop;
     private final String mSelf;
     private final Dialect mDialect;
@@ -58,6 +66,9 @@
     private final ServerRegistry mRegistry = ServerRegistry.create();
     private final GatewayReports mReports = new GatewayReports();
     private final Map<TrafficMove, Long> mMoveSeenNanos = new HashMap<>();
+    private final VoterKeeper mVoters = VoterKeeper.create();
+    private final Map<InstanceId, Long> mControllersSeenNanos = new HashMap<>();
+    private final AtomicBoolean mChangingVoters = new AtomicBoolean();
     private volatile ControlView mView = ControlView.EMPTY;
     private volatile boolean mPublished;
 
@@ -308,6 +319,8 @@
             long nowNanos = mLoop.nowNanos();
             if (request.isGateway()) {
                 mReports.note(nowNanos, request);
+            } else {
+                mControllersSeenNanos.put(InstanceId.of(request.getSender()), nowNanos);
             }
             long have = request.getRegistryEpoch() == mEpoch ? request.getRegistryRevision() : 0;
             reply.setRegistryEpoch(mEpoch);
@@ -376,6 +389,7 @@
         if (mReplica.role() != Role.LEADER) {
             return;
         }
+        keepVoters();
         for (TrafficMove move : mView.facts().moves().values()) {
             if (move.status() == MoveStatus.IN_PROGRESS) {
                 judge(move);
@@ -383,6 +397,32 @@
         }
     }
 
+    private void keepVoters() {
+        Set<InstanceId> answering = new HashSet<>();
+        long nowNanos = mLoop.nowNanos();
+        synchronized (this) {
+            mControllersSeenNanos.values().removeIf(seen -> nowNanos - seen > CONTROLLER_NANOS);
+            answering.addAll(mControllersSeenNanos.keySet());
+        }
+        answering.add(InstanceId.of(mSelf));
+        mVoters.note(nowNanos, answering);
+        VoterChange change = mVoters.next(nowNanos, mReplica.membership(), answering);
+        if (change == null || mChangingVoters.getAndSet(true)) {
+            return;
+        }
+        mReplica.changeVoters(change)
+                .whenComplete(
+                        (outcome, fault) -> {
+                            mChangingVoters.set(false);
+                            if (outcome != null && outcome.status() == ProposalStatus.APPLIED) {
+                                mLog.state("voters_changed")
+                                        .put("action", change.action().name())
+                                        .put("controller", change.instance().value())
+                                        .write();
+                            }
+                        });
+    }
+
     private void judge(TrafficMove move) {
         Map<String, VersionAnswers> answers;
         synchronized (this) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.hemlockrack.answers.EventCutter;
 import org.hemlockrack.daemon.http.HeaderField;
 import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.HttpClient;
@@ -32,6 +33,8 @@
 
     private volatile @Nullable UpstreamCall mUpstream;
     private volatile boolean mCancelled;
+    private volatile boolean mSent;
+    private final @Nullable EventCutter mEvents;
     private Mode mMode = Mode.WAITING;
     private int mStatus;
     private List<HeaderField> mHeaders = List.of();
@@ -47,13 +50,32 @@
         ENDED
     }
 
-    ForwardAttempt(GatewayExchange exchange, Registration server, Choice choice, long startNanos) {
+    /**
+     * Creates an attempt.
+     *
+     * @param exchange the exchange it belongs to
+     * @param server the server
+     * @param choice why this server
+     * @param startNanos monotonic time
+     * @param events what was passed on of the stream so far, or null if it cannot be resumed
+     */
+    ForwardAttempt(
+            GatewayExchange exchange,
+            Registration server,
+            Choice choice,
+            long startNanos,
+            @Nullable EventCutter events) {
+        mEvents = events;
         mExchange = exchange;
         mServer = server;
         mChoice = choice;
         mStartNanos = startNanos;
     }
 
+    @Nullable EventCutter events() {
+        return mEvents;
+    }
+
     Registration server() {
         return mServer;
     }
@@ -80,11 +102,9 @@
                                 mServer,
                                 mExchange.workspace(),
                                 Math.max(1, mExchange.leftMillis()),
-                                null);
+                                mEvents == null ? null : mEvents.lastId());
         HttpClient client =
-                mExchange.route().allowsRerun() || mExchange.route().streaming()
-                        ? context.client()
-                        : context.singleUseClient();
+                mExchange.route().allowsRerun() ? context.client() : context.singleUseClient();
         UpstreamCall upstream =
                 client.send(
                         mServer.address(),
@@ -109,12 +129,19 @@
 
     @Override
     public boolean onSending() {
-        return !mCancelled && mExchange.onSending(this);
+        mSent = !mCancelled && mExchange.onSending(this);
+        return mSent;
+    }
+
+    /** Returns whether bytes of the request may have gone out. */
+    boolean sent() {
+        return mSent;
     }
 
     @Override
     public void onHead(int status, List<HeaderField> headers, long lengthBytes) {
         mFirstByteNanos = System.nanoTime();
+        mExchange.progressed(this);
         mStatus = status;
         mHeaders = headers;
         ServerFacts facts = mExchange.context().dialect().readAnswer(status, headers);
@@ -131,6 +158,10 @@
             stop(Outcome.BROKEN, "the answer is not signed");
             return;
         }
+        if (resumes()) {
+            resumed(success);
+            return;
+        }
         boolean whole = lengthBytes >= 0 && lengthBytes <= MAX_COLLECTED_BYTES;
         if (whole || !success) {
             mMode = Mode.COLLECT;
@@ -146,6 +177,20 @@
         responder.head(status, headers, lengthBytes);
     }
 
+    private boolean resumes() {
+        return mEvents != null && mExchange.headSent();
+    }
+
+    /** The caller keeps the head of the first server; only events follow. */
+    private void resumed(boolean success) {
+        if (!success) {
+            stop(Outcome.FAILED, "the stream cannot go on: status " + mStatus);
+            return;
+        }
+        mMode = Mode.STREAM;
+        mExchange.responder().onDrain(this::release);
+    }
+
     private void release(int bytes) {
         UpstreamCall upstream = mUpstream;
         if (upstream != null) {
@@ -164,7 +209,7 @@
     public void onBody(ByteBuffer data) {
         int bytes = data.remaining();
         switch (mMode) {
-            case STREAM -> mExchange.responder().write(data);
+            case STREAM -> passOn(data);
             case COLLECT -> {
                 byte[] chunk = new byte[bytes];
                 data.get(chunk);
@@ -178,12 +223,27 @@
         }
     }
 
+    private void passOn(ByteBuffer data) {
+        mExchange.progressed(this);
+        if (mEvents == null) {
+            mExchange.responder().write(data);
+            return;
+        }
+        byte[] whole = mEvents.feed(data);
+        if (whole.length > 0) {
+            mExchange.responder().write(ByteBuffer.wrap(whole));
+        }
+    }
+
     @Override
     public void onEnd() {
         Mode mode = mMode;
         mMode = Mode.ENDED;
         switch (mode) {
             case STREAM -> {
+                if (mEvents != null && mEvents.heldBytes() > 0) {
+                    mExchange.responder().write(ByteBuffer.wrap(mEvents.takeHeld()));
+                }
                 mExchange.responder().end();
                 count(true);
                 mExchange.delivered(this, mStatus, Outcome.SERVED);
@@ -212,14 +272,12 @@
     }
 
     private void count(boolean success) {
-        mExchange
-                .context()
-                .pool()
-                .answered(
-                        mExchange.service(),
-                        mServer.softwareVersion(),
-                        success,
-                        TimeUnit.NANOSECONDS.toMicros(firstByteNanos()));
+        SharedPool pool = mExchange.context().pool();
+        long micros = TimeUnit.NANOSECONDS.toMicros(firstByteNanos());
+        pool.answered(mExchange.service(), mServer.softwareVersion(), success, micros);
+        if (success) {
+            pool.firstByte(mExchange.route(), micros);
+        }
     }
 
     @Override
@@ -232,7 +290,7 @@
         }
         if (mode == Mode.STREAM) {
             count(false);
-            mExchange.cut(this, text);
+            mExchange.cut(this, Outcome.BROKEN, text);
             return;
         }
         if (!mayHaveBeenSent) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
@@ -45,8 +45,13 @@
 
     /** Sends a refusal or failure of this gateway's own. */
     void refuse(Responder responder, ErrorKind kind, String message) {
+        refuse(responder, kind, message, 0);
+    }
+
+    /** Sends a refusal with the time until the cause is expected to be over. */
+    void refuse(Responder responder, ErrorKind kind, String message, long expectedMillis) {
         metrics.count(MetricName.REFUSALS, "kind", kind.name().toLowerCase(Locale.ROOT));
-        long retryMillis = kind.retryable() ? retryMillis() : 0;
+        long retryMillis = kind.retryable() ? expectedMillis + retryMillis() : 0;
         String json = Responder.errorJson(kind, kind.runState(), message, retryMillis).toString();
         HeaderField type = HeaderField.of("Content-Type", "application/json");
         List<HeaderField> headers =
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.hemlockrack.answers.EventCutter;
 import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.dispatch.Choice;
@@ -37,8 +38,11 @@
     private final long mDeadlineNanos;
     private final Set<BackendId> mTried = new HashSet<>();
 
+    private final @Nullable EventCutter mEvents;
+
     private @Nullable ForwardAttempt mAttempt;
     private @Nullable ScheduledFuture<?> mTimer;
+    private long mProgressNanos;
     private int mArrivals;
     private boolean mMayHaveRun;
     private boolean mHeadSent;
@@ -65,6 +69,7 @@
             waitMillis = Math.min(waitMillis, caller.waitMillis());
         }
         mDeadlineNanos = mStartNanos + waitMillis * NANOS_PER_MILLI;
+        mEvents = route.streaming() && route.allowsRerun() ? EventCutter.create() : null;
     }
 
     Route route() {
@@ -122,12 +127,54 @@
                 return;
             }
             mTried.add(choice.server().id());
-            attempt = new ForwardAttempt(this, choice.server(), choice, nowNanos);
+            attempt = new ForwardAttempt(this, choice.server(), choice, nowNanos, mEvents);
             mAttempt = attempt;
+            mProgressNanos = nowNanos;
+            if (mRoute.allowsRerun()) {
+                watch(attempt, mContext.pool().silenceNanos(mRoute));
+            }
         }
         attempt.send();
     }
 
+    /** Looks after a time whether an attempt still makes progress. */
+    private void watch(ForwardAttempt attempt, long silenceNanos) {
+        mContext.loop()
+                .schedule(mProgressNanos + silenceNanos, () -> checkSilence(attempt, silenceNanos));
+    }
+
+    private void checkSilence(ForwardAttempt attempt, long silenceNanos) {
+        synchronized (this) {
+            if (mDone || attempt != mAttempt) {
+                return;
+            }
+            if (System.nanoTime() - mProgressNanos < silenceNanos) {
+                watch(attempt, silenceNanos);
+                return;
+            }
+        }
+        if (!attempt.sent() || !retryAllowed()) {
+            return;
+        }
+        attempt.cancel();
+        String cause = "silent for " + silenceNanos / NANOS_PER_MILLI + " ms";
+        synchronized (this) {
+            mMayHaveRun = true;
+        }
+        ended(attempt, Outcome.SILENT, cause, true);
+    }
+
+    /** Notes that the server of an attempt has sent something. */
+    synchronized void progressed(ForwardAttempt attempt) {
+        if (attempt == mAttempt) {
+            mProgressNanos = System.nanoTime();
+        }
+    }
+
+    synchronized boolean headSent() {
+        return mHeadSent;
+    }
+
     private void refuseFor(Choice choice) {
         if (mMayHaveRun) {
             fail(ErrorKind.BACKEND_FAILED, choice.reason().name());
@@ -251,18 +298,13 @@
                 .write();
     }
 
-    /** Ends the exchange after an answer has begun that cannot be completed. */
-    void cut(ForwardAttempt attempt, String cause) {
-        mContext.pool().finished(System.nanoTime(), attempt.server().id(), Outcome.BROKEN);
-        synchronized (this) {
-            if (mDone) {
-                return;
-            }
-            mDone = true;
-            cancelTimer();
+    /** Ends an attempt whose stream broke off; it goes on elsewhere or the answer is cut. */
+    void cut(ForwardAttempt attempt, Outcome outcome, String cause) {
+        boolean again = mEvents != null && mEvents.resumable() && retryAllowed();
+        if (again) {
+            mEvents.dropHeld();
         }
-        logEnd("answer_cut", attempt.server().id().value(), cause);
-        mResponder.abort();
+        ended(attempt, outcome, cause, again);
     }
 
     private void logEnd(String event, @Nullable String server, String cause) {
@@ -298,16 +340,10 @@
                 return;
             }
             attempt = mAttempt;
-            if (mHeadSent) {
-                mDone = true;
-                mResponder.abort();
-                logEnd("answer_cut", null, "the time limit passed within the answer");
-            } else {
-                boolean sent = mMayHaveRun || mArrivals > 0;
-                fail(
-                        sent ? ErrorKind.BACKEND_TIMEOUT : ErrorKind.DEADLINE_UNREACHABLE,
-                        "the time limit passed");
-            }
+            boolean sent = mMayHaveRun || mArrivals > 0;
+            fail(
+                    sent ? ErrorKind.BACKEND_TIMEOUT : ErrorKind.DEADLINE_UNREACHABLE,
+                    "the time limit passed");
         }
         abandon(attempt);
     }
@@ -319,10 +355,15 @@
         }
     }
 
-    /** Sends a failure of this gateway's own. Called with the lock held. */
+    /** Sends a failure of this gateway's own, or cuts a begun answer. Called with the lock held. */
     private void fail(ErrorKind kind, String cause) {
         mDone = true;
         cancelTimer();
+        if (mHeadSent) {
+            logEnd("answer_cut", null, cause);
+            mResponder.abort();
+            return;
+        }
         logEnd("failed_" + kind.name().toLowerCase(Locale.ROOT), null, cause);
         mContext.refuse(mResponder, kind, cause);
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
@@ -1,5 +1,6 @@
 package org.hemlockrack.daemon.gateway;
 
+import java.util.concurrent.TimeUnit;
 import org.hemlockrack.daemon.http.CallHandler;
 import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.Responder;
@@ -13,6 +14,10 @@
 
 /** Finds the route of each request, checks its key and starts its exchange. */
 final class GatewayHandler implements CallHandler {
+    /** Time in which a gateway that starts together with all controllers learns the table. */
+    private static final long USUAL_START_MILLIS = 3_000;
+
+    private final long mStartNanos = System.nanoTime();
     private final GatewayContext mContext;
     private final FleetFollower mFollower;
 
@@ -56,7 +61,14 @@
                 .put("cause", cause.getMessage())
                 .put("table", mFollower.view().tableVersion())
                 .write();
-        mContext.refuse(responder, kind, String.valueOf(cause.getMessage()));
+        long expectedMillis = mFollower.view().table() == null ? startLeftMillis() : 0;
+        mContext.refuse(responder, kind, String.valueOf(cause.getMessage()), expectedMillis);
+    }
+
+    /** Without a table this gateway has just started, most likely together with the controllers. */
+    private long startLeftMillis() {
+        long upMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mStartNanos);
+        return Math.max(0, USUAL_START_MILLIS - upMillis);
     }
 
     private static Route routeOf(RouteTable table, HttpCall call, CallerFacts caller) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -24,8 +24,8 @@
 
 /** One running gateway. */
 public final class GatewayInstance implements ServiceProcess.Instance, AutoCloseable {
-    /** Links between the zones take a few ms, so a longer wait means that nobody answers. */
-    private static final long CONNECT_TIMEOUT_MILLIS = 500;
+    /** Links take a few ms, and TCP repeats a lost opening packet only after a second. */
+    private static final long CONNECT_TIMEOUT_MILLIS = 250;
 
     /** The time limits of routes end a silent exchange earlier. */
     private static final long UPSTREAM_IDLE_MILLIS = 120_000;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/SharedPool.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/SharedPool.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.hemlockrack.control.ControlFacts;
 import org.hemlockrack.dispatch.Choice;
 import org.hemlockrack.dispatch.Demand;
@@ -14,6 +15,7 @@
 import org.hemlockrack.registry.ServerRegistry;
 import org.hemlockrack.retry.RetryBudget;
 import org.hemlockrack.retry.RetryBudgetSettings;
+import org.hemlockrack.routing.Route;
 import org.hemlockrack.routing.RouteTable;
 import org.hemlockrack.wire.LoadData;
 import org.hemlockrack.wire.ServerData;
@@ -25,6 +27,23 @@
     /** Part of the fleet's retry allowance that is used; gateways get uneven shares of traffic. */
     private static final double BUDGET_SHARE = 0.6;
 
+    /** Shortest silence after which a server is given up; several times a usual answer. */
+    private static final double MIN_SILENCE_MILLIS = 800;
+
+    /**
+     * Multiple of the usual time to the first byte, and of the longest pause, that is tolerated.
+     */
+    private static final double SILENCE_FACTOR = 4;
+
+    /** Multiple of the latency objective that is tolerated. */
+    private static final double TARGET_FACTOR = 2;
+
+    /** Weight of one answer in the usual time to the first byte. */
+    private static final double LATENCY_WEIGHT = 0.05;
+
+    private static final double MICROS_PER_MILLI = 1_000;
+
+    private final Map<String, Double> mFirstByte = new HashMap<>();
     private final ServerRegistry mRegistry = ServerRegistry.create();
     private final ServerPool mPool;
     private final RetryLimits mLimits;
@@ -95,6 +114,25 @@
         return mCounts.values().stream().map(VersionCountsData::new).toList();
     }
 
+    /** Returns how long a server may be silent before another one is asked. */
+    synchronized long silenceNanos(Route route) {
+        double usualMicros = mFirstByte.getOrDefault(route.name(), 0.0);
+        double patientMillis =
+                Math.max(
+                        MIN_SILENCE_MILLIS,
+                        Math.max(
+                                SILENCE_FACTOR * usualMicros / MICROS_PER_MILLI,
+                                Math.max(
+                                        TARGET_FACTOR * route.targetLatencyMillis(),
+                                        SILENCE_FACTOR * route.targetGapMillis())));
+        return TimeUnit.MILLISECONDS.toNanos((long) patientMillis);
+    }
+
+    synchronized void firstByte(Route route, long micros) {
+        mFirstByte.merge(
+                route.name(), (double) micros, (old, now) -> old + LATENCY_WEIGHT * (now - old));
+    }
+
     synchronized Map<BackendId, Integer> ownLoad() {
         return mPool.ownLoad();
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -118,6 +119,7 @@
             faults.add(name + ": " + unknown + " is not a known key");
         }
         checkTls(name, values, faults);
+        checkPorts(name, values, faults);
         if (!faults.isEmpty()) {
             throw HemlockrackException.of(
                     ErrorKind.SETTINGS_INVALID, String.join(System.lineSeparator(), faults));
@@ -125,6 +127,25 @@
         return new Settings(values);
     }
 
+    /** Two ports on one address would let only the first of them open. */
+    private static void checkPorts(
+            String name, Map<SettingKey, JsonNode> values, List<String> faults) {
+        Map<String, SettingKey> taken = new HashMap<>();
+        for (Map.Entry<SettingKey, JsonNode> entry : values.entrySet()) {
+            String address = entry.getValue().asText();
+            if (entry.getKey().type() != SettingType.ADDRESS || address.endsWith(":0")) {
+                continue;
+            }
+            SettingKey other = taken.putIfAbsent(address, entry.getKey());
+            if (other != null) {
+                faults.add(
+                        String.format(
+                                "%s: %s and %s are both %s",
+                                name, other.path(), entry.getKey().path(), address));
+            }
+        }
+    }
+
     private static void checkTls(
             String name, Map<SettingKey, JsonNode> values, List<String> faults) {
         JsonNode mode = values.get(SettingKey.TLS_MODE);
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/settings/SettingsTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/settings/SettingsTest.java
@@ -55,6 +55,37 @@
         assertEquals(4, text.lines().count());
     }
 
+    /** Guards against two ports of which only the first can open. */
+    @Test
+    void portsNeedAddressesOfTheirOwn() {
+        String faulty = VALID.replace("127.0.0.1:8083", "127.0.0.1:8082");
+        HemlockrackException e =
+                assertThrows(HemlockrackException.class, () -> Settings.parse("x.toml", faulty));
+        String text = String.valueOf(e.getMessage());
+        assertTrue(text.contains("listen.operators and listen.peer are both"), text);
+    }
+
+    /** Guards against a role that asks for ports which it does not open. */
+    @Test
+    void rolesNeedTheirOwnKeysOnly() {
+        String gateway =
+                VALID.replace("zone = \"a\"", "zone = \"a\"\nrole = \"gateway\"")
+                        .replace("internal = \"127.0.0.1:8081\"\n", "")
+                        .replace("peer = \"127.0.0.1:8083\"\n", "");
+        assertEquals("gateway", Settings.parse("x", gateway).text(SettingKey.INSTANCE_ROLE));
+        String full = gateway.replace("\"gateway\"", "\"full\"");
+        HemlockrackException e =
+                assertThrows(HemlockrackException.class, () -> Settings.parse("x", full));
+        assertEquals(2, String.valueOf(e.getMessage()).lines().count());
+    }
+
+    /** Guards against controllers that are looked for on their control port. */
+    @Test
+    void controllerPeersUseThePeerPort() {
+        String text = VALID + "[fleet]\ncontrollers = [\"10.0.0.1:80\"]\npeer_port = 7000";
+        assertEquals("[10.0.0.1:7000]", Settings.parse("x", text).controllerPeers().toString());
+    }
+
     /** Guards against TLS that is asked for and cannot start. */
     @Test
     void tlsNeedsAllItsFiles() {
