--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Main.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Main.java
@@ -52,6 +52,7 @@
         add(rollout, "rollout stop", new RolloutStopCommand());
         Subparsers report = group(top, "report", "print reports");
         add(report, "report burn", new ReportBurnCommand());
+        add(top, "explain", new ExplainCommand());
     }
 
     private static Subparsers group(Subparsers top, String name, String help) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/Choice.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/Choice.java
@@ -14,6 +14,8 @@
 public record Choice(@Nullable Registration server, Reason reason, int load, int candidates) {
     /** Reasons of a choice. */
     public enum Reason {
+        /** A server that has read the prompt parts lately. */
+        CACHED,
         /** The first server in the ranking of the prompt parts. */
         AFFINITY,
         /** A server further down in that ranking, because earlier ones carry too much. */
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -17,6 +17,7 @@
 import org.hemlockrack.registry.Registration;
 import org.hemlockrack.routing.RouteTable;
 import org.hemlockrack.routing.ServiceSpec;
+import org.hemlockrack.wire.PrefixUseData;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -24,6 +25,9 @@
  * is monotonic and passed in.
  */
 public final class ServerPool {
+    /** Prefix uses that wait to be told to a controller. */
+    private static final int MAX_USES = 2_048;
+
     /** Load up to this multiple of the mean does not move a request from its first choice. */
     private static final double AFFINITY_BOUND = 1.5;
 
@@ -48,6 +52,8 @@
     private final ZoneId mHome;
     private final RandomGenerator mRandom;
     private final Map<BackendId, ServerSlot> mSlots = new HashMap<>();
+    private final PrefixDirectory mPrefixes = PrefixDirectory.create();
+    private final PrefixUses mUses = PrefixUses.of(MAX_USES);
     private Map<ServiceId, List<ServerSlot>> mByService = new HashMap<>();
     private ControlFacts mFacts = ControlFacts.NONE;
     private Map<ServiceId, ServiceSpec> mSpecs = Map.of();
@@ -100,7 +106,9 @@
                 slot.mServer = server;
             }
         }
-        mSlots.keySet().retainAll(present);
+        if (mSlots.keySet().retainAll(present)) {
+            mPrefixes.retain(present);
+        }
         mByService = new HashMap<>();
         for (ServerSlot slot : mSlots.values()) {
             ServiceId service = slot.mServer.registration().service();
@@ -180,8 +188,13 @@
         }
         usable = healthy(nowNanos, usable);
         Choice choice =
-                demand.affinityKey() == 0 ? leastLoaded(usable) : byAffinity(usable, demand);
+                demand.affinityKey() == 0
+                        ? leastLoaded(usable)
+                        : byAffinity(nowNanos, usable, demand);
         take(nowNanos, choice);
+        if (demand.affinityKey() != 0) {
+            used(nowNanos, demand.affinityKey(), choice.server().id());
+        }
         return choice;
     }
 
@@ -285,11 +298,38 @@
         return chosen(best, Choice.Reason.LEAST_LOAD, slots.size());
     }
 
-    private Choice byAffinity(List<ServerSlot> slots, Demand demand) {
+    private void used(long nowNanos, long prefixHash, BackendId server) {
+        if (mPrefixes.note(nowNanos, prefixHash, server)) {
+            mUses.add(new PrefixUseData(prefixHash, server.value()));
+        }
+    }
+
+    /**
+     * Notes prefix uses of other gateways.
+     *
+     * @param nowNanos monotonic time
+     * @param uses the uses
+     */
+    public void learn(long nowNanos, List<PrefixUseData> uses) {
+        for (PrefixUseData use : uses) {
+            mPrefixes.note(nowNanos, use.getPrefixHash(), BackendId.of(use.getServer()));
+        }
+    }
+
+    /** Returns the prefix uses of this gateway. */
+    public PrefixUses uses() {
+        return mUses;
+    }
+
+    private Choice byAffinity(long nowNanos, List<ServerSlot> slots, Demand demand) {
         long key = demand.affinityKey();
         double bound = meanLoad(demand.service()) * AFFINITY_BOUND + AFFINITY_SLACK;
         List<ServerSlot> ranked = new ArrayList<>(slots);
         ranked.sort((a, b) -> Long.compareUnsigned(rank(b, key), rank(a, key)));
+        ServerSlot holder = holder(nowNanos, ranked, key, bound);
+        if (holder != null) {
+            return chosen(holder, Choice.Reason.CACHED, slots.size());
+        }
         for (ServerSlot slot : ranked) {
             if (slot.load() < bound) {
                 Choice.Reason reason =
@@ -300,6 +340,18 @@
         return leastLoaded(slots);
     }
 
+    /** Returns the first server of the ranking that has read the parts and has room, or null. */
+    private @Nullable ServerSlot holder(
+            long nowNanos, List<ServerSlot> ranked, long key, double bound) {
+        List<BackendId> holders = mPrefixes.holders(nowNanos, key);
+        for (ServerSlot slot : ranked) {
+            if (holders.contains(slot.mServer.registration().id()) && slot.load() < bound) {
+                return slot;
+            }
+        }
+        return null;
+    }
+
     /** Servers that get nothing now, such as those of an evacuated zone, count with their load. */
     private double meanLoad(ServiceId service) {
         List<ServerSlot> all = mByService.getOrDefault(service, List.of());
--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/PrefixDirectoryTest.java
@@ -0,0 +1,53 @@
+package org.hemlockrack.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.wire.PrefixUseData;
+import org.junit.jupiter.api.Test;
+
+class PrefixDirectoryTest {
+    private static final BackendId A = BackendId.of("a");
+    private static final BackendId B = BackendId.of("b");
+
+    /** Guards against control traffic for what everybody knows. */
+    @Test
+    void repeatedUseIsNoNews() {
+        PrefixDirectory directory = PrefixDirectory.create();
+        assertTrue(directory.note(0, 1, A));
+        assertFalse(directory.note(TimeUnit.SECONDS.toNanos(9), 1, A));
+        assertTrue(directory.note(TimeUnit.SECONDS.toNanos(10), 1, A));
+    }
+
+    /** Guards against a server that is asked for what its memory lost long ago. */
+    @Test
+    void oldUsesAreForgotten() {
+        PrefixDirectory directory = PrefixDirectory.create();
+        directory.note(0, 1, A);
+        directory.note(TimeUnit.SECONDS.toNanos(60), 1, B);
+        assertEquals(List.of(A, B), directory.holders(TimeUnit.SECONDS.toNanos(61), 1));
+        assertEquals(List.of(B), directory.holders(TimeUnit.SECONDS.toNanos(121), 1));
+        directory.retain(Set.of(A));
+        assertEquals(List.of(), directory.holders(TimeUnit.SECONDS.toNanos(121), 1));
+    }
+
+    /** Guards against a reader that fell behind and reads overwritten places. */
+    @Test
+    void ringDropsTheOldest() {
+        PrefixUses uses = PrefixUses.of(3);
+        for (int i = 0; i < 5; i++) {
+            uses.add(new PrefixUseData(i, "a"));
+        }
+        assertEquals(
+                List.of(2L, 3L, 4L),
+                uses.since(0).stream().map(PrefixUseData::getPrefixHash).toList());
+        assertEquals(1, uses.since(4).size());
+        assertEquals(0, uses.since(5).size());
+        assertEquals(3, uses.since(99).size());
+    }
+}
--- a/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/ServerPoolTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/ServerPoolTest.java
@@ -23,6 +23,7 @@
 import org.hemlockrack.registry.Registration;
 import org.hemlockrack.routing.RouteTable;
 import org.hemlockrack.routing.ServiceSpec;
+import org.hemlockrack.wire.PrefixUseData;
 import org.junit.jupiter.api.Test;
 
 class ServerPoolTest {
@@ -182,6 +183,42 @@
         }
     }
 
+    /** Scale-out: guards against prompts that are read again because servers have joined. */
+    @Test
+    void joiningServersTakeNoCachedPrompts() {
+        fleet(4);
+        Map<Long, BackendId> before = new HashMap<>();
+        for (long key = 1; key <= 50; key++) {
+            BackendId id = choose(0, key);
+            before.put(key, id);
+            mPool.finished(0, id, Outcome.SERVED);
+        }
+        for (int i = 5; i <= 8; i++) {
+            add(i, "a", "v1", 0);
+        }
+        update(ControlFacts.NONE);
+        for (long key = 1; key <= 50; key++) {
+            BackendId id = choose(SECOND, key);
+            assertEquals(before.get(key), id);
+            mPool.finished(SECOND, id, Outcome.SERVED);
+        }
+    }
+
+    /** Evacuation under load: guards against a copy that only the gateway that made it uses. */
+    @Test
+    void usesOfOtherGatewaysCount() {
+        fleet(8);
+        BackendId first = choose(0, 77);
+        mPool.finished(0, first, Outcome.SERVED);
+        ServerPool other = ServerPool.create(HOME, new SplittableRandom(2));
+        ServiceSpec spec = new ServiceSpec(SERVICE, 600, 0, SLOTS);
+        RouteTable table = RouteTable.of(1, List.of(), List.of(spec), null);
+        other.update(0, mServers, ControlFacts.NONE, table);
+        BackendId copy = BackendId.of(first.equals(BackendId.of("i-1")) ? "i-2" : "i-1");
+        other.learn(0, List.of(new PrefixUseData(77, copy.value())));
+        assertEquals(copy, other.choose(0, demand(77, 0.5)).server().id());
+    }
+
     /** Roll-out: guards against more requests for a new version than its share. */
     @Test
     void newVersionGetsItsShare() {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -30,6 +30,8 @@
 import org.hemlockrack.daemon.replica.Proposer;
 import org.hemlockrack.daemon.replica.ReplicaService;
 import org.hemlockrack.daemon.sync.ControllerLink;
+import org.hemlockrack.dispatch.PrefixDirectory;
+import org.hemlockrack.dispatch.PrefixUses;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.BackendId;
@@ -40,6 +42,7 @@
 import org.hemlockrack.registry.Registration;
 import org.hemlockrack.registry.ServerRegistry;
 import org.hemlockrack.routing.RouteTable;
+import org.hemlockrack.wire.PrefixUseData;
 import org.hemlockrack.wire.SyncReply;
 import org.hemlockrack.wire.SyncRequest;
 import org.jspecify.annotations.Nullable;
@@ -52,6 +55,9 @@
     /** Operators give up after a few seconds; then they ask another controller. */
     private static final long PROPOSE_MILLIS = 2_500;
 
+    /** Prefix uses that a gateway can catch up on; at 400 news a second this is 10 s. */
+    private static final int MAX_PREFIX_USES = 4_096;
+
     /** Controllers ask each other four times a second; a silent one is out of reach. */
     private static final long CONTROLLER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
 
@@ -64,6 +70,8 @@
     private final DecisionLog mLog;
     private final long mEpoch;
     private final ServerRegistry mRegistry = ServerRegistry.create();
+    private final PrefixDirectory mPrefixes = PrefixDirectory.create();
+    private final PrefixUses mUses = PrefixUses.of(MAX_PREFIX_USES);
     private final GatewayReports mReports = new GatewayReports();
     private final Map<TrafficMove, Long> mMoveSeenNanos = new HashMap<>();
     private final VoterKeeper mVoters = VoterKeeper.create();
@@ -322,7 +330,9 @@
             } else {
                 mControllersSeenNanos.put(InstanceId.of(request.getSender()), nowNanos);
             }
-            long have = request.getRegistryEpoch() == mEpoch ? request.getRegistryRevision() : 0;
+            boolean known = request.getRegistryEpoch() == mEpoch;
+            answerPrefixes(nowNanos, known, request, reply);
+            long have = known ? request.getRegistryRevision() : 0;
             reply.setRegistryEpoch(mEpoch);
             reply.setRegistryRevision(mRegistry.revision());
             reply.setServers(mRegistry.changesSince(nowNanos, have));
@@ -333,6 +343,20 @@
         return reply;
     }
 
+    private void answerPrefixes(
+            long nowNanos, boolean known, SyncRequest request, SyncReply reply) {
+        for (PrefixUseData use : request.getPrefixUses()) {
+            BackendId server = BackendId.of(use.getServer());
+            if (mPrefixes.note(nowNanos, use.getPrefixHash(), server)) {
+                mUses.add(use);
+            }
+        }
+        boolean wanted = request.getPrefixPosition() >= 0;
+        long position = known ? request.getPrefixPosition() : 0;
+        reply.setPrefixUses(wanted ? mUses.since(position) : List.of());
+        reply.setPrefixPosition(wanted ? mUses.end() : 0);
+    }
+
     private List<String> controllers() {
         List<String> peers = new ArrayList<>();
         for (Member member : mReplica.membership().members()) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/FleetFollower.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/FleetFollower.java
@@ -16,6 +16,7 @@
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.registry.RegisteredServer;
 import org.hemlockrack.routing.RouteTable;
+import org.hemlockrack.wire.PrefixUseData;
 import org.hemlockrack.wire.SyncReply;
 import org.hemlockrack.wire.SyncRequest;
 import org.jspecify.annotations.Nullable;
@@ -36,6 +37,7 @@
     private final ControllerLinks mLinks;
     private Set<String> mSeeds = Set.of();
     private Set<String> mMembers = Set.of();
+    private String mPrefixSource = "";
 
     private volatile GatewayView mView = GatewayView.EMPTY;
     private volatile long mFreshNanos;
@@ -82,6 +84,25 @@
         return mPool.ownLoad();
     }
 
+    @Override
+    public long prefixUsesEnd() {
+        return mPool.usesEnd();
+    }
+
+    @Override
+    public List<PrefixUseData> prefixUses(long position) {
+        return mPool.usesSince(position);
+    }
+
+    /** Every controller hears of all uses, so one that answers is enough. */
+    @Override
+    public boolean followsPrefixes(String address) {
+        if (mPrefixSource.isEmpty()) {
+            mPrefixSource = address;
+        }
+        return mPrefixSource.equals(address);
+    }
+
     @Override
     public SyncRequest request(Map<BackendId, Integer> ownLoad) {
         GatewayView view = mView;
@@ -101,6 +122,7 @@
         if (!reply.getServers().isEmpty()) {
             mPool.merge(nowNanos, reply.getServers());
         }
+        mPool.learn(nowNanos, reply.getPrefixUses());
         mPool.fleetLoad(reply.getFleetInFlight(), ownAtRequest, reply.getGateways());
         if (!reply.isCaughtUp()) {
             return;
@@ -154,6 +176,9 @@
 
     @Override
     public void reachable(String address, boolean reachable, @Nullable Throwable cause) {
+        if (!reachable && mPrefixSource.equals(address)) {
+            mPrefixSource = "";
+        }
         mLog.state(reachable ? "controller_reached" : "controller_lost")
                 .put("controller", address)
                 .put("cause", cause == null ? "" : String.valueOf(cause.getMessage()))
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -34,6 +34,7 @@
     private final @Nullable String mWorkspace;
     private final ServiceId mService;
     private final double mDraw;
+    private final long mTableVersion;
     private final long mStartNanos;
     private final long mDeadlineNanos;
     private final Set<BackendId> mTried = new HashSet<>();
@@ -54,7 +55,9 @@
             Responder responder,
             CallerFacts caller,
             Route route,
-            @Nullable String workspace) {
+            @Nullable String workspace,
+            long tableVersion) {
+        mTableVersion = tableVersion;
         mContext = context;
         mCall = call;
         mResponder = responder;
@@ -291,6 +294,8 @@
                 .put("server", attempt.server().id().value())
                 .put("why", attempt.choice().reason().name())
                 .put("load", attempt.choice().load())
+                .put("candidates", attempt.choice().candidates())
+                .put("table", mTableVersion)
                 .put("status", status)
                 .put("attempts", mTried.size())
                 .put("first_byte_ms", attempt.firstByteMillis())
@@ -314,6 +319,7 @@
                 .put("workspace", mWorkspace)
                 .put("server", server)
                 .put("cause", cause)
+                .put("table", mTableVersion)
                 .put("attempts", mTried.size())
                 .put("elapsed_ms", elapsedMillis())
                 .write();
@@ -359,12 +365,13 @@
     private void fail(ErrorKind kind, String cause) {
         mDone = true;
         cancelTimer();
+        String server = mAttempt == null ? null : mAttempt.server().id().value();
         if (mHeadSent) {
-            logEnd("answer_cut", null, cause);
+            logEnd("answer_cut", server, cause);
             mResponder.abort();
             return;
         }
-        logEnd("failed_" + kind.name().toLowerCase(Locale.ROOT), null, cause);
+        logEnd("failed_" + kind.name().toLowerCase(Locale.ROOT), server, cause);
         mContext.refuse(mResponder, kind, cause);
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
@@ -29,6 +29,7 @@
     @Override
     public void handle(HttpCall call, Responder responder) {
         CallerFacts caller;
+        RouteTable table = mFollower.view().table();
         Route route;
         WorkspaceKeys workspace;
         try {
@@ -38,7 +39,6 @@
             return;
         }
         try {
-            RouteTable table = mFollower.view().table();
             if (table == null) {
                 throw HemlockrackException.of(ErrorKind.NOT_READY, "no route table is known yet");
             }
@@ -49,7 +49,8 @@
             return;
         }
         String name = workspace == null ? null : workspace.workspace().value();
-        new GatewayExchange(mContext, call, responder, caller, route, name).start();
+        new GatewayExchange(mContext, call, responder, caller, route, name, table.version())
+                .start();
     }
 
     /** A table that may be superseded proves nothing against a request. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/SharedPool.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/SharedPool.java
@@ -18,6 +18,7 @@
 import org.hemlockrack.routing.Route;
 import org.hemlockrack.routing.RouteTable;
 import org.hemlockrack.wire.LoadData;
+import org.hemlockrack.wire.PrefixUseData;
 import org.hemlockrack.wire.ServerData;
 import org.hemlockrack.wire.VersionCountsData;
 import org.jspecify.annotations.Nullable;
@@ -169,6 +170,18 @@
         mPool.fleetLoad(loads, ownAtReport, gateways);
     }
 
+    synchronized void learn(long nowNanos, List<PrefixUseData> uses) {
+        mPool.learn(nowNanos, uses);
+    }
+
+    synchronized long usesEnd() {
+        return mPool.uses().end();
+    }
+
+    synchronized List<PrefixUseData> usesSince(long position) {
+        return mPool.uses().since(position);
+    }
+
     synchronized boolean empty() {
         return mPool.empty();
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
@@ -8,6 +8,7 @@
 import org.hemlockrack.daemon.loop.Loop;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.wire.LoadData;
+import org.hemlockrack.wire.PrefixUseData;
 import org.hemlockrack.wire.SyncReply;
 import org.hemlockrack.wire.SyncRequest;
 import org.jspecify.annotations.Nullable;
@@ -23,6 +24,8 @@
     private final Owner mOwner;
     private long mRegistryEpoch;
     private long mRegistryRevision;
+    private long mPrefixPosition;
+    private long mUsesPosition;
     private boolean mReachable;
     private boolean mStopped;
 
@@ -34,6 +37,21 @@
         /** Returns the requests that this instance has in progress at each server. */
         Map<BackendId, Integer> ownLoad();
 
+        /** Returns the position after the newest prefix use of this instance. */
+        default long prefixUsesEnd() {
+            return 0;
+        }
+
+        /** Returns the prefix uses of this instance from a position on. */
+        default List<PrefixUseData> prefixUses(long position) {
+            return List.of();
+        }
+
+        /** Returns whether this instance learns prefix uses from a controller. */
+        default boolean followsPrefixes(String address) {
+            return false;
+        }
+
         /**
          * Takes a reply.
          *
@@ -89,12 +107,20 @@
         SyncRequest request = mOwner.request(own);
         request.setRegistryEpoch(mRegistryEpoch);
         request.setRegistryRevision(mRegistryRevision);
+        long usesEnd = mOwner.prefixUsesEnd();
+        request.setPrefixUses(mOwner.prefixUses(mUsesPosition));
+        boolean follows = mOwner.followsPrefixes(mAddress);
+        request.setPrefixPosition(follows ? mPrefixPosition : -1);
         mNetwork.ask(mAddress, client -> client.sync(request))
-                .whenComplete((reply, fault) -> mLoop.execute(() -> ended(reply, fault, own)));
+                .whenComplete(
+                        (reply, fault) -> mLoop.execute(() -> ended(reply, fault, own, usesEnd)));
     }
 
     private void ended(
-            @Nullable SyncReply reply, @Nullable Throwable fault, Map<BackendId, Integer> own) {
+            @Nullable SyncReply reply,
+            @Nullable Throwable fault,
+            Map<BackendId, Integer> own,
+            long usesEnd) {
         mLoop.schedule(mLoop.nowNanos() + PERIOD_NANOS, this::exchange);
         if (mReachable != (reply != null)) {
             mReachable = reply != null;
@@ -104,6 +130,9 @@
             return;
         }
         mOwner.replied(mAddress, reply, own);
+        boolean restarted = mRegistryEpoch != reply.getRegistryEpoch();
+        mPrefixPosition = reply.getPrefixPosition();
+        mUsesPosition = restarted && mRegistryEpoch != 0 ? 0 : usesEnd;
         mRegistryEpoch = reply.getRegistryEpoch();
         mRegistryRevision = reply.getRegistryRevision();
     }
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -37,6 +37,12 @@
   5: i64 firstByteMicros
 }
 
+/** A backend server has read the prompt parts with this hash and most likely keeps them cached. */
+struct PrefixUseData {
+  1: i64 prefixHash,
+  2: string server
+}
+
 struct DepartureData {
   1: string server,
   2: i64 bornMillis,
@@ -104,7 +110,11 @@
   5: i64 registryEpoch,
   6: i64 registryRevision,
   7: list<LoadData> inFlight,
-  8: list<VersionCountsData> counts
+  8: list<VersionCountsData> counts,
+  /** Prefix uses since the last request to this receiver. */
+  9: list<PrefixUseData> prefixUses,
+  /** Position in the receiver's list of prefix uses; negative if the caller wants none. */
+  10: i64 prefixPosition
 }
 
 struct SyncReply {
@@ -121,5 +131,7 @@
   9: list<LoadData> fleetInFlight,
   10: i32 gateways,
   /** Peer addresses of the replicas of the control state. */
-  11: list<string> controllers
+  11: list<string> controllers,
+  12: list<PrefixUseData> prefixUses,
+  13: i64 prefixPosition
 }
