--- /dev/null
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/log/DecisionLogTest.java
@@ -0,0 +1,65 @@
+package org.hemlockrack.daemon.log;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+class DecisionLogTest {
+    /** An output whose reader has stopped until it is released. */
+    private static final class Stalled extends OutputStream {
+        final CountDownLatch mReleased = new CountDownLatch(1);
+        final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
+
+        @Override
+        public void write(int b) throws IOException {
+            write(new byte[] {(byte) b}, 0, 1);
+        }
+
+        @Override
+        public void write(byte[] bytes, int offset, int length) throws IOException {
+            try {
+                mReleased.await();
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+            mBytes.write(bytes, offset, length);
+        }
+    }
+
+    /** Guards against requests that wait for whoever reads the log. */
+    @Test
+    void stalledReaderDelaysNobodyAndDropsAreCounted() {
+        Stalled out = new Stalled();
+        DecisionLog log = DecisionLog.open("i", out);
+        int lines = 10_000;
+        for (int i = 0; i < lines; i++) {
+            log.request("answered", "r" + i).put("status", 200).write();
+        }
+        assertTrue(log.dropped() > 0, "nothing was dropped");
+        out.mReleased.countDown();
+        log.close();
+        String text = out.mBytes.toString(StandardCharsets.UTF_8);
+        long written = text.lines().filter(line -> line.contains("\"answered\"")).count();
+        assertEquals(lines, written + log.dropped(), 1);
+        assertTrue(text.contains("log_lines_dropped"), "the drops are not reported");
+    }
+
+    /** Guards against a log that grows with the ordinary load. */
+    @Test
+    void ordinaryRequestsAreSampled() {
+        DecisionLog log = DecisionLog.open("i", OutputStream.nullOutputStream());
+        int sampled = 0;
+        for (int i = 0; i < 1_600; i++) {
+            sampled += log.sampled() ? 1 : 0;
+        }
+        assertEquals(100, sampled);
+        assertEquals(1_500, log.unsampled());
+        log.close();
+    }
+}
