--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PromptHash.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PromptHash.java
@@ -42,10 +42,7 @@
         return (of(text) >>> 11) * 0x1.0p-53;
     }
 
-    static long mix(long value) {
-        long z = value;
-        z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
-        z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
-        return z ^ (z >>> 31);
+    static long combine(long first, long second) {
+        return Hashing.murmur3_128().newHasher().putLong(first).putLong(second).hash().asLong();
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.hemlockrack.control.ControlFacts;
 import org.hemlockrack.control.TrafficMove;
@@ -101,7 +102,8 @@
             ServerSlot slot = mSlots.get(registration.id());
             if (slot == null
                     || slot.mServer.registration().bornMillis() != registration.bornMillis()) {
-                mSlots.put(registration.id(), new ServerSlot(server, nowNanos));
+                mSlots.put(
+                        registration.id(), new ServerSlot(server, nowNanos, mRandom.nextDouble()));
             } else {
                 slot.mServer = server;
             }
@@ -324,8 +326,7 @@
     private Choice byAffinity(long nowNanos, List<ServerSlot> slots, Demand demand) {
         long key = demand.affinityKey();
         double bound = meanLoad(demand.service()) * AFFINITY_BOUND + AFFINITY_SLACK;
-        List<ServerSlot> ranked = new ArrayList<>(slots);
-        ranked.sort((a, b) -> Long.compareUnsigned(rank(b, key), rank(a, key)));
+        List<ServerSlot> ranked = ranked(slots, key);
         ServerSlot holder = holder(nowNanos, ranked, key, bound);
         if (holder != null) {
             return chosen(holder, Choice.Reason.CACHED, slots.size());
@@ -362,8 +363,13 @@
         return (double) total / Math.max(1, all.size());
     }
 
-    private static long rank(ServerSlot slot, long key) {
-        return PromptHash.mix(key ^ PromptHash.of(slot.mServer.registration().id().value()));
+    /** Rendezvous hashing: all gateways rank the servers alike, and a change moves few keys. */
+    private static List<ServerSlot> ranked(List<ServerSlot> slots, long key) {
+        TreeMap<Long, ServerSlot> byRank = new TreeMap<>();
+        for (ServerSlot slot : slots) {
+            byRank.put(PromptHash.combine(key, slot.idHash()), slot);
+        }
+        return new ArrayList<>(byRank.values());
     }
 
     private static Choice chosen(ServerSlot slot, Choice.Reason reason, int candidates) {
@@ -374,7 +380,7 @@
         ServerSlot slot = mSlots.get(choice.server().id());
         slot.mOwn++;
         if (slot.mServer.cold(nowNanos)) {
-            slot.takeColdToken();
+            slot.takeColdTurn();
         }
     }
 
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerSlot.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerSlot.java
@@ -17,8 +17,16 @@
     /** Outcomes that are assumed to be good, so that one failure does not condemn a server. */
     private static final double PRIOR_OUTCOMES = 4;
 
+    /**
+     * A turn at a cold server lapses after this time. Unused turns of many gateways would otherwise
+     * add up to a burst.
+     */
+    private static final long COLD_TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
+    private final long mIdHash;
+
     RegisteredServer mServer;
     int mOwn;
     int mFleet;
@@ -29,14 +37,24 @@
     private double mFailures;
     private double mOutcomes;
     private long mHealthNanos;
-    private double mColdTokens = 1;
-    private long mColdNanos;
-
-    ServerSlot(RegisteredServer server, long nowNanos) {
+    private final double mColdPhase;
+    private boolean mColdStarted;
+    private long mColdTurnNanos;
+    private long mColdIntervalNanos;
+
+    /**
+     * Creates a slot.
+     *
+     * @param server the server
+     * @param nowNanos monotonic time
+     * @param coldPhase number from 0 to below 1 that spreads the turns of the gateways
+     */
+    ServerSlot(RegisteredServer server, long nowNanos, double coldPhase) {
+        mColdPhase = coldPhase;
         mServer = server;
+        mIdHash = PromptHash.of(server.registration().id().value());
         mSuspendedUntilNanos = nowNanos;
         mHealthNanos = nowNanos;
-        mColdNanos = nowNanos;
     }
 
     /** Requests of the whole fleet in progress here, as far as this gateway can know. */
@@ -44,6 +62,10 @@
         return Math.max(mOwn, mFleet - mOwnAtReport + mOwn);
     }
 
+    long idHash() {
+        return mIdHash;
+    }
+
     int slots() {
         return Math.max(1, mServer.registration().slots());
     }
@@ -85,13 +107,22 @@
 
     /** Returns whether the cold limit leaves room for one request now. */
     boolean coldRoom(long nowNanos, double perSecond) {
-        double gained = (nowNanos - mColdNanos) / NANOS_PER_SECOND * perSecond;
-        mColdTokens = Math.min(1, mColdTokens + gained);
-        mColdNanos = nowNanos;
-        return mColdTokens >= 1;
+        long intervalNanos = (long) (NANOS_PER_SECOND / perSecond);
+        long validNanos = Math.min(intervalNanos, COLD_TURN_NANOS);
+        if (!mColdStarted) {
+            mColdStarted = true;
+            mColdTurnNanos = nowNanos + (long) (mColdPhase * intervalNanos) - validNanos;
+        }
+        long missedNanos = nowNanos - validNanos - mColdTurnNanos;
+        if (missedNanos > 0) {
+            long turns = (missedNanos + intervalNanos - 1) / intervalNanos;
+            mColdTurnNanos += turns * intervalNanos;
+        }
+        mColdIntervalNanos = intervalNanos;
+        return nowNanos - mColdTurnNanos >= 0;
     }
 
-    void takeColdToken() {
-        mColdTokens--;
+    void takeColdTurn() {
+        mColdTurnNanos += mColdIntervalNanos;
     }
 }
--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/control/DurableVersionsTest.java
@@ -0,0 +1,29 @@
+package org.hemlockrack.control;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class DurableVersionsTest {
+    /** Guards against an older table in force after all controllers were killed. */
+    @Test
+    void oneVoterIsNotEnough() {
+        DurableVersions versions = DurableVersions.create();
+        versions.note("a", 7);
+        assertFalse(versions.isNewestOfMajority(7, 3));
+        versions.note("b", 8);
+        assertFalse(versions.isNewestOfMajority(7, 3));
+        assertTrue(versions.isNewestOfMajority(8, 3));
+    }
+
+    /** Guards against reports of one voter that count twice. */
+    @Test
+    void repeatedReportsCountOnce() {
+        DurableVersions versions = DurableVersions.create();
+        versions.note("a", 7);
+        versions.note("a", 7);
+        assertFalse(versions.isNewestOfMajority(7, 3));
+        assertFalse(versions.isNewestOfMajority(7, 0));
+    }
+}
--- a/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/ServerPoolTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/ServerPoolTest.java
@@ -155,6 +155,38 @@
         assertTrue(granted >= limit / 2, granted + " of " + limit + " in 4 s");
     }
 
+    /** Cold return: guards against many gateways whose unused turns add up to a burst. */
+    @Test
+    void manyGatewaysStayWithinTheColdLimit() {
+        int gateways = 84;
+        add(1, "a", "v1", 60 * SECOND);
+        ServiceSpec spec = new ServiceSpec(SERVICE, 600, COLD_PER_SECOND, SLOTS);
+        RouteTable table = RouteTable.of(1, List.of(), List.of(spec), null);
+        List<ServerPool> pools = new ArrayList<>();
+        for (int i = 0; i < gateways; i++) {
+            ServerPool pool = ServerPool.create(HOME, new SplittableRandom(i));
+            pool.update(0, mServers, ControlFacts.NONE, table);
+            pool.fleetLoad(Map.of(), Map.of(), gateways);
+            pools.add(pool);
+        }
+        int most = 0;
+        for (long start = 5 * SECOND; start < 15 * SECOND; start += SECOND) {
+            int granted = 0;
+            for (long now = start; now < start + SECOND; now += SECOND / 20) {
+                for (ServerPool pool : pools) {
+                    Choice choice = pool.choose(now, demand(0, 0.5));
+                    if (choice.server() != null) {
+                        granted++;
+                        pool.finished(now, choice.server().id(), Outcome.SERVED);
+                    }
+                }
+            }
+            most = Math.max(most, granted);
+        }
+        double allowed = COLD_PER_SECOND * 1.5 + 5;
+        assertTrue(most <= allowed, most + " in a second, " + allowed + " are allowed");
+    }
+
     /** Lost zone: guards against requests that each wait for a connection to a dead server. */
     @Test
     void unreachableServerIsLeftOut() {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -13,10 +13,14 @@
 import java.util.SplittableRandom;
 import org.hemlockrack.consensus.ConsensusCodec;
 import org.hemlockrack.consensus.ConsensusSettings;
+import org.hemlockrack.consensus.Entry;
+import org.hemlockrack.consensus.EntryKind;
 import org.hemlockrack.consensus.LogStore;
 import org.hemlockrack.consensus.Member;
 import org.hemlockrack.consensus.Packet;
+import org.hemlockrack.consensus.Recovered;
 import org.hemlockrack.consensus.ReplicaNode;
+import org.hemlockrack.consensus.SnapshotMeta;
 import org.hemlockrack.control.ControlState;
 import org.hemlockrack.daemon.ServiceProcess;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
@@ -70,6 +74,7 @@
     private final ControllerService mService;
     private final ControllerLinks mLinks;
     private volatile List<String> mSeeds;
+    private ControlState mDurable = ControlState.create();
     private volatile boolean mStarted;
 
     private ControllerInstance(
@@ -99,9 +104,10 @@
                         dialect,
                         proposer,
                         mReplica,
-                        (int) settings.integer(SettingKey.FLEET_PEER_PORT),
+                        this::addressOf,
                         mLog,
                         random.nextLong());
+        mService.offerDurable(mDurable);
         mLinks = ControllerLinks.create(mLoop, mNetwork, mService);
         mStarted = true;
         PeerServer peers =
@@ -139,6 +145,7 @@
                     ErrorKind.SETTINGS_INVALID, "a controller needs voter.data_folder");
         }
         LogStore store = openStore(folder, random);
+        mDurable = durableState(store);
         ReplicaNode node =
                 ReplicaNode.start(
                         ConsensusSettings.of(mSettings.instanceId(), listed()),
@@ -156,6 +163,23 @@
                 () -> published(state));
     }
 
+    /** Returns the state with everything that the local disk holds, committed or not. */
+    private static ControlState durableState(LogStore store) {
+        ControlState state = ControlState.create();
+        Recovered recovered = store.recovered();
+        SnapshotMeta snapshot = recovered.snapshot();
+        if (snapshot != null) {
+            state.restore(store.loadSnapshot());
+        }
+        long doneIndex = snapshot == null ? 0 : snapshot.index();
+        for (Entry entry : recovered.entries()) {
+            if (entry.kind() == EntryKind.COMMAND && entry.index() > doneIndex) {
+                state.apply(entry.index(), entry.leaderTimeMillis(), entry.data());
+            }
+        }
+        return state;
+    }
+
     private void published(ControlState state) {
         if (mStarted) {
             mService.publish(state);
@@ -206,7 +230,7 @@
     }
 
     private String addressOf(InstanceId controller) {
-        return controller.value() + ":" + mSettings.integer(SettingKey.FLEET_PEER_PORT);
+        return mSettings.controllerPeer(controller.value());
     }
 
     private Map<InstanceId, String> voterAddresses() {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
 import org.hemlockrack.codec.Deflate;
 import org.hemlockrack.consensus.Member;
 import org.hemlockrack.consensus.ProposalStatus;
@@ -66,7 +67,7 @@
     private final Dialect mDialect;
     private final Proposer mProposer;
     private final ReplicaService mReplica;
-    private final int mPeerPort;
+    private final Function<InstanceId, String> mPeerAddresses;
     private final DecisionLog mLog;
     private final long mEpoch;
     private final ServerRegistry mRegistry = ServerRegistry.create();
@@ -86,7 +87,7 @@
             Dialect dialect,
             Proposer proposer,
             ReplicaService replica,
-            int peerPort,
+            Function<InstanceId, String> peerAddresses,
             DecisionLog log,
             long epoch) {
         mLoop = loop;
@@ -94,24 +95,23 @@
         mDialect = dialect;
         mProposer = proposer;
         mReplica = replica;
-        mPeerPort = peerPort;
+        mPeerAddresses = peerAddresses;
         mLog = log;
         mEpoch = epoch;
     }
 
     /** Takes over what the log has committed. Called on the loop of the log. */
     void publish(ControlState state) {
-        ControlView view = mView;
-        mPublished = true;
-        if (state.revision() == view.revision()) {
-            return;
+        boolean first = !mPublished;
+        synchronized (this) {
+            ControlView view = mView;
+            mPublished = true;
+            if (!first && state.revision() == view.revision()) {
+                return;
+            }
+            mView = viewOf(state, view);
         }
-        byte[] table =
-                state.tableVersion() == view.tableVersion()
-                        ? view.deflatedTable()
-                        : Deflate.deflate(state.tableDocument());
         ControlFacts facts = state.facts();
-        mView = new ControlView(state.revision(), state.tableVersion(), table, facts);
         mLog.state("control_state")
                 .put("revision", state.revision())
                 .put("table", state.tableVersion())
@@ -120,6 +120,27 @@
                 .write();
     }
 
+    private static ControlView viewOf(ControlState state, ControlView known) {
+        byte[] table =
+                state.tableVersion() == known.tableVersion()
+                        ? known.deflatedTable()
+                        : Deflate.deflate(state.tableDocument());
+        return new ControlView(state.revision(), state.tableVersion(), table, state.facts());
+    }
+
+    /**
+     * Shows the state on the local disk until the log has caught up. Called once, at the start.
+     *
+     * @param state what the disk holds, committed or not
+     */
+    void offerDurable(ControlState state) {
+        synchronized (this) {
+            if (!mPublished) {
+                mView = viewOf(state, mView);
+            }
+        }
+    }
+
     /** Returns whether the state held here is as new as a controller can know without asking. */
     private boolean caughtUp() {
         return mPublished && mReplica.leader() != null;
@@ -323,6 +344,7 @@
             reply.setTableDocument(ByteBuffer.wrap(view.deflatedTable()));
         }
         reply.setControllers(controllers());
+        reply.setVoters(mReplica.membership().voters().size());
         synchronized (this) {
             long nowNanos = mLoop.nowNanos();
             if (request.isGateway()) {
@@ -360,16 +382,11 @@
     private List<String> controllers() {
         List<String> peers = new ArrayList<>();
         for (Member member : mReplica.membership().members()) {
-            peers.add(peerAddress(member.replica().instance()));
+            peers.add(mPeerAddresses.apply(member.replica().instance()));
         }
         return peers;
     }
 
-    /** All instances use one port for peers, and a controller is named by its host. */
-    String peerAddress(InstanceId controller) {
-        return controller.value() + ":" + mPeerPort;
-    }
-
     @Override
     public SyncRequest request(Map<BackendId, Integer> ownLoad) {
         SyncRequest request = new SyncRequest();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/FleetFollower.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/FleetFollower.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.codec.Deflate;
 import org.hemlockrack.control.ControlFacts;
+import org.hemlockrack.control.DurableVersions;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.loop.Loop;
@@ -38,6 +39,7 @@
     private Set<String> mSeeds = Set.of();
     private Set<String> mMembers = Set.of();
     private String mPrefixSource = "";
+    private final DurableVersions mDurable = DurableVersions.create();
 
     private volatile GatewayView mView = GatewayView.EMPTY;
     private volatile long mFreshNanos;
@@ -109,7 +111,7 @@
         SyncRequest request = new SyncRequest();
         request.setSender(mSelf);
         request.setGateway(true);
-        request.setHaveRevision(view.revision());
+        request.setHaveRevision(mEverFresh ? view.revision() : -1);
         request.setHaveTableVersion(view.tableVersion());
         request.setInFlight(ControllerLink.toData(ownLoad));
         request.setCounts(mPool.counts());
@@ -125,6 +127,7 @@
         mPool.learn(nowNanos, reply.getPrefixUses());
         mPool.fleetLoad(reply.getFleetInFlight(), ownAtRequest, reply.getGateways());
         if (!reply.isCaughtUp()) {
+            adoptDurable(nowNanos, address, reply);
             return;
         }
         adopt(nowNanos, reply);
@@ -139,13 +142,29 @@
         }
     }
 
+    /**
+     * Before a gateway has any confirmed state, it takes what a majority of the voters holds on
+     * disk. After a loss of all processes this saves the time of an election.
+     */
+    private void adoptDurable(long nowNanos, String address, SyncReply reply) {
+        if (mEverFresh || reply.getTableVersion() == 0) {
+            return;
+        }
+        mDurable.note(address, reply.getTableVersion());
+        if (mDurable.isNewestOfMajority(reply.getTableVersion(), reply.getVoters())) {
+            adopt(nowNanos, reply);
+        }
+    }
+
     private void adopt(long nowNanos, SyncReply reply) {
         GatewayView view = mView;
         RouteTable table = view.table();
         if (reply.getTableVersion() > view.tableVersion() && reply.isSetTableDocument()) {
             table = readTable(reply);
         }
-        boolean newer = reply.isSetFacts() && reply.getRevision() > view.revision();
+        // Facts from disk may never have been committed, so the first confirmed ones replace them.
+        boolean first = reply.isCaughtUp() && !mEverFresh;
+        boolean newer = reply.isSetFacts() && (first || reply.getRevision() > view.revision());
         if (table == view.table() && !newer) {
             return;
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
@@ -280,12 +280,21 @@
     public List<String> controllerPeers() {
         List<String> peers = new ArrayList<>();
         for (String address : list(SettingKey.FLEET_CONTROLLERS)) {
-            String host = address.substring(0, address.lastIndexOf(':'));
-            peers.add(host + ":" + integer(SettingKey.FLEET_PEER_PORT));
+            peers.add(controllerPeer(address.substring(0, address.lastIndexOf(':'))));
         }
         return peers;
     }
 
+    /**
+     * Returns the peer address of a controller.
+     *
+     * @param host its host, which is also the id of a controller
+     * @return {@code host:port}
+     */
+    public String controllerPeer(String host) {
+        return host + ":" + integer(SettingKey.FLEET_PEER_PORT);
+    }
+
     /** Returns the addresses that stand for advertised addresses of other instances. */
     public Map<String, String> routes() {
         Map<String, String> routes = new LinkedHashMap<>();
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -118,7 +118,10 @@
 }
 
 struct SyncReply {
-  /** Whether the receiver's replicated state holds what was committed before its start. */
+  /**
+   * Whether the receiver's replicated state holds what was committed before its start. Until then
+   * revision, facts and table come from its durable log and may not be committed.
+   */
   1: bool caughtUp,
   2: i64 revision,
   3: optional ControlFactsData facts,
@@ -133,5 +136,7 @@
   /** Peer addresses of the replicas of the control state. */
   11: list<string> controllers,
   12: list<PrefixUseData> prefixUses,
-  13: i64 prefixPosition
+  13: i64 prefixPosition,
+  /** Number of voters; a state that is not caught up needs a majority of them. */
+  14: i32 voters
 }
