Exchange loads more often in small fleets; keep prefix uses over restarts; state the rank of requests

Ruled out: remaining re-reads follow evacuations, a cut zone and replaced servers, whose copies are lost or out of reach.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixDirectory.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixDirectory.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.model.BackendId;
+import org.hemlockrack.wire.PrefixUseData;
 
 /**
  * Which backend servers have read which prompt parts lately, as all gateways report it. A request
@@ -82,6 +83,20 @@
         return holders;
     }
 
+    /** Returns everything that is remembered. */
+    public List<PrefixUseData> all() {
+        List<PrefixUseData> uses = new ArrayList<>();
+        mUses.forEach(
+                (prefixHash, servers) ->
+                        servers.keySet()
+                                .forEach(
+                                        server ->
+                                                uses.add(
+                                                        new PrefixUseData(
+                                                                prefixHash, server.value()))));
+        return uses;
+    }
+
     /**
      * Forgets servers that are gone; a later start under the same id holds nothing.
      *
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -30,10 +30,10 @@
     private static final int MAX_USES = 2_048;
 
     /** Load up to this multiple of the mean does not move a request from its first choice. */
-    private static final double AFFINITY_BOUND = 1.5;
+    private static final double AFFINITY_BOUND = 1.6;
 
     /** Requests above the mean that are allowed on a first choice in any case. */
-    private static final int AFFINITY_SLACK = 2;
+    private static final double AFFINITY_SLACK = 2.5;
 
     /** Failure rate above that of the best server at which another one is preferred. */
     private static final double FAILURE_MARGIN = 0.2;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -53,6 +53,11 @@
     /** Steps of moves and expiry of silent servers need no finer resolution. */
     private static final long MAINTAIN_MILLIS = 200;
 
+    /** Time between two saves of the prefix uses; what is newer is lost with the process. */
+    private static final long PREFIX_SAVE_MILLIS = 2_000;
+
+    private static final String LOG_FOLDER = "log";
+
     /** Creates the handler of operators' and backend servers' calls. */
     public interface HandlerFactory {
         /**
@@ -108,6 +113,8 @@
                         mLog,
                         random.nextLong());
         mService.offerDurable(mDurable);
+        mDurable = ControlState.create();
+        keepPrefixes();
         mLinks = ControllerLinks.create(mLoop, mNetwork, mService);
         mStarted = true;
         PeerServer peers =
@@ -144,7 +151,7 @@
             throw HemlockrackException.of(
                     ErrorKind.SETTINGS_INVALID, "a controller needs voter.data_folder");
         }
-        LogStore store = openStore(folder, random);
+        LogStore store = openStore(folder.resolve(LOG_FOLDER), random);
         mDurable = durableState(store);
         ReplicaNode node =
                 ReplicaNode.start(
@@ -186,6 +193,14 @@
         }
     }
 
+    private void keepPrefixes() {
+        Loop disk = Loop.open("prefix-file", this::fault);
+        mCloser.register(disk::close);
+        PrefixFile file = PrefixFile.of(mSettings.dataFolder(), disk, mLog);
+        mService.learnPrefixes(file.load());
+        mLoop.repeat(PREFIX_SAVE_MILLIS, () -> mService.savePrefixes(file));
+    }
+
     private LogStore openStore(Path folder, SecureRandom random) {
         try {
             return LogStore.open(folder, random);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -73,6 +73,7 @@
     private final ServerRegistry mRegistry = ServerRegistry.create();
     private final PrefixDirectory mPrefixes = PrefixDirectory.create();
     private final PrefixUses mUses = PrefixUses.of(MAX_PREFIX_USES);
+    private long mSavedUses;
     private final GatewayReports mReports = new GatewayReports();
     private final Map<TrafficMove, Long> mMoveSeenNanos = new HashMap<>();
     private final VoterKeeper mVoters = VoterKeeper.create();
@@ -365,6 +366,29 @@
         return reply;
     }
 
+    /** Notes prefix uses from before a restart. */
+    synchronized void learnPrefixes(List<PrefixUseData> uses) {
+        long nowNanos = mLoop.nowNanos();
+        for (PrefixUseData use : uses) {
+            mPrefixes.note(nowNanos, use.getPrefixHash(), BackendId.of(use.getServer()));
+            mUses.add(use);
+        }
+        mSavedUses = mUses.end();
+    }
+
+    /** Saves the prefix uses if there is news. */
+    void savePrefixes(PrefixFile file) {
+        List<PrefixUseData> uses;
+        synchronized (this) {
+            if (mUses.end() == mSavedUses) {
+                return;
+            }
+            mSavedUses = mUses.end();
+            uses = mPrefixes.all();
+        }
+        file.save(uses);
+    }
+
     private void answerPrefixes(
             long nowNanos, boolean known, SyncRequest request, SyncReply reply) {
         for (PrefixUseData use : request.getPrefixUses()) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/Dialect.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/Dialect.java
@@ -25,6 +25,7 @@
      * @param call the caller's request
      * @param server the server
      * @param workspace workspace of the caller, or null if the route is open
+     * @param rank how urgent the request is, 0 for the most urgent
      * @param leftMillis time that is left for the answer
      * @param resumeAfter event after which a stream goes on, or null for what the caller sent
      * @return all fields
@@ -33,6 +34,7 @@
             HttpCall call,
             Registration server,
             @Nullable String workspace,
+            int rank,
             long leftMillis,
             @Nullable String resumeAfter);
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -101,6 +101,7 @@
                                 call,
                                 mServer,
                                 mExchange.workspace(),
+                                mExchange.rank(),
                                 Math.max(1, mExchange.leftMillis()),
                                 mEvents == null ? null : mEvents.lastId());
         HttpClient client =
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -17,6 +17,7 @@
 import org.hemlockrack.model.ServiceId;
 import org.hemlockrack.registry.Registration;
 import org.hemlockrack.routing.Route;
+import org.hemlockrack.routing.WorkspaceKeys;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -32,6 +33,7 @@
     private final CallerFacts mCaller;
     private final Route mRoute;
     private final @Nullable String mWorkspace;
+    private final int mRank;
     private final ServiceId mService;
     private final double mDraw;
     private final long mTableVersion;
@@ -55,7 +57,7 @@
             Responder responder,
             CallerFacts caller,
             Route route,
-            @Nullable String workspace,
+            @Nullable WorkspaceKeys workspace,
             long tableVersion) {
         mTableVersion = tableVersion;
         mContext = context;
@@ -63,7 +65,8 @@
         mResponder = responder;
         mCaller = caller;
         mRoute = route;
-        mWorkspace = workspace;
+        mWorkspace = workspace == null ? null : workspace.workspace().value();
+        mRank = workspace == null || workspace.rank() < 0 ? route.rank() : workspace.rank();
         mDraw = PromptHash.unit(caller.attemptId());
         mService = route.chooseService(PromptHash.unit(route.name() + caller.attemptId()));
         mStartNanos = System.nanoTime();
@@ -95,6 +98,10 @@
         return mWorkspace;
     }
 
+    int rank() {
+        return mRank;
+    }
+
     CallerFacts caller() {
         return mCaller;
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
@@ -48,8 +48,7 @@
             refuse(responder, caller, e);
             return;
         }
-        String name = workspace == null ? null : workspace.workspace().value();
-        new GatewayExchange(mContext, call, responder, caller, route, name, table.version())
+        new GatewayExchange(mContext, call, responder, caller, route, workspace, table.version())
                 .start();
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
@@ -15,8 +15,14 @@
 
 /** Exchanges state with one controller, again and again. Confined to the loop. */
 public final class ControllerLink {
-    /** Pause between two exchanges; four of them fit into a second. */
-    private static final long PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+    /** Shortest pause between two exchanges; loads of other gateways are hardly older. */
+    private static final long MIN_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    /** Longest pause; what was acknowledged must reach all gateways within 2 s. */
+    private static final long MAX_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    /** Pause for each gateway, so that a controller answers about 100 exchanges a second. */
+    private static final long PERIOD_PER_GATEWAY_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
     private final Loop mLoop;
     private final PeerNetwork mNetwork;
@@ -26,6 +32,7 @@
     private long mRegistryRevision;
     private long mPrefixPosition;
     private long mUsesPosition;
+    private long mPeriodNanos = MIN_PERIOD_NANOS;
     private boolean mReachable;
     private boolean mStopped;
 
@@ -116,12 +123,20 @@
                         (reply, fault) -> mLoop.execute(() -> ended(reply, fault, own, usesEnd)));
     }
 
+    private static long periodNanos(int gateways) {
+        long nanos = gateways * PERIOD_PER_GATEWAY_NANOS;
+        return Math.max(MIN_PERIOD_NANOS, Math.min(MAX_PERIOD_NANOS, nanos));
+    }
+
     private void ended(
             @Nullable SyncReply reply,
             @Nullable Throwable fault,
             Map<BackendId, Integer> own,
             long usesEnd) {
-        mLoop.schedule(mLoop.nowNanos() + PERIOD_NANOS, this::exchange);
+        if (reply != null) {
+            mPeriodNanos = periodNanos(reply.getGateways());
+        }
+        mLoop.schedule(mLoop.nowNanos() + mPeriodNanos, this::exchange);
         if (mReachable != (reply != null)) {
             mReachable = reply != null;
             mOwner.reachable(mAddress, mReachable, fault);
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -43,6 +43,11 @@
   2: string server
 }
 
+/** What a controller keeps on disk of the prefix uses. */
+struct PrefixListData {
+  1: list<PrefixUseData> uses
+}
+
 struct DepartureData {
   1: string server,
   2: i64 bornMillis,
