--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -20,6 +20,7 @@
 import org.hemlockrack.consensus.Packet;
 import org.hemlockrack.consensus.Recovered;
 import org.hemlockrack.consensus.ReplicaNode;
+import org.hemlockrack.consensus.Role;
 import org.hemlockrack.consensus.SnapshotMeta;
 import org.hemlockrack.control.ControlState;
 import org.hemlockrack.daemon.ServiceProcess;
@@ -31,6 +32,7 @@
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.metrics.MetricName;
 import org.hemlockrack.daemon.metrics.Metrics;
 import org.hemlockrack.daemon.operator.PlatformPages;
 import org.hemlockrack.daemon.peer.PeerServer;
@@ -258,8 +260,10 @@
     }
 
     private HttpPort openPort(CallHandler handler) {
-        PlatformPages pages =
-                PlatformPages.create(() -> mReplica.leader() != null, Metrics.create());
+        Metrics metrics = Metrics.create();
+        metrics.value(MetricName.LEADER, () -> mReplica.role() == Role.LEADER ? 1 : 0);
+        metrics.value(MetricName.TERM, mReplica::term);
+        PlatformPages pages = PlatformPages.create(() -> mReplica.leader() != null, metrics);
         return HttpPort.open(
                 "control",
                 mSettings.address(SettingKey.LISTEN_OPERATORS),
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -88,7 +88,7 @@
         return TimeUnit.NANOSECONDS.toMillis(firstByteNanos());
     }
 
-    private long firstByteNanos() {
+    long firstByteNanos() {
         return mFirstByteNanos == 0 ? 0 : mFirstByteNanos - mStartNanos;
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
@@ -43,6 +43,18 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /** Counts a delivered answer. */
+    void answered(long firstByteNanos, long wholeNanos) {
+        ended("answered");
+        metrics.record(MetricName.FIRST_BYTE, firstByteNanos);
+        metrics.record(MetricName.WHOLE, wholeNanos);
+    }
+
+    /** Counts a request that has ended. */
+    void ended(String outcome) {
+        metrics.count(MetricName.REQUESTS, "kind", outcome);
+    }
+
     /** Sends a refusal or failure of this gateway's own. */
     void refuse(Responder responder, ErrorKind kind, String message) {
         refuse(responder, kind, message, 0);
@@ -50,7 +62,9 @@
 
     /** Sends a refusal with the time until the cause is expected to be over. */
     void refuse(Responder responder, ErrorKind kind, String message, long expectedMillis) {
-        metrics.count(MetricName.REFUSALS, "kind", kind.name().toLowerCase(Locale.ROOT));
+        String name = kind.name().toLowerCase(Locale.ROOT);
+        metrics.count(MetricName.REFUSALS, "kind", name);
+        ended(name);
         long retryMillis = kind.retryable() ? expectedMillis + retryMillis() : 0;
         String json = Responder.errorJson(kind, kind.runState(), message, retryMillis).toString();
         HeaderField type = HeaderField.of("Content-Type", "application/json");
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -8,6 +8,7 @@
 import org.hemlockrack.answers.EventCutter;
 import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.Responder;
+import org.hemlockrack.daemon.metrics.MetricName;
 import org.hemlockrack.dispatch.Choice;
 import org.hemlockrack.dispatch.Demand;
 import org.hemlockrack.dispatch.Outcome;
@@ -248,6 +249,7 @@
                 .put("again", again ? "yes" : "no")
                 .write();
         if (again) {
+            mContext.metrics().count(MetricName.RETRIES, "", "");
             tryNext();
             return;
         }
@@ -289,6 +291,7 @@
             mDone = true;
             cancelTimer();
         }
+        mContext.answered(attempt.firstByteNanos(), System.nanoTime() - mStartNanos);
         long elapsedMillis = elapsedMillis();
         boolean late = attempt.firstByteMillis() > mRoute.targetLatencyMillis();
         if (status < 400 && !late && mTried.size() == 1 && !mContext.log().sampled()) {
@@ -342,6 +345,7 @@
             cancelTimer();
             attempt = mAttempt;
         }
+        mContext.ended("caller_left");
         logEnd("caller_left", attempt == null ? null : attempt.server().id().value(), "");
         abandon(attempt);
     }
@@ -374,6 +378,7 @@
         cancelTimer();
         String server = mAttempt == null ? null : mAttempt.server().id().value();
         if (mHeadSent) {
+            mContext.ended("cut");
             logEnd("answer_cut", server, cause);
             mResponder.abort();
             return;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -15,6 +15,7 @@
 import org.hemlockrack.daemon.http.HttpPort;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.daemon.metrics.MetricName;
 import org.hemlockrack.daemon.metrics.Metrics;
 import org.hemlockrack.daemon.operator.PlatformPages;
 import org.hemlockrack.daemon.settings.SettingKey;
@@ -91,6 +92,8 @@
         mCloser.register(mCallers::close);
         HttpPort pages = openPages();
         mCloser.register(pages::close);
+        mMetrics.value(MetricName.OPEN_REQUESTS, mOpen::get);
+        mMetrics.value(MetricName.CONFIG_VERSION, () -> mFollower.view().tableVersion());
         mLoop.repeat(EXPIRY_PERIOD_MILLIS, mFollower::expire);
         mLoop.execute(() -> mFollower.seeds(settings.controllerPeers()));
         SettingsWatch.start(
