--- a/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlCommand.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlCommand.java
@@ -16,7 +16,7 @@
      * Publishes a route table.
      *
      * @param version its version; a table that is not newer changes nothing
-     * @param document the table as the operator sent it
+     * @param document the table as the operator sent it, deflated, because it travels often
      * @return the command
      */
     public static byte[] publishTable(long version, byte[] document) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlState.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlState.java
@@ -42,7 +42,7 @@
         return mTableVersion;
     }
 
-    /** Returns the route table as it was published. */
+    /** Returns the route table, deflated. */
     public byte[] tableDocument() {
         return mTableDocument.clone();
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -110,7 +110,7 @@
             if (!first && state.revision() == view.revision()) {
                 return;
             }
-            mView = viewOf(state, view);
+            mView = viewOf(state);
         }
         ControlFacts facts = state.facts();
         mLog.state("control_state")
@@ -121,12 +121,9 @@
                 .write();
     }
 
-    private static ControlView viewOf(ControlState state, ControlView known) {
-        byte[] table =
-                state.tableVersion() == known.tableVersion()
-                        ? known.deflatedTable()
-                        : Deflate.deflate(state.tableDocument());
-        return new ControlView(state.revision(), state.tableVersion(), table, state.facts());
+    private static ControlView viewOf(ControlState state) {
+        return new ControlView(
+                state.revision(), state.tableVersion(), state.tableDocument(), state.facts());
     }
 
     /**
@@ -137,7 +134,7 @@
     void offerDurable(ControlState state) {
         synchronized (this) {
             if (!mPublished) {
-                mView = viewOf(state, mView);
+                mView = viewOf(state);
             }
         }
     }
@@ -210,7 +207,8 @@
             return CompletableFuture.completedFuture(null);
         }
         return propose(
-                "table " + table.version(), ControlCommand.publishTable(table.version(), document));
+                "table " + table.version(),
+                ControlCommand.publishTable(table.version(), Deflate.deflate(document)));
     }
 
     /**
