--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
@@ -15,7 +15,7 @@
 /** Finds the route of each request, checks its key and starts its exchange. */
 final class GatewayHandler implements CallHandler {
     /** Time in which a gateway that starts together with all controllers learns the table. */
-    private static final long USUAL_START_MILLIS = 3_000;
+    private static final long USUAL_START_MILLIS = 2_000;
 
     private final long mStartNanos = System.nanoTime();
     private final GatewayContext mContext;
