--- a/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlFacts.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlFacts.java
@@ -52,7 +52,7 @@
      * @param bornMillis its start
      * @return true if it has; a later start under the same id has not
      */
-    public boolean departed(BackendId id, long bornMillis) {
+    public boolean hasDeparted(BackendId id, long bornMillis) {
         Departure departure = departures.get(id);
         return departure != null && bornMillis <= departure.bornMillis();
     }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlState.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlState.java
@@ -104,7 +104,7 @@
 
     private void depart(DepartureData departure, long leaderTimeMillis) {
         BackendId id = BackendId.of(departure.getServer());
-        if (mFacts.departed(id, departure.getBornMillis())) {
+        if (mFacts.hasDeparted(id, departure.getBornMillis())) {
             return;
         }
         mFacts =
--- a/hemlockrack-core/src/main/java/org/hemlockrack/control/MoveJudge.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/MoveJudge.java
@@ -72,7 +72,7 @@
      */
     public static @Nullable TrafficMove next(
             TrafficMove move, long leftMillis, VersionAnswers target, VersionAnswers others) {
-        if (faulty(target, others)) {
+        if (isFaulty(target, others)) {
             return move.withStatus(MoveStatus.REVERTED);
         }
         boolean judged = target.succeeded() >= MIN_ANSWERS;
@@ -87,7 +87,7 @@
         return null;
     }
 
-    private static boolean faulty(VersionAnswers target, VersionAnswers others) {
+    private static boolean isFaulty(VersionAnswers target, VersionAnswers others) {
         if (target.failed() >= MIN_FAILURES
                 && target.failureRate() > others.failureRate() + FAILURE_MARGIN) {
             return true;
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/Outcome.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/Outcome.java
@@ -28,7 +28,7 @@
     }
 
     /** Returns whether the outcome counts against the server. */
-    public boolean failure() {
+    public boolean isFailure() {
         return mFailure;
     }
 
@@ -38,7 +38,7 @@
     }
 
     /** Returns whether the outcome tells nothing about the server's health. */
-    public boolean neutral() {
+    public boolean isNeutral() {
         return this == REJECTED || this == ABANDONED;
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -163,7 +163,7 @@
     }
 
     /** Returns whether the pool holds any server. */
-    public boolean empty() {
+    public boolean isEmpty() {
         return mSlots.isEmpty();
     }
 
@@ -206,7 +206,7 @@
         for (ServerSlot slot : mByService.getOrDefault(demand.service(), List.of())) {
             Registration server = slot.mServer.registration();
             if (server.leaving()
-                    || mFacts.departed(server.id(), server.bornMillis())
+                    || mFacts.hasDeparted(server.id(), server.bornMillis())
                     || mFacts.evacuatedZones().contains(server.zone())
                     || demand.tried().contains(server.id())) {
                 continue;
@@ -220,7 +220,7 @@
         }
         List<ServerSlot> reachable = new ArrayList<>();
         for (ServerSlot slot : allowed) {
-            if (!slot.suspended(nowNanos)) {
+            if (!slot.isSuspended(nowNanos)) {
                 reachable.add(slot);
             }
         }
@@ -240,7 +240,7 @@
     }
 
     private static List<ServerSlot> withRoom(List<ServerSlot> slots, @Nullable ServiceSpec spec) {
-        boolean engines = spec != null && spec.engines();
+        boolean engines = spec != null && spec.runsEngines();
         List<ServerSlot> open = new ArrayList<>();
         for (ServerSlot slot : slots) {
             int most = engines ? slot.slots() : PLAIN_DEPTH * slot.slots();
@@ -255,7 +255,7 @@
             long nowNanos, List<ServerSlot> slots, @Nullable ServiceSpec spec) {
         List<ServerSlot> usable = new ArrayList<>();
         for (ServerSlot slot : slots) {
-            if (!slot.mServer.cold(nowNanos)
+            if (!slot.mServer.isCold(nowNanos)
                     || spec == null
                     || spec.coldRequestsPerSecond() <= 0
                     || slot.coldRoom(nowNanos, coldShare(spec))) {
@@ -379,7 +379,7 @@
     private void take(long nowNanos, Choice choice) {
         ServerSlot slot = mSlots.get(choice.server().id());
         slot.mOwn++;
-        if (slot.mServer.cold(nowNanos)) {
+        if (slot.mServer.isCold(nowNanos)) {
             slot.takeColdTurn();
         }
     }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerSlot.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerSlot.java
@@ -70,7 +70,7 @@
         return Math.max(1, mServer.registration().slots());
     }
 
-    boolean suspended(long nowNanos) {
+    boolean isSuspended(long nowNanos) {
         return mSuspendedUntilNanos - nowNanos > 0;
     }
 
@@ -81,17 +81,17 @@
 
     void finished(long nowNanos, Outcome outcome) {
         mOwn = Math.max(0, mOwn - 1);
-        if (outcome.neutral()) {
+        if (outcome.isNeutral()) {
             return;
         }
         decay(nowNanos);
         mOutcomes++;
-        if (!outcome.failure()) {
+        if (!outcome.isFailure()) {
             mSuspensions = 0;
             return;
         }
         mFailures++;
-        if (outcome.suspends() && !suspended(nowNanos)) {
+        if (outcome.suspends() && !isSuspended(nowNanos)) {
             long nanos = SUSPEND_NANOS << Math.min(3, mSuspensions);
             mSuspendedUntilNanos = nowNanos + Math.min(MAX_SUSPEND_NANOS, nanos);
             mSuspensions++;
--- a/hemlockrack-core/src/main/java/org/hemlockrack/registry/RegisteredServer.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/registry/RegisteredServer.java
@@ -9,7 +9,7 @@
  */
 public record RegisteredServer(Registration registration, long heardNanos, long coldUntilNanos) {
     /** Returns whether the server is still cold. */
-    public boolean cold(long nowNanos) {
+    public boolean isCold(long nowNanos) {
         return coldUntilNanos - nowNanos > 0;
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/routing/Route.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/routing/Route.java
@@ -46,7 +46,7 @@
     }
 
     /** Returns whether answers are streams of events. */
-    public boolean streaming() {
+    public boolean isStreaming() {
         return repeatability == Repeatability.STREAM;
     }
 
--- a/hemlockrack-core/src/main/java/org/hemlockrack/routing/ServiceSpec.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/routing/ServiceSpec.java
@@ -14,7 +14,7 @@
 public record ServiceSpec(
         ServiceId id, int maxConnections, double coldRequestsPerSecond, int engineSlots) {
     /** Returns whether the service runs model engines. */
-    public boolean engines() {
+    public boolean runsEngines() {
         return engineSlots > 0;
     }
 }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/control/ControlStateTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/control/ControlStateTest.java
@@ -72,9 +72,9 @@
     void departureHoldsForTheIncarnation() {
         ControlState state = ControlState.create();
         state.apply(1, 0, ControlCommand.depart(SERVER, 50));
-        assertTrue(state.facts().departed(SERVER, 50));
-        assertTrue(state.facts().departed(SERVER, 49));
-        assertFalse(state.facts().departed(SERVER, 51));
+        assertTrue(state.facts().hasDeparted(SERVER, 50));
+        assertTrue(state.facts().hasDeparted(SERVER, 49));
+        assertFalse(state.facts().hasDeparted(SERVER, 51));
     }
 
     /** Guards against an order that was sent again and starts the move anew. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -117,7 +117,7 @@
         mService.offerDurable(mDurable);
         mDurable = ControlState.create();
         keepPrefixes();
-        mLinks = ControllerLinks.create(mLoop, mNetwork, mService);
+        mLinks = ControllerLinks.create(mLoop, mNetwork, mService, mLog);
         mStarted = true;
         PeerServer peers =
                 PeerServer.open(
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -140,7 +140,7 @@
     }
 
     /** Returns whether the state held here is as new as a controller can know without asking. */
-    private boolean caughtUp() {
+    private boolean isCaughtUp() {
         return mPublished && mReplica.leader() != null;
     }
 
@@ -182,7 +182,7 @@
      */
     public CompletableFuture<Void> departed(BackendId id, @Nullable Long bornMillis) {
         long born = bornMillis == null ? bornOf(id) : bornMillis;
-        if (mView.facts().departed(id, born)) {
+        if (mView.facts().hasDeparted(id, born)) {
             return CompletableFuture.completedFuture(null);
         }
         return propose("server_departed " + id, ControlCommand.depart(id, born));
@@ -333,7 +333,7 @@
     SyncReply sync(SyncRequest request) {
         ControlView view = mView;
         SyncReply reply = new SyncReply();
-        reply.setCaughtUp(caughtUp());
+        reply.setCaughtUp(isCaughtUp());
         reply.setRevision(view.revision());
         reply.setTableVersion(view.tableVersion());
         if (view.revision() > request.getHaveRevision()) {
@@ -432,14 +432,6 @@
         mRegistry.offerAll(mLoop.nowNanos(), reply.getServers());
     }
 
-    @Override
-    public void reachable(String address, boolean reachable, @Nullable Throwable cause) {
-        mLog.state(reachable ? "controller_reached" : "controller_lost")
-                .put("controller", address)
-                .put("cause", cause == null ? "" : String.valueOf(cause.getMessage()))
-                .write();
-    }
-
     /** Drops silent servers and decides the next steps of moves. Called on the loop. */
     void maintain() {
         synchronized (this) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/FleetFollower.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/FleetFollower.java
@@ -53,7 +53,7 @@
             SharedPool pool,
             DecisionLog log) {
         mLoop = loop;
-        mLinks = ControllerLinks.create(loop, network, this);
+        mLinks = ControllerLinks.create(loop, network, this, log);
         mSelf = self;
         mDialect = dialect;
         mPool = pool;
@@ -65,7 +65,7 @@
     }
 
     /** Returns whether a controller has confirmed the view a short time ago. */
-    boolean fresh() {
+    boolean isFresh() {
         return mEverFresh && mLoop.nowNanos() - mFreshNanos < STALE_NANOS;
     }
 
@@ -194,20 +194,16 @@
     }
 
     @Override
-    public void reachable(String address, boolean reachable, @Nullable Throwable cause) {
+    public void reachable(String address, boolean reachable) {
         if (!reachable && mPrefixSource.equals(address)) {
             mPrefixSource = "";
         }
-        mLog.state(reachable ? "controller_reached" : "controller_lost")
-                .put("controller", address)
-                .put("cause", cause == null ? "" : String.valueOf(cause.getMessage()))
-                .write();
     }
 
     /** Drops servers whose heartbeats have stopped. Called on the loop. */
     void expire() {
         // While no controller answers, heartbeats stop arriving here though servers may be well.
-        if (!fresh()) {
+        if (!isFresh()) {
             return;
         }
         for (RegisteredServer server : mPool.expire(mLoop.nowNanos())) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -135,7 +135,7 @@
     }
 
     /** Returns whether bytes of the request may have gone out. */
-    boolean sent() {
+    boolean isSent() {
         return mSent;
     }
 
@@ -159,7 +159,7 @@
             stop(Outcome.BROKEN, "the answer is not signed");
             return;
         }
-        if (resumes()) {
+        if (isResuming()) {
             resumed(success);
             return;
         }
@@ -178,8 +178,8 @@
         responder.head(status, headers, lengthBytes);
     }
 
-    private boolean resumes() {
-        return mEvents != null && mExchange.headSent();
+    private boolean isResuming() {
+        return mEvents != null && mExchange.isHeadSent();
     }
 
     /** The caller keeps the head of the first server; only events follow. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -76,7 +76,7 @@
             waitMillis = Math.min(waitMillis, caller.waitMillis());
         }
         mDeadlineNanos = mStartNanos + waitMillis * NANOS_PER_MILLI;
-        mEvents = route.streaming() && route.allowsRerun() ? EventCutter.create() : null;
+        mEvents = route.isStreaming() && route.allowsRerun() ? EventCutter.create() : null;
     }
 
     Route route() {
@@ -164,7 +164,7 @@
                 return;
             }
         }
-        if (!attempt.sent() || !retryAllowed()) {
+        if (!attempt.isSent() || !retryAllowed()) {
             return;
         }
         attempt.cancel();
@@ -182,7 +182,7 @@
         }
     }
 
-    synchronized boolean headSent() {
+    synchronized boolean isHeadSent() {
         return mHeadSent;
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
@@ -54,7 +54,7 @@
 
     /** A table that may be superseded proves nothing against a request. */
     private void refuse(Responder responder, CallerFacts caller, HemlockrackException cause) {
-        ErrorKind kind = mFollower.fresh() ? cause.kind() : ErrorKind.NOT_READY;
+        ErrorKind kind = mFollower.isFresh() ? cause.kind() : ErrorKind.NOT_READY;
         mContext.log()
                 .request("refused", caller.attemptId())
                 .put("kind", kind.name())
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -120,7 +120,7 @@
     }
 
     private HttpPort openPages() {
-        PlatformPages pages = PlatformPages.create(this::ready, mMetrics);
+        PlatformPages pages = PlatformPages.create(this::isReady, mMetrics);
         return HttpPort.open(
                 "pages",
                 mSettings.address(SettingKey.LISTEN_OPERATORS),
@@ -128,8 +128,8 @@
                 pages::handleOrRefuse);
     }
 
-    private boolean ready() {
-        return !mDraining && mFollower.view().table() != null && !mPool.empty();
+    private boolean isReady() {
+        return !mDraining && mFollower.view().table() != null && !mPool.isEmpty();
     }
 
     private void fault(Throwable cause) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/SharedPool.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/SharedPool.java
@@ -182,7 +182,7 @@
         return mPool.uses().since(position);
     }
 
-    synchronized boolean empty() {
-        return mPool.empty();
+    synchronized boolean isEmpty() {
+        return mPool.isEmpty();
     }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
+import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.loop.Loop;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.wire.LoadData;
@@ -28,6 +29,7 @@
     private final PeerNetwork mNetwork;
     private final String mAddress;
     private final Owner mOwner;
+    private final DecisionLog mLog;
     private long mRegistryEpoch;
     private long mRegistryRevision;
     private long mPrefixPosition;
@@ -73,12 +75,13 @@
          *
          * @param address the controller
          * @param reachable whether it answers
-         * @param cause why it does not, or null
          */
-        void reachable(String address, boolean reachable, @Nullable Throwable cause);
+        default void reachable(String address, boolean reachable) {}
     }
 
-    private ControllerLink(Loop loop, PeerNetwork network, String address, Owner owner) {
+    private ControllerLink(
+            Loop loop, PeerNetwork network, String address, Owner owner, DecisionLog log) {
+        mLog = log;
         mLoop = loop;
         mNetwork = network;
         mAddress = address;
@@ -92,11 +95,12 @@
      * @param network connections to other instances
      * @param address peer address of the controller
      * @param owner supplies requests and takes replies
+     * @param log where losses and returns of the controller are noted
      * @return the link
      */
     public static ControllerLink start(
-            Loop loop, PeerNetwork network, String address, Owner owner) {
-        ControllerLink link = new ControllerLink(loop, network, address, owner);
+            Loop loop, PeerNetwork network, String address, Owner owner, DecisionLog log) {
+        ControllerLink link = new ControllerLink(loop, network, address, owner, log);
         link.exchange();
         return link;
     }
@@ -139,7 +143,11 @@
         mLoop.schedule(mLoop.nowNanos() + mPeriodNanos, this::exchange);
         if (mReachable != (reply != null)) {
             mReachable = reply != null;
-            mOwner.reachable(mAddress, mReachable, fault);
+            mOwner.reachable(mAddress, mReachable);
+            mLog.state(mReachable ? "controller_reached" : "controller_lost")
+                    .put("controller", mAddress)
+                    .put("cause", fault == null ? null : String.valueOf(fault.getMessage()))
+                    .write();
         }
         if (reply == null) {
             return;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLinks.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLinks.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
+import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.loop.Loop;
 
 /** The links of one instance to all controllers that it knows. Confined to the loop. */
@@ -11,9 +12,12 @@
     private final Loop mLoop;
     private final PeerNetwork mNetwork;
     private final ControllerLink.Owner mOwner;
+    private final DecisionLog mLog;
     private final Map<String, ControllerLink> mLinks = new HashMap<>();
 
-    private ControllerLinks(Loop loop, PeerNetwork network, ControllerLink.Owner owner) {
+    private ControllerLinks(
+            Loop loop, PeerNetwork network, ControllerLink.Owner owner, DecisionLog log) {
+        mLog = log;
         mLoop = loop;
         mNetwork = network;
         mOwner = owner;
@@ -25,11 +29,12 @@
      * @param loop runs the exchanges
      * @param network connections to other instances
      * @param owner supplies requests and takes replies
+     * @param log where lost and regained controllers are noted
      * @return the links
      */
     public static ControllerLinks create(
-            Loop loop, PeerNetwork network, ControllerLink.Owner owner) {
-        return new ControllerLinks(loop, network, owner);
+            Loop loop, PeerNetwork network, ControllerLink.Owner owner, DecisionLog log) {
+        return new ControllerLinks(loop, network, owner, log);
     }
 
     /**
@@ -41,7 +46,7 @@
         mLinks.entrySet().removeIf(link -> endUnlessIn(addresses, link));
         for (String address : addresses) {
             mLinks.computeIfAbsent(
-                    address, key -> ControllerLink.start(mLoop, mNetwork, key, mOwner));
+                    address, key -> ControllerLink.start(mLoop, mNetwork, key, mOwner, mLog));
         }
     }
 
