--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
@@ -10,6 +10,7 @@
             "more than %d requests of one connection are open at once";
     public static final String HTTP_VERSION = "protocol version %s is not supported";
     public static final String HTTP_HOST = "the request needs exactly one Host field";
+    public static final String HTTP_FIELD_TWICE = "the request needs at most one %s field";
     public static final String HTTP_TWO_FRAMINGS =
             "the request states both Content-Length and Transfer-Encoding";
     public static final String HTTP_TRANSFER_ENCODING =
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/RequestParser.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/RequestParser.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.daemon.http;
 
 import java.io.IOException;
+import java.util.List;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
@@ -22,6 +23,7 @@
  */
 final class RequestParser implements NHttpMessageParser<HttpRequest> {
     private static final String CHUNKED = "chunked";
+    private static final List<String> SINGLE_FIELDS = List.of("Authorization", "Idempotency-Key");
 
     private final NHttpMessageParser<HttpRequest> mParser;
     private final ClientConnection mConnection;
@@ -81,7 +83,21 @@
         if (!old && request.countHeaders("Host") != 1) {
             return ErrorText.HTTP_HOST;
         }
-        return framingFault(request, old);
+        String field = fieldFault(request);
+        return field == null ? framingFault(request, old) : field;
+    }
+
+    /**
+     * Two values of a field that decides who asks, or whether a command ran, would let two readers
+     * see two requests.
+     */
+    private static @Nullable String fieldFault(HttpRequest request) {
+        for (String name : SINGLE_FIELDS) {
+            if (request.countHeaders(name) > 1) {
+                return String.format(ErrorText.HTTP_FIELD_TWICE, name);
+            }
+        }
+        return null;
     }
 
     /**
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
@@ -123,6 +123,17 @@
         assertEquals(16, mHandled.get());
     }
 
+    /** Guards against a second key or command key that is dropped silently. */
+    @Test
+    void repeatedIdentityFieldsAreRefused() throws IOException {
+        open(patient());
+        for (String name : List.of("Authorization", "Idempotency-Key")) {
+            RawClient client = connect();
+            client.write(post(name + ": a\r\n" + name + ": b\r\nContent-Length: 0\r\n", ""));
+            assertRefused("BAD_REQUEST", 400, client);
+        }
+    }
+
     /** Guards against a hanging or cut answer to HEAD and to a request without a body. */
     @Test
     void headGetsNoBodyAndTheConnectionGoesOn() throws Exception {
