Never join two answers when a server falls silent within one

Cause: after a silence within a begun answer, the next attempt began the body anew where the answer cannot be resumed, and otherwise joined the half event that was held to the next server's stream. Found by reading; both tests (stalledStreamGoesOnElsewhere, begunAnswerIsNotStartedAnew) failed before. Change: an answer goes on elsewhere only if it can be resumed, held bytes are dropped, and bytes of a given-up attempt no longer reach the caller.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -72,10 +72,6 @@
         mStartNanos = startNanos;
     }
 
-    @Nullable EventCutter events() {
-        return mEvents;
-    }
-
     Registration server() {
         return mServer;
     }
@@ -210,7 +206,7 @@
     public void onBody(ByteBuffer data) {
         int bytes = data.remaining();
         switch (mMode) {
-            case STREAM -> passOn(data);
+            case STREAM -> mExchange.passOn(this, data);
             case COLLECT -> {
                 byte[] chunk = new byte[bytes];
                 data.get(chunk);
@@ -224,30 +220,16 @@
         }
     }
 
-    private void passOn(ByteBuffer data) {
-        mExchange.progressed(this);
-        if (mEvents == null) {
-            mExchange.responder().write(data);
-            return;
-        }
-        byte[] whole = mEvents.feed(data);
-        if (whole.length > 0) {
-            mExchange.responder().write(ByteBuffer.wrap(whole));
-        }
-    }
-
     @Override
     public void onEnd() {
         Mode mode = mMode;
         mMode = Mode.ENDED;
         switch (mode) {
             case STREAM -> {
-                if (mEvents != null && mEvents.heldBytes() > 0) {
-                    mExchange.responder().write(ByteBuffer.wrap(mEvents.takeHeld()));
+                if (mExchange.endStream(this)) {
+                    count(true);
+                    mExchange.delivered(this, mStatus, Outcome.SERVED);
                 }
-                mExchange.responder().end();
-                count(true);
-                mExchange.delivered(this, mStatus, Outcome.SERVED);
             }
             case COLLECT -> collected();
             case REFUSED ->
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -1,5 +1,6 @@
 package org.hemlockrack.daemon.gateway;
 
+import java.nio.ByteBuffer;
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Set;
@@ -164,7 +165,7 @@
                 return;
             }
         }
-        if (!attempt.isSent() || !retryAllowed()) {
+        if (!attempt.isSent() || !canGoOn() || !retryAllowed()) {
             return;
         }
         attempt.cancel();
@@ -175,6 +176,40 @@
         ended(attempt, Outcome.SILENT, cause, true);
     }
 
+    /** Returns whether another server can still give the caller one whole answer. */
+    private synchronized boolean canGoOn() {
+        return !mHeadSent || mEvents != null && mEvents.resumable();
+    }
+
+    /** Passes on what may reach the caller of an attempt's stream; late bytes are dropped. */
+    synchronized void passOn(ForwardAttempt attempt, ByteBuffer data) {
+        if (mDone || attempt != mAttempt) {
+            data.position(data.limit());
+            return;
+        }
+        mProgressNanos = System.nanoTime();
+        if (mEvents == null) {
+            mResponder.write(data);
+            return;
+        }
+        byte[] whole = mEvents.feed(data);
+        if (whole.length > 0) {
+            mResponder.write(ByteBuffer.wrap(whole));
+        }
+    }
+
+    /** Completes the stream of an attempt. Returns false if the exchange is over. */
+    synchronized boolean endStream(ForwardAttempt attempt) {
+        if (mDone || attempt != mAttempt) {
+            return false;
+        }
+        if (mEvents != null && mEvents.heldBytes() > 0) {
+            mResponder.write(ByteBuffer.wrap(mEvents.takeHeld()));
+        }
+        mResponder.end();
+        return true;
+    }
+
     /** Notes that the server of an attempt has sent something. */
     synchronized void progressed(ForwardAttempt attempt) {
         if (attempt == mAttempt) {
@@ -237,6 +272,9 @@
                 return;
             }
             mAttempt = null;
+            if (mEvents != null) {
+                mEvents.dropHeld();
+            }
         }
         mContext.log()
                 .request("attempt_failed", mCaller.attemptId())
@@ -315,11 +353,7 @@
 
     /** Ends an attempt whose stream broke off; it goes on elsewhere or the answer is cut. */
     void cut(ForwardAttempt attempt, Outcome outcome, String cause) {
-        boolean again = mEvents != null && mEvents.resumable() && retryAllowed();
-        if (again) {
-            mEvents.dropHeld();
-        }
-        ended(attempt, outcome, cause, again);
+        ended(attempt, outcome, cause, canGoOn() && retryAllowed());
     }
 
     private void logEnd(String event, @Nullable String server, String cause) {
