--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -142,7 +142,7 @@
         mStatus = status;
         mHeaders = headers;
         ServerFacts facts = mExchange.context().dialect().readAnswer(status, headers);
-        if (!mExchange.caller().attemptId().equals(facts.attemptId()) && !facts.misdirected()) {
+        if (!answersThisRequest(facts)) {
             stop(Outcome.BROKEN, "the answer belongs to another request");
             return;
         }
@@ -174,6 +174,14 @@
         responder.head(status, headers, lengthBytes);
     }
 
+    /** Another server may not know how to name the request; any other answer must name it. */
+    private boolean answersThisRequest(ServerFacts facts) {
+        String answered = facts.attemptId();
+        return answered == null
+                ? facts.misdirected()
+                : answered.equals(mExchange.caller().attemptId());
+    }
+
     private boolean isResuming() {
         return mEvents != null && mExchange.isHeadSent();
     }
