--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/VoterKeeper.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/VoterReconciler.java
@@ -13,7 +13,7 @@
  * again. A voter is removed only once another one has taken its place, because a removed replica
  * that was merely out of reach has to join anew. Not thread-safe; time is monotonic and passed in.
  */
-public final class VoterKeeper {
+public final class VoterReconciler {
     /** Voters while fewer than five controllers exist; bears the loss of one. */
     private static final int FEW_VOTERS = 3;
 
@@ -32,11 +32,11 @@
     private final Map<InstanceId, Long> mReachedNanos = new HashMap<>();
     private final Map<InstanceId, Long> mFirstSeenNanos = new HashMap<>();
 
-    private VoterKeeper() {}
+    private VoterReconciler() {}
 
     /** Creates a keeper that has seen nobody. */
-    public static VoterKeeper create() {
-        return new VoterKeeper();
+    public static VoterReconciler create() {
+        return new VoterReconciler();
     }
 
     /**
--- a/hemlockrack-core/src/main/java/org/hemlockrack/control/MoveJudge.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/MoveEvaluator.java
@@ -6,7 +6,7 @@
  * Decides the steps of a move from the answers of both versions. The target keeps a small share
  * until shortly before the deadline, because some faults show late; only then it gets everything.
  */
-public final class MoveJudge {
+public final class MoveEvaluator {
     /** Share of the target until it is judged, in parts of 1000; below the tenth it may get. */
     public static final int CANARY_PER_MILLE = 70;
 
@@ -31,7 +31,7 @@
      */
     private static final double SLOW_FACTOR = 2.2;
 
-    private MoveJudge() {}
+    private MoveEvaluator() {}
 
     /**
      * Sums up the answers of one version.
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/VoterKeeperTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/VoterReconcilerTest.java
@@ -12,10 +12,10 @@
 import org.hemlockrack.model.InstanceId;
 import org.junit.jupiter.api.Test;
 
-class VoterKeeperTest {
+class VoterReconcilerTest {
     private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
 
-    private final VoterKeeper mKeeper = VoterKeeper.create();
+    private final VoterReconciler mKeeper = VoterReconciler.create();
 
     private static Set<InstanceId> ids(String... names) {
         return Stream.of(names).map(InstanceId::of).collect(Collectors.toSet());
--- a/hemlockrack-core/src/test/java/org/hemlockrack/control/MoveJudgeTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/control/MoveEvaluatorTest.java
@@ -3,11 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
-import org.hemlockrack.control.MoveJudge.VersionAnswers;
+import org.hemlockrack.control.MoveEvaluator.VersionAnswers;
 import org.hemlockrack.model.ServiceId;
 import org.junit.jupiter.api.Test;
 
-class MoveJudgeTest {
+class MoveEvaluatorTest {
     private static final TrafficMove MOVE =
             new TrafficMove(ServiceId.of("s"), "v2", MoveStatus.IN_PROGRESS, 70, 0, 12_000);
     private static final VersionAnswers OLD = new VersionAnswers(1_000, 10, 50_000_000);
@@ -16,24 +16,24 @@
     /** Guards against a bad version that gets more than its share before its fault shows. */
     @Test
     void shareStaysSmallUntilNearTheDeadline() {
-        assertNull(MoveJudge.next(MOVE, 6_000, GOOD, OLD));
-        TrafficMove switched = MoveJudge.next(MOVE, 1_200, GOOD, OLD);
+        assertNull(MoveEvaluator.next(MOVE, 6_000, GOOD, OLD));
+        TrafficMove switched = MoveEvaluator.next(MOVE, 1_200, GOOD, OLD);
         assertEquals(TrafficMove.ALL_PER_MILLE, switched.sharePerMille());
-        assertEquals(MoveStatus.COMPLETED, MoveJudge.next(switched, 400, GOOD, OLD).status());
+        assertEquals(MoveStatus.COMPLETED, MoveEvaluator.next(switched, 400, GOOD, OLD).status());
     }
 
     /** Guards against a version that fails and is completed all the same. */
     @Test
     void failuresRevert() {
         VersionAnswers failing = new VersionAnswers(20, 6, 1_000_000);
-        assertEquals(MoveStatus.REVERTED, MoveJudge.next(MOVE, 9_000, failing, OLD).status());
+        assertEquals(MoveStatus.REVERTED, MoveEvaluator.next(MOVE, 9_000, failing, OLD).status());
     }
 
     /** Guards against a version that answers well but several times slower. */
     @Test
     void slownessReverts() {
         VersionAnswers slow = new VersionAnswers(20, 0, 5_000_000);
-        assertEquals(MoveStatus.REVERTED, MoveJudge.next(MOVE, 9_000, slow, OLD).status());
+        assertEquals(MoveStatus.REVERTED, MoveEvaluator.next(MOVE, 9_000, slow, OLD).status());
     }
 
     /** Guards against a roll-back for failures that the old version has as well. */
@@ -41,13 +41,14 @@
     void failuresOfBothSidesDoNotRevert() {
         VersionAnswers others = new VersionAnswers(900, 150, 45_000_000);
         VersionAnswers target = new VersionAnswers(70, 11, 3_500_000);
-        assertNull(MoveJudge.next(MOVE, 9_000, target, others));
+        assertNull(MoveEvaluator.next(MOVE, 9_000, target, others));
     }
 
     /** Guards against the completion of a version that nobody has seen at work. */
     @Test
     void unjudgedMoveIsReverted() {
         assertEquals(
-                MoveStatus.REVERTED, MoveJudge.next(MOVE, 400, VersionAnswers.NONE, OLD).status());
+                MoveStatus.REVERTED,
+                MoveEvaluator.next(MOVE, 400, VersionAnswers.NONE, OLD).status());
     }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -2,26 +2,20 @@
 
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import org.hemlockrack.codec.Deflate;
 import org.hemlockrack.consensus.Member;
 import org.hemlockrack.consensus.ProposalStatus;
 import org.hemlockrack.consensus.Role;
-import org.hemlockrack.consensus.VoterChange;
-import org.hemlockrack.consensus.VoterKeeper;
 import org.hemlockrack.control.ControlCommand;
 import org.hemlockrack.control.ControlFacts;
 import org.hemlockrack.control.ControlState;
-import org.hemlockrack.control.MoveJudge;
-import org.hemlockrack.control.MoveJudge.VersionAnswers;
+import org.hemlockrack.control.MoveEvaluator;
+import org.hemlockrack.control.MoveEvaluator.VersionAnswers;
 import org.hemlockrack.control.MoveStatus;
 import org.hemlockrack.control.TrafficMove;
 import org.hemlockrack.daemon.gateway.Dialect;
@@ -59,9 +53,6 @@
     /** Prefix uses that a gateway can catch up on; at 400 news a second this is 10 s. */
     private static final int MAX_PREFIX_USES = 4_096;
 
-    /** Controllers ask each other four times a second; a silent one is out of reach. */
-    private static final long CONTROLLER_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
-
     private final Loop mLoop;
     private final String mSelf;
     private final Dialect mDialect;
@@ -75,10 +66,7 @@
     private final PrefixUses mUses = PrefixUses.of(MAX_PREFIX_USES);
     private long mSavedUses;
     private final GatewayReports mReports = new GatewayReports();
-    private final Map<TrafficMove, Long> mMoveSeenNanos = new HashMap<>();
-    private final VoterKeeper mVoters = VoterKeeper.create();
-    private final Map<InstanceId, Long> mControllersSeenNanos = new HashMap<>();
-    private final AtomicBoolean mChangingVoters = new AtomicBoolean();
+    private final LeaderDuties mDuties;
     private volatile ControlView mView = ControlView.EMPTY;
     private volatile boolean mPublished;
 
@@ -99,6 +87,7 @@
         mPeerAddresses = peerAddresses;
         mLog = log;
         mEpoch = epoch;
+        mDuties = LeaderDuties.create(loop, self, replica, log);
     }
 
     /** Takes over what the log has committed. Called on the loop of the log. */
@@ -276,7 +265,7 @@
                         service,
                         target,
                         MoveStatus.IN_PROGRESS,
-                        MoveJudge.CANARY_PER_MILLE,
+                        MoveEvaluator.CANARY_PER_MILLE,
                         0,
                         durationMillis);
         return propose(
@@ -349,7 +338,7 @@
             if (request.isGateway()) {
                 mReports.note(nowNanos, request);
             } else {
-                mControllersSeenNanos.put(InstanceId.of(request.getSender()), nowNanos);
+                mDuties.controllerSeen(nowNanos, InstanceId.of(request.getSender()));
             }
             boolean known = request.getRegistryEpoch() == mEpoch;
             answerPrefixes(nowNanos, known, request, reply);
@@ -432,6 +421,10 @@
         mRegistry.offerAll(mLoop.nowNanos(), reply.getServers());
     }
 
+    private synchronized Map<String, VersionAnswers> answers(ServiceId service) {
+        return mReports.answers(service);
+    }
+
     /** Drops silent servers and decides the next steps of moves. Called on the loop. */
     void maintain() {
         synchronized (this) {
@@ -441,91 +434,8 @@
                         .write();
             }
         }
-        if (mReplica.role() != Role.LEADER) {
-            return;
-        }
-        keepVoters();
-        for (TrafficMove move : mView.facts().moves().values()) {
-            if (move.status() == MoveStatus.IN_PROGRESS) {
-                judge(move);
-            }
-        }
-    }
-
-    private void keepVoters() {
-        Set<InstanceId> answering = new HashSet<>();
-        long nowNanos = mLoop.nowNanos();
-        synchronized (this) {
-            mControllersSeenNanos.values().removeIf(seen -> nowNanos - seen > CONTROLLER_NANOS);
-            answering.addAll(mControllersSeenNanos.keySet());
-        }
-        answering.add(InstanceId.of(mSelf));
-        mVoters.note(nowNanos, answering);
-        VoterChange change = mVoters.next(nowNanos, mReplica.membership(), answering);
-        if (change == null || mChangingVoters.getAndSet(true)) {
-            return;
-        }
-        mReplica.changeVoters(change)
-                .whenComplete(
-                        (outcome, fault) -> {
-                            mChangingVoters.set(false);
-                            if (outcome != null && outcome.status() == ProposalStatus.APPLIED) {
-                                mLog.state("voters_changed")
-                                        .put("action", change.action().name())
-                                        .put("controller", change.instance().value())
-                                        .write();
-                            }
-                        });
-    }
-
-    private void judge(TrafficMove move) {
-        Map<String, VersionAnswers> answers;
-        synchronized (this) {
-            answers = mReports.answers(move.service());
-        }
-        VersionAnswers target = answers.getOrDefault(move.target(), VersionAnswers.NONE);
-        VersionAnswers others = VersionAnswers.NONE;
-        for (Map.Entry<String, VersionAnswers> each : answers.entrySet()) {
-            if (!each.getKey().equals(move.target())) {
-                others = others.plus(each.getValue());
-            }
-        }
-        TrafficMove next = MoveJudge.next(move, leftMillis(move), target, others);
-        if (next == null) {
-            return;
-        }
-        byte[] command =
-                next.status() == MoveStatus.IN_PROGRESS
-                        ? ControlCommand.advanceMove(next)
-                        : ControlCommand.finishMove(next);
-        mLog.state("move_step")
-                .put("service", move.service().value())
-                .put("target", move.target())
-                .put("status", next.status().name())
-                .put("share_per_mille", next.sharePerMille())
-                .put("target_succeeded", target.succeeded())
-                .put("target_failed", target.failed())
-                .put("others_succeeded", others.succeeded())
-                .put("others_failed", others.failed())
-                .write();
-        mReplica.propose(command);
-    }
-
-    /**
-     * Time to the deadline by the monotonic clock, because the time of day may jump while a move is
-     * in progress.
-     */
-    private long leftMillis(TrafficMove move) {
-        long nowNanos = mLoop.nowNanos();
-        long durationMillis = move.deadlineMillis() - move.startMillis();
-        TrafficMove key = move.withShare(0);
-        Long seenNanos = mMoveSeenNanos.get(key);
-        if (seenNanos == null) {
-            long goneMillis = System.currentTimeMillis() - move.startMillis();
-            long clampedMillis = Math.max(0, Math.min(durationMillis, goneMillis));
-            seenNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(clampedMillis);
-            mMoveSeenNanos.put(key, seenNanos);
+        if (mReplica.role() == Role.LEADER) {
+            mDuties.run(mView.facts(), this::answers);
         }
-        return durationMillis - TimeUnit.NANOSECONDS.toMillis(nowNanos - seenNanos);
     }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/GatewayReports.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/GatewayReports.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import org.hemlockrack.control.MoveJudge.VersionAnswers;
+import org.hemlockrack.control.MoveEvaluator.VersionAnswers;
 import org.hemlockrack.model.ServiceId;
 import org.hemlockrack.wire.LoadData;
 import org.hemlockrack.wire.SyncRequest;
