Forget load reports from around a handover; read NUL in a field value as HttpCore does

Cause: after a handover the next owner kept the reports that it had got before the handover, or that were prepared before the last dispatches had arrived.

The open point on control characters: HttpCore reads NUL as a space, as RFC 9110 allows, and keeps the others. A test pins it; nothing else changes.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/admission/internal/ForeignLoad.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/admission/internal/ForeignLoad.java
@@ -59,11 +59,15 @@
      * @param reported requests the backend server works on
      */
     public void report(long sentNanos, int reported) {
+        if (mHandedOverReports > 0) {
+            mHandedOverReports--;
+            // A report that may miss handed-over work must not be the least of the window either.
+            mBounds.clear();
+        }
         mBounds.addLast(Math.max(0, reported - leastOwnSince(sentNanos)));
         if (mBounds.size() > WINDOW_REPORTS) {
             mBounds.removeFirst();
         }
-        mHandedOverReports = Math.max(0, mHandedOverReports - 1);
     }
 
     /**
@@ -72,6 +76,7 @@
      * @param load number of requests
      */
     public void handedOver(int load) {
+        restart();
         mHandedOver = load;
         mHandedOverReports = HANDOVER_REPORTS;
     }
--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/admission/internal/ForeignLoadTest.java
@@ -0,0 +1,43 @@
+package org.hemlockrack.admission.internal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+class ForeignLoadTest {
+    private static final long REPORT_NANOS = 500_000_000L;
+
+    private final ForeignLoad mLoad = new ForeignLoad();
+    private long mNow;
+
+    /** Guards against reports from before a handover that hide the work of the earlier owner. */
+    @Test
+    void reportsBeforeHandoverDoNotBoundItsWork() {
+        report(0);
+        report(0);
+        mLoad.handedOver(4);
+        for (int i = 0; i < 6; i++) {
+            report(3);
+            assertEquals(i == 0 ? 4 : 3, mLoad.value(), "report " + i);
+        }
+    }
+
+    /** Guards against a report that was prepared before the last dispatches had arrived. */
+    @Test
+    void reportThatMissedHandedOverWorkIsForgotten() {
+        mLoad.handedOver(4);
+        report(1);
+        assertEquals(4, mLoad.value());
+        report(4);
+        assertEquals(4, mLoad.value());
+        report(4);
+        assertEquals(4, mLoad.value());
+        report(2);
+        assertEquals(2, mLoad.value());
+    }
+
+    private void report(int inFlight) {
+        mNow += REPORT_NANOS;
+        mLoad.report(mNow, inFlight);
+    }
+}
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
@@ -56,6 +56,11 @@
             fill(responder);
             return;
         }
+        if (call.path().equals("/note")) {
+            byte[] note = String.valueOf(call.header("X-Note")).getBytes(StandardCharsets.UTF_8);
+            responder.send(200, List.of(), note);
+            return;
+        }
         byte[] text =
                 (call.method() + " " + call.target() + " " + call.bodyText())
                         .getBytes(StandardCharsets.UTF_8);
@@ -134,6 +139,15 @@
         }
     }
 
+    /** Guards against a NUL that ends a field value early at a reader behind this one. */
+    @Test
+    void nulInValueIsReadAsSpace() throws IOException {
+        open(patient());
+        String head = GET.replace("echo", "note");
+        String field = "X-Note: a" + (char) 0 + "b\r\n\r\n";
+        connect().write(head.substring(0, head.length() - 2) + field).readUntil("a b");
+    }
+
     /** Guards against a hanging or cut answer to HEAD and to a request without a body. */
     @Test
     void headGetsNoBodyAndTheConnectionGoesOn() throws Exception {
