Keep prompts with their servers when few servers are usable

Cause: when some servers are lost, each one that is left carries more than 1.6 x the mean of all servers, so the load bound left none and the request went to the least loaded one.

Change: a second bound, relative to the usable servers, before the least loaded one. Servers are ranked without sorting, and holders are asked first.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import org.hemlockrack.control.ControlFacts;
 import org.hemlockrack.control.TrafficMove;
@@ -35,6 +34,12 @@
     /** Requests above the mean that are allowed on a first choice in any case. */
     private static final double AFFINITY_SLACK = 2.5;
 
+    /** The same bound, of the mean of the usable servers, when only few of them are left. */
+    private static final double SCARCE_BOUND = 1.25;
+
+    /** Requests above the mean of the usable servers that are allowed then. */
+    private static final double SCARCE_SLACK = 1;
+
     /** Failure rate above that of the best server at which another one is preferred. */
     private static final double FAILURE_MARGIN = 0.2;
 
@@ -325,51 +330,68 @@
 
     private Choice byAffinity(long nowNanos, List<ServerSlot> slots, Demand demand) {
         long key = demand.affinityKey();
-        double bound = meanLoad(demand.service()) * AFFINITY_BOUND + AFFINITY_SLACK;
-        List<ServerSlot> ranked = ranked(slots, key);
-        ServerSlot holder = holder(nowNanos, ranked, key, bound);
-        if (holder != null) {
-            return chosen(holder, Choice.Reason.CACHED, slots.size());
-        }
-        for (ServerSlot slot : ranked) {
-            if (slot.load() < bound) {
-                Choice.Reason reason =
-                        slot == ranked.get(0) ? Choice.Reason.AFFINITY : Choice.Reason.OVERFLOW;
-                return chosen(slot, reason, slots.size());
-            }
+        // Servers that get nothing now, such as those of an evacuated zone, count with their load.
+        List<ServerSlot> all = mByService.getOrDefault(demand.service(), List.of());
+        double bound = meanLoad(all) * AFFINITY_BOUND + AFFINITY_SLACK;
+        Choice choice = withinBound(nowNanos, slots, key, bound);
+        if (choice == null) {
+            // So few servers are usable that each of them carries more than the bound.
+            bound = meanLoad(slots) * SCARCE_BOUND + SCARCE_SLACK;
+            choice = withinBound(nowNanos, slots, key, bound);
         }
-        return leastLoaded(slots);
+        return choice == null ? leastLoaded(slots) : choice;
     }
 
-    /** Returns the first server of the ranking that has read the parts and has room, or null. */
-    private @Nullable ServerSlot holder(
-            long nowNanos, List<ServerSlot> ranked, long key, double bound) {
+    /**
+     * Returns the server that ranks first for a key among those that have read its parts and carry
+     * less than the bound, or else among all that carry less, or null if none does.
+     */
+    private @Nullable Choice withinBound(
+            long nowNanos, List<ServerSlot> slots, long key, double bound) {
         List<BackendId> holders = mPrefixes.holders(nowNanos, key);
-        for (ServerSlot slot : ranked) {
-            if (holders.contains(slot.mServer.registration().id()) && slot.load() < bound) {
-                return slot;
+        List<ServerSlot> holding = new ArrayList<>();
+        List<ServerSlot> open = new ArrayList<>();
+        for (ServerSlot slot : slots) {
+            if (slot.load() >= bound) {
+                continue;
+            }
+            open.add(slot);
+            if (holders.contains(slot.mServer.registration().id())) {
+                holding.add(slot);
             }
         }
-        return null;
+        if (!holding.isEmpty()) {
+            return chosen(firstRanked(holding, key), Choice.Reason.CACHED, slots.size());
+        }
+        if (open.isEmpty()) {
+            return null;
+        }
+        ServerSlot first = firstRanked(open, key);
+        boolean preferred = open.size() == slots.size() || first == firstRanked(slots, key);
+        Choice.Reason reason = preferred ? Choice.Reason.AFFINITY : Choice.Reason.OVERFLOW;
+        return chosen(first, reason, slots.size());
     }
 
-    /** Servers that get nothing now, such as those of an evacuated zone, count with their load. */
-    private double meanLoad(ServiceId service) {
-        List<ServerSlot> all = mByService.getOrDefault(service, List.of());
+    private static double meanLoad(List<ServerSlot> slots) {
         int total = 0;
-        for (ServerSlot slot : all) {
+        for (ServerSlot slot : slots) {
             total += slot.load();
         }
-        return (double) total / Math.max(1, all.size());
+        return (double) total / Math.max(1, slots.size());
     }
 
     /** Rendezvous hashing: all gateways rank the servers alike, and a change moves few keys. */
-    private static List<ServerSlot> ranked(List<ServerSlot> slots, long key) {
-        TreeMap<Long, ServerSlot> byRank = new TreeMap<>();
+    private static ServerSlot firstRanked(List<ServerSlot> slots, long key) {
+        ServerSlot first = slots.get(0);
+        long least = Long.MAX_VALUE;
         for (ServerSlot slot : slots) {
-            byRank.put(PromptHash.combine(key, slot.idHash()), slot);
+            long rank = PromptHash.combine(key, slot.idHash());
+            if (rank < least) {
+                first = slot;
+                least = rank;
+            }
         }
-        return new ArrayList<>(byRank.values());
+        return first;
     }
 
     private static Choice chosen(ServerSlot slot, Choice.Reason reason, int candidates) {
--- a/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/ServerPoolTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/ServerPoolTest.java
@@ -198,6 +198,41 @@
         }
     }
 
+    /**
+     * Lost servers at the peak: guards against prompts that go to any server, and are read again
+     * there, because each server that is left carries more than the bound of the whole service.
+     */
+    @Test
+    void fewServersKeepTheirPrompts() {
+        fleet(6);
+        update(new ControlFacts(Set.of(ZoneId.of("b")), Map.of(), Map.of()));
+        Map<BackendId, Integer> load = new HashMap<>();
+        for (int i = 1; i <= 6; i++) {
+            load.put(BackendId.of("i-" + i), i % 2 == 0 ? 20 : 0);
+        }
+        mPool.fleetLoad(load, Map.of(), 1);
+        Set<BackendId> chosen = new HashSet<>();
+        for (int i = 0; i < 40; i++) {
+            BackendId id = choose(0, 77);
+            chosen.add(id);
+            mPool.finished(0, id, Outcome.SERVED);
+        }
+        assertEquals(1, chosen.size());
+    }
+
+    /** Lost servers at the peak: guards against one of them that carries most of the load. */
+    @Test
+    void fewServersShareAHotPrompt() {
+        fleet(6);
+        update(new ControlFacts(Set.of(ZoneId.of("b")), Map.of(), Map.of()));
+        Map<BackendId, Integer> counts = new HashMap<>();
+        for (int i = 0; i < 60; i++) {
+            counts.merge(choose(0, 77), 1, Integer::sum);
+        }
+        int most = counts.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+        assertTrue(most <= 1.25 * 20 + 2, "one server carries " + most + " of 60");
+    }
+
     /** Failing server: guards against one that answers with failures and keeps its share. */
     @Test
     void failingServerIsAvoided() {
