Add a soak: real gateways and controllers under random faults from outside

Kills, pauses and stops processes, tears and damages files of controllers, and slows, resets, silences or cuts the links to backend servers through relays, in series and overlapping, while callers and an operator go on. It checks what they and the servers see: whole answers, commands that run once, refusals that are true, routes and tables that are acknowledged, recovery.

--- /dev/null
+++ b/hemlockrack-soak/src/main/java/org/hemlockrack/soak/SoakFleet.java
@@ -0,0 +1,124 @@
+package org.hemlockrack.soak;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.hemlockrack.platform.TestFleet;
+import org.hemlockrack.testing.Relay;
+
+/** The processes of a run, with a relay before each backend server. */
+final class SoakFleet implements AutoCloseable {
+    private static final long EXIT_SECONDS = 15;
+
+    private final Path mFolder;
+    private final TestFleet mFleet;
+    private final List<Relay> mRelays = new ArrayList<>();
+    private final Disturbances mDisturbances = new Disturbances();
+
+    private SoakFleet(Path folder, TestFleet fleet) {
+        mFolder = folder;
+        mFleet = fleet;
+        for (TestFleet.FakeServer server : fleet.servers()) {
+            String[] parts = server.address().split(":");
+            InetSocketAddress target = new InetSocketAddress(parts[0], Integer.parseInt(parts[1]));
+            Relay relay = Relay.open(0, target);
+            mRelays.add(relay);
+            server.advertise(relay.address());
+        }
+    }
+
+    static SoakFleet start(Path folder) {
+        try {
+            return new SoakFleet(folder, TestFleet.start(folder));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    TestFleet fleet() {
+        return mFleet;
+    }
+
+    Disturbances disturbances() {
+        return mDisturbances;
+    }
+
+    Relay relay(int server) {
+        return mRelays.get(server);
+    }
+
+    Path dataFolder(int controller) {
+        return mFolder.resolve("data-" + controller);
+    }
+
+    static String controller(int number) {
+        return "controller-" + number;
+    }
+
+    static String gateway(int number) {
+        return "gateway-" + number;
+    }
+
+    boolean isAlive(String name) {
+        return mFleet.process(name).isAlive();
+    }
+
+    void kill(String name) {
+        end(name, mFleet.process(name).destroyForcibly());
+    }
+
+    void terminate(String name) {
+        Process process = mFleet.process(name);
+        process.destroy();
+        end(name, process);
+    }
+
+    private static void end(String name, Process process) {
+        try {
+            if (!process.waitFor(EXIT_SECONDS, TimeUnit.SECONDS)) {
+                throw new IllegalStateException(name + " did not end");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    void signal(String name, String signal) {
+        String pid = Long.toString(mFleet.process(name).pid());
+        try {
+            new ProcessBuilder("kill", "-" + signal, pid).start().waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    void restart(String name) {
+        int number = Integer.parseInt(name.substring(name.indexOf('-') + 1));
+        try {
+            if (name.startsWith("controller")) {
+                mFleet.startController(number);
+            } else {
+                mFleet.startGateway(number);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            mFleet.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } finally {
+            mRelays.forEach(Relay::close);
+        }
+    }
+}
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Relay.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Relay.java
@@ -32,6 +32,8 @@
     private final AtomicLong mPassedReads = new AtomicLong();
     private volatile ServerSocket mServer;
     private volatile boolean mCut;
+    private volatile boolean mSilent;
+    private volatile long mDelayMillis;
     private volatile boolean mClosed;
 
     private Relay(ServerSocket server, InetSocketAddress target) {
@@ -86,6 +88,37 @@
         mCut = true;
     }
 
+    /**
+     * Loses only what comes back from the target.
+     *
+     * @param silent whether answers are lost from now on
+     */
+    public void silenceAnswers(boolean silent) {
+        mSilent = silent;
+    }
+
+    /**
+     * Holds back whatever is read from now on.
+     *
+     * @param millis time by which each read is passed on later
+     */
+    public void delay(long millis) {
+        mDelayMillis = millis;
+    }
+
+    /** Resets all open connections. */
+    public void reset() {
+        for (Socket socket : List.copyOf(mSockets)) {
+            try {
+                socket.setSoLinger(true, 0);
+            } catch (IOException ignored) {
+                // The socket is closed already, or is closed without a reset below.
+            }
+            closeQuietly(socket);
+            mSockets.remove(socket);
+        }
+    }
+
     /** Passes new connections on again; the connections of the cut time are closed. */
     public void heal() {
         if (!mCut) {
@@ -162,8 +195,8 @@
             client.setTcpNoDelay(true);
             server.setTcpNoDelay(true);
             server.connect(mTarget, CONNECT_TIMEOUT_MILLIS);
-            start("relay-up", () -> pump(client, server));
-            pump(server, client);
+            start("relay-up", () -> pump(client, server, false));
+            pump(server, client, true);
         } catch (IOException e) {
             if (mCut) {
                 return;
@@ -174,14 +207,17 @@
         }
     }
 
-    private void pump(Socket from, Socket to) {
+    private void pump(Socket from, Socket to, boolean answers) {
         byte[] buffer = new byte[BUFFER_BYTES];
         try {
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
             int count = in.read(buffer);
             while (count >= 0) {
-                if (!mCut) {
+                if (mDelayMillis > 0) {
+                    Fleet.pause(mDelayMillis);
+                }
+                if (!mCut && !(answers && mSilent)) {
                     out.write(buffer, 0, count);
                     mPassedBytes.addAndGet(count);
                     mPassedReads.incrementAndGet();
