Let servers refuse requests whose admission has lapsed

Cause: an owner that is stopped between its last check of the lease and the send delivers the request after it is woken, beside those of the next owner. Traced with every dispatch, send and start logged: the fifth request in flight had passed the check 8.3 s before it arrived.

Change: a request names the announcement on which its admission rests; the server prepared it, so it can tell on its own clock that the lease is over and answers 421 without running it. The owner passes that on as NOT_OWNER and the request is tried through the next owner.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/ForwardOrder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/ForwardOrder.java
@@ -55,6 +55,13 @@
     /** Names the model version that a server with several loaded ones must use. */
     public static final String MODEL_VERSION = "X-Model-Version";
 
+    /**
+     * Names the announcement of the backend server on which the admission rests. A server that
+     * prepared it longer than a lease ago answers 421 and does not run the request: the owner was
+     * stopped between its last check of the lease and the send.
+     */
+    public static final String ADMISSION_SEQUENCE = "X-Admission-Sequence";
+
     private static final String BACKEND = PREFIX + "Backend";
     private static final String WORKSPACE = PREFIX + "Workspace";
     private static final String PRIORITY = PREFIX + "Priority";
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnedBackend.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnedBackend.java
@@ -156,11 +156,15 @@
         ForwardOrder order = request.order();
         List<HeaderField> headers = new ArrayList<>();
         for (HeaderField field : request.call().headers()) {
-            if (!ForwardOrder.isInternal(field) && !field.is(ForwardOrder.REQUEST_ID)) {
+            if (!ForwardOrder.isInternal(field)
+                    && !field.is(ForwardOrder.REQUEST_ID)
+                    && !field.is(ForwardOrder.ADMISSION_SEQUENCE)) {
                 headers.add(field);
             }
         }
         headers.add(HeaderField.of(ForwardOrder.REQUEST_ID, order.requestId()));
+        String sequence = Long.toString(mLast.sequence());
+        headers.add(HeaderField.of(ForwardOrder.ADMISSION_SEQUENCE, sequence));
         HttpClient client = mService.client(order.kind());
         return client.send(
                 mLast.address(),
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnedRequest.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/OwnedRequest.java
@@ -16,6 +16,7 @@
 /** One request at the owner, from its arrival to the end of the backend server's answer. */
 final class OwnedRequest implements Attempt, UpstreamListener {
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
+    private static final int MISDIRECTED_STATUS = 421;
     private static final long NO_FIRST_BYTE = -1;
 
     private final ForwardOrder mOrder;
@@ -126,6 +127,10 @@
 
     @Override
     public void onHead(int status, List<HeaderField> headers, long lengthBytes) {
+        if (status == MISDIRECTED_STATUS) {
+            lapsed();
+            return;
+        }
         mStatus = status;
         if (lengthBytes == 0) {
             firstByte();
@@ -133,8 +138,19 @@
         mListener.onHead(status, headers, lengthBytes);
     }
 
+    /** The server has not run the request, because the lease had ended when it arrived. */
+    private void lapsed() {
+        mCancelled = true;
+        finish(Outcome.CANCELLED);
+        mListener.onRefused(ErrorKind.NOT_OWNER, 0);
+    }
+
     @Override
     public void onBody(ByteBuffer data) {
+        if (mCancelled) {
+            data.position(data.limit());
+            return;
+        }
         firstByte();
         mListener.onBody(data);
     }
@@ -149,6 +165,10 @@
 
     @Override
     public void onEnd() {
+        if (mCancelled) {
+            finish(Outcome.CANCELLED);
+            return;
+        }
         finish(mStatus >= FIRST_SERVER_ERROR_STATUS ? Outcome.ERROR : Outcome.OK);
         mListener.onEnd();
     }
--- /dev/null
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableSourceTest.java
@@ -0,0 +1,41 @@
+package org.hemlockrack.daemon.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class TableSourceTest {
+    private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+
+    private final TableSource mSource = new TableSource();
+
+    /** Start of a large fleet: guards against a long table from every controller. */
+    @Test
+    void oneControllerIsAsked() {
+        mSource.offer(0, "a", 7);
+        mSource.offer(1, "b", 7);
+        assertTrue(mSource.isNew("a"));
+        assertTrue(mSource.ask("a"));
+        assertFalse(mSource.isNew("a"));
+        assertFalse(mSource.ask("b"));
+        mSource.clear();
+        assertFalse(mSource.ask("a"));
+        assertEquals(0, mSource.version());
+    }
+
+    /** Guards against a gateway that waits for a controller that was lost, or is behind. */
+    @Test
+    void silentOrOlderControllerIsReplaced() {
+        mSource.offer(0, "a", 7);
+        mSource.offer(SECOND - 1, "b", 7);
+        assertFalse(mSource.ask("b"));
+        mSource.offer(SECOND, "b", 7);
+        assertTrue(mSource.ask("b"));
+        mSource.offer(SECOND + 1, "c", 8);
+        assertTrue(mSource.ask("c"));
+        assertEquals(8, mSource.version());
+    }
+}
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Announcer.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Announcer.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +28,10 @@
     private static final int STATUS_REDIRECT = 307;
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final Duration TIMEOUT = Duration.ofMillis(700);
+
+    /** Announcements whose time is known: 32 s at the usual period, far more than any lease. */
+    private static final int MAX_REMEMBERED = 64;
+
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final BackendOptions mOptions;
@@ -42,6 +47,8 @@
     private String mTarget;
     private int mNextSeed;
     private long mSequence;
+    private final TreeMap<Long, Long> mPreparedNanos = new TreeMap<>();
+    private volatile long mLeaseNanos = Long.MAX_VALUE;
     private @Nullable Contact mCurrent;
     private @Nullable Contact mPrevious;
     private @Nullable Acknowledgement mAcknowledgement;
@@ -105,6 +112,7 @@
             mPrevious = null;
         }
         mSequence++;
+        remember(mSequence, System.nanoTime());
         String body = body(target).toString();
         HttpRequest request =
                 HttpRequest.newBuilder(URI.create("http://" + target + "/backend/v1/announce"))
@@ -123,6 +131,32 @@
         }
     }
 
+    private void remember(long sequence, long preparedNanos) {
+        synchronized (mPreparedNanos) {
+            mPreparedNanos.put(sequence, preparedNanos);
+            if (mPreparedNanos.size() > MAX_REMEMBERED) {
+                mPreparedNanos.pollFirstEntry();
+            }
+        }
+    }
+
+    /**
+     * Returns whether the right that an announcement gave has ended. Measured here, between two
+     * events of this process, so it holds however long the owner was stopped.
+     *
+     * @param sequence the announcement on which a request was admitted
+     * @return true if the request must not run
+     */
+    boolean isLapsed(long sequence) {
+        synchronized (mPreparedNanos) {
+            Long preparedNanos = mPreparedNanos.get(sequence);
+            if (preparedNanos == null) {
+                return !mPreparedNanos.isEmpty() && sequence < mPreparedNanos.firstKey();
+            }
+            return System.nanoTime() - preparedNanos > mLeaseNanos;
+        }
+    }
+
     private ObjectNode body(String target) {
         ObjectNode body = JSON.createObjectNode();
         body.put("id", mOptions.id());
@@ -173,6 +207,9 @@
 
     private void accepted(JsonNode answer) {
         mNames.put(mTarget, answer.path("owner").asText());
+        if (answer.has("lease_ms")) {
+            mLeaseNanos = answer.path("lease_ms").asLong() * NANOS_PER_MILLI;
+        }
         JsonNode ack = answer.path("ack");
         if (ack.isObject()) {
             mAcknowledgement =
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/BackendServer.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/BackendServer.java
@@ -33,10 +33,12 @@
  */
 public final class BackendServer implements AutoCloseable {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int STATUS_MISDIRECTED = 421;
     private static final int STATUS_CONFLICT = 409;
 
     private final BackendOptions mOptions;
     private final ScheduledExecutorService mTimers;
+    private final AtomicInteger mLapsed = new AtomicInteger();
     private final AtomicInteger mInFlight = new AtomicInteger();
     private final AtomicInteger mRequests = new AtomicInteger();
     private final AtomicInteger mMaxInFlight = new AtomicInteger();
@@ -171,6 +173,7 @@
         ObjectNode stats = JSON.createObjectNode();
         stats.put("id", mOptions.id());
         stats.put("requests", mRequests.get());
+        stats.put("lapsed", mLapsed.get());
         stats.put("in_flight", mInFlight.get());
         stats.put("max_in_flight", mMaxInFlight.get());
         stats.put("cancelled", mCancelled.get());
@@ -227,6 +230,13 @@
     }
 
     private void serve(HttpCall call, Responder responder) {
+        String sequence = call.header("X-Admission-Sequence");
+        if (sequence != null && mAnnouncer.isLapsed(Long.parseLong(sequence))) {
+            mLapsed.incrementAndGet();
+            responder.sendJson(
+                    STATUS_MISDIRECTED, "{\"error\":\"the admission has lapsed\"}", identity(call));
+            return;
+        }
         mRequests.incrementAndGet();
         int running = mInFlight.incrementAndGet();
         mMaxInFlight.accumulateAndGet(running, Math::max);
