Let a large fleet start together; show routes, choices and dropped log lines as metrics

A controller took 64 calls at a time and dropped more without an answer, so gateways waited 3 s for each; its accept queue held 50 connections; each gateway fetched the whole table from each controller and 2,048 prompt uses in one message, several MB on a link of 6 Mbit/s; and messages of the log shared the processor with all of that.

Ruled out: a slow election (it ends 2.8 s after the start now), processor time in calm seconds (0.03 of a core).

Change: a thread for each call, an accept queue of 1,024, two exchanges worked on at a time, the table from one controller (TableSource), prompt uses in pages of 64 and renewed every 40 s, exchanges every 800 ms at most.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixDirectory.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixDirectory.java
@@ -24,8 +24,8 @@
     /** A use is older than this once the server's memory has most likely turned over. */
     private static final long KEPT_NANOS = TimeUnit.SECONDS.toNanos(120);
 
-    /** A use that was noted within this time is no news. */
-    private static final long NEWS_NANOS = TimeUnit.SECONDS.toNanos(10);
+    /** A use that was noted within this time is no news; a third of the time that it is kept. */
+    private static final long NEWS_NANOS = KEPT_NANOS / 3;
 
     private final Map<Long, Map<BackendId, Long>> mUses =
             new LinkedHashMap<>(16, 0.75f, true) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixUses.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixUses.java
@@ -37,18 +37,32 @@
         return mEnd;
     }
 
+    /**
+     * Some uses in the order in which they were added.
+     *
+     * @param uses the uses, oldest first
+     * @param next position of the next page
+     */
+    public record Page(List<PrefixUseData> uses, long next) {
+        /** Nothing, at the start. */
+        public static final Page EMPTY = new Page(List.of(), 0);
+    }
+
     /**
      * Returns the uses from a position on.
      *
-     * @param position a position that {@link #end} returned; another one stands for the start
-     * @return the uses, oldest first
+     * @param position a position that a page stated; another one stands for the start
+     * @param most longest page
+     * @return the uses that are still kept
      */
-    public List<PrefixUseData> since(long position) {
-        long first = position < 0 || position > mEnd ? 0 : position;
+    public Page since(long position, int most) {
+        long asked = position < 0 || position > mEnd ? 0 : position;
+        long first = Math.max(asked, mEnd - mRing.length);
+        long next = Math.min(mEnd, first + most);
         List<PrefixUseData> uses = new ArrayList<>();
-        for (long at = Math.max(first, mEnd - mRing.length); at < mEnd; at++) {
+        for (long at = first; at < next; at++) {
             uses.add(mRing[(int) (at % mRing.length)]);
         }
-        return uses;
+        return new Page(uses, next);
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -167,6 +167,15 @@
         return own;
     }
 
+    /**
+     * Returns the number of servers that are left out after failed connections.
+     *
+     * @param nowNanos monotonic time
+     */
+    public int suspended(long nowNanos) {
+        return (int) mSlots.values().stream().filter(slot -> slot.isSuspended(nowNanos)).count();
+    }
+
     /** Returns whether the pool holds any server. */
     public boolean isEmpty() {
         return mSlots.isEmpty();
--- a/hemlockrack-core/src/main/java/org/hemlockrack/registry/ServerRegistry.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/registry/ServerRegistry.java
@@ -101,15 +101,6 @@
         }
     }
 
-    /**
-     * Drops a server.
-     *
-     * @param id its id
-     */
-    public void remove(BackendId id) {
-        mEntries.remove(id);
-    }
-
     /**
      * Drops servers whose heartbeats have stopped.
      *
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -77,7 +77,6 @@
     private static final long SNAPSHOT_ENTRIES = 10_000;
     private static final long NOT_PUBLISHED = -1;
     private static final long STATE_MILLIS = 100;
-    private static final long DRAIN_POLL_MILLIS = 20;
     private static final double NANOS_PER_SECOND = 1e9;
 
     /** After readiness has ended, the balancer may send requests for this long. */
@@ -567,18 +566,14 @@
                 mLoop.nowNanos()
                         + TimeUnit.MILLISECONDS.toNanos(
                                 mSettings.integer(SettingKey.SHUTDOWN_DRAIN_TIMEOUT_MS));
-        pause(SETTLE_MILLIS);
-        int left = openRequests();
-        while (left > 0 && mLoop.nowNanos() - endNanos < 0) {
-            pause(DRAIN_POLL_MILLIS);
-            left = openRequests();
-        }
+        OpenWork.pause(SETTLE_MILLIS);
+        int left = OpenWork.await(this::openRequests, endNanos);
         if (left > 0) {
             mLog.log(LogEvent.DRAIN_TIMED_OUT, "%d requests were cut", left);
         }
         onLoop(() -> mFleet.post(new MembershipInput.Leave()));
         onLoop(mBurn::save);
-        pause(LEAVE_MILLIS);
+        OpenWork.pause(LEAVE_MILLIS);
         close();
         mLog.log(LogEvent.DAEMON_STOPPED, "instance %s", mSettings.instanceId());
     }
@@ -589,14 +584,6 @@
         return counts.get(0);
     }
 
-    private static void pause(long millis) {
-        try {
-            TimeUnit.MILLISECONDS.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     @Override
     public void close() {
         try {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerPeers.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerPeers.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.concurrent.Semaphore;
 import org.apache.thrift.TApplicationException;
 import org.apache.thrift.TException;
 import org.hemlockrack.consensus.ConsensusCodec;
@@ -21,10 +22,17 @@
 
 /** Answers gateways and other controllers. Called on the peer port's threads. */
 final class ControllerPeers implements Peer.Iface {
+    /**
+     * Exchanges that are worked on at a time. After a restart all gateways ask at once; the log's
+     * messages, which come on threads of their own, must find processor time then.
+     */
+    private static final int MAX_EXCHANGES = 2;
+
     private final String mSelf;
     private final ReplicaService mReplica;
     private final ControllerService mService;
     private final DecisionLog mLog;
+    private final Semaphore mExchanges = new Semaphore(MAX_EXCHANGES, true);
 
     ControllerPeers(
             String self, ReplicaService replica, ControllerService service, DecisionLog log) {
@@ -58,8 +66,19 @@
     }
 
     @Override
-    public SyncReply sync(SyncRequest request) {
-        return mService.sync(request);
+    public SyncReply sync(SyncRequest request) throws TException {
+        try {
+            mExchanges.acquire();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new TApplicationException(
+                    TApplicationException.INTERNAL_ERROR, "the controller is stopping");
+        }
+        try {
+            return mService.sync(request);
+        } finally {
+            mExchanges.release();
+        }
     }
 
     private static TException unsupported() {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -386,8 +386,10 @@
         }
         boolean wanted = request.getPrefixPosition() >= 0;
         long position = known ? request.getPrefixPosition() : 0;
-        reply.setPrefixUses(wanted ? mUses.since(position) : List.of());
-        reply.setPrefixPosition(wanted ? mUses.end() : 0);
+        PrefixUses.Page page =
+                wanted ? mUses.since(position, ControllerLink.MAX_USES) : PrefixUses.Page.EMPTY;
+        reply.setPrefixUses(page.uses());
+        reply.setPrefixPosition(page.next());
     }
 
     private List<String> controllers() {
@@ -399,7 +401,7 @@
     }
 
     @Override
-    public SyncRequest request(Map<BackendId, Integer> ownLoad) {
+    public SyncRequest request(String address, Map<BackendId, Integer> ownLoad) {
         SyncRequest request = new SyncRequest();
         request.setSender(mSelf);
         request.setGateway(false);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/CallerFacts.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/CallerFacts.java
@@ -11,15 +11,13 @@
  * @param waitMillis how long the caller waits, or a negative number if it does not say
  * @param bearerKey the caller's key, or null
  * @param promptParts ids of the prompt's parts in order, empty for plain requests
- * @param lastEventId event after which a stream is to go on, or null
  */
 public record CallerFacts(
         String attemptId,
         String host,
         long waitMillis,
         @Nullable String bearerKey,
-        List<String> promptParts,
-        @Nullable String lastEventId) {
+        List<String> promptParts) {
     /** Copies the list. */
     public CallerFacts {
         promptParts = List.copyOf(promptParts);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/FleetFollower.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/FleetFollower.java
@@ -13,11 +13,11 @@
 import org.hemlockrack.daemon.loop.Loop;
 import org.hemlockrack.daemon.sync.ControllerLink;
 import org.hemlockrack.daemon.sync.ControllerLinks;
+import org.hemlockrack.dispatch.PrefixUses;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.registry.RegisteredServer;
 import org.hemlockrack.routing.RouteTable;
-import org.hemlockrack.wire.PrefixUseData;
 import org.hemlockrack.wire.SyncReply;
 import org.hemlockrack.wire.SyncRequest;
 import org.jspecify.annotations.Nullable;
@@ -30,6 +30,8 @@
     /** Without news from a controller for this long, the view may be superseded. */
     private static final long STALE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+    private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
     private final Loop mLoop;
     private final String mSelf;
     private final Dialect mDialect;
@@ -39,6 +41,7 @@
     private Set<String> mSeeds = Set.of();
     private Set<String> mMembers = Set.of();
     private String mPrefixSource = "";
+    private final TableSource mTableSource = new TableSource();
     private final DurableVersions mDurable = DurableVersions.create();
 
     private volatile GatewayView mView = GatewayView.EMPTY;
@@ -58,6 +61,7 @@
         mDialect = dialect;
         mPool = pool;
         mLog = log;
+        mFreshNanos = loop.nowNanos();
     }
 
     GatewayView view() {
@@ -69,6 +73,11 @@
         return mEverFresh && mLoop.nowNanos() - mFreshNanos < STALE_NANOS;
     }
 
+    /** Returns the time since a controller has confirmed the view, or since the start. */
+    double ageSeconds() {
+        return (mLoop.nowNanos() - mFreshNanos) / NANOS_PER_SECOND;
+    }
+
     /** Sets the controllers that the settings name. Called on the loop. */
     void seeds(List<String> addresses) {
         mSeeds = Set.copyOf(addresses);
@@ -87,13 +96,8 @@
     }
 
     @Override
-    public long prefixUsesEnd() {
-        return mPool.usesEnd();
-    }
-
-    @Override
-    public List<PrefixUseData> prefixUses(long position) {
-        return mPool.usesSince(position);
+    public PrefixUses.Page prefixUses(long position, int most) {
+        return mPool.usesSince(position, most);
     }
 
     /** Every controller hears of all uses, so one that answers is enough. */
@@ -106,18 +110,24 @@
     }
 
     @Override
-    public SyncRequest request(Map<BackendId, Integer> ownLoad) {
+    public SyncRequest request(String address, Map<BackendId, Integer> ownLoad) {
         GatewayView view = mView;
         SyncRequest request = new SyncRequest();
         request.setSender(mSelf);
         request.setGateway(true);
         request.setHaveRevision(mEverFresh ? view.revision() : -1);
-        request.setHaveTableVersion(view.tableVersion());
+        request.setHaveTableVersion(
+                mTableSource.ask(address) ? view.tableVersion() : Long.MAX_VALUE);
         request.setInFlight(ControllerLink.toData(ownLoad));
         request.setCounts(mPool.counts());
         return request;
     }
 
+    @Override
+    public boolean isUrgent(String address) {
+        return mTableSource.isNew(address);
+    }
+
     @Override
     public void replied(String address, SyncReply reply, Map<BackendId, Integer> ownAtRequest) {
         long nowNanos = mLoop.nowNanos();
@@ -126,6 +136,9 @@
         }
         mPool.learn(nowNanos, reply.getPrefixUses());
         mPool.fleetLoad(reply.getFleetInFlight(), ownAtRequest, reply.getGateways());
+        if (!reply.isSetTableDocument() && reply.getTableVersion() > mView.tableVersion()) {
+            mTableSource.offer(nowNanos, address, reply.getTableVersion());
+        }
         if (!reply.isCaughtUp()) {
             adoptDurable(nowNanos, address, reply);
             return;
@@ -172,6 +185,9 @@
         long revision = newer ? reply.getRevision() : view.revision();
         GatewayView next = new GatewayView(table, facts, revision);
         mView = next;
+        if (next.tableVersion() >= mTableSource.version()) {
+            mTableSource.clear();
+        }
         mPool.adopt(nowNanos, next);
         mLog.state("view")
                 .put("table", next.tableVersion())
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
@@ -44,8 +44,10 @@
     private static final double MILLIS_PER_SECOND = 1_000;
 
     /** Counts a delivered answer. */
-    void answered(long firstByteNanos, long wholeNanos) {
+    void answered(String route, long firstByteNanos, long wholeNanos) {
         ended("answered");
+        metrics.count(MetricName.ROUTE_REQUESTS, "route", route);
+        metrics.record(MetricName.ROUTE_FIRST_BYTE, "route", route, firstByteNanos);
         metrics.record(MetricName.FIRST_BYTE, firstByteNanos);
         metrics.record(MetricName.WHOLE, wholeNanos);
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -134,6 +134,7 @@
             Choice choice =
                     mContext.pool()
                             .choose(nowNanos, new Demand(mService, key, mDraw, Set.copyOf(mTried)));
+            mContext.metrics().count(MetricName.CHOICES, "reason", choice.reason().name());
             if (choice.server() == null) {
                 refuseFor(choice);
                 return;
@@ -303,11 +304,19 @@
      */
     boolean retryAllowed() {
         synchronized (this) {
-            if (mDone || mArrivals >= mRoute.maxAttempts()) {
+            if (mDone) {
+                return false;
+            }
+            if (mArrivals >= mRoute.maxAttempts()) {
+                mContext.metrics().count(MetricName.RETRIES_DENIED, "limit", "route");
                 return false;
             }
         }
-        return mContext.pool().tryRetry(System.nanoTime(), mService);
+        boolean granted = mContext.pool().tryRetry(System.nanoTime(), mService);
+        if (!granted) {
+            mContext.metrics().count(MetricName.RETRIES_DENIED, "limit", "fleet");
+        }
+        return granted;
     }
 
     /** Takes the right to answer the caller. Returns false if the exchange is over. */
@@ -329,7 +338,7 @@
             mDone = true;
             cancelTimer();
         }
-        mContext.answered(attempt.firstByteNanos(), System.nanoTime() - mStartNanos);
+        mContext.answered(mRoute.name(), attempt.firstByteNanos(), System.nanoTime() - mStartNanos);
         long elapsedMillis = elapsedMillis();
         boolean late = attempt.firstByteMillis() > mRoute.targetLatencyMillis();
         if (status < 400 && !late && mTried.size() == 1 && !mContext.log().sampled()) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.hemlockrack.daemon.OpenWork;
 import org.hemlockrack.daemon.ServiceProcess;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.http.HttpClient;
@@ -36,8 +37,6 @@
     /** The balancer asks once a second and acts on the second miss; new callers come until then. */
     private static final long LEAVE_ROTATION_MILLIS = 2_600;
 
-    private static final long DRAIN_POLL_MILLIS = 20;
-
     /** The process must have ended by itself when the time limit of the stop is over. */
     private static final long STOP_MARGIN_MILLIS = 600;
 
@@ -93,6 +92,10 @@
         HttpPort pages = openPages();
         mCloser.register(pages::close);
         mMetrics.value(MetricName.OPEN_REQUESTS, mOpen::get);
+        mMetrics.value(MetricName.VIEW_AGE, mFollower::ageSeconds);
+        mMetrics.value(MetricName.SERVERS_SUSPENDED, mPool::suspended);
+        mMetrics.value(MetricName.LOG_LINES_DROPPED, mLog::dropped);
+        mMetrics.value(MetricName.LOG_UNSAMPLED, mLog::unsampled);
         mMetrics.value(MetricName.CONFIG_VERSION, () -> mFollower.view().tableVersion());
         mLoop.repeat(EXPIRY_PERIOD_MILLIS, mFollower::expire);
         mLoop.execute(() -> mFollower.seeds(settings.controllerPeers()));
@@ -141,7 +144,7 @@
         long startNanos = System.nanoTime();
         mDraining = true;
         mLog.state("stopping").put("open", mOpen.get()).write();
-        pause(LEAVE_ROTATION_MILLIS);
+        OpenWork.pause(LEAVE_ROTATION_MILLIS);
         try {
             mCallers.stopAccepting();
         } catch (IOException e) {
@@ -152,21 +155,11 @@
                         + TimeUnit.MILLISECONDS.toNanos(
                                 mSettings.integer(SettingKey.SHUTDOWN_DRAIN_TIMEOUT_MS)
                                         - STOP_MARGIN_MILLIS);
-        while (mOpen.get() > 0 && System.nanoTime() - endNanos < 0) {
-            pause(DRAIN_POLL_MILLIS);
-        }
-        mLog.state("stopped").put("cut", mOpen.get()).write();
+        int left = OpenWork.await(mOpen::get, endNanos);
+        mLog.state("stopped").put("cut", left).write();
         close();
     }
 
-    private static void pause(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     @Override
     public void close() {
         try {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/SharedPool.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/SharedPool.java
@@ -8,6 +8,7 @@
 import org.hemlockrack.dispatch.Choice;
 import org.hemlockrack.dispatch.Demand;
 import org.hemlockrack.dispatch.Outcome;
+import org.hemlockrack.dispatch.PrefixUses;
 import org.hemlockrack.dispatch.ServerPool;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.ServiceId;
@@ -174,12 +175,12 @@
         mPool.learn(nowNanos, uses);
     }
 
-    synchronized long usesEnd() {
-        return mPool.uses().end();
+    synchronized PrefixUses.Page usesSince(long position, int most) {
+        return mPool.uses().since(position, most);
     }
 
-    synchronized List<PrefixUseData> usesSince(long position) {
-        return mPool.uses().since(position);
+    synchronized int suspended() {
+        return mPool.suspended(System.nanoTime());
     }
 
     synchronized boolean isEmpty() {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
@@ -7,6 +7,39 @@
     RETRIES("retries_total", MetricType.COUNTER, "attempts", "Attempts after the first"),
     FIRST_BYTE("first_byte_seconds", MetricType.SUMMARY, "s", "Time to the answer's head"),
     WHOLE("request_seconds", MetricType.SUMMARY, "s", "Time to the end of the answer"),
+    ROUTE_REQUESTS("route_requests_total", MetricType.COUNTER, "requests", "Answers by route"),
+    ROUTE_FIRST_BYTE(
+            "route_first_byte_seconds", MetricType.SUMMARY, "s", "Time to the head by route"),
+    CHOICES(
+            "server_choices_total",
+            MetricType.COUNTER,
+            "choices",
+            "Choices of a backend server by reason"),
+    RETRIES_DENIED(
+            "retries_denied_total",
+            MetricType.COUNTER,
+            "attempts",
+            "Attempts that the route or the fleet's budget did not allow"),
+    SERVERS_SUSPENDED(
+            "servers_suspended",
+            MetricType.GAUGE,
+            "servers",
+            "Backend servers left out after failed connections"),
+    VIEW_AGE(
+            "view_age_seconds",
+            MetricType.GAUGE,
+            "s",
+            "Time since a controller confirmed this gateway's state"),
+    LOG_LINES_DROPPED(
+            "log_lines_dropped_total",
+            MetricType.COUNTER,
+            "lines",
+            "Log lines that found no room in the buffer"),
+    LOG_UNSAMPLED(
+            "log_unsampled_total",
+            MetricType.COUNTER,
+            "requests",
+            "Requests that ended as usual and were left out of the log"),
     OPEN_REQUESTS("open_requests", MetricType.GAUGE, "requests", "Open requests of callers"),
     QUEUE_LENGTH("queue_length", MetricType.GAUGE, "requests", "Queue by owned backend server"),
     IN_FLIGHT("in_flight", MetricType.GAUGE, "requests", "In flight by owned backend server"),
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/Metrics.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/Metrics.java
@@ -49,6 +49,21 @@
         mRegistry.histogram(name.text()).update(nanos);
     }
 
+    /**
+     * Records a duration.
+     *
+     * @param name a summary
+     * @param label name of the label
+     * @param value value of the label; callers must not choose it
+     * @param nanos the duration
+     */
+    public void record(MetricName name, String label, String value, long nanos) {
+        String labels = labels(label, value);
+        mLabels.computeIfAbsent(name, key -> new ConcurrentHashMap<>())
+                .putIfAbsent(labels, name.text() + labels);
+        mRegistry.histogram(name.text() + labels).update(nanos);
+    }
+
     /**
      * Sets how the values of a metric are read; the reader is called on any thread.
      *
@@ -95,7 +110,8 @@
 
     private void appendValues(StringBuilder text, MetricName name) {
         if (name.type() == MetricType.SUMMARY) {
-            appendSummary(text, name);
+            Map<String, String> labels = mLabels.getOrDefault(name, Map.of("", name.text()));
+            labels.forEach((each, key) -> appendSummary(text, name, each, key));
             return;
         }
         Supplier<Map<String, Number>> values = mValues.get(name);
@@ -107,16 +123,17 @@
         }
     }
 
-    private void appendSummary(StringBuilder text, MetricName name) {
-        Histogram histogram = mRegistry.histogram(name.text());
+    private void appendSummary(StringBuilder text, MetricName name, String labels, String key) {
+        Histogram histogram = mRegistry.histogram(key);
+        String more = labels.isEmpty() ? "" : labels.substring(1, labels.length() - 1) + ",";
         Snapshot snapshot = histogram.getSnapshot();
         for (double quantile : QUANTILES) {
             line(
                     text,
-                    name.text() + "{quantile=\"" + quantile + "\"}",
+                    name.text() + "{" + more + "quantile=\"" + quantile + "\"}",
                     snapshot.getValue(quantile) / NANOS_PER_SECOND);
         }
-        line(text, name.text() + "_count", histogram.getCount());
+        line(text, name.text() + "_count" + labels, histogram.getCount());
     }
 
     private static void line(StringBuilder text, String key, Number value) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
@@ -11,6 +11,7 @@
 import org.apache.thrift.server.TServer;
 import org.apache.thrift.server.TThreadPoolServer;
 import org.apache.thrift.transport.TNonblockingServerSocket;
+import org.apache.thrift.transport.TNonblockingServerSocket.NonblockingAbstractServerSocketArgs;
 import org.apache.thrift.transport.TTransportException;
 import org.apache.thrift.transport.layered.TFramedTransport;
 import org.hemlockrack.daemon.tls.TlsKeys;
@@ -24,8 +25,15 @@
     /** Largest frame accepted; a stranger cannot make the process allocate more. */
     static final int MAX_FRAME_BYTES = 4 << 20;
 
-    /** Proposals wait for their commit on these threads. */
-    private static final int MAX_WORKERS = 64;
+    /** Connections that may wait to be accepted; the default of 50 is less than a large fleet. */
+    private static final int BACKLOG = 1_024;
+
+    /**
+     * Proposals wait for their commit on these threads, and exchanges for their turn. A call that
+     * finds no thread is lost, which costs its caller seconds, so all of 330 projected instances
+     * find one.
+     */
+    private static final int MAX_WORKERS = 512;
 
     /**
      * Threads with TLS, one for each connection. An instance opens two connections to each of its
@@ -73,7 +81,12 @@
     private static PeerServer openPlain(InetSocketAddress address, Peer.Iface handler)
             throws TTransportException {
         TNonblockingServerSocket socket =
-                new TNonblockingServerSocket(address, CLIENT_TIMEOUT_MILLIS, MAX_FRAME_BYTES);
+                new TNonblockingServerSocket(
+                        new NonblockingAbstractServerSocketArgs()
+                                .bindAddr(address)
+                                .clientTimeout(CLIENT_TIMEOUT_MILLIS)
+                                .maxFrameSize(MAX_FRAME_BYTES)
+                                .backlog(BACKLOG));
         ThreadPoolExecutor workers = workers(MAX_WORKERS, new ThreadPoolExecutor.DiscardPolicy());
         THsHaServer server =
                 new THsHaServer(
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
@@ -7,9 +7,9 @@
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.loop.Loop;
+import org.hemlockrack.dispatch.PrefixUses;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.wire.LoadData;
-import org.hemlockrack.wire.PrefixUseData;
 import org.hemlockrack.wire.SyncReply;
 import org.hemlockrack.wire.SyncRequest;
 import org.jspecify.annotations.Nullable;
@@ -20,11 +20,17 @@
     private static final long MIN_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     /** Longest pause; what was acknowledged must reach all gateways within 2 s. */
-    private static final long MAX_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final long MAX_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
     /** Pause for each gateway, so that a controller answers about 100 exchanges a second. */
     private static final long PERIOD_PER_GATEWAY_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
+    /**
+     * Most prefix uses in one message, about 2 KB. A restarted controller tells all gateways all
+     * uses; in one message each, they would fill its link for seconds.
+     */
+    public static final int MAX_USES = 64;
+
     private final Loop mLoop;
     private final PeerNetwork mNetwork;
     private final String mAddress;
@@ -40,20 +46,25 @@
 
     /** Supplies requests and takes replies; called on the loop. */
     public interface Owner {
-        /** Returns a request without the registry fields. */
-        SyncRequest request(Map<BackendId, Integer> ownLoad);
+        /**
+         * Returns a request without the registry fields.
+         *
+         * @param address the controller
+         * @param ownLoad requests that this instance has in progress
+         */
+        SyncRequest request(String address, Map<BackendId, Integer> ownLoad);
+
+        /** Returns whether the next exchange with a controller must not wait for its turn. */
+        default boolean isUrgent(String address) {
+            return false;
+        }
 
         /** Returns the requests that this instance has in progress at each server. */
         Map<BackendId, Integer> ownLoad();
 
-        /** Returns the position after the newest prefix use of this instance. */
-        default long prefixUsesEnd() {
-            return 0;
-        }
-
-        /** Returns the prefix uses of this instance from a position on. */
-        default List<PrefixUseData> prefixUses(long position) {
-            return List.of();
+        /** Returns prefix uses of this instance from a position on. */
+        default PrefixUses.Page prefixUses(long position, int most) {
+            return PrefixUses.Page.EMPTY;
         }
 
         /** Returns whether this instance learns prefix uses from a controller. */
@@ -115,16 +126,17 @@
             return;
         }
         Map<BackendId, Integer> own = mOwner.ownLoad();
-        SyncRequest request = mOwner.request(own);
+        SyncRequest request = mOwner.request(mAddress, own);
         request.setRegistryEpoch(mRegistryEpoch);
         request.setRegistryRevision(mRegistryRevision);
-        long usesEnd = mOwner.prefixUsesEnd();
-        request.setPrefixUses(mOwner.prefixUses(mUsesPosition));
+        PrefixUses.Page uses = mOwner.prefixUses(mUsesPosition, MAX_USES);
+        request.setPrefixUses(uses.uses());
         boolean follows = mOwner.followsPrefixes(mAddress);
         request.setPrefixPosition(follows ? mPrefixPosition : -1);
         mNetwork.ask(mAddress, client -> client.sync(request))
                 .whenComplete(
-                        (reply, fault) -> mLoop.execute(() -> ended(reply, fault, own, usesEnd)));
+                        (reply, fault) ->
+                                mLoop.execute(() -> ended(reply, fault, own, uses.next())));
     }
 
     private static long periodNanos(int gateways) {
@@ -136,11 +148,10 @@
             @Nullable SyncReply reply,
             @Nullable Throwable fault,
             Map<BackendId, Integer> own,
-            long usesEnd) {
+            long usesPosition) {
         if (reply != null) {
             mPeriodNanos = periodNanos(reply.getGateways());
         }
-        mLoop.schedule(mLoop.nowNanos() + mPeriodNanos, this::exchange);
         if (mReachable != (reply != null)) {
             mReachable = reply != null;
             mOwner.reachable(mAddress, mReachable);
@@ -149,13 +160,18 @@
                     .put("cause", fault == null ? null : String.valueOf(fault.getMessage()))
                     .write();
         }
-        if (reply == null) {
-            return;
+        if (reply != null) {
+            take(reply, own, usesPosition);
         }
+        long pauseNanos = reply != null && mOwner.isUrgent(mAddress) ? 0 : mPeriodNanos;
+        mLoop.schedule(mLoop.nowNanos() + pauseNanos, this::exchange);
+    }
+
+    private void take(SyncReply reply, Map<BackendId, Integer> own, long usesPosition) {
         mOwner.replied(mAddress, reply, own);
         boolean restarted = mRegistryEpoch != reply.getRegistryEpoch();
         mPrefixPosition = reply.getPrefixPosition();
-        mUsesPosition = restarted && mRegistryEpoch != 0 ? 0 : usesEnd;
+        mUsesPosition = restarted && mRegistryEpoch != 0 ? 0 : usesPosition;
         mRegistryEpoch = reply.getRegistryEpoch();
         mRegistryRevision = reply.getRegistryRevision();
     }
--- a/hemlockrack-soak/src/main/java/org/hemlockrack/soak/FaultKind.java
+++ b/hemlockrack-soak/src/main/java/org/hemlockrack/soak/FaultKind.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -61,9 +62,7 @@
         Runnable start(SoakFleet fleet, int target, RandomGenerator random) {
             String name = SoakFleet.controller(target);
             fleet.kill(name);
-            byte[] torn = new byte[1 + random.nextInt(20)];
-            random.nextBytes(torn);
-            append(fleet.dataFolder(target).resolve("log"), torn);
+            tear(fleet.dataFolder(target).resolve("log"), 1 + random.nextInt(MAX_TORN_BYTES));
             return () -> fleet.restart(name);
         }
     },
@@ -152,6 +151,9 @@
         SERVER
     }
 
+    /** Less than any whole record. */
+    private static final int MAX_TORN_BYTES = 9;
+
     private final Target mTarget;
 
     FaultKind(Target target) {
@@ -177,13 +179,16 @@
         return () -> fleet.signal(name, "CONT");
     }
 
-    private static void append(Path folder, byte[] bytes) {
+    /** Adds the start of a record, as a write leaves it that was broken off. */
+    private static void tear(Path folder, int bytes) {
         try (Stream<Path> files = Files.list(folder)) {
             Optional<Path> newest =
                     files.filter(file -> file.toString().endsWith(".seg"))
                             .max(Comparator.comparing(Path::getFileName));
             if (newest.isPresent()) {
-                Files.write(newest.get(), bytes, StandardOpenOption.APPEND);
+                byte[] records = Files.readAllBytes(newest.get());
+                byte[] torn = Arrays.copyOf(records, Math.min(bytes, records.length));
+                Files.write(newest.get(), torn, StandardOpenOption.APPEND);
             }
         } catch (IOException e) {
             throw new UncheckedIOException(e);
