Try a rejected request elsewhere on routes of one attempt; leave rejecting servers out for 100 ms

A rejected request has not run, so the route's limit does not apply; the fleet's budget of arrivals does, and counts it.

Change: only attempts that may have run count for the route; at most three rejections for one request. A server that has rejected is left out for 100 ms, since it looks idle to a gateway and would be asked again.

Before: PlatformFleetTest.rejectedCommandRunsElsewhere and ServerPoolTest.rejectingServerIsLeftOutForAMoment fail. After: they pass.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -194,7 +194,7 @@
             return Choice.none(Choice.Reason.NO_SERVER);
         }
         ServiceSpec spec = mSpecs.get(demand.service());
-        List<ServerSlot> open = withRoom(allowed, spec);
+        List<ServerSlot> open = withRoom(notRejecting(nowNanos, allowed), spec);
         if (open.isEmpty()) {
             return Choice.none(Choice.Reason.ALL_FULL);
         }
@@ -253,6 +253,17 @@
         return allowed;
     }
 
+    /** Leaves out servers that have just rejected a request, unless all have. */
+    private static List<ServerSlot> notRejecting(long nowNanos, List<ServerSlot> slots) {
+        List<ServerSlot> taking = new ArrayList<>();
+        for (ServerSlot slot : slots) {
+            if (!slot.isFull(nowNanos)) {
+                taking.add(slot);
+            }
+        }
+        return taking.isEmpty() ? slots : taking;
+    }
+
     private static List<ServerSlot> withRoom(List<ServerSlot> slots, @Nullable ServiceSpec spec) {
         boolean engines = spec != null && spec.runsEngines();
         List<ServerSlot> open = new ArrayList<>();
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerSlot.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerSlot.java
@@ -11,6 +11,9 @@
     /** Longest suspension; then one request tries the server again. */
     private static final long MAX_SUSPEND_NANOS = TimeUnit.SECONDS.toNanos(4);
 
+    /** A server that rejected a request is full for about the time that a plain request takes. */
+    private static final long FULL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     /** Time in which the weight of an outcome falls to a half. */
     private static final double HEALTH_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
@@ -32,6 +35,7 @@
     int mFleet;
     int mOwnAtReport;
 
+    private long mFullUntilNanos;
     private int mSuspensions;
     private long mSuspendedUntilNanos;
     private double mFailures;
@@ -55,6 +59,11 @@
         mIdHash = PromptHash.of(server.registration().id().value());
         mSuspendedUntilNanos = nowNanos;
         mHealthNanos = nowNanos;
+        mFullUntilNanos = nowNanos;
+    }
+
+    boolean isFull(long nowNanos) {
+        return mFullUntilNanos - nowNanos > 0;
     }
 
     /** Requests of the whole fleet in progress here, as far as this gateway can know. */
@@ -81,6 +90,9 @@
 
     void finished(long nowNanos, Outcome outcome) {
         mOwn = Math.max(0, mOwn - 1);
+        if (outcome == Outcome.REJECTED) {
+            mFullUntilNanos = nowNanos + FULL_NANOS;
+        }
         if (outcome.isNeutral()) {
             return;
         }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/ServerPoolTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/ServerPoolTest.java
@@ -233,6 +233,24 @@
         assertTrue(most <= 1.25 * 20 + 2, "one server carries " + most + " of 60");
     }
 
+    /** Burst: guards against a full server that is asked again at once because it looks idle. */
+    @Test
+    void rejectingServerIsLeftOutForAMoment() {
+        fleet(4);
+        BackendId full = BackendId.of("i-2");
+        mPool.finished(0, full, Outcome.REJECTED);
+        for (int i = 0; i < 20; i++) {
+            BackendId id = choose(SECOND / 20, 0);
+            assertNotEquals(full, id);
+            mPool.finished(SECOND / 20, id, Outcome.SERVED);
+        }
+        Set<BackendId> later = new HashSet<>();
+        for (int i = 0; i < 40; i++) {
+            later.add(choose(SECOND, 0));
+        }
+        assertTrue(later.contains(full));
+    }
+
     /** Failing server: guards against one that answers with failures and keeps its share. */
     @Test
     void failingServerIsAvoided() {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -29,6 +29,9 @@
 final class GatewayExchange {
     private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
+    /** Servers that may refuse a request before its caller is told; each takes a round trip. */
+    private static final int MAX_REJECTIONS = 3;
+
     private final GatewayContext mContext;
     private final HttpCall mCall;
     private final Responder mResponder;
@@ -49,6 +52,7 @@
     private @Nullable ScheduledFuture<?> mTimer;
     private long mProgressNanos;
     private int mArrivals;
+    private int mRejections;
     private boolean mMayHaveRun;
     private boolean mHeadSent;
     private boolean mDone;
@@ -246,7 +250,16 @@
     /** Ends an attempt whose request has certainly not run. */
     void notRun(ForwardAttempt attempt, Outcome outcome, String cause) {
         boolean arrived = outcome == Outcome.REJECTED || outcome == Outcome.MISDIRECTED;
-        ended(attempt, outcome, cause, !arrived || retryAllowed());
+        if (!arrived) {
+            ended(attempt, outcome, cause, true);
+            return;
+        }
+        synchronized (this) {
+            // The route limits attempts that may have run; the fleet's budget counts this one too.
+            mArrivals--;
+            mRejections++;
+        }
+        ended(attempt, outcome, cause, mRejections <= MAX_REJECTIONS && retryAllowed());
     }
 
     /** Ends an attempt whose request may have run, without an answer for the caller. */
