--- a/hemlockrack-soak/src/main/java/org/hemlockrack/soak/SoakRun.java
+++ b/hemlockrack-soak/src/main/java/org/hemlockrack/soak/SoakRun.java
@@ -101,6 +101,7 @@
     private void awaitReady(TestFleet fleet) {
         fleet.until(() -> fleet.publish(1, "/v1/", mOptions.commandsRepeat()), 200);
         mChecker.acknowledged(1);
+        fleet.awaitServers();
         for (int i = 0; i < TestFleet.GATEWAYS; i++) {
             int gateway = i;
             for (int each = 0; each < 4; each++) {
