--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -254,12 +254,14 @@
             ended(attempt, outcome, cause, true);
             return;
         }
+        boolean fewRejections;
         synchronized (this) {
             // The route limits attempts that may have run; the fleet's budget counts this one too.
             mArrivals--;
             mRejections++;
+            fewRejections = mRejections <= MAX_REJECTIONS;
         }
-        ended(attempt, outcome, cause, mRejections <= MAX_REJECTIONS && retryAllowed());
+        ended(attempt, outcome, cause, fewRejections && retryAllowed());
     }
 
     /** Ends an attempt whose request may have run, without an answer for the caller. */
