Never fetch a table that this gateway may not take over

Cause: found by reading. A controller that is not caught up states what its disk holds, which may never have been committed. A gateway with confirmed state does not take that over, but chose the controller as the source of a newer table and fetched it with every exchange.

TableSourceTest.tableThatMayNotBeCommittedIsNotAskedFor covers the rule; it needs the new parameter, so it could not run before.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/FleetFollower.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/FleetFollower.java
@@ -137,7 +137,8 @@
         mPool.learn(nowNanos, reply.getPrefixUses());
         mPool.fleetLoad(reply.getFleetInFlight(), ownAtRequest, reply.getGateways());
         if (!reply.isSetTableDocument() && reply.getTableVersion() > mView.tableVersion()) {
-            mTableSource.offer(nowNanos, address, reply.getTableVersion());
+            boolean adoptable = reply.isCaughtUp() || !mEverFresh;
+            mTableSource.offer(nowNanos, address, reply.getTableVersion(), adoptable);
         }
         if (!reply.isCaughtUp()) {
             adoptDurable(nowNanos, address, reply);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/TableSource.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/TableSource.java
@@ -21,8 +21,13 @@
      * @param nowNanos monotonic time
      * @param address the controller
      * @param version version of its table
+     * @param adoptable whether this gateway may take a table from it; what a controller holds on
+     *     disk may never have been committed
      */
-    void offer(long nowNanos, String address, long version) {
+    void offer(long nowNanos, String address, long version, boolean adoptable) {
+        if (!adoptable) {
+            return;
+        }
         boolean open = mAddress.isEmpty() || nowNanos - mSinceNanos >= PATIENCE_NANOS;
         if (!open && version <= mVersion) {
             return;
