Log what tells a late table from one that was never committed

An acknowledgement that needs no command wrote no line, the state that a controller takes from its disk neither; a gateway's lines did not name the controller that a table came from, the newest version that was reported or the age of the confirmation on which a refusal rests. No logic is changed.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -141,6 +141,10 @@
                 mView = viewOf(state);
             }
         }
+        mLog.instanceEvent("durable_state")
+                .put("revision", state.revision())
+                .put("table", state.tableVersion())
+                .write();
     }
 
     /**
@@ -190,11 +194,11 @@
     public CompletableFuture<Void> recordDeparture(BackendId id, @Nullable Long startMillis) {
         long incarnationMillis = startMillis == null ? incarnationStartMillis(id) : startMillis;
         // Before the first publication the view may hold entries of the disk without a majority.
+        String description = "server_departed " + id;
         if (mHasCommittedView && mView.overrides().hasDeparted(id, incarnationMillis)) {
-            return CompletableFuture.completedFuture(null);
+            return acknowledgeCommitted(description);
         }
-        return propose(
-                "server_departed " + id, ControlCommand.recordDeparture(id, incarnationMillis));
+        return propose(description, ControlCommand.recordDeparture(id, incarnationMillis));
     }
 
     /**
@@ -215,11 +219,12 @@
      */
     public CompletableFuture<Void> publishTable(byte[] document) {
         RouteTable table = mProtocol.parseRouteTable(document);
+        String description = "table " + table.version();
         if (mHasCommittedView && table.version() <= mView.tableVersion()) {
-            return CompletableFuture.completedFuture(null);
+            return acknowledgeCommitted(description);
         }
         return propose(
-                "table " + table.version(),
+                description,
                 ControlCommand.publishTable(table.version(), Deflate.deflate(document)));
     }
 
@@ -310,6 +315,18 @@
         return readNewestView().thenApply(view -> view.overrides().move(service));
     }
 
+    /** Acknowledges an order whose effect is in the committed state already. */
+    private CompletableFuture<Void> acknowledgeCommitted(String description) {
+        ControlView view = mView;
+        mLog.instanceEvent("order")
+                .put("order", description)
+                .put("outcome", "already_committed")
+                .put("revision", view.revision())
+                .put("table", view.tableVersion())
+                .write();
+        return CompletableFuture.completedFuture(null);
+    }
+
     private CompletableFuture<Void> propose(String description, byte[] command) {
         long startNanos = mLoop.nowNanos();
         return mProposer
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
@@ -17,6 +17,8 @@
     /** Usual time until a gateway that starts together with all controllers has a route table. */
     private static final long USUAL_START_MILLIS = 2_000;
 
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private final long mStartNanos = System.nanoTime();
     private final GatewayContext mContext;
     private final GatewayViewUpdater mViewUpdater;
@@ -63,6 +65,8 @@
                 .put("kind", kind.name())
                 .put("cause", cause.getMessage())
                 .put("table", mViewUpdater.view().tableVersion())
+                .put("newest_table", mViewUpdater.newestReportedVersion())
+                .put("confirmed_ms", (long) (mViewUpdater.viewAgeSeconds() * MILLIS_PER_SECOND))
                 .write();
         long expectedMillis = mViewUpdater.view().table() == null ? remainingStartMillis() : 0;
         mContext.refuse(responder, kind, String.valueOf(cause.getMessage()), expectedMillis);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -52,6 +52,11 @@
     private volatile long mConfirmedNanos;
     private volatile boolean mEverConfirmed;
 
+    /** Highest version of a committed table that a controller has reported. */
+    private volatile long mNewestReportedVersion;
+
+    private long mNewestReportedNanos;
+
     GatewayViewUpdater(
             EventLoop loop,
             PeerNetwork network,
@@ -86,6 +91,11 @@
         return (mLoop.nowNanos() - mConfirmedNanos) / NANOS_PER_SECOND;
     }
 
+    /** Returns the highest version of a committed table that a controller has reported. */
+    long newestReportedVersion() {
+        return mNewestReportedVersion;
+    }
+
     /** Returns the peer addresses of the controllers that answer. */
     List<String> reachableControllers() {
         return mReachableControllers;
@@ -161,7 +171,11 @@
             adoptUnconfirmed(nowNanos, address, reply);
             return;
         }
-        adopt(nowNanos, reply);
+        if (reply.getTableVersion() > mNewestReportedVersion) {
+            mNewestReportedVersion = reply.getTableVersion();
+            mNewestReportedNanos = nowNanos;
+        }
+        adopt(nowNanos, address, reply);
         mConfirmedNanos = nowNanos;
         mEverConfirmed = true;
         if (!reply.getControllers().isEmpty()) {
@@ -185,11 +199,11 @@
         }
         mDurableVersions.recordReport(address, reply.getTableVersion());
         if (mDurableVersions.isNewestOfMajority(reply.getTableVersion(), reply.getVoters())) {
-            adopt(nowNanos, reply);
+            adopt(nowNanos, address, reply);
         }
     }
 
-    private void adopt(long nowNanos, SyncReply reply) {
+    private void adopt(long nowNanos, String address, SyncReply reply) {
         GatewayView view = mView;
         RouteTable table = view.table();
         if (reply.getTableVersion() > view.tableVersion() && reply.isSetTableDocument()) {
@@ -217,9 +231,18 @@
                 .put("revision", revision)
                 .put("evacuated", overrides.evacuatedZones().size())
                 .put("moves", overrides.moves().size())
+                .put("controller", address)
+                .put("confirmed", String.valueOf(reply.isCaughtUp()))
+                .put("newest_table", mNewestReportedVersion)
+                .put("newest_age_ms", TimeUnit.NANOSECONDS.toMillis(newestReportedAgeNanos()))
                 .write();
     }
 
+    /** Returns the time since {@link #newestReportedVersion()} was first reported. */
+    private long newestReportedAgeNanos() {
+        return mNewestReportedVersion == 0 ? 0 : mLoop.nowNanos() - mNewestReportedNanos;
+    }
+
     private @Nullable RouteTable parseTable(SyncReply reply) {
         try {
             return mProtocol.parseRouteTable(Deflate.inflate(reply.getTableDocument()));
