--- /dev/null
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
@@ -0,0 +1,161 @@
+package org.hemlockrack.daemon.controller;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.hemlockrack.consensus.ConsensusSettings;
+import org.hemlockrack.consensus.Entry;
+import org.hemlockrack.consensus.EntryKind;
+import org.hemlockrack.consensus.LogStore;
+import org.hemlockrack.consensus.Member;
+import org.hemlockrack.consensus.MemberKind;
+import org.hemlockrack.consensus.Membership;
+import org.hemlockrack.consensus.ReplicaNode;
+import org.hemlockrack.consensus.ReplicaRef;
+import org.hemlockrack.consensus.internal.WireCodec;
+import org.hemlockrack.control.ControlCommand;
+import org.hemlockrack.control.ControlState;
+import org.hemlockrack.daemon.fleet.PeerNetwork;
+import org.hemlockrack.daemon.gateway.StubProtocol;
+import org.hemlockrack.daemon.log.DecisionLog;
+import org.hemlockrack.daemon.log.EventLog;
+import org.hemlockrack.daemon.loop.EventLoop;
+import org.hemlockrack.daemon.replica.Proposer;
+import org.hemlockrack.daemon.replica.ReplicaService;
+import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.routing.RouteTable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A controller that restarts alone, with entries on its disk that no majority has. */
+class ControllerServiceTest {
+    private static final InstanceId SELF = InstanceId.of("a");
+    private static final String UNREACHABLE = "127.0.0.1:1";
+    private static final int TABLE_VERSION = 7;
+    private static final BackendId SERVER = BackendId.of("server-1");
+    private static final long SERVER_START_MILLIS = 5;
+
+    @TempDir private Path mFolder;
+
+    private final EventLoop mLoop = EventLoop.open("controller", Throwable::printStackTrace);
+    private final EventLoop mLogLoop = EventLoop.open("log", Throwable::printStackTrace);
+    private final DecisionLog mLog = DecisionLog.open("a", new ByteArrayOutputStream());
+    private final PeerNetwork mNetwork =
+            PeerNetwork.create(SELF, Map.of(), null, (address, cause) -> {});
+    private ReplicaService mReplica;
+    private ControllerService mService;
+
+    /** Parses a document that holds only the version of the table. */
+    private static final class VersionProtocol extends StubProtocol {
+        @Override
+        public RouteTable parseRouteTable(byte[] document) {
+            long version = Long.parseLong(new String(document, StandardCharsets.US_ASCII));
+            return RouteTable.of(version, List.of(), List.of(), null);
+        }
+    }
+
+    @BeforeEach
+    void restart() {
+        LogStore store = LogStore.open(mFolder, new SecureRandom());
+        long replicaId = store.recovered().hardState().replicaId();
+        Map<InstanceId, String> voters = new HashMap<>();
+        List<Member> members = new ArrayList<>();
+        for (String name : List.of("a", "b", "c")) {
+            InstanceId instance = InstanceId.of(name);
+            long id = instance.equals(SELF) ? replicaId : members.size();
+            members.add(new Member(ReplicaRef.of(instance, id), MemberKind.VOTER));
+            voters.put(instance, UNREACHABLE);
+        }
+        byte[] membership = WireCodec.encodeMembership(new Membership(replicaId, members));
+        byte[] table = ControlCommand.publishTable(TABLE_VERSION, document());
+        byte[] departure = ControlCommand.recordDeparture(SERVER, SERVER_START_MILLIS);
+        store.append(
+                List.of(
+                        new Entry(1, 1, EntryKind.MEMBERSHIP, 0, membership),
+                        new Entry(2, 1, EntryKind.COMMAND, 0, table),
+                        new Entry(3, 1, EntryKind.COMMAND, 0, departure)));
+        store.sync();
+        store.close();
+
+        LogStore reopened = LogStore.open(mFolder, new SecureRandom());
+        ControlState durable = ControlState.create();
+        durable.apply(2, 0, table);
+        durable.apply(3, 0, departure);
+        ReplicaNode node =
+                ReplicaNode.start(
+                        ConsensusSettings.of(SELF, List.copyOf(voters.keySet())),
+                        reopened,
+                        ControlState.create(),
+                        100,
+                        new SplittableRandom(1),
+                        mLogLoop.nowNanos());
+        mReplica =
+                ReplicaService.start(
+                        mLogLoop, replicaId, node, packet -> {}, EventLog.create(), () -> {});
+        Proposer proposer = Proposer.create(mLoop, SELF, () -> voters, mNetwork, mReplica);
+        mService =
+                new ControllerService(
+                        mLoop,
+                        SELF,
+                        new VersionProtocol(),
+                        proposer,
+                        mReplica,
+                        1,
+                        false,
+                        instance -> UNREACHABLE,
+                        mLog,
+                        1);
+        mService.publishDurable(durable);
+    }
+
+    private static byte[] document() {
+        return String.valueOf(TABLE_VERSION).getBytes(StandardCharsets.US_ASCII);
+    }
+
+    @AfterEach
+    void close() {
+        mReplica.close();
+        mNetwork.close();
+        mLoop.close();
+        mLog.close();
+    }
+
+    private static void assertNotAcknowledged(CompletableFuture<Void> order) {
+        assertFalse(order.isDone() && !order.isCompletedExceptionally());
+        ExecutionException refusal =
+                assertThrows(ExecutionException.class, () -> order.get(10, TimeUnit.SECONDS));
+        assertInstanceOf(HemlockrackException.class, refusal.getCause());
+    }
+
+    /**
+     * Guards against an acknowledged table that is lost: a restarted controller acknowledged a
+     * repeated table because it was on its own disk.
+     */
+    @Test
+    void tableOnOneDiskIsNotAcknowledged() {
+        assertNotAcknowledged(mService.publishTable(document()));
+    }
+
+    /** Guards against an acknowledged departure that is lost, for the same reason. */
+    @Test
+    void departureOnOneDiskIsNotAcknowledged() {
+        assertNotAcknowledged(mService.recordDeparture(SERVER, SERVER_START_MILLIS));
+    }
+}
