Refuse no request for good while a newer route table is being fetched

Callers saw: 404 or 401 for a route or key that an acknowledged table holds.

Cause: a reply that reported a newer table counted as a confirmation of the older one in force. Until the newer one had been fetched, the gateway took its own table for the newest and refused with a status that callers do not retry, instead of NOT_READY.

Evidence: GatewayViewUpdaterTest failed before (isFresh() true at version 7 after a reply that reports 8).

Change: ViewFreshness keeps the newest version that a controller reported; a table below it is not the newest one, whatever lagging controllers confirm. The expiry of silent servers depends on contact only, as before.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -29,10 +29,8 @@
  * confirmed it.
  */
 final class GatewayViewUpdater implements ControllerLink.Delegate {
-    /** A view that no controller has confirmed for this long may be outdated. */
-    private static final long STALE_NANOS = TimeUnit.SECONDS.toNanos(2);
-
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+    private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final EventLoop mLoop;
     private final String mSenderId;
@@ -47,15 +45,9 @@
     private String mPrefixUseSource = "";
     private final TableFetch mTableFetch = new TableFetch();
     private final DurableTableVersions mDurableVersions = DurableTableVersions.create();
+    private final ViewFreshness mFreshness;
 
     private volatile GatewayView mView = GatewayView.EMPTY;
-    private volatile long mConfirmedNanos;
-    private volatile boolean mEverConfirmed;
-
-    /** Highest version of a committed table that a controller has reported. */
-    private volatile long mNewestReportedVersion;
-
-    private long mNewestReportedNanos;
 
     GatewayViewUpdater(
             EventLoop loop,
@@ -72,28 +64,31 @@
         mState = state;
         mRetries = retries;
         mLog = log;
-        mConfirmedNanos = loop.nowNanos();
+        mFreshness = ViewFreshness.create(loop.nowNanos());
     }
 
     GatewayView view() {
         return mView;
     }
 
-    /** Returns whether a controller has confirmed the view within {@link #STALE_NANOS}. */
+    /**
+     * Returns whether the route table may be taken for the newest one, so that what it does not
+     * allow is not allowed.
+     */
     boolean isFresh() {
-        return mEverConfirmed && mLoop.nowNanos() - mConfirmedNanos < STALE_NANOS;
+        return mFreshness.isNewest(mLoop.nowNanos(), mView.tableVersion());
     }
 
     /**
      * Returns the time since a controller last confirmed the view, or since the start if none has.
      */
     double viewAgeSeconds() {
-        return (mLoop.nowNanos() - mConfirmedNanos) / NANOS_PER_SECOND;
+        return mFreshness.ageNanos(mLoop.nowNanos()) / NANOS_PER_SECOND;
     }
 
     /** Returns the highest version of a committed table that a controller has reported. */
     long newestReportedVersion() {
-        return mNewestReportedVersion;
+        return mFreshness.newestVersion();
     }
 
     /** Returns the peer addresses of the controllers that answer. */
@@ -141,7 +136,7 @@
         SyncRequest request = new SyncRequest();
         request.setSender(mSenderId);
         request.setGateway(true);
-        request.setHaveRevision(mEverConfirmed ? view.revision() : -1);
+        request.setHaveRevision(mFreshness.everConfirmed() ? view.revision() : -1);
         request.setHaveTableVersion(
                 mTableFetch.tryRequest(address) ? view.tableVersion() : Long.MAX_VALUE);
         request.setInFlight(ControllerLink.toLoadData(ownLoad));
@@ -164,20 +159,15 @@
         mState.learnPrefixUses(nowNanos, reply.getPrefixUses());
         mState.updateFleetLoad(reply.getFleetInFlight(), ownLoadAtRequest, reply.getGateways());
         if (!reply.isSetTableDocument() && reply.getTableVersion() > mView.tableVersion()) {
-            boolean adoptable = reply.isCaughtUp() || !mEverConfirmed;
+            boolean adoptable = reply.isCaughtUp() || !mFreshness.everConfirmed();
             mTableFetch.offer(nowNanos, address, reply.getTableVersion(), adoptable);
         }
         if (!reply.isCaughtUp()) {
             adoptUnconfirmed(nowNanos, address, reply);
             return;
         }
-        if (reply.getTableVersion() > mNewestReportedVersion) {
-            mNewestReportedVersion = reply.getTableVersion();
-            mNewestReportedNanos = nowNanos;
-        }
         adopt(nowNanos, address, reply);
-        mConfirmedNanos = nowNanos;
-        mEverConfirmed = true;
+        mFreshness.recordConfirmation(nowNanos, reply.getTableVersion());
         if (!reply.getControllers().isEmpty()) {
             Set<String> controllers = Set.copyOf(reply.getControllers());
             if (!controllers.equals(mControllers)) {
@@ -194,7 +184,7 @@
      * before the controllers have elected a leader.
      */
     private void adoptUnconfirmed(long nowNanos, String address, SyncReply reply) {
-        if (mEverConfirmed || reply.getTableVersion() == 0) {
+        if (mFreshness.everConfirmed() || reply.getTableVersion() == 0) {
             return;
         }
         mDurableVersions.recordReport(address, reply.getTableVersion());
@@ -211,7 +201,7 @@
         }
         // Unconfirmed overrides may never have been committed, so the first confirmed ones replace
         // them regardless of their revision.
-        boolean firstConfirmed = reply.isCaughtUp() && !mEverConfirmed;
+        boolean firstConfirmed = reply.isCaughtUp() && !mFreshness.everConfirmed();
         boolean adoptOverrides =
                 reply.isSetFacts() && (firstConfirmed || reply.getRevision() > view.revision());
         if (table == view.table() && !adoptOverrides) {
@@ -233,16 +223,11 @@
                 .put("moves", overrides.moves().size())
                 .put("controller", address)
                 .put("confirmed", String.valueOf(reply.isCaughtUp()))
-                .put("newest_table", mNewestReportedVersion)
-                .put("newest_age_ms", TimeUnit.NANOSECONDS.toMillis(newestReportedAgeNanos()))
+                .put("newest_table", mFreshness.newestVersion())
+                .put("newest_age_ms", mFreshness.newestAgeNanos(nowNanos) / NANOS_PER_MILLI)
                 .write();
     }
 
-    /** Returns the time since {@link #newestReportedVersion()} was first reported. */
-    private long newestReportedAgeNanos() {
-        return mNewestReportedVersion == 0 ? 0 : mLoop.nowNanos() - mNewestReportedNanos;
-    }
-
     private @Nullable RouteTable parseTable(SyncReply reply) {
         try {
             return mProtocol.parseRouteTable(Deflate.inflate(reply.getTableDocument()));
@@ -273,7 +258,7 @@
     void expireServers() {
         // Heartbeats arrive through the controllers. While no controller answers, missing
         // heartbeats do not mean that servers have failed.
-        if (!isFresh()) {
+        if (!mFreshness.isConfirmed(mLoop.nowNanos())) {
             return;
         }
         for (RegisteredServer server : mState.expireServers(mLoop.nowNanos())) {
--- /dev/null
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
@@ -0,0 +1,98 @@
+package org.hemlockrack.daemon.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.hemlockrack.codec.Deflate;
+import org.hemlockrack.daemon.fleet.PeerNetwork;
+import org.hemlockrack.daemon.log.DecisionLog;
+import org.hemlockrack.daemon.loop.EventLoop;
+import org.hemlockrack.dispatch.ServerPool;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.model.ZoneId;
+import org.hemlockrack.routing.RouteTable;
+import org.hemlockrack.wire.SyncReply;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What a gateway makes of the replies of its controllers. */
+class GatewayViewUpdaterTest {
+    private static final String CONTROLLER = "127.0.0.1:1";
+    private static final String OTHER_CONTROLLER = "127.0.0.1:2";
+
+    private final EventLoop mLoop = EventLoop.open("test", Throwable::printStackTrace);
+    private final DecisionLog mLog = DecisionLog.open("g1", new ByteArrayOutputStream());
+    private final PeerNetwork mNetwork =
+            PeerNetwork.create(InstanceId.of("g1"), Map.of(), null, (address, cause) -> {});
+    private final GatewayViewUpdater mUpdater =
+            new GatewayViewUpdater(
+                    mLoop,
+                    mNetwork,
+                    "g1/1",
+                    new VersionProtocol(),
+                    GatewayState.create(ServerPool.create(ZoneId.of("a"), new SplittableRandom(1))),
+                    RetryPermits.create(mLoop, mNetwork, "g1/1", new RetryLimits(0.1, 10, 10)),
+                    mLog);
+
+    /** Parses a document that holds only the version of the table. */
+    private static final class VersionProtocol extends StubProtocol {
+        @Override
+        public RouteTable parseRouteTable(byte[] document) {
+            long version = Long.parseLong(new String(document, StandardCharsets.US_ASCII));
+            return RouteTable.of(version, List.of(), List.of(), null);
+        }
+    }
+
+    @AfterEach
+    void close() {
+        mNetwork.close();
+        mLoop.close();
+        mLog.close();
+    }
+
+    /** Creates the reply of a controller that holds a committed table and does not send it. */
+    private static SyncReply replyWithoutTable(long tableVersion) {
+        SyncReply reply = new SyncReply();
+        reply.setCaughtUp(true);
+        reply.setTableVersion(tableVersion);
+        reply.setServers(List.of());
+        reply.setFleetInFlight(List.of());
+        reply.setControllers(List.of());
+        reply.setPrefixUses(List.of());
+        return reply;
+    }
+
+    private static SyncReply replyWithTable(long tableVersion) {
+        SyncReply reply = replyWithoutTable(tableVersion);
+        byte[] document = String.valueOf(tableVersion).getBytes(StandardCharsets.US_ASCII);
+        reply.setTableDocument(Deflate.deflate(document));
+        return reply;
+    }
+
+    private void receive(String controller, SyncReply reply) {
+        mUpdater.onReply(controller, reply, Map.of());
+    }
+
+    /**
+     * Guards against a refusal for lack of a route or key that a newer table may hold: a reply that
+     * reported a newer table counted as a confirmation of the older one.
+     */
+    @Test
+    void viewIsNotFreshWhileANewerTableIsFetched() {
+        receive(CONTROLLER, replyWithTable(7));
+        assertTrue(mUpdater.isFresh());
+        receive(CONTROLLER, replyWithoutTable(8));
+        assertEquals(7, mUpdater.view().tableVersion());
+        assertFalse(mUpdater.isFresh());
+        receive(OTHER_CONTROLLER, replyWithoutTable(7));
+        assertFalse(mUpdater.isFresh(), "a controller that lags confirms nothing");
+        receive(CONTROLLER, replyWithTable(8));
+        assertTrue(mUpdater.isFresh());
+    }
+}
