Date a controller's confirmation by its request

Callers saw: a refusal for good that rests on a reply which was held up.

Cause: a reply confirmed the view from the time of its arrival. A reply that lay in a cut link or waited at a loaded controller for up to 3 s, the timeout of the call, was taken for current for 2 s more.

Evidence: GatewayViewUpdaterTest.delayedReplyConfirmsTheTimeOfItsRequest failed before (isFresh() true after a reply to a request of 3 s ago).

Change: the confirmation counts from the time of the request.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -493,7 +493,10 @@
 
     @Override
     public synchronized void onReply(
-            String address, SyncReply reply, Map<BackendId, Integer> ownLoadAtRequest) {
+            String address,
+            SyncReply reply,
+            Map<BackendId, Integer> ownLoadAtRequest,
+            long requestNanos) {
         mRegistry.mergeAll(mLoop.nowNanos(), reply.getServers());
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -151,7 +151,11 @@
     }
 
     @Override
-    public void onReply(String address, SyncReply reply, Map<BackendId, Integer> ownLoadAtRequest) {
+    public void onReply(
+            String address,
+            SyncReply reply,
+            Map<BackendId, Integer> ownLoadAtRequest,
+            long requestNanos) {
         long nowNanos = mLoop.nowNanos();
         if (!reply.getServers().isEmpty()) {
             mState.mergeServers(nowNanos, reply.getServers());
@@ -167,7 +171,7 @@
             return;
         }
         adopt(nowNanos, address, reply);
-        mFreshness.recordConfirmation(nowNanos, reply.getTableVersion());
+        mFreshness.recordConfirmation(nowNanos, requestNanos, reply.getTableVersion());
         if (!reply.getControllers().isEmpty()) {
             Set<String> controllers = Set.copyOf(reply.getControllers());
             if (!controllers.equals(mControllers)) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ViewFreshness.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ViewFreshness.java
@@ -29,14 +29,18 @@
      * Records that a controller has reported its committed state.
      *
      * @param nowNanos monotonic time
+     * @param requestNanos time at which the report was requested; a report that was held up may
+     *     describe a state as old as that
      * @param tableVersion version of its table
      */
-    void recordConfirmation(long nowNanos, long tableVersion) {
+    void recordConfirmation(long nowNanos, long requestNanos, long tableVersion) {
         if (tableVersion > mNewestVersion) {
             mNewestVersion = tableVersion;
             mNewestSinceNanos = nowNanos;
         }
-        mConfirmedNanos = nowNanos;
+        if (!mEverConfirmed || requestNanos - mConfirmedNanos > 0) {
+            mConfirmedNanos = requestNanos;
+        }
         mEverConfirmed = true;
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
@@ -91,8 +91,13 @@
          * @param address the controller
          * @param reply its reply
          * @param ownLoadAtRequest requests in progress that the request reported
+         * @param requestNanos monotonic time of the request; the reply may be as old as that
          */
-        void onReply(String address, SyncReply reply, Map<BackendId, Integer> ownLoadAtRequest);
+        void onReply(
+                String address,
+                SyncReply reply,
+                Map<BackendId, Integer> ownLoadAtRequest,
+                long requestNanos);
 
         /**
          * Called when a controller has become reachable or unreachable.
@@ -154,11 +159,18 @@
         request.setPrefixUses(uses.uses());
         boolean wantsPrefixUses = mDelegate.wantsPrefixUses(mAddress);
         request.setPrefixPosition(wantsPrefixUses ? mReceivedUsesPosition : -1);
+        long requestNanos = mLoop.nowNanos();
         mNetwork.callAsync(mAddress, client -> client.sync(request))
                 .whenComplete(
                         (reply, fault) ->
                                 mLoop.execute(
-                                        () -> onExchangeEnded(reply, fault, ownLoad, uses.next())));
+                                        () ->
+                                                onExchangeEnded(
+                                                        reply,
+                                                        fault,
+                                                        ownLoad,
+                                                        requestNanos,
+                                                        uses.next())));
     }
 
     private static long periodNanos(int gateways) {
@@ -170,6 +182,7 @@
             @Nullable SyncReply reply,
             @Nullable Throwable fault,
             Map<BackendId, Integer> ownLoad,
+            long requestNanos,
             long nextUsesPosition) {
         if (reply != null) {
             mPeriodNanos = periodNanos(reply.getGateways());
@@ -183,15 +196,18 @@
                     .write();
         }
         if (reply != null) {
-            applyReply(reply, ownLoad, nextUsesPosition);
+            applyReply(reply, ownLoad, requestNanos, nextUsesPosition);
         }
         long pauseNanos = reply != null && mDelegate.isUrgent(mAddress) ? 0 : mPeriodNanos;
         mLoop.scheduleAt(mLoop.nowNanos() + pauseNanos, this::exchange);
     }
 
     private void applyReply(
-            SyncReply reply, Map<BackendId, Integer> ownLoad, long nextUsesPosition) {
-        mDelegate.onReply(mAddress, reply, ownLoad);
+            SyncReply reply,
+            Map<BackendId, Integer> ownLoad,
+            long requestNanos,
+            long nextUsesPosition) {
+        mDelegate.onReply(mAddress, reply, ownLoad, requestNanos);
         boolean restarted = mRegistryEpoch != reply.getRegistryEpoch();
         mReceivedUsesPosition = reply.getPrefixPosition();
         mSentUsesPosition = restarted && mRegistryEpoch != 0 ? 0 : nextUsesPosition;
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import org.hemlockrack.codec.Deflate;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.log.DecisionLog;
@@ -76,7 +77,7 @@
     }
 
     private void receive(String controller, SyncReply reply) {
-        mUpdater.onReply(controller, reply, Map.of());
+        mUpdater.onReply(controller, reply, Map.of(), mLoop.nowNanos());
     }
 
     /**
@@ -95,4 +96,18 @@
         receive(CONTROLLER, replyWithTable(8));
         assertTrue(mUpdater.isFresh());
     }
+
+    /**
+     * Guards against a refusal that rests on a reply which was held up on its way: it counted as a
+     * confirmation of the time at which it arrived.
+     */
+    @Test
+    void delayedReplyConfirmsTheTimeOfItsRequest() {
+        long requestNanos = mLoop.nowNanos() - TimeUnit.SECONDS.toNanos(3);
+        mUpdater.onReply(CONTROLLER, replyWithTable(7), Map.of(), requestNanos);
+        assertEquals(7, mUpdater.view().tableVersion());
+        assertFalse(mUpdater.isFresh());
+        receive(CONTROLLER, replyWithoutTable(7));
+        assertTrue(mUpdater.isFresh());
+    }
 }
