Grant the whole retry limit under sustained demand too

Callers saw: under a demand for retries that lasts, about 0.84 of the limit.

Cause: the refill of a bucket left room for a full bucket in every window, used or not.

Change: a keeper remembers what it granted and never exceeds its part in a window and the lifetime before it, so the refill may be that of the whole limit. A restarted keeper starts with a full bucket of debt instead of an empty bucket, because the earlier incarnation may have granted a full one just before.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/limits/PermitKeeper.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/limits/PermitKeeper.java
@@ -9,10 +9,11 @@
  * grants an equal part of a limit and needs no agreement with the others: whatever instances ask
  * whichever keepers, the sum stays within the limit.
  *
- * <p>A keeper's part is a token bucket, which is empty after a restart of the keeper, so that a
- * restart only loses permits. In a window, at most a full bucket, the refill of the window, and the
- * permits that were granted up to {@link #LIFETIME_NANOS} before it can be spent. Not thread-safe;
- * time is monotonic and passed in.
+ * <p>What is spent in a window was granted in it or up to {@link #LIFETIME_NANOS} before it, so a
+ * keeper never grants more than its part in that span. A token bucket spreads the grants over the
+ * span. An earlier incarnation of a restarted keeper may have granted a full bucket just before;
+ * the new one starts with that debt, so that a restart only loses permits. Not thread-safe; time is
+ * monotonic and passed in.
  */
 public final class PermitKeeper {
     /** Time for which a permit is valid; more than a round trip to a loaded controller. */
@@ -23,10 +24,17 @@
 
     /**
      * Permits of all full buckets together, as a share of the slack. A server that fails breaks
-     * many requests at once; the rest of the slack is left for the refill in the same window.
+     * many requests at once; the rest of the slack is left for later in the same window.
      */
     private static final double BURST_SHARE = 0.4;
 
+    private static final int GRANT_SLOTS = 250;
+
+    /** Longest window of a limit for which all requests count. */
+    private static final long REQUEST_HISTORY_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+    private static final int REQUEST_SLOTS = 600;
+
     /** Time over which the rate of requests is measured; reports arrive at least that often. */
     private static final long RATE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -65,12 +73,14 @@
 
     /** This keeper's part of one limit. */
     private static final class Bucket {
+        final SlidingSum mGranted;
         double mPermits;
         long mRefilledNanos;
 
-        Bucket(double permits, long refilledNanos) {
+        Bucket(double permits, long refilledNanos, SlidingSum granted) {
             mPermits = permits;
             mRefilledNanos = refilledNanos;
+            mGranted = granted;
         }
     }
 
@@ -114,28 +124,36 @@
      * @return the number of permits granted
      */
     public int grant(long nowNanos, String limitName, FleetLimit limit, int wanted, int keepers) {
-        double windows = (double) limit.windowNanos() / (limit.windowNanos() + LIFETIME_NANOS);
+        long spanNanos = limit.windowNanos() + LIFETIME_NANOS;
         // Below one permit, a bucket would never hold a whole one.
         double burst = Math.max(1, BURST_SHARE * limit.slack() / keepers);
-        Bucket bucket =
-                mBuckets.computeIfAbsent(
-                        limitName, key -> new Bucket(mStartsFull ? burst : 0, mStartNanos));
-        double slackPerWindow =
-                Math.max(0, USED_SHARE * limit.slack() - keepers * burst) * windows / keepers;
-        double requestsPerSecond = requestSum(nowNanos, limitName).sum(nowNanos);
-        double requestShare = USED_SHARE * limit.ratio() * windows / keepers;
-        double perNano =
-                slackPerWindow / limit.windowNanos()
-                        + requestShare * requestsPerSecond / RATE_NANOS;
-        double refill = (nowNanos - bucket.mRefilledNanos) * perNano;
+        Bucket bucket = mBuckets.computeIfAbsent(limitName, key -> createBucket(burst, spanNanos));
+        SlidingSum requests = requestSum(nowNanos, limitName);
+        double share = USED_SHARE / keepers;
+        double requestsPerWindow =
+                requests.sum(nowNanos, RATE_NANOS) * limit.windowNanos() / RATE_NANOS;
+        double refill = share * limit.permits(requestsPerWindow) / spanNanos;
+        bucket.mPermits =
+                Math.min(burst, bucket.mPermits + refill * (nowNanos - bucket.mRefilledNanos));
         bucket.mRefilledNanos = nowNanos;
-        bucket.mPermits = Math.min(burst, bucket.mPermits + refill);
-        int granted = Math.max(0, Math.min(wanted, (int) bucket.mPermits));
+        double left =
+                share * limit.permits(requests.sum(nowNanos, limit.windowNanos()))
+                        - bucket.mGranted.sum(nowNanos);
+        int granted = Math.max(0, Math.min(wanted, (int) Math.min(bucket.mPermits, left)));
         bucket.mPermits -= granted;
+        bucket.mGranted.add(nowNanos, granted);
         return granted;
     }
 
+    private Bucket createBucket(double burst, long spanNanos) {
+        return new Bucket(
+                mStartsFull ? burst : -burst,
+                mStartNanos,
+                SlidingSum.empty(mStartNanos, spanNanos, GRANT_SLOTS));
+    }
+
     private SlidingSum requestSum(long nowNanos, String limitName) {
-        return mRequests.computeIfAbsent(limitName, key -> SlidingSum.empty(nowNanos, RATE_NANOS));
+        return mRequests.computeIfAbsent(
+                limitName, key -> SlidingSum.empty(nowNanos, REQUEST_HISTORY_NANOS, REQUEST_SLOTS));
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/limits/PermitStock.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/limits/PermitStock.java
@@ -12,6 +12,8 @@
     /** Time over which demand is measured. */
     private static final long DEMAND_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    private static final int DEMAND_SLOTS = 50;
+
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
     private record Batch(long endNanos, long endWallMillis, int[] left) {}
@@ -20,7 +22,7 @@
     private final SlidingSum mDemand;
 
     private PermitStock(long nowNanos) {
-        mDemand = SlidingSum.empty(nowNanos, DEMAND_WINDOW_NANOS);
+        mDemand = SlidingSum.empty(nowNanos, DEMAND_WINDOW_NANOS, DEMAND_SLOTS);
     }
 
     /**
--- a/hemlockrack-core/src/main/java/org/hemlockrack/limits/SlidingSum.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/limits/SlidingSum.java
@@ -5,22 +5,26 @@
  * reaches the window, never earlier. Not thread-safe; time is monotonic and passed in.
  */
 final class SlidingSum {
-    /** Slots of a window; bounds how much later than its window an amount leaves the sum. */
-    private static final int SLOTS = 50;
-
     private final long mSlotNanos;
-    private final double[] mAmounts = new double[SLOTS + 1];
+    private final double[] mAmounts;
     private long mStartNanos;
     private long mNewestSlot;
 
-    private SlidingSum(long nowNanos, long windowNanos) {
+    private SlidingSum(long nowNanos, long windowNanos, int slots) {
         mStartNanos = nowNanos;
-        mSlotNanos = Math.max(1, (windowNanos + SLOTS - 1) / SLOTS);
+        mSlotNanos = Math.max(1, (windowNanos + slots - 1) / slots);
+        mAmounts = new double[slots + 1];
     }
 
-    /** Creates a sum whose window is empty. */
-    static SlidingSum empty(long nowNanos, long windowNanos) {
-        return new SlidingSum(nowNanos, windowNanos);
+    /**
+     * Creates a sum whose window is empty.
+     *
+     * @param nowNanos monotonic time
+     * @param windowNanos length of the window
+     * @param slots parts of the window; an amount leaves the sum up to one part too late
+     */
+    static SlidingSum empty(long nowNanos, long windowNanos, int slots) {
+        return new SlidingSum(nowNanos, windowNanos, slots);
     }
 
     void add(long nowNanos, double amount) {
@@ -29,10 +33,21 @@
     }
 
     double sum(long nowNanos) {
+        return sum(nowNanos, Long.MAX_VALUE);
+    }
+
+    /**
+     * Returns the sum over the newest part of the window.
+     *
+     * @param nowNanos monotonic time
+     * @param withinNanos length of the part; the whole window if it is longer than that
+     */
+    double sum(long nowNanos, long withinNanos) {
         advance(nowNanos);
+        long slots = Math.min(mAmounts.length - 1, (withinNanos - 1) / mSlotNanos + 1);
         double sum = 0;
-        for (double amount : mAmounts) {
-            sum += amount;
+        for (long slot = Math.max(0, mNewestSlot - slots); slot <= mNewestSlot; slot++) {
+            sum += mAmounts[index(slot)];
         }
         return sum;
     }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/limits/PermitProperties.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/limits/PermitProperties.java
@@ -195,7 +195,7 @@
         for (int step = 0; step < 2 * STEPS_PER_SECOND; step++) {
             fleet.step(6, 0, -1);
         }
-        for (int step = 0; step < WINDOW_STEPS; step++) {
+        for (int step = 0; step < 12 * STEPS_PER_SECOND; step++) {
             fleet.step(6, 10, 7);
         }
         double allowed = LIMIT.permits(6 * WINDOW_STEPS);
