Count only voters towards the majority that holds a table on disk

Callers saw, after a restart of all processes: gateways may serve an older table for the seconds until a leader is elected.

Cause: after a restart a gateway takes the newest table on the disks of a majority of the voters. Any controller that reported counted, also one without a vote, which may lag behind every acknowledged table.

Evidence: GatewayViewUpdaterTest.controllersWithoutAVoteAreNoPartOfTheMajority and ControllerServiceTest.onlyVotersReportTheNumberOfVoters failed before.

Change: a controller without a vote reports 0 voters and is left out.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -378,7 +378,7 @@
             reply.setTableDocument(ByteBuffer.wrap(view.deflatedTable()));
         }
         reply.setControllers(controllerAddresses());
-        reply.setVoters(mReplica.membership().voters().size());
+        reply.setVoters(mReplica.isVoter() ? mReplica.membership().voters().size() : 0);
         synchronized (this) {
             long nowNanos = mLoop.nowNanos();
             if (request.isGateway()) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -188,7 +188,8 @@
      * before the controllers have elected a leader.
      */
     private void adoptUnconfirmed(long nowNanos, String address, SyncReply reply) {
-        if (mFreshness.everConfirmed() || reply.getTableVersion() == 0) {
+        boolean isVoter = reply.getVoters() > 0;
+        if (mFreshness.everConfirmed() || reply.getTableVersion() == 0 || !isVoter) {
             return;
         }
         mDurableVersions.recordReport(address, reply.getTableVersion());
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -213,7 +213,6 @@
             stopAfterFailure(e);
             return;
         }
-        mVoter = mNode.consensus().membership().isVoter(mReplicaId);
         mCaughtUp |= mVoter && hasAppliedCurrentTerm();
         if (mCaughtUp) {
             mAfterStep.run();
@@ -261,7 +260,9 @@
      * of those does not see an older membership.
      */
     private void publishMembership() {
-        mMembership = mNode.consensus().membership();
+        Membership membership = mNode.consensus().membership();
+        mVoter = membership.isVoter(mReplicaId);
+        mMembership = membership;
     }
 
     private void rescheduleTimer() {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
@@ -1,5 +1,6 @@
 package org.hemlockrack.daemon.controller;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -39,10 +40,12 @@
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.routing.RouteTable;
+import org.hemlockrack.wire.SyncRequest;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** A controller that restarts alone, with entries on its disk that no majority has. */
 class ControllerServiceTest {
@@ -71,16 +74,16 @@
         }
     }
 
-    @BeforeEach
-    void restart() {
+    private void restart(MemberKind kind) {
         LogStore store = LogStore.open(mFolder, new SecureRandom());
         long replicaId = store.recovered().hardState().replicaId();
         Map<InstanceId, String> voters = new HashMap<>();
         List<Member> members = new ArrayList<>();
         for (String name : List.of("a", "b", "c")) {
             InstanceId instance = InstanceId.of(name);
-            long id = instance.equals(SELF) ? replicaId : members.size();
-            members.add(new Member(ReplicaRef.of(instance, id), MemberKind.VOTER));
+            boolean isSelf = instance.equals(SELF);
+            ReplicaRef replica = ReplicaRef.of(instance, isSelf ? replicaId : members.size());
+            members.add(new Member(replica, isSelf ? kind : MemberKind.VOTER));
             voters.put(instance, UNREACHABLE);
         }
         byte[] membership = WireCodec.encodeMembership(new Membership(replicaId, members));
@@ -150,12 +153,32 @@
      */
     @Test
     void tableOnOneDiskIsNotAcknowledged() {
+        restart(MemberKind.VOTER);
         assertNotAcknowledged(mService.publishTable(document()));
     }
 
     /** Guards against an acknowledged departure that is lost, for the same reason. */
     @Test
     void departureOnOneDiskIsNotAcknowledged() {
+        restart(MemberKind.VOTER);
         assertNotAcknowledged(mService.recordDeparture(SERVER, SERVER_START_MILLIS));
     }
+
+    private int reportedVoters() throws InterruptedException {
+        SyncRequest request = mService.createRequest(UNREACHABLE, Map.of());
+        request.setPrefixUses(List.of());
+        // The membership is known after the first step of the replica.
+        while (mReplica.membership().voters().isEmpty()) {
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+        return mService.sync(request).getVoters();
+    }
+
+    /** Guards against a controller without a vote that counts towards a majority of the voters. */
+    @ParameterizedTest
+    @CsvSource({"VOTER, 3", "LEARNER, 0"})
+    void onlyVotersReportTheNumberOfVoters(MemberKind kind, int reported) throws Exception {
+        restart(kind);
+        assertEquals(reported, reportedVoters());
+    }
 }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
@@ -26,6 +26,7 @@
 class GatewayViewUpdaterTest {
     private static final String CONTROLLER = "127.0.0.1:1";
     private static final String OTHER_CONTROLLER = "127.0.0.1:2";
+    private static final String THIRD_CONTROLLER = "127.0.0.1:3";
 
     private final EventLoop mLoop = EventLoop.open("test", Throwable::printStackTrace);
     private final DecisionLog mLog = DecisionLog.open("g1", new ByteArrayOutputStream());
@@ -110,4 +111,26 @@
         receive(CONTROLLER, replyWithoutTable(7));
         assertTrue(mUpdater.isFresh());
     }
+
+    /** Creates the reply of a controller that has only read its disk. */
+    private static SyncReply unconfirmedReply(long tableVersion, int voters) {
+        SyncReply reply = replyWithTable(tableVersion);
+        reply.setCaughtUp(false);
+        reply.setVoters(voters);
+        return reply;
+    }
+
+    /**
+     * Guards against an old table in force after a restart of all processes: a controller without a
+     * vote, which may lag, counted towards the majority that holds every acknowledged table.
+     */
+    @Test
+    void controllersWithoutAVoteAreNoPartOfTheMajority() {
+        receive(CONTROLLER, unconfirmedReply(7, 0));
+        receive(OTHER_CONTROLLER, unconfirmedReply(7, 3));
+        assertEquals(0, mUpdater.view().tableVersion());
+        receive(THIRD_CONTROLLER, unconfirmedReply(8, 3));
+        assertEquals(8, mUpdater.view().tableVersion());
+        assertFalse(mUpdater.isFresh());
+    }
 }
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -167,6 +167,9 @@
   11: list<string> controllers,
   12: list<PrefixUseData> prefixUses,
   13: i64 prefixPosition,
-  /** Number of voters; a state that is not caught up needs a majority of them. */
+  /**
+   * Number of voters, 0 if the receiver is none of them; a state that is not caught up needs a
+   * majority of them.
+   */
   14: i32 voters
 }
