Judge a refusal by the route table that it rests on

Callers could see: a refusal for good by an older table while a newer one came into force between the look-up of the route and the check of the view.

Cause: the check asked about the view in force, not about the table in which the route or key was not found.

Evidence: by reading; the assertion on version 7 after version 8 is in force in GatewayViewUpdaterTest could not be written before, because the check took no version.

Change: the handler passes the version of the table. The line refused shows that version, and the newest reported one is recorded before the line view.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -193,8 +193,8 @@
      */
     public CompletableFuture<Void> recordDeparture(BackendId id, @Nullable Long startMillis) {
         long incarnationMillis = startMillis == null ? incarnationStartMillis(id) : startMillis;
-        // Before the first publication the view may hold entries of the disk without a majority.
         String description = "server_departed " + id;
+        // Before the first publication the view may hold entries of the disk without a majority.
         if (mHasCommittedView && mView.overrides().hasDeparted(id, incarnationMillis)) {
             return acknowledgeCommitted(description);
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
@@ -47,7 +47,7 @@
             route = findRoute(table, call, metadata);
             workspace = authenticate(table, route, metadata);
         } catch (HemlockrackException e) {
-            refuse(responder, metadata, e);
+            refuse(responder, metadata, table == null ? 0 : table.version(), e);
             return;
         }
         new GatewayExchange(mContext, call, responder, metadata, route, workspace, table.version())
@@ -55,20 +55,25 @@
     }
 
     /**
-     * Refuses a request. While the view may be outdated, the error is {@link ErrorKind#NOT_READY},
-     * because a newer route table may allow the request.
+     * Refuses a request that the route table does not allow. Unless the table is the newest one,
+     * the error is {@link ErrorKind#NOT_READY}, because a newer table may allow the request.
      */
-    private void refuse(Responder responder, RequestMetadata metadata, HemlockrackException cause) {
-        ErrorKind kind = mViewUpdater.isFresh() ? cause.kind() : ErrorKind.NOT_READY;
+    private void refuse(
+            Responder responder,
+            RequestMetadata metadata,
+            long tableVersion,
+            HemlockrackException cause) {
+        boolean isNewest = mViewUpdater.isNewestTable(tableVersion);
+        ErrorKind kind = isNewest ? cause.kind() : ErrorKind.NOT_READY;
         mContext.log()
                 .requestEvent("refused", metadata.attemptId())
                 .put("kind", kind.name())
                 .put("cause", cause.getMessage())
-                .put("table", mViewUpdater.view().tableVersion())
+                .put("table", tableVersion)
                 .put("newest_table", mViewUpdater.newestReportedVersion())
                 .put("confirmed_ms", (long) (mViewUpdater.viewAgeSeconds() * MILLIS_PER_SECOND))
                 .write();
-        long expectedMillis = mViewUpdater.view().table() == null ? remainingStartMillis() : 0;
+        long expectedMillis = tableVersion == 0 ? remainingStartMillis() : 0;
         mContext.refuse(responder, kind, String.valueOf(cause.getMessage()), expectedMillis);
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -72,11 +72,11 @@
     }
 
     /**
-     * Returns whether the route table may be taken for the newest one, so that what it does not
-     * allow is not allowed.
+     * Returns whether a route table may be taken for the newest one, so that what it does not allow
+     * is not allowed.
      */
-    boolean isFresh() {
-        return mFreshness.isNewest(mLoop.nowNanos(), mView.tableVersion());
+    boolean isNewestTable(long tableVersion) {
+        return mFreshness.isNewest(mLoop.nowNanos(), tableVersion);
     }
 
     /**
@@ -170,8 +170,9 @@
             adoptUnconfirmed(nowNanos, address, reply);
             return;
         }
+        mFreshness.recordReport(nowNanos, reply.getTableVersion());
         adopt(nowNanos, address, reply);
-        mFreshness.recordConfirmation(nowNanos, requestNanos, reply.getTableVersion());
+        mFreshness.recordConfirmation(requestNanos);
         if (!reply.getControllers().isEmpty()) {
             Set<String> controllers = Set.copyOf(reply.getControllers());
             if (!controllers.equals(mControllers)) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ViewFreshness.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ViewFreshness.java
@@ -26,18 +26,25 @@
     }
 
     /**
-     * Records that a controller has reported its committed state.
+     * Records the table that a controller has committed.
      *
      * @param nowNanos monotonic time
-     * @param requestNanos time at which the report was requested; a report that was held up may
-     *     describe a state as old as that
-     * @param tableVersion version of its table
+     * @param tableVersion version of the table
      */
-    void recordConfirmation(long nowNanos, long requestNanos, long tableVersion) {
+    void recordReport(long nowNanos, long tableVersion) {
         if (tableVersion > mNewestVersion) {
             mNewestVersion = tableVersion;
             mNewestSinceNanos = nowNanos;
         }
+    }
+
+    /**
+     * Records that the view includes what a controller has reported, its table excepted.
+     *
+     * @param requestNanos time at which the report was requested; a report that was held up may
+     *     describe a state as old as that
+     */
+    void recordConfirmation(long requestNanos) {
         if (!mEverConfirmed || requestNanos - mConfirmedNanos > 0) {
             mConfirmedNanos = requestNanos;
         }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
@@ -86,16 +86,17 @@
      * reported a newer table counted as a confirmation of the older one.
      */
     @Test
-    void viewIsNotFreshWhileANewerTableIsFetched() {
+    void tableIsNotTheNewestWhileANewerOneIsFetched() {
         receive(CONTROLLER, replyWithTable(7));
-        assertTrue(mUpdater.isFresh());
+        assertTrue(mUpdater.isNewestTable(7));
         receive(CONTROLLER, replyWithoutTable(8));
         assertEquals(7, mUpdater.view().tableVersion());
-        assertFalse(mUpdater.isFresh());
+        assertFalse(mUpdater.isNewestTable(7));
         receive(OTHER_CONTROLLER, replyWithoutTable(7));
-        assertFalse(mUpdater.isFresh(), "a controller that lags confirms nothing");
+        assertFalse(mUpdater.isNewestTable(7), "a controller that lags confirms nothing");
         receive(CONTROLLER, replyWithTable(8));
-        assertTrue(mUpdater.isFresh());
+        assertTrue(mUpdater.isNewestTable(8));
+        assertFalse(mUpdater.isNewestTable(7), "a request may still hold the table from before");
     }
 
     /**
@@ -107,9 +108,9 @@
         long requestNanos = mLoop.nowNanos() - TimeUnit.SECONDS.toNanos(3);
         mUpdater.onReply(CONTROLLER, replyWithTable(7), Map.of(), requestNanos);
         assertEquals(7, mUpdater.view().tableVersion());
-        assertFalse(mUpdater.isFresh());
+        assertFalse(mUpdater.isNewestTable(mUpdater.view().tableVersion()));
         receive(CONTROLLER, replyWithoutTable(7));
-        assertTrue(mUpdater.isFresh());
+        assertTrue(mUpdater.isNewestTable(mUpdater.view().tableVersion()));
     }
 
     /** Creates the reply of a controller that has only read its disk. */
@@ -131,6 +132,6 @@
         assertEquals(0, mUpdater.view().tableVersion());
         receive(THIRD_CONTROLLER, unconfirmedReply(8, 3));
         assertEquals(8, mUpdater.view().tableVersion());
-        assertFalse(mUpdater.isFresh());
+        assertFalse(mUpdater.isNewestTable(mUpdater.view().tableVersion()));
     }
 }
