Count reported requests for the time in which they arrived

Cause: a report of requests counted at the moment of its arrival, so a window held up to one report too many.

Change: a report is spread over the time since the one before, and requests count from an age of 1 s, by which all instances have reported them.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/limits/PermitKeeper.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/limits/PermitKeeper.java
@@ -35,9 +35,15 @@
 
     private static final int REQUEST_SLOTS = 600;
 
-    /** Time over which the rate of requests is measured; reports arrive at least that often. */
+    /** Time over which the rate of requests is measured. */
     private static final long RATE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /**
+     * Age from which requests count. Reports arrive at least that often, so that by then the
+     * requests of all instances are known, and none counts for a time outside the window.
+     */
+    private static final long REPORT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     /** Time without a report after which the request counts of an instance are forgotten. */
     private static final long SENDER_EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(30);
 
@@ -84,9 +90,12 @@
         }
     }
 
+    /** Requests of one limit that an instance had received at a time. */
+    private record Report(long atNanos, long requests) {}
+
     /** The newest request counts of one instance. */
     private static final class Sender {
-        final Map<String, Long> mRequestCounts = new HashMap<>();
+        final Map<String, Report> mReports = new HashMap<>();
         long mReportedNanos;
     }
 
@@ -107,9 +116,10 @@
         }
         Sender known = mSenders.computeIfAbsent(sender, key -> new Sender());
         known.mReportedNanos = nowNanos;
-        Long earlier = known.mRequestCounts.put(limitName, requests);
-        if (earlier != null && requests > earlier) {
-            requestSum(nowNanos, limitName).add(nowNanos, requests - earlier);
+        Report earlier = known.mReports.put(limitName, new Report(nowNanos, requests));
+        if (earlier != null && requests > earlier.requests()) {
+            requestSum(nowNanos, limitName)
+                    .addSince(nowNanos, earlier.atNanos(), requests - earlier.requests());
         }
     }
 
@@ -131,14 +141,13 @@
         SlidingSum requests = requestSum(nowNanos, limitName);
         double share = USED_SHARE / keepers;
         double requestsPerWindow =
-                requests.sum(nowNanos, RATE_NANOS) * limit.windowNanos() / RATE_NANOS;
+                requests.sum(nowNanos, RATE_NANOS, REPORT_NANOS) * limit.windowNanos() / RATE_NANOS;
         double refill = share * limit.permits(requestsPerWindow) / spanNanos;
         bucket.mPermits =
                 Math.min(burst, bucket.mPermits + refill * (nowNanos - bucket.mRefilledNanos));
         bucket.mRefilledNanos = nowNanos;
-        double left =
-                share * limit.permits(requests.sum(nowNanos, limit.windowNanos()))
-                        - bucket.mGranted.sum(nowNanos);
+        double requestsInWindow = requests.sum(nowNanos, limit.windowNanos(), REPORT_NANOS);
+        double left = share * limit.permits(requestsInWindow) - bucket.mGranted.sum(nowNanos);
         int granted = Math.max(0, Math.min(wanted, (int) Math.min(bucket.mPermits, left)));
         bucket.mPermits -= granted;
         bucket.mGranted.add(nowNanos, granted);
--- a/hemlockrack-core/src/main/java/org/hemlockrack/limits/SlidingSum.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/limits/SlidingSum.java
@@ -32,21 +32,57 @@
         mAmounts[index(mNewestSlot)] += amount;
     }
 
+    /**
+     * Adds an amount in equal parts over a span of time. What lies before the window is left out.
+     *
+     * @param nowNanos monotonic time
+     * @param sinceNanos start of the span, which ends now
+     * @param amount the amount
+     */
+    void addSince(long nowNanos, long sinceNanos, double amount) {
+        advance(nowNanos);
+        long spanNanos = nowNanos - sinceNanos;
+        if (spanNanos <= 0) {
+            add(nowNanos, amount);
+            return;
+        }
+        long newestStartNanos = mStartNanos + mNewestSlot * mSlotNanos;
+        for (int age = 0; age < mAmounts.length && age <= mNewestSlot; age++) {
+            long startNanos = newestStartNanos - age * mSlotNanos;
+            long fromNanos = Math.max(sinceNanos, startNanos);
+            long toNanos = Math.min(nowNanos, startNanos + mSlotNanos);
+            long overlapNanos = Math.max(0, toNanos - fromNanos);
+            mAmounts[index(mNewestSlot - age)] += amount * overlapNanos / spanNanos;
+            if (startNanos <= sinceNanos) {
+                return;
+            }
+        }
+    }
+
     double sum(long nowNanos) {
-        return sum(nowNanos, Long.MAX_VALUE);
+        advance(nowNanos);
+        double sum = 0;
+        for (double amount : mAmounts) {
+            sum += amount;
+        }
+        return sum;
     }
 
     /**
-     * Returns the sum over the newest part of the window.
+     * Returns the sum over a part of the window. The part is rounded to whole slots and starts up
+     * to a slot too early.
      *
      * @param nowNanos monotonic time
-     * @param withinNanos length of the part; the whole window if it is longer than that
+     * @param lengthNanos length of the part
+     * @param ageNanos age of the end of the part
      */
-    double sum(long nowNanos, long withinNanos) {
+    double sum(long nowNanos, long lengthNanos, long ageNanos) {
         advance(nowNanos);
-        long slots = Math.min(mAmounts.length - 1, (withinNanos - 1) / mSlotNanos + 1);
+        long last = mNewestSlot - ageNanos / mSlotNanos;
+        long first = last - lengthNanos / mSlotNanos + 1;
+        long oldest = Math.max(0, mNewestSlot - mAmounts.length + 1);
         double sum = 0;
-        for (long slot = Math.max(0, mNewestSlot - slots); slot <= mNewestSlot; slot++) {
+        for (long slot = Math.max(oldest, first); slot <= last; slot++) {
             sum += mAmounts[index(slot)];
         }
         return sum;
--- a/hemlockrack-core/src/test/java/org/hemlockrack/limits/PermitProperties.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/limits/PermitProperties.java
@@ -19,7 +19,7 @@
     private static final long STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final long STEP_MILLIS = TimeUnit.NANOSECONDS.toMillis(STEP_NANOS);
     private static final int STEPS_PER_SECOND = 50;
-    private static final int REPORT_STEPS = 40;
+    private static final int MAX_REPORT_STEPS = 50;
     private static final int WINDOW_STEPS = 10 * STEPS_PER_SECOND;
     private static final FleetLimit LIMIT = new FleetLimit(200, 0.2, TimeUnit.SECONDS.toNanos(10));
     private static final String NAME = "assistant";
@@ -42,6 +42,7 @@
     private static final class Fleet {
         final SplittableRandom mRandom;
         final long mLifetimeNanos;
+        final int mReportSteps;
         final List<PermitKeeper> mKeepers = new ArrayList<>();
         final List<Instance> mInstances = new ArrayList<>();
         final List<Integer> mSpent = new ArrayList<>();
@@ -52,6 +53,7 @@
         Fleet(long seed, int instances, int keepers, long lifetimeNanos) {
             mRandom = new SplittableRandom(seed);
             mLifetimeNanos = lifetimeNanos;
+            mReportSteps = 5 + mRandom.nextInt(MAX_REPORT_STEPS - 4);
             for (int i = 0; i < keepers; i++) {
                 mKeepers.add(PermitKeeper.createFull(0));
             }
@@ -80,7 +82,7 @@
             for (int i = 0; i < requests; i++) {
                 pick(target).mRequests++;
             }
-            if (mStep % REPORT_STEPS == 0) {
+            if (mStep % mReportSteps == 0) {
                 reportRequests();
             }
             int spent = 0;
@@ -189,7 +191,7 @@
      * Guards against a limit that shrinks to nothing when it is divided by the number of instances:
      * with 100 instances, none of them ever had a whole permit.
      */
-    @Property(tries = 20)
+    @Property(tries = 40)
     void oneOfThreeHundredInstancesGetsTheWholeLimit(@ForAll long seed) {
         Fleet fleet = new Fleet(seed, 300, 5, PermitKeeper.LIFETIME_NANOS);
         for (int step = 0; step < 2 * STEPS_PER_SECOND; step++) {
