--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
@@ -6,7 +6,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.ArrayList;
@@ -30,7 +29,7 @@
 import org.hemlockrack.control.ControlCommand;
 import org.hemlockrack.control.ControlState;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
-import org.hemlockrack.daemon.gateway.StubProtocol;
+import org.hemlockrack.daemon.gateway.VersionProtocol;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.EventLoop;
@@ -39,7 +38,6 @@
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.InstanceId;
-import org.hemlockrack.routing.RouteTable;
 import org.hemlockrack.wire.SyncRequest;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -65,15 +63,6 @@
     private ReplicaService mReplica;
     private ControllerService mService;
 
-    /** Parses a document that holds only the version of the table. */
-    private static final class VersionProtocol extends StubProtocol {
-        @Override
-        public RouteTable parseRouteTable(byte[] document) {
-            long version = Long.parseLong(new String(document, StandardCharsets.US_ASCII));
-            return RouteTable.of(version, List.of(), List.of(), null);
-        }
-    }
-
     private void restart(MemberKind kind) {
         LogStore store = LogStore.open(mFolder, new SecureRandom());
         long replicaId = store.recovered().hardState().replicaId();
@@ -87,7 +76,8 @@
             voters.put(instance, UNREACHABLE);
         }
         byte[] membership = WireCodec.encodeMembership(new Membership(replicaId, members));
-        byte[] table = ControlCommand.publishTable(TABLE_VERSION, document());
+        byte[] table =
+                ControlCommand.publishTable(TABLE_VERSION, VersionProtocol.document(TABLE_VERSION));
         byte[] departure = ControlCommand.recordDeparture(SERVER, SERVER_START_MILLIS);
         store.append(
                 List.of(
@@ -128,10 +118,6 @@
         mService.publishDurable(durable);
     }
 
-    private static byte[] document() {
-        return String.valueOf(TABLE_VERSION).getBytes(StandardCharsets.US_ASCII);
-    }
-
     @AfterEach
     void close() {
         mReplica.close();
@@ -154,7 +140,7 @@
     @Test
     void tableOnOneDiskIsNotAcknowledged() {
         restart(MemberKind.VOTER);
-        assertNotAcknowledged(mService.publishTable(document()));
+        assertNotAcknowledged(mService.publishTable(VersionProtocol.document(TABLE_VERSION)));
     }
 
     /** Guards against an acknowledged departure that is lost, for the same reason. */
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
@@ -32,7 +32,6 @@
 import org.hemlockrack.registry.ServerRegistry;
 import org.hemlockrack.routing.RerunPolicy;
 import org.hemlockrack.routing.Route;
-import org.hemlockrack.routing.RouteTable;
 import org.hemlockrack.routing.WeightedService;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
@@ -100,7 +99,7 @@
     }
 
     /** A protocol whose process is delayed after the first choice of a server. */
-    private final class DelayedProtocol implements ProtocolAdapter {
+    private final class DelayedProtocol extends StubProtocol {
         private final Runnable mDuringDelay;
         private boolean mDelayed;
 
@@ -137,11 +136,6 @@
         public AnswerMetadata readAnswerHead(int status, List<HeaderField> headers) {
             return new AnswerMetadata(ATTEMPT_ID, true, false, false);
         }
-
-        @Override
-        public RouteTable parseRouteTable(byte[] document) {
-            throw new UnsupportedOperationException();
-        }
     }
 
     /** Completes with the status of the answer. */
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -17,7 +16,6 @@
 import org.hemlockrack.dispatch.ServerPool;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.model.ZoneId;
-import org.hemlockrack.routing.RouteTable;
 import org.hemlockrack.wire.SyncReply;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -42,15 +40,6 @@
                     RetryPermits.create(mLoop, mNetwork, "g1/1", new RetryLimits(0.1, 10, 10)),
                     mLog);
 
-    /** Parses a document that holds only the version of the table. */
-    private static final class VersionProtocol extends StubProtocol {
-        @Override
-        public RouteTable parseRouteTable(byte[] document) {
-            long version = Long.parseLong(new String(document, StandardCharsets.US_ASCII));
-            return RouteTable.of(version, List.of(), List.of(), null);
-        }
-    }
-
     @AfterEach
     void close() {
         mNetwork.close();
@@ -72,8 +61,7 @@
 
     private static SyncReply replyWithTable(long tableVersion) {
         SyncReply reply = replyWithoutTable(tableVersion);
-        byte[] document = String.valueOf(tableVersion).getBytes(StandardCharsets.US_ASCII);
-        reply.setTableDocument(Deflate.deflate(document));
+        reply.setTableDocument(Deflate.deflate(VersionProtocol.document(tableVersion)));
         return reply;
     }
 
