Let gateways refuse for good only what a majority has confirmed lately

Cause: a controller confirmed the view of a gateway once it had published committed state and knew a leader. A controller that had been cut off while two tables were committed got a delayed message of the leader, which had been killed meanwhile, and so knew a leader again; with the other two controllers restarting, it was the only one to answer, and its older state counted as confirmed.

Change: replies state the age of the newest confirmation of their state. The leader lets a majority confirm it by a read round, five times a second; other controllers take over the age that a reply states if they hold its state; a gateway takes a table for the newest one only within 2 s of that time.

Tests: GatewayViewUpdaterTest.controllerWithoutAConfirmedStateConfirmsNothing, ControllerServiceTest.onlyTheConfirmedStateIsConfirmed.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import org.hemlockrack.codec.Deflate;
 import org.hemlockrack.consensus.Member;
@@ -24,6 +25,7 @@
 import org.hemlockrack.daemon.replica.ProposalOutcome;
 import org.hemlockrack.daemon.replica.Proposer;
 import org.hemlockrack.daemon.replica.ReplicaService;
+import org.hemlockrack.daemon.sync.ConfirmedTime;
 import org.hemlockrack.daemon.sync.ControllerLink;
 import org.hemlockrack.dispatch.PrefixDirectory;
 import org.hemlockrack.dispatch.PrefixUseLog;
@@ -77,6 +79,8 @@
     private final LeaderTasks mLeaderTasks;
     private volatile ControlView mView = ControlView.EMPTY;
     private volatile boolean mHasCommittedView;
+    private final ConfirmedTime mConfirmed = ConfirmedTime.unknown();
+    private final AtomicBoolean mConfirming = new AtomicBoolean();
 
     ControllerService(
             EventLoop loop,
@@ -148,8 +152,8 @@
     }
 
     /**
-     * Returns whether committed state was published and a leader is known. A stronger check of
-     * whether the state is current would need a read through the leader.
+     * Returns whether committed state was published and a leader is known. Whether the state is
+     * current is stated by {@link #mConfirmed}.
      */
     private boolean isCaughtUp() {
         return mHasCommittedView && mReplica.leader() != null;
@@ -366,8 +370,9 @@
      * @return the state that the sender lacks
      */
     SyncReply sync(SyncRequest request) {
-        ControlView view = mView;
         SyncReply reply = new SyncReply();
+        mConfirmed.describe(reply, mLoop.nowNanos());
+        ControlView view = mView;
         reply.setCaughtUp(isCaughtUp());
         reply.setRevision(view.revision());
         reply.setTableVersion(view.tableVersion());
@@ -498,6 +503,30 @@
             Map<BackendId, Integer> ownLoadAtRequest,
             long requestNanos) {
         mRegistry.mergeAll(mLoop.nowNanos(), reply.getServers());
+        if (mHasCommittedView && mView.revision() >= reply.getRevision()) {
+            mConfirmed.record(reply, requestNanos);
+        }
+    }
+
+    /**
+     * Lets a majority confirm the state of this leader. To know of a leader is not enough to
+     * confirm a state: the message that named it may have been held up, and the follower may lag.
+     */
+    private void confirmState() {
+        if (mConfirming.getAndSet(true)) {
+            return;
+        }
+        long requestNanos = mLoop.nowNanos();
+        mReplica.readIndex()
+                .whenComplete(
+                        (outcome, fault) -> {
+                            mConfirming.set(false);
+                            if (outcome != null
+                                    && outcome.status() == ProposalStatus.APPLIED
+                                    && mHasCommittedView) {
+                                mConfirmed.record(requestNanos);
+                            }
+                        });
     }
 
     private synchronized Map<String, VersionAnswers> answersByVersion(ServiceId service) {
@@ -517,6 +546,7 @@
             }
         }
         if (mReplica.role() == Role.LEADER) {
+            confirmState();
             mLeaderTasks.run(mView.overrides(), this::answersByVersion);
         }
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -49,6 +49,9 @@
 
     private volatile GatewayView mView = GatewayView.EMPTY;
 
+    /** Whether the view comes from committed state, rather than from disks after a restart. */
+    private boolean mHasCommittedView;
+
     GatewayViewUpdater(
             EventLoop loop,
             PeerNetwork network,
@@ -79,9 +82,7 @@
         return mFreshness.isNewest(mLoop.nowNanos(), tableVersion);
     }
 
-    /**
-     * Returns the time since a controller last confirmed the view, or since the start if none has.
-     */
+    /** Returns the time since a majority confirmed the view, or since the start if none has. */
     double viewAgeSeconds() {
         return mFreshness.ageNanos(mLoop.nowNanos()) / NANOS_PER_SECOND;
     }
@@ -136,7 +137,7 @@
         SyncRequest request = new SyncRequest();
         request.setSender(mSenderId);
         request.setGateway(true);
-        request.setHaveRevision(mFreshness.everConfirmed() ? view.revision() : -1);
+        request.setHaveRevision(mHasCommittedView ? view.revision() : -1);
         request.setHaveTableVersion(
                 mTableFetch.tryRequest(address) ? view.tableVersion() : Long.MAX_VALUE);
         request.setInFlight(ControllerLink.toLoadData(ownLoad));
@@ -163,7 +164,7 @@
         mState.learnPrefixUses(nowNanos, reply.getPrefixUses());
         mState.updateFleetLoad(reply.getFleetInFlight(), ownLoadAtRequest, reply.getGateways());
         if (!reply.isSetTableDocument() && reply.getTableVersion() > mView.tableVersion()) {
-            boolean adoptable = reply.isCaughtUp() || !mFreshness.everConfirmed();
+            boolean adoptable = reply.isCaughtUp() || !mHasCommittedView;
             mTableFetch.offer(nowNanos, address, reply.getTableVersion(), adoptable);
         }
         if (!reply.isCaughtUp()) {
@@ -172,7 +173,8 @@
         }
         mFreshness.recordReport(nowNanos, reply.getTableVersion());
         adopt(nowNanos, address, reply);
-        mFreshness.recordConfirmation(requestNanos);
+        mHasCommittedView = true;
+        mFreshness.recordConfirmation(reply, requestNanos);
         if (!reply.getControllers().isEmpty()) {
             Set<String> controllers = Set.copyOf(reply.getControllers());
             if (!controllers.equals(mControllers)) {
@@ -190,7 +192,7 @@
      */
     private void adoptUnconfirmed(long nowNanos, String address, SyncReply reply) {
         boolean isVoter = reply.getVoters() > 0;
-        if (mFreshness.everConfirmed() || reply.getTableVersion() == 0 || !isVoter) {
+        if (mHasCommittedView || reply.getTableVersion() == 0 || !isVoter) {
             return;
         }
         mDurableVersions.recordReport(address, reply.getTableVersion());
@@ -207,7 +209,7 @@
         }
         // Unconfirmed overrides may never have been committed, so the first confirmed ones replace
         // them regardless of their revision.
-        boolean firstConfirmed = reply.isCaughtUp() && !mFreshness.everConfirmed();
+        boolean firstConfirmed = reply.isCaughtUp() && !mHasCommittedView;
         boolean adoptOverrides =
                 reply.isSetFacts() && (firstConfirmed || reply.getRevision() > view.revision());
         if (table == view.table() && !adoptOverrides) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ViewFreshness.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ViewFreshness.java
@@ -1,22 +1,24 @@
 package org.hemlockrack.daemon.gateway;
 
 import java.util.concurrent.TimeUnit;
+import org.hemlockrack.daemon.sync.ConfirmedTime;
+import org.hemlockrack.wire.SyncReply;
 
 /**
  * Tells whether the view of a gateway may rest on the newest table. Written on the loop, read from
  * any thread.
  */
 final class ViewFreshness {
-    /** A view that no controller has confirmed for this long may be outdated. */
+    /** A view that no majority has confirmed for this long may be outdated. */
     private static final long STALE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-    private volatile long mConfirmedNanos;
-    private volatile boolean mEverConfirmed;
+    private final ConfirmedTime mConfirmed = ConfirmedTime.unknown();
+    private final long mStartNanos;
     private volatile long mNewestVersion;
     private volatile long mNewestSinceNanos;
 
     private ViewFreshness(long nowNanos) {
-        mConfirmedNanos = nowNanos;
+        mStartNanos = nowNanos;
         mNewestSinceNanos = nowNanos;
     }
 
@@ -39,26 +41,18 @@
     }
 
     /**
-     * Records that the view includes what a controller has reported, its table excepted.
+     * Records that the view holds what a controller has reported, its table excepted.
      *
-     * @param requestNanos time at which the report was requested; a report that was held up may
-     *     describe a state as old as that
+     * @param reply the report
+     * @param requestNanos monotonic time of the request for it
      */
-    void recordConfirmation(long requestNanos) {
-        if (!mEverConfirmed || requestNanos - mConfirmedNanos > 0) {
-            mConfirmedNanos = requestNanos;
-        }
-        mEverConfirmed = true;
-    }
-
-    /** Returns whether any controller has ever reported committed state. */
-    boolean everConfirmed() {
-        return mEverConfirmed;
+    void recordConfirmation(SyncReply reply, long requestNanos) {
+        mConfirmed.record(reply, requestNanos);
     }
 
-    /** Returns whether a controller has reported committed state recently. */
+    /** Returns whether a majority has confirmed the view recently. */
     boolean isConfirmed(long nowNanos) {
-        return mEverConfirmed && ageNanos(nowNanos) < STALE_NANOS;
+        return mConfirmed.isWithin(nowNanos, STALE_NANOS);
     }
 
     /**
@@ -72,12 +66,9 @@
         return isConfirmed(nowNanos) && tableVersion >= mNewestVersion;
     }
 
-    /**
-     * Returns the time since a controller last reported committed state, or since the creation if
-     * none has.
-     */
+    /** Returns the time since a majority confirmed the view, or since the creation if none has. */
     long ageNanos(long nowNanos) {
-        return nowNanos - mConfirmedNanos;
+        return nowNanos - mConfirmed.nanosOr(mStartNanos);
     }
 
     /** Returns the highest version of a committed table that a controller has reported. */
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.file.Path;
@@ -38,6 +39,7 @@
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.wire.SyncReply;
 import org.hemlockrack.wire.SyncRequest;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -150,14 +152,18 @@
         assertNotAcknowledged(mService.recordDeparture(SERVER, SERVER_START_MILLIS));
     }
 
-    private int reportedVoters() throws InterruptedException {
+    private SyncReply sync() {
         SyncRequest request = mService.createRequest(UNREACHABLE, Map.of());
         request.setPrefixUses(List.of());
+        return mService.sync(request);
+    }
+
+    private int reportedVoters() throws InterruptedException {
         // The membership is known after the first step of the replica.
         while (mReplica.membership().voters().isEmpty()) {
             TimeUnit.MILLISECONDS.sleep(5);
         }
-        return mService.sync(request).getVoters();
+        return sync().getVoters();
     }
 
     /** Guards against a controller without a vote that counts towards a majority of the voters. */
@@ -167,4 +173,29 @@
         restart(kind);
         assertEquals(reported, reportedVoters());
     }
+
+    private void receiveConfirmation(long revision) {
+        SyncReply reply = new SyncReply();
+        reply.setServers(List.of());
+        reply.setRevision(revision);
+        reply.setConfirmedAgeMillis(0);
+        mService.onReply(UNREACHABLE, reply, Map.of(), mLoop.nowNanos());
+    }
+
+    /**
+     * Guards against a lagging controller that confirms its old state to gateways: contact with a
+     * leader, or with a controller that is ahead, does not make its own state current.
+     */
+    @Test
+    void onlyTheConfirmedStateIsConfirmed() {
+        restart(MemberKind.VOTER);
+        ControlState committed = ControlState.create();
+        committed.apply(2, 0, ControlCommand.publishTable(TABLE_VERSION, new byte[] {1}));
+        mService.publishCommitted(committed);
+        assertFalse(sync().isSetConfirmedAgeMillis());
+        receiveConfirmation(3);
+        assertFalse(sync().isSetConfirmedAgeMillis());
+        receiveConfirmation(2);
+        assertTrue(sync().isSetConfirmedAgeMillis());
+    }
 }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
@@ -51,6 +51,7 @@
     private static SyncReply replyWithoutTable(long tableVersion) {
         SyncReply reply = new SyncReply();
         reply.setCaughtUp(true);
+        reply.setConfirmedAgeMillis(0);
         reply.setTableVersion(tableVersion);
         reply.setServers(List.of());
         reply.setFleetInFlight(List.of());
@@ -101,10 +102,30 @@
         assertTrue(mUpdater.isNewestTable(mUpdater.view().tableVersion()));
     }
 
+    /**
+     * Guards against a refusal for good by a table that was replaced: a controller that had been
+     * cut off took a delayed message for contact with a leader, and counted as a confirmation.
+     */
+    @Test
+    void controllerWithoutAConfirmedStateConfirmsNothing() {
+        SyncReply unconfirmed = replyWithTable(7);
+        unconfirmed.unsetConfirmedAgeMillis();
+        receive(CONTROLLER, unconfirmed);
+        assertEquals(7, mUpdater.view().tableVersion());
+        assertFalse(mUpdater.isNewestTable(7));
+        SyncReply outdated = replyWithoutTable(7);
+        outdated.setConfirmedAgeMillis(3_000);
+        receive(CONTROLLER, outdated);
+        assertFalse(mUpdater.isNewestTable(7));
+        receive(OTHER_CONTROLLER, replyWithoutTable(7));
+        assertTrue(mUpdater.isNewestTable(7));
+    }
+
     /** Creates the reply of a controller that has only read its disk. */
     private static SyncReply unconfirmedReply(long tableVersion, int voters) {
         SyncReply reply = replyWithTable(tableVersion);
         reply.setCaughtUp(false);
+        reply.unsetConfirmedAgeMillis();
         reply.setVoters(voters);
         return reply;
     }
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -171,5 +171,10 @@
    * Number of voters, 0 if the receiver is none of them; a state that is not caught up needs a
    * majority of them.
    */
-  14: i32 voters
+  14: i32 voters,
+  /**
+   * Time since a majority confirmed that this state holds every committed change; absent if the
+   * receiver knows of no such confirmation.
+   */
+  15: optional i64 confirmedAgeMillis
 }
