--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -53,6 +53,7 @@
     private int mStatus;
     private List<HeaderField> mHeaders = List.of();
     private long mFirstByteNanos;
+    private final FirstEventDetector mFirstEvent = FirstEventDetector.create();
 
     /** How the body of the answer is handled. */
     private enum Mode {
@@ -152,6 +153,16 @@
         return Math.max(ageMillis, wallAgeMillis) > MAX_CHOICE_AGE_MILLIS;
     }
 
+    /** Returns whether the server has sent a whole event of the answer. */
+    boolean hasBegun() {
+        return mFirstEvent.isComplete();
+    }
+
+    /** Returns the size of the answer's body that the server has sent. */
+    long bodyBytes() {
+        return mFirstEvent.bytes();
+    }
+
     /** Returns whether bytes of the request may have been sent. */
     boolean isSent() {
         return mSent;
@@ -240,6 +251,7 @@
     @Override
     public void onBody(ByteBuffer data) {
         int bytes = data.remaining();
+        mFirstEvent.feed(data.duplicate());
         switch (mMode) {
             case STREAMING -> mExchange.forwardBody(this, data);
             case COLLECTING -> {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
@@ -33,6 +34,9 @@
     /** Largest number of rejections by servers that are retried; each one costs a round trip. */
     private static final int MAX_REJECTIONS = 3;
 
+    /** Prompt parts in a log line; a prompt has a few, but the number is up to the caller. */
+    private static final int MAX_LOGGED_PARTS = 8;
+
     private final GatewayContext mContext;
     private final HttpCall mCall;
     private final Responder mResponder;
@@ -371,6 +375,9 @@
                 .put("outcome", outcome.name())
                 .put("cause", cause)
                 .put("load", attempt.choice().load())
+                .put("begun", attempt.hasBegun() ? "yes" : "no")
+                .put("body_bytes", attempt.bodyBytes())
+                .put("parts", describeParts())
                 .put("elapsed_ms", elapsedMillis())
                 .put("again", retry ? "yes" : "no")
                 .write();
@@ -464,6 +471,13 @@
         endAttempt(attempt, outcome, cause, NextAttempt.wantedIf(canRestartOrResume()));
     }
 
+    /** Returns the ids of the prompt parts that other requests may share, the first ones only. */
+    private String describeParts() {
+        List<String> parts = mMetadata.promptPartIds();
+        int shared = Math.max(0, parts.size() - 1);
+        return String.join(",", parts.subList(0, Math.min(shared, MAX_LOGGED_PARTS)));
+    }
+
     private void logEnd(String event, @Nullable String server, String cause) {
         mContext.log()
                 .requestEvent(event, mMetadata.attemptId())
