--- a/hemlockrack-soak/src/main/java/org/hemlockrack/soak/FaultKind.java
+++ b/hemlockrack-soak/src/main/java/org/hemlockrack/soak/FaultKind.java
@@ -10,7 +10,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
-import org.hemlockrack.platform.TestFleet;
+import org.hemlockrack.platform.FakeServer;
 import org.hemlockrack.testing.Relay;
 
 /** Faults of a gateway, a controller, a backend server or the link to a backend server. */
@@ -123,7 +123,7 @@
     UNANSWERED_REQUESTS(Target.SERVER) {
         @Override
         Runnable inject(SoakFleet fleet, int target, RandomGenerator random) {
-            TestFleet.FakeServer server = fleet.fleet().servers().get(target);
+            FakeServer server = fleet.fleet().servers().get(target);
             server.setDropAnswers(true);
             return () -> server.setDropAnswers(false);
         }
@@ -132,7 +132,7 @@
     TRUNCATED_STREAMS(Target.SERVER) {
         @Override
         Runnable inject(SoakFleet fleet, int target, RandomGenerator random) {
-            TestFleet.FakeServer server = fleet.fleet().servers().get(target);
+            FakeServer server = fleet.fleet().servers().get(target);
             server.setBreakStreams(true);
             return () -> server.setBreakStreams(false);
         }
@@ -141,7 +141,7 @@
     SUPPRESSED_HEARTBEATS(Target.SERVER) {
         @Override
         Runnable inject(SoakFleet fleet, int target, RandomGenerator random) {
-            TestFleet.FakeServer server = fleet.fleet().servers().get(target);
+            FakeServer server = fleet.fleet().servers().get(target);
             server.setSuppressHeartbeats(true);
             return () -> server.setSuppressHeartbeats(false);
         }
--- a/hemlockrack-soak/src/main/java/org/hemlockrack/soak/SoakFleet.java
+++ b/hemlockrack-soak/src/main/java/org/hemlockrack/soak/SoakFleet.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.hemlockrack.platform.FakeServer;
 import org.hemlockrack.platform.TestFleet;
 import org.hemlockrack.testing.Relay;
 
@@ -22,7 +23,7 @@
     private SoakFleet(Path folder, TestFleet fleet) {
         mFolder = folder;
         mFleet = fleet;
-        for (TestFleet.FakeServer server : fleet.servers()) {
+        for (FakeServer server : fleet.servers()) {
             String[] parts = server.address().split(":");
             InetSocketAddress target = new InetSocketAddress(parts[0], Integer.parseInt(parts[1]));
             Relay relay = Relay.open(0, target);
