Notice callers that close their connection before the first byte

Cause: when the input of a connection ends while a response is pending, HttpCore takes the caller for one that still reads, stops reading and waits for the response. The close showed only when the first bytes of the answer were written.

HttpPortTest.closedConnectionCancelsTheRequestThatWaits failed on all four forms of request.

Change: a connection whose input has ended while responses are pending is closed. A command that a server has got is not cancelled with its caller, because a cut command has an unknown effect; before, the same came about by chance.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -47,6 +47,7 @@
     private volatile @Nullable UpstreamCall mUpstream;
     private volatile boolean mCancelled;
     private volatile boolean mSent;
+    private volatile boolean mDetached;
     private volatile boolean mChoiceOutdated;
     private final @Nullable EventStreamFramer mEventFramer;
     private Mode mMode = Mode.AWAITING_HEAD;
@@ -140,6 +141,11 @@
         }
     }
 
+    /** Lets the server complete the request although the caller has left. */
+    void detach() {
+        mDetached = true;
+    }
+
     @Override
     public boolean beforeSend() {
         mChoiceOutdated = isChoiceOutdated();
@@ -309,6 +315,9 @@
 
     private void deliverCollected(boolean failure) {
         if (!mExchange.tryBeginAnswer(this)) {
+            if (mDetached) {
+                mExchange.onDetachedEnd(this);
+            }
             return;
         }
         mExchange.responder().send(mStatus, mHeaders, mCollectedBody.toByteArray());
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -503,9 +503,21 @@
         }
         mContext.countEnded("caller_left");
         logEnd("caller_left", attempt == null ? null : attempt.server().id().value(), "");
+        boolean isCommand = !mRoute.allowsRerun() && !mRoute.isStreaming();
+        if (isCommand && attempt != null && attempt.isSent()) {
+            // A command that is cut has an unknown effect, so the server completes it.
+            attempt.detach();
+            return;
+        }
         abandonAttempt(attempt);
     }
 
+    /** Ends an attempt whose caller had left before the server answered. */
+    void onDetachedEnd(ForwardAttempt attempt) {
+        mContext.state()
+                .onAttemptEnded(System.nanoTime(), attempt.server().id(), AttemptOutcome.ABANDONED);
+    }
+
     private void onDeadline() {
         ForwardAttempt attempt;
         synchronized (this) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
@@ -75,6 +75,11 @@
         return null;
     }
 
+    /** Returns whether the response to any request is not complete. */
+    boolean hasOpenExchanges() {
+        return mOpenExchanges.get() > 0;
+    }
+
     void exchangeStarted(ServerExchange exchange) {
         mOpenExchanges.incrementAndGet();
         mExchanges.add(exchange);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnectionFactory.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnectionFactory.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.SelectionKey;
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpMessage;
@@ -21,6 +22,7 @@
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.http.nio.ssl.TlsStrategy;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
+import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOEventHandlerFactory;
 import org.apache.hc.core5.reactor.IOSession;
@@ -130,7 +132,10 @@
         }
     }
 
-    /** Reports the start and the end of the connection to the limiter. */
+    /**
+     * Reports the start and the end of the connection to the limiter, and closes it when the client
+     * has closed its side while responses are pending.
+     */
     private final class TrackingEventHandler implements IOEventHandler {
         private final IOEventHandler mDelegate;
         private final ClientConnection mConnection;
@@ -149,6 +154,28 @@
         @Override
         public void inputReady(IOSession session, @Nullable ByteBuffer src) throws IOException {
             mDelegate.inputReady(session, src);
+            if (mConnection.hasOpenExchanges() && !isReading(session)) {
+                closeAtEndOfInput(session);
+            }
+        }
+
+        private static boolean isReading(IOSession session) {
+            return (session.getEventMask() & SelectionKey.OP_READ) != 0;
+        }
+
+        /**
+         * Closes the connection if its input has ended. HttpCore takes that for a client that still
+         * reads, and stops reading until the response is written; the work for a client that has
+         * left would go on until then.
+         */
+        private void closeAtEndOfInput(IOSession session) throws IOException {
+            ByteBuffer next = ByteBuffer.allocate(1);
+            int bytes = session.read(next);
+            if (bytes < 0) {
+                session.close(CloseMode.IMMEDIATE);
+            } else if (bytes > 0) {
+                mDelegate.inputReady(session, next.flip());
+            }
         }
 
         @Override
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
@@ -13,8 +13,10 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.http.HeaderField;
 import org.hemlockrack.daemon.http.HttpCall;
@@ -43,6 +45,7 @@
     private static final ServiceId SERVICE = ServiceId.of("orders");
     private static final ZoneId ZONE = ZoneId.of("a");
     private static final String ATTEMPT_ID = "request-1";
+    private static final String HELD_PATH = "/held";
     private static final long DELAY_MILLIS = 1_500;
 
     private final EventLoop mLoop = EventLoop.open("test", Throwable::printStackTrace);
@@ -52,6 +55,7 @@
             PeerNetwork.create(InstanceId.of("g1"), Map.of(), null, (address, cause) -> {});
     private final GatewayState mState =
             GatewayState.create(ServerPool.create(ZONE, new SplittableRandom(1)));
+    private final CountDownLatch mRelease = new CountDownLatch(1);
     private final AtomicInteger mRequestsAtServer = new AtomicInteger();
     private final ServerRegistry mServers = ServerRegistry.create();
     private HttpServer mServer;
@@ -63,6 +67,9 @@
                 "/",
                 exchange -> {
                     mRequestsAtServer.incrementAndGet();
+                    if (exchange.getRequestURI().getPath().equals(HELD_PATH)) {
+                        awaitRelease();
+                    }
                     exchange.sendResponseHeaders(200, 2);
                     exchange.getResponseBody().write("ok".getBytes());
                     exchange.close();
@@ -142,6 +149,7 @@
     private static final class StatusResponder implements Responder {
         final CompletableFuture<Integer> mStatus = new CompletableFuture<>();
         private int mHeadStatus;
+        private Runnable mOnCancel = () -> {};
 
         @Override
         public void sendHead(int status, List<HeaderField> headers, long lengthBytes) {
@@ -169,13 +177,22 @@
         }
 
         @Override
-        public void onCancel(Runnable action) {}
+        public void onCancel(Runnable action) {
+            mOnCancel = action;
+        }
 
         @Override
         public void onDrain(DrainListener action) {}
     }
 
     private int send(Runnable duringDelay) throws Exception {
+        StatusResponder responder = new StatusResponder();
+        start(duringDelay, RerunPolicy.AT_MOST_ONCE, "/book", responder);
+        return responder.mStatus.get(20, TimeUnit.SECONDS);
+    }
+
+    private void start(
+            Runnable duringDelay, RerunPolicy policy, String path, StatusResponder responder) {
         RetryLimits limits = new RetryLimits(0.1, 10, 10);
         DelayedProtocol protocol = new DelayedProtocol(duringDelay);
         GatewayContext context =
@@ -194,7 +211,7 @@
                         "orders",
                         "shop.example",
                         "/",
-                        RerunPolicy.AT_MOST_ONCE,
+                        policy,
                         false,
                         10_000,
                         1_000,
@@ -204,11 +221,50 @@
                         1,
                         true,
                         false);
-        HttpCall call = new HttpCall("POST", "/book", null, List.of(), new byte[0]);
-        StatusResponder responder = new StatusResponder();
+        HttpCall call = new HttpCall("POST", path, null, List.of(), new byte[0]);
         new GatewayExchange(context, call, responder, protocol.readRequest(call), route, null, 1)
                 .start();
-        return responder.mStatus.get(20, TimeUnit.SECONDS);
+    }
+
+    private void awaitRelease() {
+        try {
+            mRelease.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void await(BooleanSupplier condition) throws InterruptedException {
+        for (int i = 0; i < 500 && !condition.getAsBoolean(); i++) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        assertTrue(condition.getAsBoolean());
+    }
+
+    /**
+     * Guards against a command that is cut at its server because the caller has left, and against
+     * its load being counted forever.
+     */
+    @Test
+    void commandIsCompletedWhenItsCallerLeaves() throws Exception {
+        StatusResponder responder = new StatusResponder();
+        start(() -> {}, RerunPolicy.AT_MOST_ONCE, HELD_PATH, responder);
+        await(() -> mRequestsAtServer.get() == 1);
+        responder.mOnCancel.run();
+        assertEquals(1, mState.ownLoad().get(BackendId.of("server-1")));
+        mRelease.countDown();
+        await(() -> mState.ownLoad().isEmpty());
+    }
+
+    /** Guards against a server that works on for a caller who has left. */
+    @Test
+    void idempotentRequestEndsWhenItsCallerLeaves() throws Exception {
+        StatusResponder responder = new StatusResponder();
+        start(() -> {}, RerunPolicy.IDEMPOTENT, HELD_PATH, responder);
+        await(() -> mRequestsAtServer.get() == 1);
+        responder.mOnCancel.run();
+        assertTrue(mState.ownLoad().isEmpty());
+        mRelease.countDown();
     }
 
     /**
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -24,7 +25,7 @@
     private static final long SHORT_MILLIS = 200;
     private static final String GET = "GET /echo HTTP/1.1\r\nHost: h\r\n\r\n";
 
-    private final CountDownLatch mCancelled = new CountDownLatch(1);
+    private CountDownLatch mCancelled = new CountDownLatch(1);
     private final AtomicInteger mHandled = new AtomicInteger();
     private final BlockingQueue<Responder> mPendingResponders = new LinkedBlockingQueue<>();
     private final List<RawClient> mClients = new ArrayList<>();
@@ -282,6 +283,30 @@
         assertRefused("REQUEST_TIMEOUT", 408, client);
     }
 
+    /**
+     * Guards against work that goes on for a client that has closed its connection before any byte
+     * of the response.
+     */
+    @Test
+    void closedConnectionCancelsTheRequestThatWaits() throws Exception {
+        String post = "POST /held HTTP/1.1\r\nHost: h\r\n";
+        String held = "GET /held HTTP/1.1\r\nHost: h\r\n\r\n";
+        for (String request :
+                List.of(
+                        held,
+                        GET + held,
+                        post + "Content-Length: 4\r\n\r\nbody",
+                        post + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")) {
+            open(longTimeouts());
+            mCancelled = new CountDownLatch(1);
+            RawClient client = connect().write(request);
+            assertNotNull(mPendingResponders.poll(10, TimeUnit.SECONDS), request);
+            client.close();
+            assertTrue(mCancelled.await(2, TimeUnit.SECONDS), request);
+            close();
+        }
+    }
+
     /** Guards against idle connections that stay open forever. */
     @Test
     void idleConnectionIsClosed() throws IOException {
