Hold back prompt parts that crash the servers that answer on them

Cause: nothing related crashes to what the requests hold. Gateways count failures by server, so a server that ended was left out and the next request, the second attempt or the caller's retry went to a sound one. No gateway could have known: a crash cuts requests at all gateways, and one of them has the request at fault. Class of fault: a failure that the input causes is handled as a failure of the server, and retried.

Change: gateways report to the controllers what servers cut and whether an answer had begun. CrashAnalysis (package quarantine, no network, no clock) finds the part that is in several separate crashes while no server answers on it; gateways refuse requests with it at once (503 PROMPT_HELD and the remaining time), also those that wait for an answer, and do not retry requests under suspicion. A decision ends after 60 s, by an answer, by another part that accounts for its crashes, or by an operator (hemlockrack quarantine list, lift). PrefixUseLog becomes the generic PagedLog, as the evidence is read the same way.

--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Main.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Main.java
@@ -46,6 +46,9 @@
         add(voters, "voters list", new VotersListCommand());
         add(voters, "voters add", VotersChangeCommand.of("add"));
         add(voters, "voters remove", VotersChangeCommand.of("remove"));
+        Subparsers quarantine = group(top, "quarantine", "list and lift held prompt parts");
+        add(quarantine, "quarantine list", new QuarantineListCommand());
+        add(quarantine, "quarantine lift", new QuarantineLiftCommand());
         Subparsers rollout = group(top, "rollout", "move traffic between model versions");
         add(rollout, "rollout start", new RolloutStartCommand());
         add(rollout, "rollout status", new RolloutStatusCommand());
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -13,6 +13,7 @@
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.ServiceId;
 import org.hemlockrack.model.ZoneId;
+import org.hemlockrack.paging.PagedLog;
 import org.hemlockrack.registry.RegisteredServer;
 import org.hemlockrack.registry.Registration;
 import org.hemlockrack.routing.RouteTable;
@@ -65,7 +66,7 @@
     private final RandomGenerator mRandom;
     private final Map<BackendId, ServerSlot> mSlots = new HashMap<>();
     private final PrefixDirectory mPrefixes = PrefixDirectory.create();
-    private final PrefixUseLog mUseLog = PrefixUseLog.of(MAX_LOGGED_USES);
+    private final PagedLog<PrefixUseData> mUseLog = PagedLog.of(MAX_LOGGED_USES);
     private Map<ServiceId, List<ServerSlot>> mByService = new HashMap<>();
     private RoutingOverrides mOverrides = RoutingOverrides.NONE;
     private Map<ServiceId, ServiceSpec> mSpecs = Map.of();
@@ -355,7 +356,7 @@
     }
 
     /** Returns the log of the prefix uses of this gateway. */
-    public PrefixUseLog localUses() {
+    public PagedLog<PrefixUseData> localUses() {
         return mUseLog;
     }
 
--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorKind.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorKind.java
@@ -34,6 +34,8 @@
     DEADLINE_UNREACHABLE(503, RunState.NOT_RUN, true),
     NO_QUORUM(503, RunState.NOT_RUN, true),
     NOT_READY(503, RunState.NOT_RUN, true),
+    /** A part of the prompt crashes the backend servers that answer on it. */
+    PROMPT_HELD(503, RunState.NOT_RUN, true),
     BACKEND_TIMEOUT(504, RunState.UNKNOWN, false);
 
     private final int mHttpStatus;
--- a/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/PrefixDirectoryTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/PrefixDirectoryTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.LongStream;
 import org.hemlockrack.model.BackendId;
+import org.hemlockrack.paging.PagedLog;
 import org.hemlockrack.wire.PrefixUseData;
 import org.junit.jupiter.api.Test;
 
@@ -41,16 +42,16 @@
     /** A reader that fell behind must not read overwritten entries. */
     @Test
     void logDropsTheOldest() {
-        PrefixUseLog uses = PrefixUseLog.of(3);
+        PagedLog<PrefixUseData> uses = PagedLog.of(3);
         for (int i = 0; i < 5; i++) {
             uses.add(new PrefixUseData(i, "a"));
         }
         assertEquals(
                 List.of(2L, 3L, 4L),
-                uses.readFrom(0, 9).uses().stream().map(PrefixUseData::getPrefixHash).toList());
-        assertEquals(1, uses.readFrom(4, 9).uses().size());
-        assertEquals(0, uses.readFrom(5, 9).uses().size());
-        assertEquals(3, uses.readFrom(99, 9).uses().size());
+                uses.readFrom(0, 9).entries().stream().map(PrefixUseData::getPrefixHash).toList());
+        assertEquals(1, uses.readFrom(4, 9).entries().size());
+        assertEquals(0, uses.readFrom(5, 9).entries().size());
+        assertEquals(3, uses.readFrom(99, 9).entries().size());
     }
 
     /**
@@ -59,15 +60,15 @@
      */
     @Test
     void pagesAreBoundedAndComplete() {
-        PrefixUseLog uses = PrefixUseLog.of(100);
+        PagedLog<PrefixUseData> uses = PagedLog.of(100);
         for (int i = 0; i < 150; i++) {
             uses.add(new PrefixUseData(i, "a"));
         }
         List<Long> read = new ArrayList<>();
         for (long position = 0; position < uses.endPosition(); ) {
-            PrefixUseLog.Page page = uses.readFrom(position, 30);
-            assertTrue(page.uses().size() <= 30);
-            page.uses().forEach(use -> read.add(use.getPrefixHash()));
+            PagedLog.Page<PrefixUseData> page = uses.readFrom(position, 30);
+            assertTrue(page.entries().size() <= 30);
+            page.entries().forEach(use -> read.add(use.getPrefixHash()));
             position = page.next();
         }
         assertEquals(LongStream.range(50, 150).boxed().toList(), read);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -272,8 +272,12 @@
         Metrics metrics = Metrics.create();
         metrics.registerValue(MetricName.LEADER, () -> mReplica.role() == Role.LEADER ? 1 : 0);
         metrics.registerValue(MetricName.TERM, mReplica::term);
+        metrics.registerValue(
+                MetricName.PARTS_HELD, () -> mService.quarantine().heldParts(mLoop.nowNanos()));
         HealthEndpoints endpoints =
                 HealthEndpoints.create(() -> mReplica.leader() != null, metrics);
+        QuarantineEndpoints quarantine =
+                QuarantineEndpoints.create(mService.quarantine(), mLoop::nowNanos);
         return HttpPort.open(
                 "control",
                 mSettings.address(SettingKey.LISTEN_OPERATORS),
@@ -283,6 +287,10 @@
                         endpoints.handle(call, responder);
                         return;
                     }
+                    if (quarantine.handles(call.path())) {
+                        quarantine.handle(call, responder);
+                        return;
+                    }
                     handler.handle(call, responder);
                 });
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -28,7 +28,6 @@
 import org.hemlockrack.daemon.sync.ConfirmedTime;
 import org.hemlockrack.daemon.sync.ControllerLink;
 import org.hemlockrack.dispatch.PrefixDirectory;
-import org.hemlockrack.dispatch.PrefixUseLog;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.limits.FleetLimit;
@@ -37,6 +36,7 @@
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.model.ServiceId;
 import org.hemlockrack.model.ZoneId;
+import org.hemlockrack.paging.PagedLog;
 import org.hemlockrack.registry.RegisteredServer;
 import org.hemlockrack.registry.Registration;
 import org.hemlockrack.registry.ServerRegistry;
@@ -72,9 +72,10 @@
     private final long mRegistryEpoch;
     private final ServerRegistry mRegistry = ServerRegistry.create();
     private final PrefixDirectory mPrefixes = PrefixDirectory.create();
-    private final PrefixUseLog mPrefixUses = PrefixUseLog.of(MAX_PREFIX_USES);
+    private final PagedLog<PrefixUseData> mPrefixUses = PagedLog.of(MAX_PREFIX_USES);
     private long mSavedUsesEnd;
     private final GatewayReports mGatewayReports = new GatewayReports();
+    private final ControllerQuarantine mQuarantine;
     private final PermitKeeper mPermits;
     private final LeaderTasks mLeaderTasks;
     private volatile ControlView mView = ControlView.EMPTY;
@@ -105,9 +106,23 @@
                 isFirstStart
                         ? PermitKeeper.createFull(loop.nowNanos())
                         : PermitKeeper.createEmpty(loop.nowNanos());
+        mQuarantine = ControllerQuarantine.create(loop.nowNanos(), this::hasHeartbeatSince, log);
         mLeaderTasks = LeaderTasks.create(loop, self, replica, toleratedLosses, log);
     }
 
+    /** Returns the prompt parts that are held back. */
+    public ControllerQuarantine quarantine() {
+        return mQuarantine;
+    }
+
+    private synchronized boolean hasHeartbeatSince(
+            BackendId id, long startMillis, long sinceNanos) {
+        RegisteredServer server = mRegistry.find(id);
+        return server != null
+                && server.registration().startMillis() == startMillis
+                && server.receivedNanos() - sinceNanos > 0;
+    }
+
     /** Publishes a view of the committed state. Called on the loop of the log. */
     void publishCommitted(ControlState state) {
         boolean first = !mHasCommittedView;
@@ -384,6 +399,12 @@
         }
         reply.setControllers(controllerAddresses());
         reply.setVoters(mReplica.isVoter() ? mReplica.membership().voters().size() : 0);
+        boolean sameEpoch = request.getRegistryEpoch() == mRegistryEpoch;
+        // The quarantine asks this object about servers, so its lock is taken first.
+        mQuarantine.record(mLoop.nowNanos(), request);
+        reply.setQuarantine(
+                mQuarantine.changesSince(
+                        mLoop.nowNanos(), sameEpoch ? request.getQuarantineRevision() : 0));
         synchronized (this) {
             long nowNanos = mLoop.nowNanos();
             if (request.isGateway()) {
@@ -392,7 +413,6 @@
             } else {
                 mLeaderTasks.noteController(nowNanos, InstanceId.of(request.getSender()));
             }
-            boolean sameEpoch = request.getRegistryEpoch() == mRegistryEpoch;
             exchangePrefixUses(nowNanos, sameEpoch, request, reply);
             long haveRevision = sameEpoch ? request.getRegistryRevision() : 0;
             reply.setRegistryEpoch(mRegistryEpoch);
@@ -462,11 +482,11 @@
         }
         boolean wanted = request.getPrefixPosition() >= 0;
         long position = sameEpoch ? request.getPrefixPosition() : 0;
-        PrefixUseLog.Page page =
+        PagedLog.Page<PrefixUseData> page =
                 wanted
                         ? mPrefixUses.readFrom(position, ControllerLink.MAX_PREFIX_USES)
-                        : PrefixUseLog.Page.EMPTY;
-        reply.setPrefixUses(page.uses());
+                        : PagedLog.Page.empty();
+        reply.setPrefixUses(page.entries());
         reply.setPrefixPosition(page.next());
     }
 
@@ -497,12 +517,17 @@
     }
 
     @Override
-    public synchronized void onReply(
+    public void onReply(
             String address,
             SyncReply reply,
             Map<BackendId, Integer> ownLoadAtRequest,
             long requestNanos) {
-        mRegistry.mergeAll(mLoop.nowNanos(), reply.getServers());
+        if (reply.isSetQuarantine()) {
+            mQuarantine.adopt(mLoop.nowNanos(), reply.getQuarantine().getVerdicts(), address);
+        }
+        synchronized (this) {
+            mRegistry.mergeAll(mLoop.nowNanos(), reply.getServers());
+        }
         if (mHasCommittedView && mView.revision() >= reply.getRevision()) {
             mConfirmed.record(reply, requestNanos);
         }
@@ -538,13 +563,17 @@
      * leader. Called on the loop.
      */
     void runMaintenance() {
+        int gateways;
         synchronized (this) {
+            gateways = mGatewayReports.gatewayCount(mLoop.nowNanos());
             for (RegisteredServer server : mRegistry.removeExpired(mLoop.nowNanos())) {
                 mLog.instanceEvent("server_expired")
                         .put("server", server.registration().id().value())
                         .write();
             }
         }
+        mQuarantine.setGatewayCount(gateways);
+        mQuarantine.evaluate(mLoop.nowNanos());
         if (mReplica.role() == Role.LEADER) {
             confirmState();
             mLeaderTasks.run(mView.overrides(), this::answersByVersion);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.daemon.gateway;
 
 import java.io.ByteArrayOutputStream;
+import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -48,6 +49,7 @@
     private volatile boolean mCancelled;
     private volatile boolean mSent;
     private volatile boolean mDetached;
+    private volatile boolean mStreaming;
     private volatile boolean mChoiceOutdated;
     private final @Nullable EventStreamFramer mEventFramer;
     private Mode mMode = Mode.AWAITING_HEAD;
@@ -164,6 +166,11 @@
         return mFirstEvent.isComplete();
     }
 
+    /** Returns whether the answer is passed on to the caller as it arrives. */
+    boolean isStreaming() {
+        return mStreaming;
+    }
+
     /** Returns the size of the answer's body that the server has sent. */
     long bodyBytes() {
         return mFirstEvent.bytes();
@@ -208,6 +215,7 @@
             return;
         }
         mMode = Mode.STREAMING;
+        mStreaming = true;
         Responder responder = mExchange.responder();
         responder.onDrain(this::releaseBytes);
         responder.sendHead(status, headers, lengthBytes);
@@ -237,6 +245,7 @@
             return;
         }
         mMode = Mode.STREAMING;
+        mStreaming = true;
         mExchange.responder().onDrain(this::releaseBytes);
     }
 
@@ -257,7 +266,11 @@
     @Override
     public void onBody(ByteBuffer data) {
         int bytes = data.remaining();
+        boolean begun = hasBegun();
         mFirstEvent.feed(data.duplicate());
+        if (!begun && hasBegun() && mMode == Mode.STREAMING) {
+            mExchange.onAnswerBegun();
+        }
         switch (mMode) {
             case STREAMING -> mExchange.forwardBody(this, data);
             case COLLECTING -> {
@@ -298,6 +311,9 @@
     private void finishCollected() {
         boolean failure = mStatus >= FIRST_SERVER_ERROR;
         countAnswer(!failure);
+        if (!failure) {
+            mExchange.onAnswerBegun();
+        }
         if (failure && mExchange.route().allowsRerun()) {
             mExchange.acquireRetry(this::retryOrDeliver);
             return;
@@ -344,10 +360,13 @@
         }
         if (mode == Mode.STREAMING) {
             countAnswer(false);
-            mExchange.onStreamBroken(this, AttemptOutcome.BROKEN, message);
+            mExchange.onCut(this, message);
             return;
         }
         if (!mayHaveBeenSent) {
+            if (cause instanceof ConnectException) {
+                mExchange.onConnectionRefused(mServer);
+            }
             mExchange.onNotRun(
                     this,
                     mChoiceOutdated ? AttemptOutcome.ABANDONED : AttemptOutcome.UNREACHABLE,
@@ -359,6 +378,6 @@
             return;
         }
         countAnswer(false);
-        mExchange.onMayHaveRun(this, AttemptOutcome.BROKEN, message);
+        mExchange.onCut(this, message);
     }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
@@ -20,6 +20,7 @@
  * @param protocol protocol of callers and backend servers
  * @param state servers and answer counts
  * @param retries grants retries within the fleet's limits
+ * @param quarantine holds back requests that crash servers
  * @param client sends requests that may be retried, over pooled connections
  * @param singleUseClient sends each command over a new connection; if a server closed a pooled
  *     connection while a command is sent, the outcome of the command would be unknown
@@ -32,6 +33,7 @@
         ProtocolAdapter protocol,
         GatewayState state,
         RetryPermits retries,
+        GatewayQuarantine quarantine,
         HttpClient client,
         HttpClient singleUseClient,
         DecisionLog log,
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -17,8 +17,12 @@
 import org.hemlockrack.dispatch.SelectionCriteria;
 import org.hemlockrack.dispatch.ServerChoice;
 import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.ErrorText;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.quarantine.Cut;
+import org.hemlockrack.quarantine.PromptParts;
+import org.hemlockrack.quarantine.Verdict;
 import org.hemlockrack.registry.Registration;
 import org.hemlockrack.routing.Route;
 import org.hemlockrack.routing.WorkspaceKeys;
@@ -50,6 +54,7 @@
     private final long mStartNanos;
     private final long mDeadlineNanos;
     private final Set<BackendId> mTriedServers = new HashSet<>();
+    private final List<String> mSharedParts;
 
     private final @Nullable EventStreamFramer mEventFramer;
 
@@ -97,6 +102,7 @@
         mRoutingFraction = PromptHash.toUnitInterval(metadata.attemptId());
         mService =
                 route.chooseService(PromptHash.toUnitInterval(route.name() + metadata.attemptId()));
+        mSharedParts = PromptParts.shared(metadata.promptPartIds());
         mStartNanos = System.nanoTime();
         long timeoutMillis = route.timeoutMillis();
         if (metadata.timeoutMillis() >= 0) {
@@ -143,9 +149,17 @@
         return (mDeadlineNanos - System.nanoTime()) / NANOS_PER_MILLI;
     }
 
+    /** Returns the names of the prompt parts that other requests may share. */
+    List<String> sharedParts() {
+        return mSharedParts;
+    }
+
     void start() {
         mContext.retries().countRequest(mService);
         mDeadlineTimer = mContext.loop().scheduleAt(mDeadlineNanos, this::onDeadline);
+        if (!mSharedParts.isEmpty()) {
+            mContext.quarantine().addExchange(this);
+        }
         mResponder.onCancel(this::onCallerLeft);
         startNextAttempt();
     }
@@ -157,6 +171,11 @@
                 return;
             }
             long nowNanos = System.nanoTime();
+            Verdict verdict = mContext.quarantine().inForce(nowNanos, mSharedParts);
+            if (verdict != null) {
+                failHeld(nowNanos, verdict);
+                return;
+            }
             long prefixHash =
                     mRoute.prefixAffinity()
                             ? PromptHash.ofSharedPrefix(mMetadata.promptPartIds())
@@ -291,6 +310,79 @@
         fail(kind, choice.reason().name());
     }
 
+    /** Ends the request because a part of its prompt is held back. Called with the lock held. */
+    private void failHeld(long nowNanos, Verdict verdict) {
+        ErrorKind kind = mMayHaveRun ? ErrorKind.BACKEND_FAILED : ErrorKind.PROMPT_HELD;
+        fail(
+                kind,
+                String.format(ErrorText.PART_HELD, verdict.part()),
+                verdict.remainingMillis(nowNanos));
+    }
+
+    /**
+     * Ends the request if a server may still begin to answer it, because a part of its prompt is
+     * held back from now on.
+     */
+    void onPartHeld(Verdict verdict) {
+        ForwardAttempt attempt;
+        synchronized (this) {
+            attempt = mAttempt;
+            if (mEnded || attempt != null && attempt.hasBegun()) {
+                return;
+            }
+            mMayHaveRun |= mSentAttempts > 0;
+            failHeld(System.nanoTime(), verdict);
+        }
+        abandonAttempt(attempt);
+    }
+
+    /** Records that a server has begun to answer. */
+    void onAnswerBegun() {
+        if (!mSharedParts.isEmpty()) {
+            mContext.quarantine().recordAnswer(System.nanoTime(), mSharedParts);
+        }
+    }
+
+    /**
+     * Ends an attempt whose connection the server has cut. If the server may have crashed because
+     * of the prompt, the request is not sent to another one.
+     */
+    void onCut(ForwardAttempt attempt, String cause) {
+        long nowNanos = System.nanoTime();
+        boolean mayCrashServers = false;
+        if (!mSharedParts.isEmpty()) {
+            Registration server = attempt.server();
+            boolean begun = attempt.hasBegun();
+            // Looked up first, as the cut itself makes the parts suspicious.
+            mayCrashServers = !begun && mContext.quarantine().isSuspicious(nowNanos, mSharedParts);
+            mContext.quarantine()
+                    .recordCut(
+                            nowNanos,
+                            new Cut(
+                                    server.id(),
+                                    server.startMillis(),
+                                    PromptHash.of(mMetadata.attemptId() + " " + server.id()),
+                                    begun ? List.of() : mSharedParts));
+        }
+        synchronized (this) {
+            mMayHaveRun = true;
+        }
+        boolean again = attempt.isStreaming() ? canRestartOrResume() : mRoute.allowsRerun();
+        endAttempt(
+                attempt,
+                AttemptOutcome.BROKEN,
+                cause,
+                NextAttempt.wantedIf(again && !mayCrashServers));
+    }
+
+    /** Records that a server refuses connections, as one that has crashed does. */
+    void onConnectionRefused(Registration server) {
+        mContext.quarantine()
+                .recordCut(
+                        System.nanoTime(),
+                        Cut.refusedConnection(server.id(), server.startMillis()));
+    }
+
     /** Called by an attempt before it sends its first byte. Returns whether it may send. */
     synchronized boolean onSending(ForwardAttempt attempt) {
         if (mEnded || attempt != mAttempt || remainingMillis() <= 0) {
@@ -437,8 +529,7 @@
             if (mEnded) {
                 return;
             }
-            mEnded = true;
-            cancelDeadlineTimer();
+            markEnded();
         }
         mContext.countAnswered(
                 mRoute.name(), attempt.firstByteNanos(), System.nanoTime() - mStartNanos);
@@ -463,19 +554,10 @@
                 .write();
     }
 
-    /**
-     * Ends an attempt whose stream broke off. The stream is resumed at another server if that is
-     * possible; otherwise the answer is aborted.
-     */
-    void onStreamBroken(ForwardAttempt attempt, AttemptOutcome outcome, String cause) {
-        endAttempt(attempt, outcome, cause, NextAttempt.wantedIf(canRestartOrResume()));
-    }
-
-    /** Returns the ids of the prompt parts that other requests may share, the first ones only. */
+    /** Returns the names of the prompt parts that other requests may share, the first ones only. */
     private String describeParts() {
-        List<String> parts = mMetadata.promptPartIds();
-        int shared = Math.max(0, parts.size() - 1);
-        return String.join(",", parts.subList(0, Math.min(shared, MAX_LOGGED_PARTS)));
+        return String.join(
+                ",", mSharedParts.subList(0, Math.min(mSharedParts.size(), MAX_LOGGED_PARTS)));
     }
 
     private void logEnd(String event, @Nullable String server, String cause) {
@@ -497,8 +579,7 @@
             if (mEnded) {
                 return;
             }
-            mEnded = true;
-            cancelDeadlineTimer();
+            markEnded();
             attempt = mAttempt;
         }
         mContext.countEnded("caller_left");
@@ -546,8 +627,16 @@
      * Sends an error to the caller, or aborts an answer that has begun. Called with the lock held.
      */
     private void fail(ErrorKind kind, String cause) {
-        mEnded = true;
-        cancelDeadlineTimer();
+        fail(kind, cause, 0);
+    }
+
+    /**
+     * Sends an error to the caller, or aborts an answer that has begun. Called with the lock held.
+     *
+     * @param expectedMillis expected time until the cause of the error is gone
+     */
+    private void fail(ErrorKind kind, String cause, long expectedMillis) {
+        markEnded();
         String server = mAttempt == null ? null : mAttempt.server().id().value();
         if (mHeadSent) {
             mContext.countEnded("cut");
@@ -556,7 +645,13 @@
             return;
         }
         logEnd("failed_" + kind.name().toLowerCase(Locale.ROOT), server, cause);
-        mContext.refuse(mResponder, kind, cause);
+        mContext.refuse(mResponder, kind, cause, expectedMillis);
+    }
+
+    private void markEnded() {
+        mEnded = true;
+        cancelDeadlineTimer();
+        mContext.quarantine().removeExchange(this);
     }
 
     private void cancelDeadlineTimer() {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -75,8 +75,10 @@
                                 settings.zone(), new SplittableRandom(random.nextLong())));
         String senderId = settings.instanceId() + "/" + Long.toString(random.nextLong() >>> 1, 36);
         RetryPermits retries = RetryPermits.create(mLoop, network, senderId, retryLimits(settings));
+        GatewayQuarantine quarantine = GatewayQuarantine.create(mLog);
         mViewUpdater =
-                new GatewayViewUpdater(mLoop, network, senderId, protocol, mState, retries, mLog);
+                new GatewayViewUpdater(
+                        mLoop, network, senderId, protocol, mState, retries, quarantine, mLog);
         retries.setControllers(mViewUpdater::reachableControllers);
         GatewayContext context =
                 new GatewayContext(
@@ -84,6 +86,7 @@
                         protocol,
                         mState,
                         retries,
+                        quarantine,
                         openClient(true),
                         openClient(false),
                         mLog,
@@ -101,12 +104,7 @@
         mCloser.register(mCallerPort::close);
         HttpPort pages = openPages();
         mCloser.register(pages::close);
-        mMetrics.registerValue(MetricName.OPEN_REQUESTS, mOpenRequests::get);
-        mMetrics.registerValue(MetricName.VIEW_AGE, mViewUpdater::viewAgeSeconds);
-        mMetrics.registerValue(MetricName.SERVERS_SUSPENDED, mState::suspendedServers);
-        mMetrics.registerValue(MetricName.LOG_LINES_DROPPED, mLog::droppedCount);
-        mMetrics.registerValue(MetricName.LOG_UNSAMPLED, mLog::unsampledCount);
-        mMetrics.registerValue(MetricName.CONFIG_VERSION, () -> mViewUpdater.view().tableVersion());
+        registerMetrics(quarantine);
         mLoop.scheduleWithFixedDelay(EXPIRY_PERIOD_MILLIS, mViewUpdater::expireServers);
         mLoop.execute(() -> mViewUpdater.setSeeds(settings.controllerPeerAddresses()));
         SettingsReloader.start(
@@ -117,6 +115,16 @@
         mLog.instanceEvent("started").put("zone", settings.zone().value()).write();
     }
 
+    private void registerMetrics(GatewayQuarantine quarantine) {
+        mMetrics.registerValue(MetricName.OPEN_REQUESTS, mOpenRequests::get);
+        mMetrics.registerValue(MetricName.VIEW_AGE, mViewUpdater::viewAgeSeconds);
+        mMetrics.registerValue(MetricName.SERVERS_SUSPENDED, mState::suspendedServers);
+        mMetrics.registerValue(MetricName.PARTS_HELD, quarantine::heldParts);
+        mMetrics.registerValue(MetricName.LOG_LINES_DROPPED, mLog::droppedCount);
+        mMetrics.registerValue(MetricName.LOG_UNSAMPLED, mLog::unsampledCount);
+        mMetrics.registerValue(MetricName.CONFIG_VERSION, () -> mViewUpdater.view().tableVersion());
+    }
+
     /**
      * Starts a gateway.
      *
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
@@ -6,12 +6,12 @@
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.control.RoutingOverrides;
 import org.hemlockrack.dispatch.AttemptOutcome;
-import org.hemlockrack.dispatch.PrefixUseLog;
 import org.hemlockrack.dispatch.SelectionCriteria;
 import org.hemlockrack.dispatch.ServerChoice;
 import org.hemlockrack.dispatch.ServerPool;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.paging.PagedLog;
 import org.hemlockrack.registry.RegisteredServer;
 import org.hemlockrack.registry.ServerRegistry;
 import org.hemlockrack.routing.Route;
@@ -150,7 +150,7 @@
         mPool.recordRemoteUses(nowNanos, uses);
     }
 
-    synchronized PrefixUseLog.Page prefixUsesSince(long position, int maxUses) {
+    synchronized PagedLog.Page<PrefixUseData> prefixUsesSince(long position, int maxUses) {
         return mPool.localUses().readFrom(position, maxUses);
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -14,13 +14,16 @@
 import org.hemlockrack.daemon.loop.EventLoop;
 import org.hemlockrack.daemon.sync.ControllerLink;
 import org.hemlockrack.daemon.sync.ControllerLinks;
-import org.hemlockrack.dispatch.PrefixUseLog;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.BackendId;
+import org.hemlockrack.paging.PagedLog;
 import org.hemlockrack.registry.RegisteredServer;
 import org.hemlockrack.routing.RouteTable;
+import org.hemlockrack.wire.CrashEvidenceData;
+import org.hemlockrack.wire.PrefixUseData;
 import org.hemlockrack.wire.SyncReply;
 import org.hemlockrack.wire.SyncRequest;
+import org.hemlockrack.wire.VerdictData;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -37,6 +40,7 @@
     private final ProtocolAdapter mProtocol;
     private final GatewayState mState;
     private final RetryPermits mRetries;
+    private final GatewayQuarantine mQuarantine;
     private final DecisionLog mLog;
     private final ControllerLinks mLinks;
     private Set<String> mSeeds = Set.of();
@@ -59,7 +63,9 @@
             ProtocolAdapter protocol,
             GatewayState state,
             RetryPermits retries,
+            GatewayQuarantine quarantine,
             DecisionLog log) {
+        mQuarantine = quarantine;
         mLoop = loop;
         mLinks = ControllerLinks.create(loop, network, this, log);
         mSenderId = senderId;
@@ -67,6 +73,7 @@
         mState = state;
         mRetries = retries;
         mLog = log;
+        quarantine.onEvidence(() -> loop.execute(mLinks::exchangeSoon));
         mFreshness = ViewFreshness.create(loop.nowNanos());
     }
 
@@ -115,10 +122,20 @@
     }
 
     @Override
-    public PrefixUseLog.Page prefixUsesSince(long position, int maxUses) {
+    public PagedLog.Page<PrefixUseData> prefixUsesSince(long position, int maxUses) {
         return mState.prefixUsesSince(position, maxUses);
     }
 
+    @Override
+    public PagedLog.Page<CrashEvidenceData> crashEvidenceSince(long position, int maxEntries) {
+        return mQuarantine.evidenceSince(mLoop.nowNanos(), position, maxEntries);
+    }
+
+    @Override
+    public List<VerdictData> verdicts() {
+        return mQuarantine.verdicts(mLoop.nowNanos());
+    }
+
     /**
      * Every controller receives the prefix uses of all gateways, so one reachable controller is
      * enough as a source.
@@ -162,6 +179,9 @@
             mState.mergeServers(nowNanos, reply.getServers());
         }
         mState.learnPrefixUses(nowNanos, reply.getPrefixUses());
+        if (reply.isSetQuarantine()) {
+            mQuarantine.adopt(nowNanos, address, reply.getQuarantine());
+        }
         mState.updateFleetLoad(reply.getFleetInFlight(), ownLoadAtRequest, reply.getGateways());
         if (!reply.isSetTableDocument() && reply.getTableVersion() > mView.tableVersion()) {
             boolean adoptable = reply.isCaughtUp() || !mHasCommittedView;
@@ -257,6 +277,9 @@
             controllers.remove(address);
         }
         mReachableControllers = List.copyOf(controllers);
+        if (!reachable) {
+            mQuarantine.forget(mLoop.nowNanos(), address);
+        }
         if (!reachable && mPrefixUseSource.equals(address)) {
             mPrefixUseSource = "";
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
@@ -30,6 +30,11 @@
             MetricType.GAUGE,
             "s",
             "Time since a controller confirmed this gateway's state"),
+    PARTS_HELD(
+            "prompt_parts_held",
+            MetricType.GAUGE,
+            "parts",
+            "Prompt parts that are held back because they crash backend servers"),
     LOG_LINES_DROPPED(
             "log_lines_dropped_total",
             MetricType.COUNTER,
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
@@ -3,15 +3,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.loop.EventLoop;
-import org.hemlockrack.dispatch.PrefixUseLog;
 import org.hemlockrack.model.BackendId;
+import org.hemlockrack.paging.PagedLog;
+import org.hemlockrack.wire.CrashEvidenceData;
 import org.hemlockrack.wire.LoadData;
+import org.hemlockrack.wire.PrefixUseData;
 import org.hemlockrack.wire.SyncReply;
 import org.hemlockrack.wire.SyncRequest;
+import org.hemlockrack.wire.VerdictData;
 import org.jspecify.annotations.Nullable;
 
 /** Exchanges state with one controller periodically. Confined to the loop. */
@@ -37,6 +41,9 @@
      */
     public static final int MAX_PREFIX_USES = 64;
 
+    /** Largest number of crash reports in one message; a crash cuts some dozens of requests. */
+    private static final int MAX_EVIDENCE = 128;
+
     private final EventLoop mLoop;
     private final PeerNetwork mNetwork;
     private final String mAddress;
@@ -46,10 +53,24 @@
     private long mRegistryRevision;
     private long mReceivedUsesPosition;
     private long mSentUsesPosition;
+    private long mSentEvidencePosition;
+    private long mQuarantineRevision;
+    private boolean mSendsVerdicts;
     private long mPeriodNanos = MIN_PERIOD_NANOS;
+    private @Nullable ScheduledFuture<?> mNextExchange;
+    private long mStartedNanos;
+    private boolean mInExchange;
+    private boolean mSoon;
     private boolean mReachable;
     private boolean mStopped;
 
+    /** What a request reported, and when it was sent. */
+    private record Sent(
+            long atNanos,
+            Map<BackendId, Integer> ownLoad,
+            long nextUsesPosition,
+            long nextEvidencePosition) {}
+
     /** Creates requests and handles replies. Called on the loop. */
     public interface Delegate {
         /**
@@ -76,8 +97,24 @@
          * @param maxUses largest number of uses
          * @return the uses and the position after them
          */
-        default PrefixUseLog.Page prefixUsesSince(long position, int maxUses) {
-            return PrefixUseLog.Page.EMPTY;
+        default PagedLog.Page<PrefixUseData> prefixUsesSince(long position, int maxUses) {
+            return PagedLog.Page.empty();
+        }
+
+        /**
+         * Returns what this instance saw of crashing servers.
+         *
+         * @param position position from which evidence is returned
+         * @param maxEntries largest number of entries
+         * @return the evidence and the position after it
+         */
+        default PagedLog.Page<CrashEvidenceData> crashEvidenceSince(long position, int maxEntries) {
+            return PagedLog.Page.empty();
+        }
+
+        /** Returns the decisions to hold prompt parts back, for a controller that restarted. */
+        default List<VerdictData> verdicts() {
+            return List.of();
         }
 
         /** Returns whether this instance fetches prefix uses from a controller. */
@@ -142,6 +179,27 @@
         return link;
     }
 
+    /** Starts the next exchange as early as the shortest pause allows, to report news. */
+    void exchangeSoon() {
+        mSoon = true;
+        if (!mInExchange) {
+            scheduleNext(mPeriodNanos);
+        }
+    }
+
+    private void scheduleNext(long pauseNanos) {
+        if (mNextExchange != null) {
+            mNextExchange.cancel(false);
+        }
+        long nowNanos = mLoop.nowNanos();
+        long nextNanos = nowNanos + pauseNanos;
+        if (mSoon) {
+            long soonNanos = Math.max(nowNanos, mStartedNanos + MIN_PERIOD_NANOS);
+            nextNanos = soonNanos - nextNanos < 0 ? soonNanos : nextNanos;
+        }
+        mNextExchange = mLoop.scheduleAt(nextNanos, this::exchange);
+    }
+
     /** Ends the exchanges. */
     public void stop() {
         mStopped = true;
@@ -151,39 +209,40 @@
         if (mStopped) {
             return;
         }
+        mInExchange = true;
+        mSoon = false;
+        mStartedNanos = mLoop.nowNanos();
         Map<BackendId, Integer> ownLoad = mDelegate.ownLoad();
         SyncRequest request = mDelegate.createRequest(mAddress, ownLoad);
         request.setRegistryEpoch(mRegistryEpoch);
         request.setRegistryRevision(mRegistryRevision);
-        PrefixUseLog.Page uses = mDelegate.prefixUsesSince(mSentUsesPosition, MAX_PREFIX_USES);
-        request.setPrefixUses(uses.uses());
+        PagedLog.Page<PrefixUseData> uses =
+                mDelegate.prefixUsesSince(mSentUsesPosition, MAX_PREFIX_USES);
+        request.setPrefixUses(uses.entries());
         boolean wantsPrefixUses = mDelegate.wantsPrefixUses(mAddress);
         request.setPrefixPosition(wantsPrefixUses ? mReceivedUsesPosition : -1);
-        long requestNanos = mLoop.nowNanos();
+        PagedLog.Page<CrashEvidenceData> evidence =
+                mDelegate.crashEvidenceSince(mSentEvidencePosition, MAX_EVIDENCE);
+        request.setCrashEvidence(evidence.entries());
+        request.setQuarantineRevision(mQuarantineRevision);
+        request.setVerdicts(mSendsVerdicts ? mDelegate.verdicts() : List.of());
+        Sent sent = new Sent(mLoop.nowNanos(), ownLoad, uses.next(), evidence.next());
         mNetwork.callAsync(mAddress, client -> client.sync(request))
                 .whenComplete(
-                        (reply, fault) ->
-                                mLoop.execute(
-                                        () ->
-                                                onExchangeEnded(
-                                                        reply,
-                                                        fault,
-                                                        ownLoad,
-                                                        requestNanos,
-                                                        uses.next())));
+                        (reply, fault) -> mLoop.execute(() -> onExchangeEnded(reply, fault, sent)));
     }
 
-    private static long periodNanos(int gateways) {
+    /**
+     * Returns the pause between two exchanges of a gateway with a controller.
+     *
+     * @param gateways number of gateways
+     */
+    public static long periodNanos(int gateways) {
         long nanos = gateways * PERIOD_PER_GATEWAY_NANOS;
         return Math.max(MIN_PERIOD_NANOS, Math.min(MAX_PERIOD_NANOS, nanos));
     }
 
-    private void onExchangeEnded(
-            @Nullable SyncReply reply,
-            @Nullable Throwable fault,
-            Map<BackendId, Integer> ownLoad,
-            long requestNanos,
-            long nextUsesPosition) {
+    private void onExchangeEnded(@Nullable SyncReply reply, @Nullable Throwable fault, Sent sent) {
         if (reply != null) {
             mPeriodNanos = periodNanos(reply.getGateways());
         }
@@ -196,21 +255,23 @@
                     .write();
         }
         if (reply != null) {
-            applyReply(reply, ownLoad, requestNanos, nextUsesPosition);
+            applyReply(reply, sent);
         }
-        long pauseNanos = reply != null && mDelegate.isUrgent(mAddress) ? 0 : mPeriodNanos;
-        mLoop.scheduleAt(mLoop.nowNanos() + pauseNanos, this::exchange);
+        mInExchange = false;
+        scheduleNext(reply != null && mDelegate.isUrgent(mAddress) ? 0 : mPeriodNanos);
     }
 
-    private void applyReply(
-            SyncReply reply,
-            Map<BackendId, Integer> ownLoad,
-            long requestNanos,
-            long nextUsesPosition) {
-        mDelegate.onReply(mAddress, reply, ownLoad, requestNanos);
-        boolean restarted = mRegistryEpoch != reply.getRegistryEpoch();
+    private void applyReply(SyncReply reply, Sent sent) {
+        mDelegate.onReply(mAddress, reply, sent.ownLoad(), sent.atNanos());
+        boolean isNew = mRegistryEpoch != reply.getRegistryEpoch();
+        boolean restarted = isNew && mRegistryEpoch != 0;
         mReceivedUsesPosition = reply.getPrefixPosition();
-        mSentUsesPosition = restarted && mRegistryEpoch != 0 ? 0 : nextUsesPosition;
+        mSentUsesPosition = restarted ? 0 : sent.nextUsesPosition();
+        mSentEvidencePosition = restarted ? 0 : sent.nextEvidencePosition();
+        mSendsVerdicts = isNew;
+        if (reply.isSetQuarantine()) {
+            mQuarantineRevision = reply.getQuarantine().getRevision();
+        }
         mRegistryEpoch = reply.getRegistryEpoch();
         mRegistryRevision = reply.getRegistryRevision();
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLinks.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLinks.java
@@ -56,6 +56,11 @@
         }
     }
 
+    /** Starts the next exchange with each controller early, to report news. */
+    public void exchangeSoon() {
+        mLinks.values().forEach(ControllerLink::exchangeSoon);
+    }
+
     private static boolean stopUnlessListed(
             Set<String> addresses, Map.Entry<String, ControllerLink> link) {
         if (addresses.contains(link.getKey())) {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
@@ -201,6 +201,7 @@
                         protocol,
                         mState,
                         RetryPermits.create(mLoop, mNetwork, "g1/1", limits),
+                        GatewayQuarantine.create(mLog),
                         mClient,
                         mClient,
                         mLog,
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
@@ -38,6 +38,7 @@
                     new VersionProtocol(),
                     GatewayState.create(ServerPool.create(ZoneId.of("a"), new SplittableRandom(1))),
                     RetryPermits.create(mLoop, mNetwork, "g1/1", new RetryLimits(0.1, 10, 10)),
+                    GatewayQuarantine.create(mLog),
                     mLog);
 
     @AfterEach
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -130,6 +130,46 @@
   2: i64 lifetimeMillis
 }
 
+/** A connection that a backend server ended before its answer was complete, or refused. */
+struct CutData {
+  1: string server,
+  2: i64 bornMillis,
+  /** Identifies the attempt, so that a report that arrives twice counts once; 0 for a refused connection. */
+  3: i64 attemptHash,
+  /** The prompt parts that other requests may share; empty if the answer had begun. */
+  4: list<string> parts
+}
+
+/** What a gateway saw of crashing servers; one of the two is set. */
+struct CrashEvidenceData {
+  /** Time since the gateway saw it when the request was built. */
+  1: i64 ageMillis,
+  2: optional CutData cut,
+  /** A part on which a server has begun an answer. */
+  3: optional string answeredPart
+}
+
+/** A decision to hold a prompt part back or to lift that. */
+struct VerdictData {
+  1: string part,
+  /** Of two decisions about a part the one with the higher number counts. */
+  2: i64 sequence,
+  3: string reason,
+  4: i32 crashes,
+  /** How often the part has been held back. */
+  5: i32 holds,
+  6: i64 ageMillis,
+  /** Time until the part is no longer held back; negative after that. */
+  7: i64 remainingMillis
+}
+
+struct QuarantineData {
+  1: i64 revision,
+  2: list<VerdictData> verdicts,
+  /** Parts on which gateways report answers. */
+  3: list<string> watchedParts
+}
+
 struct SyncRequest {
   1: string sender,
   2: bool gateway,
@@ -144,7 +184,13 @@
   9: list<PrefixUseData> prefixUses,
   /** Position in the receiver's list of prefix uses; negative if the caller wants none. */
   10: i64 prefixPosition,
-  11: list<RequestCountData> requests
+  11: list<RequestCountData> requests,
+  /** Evidence since the last request to this receiver. */
+  12: list<CrashEvidenceData> crashEvidence,
+  /** Revision of the receiver's quarantine that the caller has, in the same epoch. */
+  13: i64 quarantineRevision,
+  /** The caller's decisions, if the receiver may have lost its own. */
+  14: list<VerdictData> verdicts
 }
 
 struct SyncReply {
@@ -176,5 +222,7 @@
    * Time since a majority confirmed that this state holds every committed change; absent if the
    * receiver knows of no such confirmation.
    */
-  15: optional i64 confirmedAgeMillis
+  15: optional i64 confirmedAgeMillis,
+  /** Absent if the caller has this revision. */
+  16: optional QuarantineData quarantine
 }
