Reject backend server entries with values that no server can have

Cause: a heartbeat with port 99999, no port, capacity -1 or 0, or a cold time of -1e300 was accepted and passed on to every gateway. And a reply that a gateway could not apply ended its exchanges with that controller for good, since the next one was scheduled after it. Deep nesting and numbers of 5,000 digits were rejected before, by the JSON library's limits.

Change: Registration checks address, slots and cold time; entries of a list that are not valid are left out and counted in the log; the next exchange is scheduled whatever happens to a reply.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
@@ -32,6 +32,7 @@
     public static final String PART_NOT_HELD = "the prompt part \"%s\" is not held back";
     public static final String QUARANTINE_CALLS =
             "%s %s is not possible; allowed: GET %3$s, POST %3$s/PART/lift";
+    public static final String SERVER_VALUE = "a backend server cannot have the %s \"%s\"";
     public static final String KEY_DUPLICATE = "workspaces \"%s\" and \"%s\" share a key";
     public static final String UNKNOWN_KEY = "the bearer key does not belong to a workspace";
     public static final String NO_BACKEND = "no backend server can take work for service \"%s\"";
--- a/hemlockrack-core/src/main/java/org/hemlockrack/registry/Registration.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/registry/Registration.java
@@ -1,5 +1,11 @@
 package org.hemlockrack.registry;
 
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.ErrorText;
+import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.ServiceId;
 import org.hemlockrack.model.ZoneId;
@@ -31,6 +37,31 @@
         int slots,
         boolean leaving,
         long coldMillis) {
+    private static final Pattern ADDRESS =
+            Pattern.compile("(\\[[0-9A-Fa-f:.]+]|[0-9A-Za-z][0-9A-Za-z.-]*):([0-9]{1,5})");
+
+    private static final int MAX_PORT = 65_535;
+
+    /** No server runs more requests at once; a larger number would draw all traffic. */
+    private static final int MAX_SLOTS = 1_000_000;
+
+    private static final long MAX_COLD_MILLIS = TimeUnit.HOURS.toMillis(1);
+
+    /** Rejects values that no server can have, as another writer may send them. */
+    public Registration {
+        Matcher matcher = ADDRESS.matcher(address);
+        int port = matcher.matches() ? Integer.parseInt(matcher.group(2)) : 0;
+        requireValid(port >= 1 && port <= MAX_PORT, "address", address);
+        requireValid(slots >= 1 && slots <= MAX_SLOTS, "number of slots", slots);
+        requireValid(coldMillis >= 0 && coldMillis <= MAX_COLD_MILLIS, "cold time", coldMillis);
+    }
+
+    private static void requireValid(boolean valid, String what, Object value) {
+        if (!valid) {
+            throw HemlockrackException.of(
+                    ErrorKind.BAD_REQUEST, String.format(ErrorText.SERVER_VALUE, what, value));
+        }
+    }
 
     /** Returns whether this heartbeat is newer than another one with the same id. */
     boolean isNewerThan(Registration other) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/registry/ServerRegistry.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/registry/ServerRegistry.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.wire.ServerData;
 import org.jspecify.annotations.Nullable;
@@ -92,15 +93,26 @@
     }
 
     /**
-     * Records the entries that a controller returned.
+     * Records the entries that a controller returned. Entries that are not valid are left out, as
+     * an instance of another version may have accepted them.
      *
      * @param nowNanos monotonic time
      * @param servers the servers
+     * @return the number of entries that were left out
      */
-    public void mergeAll(long nowNanos, List<ServerData> servers) {
+    public int mergeAll(long nowNanos, List<ServerData> servers) {
+        int leftOut = 0;
         for (ServerData entry : servers) {
-            recordHeartbeat(nowNanos, Registration.fromData(entry), entry.getAgeMillis());
+            Registration registration;
+            try {
+                registration = Registration.fromData(entry);
+            } catch (HemlockrackException e) {
+                leftOut++;
+                continue;
+            }
+            recordHeartbeat(nowNanos, registration, entry.getAgeMillis());
         }
+        return leftOut;
     }
 
     /**
--- a/hemlockrack-core/src/test/java/org/hemlockrack/registry/ServerRegistryTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/registry/ServerRegistryTest.java
@@ -15,6 +15,7 @@
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.ServiceId;
 import org.hemlockrack.model.ZoneId;
+import org.hemlockrack.wire.ServerData;
 import org.junit.jupiter.api.Test;
 
 class ServerRegistryTest {
@@ -87,4 +88,19 @@
         assertTrue(registry.recordHeartbeat(0, heartbeat(1, 1, false), 0));
         assertFalse(registry.recordHeartbeat(0, heartbeat(1, 1, false), 0));
     }
+
+    /** Guards against an entry of another writer that keeps an instance from reading the others. */
+    @Test
+    void entriesThatAreNotValidAreLeftOut() {
+        ServerRegistry registry = ServerRegistry.create();
+        List<ServerData> entries =
+                List.of(
+                        new ServerData("s1", 1, 1, "s", "h:99999", "a", "v", 4, false, 0, 0),
+                        new ServerData("s 2", 1, 1, "s", "h:80", "a", "v", 4, false, 0, 0),
+                        new ServerData("s3", 1, 1, "s", "h:80", "a", "v", -4, false, 0, 0),
+                        new ServerData("s4", 1, 1, "s", "h:80", "a", "v", 4, false, -9, 0),
+                        new ServerData("s5", 1, 1, "s", "[::1]:80", "a", "v", 4, false, 0, 0));
+        assertEquals(4, registry.mergeAll(0, entries));
+        assertEquals(1, registry.servers().size());
+    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
@@ -114,9 +114,11 @@
         return mPool.ownLoad();
     }
 
-    synchronized void mergeServers(long nowNanos, List<ServerData> servers) {
-        mRegistry.mergeAll(nowNanos, servers);
+    /** Adopts the entries of a controller. Returns the number of entries that are not valid. */
+    synchronized int mergeServers(long nowNanos, List<ServerData> servers) {
+        int leftOut = mRegistry.mergeAll(nowNanos, servers);
         updatePool(nowNanos);
+        return leftOut;
     }
 
     synchronized void adoptView(long nowNanos, GatewayView view) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -176,7 +176,13 @@
             long requestNanos) {
         long nowNanos = mLoop.nowNanos();
         if (!reply.getServers().isEmpty()) {
-            mState.mergeServers(nowNanos, reply.getServers());
+            int leftOut = mState.mergeServers(nowNanos, reply.getServers());
+            if (leftOut > 0) {
+                mLog.instanceEvent("server_entries_left_out")
+                        .put("controller", address)
+                        .put("entries", leftOut)
+                        .write();
+            }
         }
         mState.learnPrefixUses(nowNanos, reply.getPrefixUses());
         if (reply.isSetQuarantine()) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
@@ -254,11 +254,15 @@
                     .put("cause", fault == null ? null : String.valueOf(fault.getMessage()))
                     .write();
         }
-        if (reply != null) {
-            applyReply(reply, sent);
-        }
         mInExchange = false;
-        scheduleNext(reply != null && mDelegate.isUrgent(mAddress) ? 0 : mPeriodNanos);
+        try {
+            if (reply != null) {
+                applyReply(reply, sent);
+            }
+        } finally {
+            // A reply that cannot be applied must not end the exchanges.
+            scheduleNext(reply != null && mDelegate.isUrgent(mAddress) ? 0 : mPeriodNanos);
+        }
     }
 
     private void applyReply(SyncReply reply, Sent sent) {
