Treat a stream that ends inside an event as broken off

What callers saw: a stream without a length or chunks that its server broke off inside an event looked complete, with half an event at its end (ORDER, MIXED).

Cause: the end of the connection ends such an answer in order, and the gateway forwarded what was left of the last event.

Change: a stream that ends inside an event counts as cut: it goes on at another server where it can be resumed, and is aborted otherwise.

Result: ServerAnswersTest.streamThatEndsInsideAnEventIsNotComplete failed before.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/answers/EventStreamFramer.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/answers/EventStreamFramer.java
@@ -100,11 +100,4 @@
         mLineStart = 0;
         mPartialEventId = null;
     }
-
-    /** Removes and returns the bytes of the incomplete event. */
-    public byte[] takePartial() {
-        byte[] partial = Arrays.copyOf(mBuffer, mSize);
-        discardPartial();
-        return partial;
-    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -56,7 +56,7 @@
     private int mStatus;
     private List<HeaderField> mHeaders = List.of();
     private long mFirstByteNanos;
-    private final FirstEventDetector mFirstEvent = FirstEventDetector.create();
+    private final EventBoundaryDetector mEvents = EventBoundaryDetector.create();
 
     /** How the body of the answer is handled. */
     private enum Mode {
@@ -163,7 +163,7 @@
 
     /** Returns whether the server has sent a whole event of the answer. */
     boolean hasBegun() {
-        return mFirstEvent.isComplete();
+        return mEvents.hasEvent();
     }
 
     /** Returns whether the answer is passed on to the caller as it arrives. */
@@ -173,7 +173,7 @@
 
     /** Returns the size of the answer's body that the server has sent. */
     long bodyBytes() {
-        return mFirstEvent.bytes();
+        return mEvents.bytes();
     }
 
     /** Returns whether bytes of the request may have been sent. */
@@ -267,7 +267,7 @@
     public void onBody(ByteBuffer data) {
         int bytes = data.remaining();
         boolean begun = hasBegun();
-        mFirstEvent.feed(data.duplicate());
+        mEvents.feed(data.duplicate());
         if (!begun && hasBegun() && mMode == Mode.STREAMING) {
             mExchange.onAnswerBegun();
         }
@@ -292,6 +292,11 @@
         mMode = Mode.ENDED;
         switch (mode) {
             case STREAMING -> {
+                if (mExchange.route().isStreaming() && mEvents.isInsideEvent()) {
+                    countAnswer(false);
+                    mExchange.onCut(this, "the stream ended inside an event");
+                    return;
+                }
                 if (mExchange.completeStream(this)) {
                     countAnswer(true);
                     mExchange.onDelivered(this, mStatus, AttemptOutcome.SERVED);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -280,9 +280,6 @@
         if (mEnded || attempt != mAttempt) {
             return false;
         }
-        if (mEventFramer != null && mEventFramer.partialBytes() > 0) {
-            mResponder.write(ByteBuffer.wrap(mEventFramer.takePartial()));
-        }
         mResponder.end();
         return true;
     }
--- /dev/null
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
@@ -0,0 +1,284 @@
+package org.hemlockrack.daemon.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.hemlockrack.daemon.fleet.PeerNetwork;
+import org.hemlockrack.daemon.http.HeaderField;
+import org.hemlockrack.daemon.http.HttpCall;
+import org.hemlockrack.daemon.http.HttpClient;
+import org.hemlockrack.daemon.http.Responder;
+import org.hemlockrack.daemon.log.DecisionLog;
+import org.hemlockrack.daemon.loop.EventLoop;
+import org.hemlockrack.daemon.metrics.Metrics;
+import org.hemlockrack.dispatch.ServerPool;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.model.ZoneId;
+import org.hemlockrack.registry.Registration;
+import org.hemlockrack.registry.ServerRegistry;
+import org.hemlockrack.routing.RerunPolicy;
+import org.hemlockrack.routing.Route;
+import org.hemlockrack.routing.WeightedService;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What callers get for answers that servers write byte by byte over raw sockets. */
+class ServerAnswersTest {
+    private static final ServiceId SERVICE = ServiceId.of("chat");
+    private static final ZoneId ZONE = ZoneId.of("a");
+    private static final String ATTEMPT_ID = "request-1";
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nId: " + ATTEMPT_ID + "\r\n";
+    private static final String FIRST = "id: 1\ndata: 1\n\n";
+    private static final String SECOND = "id: 2\ndata: 2\n\n";
+
+    private final EventLoop mLoop = EventLoop.open("test", Throwable::printStackTrace);
+    private final DecisionLog mLog = DecisionLog.open("g1", new ByteArrayOutputStream());
+    private final HttpClient mClient = HttpClient.open(1, 250, 60_000, true);
+    private final PeerNetwork mNetwork =
+            PeerNetwork.create(InstanceId.of("g1"), Map.of(), null, (address, cause) -> {});
+    private final GatewayState mState =
+            GatewayState.create(ServerPool.create(ZONE, new SplittableRandom(1)));
+    private final ServerRegistry mServers = ServerRegistry.create();
+    private final BlockingQueue<String> mAnswers = new LinkedBlockingQueue<>();
+    private final List<ServerSocket> mSockets = new ArrayList<>();
+
+    @BeforeEach
+    void startServers() throws IOException {
+        for (int i = 1; i <= 3; i++) {
+            ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            mSockets.add(socket);
+            startThread(socket, this::serve);
+            String address = "127.0.0.1:" + socket.getLocalPort();
+            BackendId id = BackendId.of("server-" + i);
+            mServers.recordHeartbeat(
+                    mLoop.nowNanos(),
+                    new Registration(id, 1, 1, SERVICE, address, ZONE, "v1", 4, false, 0),
+                    0);
+        }
+        mState.mergeServers(mLoop.nowNanos(), mServers.changesSince(mLoop.nowNanos(), 0));
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        for (ServerSocket socket : mSockets) {
+            socket.close();
+        }
+        mClient.close();
+        mNetwork.close();
+        mLoop.close();
+        mLog.close();
+    }
+
+    private static void startThread(ServerSocket socket, Consumer<Socket> handler) {
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try {
+                                while (true) {
+                                    handler.accept(socket.accept());
+                                }
+                            } catch (IOException ignored) {
+                                // The test has ended.
+                            }
+                        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Reads the head of one request, and writes the next answer; then closes the connection. */
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                int next = in.read();
+                if (next < 0) {
+                    return;
+                }
+                head.append((char) next);
+            }
+            String answer = mAnswers.poll(10, TimeUnit.SECONDS);
+            socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream().flush();
+            socket.shutdownOutput();
+            in.readAllBytes();
+        } catch (IOException | InterruptedException ignored) {
+            // The gateway has closed the connection.
+        }
+    }
+
+    /** Reads the id and the status only. */
+    private static final class PlainProtocol extends StubProtocol {
+        @Override
+        public RequestMetadata readRequest(HttpCall call) {
+            return new RequestMetadata(ATTEMPT_ID, "chat.example", -1, null, List.of());
+        }
+
+        @Override
+        public List<HeaderField> forwardHeaders(
+                HttpCall call,
+                Registration server,
+                @Nullable String workspace,
+                int rank,
+                long remainingMillis,
+                @Nullable String resumeAfterEventId) {
+            return List.of();
+        }
+
+        @Override
+        public AnswerMetadata readAnswerHead(int status, List<HeaderField> headers) {
+            String id = HeaderField.firstValue(headers, "Id");
+            return new AnswerMetadata(id, true, status == 503, status == 421);
+        }
+    }
+
+    /** What the caller gets. */
+    private static final class Caller implements Responder {
+        final CompletableFuture<Boolean> mComplete = new CompletableFuture<>();
+        final StringBuilder mBody = new StringBuilder();
+        int mStatus;
+        private @Nullable DrainListener mOnDrain;
+
+        @Override
+        public synchronized void sendHead(int status, List<HeaderField> headers, long length) {
+            mStatus = status;
+        }
+
+        @Override
+        public synchronized int write(ByteBuffer data) {
+            int bytes = data.remaining();
+            mBody.append(StandardCharsets.UTF_8.decode(data));
+            if (mOnDrain != null) {
+                mOnDrain.onDrained(bytes);
+            }
+            return 0;
+        }
+
+        @Override
+        public int queuedBytes() {
+            return 0;
+        }
+
+        @Override
+        public void end() {
+            mComplete.complete(true);
+        }
+
+        @Override
+        public void abort() {
+            mComplete.complete(false);
+        }
+
+        @Override
+        public void onCancel(Runnable action) {}
+
+        @Override
+        public synchronized void onDrain(DrainListener action) {
+            mOnDrain = action;
+        }
+    }
+
+    private Caller send(RerunPolicy policy) {
+        PlainProtocol protocol = new PlainProtocol();
+        GatewayContext context =
+                new GatewayContext(
+                        mLoop,
+                        protocol,
+                        mState,
+                        RetryPermits.create(mLoop, mNetwork, "g1/1", new RetryLimits(1, 100, 10)),
+                        GatewayQuarantine.create(mLog),
+                        mClient,
+                        mClient,
+                        mLog,
+                        Metrics.create(),
+                        new SplittableRandom(1));
+        Route route =
+                new Route(
+                        "chat",
+                        "chat.example",
+                        "/",
+                        policy,
+                        false,
+                        10_000,
+                        1_000,
+                        300,
+                        0,
+                        List.of(new WeightedService(SERVICE, 1)),
+                        1,
+                        true,
+                        false);
+        HttpCall call = new HttpCall("POST", "/chat", null, List.of(), new byte[0]);
+        Caller caller = new Caller();
+        new GatewayExchange(context, call, caller, protocol.readRequest(call), route, null, 1)
+                .start();
+        return caller;
+    }
+
+    /**
+     * Guards against a stream without a length that a server broke off inside an event, and that
+     * looks complete to the caller.
+     */
+    @Test
+    void streamThatEndsInsideAnEventIsNotComplete() throws Exception {
+        mAnswers.add(HEAD + "\r\n" + FIRST + "id: 2\nda");
+        Caller caller = send(RerunPolicy.STREAM);
+        assertFalse(caller.mComplete.get(10, TimeUnit.SECONDS), caller.mBody.toString());
+    }
+
+    /** Guards against a stream without a length or chunks that is taken for broken off. */
+    @Test
+    void streamThatEndsWithItsConnectionIsComplete() throws Exception {
+        mAnswers.add(HEAD + "\r\n" + FIRST + SECOND);
+        Caller caller = send(RerunPolicy.STREAM);
+        assertTrue(caller.mComplete.get(10, TimeUnit.SECONDS));
+        assertEquals(FIRST + SECOND, caller.mBody.toString());
+    }
+
+    /** Guards against an answer without a length or chunks that is lost or cut. */
+    @Test
+    void answerThatEndsWithItsConnectionIsComplete() throws Exception {
+        mAnswers.add(HEAD + "\r\n" + "x".repeat(100_000));
+        Caller caller = send(RerunPolicy.AT_MOST_ONCE);
+        assertTrue(caller.mComplete.get(10, TimeUnit.SECONDS));
+        assertEquals(100_000, caller.mBody.length());
+    }
+
+    /**
+     * Guards against a late copy of another request's refusal that is taken for the answer to this
+     * one: the caller would be told that the request has not run.
+     */
+    @Test
+    void refusalOfAnotherRequestSaysNothingAboutThisOne() throws Exception {
+        for (String other : List.of("503 Full\r\nId: earlier", "503 Full")) {
+            mAnswers.clear();
+            for (int i = 0; i < 5; i++) {
+                mAnswers.add("HTTP/1.1 " + other + "\r\nContent-Length: 0\r\n\r\n");
+            }
+            Caller caller = send(RerunPolicy.IDEMPOTENT);
+            assertTrue(caller.mComplete.get(10, TimeUnit.SECONDS));
+            assertEquals(502, caller.mStatus, other);
+        }
+    }
+}
