Take no refusal without an id for the answer on a kept connection

Cause: answers without the id of the request are ignored, except 421, because another server may not echo ids. On a kept connection a 421 without an id may belong to an earlier request; the caller was told that its request had not run.

Change: on routes that use kept connections such an answer says nothing about the request. Commands and streams that cannot be resumed have a connection of their own, where a 421 without an id still means what it says.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -192,6 +192,11 @@
             failPossiblyRun(AttemptOutcome.BROKEN, "the answer belongs to another request");
             return;
         }
+        if (metadata.attemptId() == null && mExchange.route().allowsRerun()) {
+            // On a kept connection it may answer an earlier request.
+            failPossiblyRun(AttemptOutcome.MISDIRECTED, "another server may use the address");
+            return;
+        }
         if (metadata.misdirected() || metadata.refused()) {
             mMode = metadata.misdirected() ? Mode.MISDIRECTED : Mode.REFUSED;
             return;
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
@@ -271,7 +271,7 @@
      */
     @Test
     void refusalOfAnotherRequestSaysNothingAboutThisOne() throws Exception {
-        for (String other : List.of("503 Full\r\nId: earlier", "503 Full")) {
+        for (String other : List.of("503 Full\r\nId: earlier", "503 Full", "421 Misdirected")) {
             mAnswers.clear();
             for (int i = 0; i < 5; i++) {
                 mAnswers.add("HTTP/1.1 " + other + "\r\nContent-Length: 0\r\n\r\n");
