Hear servers that leave or ask for rest in their answers

Cause: neither Server-Leaving nor the Retry-After of a server's 503 was read; a server that turned a request away was left out for 100 ms.

Change: ServerStatement keeps what one incarnation has said, apart from health and load. ServerPool.choose is the only gate, for first attempts and retries; a choice that has become outdated before it is sent is made again. If all servers rest, callers are refused at once with the time until the first one is free.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerChoice.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerChoice.java
@@ -10,8 +10,10 @@
  * @param reason why this server was chosen, or why none was
  * @param load estimated number of requests that all gateways have in progress at the server
  * @param candidates number of servers that were eligible
+ * @param waitNanos time until the first server accepts requests again, 0 if that is not known
  */
-public record ServerChoice(@Nullable Registration server, Reason reason, int load, int candidates) {
+public record ServerChoice(
+        @Nullable Registration server, Reason reason, int load, int candidates, long waitNanos) {
     /** Why a server was chosen, or why none was. */
     public enum Reason {
         /** A server that has recently processed the same prompt prefix. */
@@ -26,11 +28,17 @@
         NO_SERVER,
         /** All servers are at their capacity. */
         ALL_FULL,
+        /** All servers have asked for no requests for a time. */
+        ALL_RESTING,
         /** Only cold servers have capacity left, and their rate limit is used up. */
         ALL_COLD;
     }
 
     static ServerChoice none(Reason reason) {
-        return new ServerChoice(null, reason, 0, 0);
+        return new ServerChoice(null, reason, 0, 0, 0);
+    }
+
+    static ServerChoice allResting(long waitNanos) {
+        return new ServerChoice(null, Reason.ALL_RESTING, 0, 0, waitNanos);
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -204,8 +204,20 @@
         if (eligible.isEmpty()) {
             return ServerChoice.none(ServerChoice.Reason.NO_SERVER);
         }
+        List<ServerSlot> accepting = new ArrayList<>();
+        long shortestRestNanos = Long.MAX_VALUE;
+        for (ServerSlot slot : eligible) {
+            long restNanos = slot.mStatement.remainingRestNanos(nowNanos);
+            if (restNanos == 0) {
+                accepting.add(slot);
+            }
+            shortestRestNanos = Math.min(shortestRestNanos, restNanos);
+        }
+        if (accepting.isEmpty()) {
+            return ServerChoice.allResting(shortestRestNanos);
+        }
         ServiceSpec spec = mSpecs.get(criteria.service());
-        List<ServerSlot> available = withCapacity(withoutRejecting(nowNanos, eligible), spec);
+        List<ServerSlot> available = withCapacity(withoutRejecting(nowNanos, accepting), spec);
         if (available.isEmpty()) {
             return ServerChoice.none(ServerChoice.Reason.ALL_FULL);
         }
@@ -231,6 +243,7 @@
         for (ServerSlot slot : mByService.getOrDefault(criteria.service(), List.of())) {
             Registration server = slot.mServer.registration();
             if (server.leaving()
+                    || slot.mStatement.isLeaving()
                     || mOverrides.hasDeparted(server.id(), server.startMillis())
                     || mOverrides.evacuatedZones().contains(server.zone())
                     || criteria.triedServers().contains(server.id())) {
@@ -434,7 +447,7 @@
 
     private static ServerChoice choiceOf(
             ServerSlot slot, ServerChoice.Reason reason, int candidates) {
-        return new ServerChoice(slot.mServer.registration(), reason, slot.load(), candidates);
+        return new ServerChoice(slot.mServer.registration(), reason, slot.load(), candidates, 0);
     }
 
     private void recordDispatch(long nowNanos, ServerChoice choice) {
@@ -445,6 +458,52 @@
         }
     }
 
+    /**
+     * Records that a server has said in an answer that it leaves. A restarted server has not.
+     *
+     * @param server the incarnation
+     */
+    public void recordLeaving(Registration server) {
+        ServerSlot slot = findSlot(server);
+        if (slot != null) {
+            slot.mStatement.recordLeaving();
+        }
+    }
+
+    /**
+     * Records that a server has asked for no requests for a time.
+     *
+     * @param nowNanos monotonic time
+     * @param server the incarnation
+     * @param restNanos the time
+     */
+    public void recordRest(long nowNanos, Registration server, long restNanos) {
+        ServerSlot slot = findSlot(server);
+        if (slot != null) {
+            slot.mStatement.recordRest(nowNanos, restNanos);
+        }
+    }
+
+    /**
+     * Returns whether a server has said nothing against new requests.
+     *
+     * @param nowNanos monotonic time
+     * @param server the incarnation
+     */
+    public boolean accepts(long nowNanos, Registration server) {
+        ServerSlot slot = findSlot(server);
+        return slot == null
+                || !slot.mStatement.isLeaving()
+                        && slot.mStatement.remainingRestNanos(nowNanos) == 0;
+    }
+
+    private @Nullable ServerSlot findSlot(Registration server) {
+        ServerSlot slot = mSlots.get(server.id());
+        boolean sameIncarnation =
+                slot != null && slot.mServer.registration().startMillis() == server.startMillis();
+        return sameIncarnation ? slot : null;
+    }
+
     /**
      * Records the end of an attempt at a chosen server.
      *
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerSlot.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerSlot.java
@@ -35,6 +35,8 @@
     int mFleetRequests;
     int mOwnRequestsAtReport;
 
+    final ServerStatement mStatement = new ServerStatement();
+
     private long mFullUntilNanos;
     private int mConsecutiveSuspensions;
     private long mSuspendedUntilNanos;
--- a/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/ServerPoolTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/ServerPoolTest.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.dispatch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -361,4 +362,55 @@
         update(RoutingOverrides.NONE);
         assertEquals(BackendId.of("i-99"), choose(0, 0));
     }
+
+    private ServerChoice chooseAt(long nowNanos) {
+        return mPool.choose(nowNanos, new SelectionCriteria(SERVICE, 0, 0, Set.of()));
+    }
+
+    /**
+     * Guards against requests for a server that has said that it leaves, and against the next one.
+     */
+    @Test
+    void serverThatSaysItLeavesGetsNoNewRequestsUntilItsRestart() {
+        addServers(2);
+        Registration leaving = mServers.get(0).registration();
+        mPool.recordLeaving(leaving);
+        assertFalse(mPool.accepts(0, leaving));
+        for (int i = 0; i < 20; i++) {
+            assertNotEquals(leaving.id(), chooseAt(0).server().id());
+        }
+        mPool.recordLeaving(mServers.get(1).registration());
+        assertEquals(ServerChoice.Reason.NO_SERVER, chooseAt(0).reason());
+        Registration restarted =
+                new Registration(
+                        leaving.id(),
+                        2,
+                        1,
+                        SERVICE,
+                        leaving.address(),
+                        HOME,
+                        "v1",
+                        SLOTS,
+                        false,
+                        0);
+        mServers.set(0, new RegisteredServer(restarted, 0, 0));
+        update(RoutingOverrides.NONE);
+        mPool.recordLeaving(leaving);
+        assertEquals(restarted.id(), chooseAt(0).server().id());
+    }
+
+    /** Guards against requests for a server that has asked for none for a time. */
+    @Test
+    void restingServerGetsNoRequestsUntilTheTimeHasPassed() {
+        addServers(2);
+        mPool.recordRest(0, mServers.get(0).registration(), 3 * SECOND);
+        for (int i = 0; i < 20; i++) {
+            assertEquals(mServers.get(1).registration(), chooseAt(SECOND).server());
+        }
+        mPool.recordRest(0, mServers.get(1).registration(), 2 * SECOND);
+        ServerChoice none = chooseAt(SECOND);
+        assertEquals(ServerChoice.Reason.ALL_RESTING, none.reason());
+        assertEquals(SECOND, none.waitNanos());
+        assertEquals(mServers.get(1).registration(), chooseAt(2 * SECOND).server());
+    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/AnswerMetadata.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/AnswerMetadata.java
@@ -9,6 +9,13 @@
  * @param signed whether the server has signed the answer
  * @param refused whether the server states that it has not run the request and never will
  * @param misdirected whether the request reached a server other than the intended one
+ * @param leaving whether the server states that it leaves
+ * @param restMillis time for which the server wants no requests, negative if it states none
  */
 public record AnswerMetadata(
-        @Nullable String attemptId, boolean signed, boolean refused, boolean misdirected) {}
+        @Nullable String attemptId,
+        boolean signed,
+        boolean refused,
+        boolean misdirected,
+        boolean leaving,
+        long restMillis) {}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -150,7 +150,9 @@
 
     @Override
     public boolean beforeSend() {
-        mChoiceOutdated = isChoiceOutdated();
+        mChoiceOutdated =
+                isChoiceOutdated()
+                        || !mExchange.context().state().accepts(System.nanoTime(), mServer);
         mSent = !mCancelled && !mChoiceOutdated && mExchange.onSending(this);
         return mSent;
     }
@@ -192,6 +194,9 @@
             failPossiblyRun(AttemptOutcome.BROKEN, "the answer belongs to another request");
             return;
         }
+        if (!metadata.misdirected()) {
+            mExchange.onStatement(mServer, metadata);
+        }
         if (metadata.attemptId() == null && mExchange.route().allowsRerun()) {
             // On a kept connection it may answer an earlier request.
             failPossiblyRun(AttemptOutcome.MISDIRECTED, "another server may use the address");
@@ -380,7 +385,7 @@
             mExchange.onNotRun(
                     this,
                     mChoiceOutdated ? AttemptOutcome.ABANDONED : AttemptOutcome.UNREACHABLE,
-                    mChoiceOutdated ? "this process was delayed after the choice" : message);
+                    mChoiceOutdated ? "the choice is outdated" : message);
             return;
         }
         if (mode == Mode.REFUSED || mode == Mode.MISDIRECTED) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -304,7 +304,26 @@
                 choice.reason() == ServerChoice.Reason.NO_SERVER
                         ? ErrorKind.NO_BACKEND
                         : ErrorKind.OVERLOADED;
-        fail(kind, choice.reason().name());
+        fail(kind, choice.reason().name(), choice.waitNanos() / NANOS_PER_MILLI);
+    }
+
+    /** Records what a server says in its answer about further requests. */
+    void onStatement(Registration server, AnswerMetadata metadata) {
+        long nowNanos = System.nanoTime();
+        boolean accepted = mContext.state().accepts(nowNanos, server);
+        if (metadata.leaving()) {
+            mContext.state().recordLeaving(server);
+        }
+        if (metadata.restMillis() > 0) {
+            mContext.state().recordRest(nowNanos, server, metadata.restMillis());
+        }
+        if (accepted && (metadata.leaving() || metadata.restMillis() > 0)) {
+            mContext.log()
+                    .instanceEvent(metadata.leaving() ? "server_says_leaving" : "server_rests")
+                    .put("server", server.id().value())
+                    .put("rest_ms", metadata.restMillis())
+                    .write();
+        }
     }
 
     /** Ends the request because a part of its prompt is held back. Called with the lock held. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
@@ -13,6 +13,7 @@
 import org.hemlockrack.model.ServiceId;
 import org.hemlockrack.paging.PagedLog;
 import org.hemlockrack.registry.RegisteredServer;
+import org.hemlockrack.registry.Registration;
 import org.hemlockrack.registry.ServerRegistry;
 import org.hemlockrack.routing.Route;
 import org.hemlockrack.routing.RouteTable;
@@ -69,6 +70,21 @@
         mPool.recordOutcome(nowNanos, id, outcome);
     }
 
+    /** Records that a server has said that it leaves. */
+    synchronized void recordLeaving(Registration server) {
+        mPool.recordLeaving(server);
+    }
+
+    /** Records that a server wants no requests for a time. */
+    synchronized void recordRest(long nowNanos, Registration server, long restMillis) {
+        mPool.recordRest(nowNanos, server, TimeUnit.MILLISECONDS.toNanos(restMillis));
+    }
+
+    /** Returns whether a server has said nothing against new requests. */
+    synchronized boolean accepts(long nowNanos, Registration server) {
+        return mPool.accepts(nowNanos, server);
+    }
+
     synchronized void countAnswer(
             ServiceId service, String softwareVersion, boolean success, long firstByteMicros) {
         VersionCountsData counts =
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
@@ -141,7 +141,7 @@
 
         @Override
         public AnswerMetadata readAnswerHead(int status, List<HeaderField> headers) {
-            return new AnswerMetadata(ATTEMPT_ID, true, false, false);
+            return new AnswerMetadata(ATTEMPT_ID, true, false, false, false, -1);
         }
     }
 
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
@@ -150,7 +150,7 @@
         @Override
         public AnswerMetadata readAnswerHead(int status, List<HeaderField> headers) {
             String id = HeaderField.firstValue(headers, "Id");
-            return new AnswerMetadata(id, true, status == 503, status == 421);
+            return new AnswerMetadata(id, true, status == 503, status == 421, false, -1);
         }
     }
 
