--- a/hemlockrack-core/src/main/java/org/hemlockrack/quarantine/CrashAnalysis.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/quarantine/CrashAnalysis.java
@@ -70,6 +70,23 @@
     /** Largest number of parts about whose answers gateways are asked. */
     static final int MAX_WATCHED_PARTS = 128;
 
+    /** Least time between two reports of answers on one part by one gateway. */
+    public static final long ANSWER_REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+    /** Exchanges in which a gateway repeats all that it has kept. */
+    private static final int EXCHANGES_AFTER_START = 10;
+
+    /**
+     * More crashes, then no earlier answers, then more crashes that other parts account for, then
+     * the deeper part: with equal evidence, fewer sound requests share it.
+     */
+    private static final Comparator<Suspect> STRENGTH =
+            Comparator.comparingDouble(Suspect::weight)
+                    .thenComparing(suspect -> !suspect.answeredBefore())
+                    .thenComparingInt(Suspect::allCrashes)
+                    .thenComparingInt(Suspect::position)
+                    .thenComparing(Suspect::part);
+
     /** Rules that a test can leave out to show that it needs them. */
     enum Rule {
         ANSWER_ACQUITS,
@@ -78,18 +95,21 @@
         CRASHES_APART
     }
 
-    /** Least time between two reports of answers on one part by one gateway. */
-    public static final long ANSWER_REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-
-    /** Exchanges in which a gateway repeats all that it has kept. */
-    private static final int EXCHANGES_AFTER_START = 10;
+    /** A part and the number of separate crashes that speak against it. */
+    private record Suspect(
+            String part,
+            int crashes,
+            double weight,
+            int allCrashes,
+            boolean answeredBefore,
+            int position) {}
 
     private final long mStartNanos;
     private final Set<Rule> mRules;
-    private final Map<String, Long> mWatchedSinceNanos = new HashMap<>();
-    private long mExchangeNanos = TimeUnit.MILLISECONDS.toNanos(100);
     private final VerdictTable mVerdicts = VerdictTable.create();
     private final Deque<Crash> mCrashes = new ArrayDeque<>();
+    private final Map<String, Long> mWatchedSinceNanos = new HashMap<>();
+    private long mExchangeNanos = TimeUnit.MILLISECONDS.toNanos(100);
 
     /** Time of the newest answer on each part that was reported. */
     private final Map<String, Long> mAnsweredNanos =
@@ -312,10 +332,7 @@
                 || nowNanos - mStartNanos >= EXCHANGES_AFTER_START * mExchangeNanos;
     }
 
-    /**
-     * Returns the crashes that no held part accounts for, and those after the newest decision that
-     * lifted all parts in them.
-     */
+    /** Returns the crashes that no part accounts for that is held back or was. */
     private List<Crash> withoutExplained(List<Crash> confirmed) {
         if (!mRules.contains(Rule.ONE_PART_PER_CRASH)) {
             return confirmed;
@@ -362,15 +379,6 @@
         return count;
     }
 
-    /** A part and the number of separate crashes that speak against it. */
-    private record Suspect(
-            String part,
-            int crashes,
-            double weight,
-            int allCrashes,
-            boolean answeredBefore,
-            int position) {}
-
     /** Returns the part that most crashes speak against if they are enough, or null. */
     private @Nullable Suspect strongestSuspect(long nowNanos, List<Crash> open) {
         Map<String, Integer> crashes = new HashMap<>();
@@ -419,17 +427,6 @@
         return strongest;
     }
 
-    /**
-     * More crashes, then no earlier answers, then more crashes that other parts account for, then
-     * the deeper part: with equal evidence, fewer sound requests share it.
-     */
-    private static final Comparator<Suspect> STRENGTH =
-            Comparator.comparingDouble(Suspect::weight)
-                    .thenComparing(suspect -> !suspect.answeredBefore())
-                    .thenComparingInt(Suspect::allCrashes)
-                    .thenComparingInt(Suspect::position)
-                    .thenComparing(Suspect::part);
-
     /**
      * Returns whether what speaks for a part has been reported: the other requests that the crash
      * cut and, if servers used to answer on the part, answers since the crash. Gateways report
