Review case: large bodies of a surging tenant end the threads of all gateways

Seen with a script: bodies that the configuration allows fill the heap while their service is overloaded; requests for another service lose their answers, and the gateways serve nothing any more while they say that they are ready. Cause: no limit for the bodies of all requests together.

--- a/review/standins/review/BurstOfCallers.java
+++ b/review/standins/review/BurstOfCallers.java
@@ -40,7 +40,7 @@
         for (int number = 1; number <= 3; number++) {
             addWorker("i-" + number, number, "app", 64);
         }
-        awaitServing(Operator.configuration(3, "app"));
+        awaitServing();
         Process usual = startSwarm("usual", USUAL_CALLERS);
         Thread.sleep(6_000);
         if (mTrouble) {
--- a/review/standins/review/Case.java
+++ b/review/standins/review/Case.java
@@ -75,8 +75,8 @@
     }
 
     /** Publishes the configuration and waits until the gateways serve. */
-    void awaitServing(String configuration) throws InterruptedException {
-        if (mOperator.send("PUT", "/config", configuration, 1, 30) == null) {
+    void awaitServing() throws InterruptedException {
+        if (mOperator.send("PUT", "/config", Operator.configuration(), 1, 30) == null) {
             throw new NotRun("the first configuration was not acknowledged");
         }
         if (!mFleet.awaitReady(30)) {
@@ -91,11 +91,16 @@
         }
     }
 
-    /** Returns the fields of a client's request. */
+    /** Returns the fields of a request by a client of the first tenant. */
     static List<Http.Field> clientFields(String attemptId, int deadlineMillis) {
+        return clientFields(attemptId, deadlineMillis, "key-1");
+    }
+
+    /** Returns the fields of a request by a client with a key. */
+    static List<Http.Field> clientFields(String attemptId, int deadlineMillis, String key) {
         return List.of(
                 new Http.Field("Host", "case.example"),
-                new Http.Field("Authorization", "Bearer key-1"),
+                new Http.Field("Authorization", "Bearer " + key),
                 new Http.Field("Hemlockrack-Attempt-Id", attemptId),
                 new Http.Field("Hemlockrack-Deadline-Ms", Integer.toString(deadlineMillis)));
     }
--- a/review/standins/review/EndlessBody.java
+++ b/review/standins/review/EndlessBody.java
@@ -62,7 +62,7 @@
             // All in one zone, so that both gateways use all three alike.
             addWorker("i-" + number, 3, "app", 16).mBehaviour = this::answer;
         }
-        awaitServing(Operator.configuration(3, "app"));
+        awaitServing();
         for (Kind kind : Kind.values()) {
             for (int i = 0; i < 2 * CLIENTS_PER_GATEWAY_AND_KIND; i++) {
                 int gateway = 1 + i % 2;
--- a/review/standins/review/Http.java
+++ b/review/standins/review/Http.java
@@ -1,5 +1,6 @@
 package review;
 
+import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
@@ -52,8 +53,20 @@
         return null;
     }
 
-    /** Reads a message, or returns null if the connection ends before its first byte. */
-    static Message read(InputStream in, boolean isResponse) throws IOException {
+    /** Reads a response, or returns null if the connection ends before its first byte. */
+    static Message readResponse(InputStream in) throws IOException {
+        return read(in, null);
+    }
+
+    /**
+     * Reads a request, or returns null if the connection ends before its first byte. A caller that
+     * waits with the body for an interim response gets one.
+     */
+    static Message readRequest(InputStream in, OutputStream out) throws IOException {
+        return read(in, out);
+    }
+
+    private static Message read(InputStream in, OutputStream interimOut) throws IOException {
         String firstLine = readLine(in);
         if (firstLine == null) {
             return null;
@@ -63,6 +76,11 @@
             int colon = line.indexOf(':');
             fields.add(new Field(line.substring(0, colon), line.substring(colon + 1).trim()));
         }
+        boolean isResponse = interimOut == null;
+        if (!isResponse && "100-continue".equalsIgnoreCase(fieldOf(fields, "Expect"))) {
+            interimOut.write("HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            interimOut.flush();
+        }
         String length = fieldOf(fields, "Content-Length");
         byte[] body = new byte[0];
         if ("chunked".equalsIgnoreCase(fieldOf(fields, "Transfer-Encoding"))) {
@@ -155,7 +173,7 @@
             List<Field> all = new ArrayList<>(fields);
             all.add(new Field("Connection", "close"));
             write(socket.getOutputStream(), method + " " + path + " HTTP/1.1", all, body);
-            Message response = read(new java.io.BufferedInputStream(socket.getInputStream()), true);
+            Message response = readResponse(new BufferedInputStream(socket.getInputStream()));
             if (response == null) {
                 throw new EOFException("the connection was closed without an answer");
             }
@@ -172,7 +190,7 @@
         Kept(String host, int port, int connectMillis) throws IOException {
             mSocket.connect(new InetSocketAddress(host, port), connectMillis);
             mSocket.setTcpNoDelay(true);
-            mIn = new java.io.BufferedInputStream(mSocket.getInputStream());
+            mIn = new BufferedInputStream(mSocket.getInputStream());
         }
 
         /** Returns whether the connection has carried an earlier request. */
@@ -187,7 +205,7 @@
             mSent++;
             mSocket.setSoTimeout(readMillis);
             write(mSocket.getOutputStream(), method + " " + path + " HTTP/1.1", fields, body);
-            return read(mIn, true);
+            return readResponse(mIn);
         }
 
         @Override
--- a/review/standins/review/Operator.java
+++ b/review/standins/review/Operator.java
@@ -68,26 +68,33 @@
         return null;
     }
 
-    /** Returns a configuration with one service, one tenant and one route of each kind. */
-    static String configuration(int version, String service) {
+    /**
+     * Returns the configuration of all cases: the service "app" with a route for requests that may
+     * be repeated and one for requests that may not, and the service "files" with a route for
+     * requests that may not be repeated.
+     */
+    static String configuration() {
         return """
-        {"version":%d,
+        {"version":3,
          "route_table":[
-          {"name":"r-stream","host":"case.example","path_prefix":"/stream/","type":"streaming",
-           "timeout_ms":12000,"target_latency_ms":500,"priority":1,"service":"%2$s",
-           "max_attempts":2,"public":false,"sticky":true,"resumable":true,"target_itl_ms":300},
           {"name":"r-look","host":"case.example","path_prefix":"/look/","type":"idempotent",
-           "timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"%2$s",
+           "timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"app",
            "max_attempts":2,"public":false,"sticky":false,"resumable":false},
           {"name":"r-book","host":"case.example","path_prefix":"/book/","type":"non_idempotent",
-           "timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"%2$s",
+           "timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"app",
+           "max_attempts":1,"public":false,"sticky":false,"resumable":false},
+          {"name":"r-files","host":"case.example","path_prefix":"/files/","type":"non_idempotent",
+           "timeout_ms":4000,"target_latency_ms":1000,"priority":2,"service":"files",
            "max_attempts":1,"public":false,"sticky":false,"resumable":false}],
-         "upstreams":[{"name":"%2$s","health_check_path":"/healthz","max_connections":620,
-          "protocol":"h1","tls_enabled":false,"cold_start_s":0.0,"warmup_per_s":0.0}],
+         "upstreams":[
+          {"name":"app","health_check_path":"/healthz","max_connections":620,"protocol":"h1",
+           "tls_enabled":false,"cold_start_s":0.0,"warmup_per_s":0.0},
+          {"name":"files","health_check_path":"/healthz","max_connections":620,"protocol":"h1",
+           "tls_enabled":false,"cold_start_s":0.0,"warmup_per_s":0.0}],
          "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
           "idle_timeout_ms":15000},
-         "tenants":[{"name":"tenant-1","api_keys":["key-1"],"priority":1}]}
-        """
-                .formatted(version, service);
+         "tenants":[{"name":"tenant-1","api_keys":["key-1"],"priority":1},
+          {"name":"tenant-2","api_keys":["key-2"],"priority":1}]}
+        """;
     }
 }
--- a/review/standins/review/StaleEvacuation.java
+++ b/review/standins/review/StaleEvacuation.java
@@ -34,7 +34,7 @@
         for (int zone = 1; zone <= 3; zone++) {
             addWorker("i-" + zone, zone, "app", 16);
         }
-        awaitServing(Operator.configuration(3, "app"));
+        awaitServing();
         for (int gateway = 1; gateway <= 2; gateway++) {
             int number = gateway;
             Thread client = new Thread(() -> sendRequests(number));
--- a/review/standins/review/Worker.java
+++ b/review/standins/review/Worker.java
@@ -76,9 +76,9 @@
             socket.setTcpNoDelay(true);
             BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
             OutputStream out = socket.getOutputStream();
-            for (Http.Message request = Http.read(in, false);
+            for (Http.Message request = Http.readRequest(in, out);
                     request != null;
-                    request = Http.read(in, false)) {
+                    request = Http.readRequest(in, out)) {
                 if (!answerChecked(request, socket, out)) {
                     return;
                 }
