--- a/review/standins/review/EndlessBody.java
+++ b/review/standins/review/EndlessBody.java
@@ -30,6 +30,9 @@
     /** The rule is broken if more than this part of the requests fails. */
     private static final double ALLOWED_FAILED_PART = 0.6;
 
+    /** It is also broken if a kind is served less than this part as often as all requests. */
+    private static final double STARVED_PART = 0.25;
+
     private final AtomicLong mNextId = new AtomicLong();
     private final AtomicInteger mAtFaultyWorker = new AtomicInteger();
     private volatile boolean mInTrouble;
@@ -50,6 +53,10 @@
             mPath = path;
             mRepeatable = repeatable;
         }
+
+        double servedPart() {
+            return (double) mServed.get() / Math.max(1, mAsked.get());
+        }
     }
 
     public static void main(String[] args) throws Exception {
@@ -96,9 +103,13 @@
             asked += kind.mAsked.get();
             served += kind.mServed.get();
         }
-        double failedPart = 1 - (double) served / asked;
-        mRecord.say("%.3f of all requests failed", failedPart);
-        return failedPart > ALLOWED_FAILED_PART;
+        double servedPart = (double) served / asked;
+        mRecord.say("%.3f of all requests failed", 1 - servedPart);
+        boolean starved = false;
+        for (Kind kind : Kind.values()) {
+            starved |= kind.servedPart() < STARVED_PART * servedPart;
+        }
+        return 1 - servedPart > ALLOWED_FAILED_PART || starved;
     }
 
     private boolean answer(Worker worker, Http.Message request, Socket socket, OutputStream out)
--- a/review/standins/review/Operator.java
+++ b/review/standins/review/Operator.java
@@ -69,14 +69,18 @@
     }
 
     /**
-     * Returns the configuration of all cases: the service "app" with a route for requests that may
-     * be repeated and one for requests that may not, and the service "files" with a route for
-     * requests that may not be repeated.
+     * Returns the configuration of all cases: the service "app" with a route for streams, one for
+     * requests that may be repeated and one for requests that may not, and the service "files" with
+     * a route for requests that may not be repeated.
      */
     static String configuration() {
         return """
         {"version":3,
          "route_table":[
+          {"name":"r-stream","host":"case.example","path_prefix":"/stream/","type":"streaming",
+           "timeout_ms":12000,"target_latency_ms":500,"priority":1,"service":"app",
+           "max_attempts":1,"public":false,"sticky":false,"resumable":false,
+           "target_itl_ms":300},
           {"name":"r-look","host":"case.example","path_prefix":"/look/","type":"idempotent",
            "timeout_ms":4000,"target_latency_ms":300,"priority":2,"service":"app",
            "max_attempts":2,"public":false,"sticky":false,"resumable":false},
