--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,6 +3,4 @@
 # out the disruption.
 cd "$(dirname "$0")" || exit 2
 [ -d ../target/classes ] || exit 2
-# max_open_files of the settings; the processes that this script starts inherit it.
-ulimit -n 4100 || exit 2
-exec java -cp ../target/classes review.BurstOfCallers "$(cd ../.. && pwd)" "$PWD"
+exec java -cp ../target/classes review.PlannedStop "$(cd ../.. && pwd)" "$PWD"
