--- a/review/standins/review/Case.java
+++ b/review/standins/review/Case.java
@@ -16,7 +16,7 @@
 
     final boolean mTrouble = !"0".equals(System.getenv("TROUBLE"));
     final List<Worker> mWorkers = new ArrayList<>();
-    Record mRecord;
+    EventRecord mRecord;
     Fleet mFleet;
     Operator mOperator;
 
@@ -36,7 +36,7 @@
     static void run(Case played, String[] args, int gateways) throws Exception {
         Path folder = Files.createTempDirectory("review-case");
         int code;
-        try (Record record = new Record(Path.of(args[1]).resolve("record.txt"));
+        try (EventRecord record = new EventRecord(Path.of(args[1]).resolve("record.txt"));
                 Fleet fleet = new Fleet(Path.of(args[0]), folder, record, gateways)) {
             played.mRecord = record;
             played.mFleet = fleet;
@@ -50,6 +50,10 @@
             } catch (NotRun e) {
                 record.say("the case did not run: %s", e.getMessage());
                 code = DID_NOT_RUN;
+            } catch (Exception e) {
+                // An exit by an uncaught exception would have the code of a broken rule.
+                record.say("the case did not run: %s", e);
+                code = DID_NOT_RUN;
             }
         }
         if (System.getenv("KEEP") == null) {
--- a/review/standins/review/EndlessBody.java
+++ b/review/standins/review/EndlessBody.java
@@ -196,6 +196,7 @@
             return false;
         }
         String id = "a-" + mNextId.incrementAndGet();
+        mRecord.line("client sends %s to gateway-%d", id, gateway);
         try {
             Http.Message answer =
                     connection.call(
--- a/review/standins/review/Record.java
+++ b/review/standins/review/EventRecord.java
@@ -7,11 +7,11 @@
 import java.util.Locale;
 
 /** Writes a line with the elapsed time for everything that was sent, answered or run. */
-final class Record implements AutoCloseable {
+final class EventRecord implements AutoCloseable {
     private final PrintWriter mOut;
     private final long mStartNanos = System.nanoTime();
 
-    Record(Path file) throws IOException {
+    EventRecord(Path file) throws IOException {
         mOut = new PrintWriter(Files.newBufferedWriter(file));
     }
 
--- a/review/standins/review/Fleet.java
+++ b/review/standins/review/Fleet.java
@@ -26,13 +26,13 @@
 
     private final Path mRoot;
     private final Path mFolder;
-    private final Record mRecord;
+    private final EventRecord mRecord;
     private final int mGateways;
     private final int mFirstPort;
     private final Map<String, Process> mProcesses = new LinkedHashMap<>();
     private volatile boolean mClosing;
 
-    Fleet(Path root, Path folder, Record record, int gateways) throws IOException {
+    Fleet(Path root, Path folder, EventRecord record, int gateways) throws IOException {
         mRoot = root;
         mFolder = folder;
         mRecord = record;
@@ -222,7 +222,11 @@
     void signal(String name, String signal) throws IOException, InterruptedException {
         long pid = mProcesses.get(name).pid();
         mRecord.line("signal %s to %s", signal, name);
-        new ProcessBuilder("kill", "-" + signal, Long.toString(pid)).start().waitFor();
+        // The shell's own kill, as there may be no program of that name.
+        String command = "kill -" + signal + " " + pid;
+        if (new ProcessBuilder("sh", "-c", command).start().waitFor() != 0) {
+            throw new IOException(command + " failed");
+        }
     }
 
     /** Returns whether a gateway answers the platform's readiness check within a second. */
--- a/review/standins/review/LargeBodies.java
+++ b/review/standins/review/LargeBodies.java
@@ -159,6 +159,7 @@
     private void sendUpload(int gateway, String key) {
         String id = "u-" + mNextId.incrementAndGet();
         mUploads.incrementAndGet();
+        mRecord.line("client sends %s to gateway-%d", id, gateway);
         mMostInFlight.accumulateAndGet(mInFlight.incrementAndGet(), Math::max);
         try {
             Http.Message answer =
@@ -186,6 +187,7 @@
         Http.Kept connection = null;
         while (!mDone) {
             String id = "a-" + mNextId.incrementAndGet();
+            mRecord.line("client sends %s to gateway-%d", id, gateway);
             try {
                 mLooks.incrementAndGet();
                 if (connection == null) {
--- a/review/standins/review/Operator.java
+++ b/review/standins/review/Operator.java
@@ -12,9 +12,9 @@
     private static final int ANSWER_MILLIS = 1_000;
 
     private final Fleet mFleet;
-    private final Record mRecord;
+    private final EventRecord mRecord;
 
-    Operator(Fleet fleet, Record record) {
+    Operator(Fleet fleet, EventRecord record) {
         mFleet = fleet;
         mRecord = record;
     }
--- a/review/standins/review/StaleEvacuation.java
+++ b/review/standins/review/StaleEvacuation.java
@@ -83,6 +83,7 @@
     private void sendRequests(int gateway) {
         while (true) {
             String id = "a-" + mNextId.incrementAndGet();
+            mRecord.line("client sends %s to gateway-%d", id, gateway);
             try {
                 Http.Message answer =
                         Http.call(
--- a/review/standins/review/Worker.java
+++ b/review/standins/review/Worker.java
@@ -23,7 +23,7 @@
 
     final String mId;
     final int mZone;
-    final Record mRecord;
+    final EventRecord mRecord;
     final AtomicLong mRuns = new AtomicLong();
     private final String mService;
     private final int mCapacity;
@@ -36,7 +36,7 @@
     private volatile boolean mRegistered;
     volatile Behaviour mBehaviour = Worker::answerWell;
 
-    Worker(Fleet fleet, Record record, String id, int zone, String service, int capacity)
+    Worker(Fleet fleet, EventRecord record, String id, int zone, String service, int capacity)
             throws IOException {
         mFleet = fleet;
         mRecord = record;
