Bound what a gateway keeps of answers, one by one and together

Callers saw: one of three servers answers a part of its requests with 500 and a body without end; within a second the gateways closed every connection without an answer, and went on saying that they were ready.

Cause: a failure was kept whole until its end, whatever its length, while the flow-control window was given back for each byte kept. The heap ran out, and the error ended the thread of the HTTP client.

Change: at most 64 KiB of an answer are kept before any of it is passed on. A longer failure ends the attempt at once, so that another server can answer or the caller gets 502. A longer answer that is no failure is passed on as it arrives. The memory for kept answers and for windows beyond a narrow one is reserved from a budget of an eighth of the heap, shared by all connections, until the caller has taken the answer; without memory an answer is passed on with a narrow window. A head has at most 64 KiB, lines of 16 KiB, including the informational ones before it. A refusal whose body does not end counts as a refusal after 64 KiB.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/CountingResponder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/CountingResponder.java
@@ -68,6 +68,11 @@
                 });
     }
 
+    @Override
+    public void onReleased(Runnable action) {
+        mResponder.onReleased(action);
+    }
+
     @Override
     public void onDrain(DrainListener action) {
         mResponder.onDrain(action);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.hemlockrack.answers.EventStreamFramer;
 import org.hemlockrack.daemon.http.HeaderField;
 import org.hemlockrack.daemon.http.HttpCall;
@@ -24,10 +25,11 @@
     private static final int FIRST_SERVER_ERROR = 500;
 
     /**
-     * Successful answers with a known length up to this limit are buffered before anything is sent
-     * to the caller, so that another server can be tried if the answer breaks off.
+     * Limit on the part of an answer that is kept before anything is sent to the caller. Answers
+     * with a known length up to the limit are kept as a whole, so that another server can be tried
+     * if the answer breaks off or is a failure.
      */
-    private static final long MAX_COLLECTED_BYTES = 64 << 10;
+    static final int MAX_COLLECTED_BYTES = 64 << 10;
 
     /**
      * Time after which a choice may rest on an outdated view of the servers. Opening a connection
@@ -50,6 +52,11 @@
     private volatile boolean mSent;
     private volatile boolean mDetached;
     private volatile boolean mStreaming;
+    private boolean mSuccessStream;
+
+    /** Collected bytes that the server may have replaced before the caller has taken them. */
+    private final AtomicInteger mReleasedEarlyBytes = new AtomicInteger();
+
     private volatile boolean mChoiceOutdated;
     private final @Nullable EventStreamFramer mEventFramer;
     private Mode mMode = Mode.AWAITING_HEAD;
@@ -215,20 +222,74 @@
             resumeStream(success);
             return;
         }
-        boolean canBuffer = lengthBytes >= 0 && lengthBytes <= MAX_COLLECTED_BYTES;
-        if (canBuffer || !success) {
+        if (isCollectable(success, lengthBytes)) {
             mMode = Mode.COLLECTING;
             return;
         }
-        if (!mExchange.tryBeginAnswer(this)) {
+        if (isFailure()) {
+            failOversized();
+            return;
+        }
+        beginStreaming(success, lengthBytes);
+    }
+
+    /**
+     * Returns whether the answer is kept until it is complete, and reserves the memory for it. A
+     * success without a length is a stream. Any other answer without a length is kept up to the
+     * limit, because it is usually short.
+     */
+    private boolean isCollectable(boolean success, long lengthBytes) {
+        if (lengthBytes > MAX_COLLECTED_BYTES || lengthBytes < 0 && success) {
+            return false;
+        }
+        long keptBytes = lengthBytes < 0 ? MAX_COLLECTED_BYTES : lengthBytes;
+        return mExchange.answerMemory().tryReserve(keptBytes);
+    }
+
+    private boolean isFailure() {
+        return mStatus >= FIRST_SERVER_ERROR;
+    }
+
+    /** Passes the answer on as it arrives. */
+    private void beginStreaming(boolean success, long lengthBytes) {
+        if (!mExchange.tryBeginAnswer(this, success)) {
             cancel();
+            if (mDetached) {
+                mExchange.onDetachedEnd(this);
+            }
             return;
         }
         mMode = Mode.STREAMING;
         mStreaming = true;
+        mSuccessStream = success;
+        widenWindow();
         Responder responder = mExchange.responder();
-        responder.onDrain(this::releaseBytes);
-        responder.sendHead(status, headers, lengthBytes);
+        responder.onDrain(this::onDrained);
+        responder.sendHead(mStatus, mHeaders, lengthBytes);
+    }
+
+    /**
+     * Lets the server send more ahead of the caller, if there is memory for it. The narrow window
+     * that each call starts with suffices for a stream of events.
+     */
+    private void widenWindow() {
+        int moreBytes = UpstreamCall.WINDOW_BYTES - UpstreamCall.NARROW_WINDOW_BYTES;
+        if (mExchange.answerMemory().tryReserve(mCollectedBody.size() + moreBytes)) {
+            releaseBytes(moreBytes);
+        }
+    }
+
+    /**
+     * Ends the attempt because the body of a failure has no end, or there is no memory for it. The
+     * server may have run the request.
+     */
+    private void failOversized() {
+        countAnswer(false);
+        failPossiblyRun(
+                AttemptOutcome.FAILED,
+                String.format(
+                        "status %d with a body that exceeds %d bytes or the memory left",
+                        mStatus, MAX_COLLECTED_BYTES));
     }
 
     /**
@@ -256,7 +317,9 @@
         }
         mMode = Mode.STREAMING;
         mStreaming = true;
-        mExchange.responder().onDrain(this::releaseBytes);
+        mSuccessStream = true;
+        widenWindow();
+        mExchange.responder().onDrain(this::onDrained);
     }
 
     private void releaseBytes(int bytes) {
@@ -283,16 +346,57 @@
         }
         switch (mMode) {
             case STREAMING -> mExchange.forwardBody(this, data);
-            case COLLECTING -> {
-                byte[] chunk = new byte[bytes];
-                data.get(chunk);
-                mCollectedBody.writeBytes(chunk);
-                releaseBytes(bytes);
-            }
+            case COLLECTING -> collect(data);
             default -> {
                 data.position(data.limit());
                 releaseBytes(bytes);
+                endIfOversized();
+            }
+        }
+    }
+
+    private void collect(ByteBuffer data) {
+        int bytes = data.remaining();
+        if (mEvents.bytes() <= MAX_COLLECTED_BYTES) {
+            byte[] chunk = new byte[bytes];
+            data.get(chunk);
+            // After the caller has left, nobody needs the answer.
+            if (!mDetached) {
+                mCollectedBody.writeBytes(chunk);
             }
+            releaseBytes(bytes);
+            return;
+        }
+        if (isFailure()) {
+            failOversized();
+            return;
+        }
+        // The window was released for these bytes already.
+        mReleasedEarlyBytes.set(mCollectedBody.size());
+        beginStreaming(false, Responder.UNKNOWN_LENGTH);
+        if (mMode == Mode.STREAMING) {
+            byte[] collected = mCollectedBody.toByteArray();
+            mCollectedBody.reset();
+            mExchange.forwardBody(this, ByteBuffer.wrap(collected));
+            mExchange.forwardBody(this, data);
+        }
+    }
+
+    /** Lets the server send as much as the caller has taken. */
+    private void onDrained(int bytes) {
+        int earlyBytes = Math.min(bytes, mReleasedEarlyBytes.get());
+        mReleasedEarlyBytes.addAndGet(-earlyBytes);
+        if (bytes > earlyBytes) {
+            releaseBytes(bytes - earlyBytes);
+        }
+    }
+
+    /** Ends the attempt if the server says that it has not run the request, and goes on sending. */
+    private void endIfOversized() {
+        boolean notRun = mMode == Mode.REFUSED || mMode == Mode.MISDIRECTED;
+        if (notRun && mEvents.bytes() > MAX_COLLECTED_BYTES) {
+            cancel();
+            onEnd();
         }
     }
 
@@ -302,7 +406,8 @@
         mMode = Mode.ENDED;
         switch (mode) {
             case STREAMING -> {
-                if (mExchange.route().isStreaming() && mEvents.isInsideEvent()) {
+                boolean hasEvents = mSuccessStream && mExchange.route().isStreaming();
+                if (hasEvents && mEvents.isInsideEvent()) {
                     countAnswer(false);
                     mExchange.onCut(this, "the stream ended inside an event");
                     return;
@@ -324,7 +429,7 @@
     }
 
     private void finishCollected() {
-        boolean failure = mStatus >= FIRST_SERVER_ERROR;
+        boolean failure = isFailure();
         countAnswer(!failure);
         if (!failure) {
             mExchange.onAnswerBegun();
@@ -345,7 +450,7 @@
     }
 
     private void deliverCollected(boolean failure) {
-        if (!mExchange.tryBeginAnswer(this)) {
+        if (!mExchange.tryBeginAnswer(this, false)) {
             if (mDetached) {
                 mExchange.onDetachedEnd(this);
             }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
@@ -12,6 +12,7 @@
 import org.hemlockrack.daemon.metrics.MetricName;
 import org.hemlockrack.daemon.metrics.Metrics;
 import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.limits.ByteBudget;
 
 /**
  * Services and state that all exchanges of a gateway share.
@@ -24,6 +25,7 @@
  * @param client sends requests that may be retried, over pooled connections
  * @param singleUseClient sends each command over a new connection; if a server closed a pooled
  *     connection while a command is sent, the outcome of the command would be unknown
+ * @param answerBudget memory for answers that callers have not taken yet
  * @param log log with one line for each decision
  * @param metrics counters
  * @param random spreads the retries of refused callers
@@ -36,6 +38,7 @@
         GatewayQuarantine quarantine,
         HttpClient client,
         HttpClient singleUseClient,
+        ByteBudget answerBudget,
         DecisionLog log,
         Metrics metrics,
         RandomGenerator random) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -58,6 +58,7 @@
 
     private final @Nullable EventStreamFramer mEventFramer;
 
+    private final AnswerMemory mAnswerMemory;
     private @Nullable ForwardAttempt mAttempt;
     private @Nullable ScheduledFuture<?> mDeadlineTimer;
     private long mLastProgressNanos;
@@ -67,6 +68,9 @@
     private boolean mHeadSent;
     private boolean mEnded;
 
+    /** Whether the caller gets whole events only, so that another server can continue. */
+    private boolean mResumable;
+
     /** Whether another attempt follows one that has ended. */
     private enum NextAttempt {
         /** It follows without asking for a permit. */
@@ -111,6 +115,8 @@
         mDeadlineNanos = mStartNanos + timeoutMillis * NANOS_PER_MILLI;
         mEventFramer =
                 route.isStreaming() && route.allowsRerun() ? EventStreamFramer.create() : null;
+        mResumable = mEventFramer != null;
+        mAnswerMemory = AnswerMemory.of(context.answerBudget());
     }
 
     Route route() {
@@ -129,6 +135,10 @@
         return mContext;
     }
 
+    AnswerMemory answerMemory() {
+        return mAnswerMemory;
+    }
+
     @Nullable String workspace() {
         return mWorkspace;
     }
@@ -160,6 +170,7 @@
         if (!mSharedParts.isEmpty()) {
             mContext.quarantine().addExchange(this);
         }
+        mResponder.onReleased(mAnswerMemory::release);
         mResponder.onCancel(this::onCallerLeft);
         startNextAttempt();
     }
@@ -249,7 +260,7 @@
      * yet, or the stream can be resumed.
      */
     private synchronized boolean canRestartOrResume() {
-        return !mHeadSent || mEventFramer != null && mEventFramer.isResumable();
+        return !mHeadSent || mResumable && mEventFramer.isResumable();
     }
 
     /**
@@ -262,7 +273,7 @@
             return;
         }
         mLastProgressNanos = System.nanoTime();
-        if (mEventFramer == null) {
+        if (!mResumable) {
             mResponder.write(data);
             return;
         }
@@ -529,12 +540,15 @@
     /**
      * Reserves the answer to the caller for an attempt. Returns false if the exchange has ended or
      * the attempt is no longer current.
+     *
+     * @param mayResume whether another server can continue the answer, if the route allows it
      */
-    synchronized boolean tryBeginAnswer(ForwardAttempt attempt) {
+    synchronized boolean tryBeginAnswer(ForwardAttempt attempt, boolean mayResume) {
         if (mEnded || attempt != mAttempt) {
             return false;
         }
         mHeadSent = true;
+        mResumable &= mayResume;
         return true;
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -23,6 +23,7 @@
 import org.hemlockrack.daemon.settings.Settings;
 import org.hemlockrack.daemon.settings.SettingsReloader;
 import org.hemlockrack.dispatch.ServerPool;
+import org.hemlockrack.limits.ByteBudget;
 
 /** A running gateway: its ports, its connections to controllers and servers, and its metrics. */
 public final class GatewayInstance implements ServiceProcess.Instance, AutoCloseable {
@@ -34,6 +35,12 @@
      */
     private static final long UPSTREAM_IDLE_MILLIS = 120_000;
 
+    /**
+     * Part of the heap for answers that callers have not taken yet. Request bodies, buffers of
+     * connections and the state of the fleet need the rest.
+     */
+    private static final double ANSWER_HEAP_FRACTION = 0.125;
+
     private static final long EXPIRY_PERIOD_MILLIS = 500;
 
     /**
@@ -56,6 +63,8 @@
     private final GatewayState mState;
     private final GatewayViewUpdater mViewUpdater;
     private final AtomicInteger mOpenRequests = new AtomicInteger();
+    private final ByteBudget mAnswerBudget =
+            ByteBudget.of((long) (ANSWER_HEAP_FRACTION * Runtime.getRuntime().maxMemory()));
     private final HttpPort mCallerPort;
     private volatile boolean mDraining;
 
@@ -89,6 +98,7 @@
                         quarantine,
                         openClient(true),
                         openClient(false),
+                        mAnswerBudget,
                         mLog,
                         mMetrics,
                         new SplittableRandom(random.nextLong()));
@@ -117,6 +127,7 @@
 
     private void registerMetrics(GatewayQuarantine quarantine) {
         mMetrics.registerValue(MetricName.OPEN_REQUESTS, mOpenRequests::get);
+        mMetrics.registerValue(MetricName.ANSWER_BYTES, mAnswerBudget::reservedBytes);
         mMetrics.registerValue(MetricName.VIEW_AGE, mViewUpdater::viewAgeSeconds);
         mMetrics.registerValue(MetricName.SERVERS_SUSPENDED, mState::suspendedServers);
         mMetrics.registerValue(MetricName.PARTS_HELD, quarantine::heldParts);
@@ -145,7 +156,9 @@
     }
 
     private HttpClient openClient(boolean reuse) {
-        HttpClient client = HttpClient.open(1, CONNECT_TIMEOUT_MILLIS, UPSTREAM_IDLE_MILLIS, reuse);
+        HttpClient client =
+                HttpClient.openWithNarrowWindow(
+                        1, CONNECT_TIMEOUT_MILLIS, UPSTREAM_IDLE_MILLIS, reuse);
         mCloser.register(client::close);
         return client;
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
@@ -38,6 +38,9 @@
 
     private static final int MAX_CONNECTIONS_PER_TARGET = 10_000;
 
+    private static final int MAX_HEADER_COUNT = 200;
+    private static final int MAX_HEADER_LINE_BYTES = 16 << 10;
+
     private final HttpAsyncRequester mRequester;
     private final SessionRegistry mSessions;
     private final Executor mConnectTimer;
@@ -76,6 +79,23 @@
         return open(ioThreads, connectTimeoutMillis, idleTimeoutMillis, reuse, null);
     }
 
+    /**
+     * Opens a client whose calls start with {@link UpstreamCall#NARROW_WINDOW_BYTES}. The
+     * parameters are those of {@link #open(int, long, long, boolean)}.
+     *
+     * @return the client
+     */
+    public static HttpClient openWithNarrowWindow(
+            int ioThreads, long connectTimeoutMillis, long idleTimeoutMillis, boolean reuse) {
+        return open(
+                ioThreads,
+                connectTimeoutMillis,
+                idleTimeoutMillis,
+                reuse,
+                UpstreamCall.NARROW_WINDOW_BYTES,
+                null);
+    }
+
     /**
      * Opens a client, optionally with TLS. The other parameters are those of {@link #open(int,
      * long, long, boolean)}.
@@ -89,6 +109,22 @@
             long idleTimeoutMillis,
             boolean reuse,
             @Nullable TlsStrategy tls) {
+        return open(
+                ioThreads,
+                connectTimeoutMillis,
+                idleTimeoutMillis,
+                reuse,
+                UpstreamCall.WINDOW_BYTES,
+                tls);
+    }
+
+    private static HttpClient open(
+            int ioThreads,
+            long connectTimeoutMillis,
+            long idleTimeoutMillis,
+            boolean reuse,
+            int windowBytes,
+            @Nullable TlsStrategy tls) {
         IOReactorConfig reactor =
                 IOReactorConfig.custom()
                         .setIoThreadCount(ioThreads)
@@ -98,9 +134,10 @@
         SessionRegistry sessions = SessionRegistry.create();
         Http1Config config =
                 Http1Config.custom()
-                        .setMaxHeaderCount(200)
+                        .setMaxHeaderCount(MAX_HEADER_COUNT)
+                        .setMaxLineLength(MAX_HEADER_LINE_BYTES)
                         .setBufferSize(BUFFER_BYTES)
-                        .setInitialWindowSize(UpstreamCall.WINDOW_BYTES - 2 * BUFFER_BYTES)
+                        .setInitialWindowSize(windowBytes - 2 * BUFFER_BYTES)
                         .build();
         TlsStrategy tlsStrategy = tls == null ? new BasicClientTlsStrategy() : tls;
         Timeout handshakeTimeout = Timeout.ofMilliseconds(connectTimeoutMillis);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/Responder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/Responder.java
@@ -55,6 +55,14 @@
      */
     void onCancel(Runnable action);
 
+    /**
+     * Sets an action that runs once nothing of the response is queued any more: the client has
+     * taken all of it, or the connection has ended. A responder that queues nothing may ignore it.
+     *
+     * @param action the action; runs immediately if that has happened already
+     */
+    default void onReleased(Runnable action) {}
+
     /**
      * Sets a listener that is called each time queued bytes were written to the connection.
      *
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ResponseInput.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ResponseInput.java
@@ -5,6 +5,7 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.ProtocolException;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.NHttpMessageWriter;
@@ -18,8 +19,12 @@
  * response to the next request. Confined to the thread of the connection.
  */
 final class ResponseInput {
+    /** Limit on one head, including the informational ones before it. */
+    private static final int MAX_HEAD_BYTES = 64 << 10;
+
     private @Nullable SessionInputBuffer mBuffer;
     private int mExpectedResponses;
+    private int mHeadBytes;
 
     /** Returns whether the connection has received bytes that nothing has consumed. */
     boolean hasUnreadBytes() {
@@ -58,9 +63,16 @@
                 if (mExpectedResponses == 0 && buffer.hasData()) {
                     throw new ProtocolException("input that belongs to no request");
                 }
+                int unreadBytes = buffer.length();
                 HttpResponse response = parser.parse(buffer, endOfStream);
+                mHeadBytes += unreadBytes - buffer.length();
+                if (mHeadBytes > MAX_HEAD_BYTES) {
+                    throw new MessageConstraintException(
+                            "head of a response exceeds " + MAX_HEAD_BYTES + " bytes");
+                }
                 if (response != null && response.getCode() >= HttpStatus.SC_SUCCESS) {
                     mExpectedResponses--;
+                    mHeadBytes = 0;
                 }
                 return response;
             }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
@@ -44,6 +44,7 @@
     private @Nullable DataStreamChannel mOutput;
     private @Nullable Runnable mOnCancel;
     private @Nullable DrainListener mOnDrain;
+    private @Nullable Runnable mOnReleased;
     private int mQueuedBytes;
     private boolean mHeadSent;
     private boolean mEnded;
@@ -308,6 +309,17 @@
         action.run();
     }
 
+    @Override
+    public void onReleased(Runnable action) {
+        synchronized (this) {
+            if (!mReleased) {
+                mOnReleased = action;
+                return;
+            }
+        }
+        action.run();
+    }
+
     @Override
     public void onDrain(DrainListener action) {
         synchronized (this) {
@@ -385,7 +397,8 @@
 
     @Override
     public void releaseResources() {
-        Runnable action;
+        Runnable onCancel;
+        Runnable onReleased;
         synchronized (this) {
             if (mReleased) {
                 return;
@@ -393,11 +406,15 @@
             mReleased = true;
             mOutputQueue.clear();
             mQueuedBytes = 0;
-            action = mResponseComplete ? null : mOnCancel;
+            onCancel = mResponseComplete ? null : mOnCancel;
+            onReleased = mOnReleased;
         }
         mConnection.exchangeReleased(this);
-        if (action != null) {
-            action.run();
+        if (onCancel != null) {
+            onCancel.run();
+        }
+        if (onReleased != null) {
+            onReleased.run();
         }
     }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamCall.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamCall.java
@@ -22,14 +22,17 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * A request to another process, with flow control: at most {@link #WINDOW_BYTES} of the response
- * body are received ahead of those returned by {@link #releaseWindow}. Safe for use from any
- * thread.
+ * A request to another process, with flow control: at most the window of its {@link HttpClient} of
+ * the response body is received ahead of the bytes returned by {@link #releaseWindow}. Safe for use
+ * from any thread.
  */
 public final class UpstreamCall {
     /** Response body bytes that may be received and not yet released before reading pauses. */
     public static final int WINDOW_BYTES = 64 << 10;
 
+    /** Such a window for calls that are many at the same time. */
+    public static final int NARROW_WINDOW_BYTES = 24 << 10;
+
     private final BasicHttpRequest mRequest;
     private final ByteBuffer mBody;
     private final UpstreamListener mListener;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
@@ -46,6 +46,11 @@
             "requests",
             "Requests that ended as usual and were left out of the log"),
     OPEN_REQUESTS("open_requests", MetricType.GAUGE, "requests", "Open requests of callers"),
+    ANSWER_BYTES(
+            "answer_bytes",
+            MetricType.GAUGE,
+            "B",
+            "Memory reserved for answers that callers have not taken yet"),
     QUEUE_LENGTH("queue_length", MetricType.GAUGE, "requests", "Queue by owned backend server"),
     IN_FLIGHT("in_flight", MetricType.GAUGE, "requests", "In flight by owned backend server"),
     LIMIT("limit", MetricType.GAUGE, "requests", "Limit by owned backend server"),
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
@@ -26,6 +26,7 @@
 import org.hemlockrack.daemon.loop.EventLoop;
 import org.hemlockrack.daemon.metrics.Metrics;
 import org.hemlockrack.dispatch.ServerPool;
+import org.hemlockrack.limits.ByteBudget;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.model.ServiceId;
@@ -204,6 +205,7 @@
                         GatewayQuarantine.create(mLog),
                         mClient,
                         mClient,
+                        ByteBudget.of(1 << 20),
                         mLog,
                         Metrics.create(),
                         new SplittableRandom(1));
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
@@ -7,7 +7,10 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
+import java.lang.reflect.Proxy;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
@@ -20,6 +23,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.http.HeaderField;
@@ -29,7 +33,9 @@
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.loop.EventLoop;
 import org.hemlockrack.daemon.metrics.Metrics;
+import org.hemlockrack.daemon.peer.PeerServer;
 import org.hemlockrack.dispatch.ServerPool;
+import org.hemlockrack.limits.ByteBudget;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.model.ServiceId;
@@ -39,6 +45,8 @@
 import org.hemlockrack.routing.RerunPolicy;
 import org.hemlockrack.routing.Route;
 import org.hemlockrack.routing.WeightedService;
+import org.hemlockrack.wire.Peer;
+import org.hemlockrack.wire.PermitReply;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -50,17 +58,29 @@
     private static final ZoneId ZONE = ZoneId.of("a");
     private static final String ATTEMPT_ID = "request-1";
     private static final String HEAD = "HTTP/1.1 200 OK\r\nId: " + ATTEMPT_ID + "\r\n";
+    private static final String FAILURE = "HTTP/1.1 500 Failed\r\nId: " + ATTEMPT_ID + "\r\n";
     private static final String FIRST = "id: 1\ndata: 1\n\n";
     private static final String SECOND = "id: 2\ndata: 2\n\n";
 
+    /** Ends an answer that its server repeats until the gateway closes the connection. */
+    private static final String ENDLESS = "\0";
+
+    /** Most bytes of an endless answer that a server may write; includes socket buffers. */
+    private static final long MAX_ENDLESS_BYTES = 16 << 20;
+
+    private static final long ANSWER_BUDGET_BYTES = 256 << 10;
+
     private final EventLoop mLoop = EventLoop.open("test", Throwable::printStackTrace);
     private final DecisionLog mLog = DecisionLog.open("g1", new ByteArrayOutputStream());
     private final HttpClient mClient = HttpClient.open(1, 250, 60_000, true);
     private final PeerNetwork mNetwork =
             PeerNetwork.create(InstanceId.of("g1"), Map.of(), null, (address, cause) -> {});
+    private final PeerServer mController = startController();
     private final GatewayState mState =
             GatewayState.create(ServerPool.create(ZONE, new SplittableRandom(1)));
     private final ServerRegistry mServers = ServerRegistry.create();
+    private final ByteBudget mAnswerBudget = ByteBudget.of(ANSWER_BUDGET_BYTES);
+    private final AtomicLong mEndlessBytes = new AtomicLong();
     private final BlockingQueue<String> mAnswers = new LinkedBlockingQueue<>();
     private final List<ServerSocket> mSockets = new ArrayList<>();
 
@@ -87,6 +107,7 @@
         }
         mClient.close();
         mNetwork.close();
+        mController.close();
         mLoop.close();
         mLog.close();
     }
@@ -120,6 +141,10 @@
                 head.append((char) next);
             }
             String answer = mAnswers.poll(10, TimeUnit.SECONDS);
+            if (answer.endsWith(ENDLESS)) {
+                flood(socket, answer);
+                return;
+            }
             socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
             socket.getOutputStream().flush();
             socket.shutdownOutput();
@@ -129,6 +154,16 @@
         }
     }
 
+    private void flood(Socket socket, String answer) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        byte[] block = "x".repeat(64 << 10).getBytes(StandardCharsets.ISO_8859_1);
+        out.write(answer.replace(ENDLESS, "").getBytes(StandardCharsets.ISO_8859_1));
+        while (mEndlessBytes.get() < 2 * MAX_ENDLESS_BYTES) {
+            out.write(block);
+            mEndlessBytes.addAndGet(block.length);
+        }
+    }
+
     /** Reads the id and the status only. */
     private static final class PlainProtocol extends StubProtocol {
         @Override
@@ -160,6 +195,17 @@
         final StringBuilder mBody = new StringBuilder();
         int mStatus;
         private @Nullable DrainListener mOnDrain;
+        private @Nullable Runnable mOnReleased;
+
+        /** Ends the exchange at the connection, as after its last byte. */
+        synchronized void release() {
+            mOnReleased.run();
+        }
+
+        @Override
+        public synchronized void onReleased(Runnable action) {
+            mOnReleased = action;
+        }
 
         @Override
         public synchronized void sendHead(int status, List<HeaderField> headers, long length) {
@@ -200,6 +246,26 @@
         }
     }
 
+    /** Starts a controller that grants every retry. */
+    private static PeerServer startController() {
+        Peer.Iface controller =
+                (Peer.Iface)
+                        Proxy.newProxyInstance(
+                                Peer.Iface.class.getClassLoader(),
+                                new Class<?>[] {Peer.Iface.class},
+                                (proxy, method, arguments) -> new PermitReply(5, 1_000));
+        return PeerServer.open(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), controller, null);
+    }
+
+    private RetryPermits createPermits() {
+        RetryPermits permits =
+                RetryPermits.create(mLoop, mNetwork, "g1/1", new RetryLimits(1, 100, 10));
+        String address = "127.0.0.1:" + mController.address().getPort();
+        permits.setControllers(() -> List.of(address));
+        return permits;
+    }
+
     private Caller send(RerunPolicy policy) {
         PlainProtocol protocol = new PlainProtocol();
         GatewayContext context =
@@ -207,10 +273,11 @@
                         mLoop,
                         protocol,
                         mState,
-                        RetryPermits.create(mLoop, mNetwork, "g1/1", new RetryLimits(1, 100, 10)),
+                        createPermits(),
                         GatewayQuarantine.create(mLog),
                         mClient,
                         mClient,
+                        mAnswerBudget,
                         mLog,
                         Metrics.create(),
                         new SplittableRandom(1));
@@ -226,7 +293,7 @@
                         300,
                         0,
                         List.of(new WeightedService(SERVICE, 1)),
-                        1,
+                        2,
                         true,
                         false);
         HttpCall call = new HttpCall("POST", "/chat", null, List.of(), new byte[0]);
@@ -281,4 +348,91 @@
             assertEquals(502, caller.mStatus, other);
         }
     }
+
+    /**
+     * Guards against a failure with a body without end that fills the memory of the gateway, or
+     * that keeps its caller waiting although another server can answer.
+     */
+    @Test
+    void failureWithoutEndIsTriedElsewhere() throws Exception {
+        mAnswers.add(FAILURE + "\r\n" + ENDLESS);
+        mAnswers.add(HEAD + "Content-Length: 2\r\n\r\nok");
+        Caller caller = send(RerunPolicy.IDEMPOTENT);
+        assertTrue(caller.mComplete.get(5, TimeUnit.SECONDS));
+        assertEquals(200, caller.mStatus);
+        assertEquals("ok", caller.mBody.toString());
+        assertTrue(mEndlessBytes.get() < MAX_ENDLESS_BYTES, () -> mEndlessBytes + " bytes");
+    }
+
+    /** Guards against the same failure of a command, which no other server may run. */
+    @Test
+    void failureWithoutEndEndsACommand() throws Exception {
+        mAnswers.add(FAILURE + "\r\n" + ENDLESS);
+        Caller caller = send(RerunPolicy.AT_MOST_ONCE);
+        assertTrue(caller.mComplete.get(5, TimeUnit.SECONDS));
+        assertEquals(502, caller.mStatus);
+        assertTrue(mEndlessBytes.get() < MAX_ENDLESS_BYTES, () -> mEndlessBytes + " bytes");
+    }
+
+    /** Guards against a refusal whose body has no end and delays the attempt at another server. */
+    @Test
+    void refusalWithoutEndIsTriedElsewhere() throws Exception {
+        mAnswers.add("HTTP/1.1 503 Full\r\nId: " + ATTEMPT_ID + "\r\n\r\n" + ENDLESS);
+        mAnswers.add(HEAD + "Content-Length: 2\r\n\r\nok");
+        Caller caller = send(RerunPolicy.AT_MOST_ONCE);
+        assertTrue(caller.mComplete.get(5, TimeUnit.SECONDS));
+        assertEquals(200, caller.mStatus);
+        assertTrue(mEndlessBytes.get() < MAX_ENDLESS_BYTES, () -> mEndlessBytes + " bytes");
+    }
+
+    /** Guards against the loss of long answers that are no success and do have an end. */
+    @Test
+    void longClientErrorIsDelivered() throws Exception {
+        for (String length : List.of("", "Content-Length: 200000\r\n")) {
+            String head = "HTTP/1.1 422 Invalid\r\nId: " + ATTEMPT_ID + "\r\n" + length;
+            mAnswers.add(head + "\r\n" + "x".repeat(200_000));
+            Caller caller = send(RerunPolicy.STREAM);
+            assertTrue(caller.mComplete.get(5, TimeUnit.SECONDS));
+            assertEquals(422, caller.mStatus);
+            assertEquals(200_000, caller.mBody.length());
+        }
+    }
+
+    /**
+     * Guards against answers that fit the limit one by one and together exceed the memory, and
+     * against memory that is never returned.
+     */
+    @Test
+    void answersOfAllConnectionsKeepWithinTheBudget() throws Exception {
+        List<Caller> callers = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            mAnswers.add(HEAD + "Content-Length: 60000\r\n\r\n" + "x".repeat(60_000));
+            callers.add(send(RerunPolicy.IDEMPOTENT));
+        }
+        for (Caller caller : callers) {
+            assertTrue(caller.mComplete.get(10, TimeUnit.SECONDS));
+            assertEquals(200, caller.mStatus);
+            assertEquals(60_000, caller.mBody.length());
+        }
+        long reservedBytes = mAnswerBudget.reservedBytes();
+        assertTrue(reservedBytes > 0 && reservedBytes <= ANSWER_BUDGET_BYTES);
+        callers.forEach(Caller::release);
+        assertEquals(0, mAnswerBudget.reservedBytes());
+    }
+
+    /**
+     * Guards against failures that are kept without memory for them, and against requests that fail
+     * for it although another server can answer.
+     */
+    @Test
+    void failureWithoutMemoryIsTriedElsewhere() throws Exception {
+        try (ByteBudget.Reservation others = mAnswerBudget.tryReserve(ANSWER_BUDGET_BYTES - 10)) {
+            mAnswers.add(FAILURE + "Content-Length: 500\r\n\r\n" + "x".repeat(500));
+            mAnswers.add(HEAD + "Content-Length: 500\r\n\r\n" + "y".repeat(500));
+            Caller caller = send(RerunPolicy.IDEMPOTENT);
+            assertTrue(caller.mComplete.get(5, TimeUnit.SECONDS));
+            assertEquals(200, caller.mStatus);
+            assertEquals("y".repeat(500), caller.mBody.toString());
+        }
+    }
 }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
@@ -188,6 +188,7 @@
                 "HTTP/1.1 200 OK\r\nX-Folded: x\r\n| x\r\n",
                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;|x",
                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n|X-Trailer: x\r\n",
+                "|HTTP/1.1 100 Continue\r\n\r\n",
                 "|\r\n",
                 "|no answer"
             })
