End the process when an exception has ended one of its threads

Callers saw: gateways whose HTTP client had died answered nothing and still said that they were ready, so that the platform sent them callers.

Cause: an error ends a thread of an I/O reactor, and nothing notices.

Change: an uncaught exception ends the process with code 4 and a last line that names the thread, so that the platform starts it anew; not while it stops. The thread pools of the peer protocol replace their threads and only log.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/ServiceProcess.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/ServiceProcess.java
@@ -18,6 +18,11 @@
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 2;
 
+    /** Exit code of a process that lost one of its threads. */
+    static final int EXIT_THREAD_LOST = 4;
+
+    private static volatile boolean sStopping;
+
     private ServiceProcess() {}
 
     /** A running instance that can be stopped gracefully. */
@@ -77,10 +82,12 @@
             return;
         }
         LogFormat.of(settings.text(SettingKey.LOG_FORMAT)).install();
+        Thread.setDefaultUncaughtExceptionHandler(ServiceProcess::exitAfterLoss);
         Instance instance = starter.apply(new StartOptions(settings, file));
         Thread shutdown =
                 new Thread(
                         () -> {
+                            sStopping = true;
                             instance.shutDown();
                             // Otherwise the exit code would be that of the signal.
                             Runtime.getRuntime().halt(0);
@@ -89,4 +96,21 @@
         Runtime.getRuntime().addShutdownHook(shutdown);
         Thread.currentThread().join();
     }
+
+    /**
+     * Ends the process after an exception has ended one of its threads. Without the thread, a part
+     * of the instance no longer answers while the others still report that it is ready. Pools that
+     * replace their threads set handlers of their own.
+     */
+    private static void exitAfterLoss(Thread thread, Throwable cause) {
+        if (sStopping) {
+            return;
+        }
+        try {
+            System.err.println("the process exits, as thread " + thread.getName() + " ended");
+            cause.printStackTrace();
+        } finally {
+            Runtime.getRuntime().halt(EXIT_THREAD_LOST);
+        }
+    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerClient.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerClient.java
@@ -70,6 +70,8 @@
     private static Thread newThread(Runnable task, String name) {
         Thread thread = new Thread(task, name);
         thread.setDaemon(true);
+        // The pool replaces a thread that a call has ended.
+        thread.setUncaughtExceptionHandler((ended, cause) -> cause.printStackTrace());
         return thread;
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
@@ -125,7 +125,12 @@
                 10,
                 TimeUnit.SECONDS,
                 new SynchronousQueue<>(),
-                new ThreadFactoryBuilder().setNameFormat("peer-%d").setDaemon(true).build(),
+                new ThreadFactoryBuilder()
+                        .setNameFormat("peer-%d")
+                        .setDaemon(true)
+                        // The pool replaces a thread that a call has ended.
+                        .setUncaughtExceptionHandler((thread, cause) -> cause.printStackTrace())
+                        .build(),
                 whenFull);
     }
 
