Wait at a stop for requests that still arrive, and refuse those that come too late

Callers saw: requests whose bodies were still arriving at SIGTERM were read, passed on to a server and cut 3.6 s after the signal, in a grace period of 8 s. Others that came late in the period were passed on and cut at its end.

Cause: a request counted as open only from the call of its handler, after its whole body had come. The wait for open requests ended while bodies arrived, and the port closed all connections one second later. Nothing compared the time that an answer takes with the time that was left, and requests that were open at the end were cut without an answer.

GatewayExchangeTest and HttpPortTest need methods that are new.

Change: a stopping gateway waits until its connections have ended, that is until bodies have come and answers were sent. When the load balancer has removed it, it closes its listener, answers with "Connection: close", and closes idle connections 300 ms later, so that a connection which was just accepted is served. A request is not passed on, also not by a retry, if its answer cannot be expected before the end: the mean and four mean deviations of the answers on its route, at most its own deadline. It gets 503, not run, at once. At the end, a request without an answer gets 503, or 502 if it may have run; only answers that have begun are cut. The full role counts exchanges from their head to the end of the response.

The log lines of an exchange moved to a class of their own, without a change.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
@@ -26,6 +26,7 @@
             "route \"%s\" needs weights that are not negative and add up to more than 0";
     public static final String ROUTE_UNKNOWN_SERVICE =
             "route \"%s\" names the unknown service \"%s\"";
+    public static final String INSTANCE_STOPS = "this instance is stopping";
     public static final String NO_ROUTE = "no route for host \"%s\" and path \"%s\"";
     public static final String PART_HELD =
             "prompts with the part \"%s\" are held back, because it crashes backend servers";
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -600,7 +600,8 @@
     private int openRequests() {
         List<Integer> counts = new ArrayList<>();
         onLoop(() -> counts.add(mEntry.openRequestCount() + mOwner.inFlight()));
-        return counts.get(0);
+        // An exchange is open as well while its body arrives or its response is sent.
+        return counts.get(0) + mCallerPort.openExchanges();
     }
 
     @Override
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ExchangeLog.java
@@ -0,0 +1,99 @@
+package org.hemlockrack.daemon.gateway;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.hemlockrack.daemon.log.DecisionLog;
+import org.hemlockrack.dispatch.AttemptOutcome;
+import org.hemlockrack.routing.Route;
+import org.jspecify.annotations.Nullable;
+
+/** Writes the log lines of one exchange. */
+final class ExchangeLog {
+    /** Prompt parts in a log line; a prompt has a few, but the number is up to the caller. */
+    private static final int MAX_LOGGED_PARTS = 8;
+
+    private final DecisionLog mLog;
+    private final String mAttemptId;
+    private final Route mRoute;
+    private final @Nullable String mWorkspace;
+    private final long mTableVersion;
+    private final List<String> mSharedParts;
+    private final long mStartNanos;
+
+    ExchangeLog(
+            DecisionLog log,
+            String attemptId,
+            Route route,
+            @Nullable String workspace,
+            long tableVersion,
+            List<String> sharedParts,
+            long startNanos) {
+        mLog = log;
+        mAttemptId = attemptId;
+        mRoute = route;
+        mWorkspace = workspace;
+        mTableVersion = tableVersion;
+        mSharedParts = sharedParts;
+        mStartNanos = startNanos;
+    }
+
+    void attemptFailed(
+            ForwardAttempt attempt, AttemptOutcome outcome, String cause, boolean again) {
+        mLog.requestEvent("attempt_failed", mAttemptId)
+                .put("route", mRoute.name())
+                .put("server", attempt.server().id().value())
+                .put("outcome", outcome.name())
+                .put("cause", cause)
+                .put("load", attempt.choice().load())
+                .put("begun", attempt.hasBegun() ? "yes" : "no")
+                .put("body_bytes", attempt.bodyBytes())
+                .put("parts", describeParts())
+                .put("elapsed_ms", elapsedMillis())
+                .put("again", again ? "yes" : "no")
+                .write();
+    }
+
+    /** Writes a line about a delivered answer, or only counts it if it is an ordinary one. */
+    void answered(ForwardAttempt attempt, int status, int attempts) {
+        long elapsedMillis = elapsedMillis();
+        boolean late = attempt.firstByteMillis() > mRoute.targetLatencyMillis();
+        if (status < 400 && !late && attempts == 1 && !mLog.shouldSample()) {
+            return;
+        }
+        mLog.requestEvent(late ? "answered_late" : "answered", mAttemptId)
+                .put("route", mRoute.name())
+                .put("workspace", mWorkspace)
+                .put("server", attempt.server().id().value())
+                .put("why", attempt.choice().reason().name())
+                .put("load", attempt.choice().load())
+                .put("candidates", attempt.choice().candidates())
+                .put("table", mTableVersion)
+                .put("status", status)
+                .put("attempts", attempts)
+                .put("first_byte_ms", attempt.firstByteMillis())
+                .put("elapsed_ms", elapsedMillis)
+                .write();
+    }
+
+    void ended(String event, @Nullable ForwardAttempt attempt, String cause, int attempts) {
+        mLog.requestEvent(event, mAttemptId)
+                .put("route", mRoute.name())
+                .put("workspace", mWorkspace)
+                .put("server", attempt == null ? null : attempt.server().id().value())
+                .put("cause", cause)
+                .put("table", mTableVersion)
+                .put("attempts", attempts)
+                .put("elapsed_ms", elapsedMillis())
+                .write();
+    }
+
+    /** Returns the names of the prompt parts that other requests may share, the first ones only. */
+    private String describeParts() {
+        return String.join(
+                ",", mSharedParts.subList(0, Math.min(mSharedParts.size(), MAX_LOGGED_PARTS)));
+    }
+
+    private long elapsedMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mStartNanos);
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
@@ -25,6 +25,7 @@
  * @param client sends requests that may be retried, over pooled connections
  * @param singleUseClient sends each command over a new connection; if a server closed a pooled
  *     connection while a command is sent, the outcome of the command would be unknown
+ * @param openExchanges the exchanges that have not ended
  * @param answerBudget memory for answers that callers have not taken yet
  * @param log log with one line for each decision
  * @param metrics counters
@@ -38,6 +39,7 @@
         GatewayQuarantine quarantine,
         HttpClient client,
         HttpClient singleUseClient,
+        OpenExchanges openExchanges,
         ByteBudget answerBudget,
         DecisionLog log,
         Metrics metrics,
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -38,9 +38,6 @@
     /** Largest number of rejections by servers that are retried; each one costs a round trip. */
     private static final int MAX_REJECTIONS = 3;
 
-    /** Prompt parts in a log line; a prompt has a few, but the number is up to the caller. */
-    private static final int MAX_LOGGED_PARTS = 8;
-
     private final GatewayContext mContext;
     private final HttpCall mCall;
     private final Responder mResponder;
@@ -50,7 +47,7 @@
     private final int mRank;
     private final ServiceId mService;
     private final double mRoutingFraction;
-    private final long mTableVersion;
+    private final ExchangeLog mLog;
     private final long mStartNanos;
     private final long mDeadlineNanos;
     private final Set<BackendId> mTriedServers = new HashSet<>();
@@ -92,7 +89,6 @@
             Route route,
             @Nullable WorkspaceKeys workspace,
             long tableVersion) {
-        mTableVersion = tableVersion;
         mContext = context;
         mCall = call;
         mResponder = responder;
@@ -108,6 +104,15 @@
                 route.chooseService(PromptHash.toUnitInterval(route.name() + metadata.attemptId()));
         mSharedParts = PromptParts.shared(metadata.promptPartIds());
         mStartNanos = System.nanoTime();
+        mLog =
+                new ExchangeLog(
+                        context.log(),
+                        metadata.attemptId(),
+                        route,
+                        mWorkspace,
+                        tableVersion,
+                        mSharedParts,
+                        mStartNanos);
         long timeoutMillis = route.timeoutMillis();
         if (metadata.timeoutMillis() >= 0) {
             timeoutMillis = Math.min(timeoutMillis, metadata.timeoutMillis());
@@ -170,6 +175,7 @@
         if (!mSharedParts.isEmpty()) {
             mContext.quarantine().addExchange(this);
         }
+        mContext.openExchanges().add(this);
         mResponder.onReleased(mAnswerMemory::release);
         mResponder.onCancel(this::onCallerLeft);
         startNextAttempt();
@@ -182,6 +188,10 @@
                 return;
             }
             long nowNanos = System.nanoTime();
+            if (!canCompleteBeforeStop(nowNanos)) {
+                failStopping();
+                return;
+            }
             Verdict verdict = mContext.quarantine().inForce(nowNanos, mSharedParts);
             if (verdict != null) {
                 failHeld(nowNanos, verdict);
@@ -217,6 +227,20 @@
         attempt.send();
     }
 
+    /**
+     * Returns whether an attempt that starts now can be complete before this instance stops. Its
+     * answer takes as long as those before it on the route, and ends at the deadline.
+     */
+    private boolean canCompleteBeforeStop(long nowNanos) {
+        long remainingNanos = mDeadlineNanos - nowNanos;
+        return mContext.openExchanges()
+                .canComplete(
+                        nowNanos,
+                        Math.min(
+                                remainingNanos,
+                                mContext.state().expectedNanos(mRoute, remainingNanos)));
+    }
+
     /** Schedules a check that an attempt has made progress within the silence timeout. */
     private void scheduleSilenceCheck(ForwardAttempt attempt, long silenceTimeoutNanos) {
         mContext.loop()
@@ -486,20 +510,7 @@
 
     private void startNextOrFail(
             ForwardAttempt attempt, AttemptOutcome outcome, String cause, boolean retry) {
-        Registration server = attempt.server();
-        mContext.log()
-                .requestEvent("attempt_failed", mMetadata.attemptId())
-                .put("route", mRoute.name())
-                .put("server", server.id().value())
-                .put("outcome", outcome.name())
-                .put("cause", cause)
-                .put("load", attempt.choice().load())
-                .put("begun", attempt.hasBegun() ? "yes" : "no")
-                .put("body_bytes", attempt.bodyBytes())
-                .put("parts", describeParts())
-                .put("elapsed_ms", elapsedMillis())
-                .put("again", retry ? "yes" : "no")
-                .write();
+        mLog.attemptFailed(attempt, outcome, cause, retry);
         if (retry) {
             mContext.metrics().increment(MetricName.RETRIES, "", "");
             startNextAttempt();
@@ -561,46 +572,12 @@
             }
             markEnded();
         }
-        mContext.countAnswered(
-                mRoute.name(), attempt.firstByteNanos(), System.nanoTime() - mStartNanos);
-        long elapsedMillis = elapsedMillis();
-        boolean late = attempt.firstByteMillis() > mRoute.targetLatencyMillis();
-        if (status < 400 && !late && mTriedServers.size() == 1 && !mContext.log().shouldSample()) {
-            return;
+        long wholeNanos = System.nanoTime() - mStartNanos;
+        if (outcome == AttemptOutcome.SERVED) {
+            mContext.state().recordWholeAnswer(mRoute, wholeNanos);
         }
-        mContext.log()
-                .requestEvent(late ? "answered_late" : "answered", mMetadata.attemptId())
-                .put("route", mRoute.name())
-                .put("workspace", mWorkspace)
-                .put("server", attempt.server().id().value())
-                .put("why", attempt.choice().reason().name())
-                .put("load", attempt.choice().load())
-                .put("candidates", attempt.choice().candidates())
-                .put("table", mTableVersion)
-                .put("status", status)
-                .put("attempts", mTriedServers.size())
-                .put("first_byte_ms", attempt.firstByteMillis())
-                .put("elapsed_ms", elapsedMillis)
-                .write();
-    }
-
-    /** Returns the names of the prompt parts that other requests may share, the first ones only. */
-    private String describeParts() {
-        return String.join(
-                ",", mSharedParts.subList(0, Math.min(mSharedParts.size(), MAX_LOGGED_PARTS)));
-    }
-
-    private void logEnd(String event, @Nullable String server, String cause) {
-        mContext.log()
-                .requestEvent(event, mMetadata.attemptId())
-                .put("route", mRoute.name())
-                .put("workspace", mWorkspace)
-                .put("server", server)
-                .put("cause", cause)
-                .put("table", mTableVersion)
-                .put("attempts", mTriedServers.size())
-                .put("elapsed_ms", elapsedMillis())
-                .write();
+        mContext.countAnswered(mRoute.name(), attempt.firstByteNanos(), wholeNanos);
+        mLog.answered(attempt, status, mTriedServers.size());
     }
 
     private void onCallerLeft() {
@@ -613,7 +590,33 @@
             attempt = mAttempt;
         }
         mContext.countEnded("caller_left");
-        logEnd("caller_left", attempt == null ? null : attempt.server().id().value(), "");
+        mLog.ended("caller_left", attempt, "", mTriedServers.size());
+        detachOrAbandon(attempt);
+    }
+
+    /** Ends the exchange because this instance stops. */
+    void onInstanceStops() {
+        ForwardAttempt attempt;
+        synchronized (this) {
+            if (mEnded) {
+                return;
+            }
+            attempt = mAttempt;
+            mMayHaveRun |= mSentAttempts > 0;
+            failStopping();
+        }
+        detachOrAbandon(attempt);
+    }
+
+    /** Ends the request because this instance stops. Called with the lock held. */
+    private void failStopping() {
+        fail(
+                mMayHaveRun ? ErrorKind.BACKEND_FAILED : ErrorKind.NOT_READY,
+                ErrorText.INSTANCE_STOPS);
+    }
+
+    /** Ends an attempt whose answer nobody waits for any more. */
+    private void detachOrAbandon(@Nullable ForwardAttempt attempt) {
         boolean isCommand = !mRoute.allowsRerun() && !mRoute.isStreaming();
         if (isCommand && attempt != null && attempt.isSent()) {
             // A command that is cut has an unknown effect, so the server completes it.
@@ -667,14 +670,14 @@
      */
     private void fail(ErrorKind kind, String cause, long expectedMillis) {
         markEnded();
-        String server = mAttempt == null ? null : mAttempt.server().id().value();
         if (mHeadSent) {
             mContext.countEnded("cut");
-            logEnd("answer_cut", server, cause);
+            mLog.ended("answer_cut", mAttempt, cause, mTriedServers.size());
             mResponder.abort();
             return;
         }
-        logEnd("failed_" + kind.name().toLowerCase(Locale.ROOT), server, cause);
+        String event = "failed_" + kind.name().toLowerCase(Locale.ROOT);
+        mLog.ended(event, mAttempt, cause, mTriedServers.size());
         mContext.refuse(mResponder, kind, cause, expectedMillis);
     }
 
@@ -682,6 +685,7 @@
         mEnded = true;
         cancelDeadlineTimer();
         mContext.quarantine().removeExchange(this);
+        mContext.openExchanges().remove(this);
     }
 
     private void cancelDeadlineTimer() {
@@ -690,8 +694,4 @@
             timer.cancel(false);
         }
     }
-
-    long elapsedMillis() {
-        return (System.nanoTime() - mStartNanos) / NANOS_PER_MILLI;
-    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -50,11 +50,20 @@
     private static final long BALANCER_REMOVAL_MILLIS = 2_600;
 
     /**
-     * Part of the shutdown timeout that is reserved for closing, so that the process exits by
-     * itself before the timeout.
+     * Time between the end of new connections and the end of idle ones: a caller whose connection
+     * was just accepted sends its request meanwhile.
+     */
+    private static final long ACCEPTED_GRACE_MILLIS = 300;
+
+    /**
+     * Part of the shutdown timeout that is reserved for the errors of requests that are still open
+     * then, and for closing, so that the process exits by itself before the timeout.
      */
     private static final long STOP_MARGIN_MILLIS = 600;
 
+    /** Part of that margin in which callers can read the errors. */
+    private static final long ERROR_FLUSH_MILLIS = 400;
+
     private final Settings mSettings;
     private final Closer mCloser = Closer.create();
     private final EventLoop mLoop;
@@ -63,6 +72,7 @@
     private final GatewayState mState;
     private final GatewayViewUpdater mViewUpdater;
     private final AtomicInteger mOpenRequests = new AtomicInteger();
+    private final OpenExchanges mOpenExchanges = OpenExchanges.create();
     private final ByteBudget mAnswerBudget =
             ByteBudget.of((long) (ANSWER_HEAP_FRACTION * Runtime.getRuntime().maxMemory()));
     private final HttpPort mCallerPort;
@@ -89,19 +99,7 @@
                 new GatewayViewUpdater(
                         mLoop, network, senderId, protocol, mState, retries, quarantine, mLog);
         retries.setControllers(mViewUpdater::reachableControllers);
-        GatewayContext context =
-                new GatewayContext(
-                        mLoop,
-                        protocol,
-                        mState,
-                        retries,
-                        quarantine,
-                        openClient(true),
-                        openClient(false),
-                        mAnswerBudget,
-                        mLog,
-                        mMetrics,
-                        new SplittableRandom(random.nextLong()));
+        GatewayContext context = createContext(protocol, retries, quarantine, random);
         GatewayHandler handler = new GatewayHandler(context, mViewUpdater);
         mCallerPort =
                 HttpPort.open(
@@ -125,6 +123,26 @@
         mLog.instanceEvent("started").put("zone", settings.zone().value()).write();
     }
 
+    private GatewayContext createContext(
+            ProtocolAdapter protocol,
+            RetryPermits retries,
+            GatewayQuarantine quarantine,
+            SecureRandom random) {
+        return new GatewayContext(
+                mLoop,
+                protocol,
+                mState,
+                retries,
+                quarantine,
+                openClient(true),
+                openClient(false),
+                mOpenExchanges,
+                mAnswerBudget,
+                mLog,
+                mMetrics,
+                new SplittableRandom(random.nextLong()));
+    }
+
     private void registerMetrics(GatewayQuarantine quarantine) {
         mMetrics.registerValue(MetricName.OPEN_REQUESTS, mOpenRequests::get);
         mMetrics.registerValue(MetricName.ANSWER_BYTES, mAnswerBudget::reservedBytes);
@@ -182,22 +200,27 @@
 
     @Override
     public void shutDown() {
-        long startNanos = System.nanoTime();
+        long timeoutMillis = mSettings.integer(SettingKey.SHUTDOWN_DRAIN_TIMEOUT_MS);
+        long drainEndNanos =
+                System.nanoTime()
+                        + TimeUnit.MILLISECONDS.toNanos(timeoutMillis - STOP_MARGIN_MILLIS);
         mDraining = true;
+        mOpenExchanges.stopAt(drainEndNanos);
         mLog.instanceEvent("stopping").put("open", mOpenRequests.get()).write();
         GracefulShutdown.sleep(BALANCER_REMOVAL_MILLIS);
-        try {
-            mCallerPort.stopAccepting();
-        } catch (IOException e) {
-            logFault(e);
+        mCallerPort.stopAccepting();
+        GracefulShutdown.sleep(ACCEPTED_GRACE_MILLIS);
+        mCallerPort.closeIdleConnections();
+        // A connection is open while a request arrives, is served, or its answer is sent.
+        GracefulShutdown.awaitDrained(mCallerPort::openConnections, drainEndNanos);
+        int cut = mOpenExchanges.endAll() + mCallerPort.refuseIncompleteRequests();
+        if (cut > 0) {
+            long flushEndNanos =
+                    System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ERROR_FLUSH_MILLIS);
+            GracefulShutdown.awaitDrained(mCallerPort::openConnections, flushEndNanos);
         }
-        long endNanos =
-                startNanos
-                        + TimeUnit.MILLISECONDS.toNanos(
-                                mSettings.integer(SettingKey.SHUTDOWN_DRAIN_TIMEOUT_MS)
-                                        - STOP_MARGIN_MILLIS);
-        int openRequests = GracefulShutdown.awaitDrained(mOpenRequests::get, endNanos);
-        mLog.instanceEvent("stopped").put("cut", openRequests).write();
+        mCallerPort.closeNow();
+        mLog.instanceEvent("stopped").put("cut", cut).write();
         close();
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.control.RoutingOverrides;
 import org.hemlockrack.dispatch.AttemptOutcome;
+import org.hemlockrack.dispatch.DurationEstimate;
 import org.hemlockrack.dispatch.SelectionCriteria;
 import org.hemlockrack.dispatch.ServerChoice;
 import org.hemlockrack.dispatch.ServerPool;
@@ -46,6 +47,7 @@
     private static final double MICROS_PER_MILLI = 1_000;
 
     private final Map<String, Double> mMeanFirstByteMicros = new HashMap<>();
+    private final Map<String, DurationEstimate> mAnswerDurations = new HashMap<>();
     private final ServerRegistry mRegistry = ServerRegistry.create();
     private final ServerPool mPool;
     private final Map<VersionKey, VersionCountsData> mAnswerCounts = new HashMap<>();
@@ -126,6 +128,19 @@
                 (mean, sample) -> mean + LATENCY_WEIGHT * (sample - mean));
     }
 
+    /** Records how long a request took from its arrival to the end of its answer. */
+    synchronized void recordWholeAnswer(Route route, long nanos) {
+        mAnswerDurations
+                .computeIfAbsent(route.name(), name -> DurationEstimate.create())
+                .record(nanos);
+    }
+
+    /** Returns a time that few answers on a route exceed, or the default if none is known. */
+    synchronized long expectedNanos(Route route, long defaultNanos) {
+        DurationEstimate estimate = mAnswerDurations.get(route.name());
+        return estimate == null ? defaultNanos : estimate.upperNanos(defaultNanos);
+    }
+
     synchronized Map<BackendId, Integer> ownLoad() {
         return mPool.ownLoad();
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
@@ -27,6 +27,7 @@
     private static final long LINGER_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final IOSession mSession;
+    private final ConnectionLimiter mLimiter;
     private final HttpLimits mLimits;
     private final ConcurrentHashMap.KeySetView<ServerExchange, Boolean> mExchanges =
             ConcurrentHashMap.newKeySet();
@@ -39,15 +40,34 @@
     private volatile long mLingerUntilNanos;
     private volatile @Nullable ServerExchange mLatestExchange;
 
-    ClientConnection(IOSession session, HttpLimits limits) {
+    ClientConnection(IOSession session, ConnectionLimiter limiter) {
         mSession = session;
-        mLimits = limits;
+        mLimiter = limiter;
+        mLimits = limiter.limits();
     }
 
     HttpLimits limits() {
         return mLimits;
     }
 
+    /** Returns whether the connection closes after the next response. */
+    boolean closesAfterResponse() {
+        return mLimiter.closesAfterResponse();
+    }
+
+    int openExchanges() {
+        return mOpenExchanges.get();
+    }
+
+    /** Refuses the requests whose bodies have not arrived; returns their number. */
+    int refuseIncompleteRequests() {
+        int refused = 0;
+        for (ServerExchange exchange : mExchanges) {
+            refused += exchange.refuseIfIncomplete() ? 1 : 0;
+        }
+        return refused;
+    }
+
     /** Refuses all requests of this connection, because too many connections are open. */
     void refuseAllRequests() {
         mOverLimit = true;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
@@ -23,6 +23,7 @@
     private final Set<ClientConnection> mConnections = ConcurrentHashMap.newKeySet();
     private final AtomicInteger mOpenConnections = new AtomicInteger();
     private final ScheduledExecutorService mTimer;
+    private volatile boolean mClosesAfterResponse;
 
     private ConnectionLimiter(String name, HttpLimits limits) {
         mLimits = limits;
@@ -72,6 +73,28 @@
         }
     }
 
+    /** Lets each connection close after its next response. */
+    void closeAfterNextResponse() {
+        mClosesAfterResponse = true;
+    }
+
+    boolean closesAfterResponse() {
+        return mClosesAfterResponse;
+    }
+
+    int openConnections() {
+        return mOpenConnections.get();
+    }
+
+    int openExchanges() {
+        return mConnections.stream().mapToInt(ClientConnection::openExchanges).sum();
+    }
+
+    /** Refuses the requests whose bodies have not arrived; returns their number. */
+    int refuseIncompleteRequests() {
+        return mConnections.stream().mapToInt(ClientConnection::refuseIncompleteRequests).sum();
+    }
+
     void connectionOpened(ClientConnection connection) {
         if (mOpenConnections.incrementAndGet() > mLimits.maxConnections()) {
             connection.refuseAllRequests();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
@@ -1,6 +1,5 @@
 package org.hemlockrack.daemon.http;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -19,12 +18,12 @@
 public final class HttpPort implements AutoCloseable {
     private final HttpAsyncServer mServer;
     private final ConnectionLimiter mLimiter;
-    private final InetSocketAddress mAddress;
+    private final ListenerEndpoint mListener;
 
-    private HttpPort(HttpAsyncServer server, ConnectionLimiter limiter, InetSocketAddress address) {
+    private HttpPort(HttpAsyncServer server, ConnectionLimiter limiter, ListenerEndpoint listener) {
         mServer = server;
         mLimiter = limiter;
-        mAddress = address;
+        mListener = listener;
     }
 
     /**
@@ -61,7 +60,7 @@
         server.start();
         try {
             ListenerEndpoint endpoint = server.listen(address, URIScheme.HTTP).get();
-            return new HttpPort(server, limiter, (InetSocketAddress) endpoint.getAddress());
+            return new HttpPort(server, limiter, endpoint);
         } catch (ExecutionException e) {
             closeQuietly(server, limiter);
             throw HemlockrackException.of(
@@ -105,14 +104,53 @@
 
     /** Returns the bound address. */
     public InetSocketAddress address() {
-        return mAddress;
+        return (InetSocketAddress) mListener.getAddress();
     }
 
-    /** Stops accepting connections. Exchanges in progress continue. */
-    public void stopAccepting() throws IOException {
+    /**
+     * Stops accepting connections. Those that are open are served, and each closes after its next
+     * response.
+     */
+    public void stopAccepting() {
+        mLimiter.closeAfterNextResponse();
+        mListener.close(CloseMode.IMMEDIATE);
+    }
+
+    /**
+     * Closes the connections on which no request arrives or is served, and the others as soon as
+     * that holds for them.
+     */
+    public void closeIdleConnections() {
         mServer.initiateShutdown();
     }
 
+    /** Returns the number of open connections. */
+    public int openConnections() {
+        return mLimiter.openConnections();
+    }
+
+    /**
+     * Returns the number of requests whose head has arrived and whose response has not been sent to
+     * its end.
+     */
+    public int openExchanges() {
+        return mLimiter.openExchanges();
+    }
+
+    /**
+     * Refuses the requests whose bodies have not arrived, because this instance stops.
+     *
+     * @return their number
+     */
+    public int refuseIncompleteRequests() {
+        return mLimiter.refuseIncompleteRequests();
+    }
+
+    /** Closes the port and its connections without waiting for responses. */
+    public void closeNow() {
+        closeQuietly(mServer, mLimiter);
+    }
+
     @Override
     public void close() {
         mServer.initiateShutdown();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnectionFactory.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnectionFactory.java
@@ -60,7 +60,7 @@
 
     @Override
     public IOEventHandler createHandler(ProtocolIOSession session, @Nullable Object attachment) {
-        ClientConnection connection = new ClientConnection(session, mLimiter.limits());
+        ClientConnection connection = new ClientConnection(session, mLimiter);
         if (mTls != null) {
             Timeout timeout = Timeout.ofMilliseconds(mLimiter.limits().headTimeoutMillis());
             mTls.upgrade(session, null, attachment, timeout, null);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
@@ -124,6 +124,17 @@
         sendError(kind, message, 0);
     }
 
+    /** Refuses the request if its body has not arrived; returns whether it did. */
+    boolean refuseIfIncomplete() {
+        synchronized (this) {
+            if (mRequestBodyComplete || mHeadSent || mReleased) {
+                return false;
+            }
+        }
+        refuseBody(ErrorKind.NOT_READY, ErrorText.INSTANCE_STOPS);
+        return true;
+    }
+
     /**
      * Closes the connection if the client has stopped reading the response, and refuses the request
      * if its body is late.
@@ -226,6 +237,8 @@
             mHeadSent = true;
             if (!mRequestBodyComplete) {
                 mCloseAfterResponse = true;
+            }
+            if (!mRequestBodyComplete || mConnection.closesAfterResponse()) {
                 response.addHeader("Connection", "close");
             }
             // HttpCore releases the exchange of a response without a body before end() is called;
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
@@ -54,6 +54,7 @@
     private final HttpClient mClient = HttpClient.open(1, 250, 60_000, true);
     private final PeerNetwork mNetwork =
             PeerNetwork.create(InstanceId.of("g1"), Map.of(), null, (address, cause) -> {});
+    private final OpenExchanges mOpenExchanges = OpenExchanges.create();
     private final GatewayState mState =
             GatewayState.create(ServerPool.create(ZONE, new SplittableRandom(1)));
     private final CountDownLatch mRelease = new CountDownLatch(1);
@@ -205,6 +206,7 @@
                         GatewayQuarantine.create(mLog),
                         mClient,
                         mClient,
+                        mOpenExchanges,
                         ByteBudget.of(1 << 20),
                         mLog,
                         Metrics.create(),
@@ -289,4 +291,31 @@
         assertEquals(1, mRequestsAtServer.get());
         assertTrue(mState.suspendedServers() == 0);
     }
+
+    /**
+     * Guards against a request that is passed on shortly before the gateway stops, and that is cut
+     * then. One that was passed on in time gets an error that does not say it has not run.
+     */
+    @Test
+    void stoppingGatewayAnswersEveryRequest() throws Exception {
+        StatusResponder open = new StatusResponder();
+        start(() -> {}, RerunPolicy.AT_MOST_ONCE, HELD_PATH, open);
+        await(() -> mRequestsAtServer.get() == 1);
+        mOpenExchanges.stopAt(System.nanoTime() + TimeUnit.SECONDS.toNanos(1));
+        StatusResponder late = new StatusResponder();
+        start(() -> {}, RerunPolicy.AT_MOST_ONCE, "/book", late);
+        assertEquals(503, late.mStatus.get(5, TimeUnit.SECONDS));
+        assertEquals(1, mRequestsAtServer.get());
+        assertEquals(1, mOpenExchanges.endAll());
+        assertEquals(502, open.mStatus.get(5, TimeUnit.SECONDS));
+        mRelease.countDown();
+    }
+
+    /** Guards against a stopping gateway that refuses what it can still complete. */
+    @Test
+    void stoppingGatewayServesWhatCompletesInTime() throws Exception {
+        assertEquals(200, send(() -> {}));
+        mOpenExchanges.stopAt(System.nanoTime() + TimeUnit.SECONDS.toNanos(30));
+        assertEquals(200, send(() -> {}));
+    }
 }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
@@ -76,6 +76,7 @@
     private final PeerNetwork mNetwork =
             PeerNetwork.create(InstanceId.of("g1"), Map.of(), null, (address, cause) -> {});
     private final PeerServer mController = startController();
+    private final OpenExchanges mOpenExchanges = OpenExchanges.create();
     private final GatewayState mState =
             GatewayState.create(ServerPool.create(ZONE, new SplittableRandom(1)));
     private final ServerRegistry mServers = ServerRegistry.create();
@@ -277,6 +278,7 @@
                         GatewayQuarantine.create(mLog),
                         mClient,
                         mClient,
+                        mOpenExchanges,
                         mAnswerBudget,
                         mLog,
                         Metrics.create(),
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
@@ -352,4 +352,56 @@
         }
         mClients.get(0).write(GET).readUntil("GET /echo ");
     }
+
+    /**
+     * Guards against a stop that closes a connection whose request has not arrived, and against one
+     * that keeps connections open after it.
+     */
+    @Test
+    void stoppingPortServesOpenConnectionsOnce() throws Exception {
+        open(longTimeouts());
+        RawClient accepted = connect();
+        RawClient sending = connect();
+        sending.write(post("Content-Length: 4\r\n", "bo"));
+        awaitOpen(2, 1);
+        mPort.stopAccepting();
+        accepted.write(GET);
+        String answer = accepted.readAll();
+        assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+        assertTrue(answer.contains("Connection: close"), answer);
+        mPort.closeIdleConnections();
+        TimeUnit.MILLISECONDS.sleep(200);
+        awaitOpen(1, 1);
+        sending.write("dy");
+        assertTrue(sending.readAll().startsWith("HTTP/1.1 200"));
+        awaitOpen(0, 0);
+    }
+
+    /**
+     * Guards against a request whose body has not arrived at the end of a stop, and that is cut.
+     */
+    @Test
+    void stoppingPortRefusesIncompleteRequests() throws Exception {
+        open(longTimeouts());
+        RawClient sending = connect();
+        sending.write(post("Content-Length: 4\r\n", "bo"));
+        awaitOpen(1, 1);
+        mPort.stopAccepting();
+        mPort.closeIdleConnections();
+        assertEquals(1, mPort.refuseIncompleteRequests());
+        assertRefused("NOT_READY", 503, sending.readUntil("}"));
+        assertEquals(0, mHandled.get());
+        assertEquals(0, mPort.refuseIncompleteRequests());
+    }
+
+    private void awaitOpen(int connections, int exchanges) throws InterruptedException {
+        for (int i = 0; i < 500; i++) {
+            if (mPort.openConnections() == connections && mPort.openExchanges() == exchanges) {
+                return;
+            }
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        assertEquals(connections, mPort.openConnections());
+        assertEquals(exchanges, mPort.openExchanges());
+    }
 }
