Do not take the end of a connection for the end of a head or of chunks

Cause: at the end of the input HttpCore completes a head without the empty line, and ends the size of a chunk or the trailers without their line end. A head that was cut loses the fields that say how long the body is; its body then looks whole and empty. The same holds for requests: one whose client broke off its head was handled without its body.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/RequestParser.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/RequestParser.java
@@ -30,7 +30,7 @@
     private final ClientConnection mConnection;
 
     RequestParser(Http1Config config, ClientConnection connection) {
-        mParser = new DefaultHttpRequestParserFactory(config).create();
+        mParser = WholeHeadParser.of(new DefaultHttpRequestParserFactory(config).create());
         mConnection = connection;
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnectionFactory.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnectionFactory.java
@@ -127,7 +127,10 @@
             if (mRefused) {
                 return new BodyDecoder(null, channel, buffer, mConnection);
             }
-            ContentDecoder decoder = super.createContentDecoder(length, channel, buffer, metrics);
+            ContentDecoder decoder =
+                    length == ContentLengthStrategy.CHUNKED
+                            ? WholeBodyDecoder.ofChunks(channel, buffer, mConfig, metrics)
+                            : super.createContentDecoder(length, channel, buffer, metrics);
             return decoder == null ? null : new BodyDecoder(decoder, channel, buffer, mConnection);
         }
     }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
@@ -219,4 +219,55 @@
         }
         return bytes;
     }
+
+    /**
+     * Guards against an answer that a server broke off in its head, in a chunk or before the end of
+     * the trailers, and that is taken for a whole answer with an empty or short body.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK",
+                "HTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 200 OK\r\nX: y",
+                "HTTP/1.1 200 OK\r\nX: y\r\n",
+                "HTTP/1.1 200 OK\r\nX: y\r\n\r",
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n00",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: y\r\n"
+            })
+    void brokenOffAnswerIsNotComplete(String answer) throws Exception {
+        Collector call = send();
+        Socket socket = mServer.accept();
+        assertTrue(readRequest(socket));
+        write(socket, answer);
+        socket.shutdownOutput();
+        assertEquals("failed", call.await());
+    }
+
+    /** Guards against a whole answer that is lost because its connection ends right after it. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\n\r\nok",
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+            })
+    void answerThatItsConnectionEndsWithIsComplete(String answer) throws Exception {
+        Collector call = send();
+        Socket socket = mServer.accept();
+        assertTrue(readRequest(socket));
+        write(socket, answer);
+        socket.shutdownOutput();
+        assertEquals("ok", call.await());
+    }
 }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
@@ -18,6 +18,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests how the server handles slow, malformed and excessive requests, over raw sockets. */
 class HttpPortTest {
@@ -404,4 +406,26 @@
         assertEquals(connections, mPort.openConnections());
         assertEquals(exchanges, mPort.openExchanges());
     }
+
+    /**
+     * Guards against a request whose client has broken off its head or its chunks, and that is
+     * handled without the rest of its header fields or body.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "GET /echo HTTP/1.1\r\nHost: h\r\n",
+                "GET /echo HTTP/1.1\r\nHost: h\r\nX-Note: a",
+                "POST /echo HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                "POST /echo HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "2\r\nok\r\n0\r\nX: y\r\n"
+            })
+    void brokenOffRequestIsNotHandled(String request) throws Exception {
+        open(longTimeouts());
+        RawClient client = connect();
+        client.write(request);
+        client.shutdownOutput();
+        client.readAll();
+        assertEquals(0, mHandled.get());
+    }
 }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/RawClient.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/RawClient.java
@@ -57,6 +57,11 @@
         }
     }
 
+    /** Ends the output; the client can still read. */
+    void shutdownOutput() throws IOException {
+        mSocket.shutdownOutput();
+    }
+
     /** Reads until the connection is closed or reset. */
     String readAll() throws IOException {
         ByteArrayOutputStream all = new ByteArrayOutputStream();
