Do not let an order that is read late undo a newer one

Operators saw: a zone that was evacuated, with an acknowledgement, got requests again without any order of theirs, after a controller had been frozen.

Cause: the controller read an old order, for which its caller had not waited, from a closed connection when it woke, and proposed it. The replicated state applied orders about a zone or a service in the order of the log. The retries of the proposer could append an order a second time after a newer one.

Change: an order names the revision that the controller knew to be committed, and is proposed only if its caller is still connected after that; the check counts a close that had arrived and was not read yet. The replicated state refuses an order if a newer one about the same zone or service was applied since that revision; the controller then begins again.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlCommand.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlCommand.java
@@ -32,12 +32,15 @@
      *
      * @param zone the zone
      * @param evacuated true if its backend servers shall get no requests
+     * @param basedOnRevision revision of the state that the operator's order was given for; the
+     *     command has no effect if a newer order about the zone was applied since
      * @return the command
      */
-    public static byte[] setZoneEvacuated(ZoneId zone, boolean evacuated) {
+    public static byte[] setZoneEvacuated(ZoneId zone, boolean evacuated, long basedOnRevision) {
         ControlCommandData data =
                 of(evacuated ? ControlCommandKind.EVACUATE_ZONE : ControlCommandKind.RESTORE_ZONE);
         data.setZone(zone.value());
+        data.setBasedOnRevision(basedOnRevision);
         return StructCodec.encode(data);
     }
 
@@ -59,10 +62,15 @@
      *
      * @param move the move; only the difference of its times counts, as the leader's time becomes
      *     the start when the command is applied
+     * @param basedOnRevision revision of the state that the operator's order was given for; the
+     *     command has no effect if a newer order about the service was applied since
      * @return the command
      */
-    public static byte[] startMove(TrafficMove move) {
-        return withMove(ControlCommandKind.START_MOVE, move);
+    public static byte[] startMove(TrafficMove move, long basedOnRevision) {
+        ControlCommandData data = of(ControlCommandKind.START_MOVE);
+        data.setMove(move.toData());
+        data.setBasedOnRevision(basedOnRevision);
+        return StructCodec.encode(data);
     }
 
     /**
--- a/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlState.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlState.java
@@ -1,6 +1,8 @@
 package org.hemlockrack.control;
 
 import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.codec.StructCodec;
 import org.hemlockrack.consensus.ReplicatedState;
@@ -24,10 +26,15 @@
 
     private static final byte[] SUCCESS = {1};
     private static final byte[] REFUSED = {0};
+    private static final byte[] SUPERSEDED = {2};
 
     private long mTableVersion;
     private byte[] mTableDocument = new byte[0];
     private RoutingOverrides mOverrides = RoutingOverrides.NONE;
+
+    /** Log index of the newest order by subject; operators name few zones and services. */
+    private final Map<String, Long> mOrderRevisions = new HashMap<>();
+
     private long mRevision;
 
     private ControlState() {}
@@ -67,6 +74,17 @@
         return result.length == 1 && result[0] == SUCCESS[0];
     }
 
+    /**
+     * Returns whether a result of {@link #apply} means that a newer order about the same zone or
+     * service was applied before, so that the order had no effect.
+     *
+     * @param result the result
+     * @return true if the order was superseded
+     */
+    public static boolean isSuperseded(byte[] result) {
+        return result.length == 1 && result[0] == SUPERSEDED[0];
+    }
+
     @Override
     public byte[] apply(long index, long leaderTimeMillis, byte[] command) {
         mRevision = index;
@@ -82,10 +100,16 @@
         }
         switch (data.getKind()) {
             case PUBLISH_TABLE -> publishTable(data);
-            case EVACUATE_ZONE -> mOverrides = mOverrides.withZone(ZoneId.of(data.getZone()), true);
-            case RESTORE_ZONE -> mOverrides = mOverrides.withZone(ZoneId.of(data.getZone()), false);
+            case EVACUATE_ZONE -> {
+                return setZoneEvacuated(data, true);
+            }
+            case RESTORE_ZONE -> {
+                return setZoneEvacuated(data, false);
+            }
+            case START_MOVE -> {
+                return startMove(data, leaderTimeMillis);
+            }
             case DEPART -> recordDeparture(data.getDeparture(), leaderTimeMillis);
-            case START_MOVE -> startMove(TrafficMove.of(data.getMove()), leaderTimeMillis);
             case ADVANCE_MOVE, FINISH_MOVE -> updateMove(TrafficMove.of(data.getMove()));
             default -> {
                 return REFUSED.clone();
@@ -114,11 +138,26 @@
                         leaderTimeMillis - DEPARTURE_RETENTION_MILLIS);
     }
 
-    private void startMove(TrafficMove requested, long leaderTimeMillis) {
+    private byte[] setZoneEvacuated(ControlCommandData data, boolean evacuated) {
+        ZoneId zone = ZoneId.of(data.getZone());
+        boolean inEffect = mOverrides.evacuatedZones().contains(zone) == evacuated;
+        if (!beginOrder("zone " + zone, data, inEffect)) {
+            return SUPERSEDED.clone();
+        }
+        mOverrides = mOverrides.withZone(zone, evacuated);
+        return SUCCESS.clone();
+    }
+
+    private byte[] startMove(ControlCommandData data, long leaderTimeMillis) {
+        TrafficMove requested = TrafficMove.of(data.getMove());
         TrafficMove current = mOverrides.move(requested.service());
-        if (current != null && current.target().equals(requested.target())) {
+        boolean inEffect = current != null && current.target().equals(requested.target());
+        if (!beginOrder("service " + requested.service(), data, inEffect)) {
+            return SUPERSEDED.clone();
+        }
+        if (inEffect) {
             // A retry after a lost acknowledgement.
-            return;
+            return SUCCESS.clone();
         }
         long durationMillis = requested.deadlineMillis() - requested.startMillis();
         mOverrides =
@@ -130,6 +169,25 @@
                                 requested.sharePerMille(),
                                 leaderTimeMillis,
                                 leaderTimeMillis + durationMillis));
+        return SUCCESS.clone();
+    }
+
+    /**
+     * Records an order, which supersedes all orders about its subject that were given for an
+     * earlier revision.
+     *
+     * @param inEffect whether the state is already as the order demands, as for a repeated append
+     * @return false if the order is itself superseded
+     */
+    private boolean beginOrder(String subject, ControlCommandData data, boolean inEffect) {
+        long newest = mOrderRevisions.getOrDefault(subject, 0L);
+        boolean superseded =
+                data.isSetBasedOnRevision() && newest > data.getBasedOnRevision() && !inEffect;
+        if (superseded) {
+            return false;
+        }
+        mOrderRevisions.put(subject, mRevision);
+        return true;
     }
 
     private void updateMove(TrafficMove next) {
@@ -150,12 +208,14 @@
 
     @Override
     public byte[] snapshot() {
-        return StructCodec.encode(
+        ControlSnapshotData data =
                 new ControlSnapshotData(
                         mTableVersion,
                         ByteBuffer.wrap(mTableDocument),
                         mOverrides.toData(),
-                        mRevision));
+                        mRevision);
+        data.setOrderRevisions(mOrderRevisions);
+        return StructCodec.encode(data);
     }
 
     @Override
@@ -166,5 +226,9 @@
         mTableDocument = data.getTableDocument();
         mOverrides = RoutingOverrides.of(data.getFacts());
         mRevision = data.getRevision();
+        mOrderRevisions.clear();
+        if (data.isSetOrderRevisions()) {
+            mOrderRevisions.putAll(data.getOrderRevisions());
+        }
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
@@ -30,6 +30,8 @@
     public static final String NO_ROUTE = "no route for host \"%s\" and path \"%s\"";
     public static final String PART_HELD =
             "prompts with the part \"%s\" are held back, because it crashes backend servers";
+    public static final String PART_DECIDED_ANEW =
+            "a newer decision about part \"%s\" was made; list the parts before lifting it";
     public static final String PART_NOT_HELD = "the prompt part \"%s\" is not held back";
     public static final String QUARANTINE_CALLS =
             "%s %s is not possible; allowed: GET %3$s, POST %3$s/PART/lift";
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerQuarantine.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerQuarantine.java
@@ -149,15 +149,23 @@
         return mAnalysis.verdicts().allInForce(nowNanos).size();
     }
 
+    /** Returns the newest decision about a part, or null if there is none. */
+    synchronized @Nullable Verdict verdict(String part) {
+        return mAnalysis.verdicts().find(part);
+    }
+
     /**
-     * Lifts the decision about a part for the whole fleet.
+     * Lifts a decision for the whole fleet.
      *
      * @param nowNanos monotonic time
-     * @param part name of the part
-     * @return whether the part was held back
+     * @param verdict the decision
+     * @return false if a newer decision about the part was made since
      */
-    public synchronized boolean lift(long nowNanos, String part) {
-        Verdict lifted = mAnalysis.lift(nowNanos, part);
+    synchronized boolean lift(long nowNanos, Verdict verdict) {
+        if (!verdict.equals(mAnalysis.verdicts().find(verdict.part()))) {
+            return false;
+        }
+        Verdict lifted = mAnalysis.lift(nowNanos, verdict.part());
         if (lifted == null) {
             return false;
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -3,11 +3,13 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
+import java.util.function.LongFunction;
 import org.hemlockrack.codec.Deflate;
 import org.hemlockrack.consensus.Member;
 import org.hemlockrack.consensus.ProposalStatus;
@@ -20,9 +22,9 @@
 import org.hemlockrack.control.RoutingOverrides;
 import org.hemlockrack.control.TrafficMove;
 import org.hemlockrack.daemon.gateway.ProtocolAdapter;
+import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.loop.EventLoop;
-import org.hemlockrack.daemon.replica.ProposalOutcome;
 import org.hemlockrack.daemon.replica.Proposer;
 import org.hemlockrack.daemon.replica.ReplicaService;
 import org.hemlockrack.daemon.sync.ConfirmedTime;
@@ -204,20 +206,40 @@
     }
 
     /**
-     * Records that a backend server leaves.
+     * Records that an incarnation of a backend server leaves.
      *
      * @param id its id
-     * @param startMillis start of the incarnation, or null if it is not stated
+     * @param startMillis start of the incarnation
      * @return a future that completes once the departure is durable
      */
-    public CompletableFuture<Void> recordDeparture(BackendId id, @Nullable Long startMillis) {
-        long incarnationMillis = startMillis == null ? incarnationStartMillis(id) : startMillis;
+    public CompletableFuture<Void> recordDeparture(BackendId id, long startMillis) {
         String description = "server_departed " + id;
         // Before the first publication the view may hold entries of the disk without a majority.
-        if (mHasCommittedView && mView.overrides().hasDeparted(id, incarnationMillis)) {
+        if (mHasCommittedView && mView.overrides().hasDeparted(id, startMillis)) {
             return acknowledgeCommitted(description);
         }
-        return propose(description, ControlCommand.recordDeparture(id, incarnationMillis));
+        return propose(description, ControlCommand.recordDeparture(id, startMillis));
+    }
+
+    /**
+     * Records that a backend server leaves which does not state its incarnation: the one that is
+     * registered now, unless the caller has left. A caller that has left may have been answered by
+     * another controller long ago, and a new incarnation may be registered since.
+     *
+     * @param id its id
+     * @param caller the caller
+     * @return a future that completes once the departure is durable
+     */
+    public CompletableFuture<Void> recordDeparture(BackendId id, Responder caller) {
+        long startMillis = incarnationStartMillis(id);
+        return caller.checkConnected()
+                .thenCompose(
+                        connected -> {
+                            if (!connected) {
+                                throw callerLeft();
+                            }
+                            return recordDeparture(id, startMillis);
+                        });
     }
 
     /**
@@ -270,7 +292,7 @@
                 .thenApply(
                         outcome -> {
                             if (outcome.status() != ProposalStatus.APPLIED || !mHasCommittedView) {
-                                throw noQuorum(outcome);
+                                throw noQuorum(outcome.status().name());
                             }
                             return mView;
                         });
@@ -291,12 +313,15 @@
      *
      * @param zone the zone
      * @param evacuated true if the backend servers of the zone are to get no requests
+     * @param caller the operator
      * @return a future that completes once the order is durable
      */
-    public CompletableFuture<Void> setZoneEvacuated(ZoneId zone, boolean evacuated) {
-        return propose(
+    public CompletableFuture<Void> setZoneEvacuated(
+            ZoneId zone, boolean evacuated, Responder caller) {
+        return order(
                 (evacuated ? "evacuate " : "restore ") + zone,
-                ControlCommand.setZoneEvacuated(zone, evacuated));
+                caller,
+                revision -> ControlCommand.setZoneEvacuated(zone, evacuated, revision));
     }
 
     /**
@@ -306,10 +331,11 @@
      * @param service the service
      * @param target the software version that is to receive the traffic
      * @param durationMillis time in which the move must complete
+     * @param caller the operator
      * @return a future that completes once the order is durable
      */
     public CompletableFuture<Void> startMove(
-            ServiceId service, String target, long durationMillis) {
+            ServiceId service, String target, long durationMillis, Responder caller) {
         TrafficMove move =
                 new TrafficMove(
                         service,
@@ -318,9 +344,10 @@
                         MoveEvaluator.CANARY_PER_MILLE,
                         0,
                         durationMillis);
-        return propose(
+        return order(
                 "move " + service + " to " + target + " in " + durationMillis + " ms",
-                ControlCommand.startMove(move));
+                caller,
+                revision -> ControlCommand.startMove(move, revision));
     }
 
     /**
@@ -356,26 +383,62 @@
                                     outcome.status() == ProposalStatus.APPLIED
                                             && outcome.result() != null
                                             && ControlState.isSuccess(outcome.result());
-                            mLog.instanceEvent("order")
-                                    .put("order", description)
-                                    .put(
-                                            "outcome",
-                                            committed ? "committed" : outcome.status().name())
-                                    .put(
-                                            "elapsed_ms",
-                                            TimeUnit.NANOSECONDS.toMillis(
-                                                    mLoop.nowNanos() - startNanos))
-                                    .write();
+                            logOrder(
+                                    description,
+                                    committed ? "committed" : outcome.status().name(),
+                                    startNanos);
                             if (!committed) {
-                                throw noQuorum(outcome);
+                                throw noQuorum(outcome.status().name());
+                            }
+                        });
+    }
+
+    /** Proposes an order that a later one can undo; see {@link PendingOrder}. */
+    private CompletableFuture<Void> order(
+            String description, Responder caller, LongFunction<byte[]> command) {
+        long startNanos = mLoop.nowNanos();
+        return PendingOrder.propose(
+                        mLoop,
+                        mProposer,
+                        this::committedRevision,
+                        caller::checkConnected,
+                        command,
+                        PROPOSE_TIMEOUT_MILLIS)
+                .thenAccept(
+                        result -> {
+                            logOrder(
+                                    description,
+                                    result.name().toLowerCase(Locale.ROOT),
+                                    startNanos);
+                            switch (result) {
+                                case COMMITTED -> {}
+                                case CALLER_LEFT -> throw callerLeft();
+                                default -> throw noQuorum(result.name());
                             }
                         });
     }
 
-    private static HemlockrackException noQuorum(ProposalOutcome outcome) {
+    /** Returns the newest revision that is known to be committed, 0 if none is. */
+    private synchronized long committedRevision() {
+        return mHasCommittedView ? mView.revision() : 0;
+    }
+
+    private void logOrder(String description, String outcome, long startNanos) {
+        mLog.instanceEvent("order")
+                .put("order", description)
+                .put("outcome", outcome)
+                .put("elapsed_ms", TimeUnit.NANOSECONDS.toMillis(mLoop.nowNanos() - startNanos))
+                .write();
+    }
+
+    private static HemlockrackException callerLeft() {
+        return HemlockrackException.of(ErrorKind.NOT_READY, "the caller has left");
+    }
+
+    private static HemlockrackException noQuorum(String outcome) {
         return HemlockrackException.of(
                 ErrorKind.NO_QUORUM,
-                "no majority of controllers confirmed the request: " + outcome.status());
+                "no majority of controllers confirmed the request: " + outcome);
     }
 
     /**
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/QuarantineEndpoints.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/QuarantineEndpoints.java
@@ -57,12 +57,35 @@
         lift(URLDecoder.decode(encoded, StandardCharsets.UTF_8), responder);
     }
 
+    /**
+     * Lifts the decision that is in force when the call arrives, unless the caller has left: it may
+     * have lifted that decision at another controller, and a later one must stay.
+     */
     private void lift(String part, Responder responder) {
-        if (!mQuarantine.lift(mNowNanos.getAsLong(), part)) {
+        Verdict verdict = mQuarantine.verdict(part);
+        if (verdict == null || !verdict.reason().holds()) {
             responder.sendError(
                     ErrorKind.NOT_FOUND, String.format(ErrorText.PART_NOT_HELD, part), 0);
             return;
         }
+        responder
+                .checkConnected()
+                .thenAccept(
+                        connected -> {
+                            if (connected) {
+                                lift(verdict, responder);
+                            }
+                        });
+    }
+
+    private void lift(Verdict verdict, Responder responder) {
+        if (!mQuarantine.lift(mNowNanos.getAsLong(), verdict)) {
+            responder.sendError(
+                    ErrorKind.NOT_READY,
+                    String.format(ErrorText.PART_DECIDED_ANEW, verdict.part()),
+                    0);
+            return;
+        }
         responder.sendJson(OK, "{}");
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
@@ -2,8 +2,14 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.hc.core5.io.CloseMode;
@@ -32,6 +38,7 @@
     private final ConcurrentHashMap.KeySetView<ServerExchange, Boolean> mExchanges =
             ConcurrentHashMap.newKeySet();
     private final AtomicInteger mOpenExchanges = new AtomicInteger();
+    private final Queue<CompletableFuture<Boolean>> mChecks = new ConcurrentLinkedQueue<>();
 
     private volatile boolean mOverLimit;
     private volatile boolean mInHead;
@@ -112,6 +119,36 @@
         }
     }
 
+    /**
+     * Checks whether the client is still connected, once the connection's I/O thread has seen all
+     * input that had arrived before this call.
+     */
+    CompletableFuture<Boolean> checkConnected() {
+        CompletableFuture<Boolean> check = new CompletableFuture<>();
+        mChecks.add(check);
+        // The I/O thread is called when the connection accepts output.
+        mSession.setEvent(SelectionKey.OP_WRITE);
+        if (!mSession.isOpen()) {
+            takeChecks().forEach(each -> each.complete(false));
+        }
+        return check;
+    }
+
+    boolean hasChecks() {
+        return !mChecks.isEmpty();
+    }
+
+    /** Returns the checks that were requested and removes them. */
+    List<CompletableFuture<Boolean>> takeChecks() {
+        List<CompletableFuture<Boolean>> checks = new ArrayList<>();
+        CompletableFuture<Boolean> check = mChecks.poll();
+        while (check != null) {
+            checks.add(check);
+            check = mChecks.poll();
+        }
+        return checks;
+    }
+
     /** Refuses the request whose body is being received. */
     void refuseMalformedBody(String message) {
         ServerExchange exchange = mLatestExchange;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/Responder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/Responder.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.RunState;
 
@@ -55,6 +56,17 @@
      */
     void onCancel(Runnable action);
 
+    /**
+     * Checks whether the client is still connected. All that had arrived on the connection before
+     * this call counts, also if this process was stopped and has not read it yet. A responder
+     * without a connection is always connected.
+     *
+     * @return completes with false if the client has closed the connection
+     */
+    default CompletableFuture<Boolean> checkConnected() {
+        return CompletableFuture.completedFuture(true);
+    }
+
     /**
      * Sets an action that runs once nothing of the response is queued any more: the client has
      * taken all of it, or the connection has ended. A responder that queues nothing may ignore it.
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnectionFactory.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnectionFactory.java
@@ -4,6 +4,8 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.SelectionKey;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpMessage;
@@ -184,6 +186,16 @@
         @Override
         public void outputReady(IOSession session) throws IOException {
             mDelegate.outputReady(session);
+            if (mConnection.hasChecks()) {
+                checkConnected(session);
+            }
+        }
+
+        private void checkConnected(IOSession session) throws IOException {
+            List<CompletableFuture<Boolean>> checks = mConnection.takeChecks();
+            closeAtEndOfInput(session);
+            boolean connected = session.isOpen();
+            checks.forEach(check -> check.complete(connected));
         }
 
         @Override
@@ -200,6 +212,7 @@
         public void disconnected(IOSession session) {
             mLimiter.connectionClosed(mConnection);
             mDelegate.disconnected(session);
+            mConnection.takeChecks().forEach(check -> check.complete(false));
         }
     }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
@@ -6,6 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
@@ -322,6 +323,11 @@
         action.run();
     }
 
+    @Override
+    public CompletableFuture<Boolean> checkConnected() {
+        return mConnection.checkConnected();
+    }
+
     @Override
     public void onReleased(Runnable action) {
         synchronized (this) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/VoterCommands.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/VoterCommands.java
@@ -197,7 +197,19 @@
             mResponder = responder;
         }
 
+        /** Takes the next step unless the operator has left, who may give other orders since. */
         void runNextStep() {
+            mResponder
+                    .checkConnected()
+                    .thenAccept(
+                            connected -> {
+                                if (connected) {
+                                    mLoop.execute(this::takeNextStep);
+                                }
+                            });
+        }
+
+        private void takeNextStep() {
             Membership members = mLeader.membership();
             Optional<VoterChange.Action> action = mGoal.nextAction(members, mInstance);
             if (action.isEmpty()) {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.ArrayList;
@@ -31,6 +32,8 @@
 import org.hemlockrack.control.ControlState;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.gateway.VersionProtocol;
+import org.hemlockrack.daemon.http.HeaderField;
+import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.EventLoop;
@@ -39,6 +42,8 @@
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.model.ZoneId;
 import org.hemlockrack.wire.SyncReply;
 import org.hemlockrack.wire.SyncRequest;
 import org.junit.jupiter.api.AfterEach;
@@ -198,4 +203,52 @@
         receiveConfirmation(2);
         assertTrue(sync().isSetConfirmedAgeMillis());
     }
+
+    /** A caller that has left before its order is read. */
+    private static final class AbsentCaller implements Responder {
+        @Override
+        public CompletableFuture<Boolean> checkConnected() {
+            return CompletableFuture.completedFuture(false);
+        }
+
+        @Override
+        public void sendHead(int status, List<HeaderField> headers, long lengthBytes) {}
+
+        @Override
+        public int write(ByteBuffer data) {
+            return 0;
+        }
+
+        @Override
+        public int queuedBytes() {
+            return 0;
+        }
+
+        @Override
+        public void end() {}
+
+        @Override
+        public void abort() {}
+
+        @Override
+        public void onCancel(Runnable action) {}
+
+        @Override
+        public void onDrain(DrainListener action) {}
+    }
+
+    /** Guards against orders that are proposed although their callers may have given newer ones. */
+    @Test
+    void orderOfAnAbsentCallerIsDropped() {
+        restart(MemberKind.VOTER);
+        Responder absent = new AbsentCaller();
+        for (CompletableFuture<Void> order :
+                List.of(
+                        mService.setZoneEvacuated(ZoneId.of("a"), false, absent),
+                        mService.startMove(ServiceId.of("s"), "v2", 1_000, absent),
+                        mService.recordDeparture(SERVER, absent))) {
+            ExecutionException refusal = assertThrows(ExecutionException.class, order::get);
+            assertEquals("the caller has left", refusal.getCause().getMessage());
+        }
+    }
 }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
@@ -428,4 +428,28 @@
         client.readAll();
         assertEquals(0, mHandled.get());
     }
+
+    /**
+     * Guards against an order that is carried out for a client which has left, and against a client
+     * that is taken for gone while it waits or sends its next request.
+     */
+    @Test
+    void clientThatHasLeftIsNotConnected() throws Exception {
+        open(longTimeouts());
+        RawClient client = connect();
+        client.write(GET.replace("echo", "held"));
+        Responder responder = mPendingResponders.take();
+        assertTrue(responder.checkConnected().get(5, TimeUnit.SECONDS));
+        client.write(GET.substring(0, 10));
+        assertTrue(responder.checkConnected().get(5, TimeUnit.SECONDS));
+        client.write(GET.substring(10));
+        responder.send(200, List.of(), "one".getBytes(StandardCharsets.UTF_8));
+        client.readUntil("one");
+        client.readUntil("GET /echo");
+        client.write(GET.replace("echo", "held"));
+        responder = mPendingResponders.take();
+        client.close();
+        assertFalse(responder.checkConnected().get(5, TimeUnit.SECONDS));
+        assertFalse(responder.checkConnected().get(5, TimeUnit.SECONDS));
+    }
 }
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -84,7 +84,9 @@
   1: i64 tableVersion,
   2: binary tableDocument,
   3: ControlFactsData facts,
-  4: i64 revision
+  4: i64 revision,
+  /** Log index of the newest order about each zone and service, by subject. */
+  5: optional map<string, i64> orderRevisions
 }
 
 enum ControlCommandKind {
@@ -103,7 +105,9 @@
   3: optional binary tableDocument,
   4: optional string zone,
   5: optional DepartureData departure,
-  6: optional MoveData move
+  6: optional MoveData move,
+  /** Revision of the state that the order was given for; a newer order about the same subject supersedes it. */
+  7: optional i64 basedOnRevision
 }
 
 /** Requests under one shared limit that one gateway has received since it started. */
