Hold back a request that crashes one server after the other

Cause: crashes were attributed to the prompt parts that requests share. What the request shares is sound, and answers on it acquit it. The last part of its prompt, which only the request and its repetitions contain, was not looked at, so that each attempt at each gateway was taken for the first.

CrashAnalysisTest's new tests need the new field.

Change: gateways report the own part of a request that was cut without an answer, and controllers hold it back after three crashes unless a server has begun to answer it since. Any answer lifts it. It does not account for a crash, so that a shared part is found as before. A gateway that hears of the part does not try it again by itself.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/quarantine/Crash.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/quarantine/Crash.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -33,6 +34,9 @@
     /** The parts of requests without an answer, with their largest position in a prompt. */
     private final Map<String, Integer> mParts = new LinkedHashMap<>();
 
+    /** The own parts of requests without an answer. */
+    private final Set<String> mOwnParts = new LinkedHashSet<>();
+
     private boolean mRefusedConnection;
     private boolean mServerRuns;
 
@@ -76,6 +80,9 @@
         if (added && !cut.parts().isEmpty()) {
             mWaitingAttempts++;
         }
+        if (cut.ownPart() != null && mOwnParts.size() < MAX_PARTS) {
+            mOwnParts.add(cut.ownPart());
+        }
         int position = 0;
         for (String part : cut.parts()) {
             if (mParts.size() < MAX_PARTS || mParts.containsKey(part)) {
@@ -107,7 +114,20 @@
         return mServerRuns;
     }
 
-    /** Returns the parts of requests without an answer, with their largest position in a prompt. */
+    /** Returns whether a request without an answer contained a part, shared or its own. */
+    boolean contains(String part) {
+        return mParts.containsKey(part) || mOwnParts.contains(part);
+    }
+
+    /** Returns the own parts of requests without an answer. */
+    Set<String> ownParts() {
+        return mOwnParts;
+    }
+
+    /**
+     * Returns the shared parts of requests without an answer, with their largest position in a
+     * prompt.
+     */
     Map<String, Integer> parts() {
         return mParts;
     }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/quarantine/CrashAnalysis.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/quarantine/CrashAnalysis.java
@@ -70,6 +70,9 @@
     /** Largest number of parts about whose answers gateways are asked. */
     static final int MAX_WATCHED_PARTS = 128;
 
+    /** Largest number of requests about whose answers gateways are asked. */
+    static final int MAX_WATCHED_REQUESTS = 128;
+
     /** Least time between two reports of answers on one part by one gateway. */
     public static final long ANSWER_REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
@@ -236,6 +239,7 @@
         lift(nowNanos, confirmed, made);
         renew(nowNanos, confirmed, made);
         accuse(nowNanos, confirmed, made);
+        accuseRequests(nowNanos, confirmed, made);
         Set<String> watched = watchedParts();
         mWatchedSinceNanos.keySet().retainAll(watched);
         watched.forEach(part -> mWatchedSinceNanos.putIfAbsent(part, nowNanos));
@@ -260,7 +264,7 @@
     private static @Nullable Long newestCrashNanos(String part, List<Crash> confirmed) {
         Long newest = null;
         for (Crash crash : confirmed) {
-            if (crash.parts().containsKey(part)) {
+            if (crash.contains(part)) {
                 newest = crash.atNanos();
             }
         }
@@ -293,7 +297,7 @@
     }
 
     private static List<Crash> crashesWith(String part, List<Crash> crashes) {
-        return crashes.stream().filter(crash -> crash.parts().containsKey(part)).toList();
+        return crashes.stream().filter(crash -> crash.contains(part)).toList();
     }
 
     /** Holds parts back again that have crashed a server after their decision had ended. */
@@ -326,6 +330,43 @@
         }
     }
 
+    /**
+     * Holds back requests that were cut without an answer in crashes of several servers. Only such
+     * a request and its repetitions contain its own part, so that it takes part in each crash by
+     * itself, and no share of the crashes is asked for. It does not account for a crash, or one of
+     * its shared parts would be found later.
+     */
+    private void accuseRequests(long nowNanos, List<Crash> confirmed, List<Verdict> made) {
+        if (!isComplete(nowNanos)) {
+            return;
+        }
+        Map<String, Integer> crashes = new HashMap<>();
+        for (Crash crash : confirmed) {
+            if (mRules.contains(Rule.WAITS_FOR_REPORTS)
+                    && nowNanos - crash.knownSinceNanos() < reportNanos()) {
+                continue;
+            }
+            for (String part : crash.ownParts()) {
+                if (accuses(crash, part)) {
+                    crashes.merge(part, 1, Integer::sum);
+                }
+            }
+        }
+        crashes.forEach(
+                (part, count) -> {
+                    Verdict verdict = mVerdicts.find(part);
+                    boolean isHeld = verdict != null && verdict.reason().holds();
+                    if (!isHeld && count >= MIN_CRASHES) {
+                        add(hold(nowNanos, part, Verdict.Reason.CRASHES, count), made);
+                    }
+                });
+    }
+
+    /** Returns the longest time until the other requests that a crash cut were reported. */
+    private long reportNanos() {
+        return Math.min(mExchangeNanos, MAX_REPORT_NANOS);
+    }
+
     /** Returns whether the gateways have had the time to repeat what they have kept. */
     private boolean isComplete(long nowNanos) {
         return !mRules.contains(Rule.WAITS_FOR_REPORTS)
@@ -358,7 +399,7 @@
 
     /** Returns whether a crash speaks against a part: no server has answered on it since. */
     private boolean accuses(Crash crash, String part) {
-        return crash.parts().containsKey(part)
+        return crash.contains(part)
                 && !isAcquitting(mAnsweredNanos.get(part), crash.atNanos())
                 && !isLiftedSince(part, crash.atNanos());
     }
@@ -436,12 +477,11 @@
         if (!mRules.contains(Rule.WAITS_FOR_REPORTS)) {
             return true;
         }
-        long reportNanos = Math.min(mExchangeNanos, MAX_REPORT_NANOS);
-        long answersNanos = mExchangeNanos + reportNanos + ANSWER_REPORT_NANOS;
+        long answersNanos = mExchangeNanos + reportNanos() + ANSWER_REPORT_NANOS;
         Long watchedNanos = mWatchedSinceNanos.get(part);
         boolean isAsked = watchedNanos != null && nowNanos - watchedNanos >= answersNanos;
         boolean isNew = isAsked && !mAnsweredNanos.containsKey(part);
-        return nowNanos - crash.knownSinceNanos() >= (isNew ? reportNanos : answersNanos);
+        return nowNanos - crash.knownSinceNanos() >= (isNew ? reportNanos() : answersNanos);
     }
 
     /**
@@ -531,6 +571,23 @@
                 }
             }
         }
+        watchOwnParts(watched);
         return new HashSet<>(watched);
     }
+
+    /** Adds the own parts of requests that were cut in crashes, newest first. */
+    private void watchOwnParts(Set<String> watched) {
+        int most = watched.size() + MAX_WATCHED_REQUESTS;
+        for (var newest = mCrashes.descendingIterator(); newest.hasNext(); ) {
+            Crash crash = newest.next();
+            if (crash.isServerRunning()) {
+                continue;
+            }
+            for (String part : crash.ownParts()) {
+                if (watched.size() < most && accuses(crash, part)) {
+                    watched.add(part);
+                }
+            }
+        }
+    }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/quarantine/Cut.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/quarantine/Cut.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.hemlockrack.model.BackendId;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A connection that a backend server ended before its answer was complete, or a connection that it
@@ -12,8 +13,15 @@
  * @param attemptHash identifies the attempt; 0 for a refused connection
  * @param parts names of the request's shared prompt parts in order; empty if the server had begun
  *     the answer, which shows that none of them crashes it
+ * @param ownPart name of the part that only the request and its repetitions contain, or those of
+ *     its session; null if it has none or the server had begun the answer
  */
-public record Cut(BackendId server, long startMillis, long attemptHash, List<String> parts) {
+public record Cut(
+        BackendId server,
+        long startMillis,
+        long attemptHash,
+        List<String> parts,
+        @Nullable String ownPart) {
     /** Copies the list. */
     public Cut {
         parts = List.copyOf(parts);
@@ -26,7 +34,7 @@
      * @param startMillis start of its incarnation, 0 if not stated
      */
     public static Cut refusedConnection(BackendId server, long startMillis) {
-        return new Cut(server, startMillis, 0, List.of());
+        return new Cut(server, startMillis, 0, List.of(), null);
     }
 
     boolean isRefusedConnection() {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/quarantine/PromptParts.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/quarantine/PromptParts.java
@@ -3,31 +3,50 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.hemlockrack.dispatch.PromptHash;
+import org.jspecify.annotations.Nullable;
 
-/** Names of the prompt parts that other requests may share. */
-public final class PromptParts {
+/**
+ * Names of the parts of one prompt.
+ *
+ * @param shared names of the parts that other requests may share, in order, without repetitions
+ * @param own name of the last part, which belongs to the request itself or to its session, or null
+ *     if the prompt has no parts
+ */
+public record PromptParts(List<String> shared, @Nullable String own) {
     /** Parts of one prompt that are looked at; bounds what a request can make instances store. */
     private static final int MAX_PARTS = 64;
 
     /** Longest id that is used as the name of a part; longer ones are hashed. */
     private static final int MAX_NAME_CHARS = 40;
 
-    private PromptParts() {}
+    /** Copies the list. */
+    public PromptParts {
+        shared = List.copyOf(shared);
+    }
 
     /**
-     * Returns the names of the parts that other requests may share.
+     * Names the parts of a prompt.
      *
-     * @param partIds ids of all parts of a prompt, in order; the last part is unique to the request
-     * @return the names in order, without repetitions
+     * @param partIds ids of all parts, in order
+     * @return the names
      */
-    public static List<String> shared(List<String> partIds) {
+    public static PromptParts of(List<String> partIds) {
+        if (partIds.isEmpty()) {
+            return new PromptParts(List.of(), null);
+        }
+        int last = partIds.size() - 1;
         Set<String> names = new LinkedHashSet<>();
-        int end = Math.min(partIds.size() - 1, MAX_PARTS);
-        for (int i = 0; i < end; i++) {
-            names.add(nameOf(partIds.get(i)));
+        for (String partId : partIds.subList(0, Math.min(last, MAX_PARTS))) {
+            names.add(nameOf(partId));
         }
-        return List.copyOf(names);
+        return new PromptParts(List.copyOf(names), nameOf(partIds.get(last)));
+    }
+
+    /** Returns the names of all parts. */
+    public List<String> all() {
+        return own == null ? shared : Stream.concat(shared.stream(), Stream.of(own)).toList();
     }
 
     private static String nameOf(String partId) {
--- a/hemlockrack-core/src/test/java/org/hemlockrack/quarantine/CrashAnalysisTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/quarantine/CrashAnalysisTest.java
@@ -28,7 +28,7 @@
     private void cut(String server, String... parts) {
         mAnalysis.recordCut(
                 nowNanos(),
-                new Cut(BackendId.of(server), 1, mNextAttempt++, List.of(parts)),
+                new Cut(BackendId.of(server), 1, mNextAttempt++, List.of(parts), null),
                 nowNanos());
     }
 
@@ -125,7 +125,7 @@
     @Test
     void repeatedReportCountsOnce() {
         for (int i = 0; i < 3; i++) {
-            Cut cut = new Cut(BackendId.of("s" + i), 1, 100 + i, List.of("part"));
+            Cut cut = new Cut(BackendId.of("s" + i), 1, 100 + i, List.of("part"), null);
             mAnalysis.recordCut(nowNanos(), cut, nowNanos());
             mAnalysis.recordCut(nowNanos(), cut, nowNanos());
             pass(500);
@@ -226,4 +226,74 @@
         pass(2 * FIRST_HOLD_MILLIS);
         assertEquals(Set.of(), mAnalysis.watchedParts());
     }
+
+    /** A server ends; a request and one that had begun are cut. */
+    private void crashUnder(String server, String ownPart) {
+        mAnalysis.recordCut(
+                nowNanos(),
+                new Cut(BackendId.of(server), 1, mNextAttempt++, List.of("base"), ownPart),
+                nowNanos());
+        cut(server);
+    }
+
+    /**
+     * Guards against a request that crashes one server after the other because its caller sends it
+     * again. All that it shares with other requests is sound.
+     */
+    @Test
+    void requestThatCrashesThreeServersIsHeldBack() {
+        for (int i = 1; i <= 3; i++) {
+            assertFalse(isHeld("own"));
+            crashUnder("s" + i, "own");
+            assertTrue(mAnalysis.watchedParts().contains("own"));
+            pass(100);
+            answer("base");
+            crash("other" + i, "base", "other");
+            pass(400);
+            answer("base");
+            answer("other");
+        }
+        pass(1_000);
+        assertTrue(isHeld("own"));
+        assertFalse(isHeld("base", "other"));
+    }
+
+    /** Guards against holding back a request that was cut by chance, and was answered later. */
+    @Test
+    void requestThatIsAnsweredIsNotHeldBack() {
+        crashUnder("s1", "own");
+        pass(500);
+        crashUnder("s2", "own");
+        pass(500);
+        answer("own");
+        crashUnder("s3", "own");
+        pass(500);
+        crashUnder("s4", "own");
+        pass(1_000);
+        assertFalse(isHeld("own"));
+    }
+
+    /**
+     * Guards against a request that hides a shared part: it is held back itself, and the part that
+     * crashes servers in other requests too must be found all the same.
+     */
+    @Test
+    void heldRequestDoesNotHideASharedPart() {
+        for (int i = 1; i <= 3; i++) {
+            mAnalysis.recordCut(
+                    nowNanos(),
+                    new Cut(
+                            BackendId.of("s" + i),
+                            1,
+                            mNextAttempt++,
+                            List.of("base", "bad"),
+                            "own"),
+                    nowNanos());
+            cut("s" + i);
+            pass(400);
+            answer("base");
+        }
+        pass(1_000);
+        assertTrue(isHeld("bad"));
+    }
 }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/quarantine/CrashHistory.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/quarantine/CrashHistory.java
@@ -258,7 +258,7 @@
             boolean lostWithGateway = mPlan.restarts() && mRandom.nextInt(20) == 0;
             if (!lostWithGateway) {
                 List<String> parts = request.mBegun ? List.of() : request.mParts;
-                report(new Report(mNowMillis, new Cut(id, 1, request.mHash, parts), null));
+                report(new Report(mNowMillis, new Cut(id, 1, request.mHash, parts, null), null));
             }
             if (!request.mBegun && request.mAttempt < MAX_ATTEMPTS) {
                 mRetries.add(
--- a/hemlockrack-core/src/test/java/org/hemlockrack/quarantine/PromptPartsTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/quarantine/PromptPartsTest.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.quarantine;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -11,9 +12,12 @@
     /** Guards against accusing the last part, which no other request has. */
     @Test
     void lastPartIsNotShared() {
-        assertEquals(List.of("a", "b"), PromptParts.shared(List.of("a", "b", "a", "c")));
-        assertEquals(List.of(), PromptParts.shared(List.of("a")));
-        assertEquals(List.of(), PromptParts.shared(List.of()));
+        assertEquals(List.of("a", "b"), PromptParts.of(List.of("a", "b", "a", "c")).shared());
+        assertEquals(List.of(), PromptParts.of(List.of("a")).shared());
+        assertEquals(List.of(), PromptParts.of(List.of()).shared());
+        assertEquals("c", PromptParts.of(List.of("a", "b", "c")).own());
+        assertEquals(List.of("a", "b"), PromptParts.of(List.of("a", "b")).all());
+        assertNull(PromptParts.of(List.of()).own());
     }
 
     /** Guards against requests whose parts use unbounded memory. */
@@ -23,7 +27,7 @@
         for (int i = 0; i < 1_000; i++) {
             parts.add(i + "x".repeat(1_000));
         }
-        List<String> shared = PromptParts.shared(parts);
+        List<String> shared = PromptParts.of(parts).shared();
         assertEquals(64, shared.size());
         assertTrue(shared.stream().allMatch(name -> name.length() <= 40), shared.toString());
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerQuarantine.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerQuarantine.java
@@ -81,7 +81,8 @@
                             BackendId.of(cut.getServer()),
                             cut.getBornMillis(),
                             cut.getAttemptHash(),
-                            cut.getParts()),
+                            cut.getParts(),
+                            cut.getOwnPart()),
                     atNanos);
         }
         if (data.getAnsweredPart() != null) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ExchangeLog.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ExchangeLog.java
@@ -17,7 +17,7 @@
     private final Route mRoute;
     private final @Nullable String mWorkspace;
     private final long mTableVersion;
-    private final List<String> mSharedParts;
+    private final List<String> mPromptParts;
     private final long mStartNanos;
 
     ExchangeLog(
@@ -26,14 +26,14 @@
             Route route,
             @Nullable String workspace,
             long tableVersion,
-            List<String> sharedParts,
+            List<String> promptParts,
             long startNanos) {
         mLog = log;
         mAttemptId = attemptId;
         mRoute = route;
         mWorkspace = workspace;
         mTableVersion = tableVersion;
-        mSharedParts = sharedParts;
+        mPromptParts = promptParts;
         mStartNanos = startNanos;
     }
 
@@ -87,10 +87,10 @@
                 .write();
     }
 
-    /** Returns the names of the prompt parts that other requests may share, the first ones only. */
+    /** Returns the names of the prompt's parts, the first ones only. */
     private String describeParts() {
         return String.join(
-                ",", mSharedParts.subList(0, Math.min(mSharedParts.size(), MAX_LOGGED_PARTS)));
+                ",", mPromptParts.subList(0, Math.min(mPromptParts.size(), MAX_LOGGED_PARTS)));
     }
 
     private long elapsedMillis() {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -51,7 +51,8 @@
     private final long mStartNanos;
     private final long mDeadlineNanos;
     private final Set<BackendId> mTriedServers = new HashSet<>();
-    private final List<String> mSharedParts;
+    private final PromptParts mParts;
+    private final List<String> mPartNames;
 
     private final @Nullable EventStreamFramer mEventFramer;
 
@@ -102,7 +103,8 @@
         mRoutingFraction = PromptHash.toUnitInterval(metadata.attemptId());
         mService =
                 route.chooseService(PromptHash.toUnitInterval(route.name() + metadata.attemptId()));
-        mSharedParts = PromptParts.shared(metadata.promptPartIds());
+        mParts = PromptParts.of(metadata.promptPartIds());
+        mPartNames = mParts.all();
         mStartNanos = System.nanoTime();
         mLog =
                 new ExchangeLog(
@@ -111,7 +113,7 @@
                         route,
                         mWorkspace,
                         tableVersion,
-                        mSharedParts,
+                        mPartNames,
                         mStartNanos);
         long timeoutMillis = route.timeoutMillis();
         if (metadata.timeoutMillis() >= 0) {
@@ -164,15 +166,15 @@
         return (mDeadlineNanos - System.nanoTime()) / NANOS_PER_MILLI;
     }
 
-    /** Returns the names of the prompt parts that other requests may share. */
-    List<String> sharedParts() {
-        return mSharedParts;
+    /** Returns the names of the parts of the prompt. */
+    List<String> partNames() {
+        return mPartNames;
     }
 
     void start() {
         mContext.retries().countRequest(mService);
         mDeadlineTimer = mContext.loop().scheduleAt(mDeadlineNanos, this::onDeadline);
-        if (!mSharedParts.isEmpty()) {
+        if (!mPartNames.isEmpty()) {
             mContext.quarantine().addExchange(this);
         }
         mContext.openExchanges().add(this);
@@ -192,7 +194,7 @@
                 failStopping();
                 return;
             }
-            Verdict verdict = mContext.quarantine().inForce(nowNanos, mSharedParts);
+            Verdict verdict = mContext.quarantine().inForce(nowNanos, mPartNames);
             if (verdict != null) {
                 failHeld(nowNanos, verdict);
                 return;
@@ -389,8 +391,8 @@
 
     /** Records that a server has begun to answer. */
     void onAnswerBegun() {
-        if (!mSharedParts.isEmpty()) {
-            mContext.quarantine().recordAnswer(System.nanoTime(), mSharedParts);
+        if (!mPartNames.isEmpty()) {
+            mContext.quarantine().recordAnswer(System.nanoTime(), mParts);
         }
     }
 
@@ -401,11 +403,11 @@
     void onCut(ForwardAttempt attempt, String cause) {
         long nowNanos = System.nanoTime();
         boolean mayCrashServers = false;
-        if (!mSharedParts.isEmpty()) {
+        if (!mPartNames.isEmpty()) {
             Registration server = attempt.server();
             boolean begun = attempt.hasBegun();
             // Looked up first, as the cut itself makes the parts suspicious.
-            mayCrashServers = !begun && mContext.quarantine().isSuspicious(nowNanos, mSharedParts);
+            mayCrashServers = !begun && mContext.quarantine().isSuspicious(nowNanos, mPartNames);
             mContext.quarantine()
                     .recordCut(
                             nowNanos,
@@ -413,7 +415,8 @@
                                     server.id(),
                                     server.startMillis(),
                                     PromptHash.of(mMetadata.attemptId() + " " + server.id()),
-                                    begun ? List.of() : mSharedParts));
+                                    begun ? List.of() : mParts.shared(),
+                                    begun ? null : mParts.own()));
         }
         synchronized (this) {
             mMayHaveRun = true;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayQuarantine.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayQuarantine.java
@@ -12,6 +12,7 @@
 import org.hemlockrack.paging.PagedLog;
 import org.hemlockrack.quarantine.CrashAnalysis;
 import org.hemlockrack.quarantine.Cut;
+import org.hemlockrack.quarantine.PromptParts;
 import org.hemlockrack.quarantine.Verdict;
 import org.hemlockrack.quarantine.VerdictTable;
 import org.hemlockrack.wire.CrashEvidenceData;
@@ -58,12 +59,14 @@
             data.setAgeMillis(TimeUnit.NANOSECONDS.toMillis(nowNanos - atNanos));
             data.setAnsweredPart(answeredPart);
             if (cut != null) {
-                data.setCut(
+                CutData cutData =
                         new CutData(
                                 cut.server().value(),
                                 cut.startMillis(),
                                 cut.attemptHash(),
-                                cut.parts()));
+                                cut.parts());
+                cutData.setOwnPart(cut.ownPart());
+                data.setCut(cutData);
             }
             return data;
         }
@@ -91,7 +94,7 @@
         mOpenExchanges.remove(exchange);
     }
 
-    /** Returns the decision that holds back a request with these shared parts, or null. */
+    /** Returns the decision that holds back a request with these parts, or null. */
     synchronized @Nullable Verdict inForce(long nowNanos, List<String> parts) {
         return mVerdicts.inForce(nowNanos, parts);
     }
@@ -122,13 +125,25 @@
         mOnEvidence.run();
     }
 
-    /** Records that a server has begun an answer on a prompt with these shared parts. */
-    synchronized void recordAnswer(long nowNanos, List<String> parts) {
-        for (String part : parts) {
-            mAnsweredNanos.put(part, nowNanos);
-            if (mWatched.contains(part)) {
-                reportAnswer(nowNanos, part, nowNanos);
-            }
+    /**
+     * Records that a server has begun an answer on a prompt.
+     *
+     * @param parts its parts; the own part is remembered only if it is watched, as each request has
+     *     another one
+     */
+    synchronized void recordAnswer(long nowNanos, PromptParts parts) {
+        for (String part : parts.shared()) {
+            recordAnswer(nowNanos, part);
+        }
+        if (parts.own() != null && mWatched.contains(parts.own())) {
+            recordAnswer(nowNanos, parts.own());
+        }
+    }
+
+    private void recordAnswer(long nowNanos, String part) {
+        mAnsweredNanos.put(part, nowNanos);
+        if (mWatched.contains(part)) {
+            reportAnswer(nowNanos, part, nowNanos);
         }
     }
 
@@ -177,7 +192,7 @@
         }
         for (GatewayExchange exchange : mOpenExchanges) {
             for (Verdict verdict : held) {
-                if (exchange.sharedParts().contains(verdict.part())) {
+                if (exchange.partNames().contains(verdict.part())) {
                     exchange.onPartHeld(verdict);
                 }
             }
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -141,7 +141,9 @@
   /** Identifies the attempt, so that a report that arrives twice counts once; 0 for a refused connection. */
   3: i64 attemptHash,
   /** The prompt parts that other requests may share; empty if the answer had begun. */
-  4: list<string> parts
+  4: list<string> parts,
+  /** The last prompt part, which belongs to the request or to its session; absent if the answer had begun. */
+  5: optional string ownPart
 }
 
 /** What a gateway saw of crashing servers; one of the two is set. */
