--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.daemon.gateway;
 
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.hemlockrack.daemon.http.CallHandler;
 import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.Responder;
@@ -19,6 +20,11 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /** Shortest time between two lines about requests that are routed by an unconfirmed view. */
+    private static final long UNCONFIRMED_LINE_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    private final AtomicLong mLastUnconfirmedLineNanos =
+            new AtomicLong(System.nanoTime() - UNCONFIRMED_LINE_PERIOD_NANOS);
     private final long mStartNanos = System.nanoTime();
     private final GatewayContext mContext;
     private final GatewayViewUpdater mViewUpdater;
@@ -50,6 +56,9 @@
             refuse(responder, metadata, table == null ? 0 : table.version(), e);
             return;
         }
+        if (!mViewUpdater.isViewConfirmed()) {
+            logUnconfirmedTable(metadata, table, route);
+        }
         new GatewayExchange(mContext, call, responder, metadata, route, workspace, table.version())
                 .start();
     }
@@ -71,12 +80,32 @@
                 .put("cause", cause.getMessage())
                 .put("table", tableVersion)
                 .put("newest_table", mViewUpdater.newestReportedVersion())
-                .put("confirmed_ms", (long) (mViewUpdater.viewAgeSeconds() * MILLIS_PER_SECOND))
+                .put("confirmed_ms", confirmedMillis())
                 .write();
         long expectedMillis = tableVersion == 0 ? remainingStartMillis() : 0;
         mContext.refuse(responder, kind, String.valueOf(cause.getMessage()), expectedMillis);
     }
 
+    private void logUnconfirmedTable(RequestMetadata metadata, RouteTable table, Route route) {
+        long nowNanos = System.nanoTime();
+        long lastNanos = mLastUnconfirmedLineNanos.get();
+        boolean isDue = nowNanos - lastNanos >= UNCONFIRMED_LINE_PERIOD_NANOS;
+        if (!isDue || !mLastUnconfirmedLineNanos.compareAndSet(lastNanos, nowNanos)) {
+            return;
+        }
+        mContext.log()
+                .requestEvent("routed_unconfirmed", metadata.attemptId())
+                .put("route", route.name())
+                .put("table", table.version())
+                .put("newest_table", mViewUpdater.newestReportedVersion())
+                .put("confirmed_ms", confirmedMillis())
+                .write();
+    }
+
+    private long confirmedMillis() {
+        return (long) (mViewUpdater.viewAgeSeconds() * MILLIS_PER_SECOND);
+    }
+
     /**
      * Returns the usual remaining time until a route table arrives, or 0 if it is overdue. Without
      * a table this gateway has just started, most likely together with the controllers.
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -1,5 +1,6 @@
 package org.hemlockrack.daemon.gateway;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -51,6 +52,9 @@
     private final DurableTableVersions mDurableVersions = DurableTableVersions.create();
     private final ViewFreshness mFreshness;
 
+    /** The last table that each controller which is not caught up has reported. */
+    private final Map<String, Long> mUnconfirmedVersions = new HashMap<>();
+
     private volatile GatewayView mView = GatewayView.EMPTY;
 
     /** Whether the view comes from committed state, rather than from disks after a restart. */
@@ -89,6 +93,11 @@
         return mFreshness.isNewest(mLoop.nowNanos(), tableVersion);
     }
 
+    /** Returns whether a majority has confirmed the view recently. */
+    boolean isViewConfirmed() {
+        return mFreshness.isConfirmed(mLoop.nowNanos());
+    }
+
     /** Returns the time since a majority confirmed the view, or since the start if none has. */
     double viewAgeSeconds() {
         return mFreshness.ageNanos(mLoop.nowNanos()) / NANOS_PER_SECOND;
@@ -194,13 +203,15 @@
             mTableFetch.offer(nowNanos, address, reply.getTableVersion(), adoptable);
         }
         if (!reply.isCaughtUp()) {
+            logUnconfirmed(address, reply);
             adoptUnconfirmed(nowNanos, address, reply);
             return;
         }
+        mUnconfirmedVersions.remove(address);
         mFreshness.recordReport(nowNanos, reply.getTableVersion());
         adopt(nowNanos, address, reply);
         mHasCommittedView = true;
-        mFreshness.recordConfirmation(reply, requestNanos);
+        recordConfirmation(nowNanos, address, reply, requestNanos);
         if (!reply.getControllers().isEmpty()) {
             Set<String> controllers = Set.copyOf(reply.getControllers());
             if (!controllers.equals(mControllers)) {
@@ -210,6 +221,35 @@
         }
     }
 
+    private void recordConfirmation(
+            long nowNanos, String address, SyncReply reply, long requestNanos) {
+        boolean wasConfirmed = mFreshness.isConfirmed(nowNanos);
+        long ageNanos = mFreshness.ageNanos(nowNanos);
+        mFreshness.recordConfirmation(reply, requestNanos);
+        if (!wasConfirmed && mFreshness.isConfirmed(nowNanos)) {
+            mLog.instanceEvent("view_confirmed")
+                    .put("controller", address)
+                    .put("table", mView.tableVersion())
+                    .put("newest_table", mFreshness.newestVersion())
+                    .put("confirmed_ms", ageNanos / NANOS_PER_MILLI)
+                    .write();
+        }
+    }
+
+    /** Writes a line for each table that a controller reports without being caught up. */
+    private void logUnconfirmed(String address, SyncReply reply) {
+        Long logged = mUnconfirmedVersions.put(address, reply.getTableVersion());
+        if (logged != null && logged == reply.getTableVersion()) {
+            return;
+        }
+        mLog.instanceEvent("unconfirmed_report")
+                .put("controller", address)
+                .put("reported_table", reply.getTableVersion())
+                .put("voters", reply.getVoters())
+                .put("table", mView.tableVersion())
+                .write();
+    }
+
     /**
      * Adopts state that a controller has only read from its disk. This is done only while no
      * controller has confirmed any state, and only if a majority of the voters has reported its
