--- /dev/null
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
@@ -0,0 +1,291 @@
+package org.hemlockrack.daemon.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.hemlockrack.codec.Deflate;
+import org.hemlockrack.daemon.fleet.PeerNetwork;
+import org.hemlockrack.daemon.http.HeaderField;
+import org.hemlockrack.daemon.http.HttpCall;
+import org.hemlockrack.daemon.http.HttpClient;
+import org.hemlockrack.daemon.http.Responder;
+import org.hemlockrack.daemon.log.DecisionLog;
+import org.hemlockrack.daemon.loop.EventLoop;
+import org.hemlockrack.daemon.metrics.Metrics;
+import org.hemlockrack.dispatch.ServerPool;
+import org.hemlockrack.limits.ByteBudget;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.model.ZoneId;
+import org.hemlockrack.registry.Registration;
+import org.hemlockrack.registry.ServerRegistry;
+import org.hemlockrack.routing.RerunPolicy;
+import org.hemlockrack.routing.Route;
+import org.hemlockrack.routing.RouteTable;
+import org.hemlockrack.routing.ServiceSpec;
+import org.hemlockrack.routing.WeightedService;
+import org.hemlockrack.wire.SyncReply;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Which requests a gateway serves by a table that no leader has confirmed for some time. */
+class TableTrustTest {
+    private static final String HOST = "shop.example";
+    private static final ZoneId ZONE = ZoneId.of("a");
+    private static final int VOTERS = 3;
+
+    /** The same in all tables. */
+    private static final String SAME = "/same/";
+
+    /** Leads to another service from table 8 on. */
+    private static final String MOVED = "/moved/";
+
+    /** Longer than a confirmation of the table counts. */
+    private static final long STALE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
+    private final EventLoop mLoop = EventLoop.open("test", Throwable::printStackTrace);
+    private final DecisionLog mLog = DecisionLog.open("g1", new ByteArrayOutputStream());
+    private final HttpClient mClient = HttpClient.open(1, 250, 60_000, true);
+    private final PeerNetwork mNetwork =
+            PeerNetwork.create(InstanceId.of("g1"), Map.of(), null, (address, cause) -> {});
+    private final GatewayState mState =
+            GatewayState.create(ServerPool.create(ZONE, new SplittableRandom(1)));
+    private final GatewayQuarantine mQuarantine = GatewayQuarantine.create(mLog);
+    private final RetryPermits mRetries =
+            RetryPermits.create(mLoop, mNetwork, "g1/1", new RetryLimits(0.1, 10, 10));
+    private final RouteProtocol mProtocol = new RouteProtocol();
+    private final GatewayViewUpdater mUpdater =
+            new GatewayViewUpdater(
+                    mLoop, mNetwork, "g1/1", mProtocol, mState, mRetries, mQuarantine, mLog);
+    private final List<HttpServer> mServers = new ArrayList<>();
+    private GatewayHandler mHandler;
+
+    /** A protocol whose documents are a version and the service of the moved route. */
+    private static final class RouteProtocol extends StubProtocol {
+        @Override
+        public RequestMetadata readRequest(HttpCall call) {
+            return new RequestMetadata("request-1", HOST, -1, null, List.of());
+        }
+
+        @Override
+        public List<HeaderField> forwardHeaders(
+                HttpCall call,
+                Registration server,
+                @Nullable String workspace,
+                int rank,
+                long remainingMillis,
+                @Nullable String resumeAfterEventId) {
+            return List.of();
+        }
+
+        @Override
+        public AnswerMetadata readAnswerHead(int status, List<HeaderField> headers) {
+            return new AnswerMetadata("request-1", true, false, false, false, -1);
+        }
+
+        static byte[] document(long version) {
+            String service = version < 8 ? "old" : "new";
+            return (version + ":" + service).getBytes(StandardCharsets.US_ASCII);
+        }
+
+        @Override
+        public RouteTable parseRouteTable(byte[] document) {
+            String[] parts = new String(document, StandardCharsets.US_ASCII).split(":");
+            return RouteTable.of(
+                    Long.parseLong(parts[0]),
+                    List.of(route(SAME, "old"), route(MOVED, parts[1])),
+                    List.of(service("old"), service("new")),
+                    null);
+        }
+
+        private static ServiceSpec service(String name) {
+            return new ServiceSpec(ServiceId.of(name), 10, 0, 0);
+        }
+
+        private static Route route(String path, String service) {
+            return new Route(
+                    path,
+                    HOST,
+                    path,
+                    RerunPolicy.IDEMPOTENT,
+                    false,
+                    10_000,
+                    1_000,
+                    0,
+                    0,
+                    List.of(new WeightedService(ServiceId.of(service), 1)),
+                    1,
+                    true,
+                    false);
+        }
+    }
+
+    /** Keeps the status and the first field of the answer that names a server. */
+    private static final class Caller implements Responder {
+        final CompletableFuture<String> mAnswer = new CompletableFuture<>();
+        private final StringBuilder mBody = new StringBuilder();
+        private int mStatus;
+
+        @Override
+        public void sendHead(int status, List<HeaderField> headers, long lengthBytes) {
+            mStatus = status;
+        }
+
+        @Override
+        public int write(ByteBuffer data) {
+            mBody.append(StandardCharsets.UTF_8.decode(data));
+            return 0;
+        }
+
+        @Override
+        public int queuedBytes() {
+            return 0;
+        }
+
+        @Override
+        public void end() {
+            mAnswer.complete(mStatus == 200 ? mBody.toString() : String.valueOf(mStatus));
+        }
+
+        @Override
+        public void abort() {
+            mAnswer.complete("aborted");
+        }
+
+        @Override
+        public void onCancel(Runnable action) {}
+
+        @Override
+        public void onDrain(DrainListener action) {}
+    }
+
+    @BeforeEach
+    void start() throws IOException {
+        ServerRegistry registry = ServerRegistry.create();
+        Map<String, Integer> ports = new HashMap<>();
+        for (String service : List.of("old", "new")) {
+            HttpServer server =
+                    HttpServer.create(
+                            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+            server.createContext(
+                    "/",
+                    exchange -> {
+                        byte[] body = service.getBytes(StandardCharsets.US_ASCII);
+                        exchange.sendResponseHeaders(200, body.length);
+                        exchange.getResponseBody().write(body);
+                        exchange.close();
+                    });
+            server.start();
+            mServers.add(server);
+            ports.put(service, server.getAddress().getPort());
+            registry.recordHeartbeat(
+                    mLoop.nowNanos(),
+                    new Registration(
+                            BackendId.of("server-" + service),
+                            1,
+                            1,
+                            ServiceId.of(service),
+                            "127.0.0.1:" + ports.get(service),
+                            ZONE,
+                            "v1",
+                            4,
+                            false,
+                            0),
+                    0);
+        }
+        mState.mergeServers(mLoop.nowNanos(), registry.changesSince(mLoop.nowNanos(), 0));
+        GatewayContext context =
+                new GatewayContext(
+                        mLoop,
+                        mProtocol,
+                        mState,
+                        mRetries,
+                        mQuarantine,
+                        mClient,
+                        mClient,
+                        OpenExchanges.create(),
+                        ByteBudget.of(1 << 20),
+                        mLog,
+                        Metrics.create(),
+                        new SplittableRandom(1));
+        mHandler = new GatewayHandler(context, mUpdater);
+    }
+
+    @AfterEach
+    void close() {
+        mServers.forEach(server -> server.stop(0));
+        mClient.close();
+        mNetwork.close();
+        mLoop.close();
+        mLog.close();
+    }
+
+    private static SyncReply reply(long tableVersion) {
+        SyncReply reply = new SyncReply();
+        reply.setTableVersion(tableVersion);
+        reply.setVoters(VOTERS);
+        reply.setServers(List.of());
+        reply.setFleetInFlight(List.of());
+        reply.setControllers(List.of());
+        reply.setPrefixUses(List.of());
+        return reply;
+    }
+
+    private static void addTable(SyncReply reply) {
+        reply.setTableDocument(Deflate.deflate(RouteProtocol.document(reply.getTableVersion())));
+    }
+
+    /** Receives the reply of a controller whose state a majority confirmed some time ago. */
+    private void receiveConfirmed(String controller, long tableVersion, long ageNanos) {
+        SyncReply reply = reply(tableVersion);
+        reply.setCaughtUp(true);
+        reply.setConfirmedAgeMillis(0);
+        addTable(reply);
+        mUpdater.onReply(controller, reply, Map.of(), mLoop.nowNanos() - ageNanos);
+    }
+
+    /** Receives the reply of a controller that has restarted and knows of no leader. */
+    private void receiveFromDisk(String controller, long tableVersion) {
+        SyncReply reply = reply(tableVersion);
+        reply.setCaughtUp(false);
+        addTable(reply);
+        mUpdater.onReply(controller, reply, Map.of(), mLoop.nowNanos());
+    }
+
+    /** Sends a request and returns the service that answered, or the status of a failure. */
+    private String send(String path) throws Exception {
+        Caller caller = new Caller();
+        mHandler.handle(new HttpCall("GET", path + "x", null, List.of(), new byte[0]), caller);
+        return caller.mAnswer.get(10, TimeUnit.SECONDS);
+    }
+
+    /**
+     * Guards against a request that is handled by a replaced table after all controllers restarted:
+     * the gateway ignored the newer table that a majority of them reported from their disks.
+     */
+    @Test
+    void replacedTableIsNotUsedOnceAMajorityReportsANewerOne() throws Exception {
+        receiveConfirmed("a", 7, STALE_NANOS);
+        assertEquals("old", send(MOVED));
+        receiveFromDisk("a", 8);
+        receiveFromDisk("b", 8);
+        assertEquals("503", send(MOVED));
+        assertEquals("old", send(SAME));
+    }
+}
