Do not handle requests by a table that a majority of disks may have replaced

Cause: a gateway that had ever had a confirmed table ignored what controllers without a leader report, and used its table without a limit of time, also while it fetched a newer committed one.

Change: controllers report the tables of their logs, committed or not (TableHistory). An acknowledged table is on the disks of a majority, so the reports of a majority show every acknowledged table without a leader (TableReports). If none is newer, they confirm the table in force. If one is, and nobody has confirmed the table in force for 2 s, the gateway handles only requests that all newer tables treat alike, and refuses the others with NOT_READY; it does so too while it does not know those tables. Without a majority it goes on serving. A table is in force only once it is committed. A gateway that starts before there is a leader used the newest table of any disk, which may be lost; now it uses the newest one of a majority of disks.

The test failed before: expected <503> but was <old>. It now plays the controllers with requests and replies; its assertion is unchanged. DurableTableVersionsTest is replaced by TableReportsTest, which guards against the same failures. GatewayViewUpdaterTest demanded that a table of one disk comes into force; now it demands that it does not until a majority has it.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlCommand.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlCommand.java
@@ -2,11 +2,13 @@
 
 import java.nio.ByteBuffer;
 import org.hemlockrack.codec.StructCodec;
+import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.ZoneId;
 import org.hemlockrack.wire.ControlCommandData;
 import org.hemlockrack.wire.ControlCommandKind;
 import org.hemlockrack.wire.DepartureData;
+import org.jspecify.annotations.Nullable;
 
 /** Encodes the commands of {@link ControlState}. Each command is idempotent. */
 public final class ControlCommand {
@@ -27,6 +29,27 @@
         return StructCodec.encode(data);
     }
 
+    /**
+     * Returns the route table that a command publishes.
+     *
+     * @param command a command of any kind
+     * @return the table, or null if the command publishes none or is damaged
+     */
+    static TableHistory.@Nullable LoggedTable publishedTable(byte[] command) {
+        ControlCommandData data;
+        try {
+            data =
+                    StructCodec.decode(
+                            command, ControlState.MAX_ENCODED_BYTES, new ControlCommandData());
+        } catch (HemlockrackException e) {
+            // The replicated state refuses such a command.
+            return null;
+        }
+        return data.getKind() == ControlCommandKind.PUBLISH_TABLE
+                ? new TableHistory.LoggedTable(data.getTableVersion(), data.getTableDocument())
+                : null;
+    }
+
     /**
      * Evacuates a zone or puts it back into service.
      *
--- a/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlState.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlState.java
@@ -19,7 +19,7 @@
  */
 public final class ControlState implements ReplicatedState {
     /** Largest encoded command or snapshot; bounds what a replica allocates. */
-    private static final int MAX_ENCODED_BYTES = 16 << 20;
+    static final int MAX_ENCODED_BYTES = 16 << 20;
 
     /** Departures are dropped after this time; by then the incarnation sends nothing any more. */
     private static final long DEPARTURE_RETENTION_MILLIS = TimeUnit.MINUTES.toMillis(10);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -24,6 +24,7 @@
 import org.hemlockrack.consensus.Role;
 import org.hemlockrack.consensus.SnapshotMeta;
 import org.hemlockrack.control.ControlState;
+import org.hemlockrack.control.TableHistory;
 import org.hemlockrack.daemon.ServiceProcess;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.gateway.ProtocolAdapter;
@@ -85,6 +86,7 @@
     private final ControllerService mService;
     private final ControllerLinks mLinks;
     private volatile List<String> mConfiguredControllers;
+    private final TableHistory mTables = TableHistory.create();
     private ControlState mDurableState = ControlState.create();
     private volatile boolean mStarted;
 
@@ -118,6 +120,7 @@
                         Math.toIntExact(settings.integer(SettingKey.VOTER_TOLERATED_LOSSES)),
                         mayFormLog(),
                         this::addressOf,
+                        mTables,
                         mLog,
                         random.nextLong());
         mService.publishDurable(mDurableState);
@@ -163,7 +166,8 @@
             throw HemlockrackException.of(
                     ErrorKind.SETTINGS_INVALID, "a controller needs voter.data_folder");
         }
-        LogStore store = openStore(folder.resolve(LOG_FOLDER), random);
+        LogStore store =
+                TableTrackingStore.of(openStore(folder.resolve(LOG_FOLDER), random), mTables);
         mDurableState = readDurableState(store);
         ReplicaNode node =
                 ReplicaNode.start(
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -20,6 +20,8 @@
 import org.hemlockrack.control.MoveEvaluator.VersionAnswers;
 import org.hemlockrack.control.MoveStatus;
 import org.hemlockrack.control.RoutingOverrides;
+import org.hemlockrack.control.TableHistory;
+import org.hemlockrack.control.TableHistory.LoggedTable;
 import org.hemlockrack.control.TrafficMove;
 import org.hemlockrack.daemon.gateway.ProtocolAdapter;
 import org.hemlockrack.daemon.http.Responder;
@@ -43,6 +45,7 @@
 import org.hemlockrack.registry.Registration;
 import org.hemlockrack.registry.ServerRegistry;
 import org.hemlockrack.routing.RouteTable;
+import org.hemlockrack.wire.LoggedTableData;
 import org.hemlockrack.wire.PermitReply;
 import org.hemlockrack.wire.PermitRequest;
 import org.hemlockrack.wire.PrefixUseData;
@@ -61,6 +64,9 @@
      */
     private static final long PROPOSE_TIMEOUT_MILLIS = 2_500;
 
+    /** Most bytes of listed tables in one reply; the rest is listed without documents. */
+    private static final int MAX_LISTED_BYTES = 256 << 10;
+
     /** Recent prefix uses that are retained for gateways; at 400 new uses a second this is 10 s. */
     private static final int MAX_PREFIX_USES = 4_096;
 
@@ -70,6 +76,7 @@
     private final Proposer mProposer;
     private final ReplicaService mReplica;
     private final Function<InstanceId, String> mPeerAddresses;
+    private final TableHistory mTables;
     private final DecisionLog mLog;
     private final long mRegistryEpoch;
     private final ServerRegistry mRegistry = ServerRegistry.create();
@@ -94,6 +101,7 @@
             int toleratedLosses,
             boolean isFirstStart,
             Function<InstanceId, String> peerAddresses,
+            TableHistory tables,
             DecisionLog log,
             long registryEpoch) {
         mLoop = loop;
@@ -102,6 +110,7 @@
         mProposer = proposer;
         mReplica = replica;
         mPeerAddresses = peerAddresses;
+        mTables = tables;
         mLog = log;
         mRegistryEpoch = registryEpoch;
         mPermits =
@@ -136,6 +145,7 @@
             }
             mView = viewOf(state);
         }
+        mTables.recordCommitted(state);
         RoutingOverrides overrides = state.overrides();
         mLog.instanceEvent("control_state")
                 .put("revision", state.revision())
@@ -462,6 +472,7 @@
         }
         reply.setControllers(controllerAddresses());
         reply.setVoters(mReplica.isVoter() ? mReplica.membership().voters().size() : 0);
+        listTables(request, reply);
         boolean sameEpoch = request.getRegistryEpoch() == mRegistryEpoch;
         // The quarantine asks this object about servers, so its lock is taken first.
         mQuarantine.record(mLoop.nowNanos(), request);
@@ -488,6 +499,28 @@
         return reply;
     }
 
+    /**
+     * Reports the tables of the local log, committed or not. Whoever has the reports of a majority
+     * of the voters knows of every acknowledged table, also while there is no leader.
+     */
+    private void listTables(SyncRequest request, SyncReply reply) {
+        if (reply.getVoters() == 0 || !request.isSetListTablesAbove()) {
+            return;
+        }
+        reply.setLoggedTableVersion(mTables.newestVersion());
+        int remainingBytes = request.isWantsTableDocuments() ? MAX_LISTED_BYTES : 0;
+        List<LoggedTableData> listed = new ArrayList<>();
+        for (LoggedTable table : mTables.newerThan(request.getListTablesAbove())) {
+            LoggedTableData data = new LoggedTableData(table.version());
+            if (table.document().length <= remainingBytes) {
+                data.setDocument(ByteBuffer.wrap(table.document()));
+                remainingBytes -= table.document().length;
+            }
+            listed.add(data);
+        }
+        reply.setLoggedTables(listed);
+    }
+
     private void recordRequests(long nowNanos, SyncRequest request) {
         for (RequestCountData count : request.getRequests()) {
             mPermits.recordRequests(
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
@@ -6,18 +6,18 @@
 import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.errors.ErrorKind;
-import org.hemlockrack.errors.ErrorText;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.routing.Route;
 import org.hemlockrack.routing.RouteTable;
-import org.hemlockrack.routing.WorkspaceKeys;
-import org.jspecify.annotations.Nullable;
 
 /** Finds the route of each request, checks its key and starts its exchange. */
 final class GatewayHandler implements CallHandler {
     /** Usual time until a gateway that starts together with all controllers has a route table. */
     private static final long USUAL_START_MILLIS = 2_000;
 
+    /** Usual time until controllers that have restarted confirm a route table. */
+    private static final long USUAL_CONFIRMATION_MILLIS = 500;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     /** Shortest time between two lines about requests that are routed by an unconfirmed view. */
@@ -37,9 +37,9 @@
     @Override
     public void handle(HttpCall call, Responder responder) {
         RequestMetadata metadata;
-        RouteTable table = mViewUpdater.view().table();
-        Route route;
-        WorkspaceKeys workspace;
+        TableStanding standing = mViewUpdater.standing();
+        RouteTable table = standing.table();
+        Routing routing;
         try {
             metadata = mContext.protocol().readRequest(call);
         } catch (HemlockrackException e) {
@@ -50,19 +50,41 @@
             if (table == null) {
                 throw HemlockrackException.of(ErrorKind.NOT_READY, "no route table is known yet");
             }
-            route = findRoute(table, call, metadata);
-            workspace = authenticate(table, route, metadata);
+            routing = Routing.of(table, call, metadata);
+            requireTrust(standing, call, metadata, routing);
         } catch (HemlockrackException e) {
             refuse(responder, metadata, table == null ? 0 : table.version(), e);
             return;
         }
         if (!mViewUpdater.isViewConfirmed()) {
-            logUnconfirmedTable(metadata, table, route);
+            logUnconfirmedTable(metadata, table, routing.route());
         }
-        new GatewayExchange(mContext, call, responder, metadata, route, workspace, table.version())
+        new GatewayExchange(
+                        mContext,
+                        call,
+                        responder,
+                        metadata,
+                        routing.route(),
+                        routing.workspace(),
+                        table.version())
                 .start();
     }
 
+    /**
+     * Requires that the table may be relied on for a request: a table that may have been replaced
+     * serves only what each newer one would treat alike.
+     */
+    private static void requireTrust(
+            TableStanding standing, HttpCall call, RequestMetadata metadata, Routing routing) {
+        boolean isAllowed =
+                standing.trust(System.nanoTime())
+                        .allows(standing, newer -> routing.isSameIn(newer, call, metadata));
+        if (!isAllowed) {
+            throw HemlockrackException.of(
+                    ErrorKind.NOT_READY, "the route table may have been replaced");
+        }
+    }
+
     /**
      * Refuses a request that the route table does not allow. Unless the table is the newest one,
      * the error is {@link ErrorKind#NOT_READY}, because a newer table may allow the request.
@@ -83,6 +105,9 @@
                 .put("confirmed_ms", confirmedMillis())
                 .write();
         long expectedMillis = tableVersion == 0 ? remainingStartMillis() : 0;
+        if (tableVersion > 0 && kind == ErrorKind.NOT_READY) {
+            expectedMillis = USUAL_CONFIRMATION_MILLIS;
+        }
         mContext.refuse(responder, kind, String.valueOf(cause.getMessage()), expectedMillis);
     }
 
@@ -114,27 +139,4 @@
         long upMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - mStartNanos);
         return Math.max(0, USUAL_START_MILLIS - upMillis);
     }
-
-    private static Route findRoute(RouteTable table, HttpCall call, RequestMetadata metadata) {
-        Route route = table.match(metadata.host(), call.path());
-        if (route == null) {
-            throw HemlockrackException.of(
-                    ErrorKind.NOT_FOUND,
-                    String.format(ErrorText.NO_ROUTE, metadata.host(), call.path()));
-        }
-        return route;
-    }
-
-    private static @Nullable WorkspaceKeys authenticate(
-            RouteTable table, Route route, RequestMetadata metadata) {
-        if (!table.requiresKeys() || route.allowsAnonymous()) {
-            return null;
-        }
-        String key = metadata.bearerKey();
-        WorkspaceKeys workspace = key == null ? null : table.workspaceOf(key);
-        if (workspace == null) {
-            throw HemlockrackException.of(ErrorKind.UNAUTHENTICATED, ErrorText.UNKNOWN_KEY);
-        }
-        return workspace;
-    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -8,7 +8,6 @@
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.codec.Deflate;
-import org.hemlockrack.control.DurableTableVersions;
 import org.hemlockrack.control.RoutingOverrides;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.log.DecisionLog;
@@ -21,6 +20,7 @@
 import org.hemlockrack.registry.RegisteredServer;
 import org.hemlockrack.routing.RouteTable;
 import org.hemlockrack.wire.CrashEvidenceData;
+import org.hemlockrack.wire.LoggedTableData;
 import org.hemlockrack.wire.PrefixUseData;
 import org.hemlockrack.wire.SyncReply;
 import org.hemlockrack.wire.SyncRequest;
@@ -49,13 +49,17 @@
     private volatile List<String> mReachableControllers = List.of();
     private String mPrefixUseSource = "";
     private final TableFetch mTableFetch = new TableFetch();
-    private final DurableTableVersions mDurableVersions = DurableTableVersions.create();
+    private final NewerTables mNewerTables = new NewerTables(this::parseTable);
     private final ViewFreshness mFreshness;
 
     /** The last table that each controller which is not caught up has reported. */
     private final Map<String, Long> mUnconfirmedVersions = new HashMap<>();
 
     private volatile GatewayView mView = GatewayView.EMPTY;
+    private volatile TableStanding mStanding = TableStanding.UNKNOWN;
+
+    /** The newest state that a controller which is not caught up has reported. */
+    private @Nullable SyncReply mUnconfirmedState;
 
     /** Whether the view comes from committed state, rather than from disks after a restart. */
     private boolean mHasCommittedView;
@@ -85,6 +89,11 @@
         return mView;
     }
 
+    /** Returns the route table in force and what is known of newer ones. */
+    TableStanding standing() {
+        return mStanding;
+    }
+
     /**
      * Returns whether a route table may be taken for the newest one, so that what it does not allow
      * is not allowed.
@@ -123,6 +132,7 @@
         Set<String> addresses = new HashSet<>(mSeeds);
         addresses.addAll(mControllers);
         mLinks.setControllers(addresses);
+        mNewerTables.retain(addresses);
     }
 
     @Override
@@ -166,6 +176,7 @@
         request.setHaveRevision(mHasCommittedView ? view.revision() : -1);
         request.setHaveTableVersion(
                 mTableFetch.tryRequest(address) ? view.tableVersion() : Long.MAX_VALUE);
+        mNewerTables.describe(address, view.tableVersion(), request);
         request.setInFlight(ControllerLink.toLoadData(ownLoad));
         request.setCounts(mState.answerCounts());
         request.setRequests(mRetries.requestCounts());
@@ -174,7 +185,7 @@
 
     @Override
     public boolean isUrgent(String address) {
-        return mTableFetch.isRequestPending(address);
+        return mTableFetch.isRequestPending(address) || mNewerTables.isRequestPending(address);
     }
 
     @Override
@@ -198,19 +209,31 @@
             mQuarantine.adopt(nowNanos, address, reply.getQuarantine());
         }
         mState.updateFleetLoad(reply.getFleetInFlight(), ownLoadAtRequest, reply.getGateways());
-        if (!reply.isSetTableDocument() && reply.getTableVersion() > mView.tableVersion()) {
-            boolean adoptable = reply.isCaughtUp() || !mHasCommittedView;
-            mTableFetch.offer(nowNanos, address, reply.getTableVersion(), adoptable);
-        }
-        if (!reply.isCaughtUp()) {
+        mNewerTables.recordReply(nowNanos, address, reply, requestNanos);
+        if (reply.isCaughtUp()) {
+            adoptConfirmed(nowNanos, address, reply, requestNanos);
+        } else {
             logUnconfirmed(address, reply);
             adoptUnconfirmed(nowNanos, address, reply);
-            return;
         }
+        updateStanding(nowNanos, address, reply.getGateways());
+    }
+
+    private void adoptConfirmed(long nowNanos, String address, SyncReply reply, long requestNanos) {
         mUnconfirmedVersions.remove(address);
         mFreshness.recordReport(nowNanos, reply.getTableVersion());
-        adopt(nowNanos, address, reply);
+        RouteTable table = mView.table();
+        if (reply.getTableVersion() > mView.tableVersion()) {
+            table = committedTable(nowNanos, address, reply);
+        }
+        // Unconfirmed overrides may never have been committed, so the first confirmed ones replace
+        // them regardless of their revision.
+        boolean adoptOverrides =
+                reply.isSetFacts()
+                        && (!mHasCommittedView || reply.getRevision() > mView.revision());
         mHasCommittedView = true;
+        mUnconfirmedState = null;
+        adopt(nowNanos, address, table, adoptOverrides ? reply : null);
         recordConfirmation(nowNanos, address, reply, requestNanos);
         if (!reply.getControllers().isEmpty()) {
             Set<String> controllers = Set.copyOf(reply.getControllers());
@@ -221,11 +244,62 @@
         }
     }
 
+    /**
+     * Returns the newer table that a controller has committed, if the reply holds it or it was
+     * fetched before it was known to be committed. Otherwise it is to be fetched.
+     */
+    private @Nullable RouteTable committedTable(long nowNanos, String address, SyncReply reply) {
+        if (reply.isSetTableDocument()) {
+            RouteTable parsed = parseTable(reply.getTableVersion(), reply.getTableDocument());
+            return parsed == null ? mView.table() : parsed;
+        }
+        RouteTable fetched = mNewerTables.table(reply.getTableVersion());
+        if (fetched != null) {
+            return fetched;
+        }
+        mTableFetch.offer(nowNanos, address, reply.getTableVersion(), true);
+        return mView.table();
+    }
+
+    /** Publishes what is known of the table in force after a reply was handled. */
+    private void updateStanding(long nowNanos, String address, int gateways) {
+        RouteTable table = mView.table();
+        if (table != null) {
+            Long confirmedNanos = mNewerTables.confirmedNanos(table.version());
+            if (confirmedNanos != null) {
+                mFreshness.recordTableConfirmation(confirmedNanos);
+            }
+        }
+        Long confirmedNanos = mFreshness.tableConfirmedNanos();
+        mNewerTables.fetchMissing(nowNanos, address, mView.tableVersion(), confirmedNanos);
+        TableStanding before = mStanding;
+        TableStanding next =
+                mNewerTables.standing(table, confirmedNanos, mFreshness.newestVersion(), gateways);
+        mStanding = next;
+        logDoubt(nowNanos, before, next);
+    }
+
+    /** Writes a line when the table in force is doubted, and when it no longer is. */
+    private void logDoubt(long nowNanos, TableStanding before, TableStanding next) {
+        boolean wasDoubted = before.trust(nowNanos) == TableTrust.DOUBTED;
+        boolean isDoubted = next.trust(nowNanos) == TableTrust.DOUBTED;
+        if (wasDoubted == isDoubted) {
+            return;
+        }
+        mLog.instanceEvent(isDoubted ? "table_doubted" : "table_trusted")
+                .put("table", mView.tableVersion())
+                .put("newer", next.newer().size())
+                .put("complete", next.hasAllNewer() ? "yes" : "no")
+                .put("newest_table", mFreshness.newestVersion())
+                .put("confirmed_ms", mFreshness.ageNanos(nowNanos) / NANOS_PER_MILLI)
+                .write();
+    }
+
     private void recordConfirmation(
             long nowNanos, String address, SyncReply reply, long requestNanos) {
         boolean wasConfirmed = mFreshness.isConfirmed(nowNanos);
         long ageNanos = mFreshness.ageNanos(nowNanos);
-        mFreshness.recordConfirmation(reply, requestNanos);
+        mFreshness.recordConfirmation(reply, requestNanos, mView.tableVersion());
         if (!wasConfirmed && mFreshness.isConfirmed(nowNanos)) {
             mLog.instanceEvent("view_confirmed")
                     .put("controller", address)
@@ -252,43 +326,52 @@
 
     /**
      * Adopts state that a controller has only read from its disk. This is done only while no
-     * controller has confirmed any state, and only if a majority of the voters has reported its
-     * route table and none is newer. After a restart of all processes, this lets the gateway serve
-     * before the controllers have elected a leader.
+     * controller has confirmed any state, and only once a majority of the voters has reported. The
+     * newest table that a majority has on its disks is used; newer ones may be in force as well, or
+     * lost. After a restart of all processes, this lets the gateway serve before the controllers
+     * have elected a leader.
      */
     private void adoptUnconfirmed(long nowNanos, String address, SyncReply reply) {
-        boolean isVoter = reply.getVoters() > 0;
-        if (mHasCommittedView || reply.getTableVersion() == 0 || !isVoter) {
+        if (mHasCommittedView || !reply.isSetLoggedTableVersion()) {
             return;
         }
-        mDurableVersions.recordReport(address, reply.getTableVersion());
-        if (mDurableVersions.isNewestOfMajority(reply.getTableVersion(), reply.getVoters())) {
-            adopt(nowNanos, address, reply);
+        SyncReply newest = mUnconfirmedState;
+        if (reply.isSetFacts() && (newest == null || reply.getRevision() > newest.getRevision())) {
+            newest = reply;
+            mUnconfirmedState = reply;
+        }
+        RouteTable table = mView.table();
+        RouteTable onMajority = mNewerTables.newestOnMajority();
+        if (onMajority != null && onMajority.version() > mView.tableVersion()) {
+            table = onMajority;
         }
+        if (table == null) {
+            return;
+        }
+        boolean adoptOverrides = newest != null && newest.getRevision() > mView.revision();
+        adopt(nowNanos, address, table, adoptOverrides ? newest : null);
     }
 
-    private void adopt(long nowNanos, String address, SyncReply reply) {
+    /**
+     * Adopts a table and overrides.
+     *
+     * @param state the state that holds the overrides, or null to keep those in force
+     */
+    private void adopt(
+            long nowNanos, String address, @Nullable RouteTable table, @Nullable SyncReply state) {
         GatewayView view = mView;
-        RouteTable table = view.table();
-        if (reply.getTableVersion() > view.tableVersion() && reply.isSetTableDocument()) {
-            table = parseTable(reply);
-        }
-        // Unconfirmed overrides may never have been committed, so the first confirmed ones replace
-        // them regardless of their revision.
-        boolean firstConfirmed = reply.isCaughtUp() && !mHasCommittedView;
-        boolean adoptOverrides =
-                reply.isSetFacts() && (firstConfirmed || reply.getRevision() > view.revision());
-        if (table == view.table() && !adoptOverrides) {
+        if (table == view.table() && state == null) {
             return;
         }
         RoutingOverrides overrides =
-                adoptOverrides ? RoutingOverrides.of(reply.getFacts()) : view.overrides();
-        long revision = adoptOverrides ? reply.getRevision() : view.revision();
+                state == null ? view.overrides() : RoutingOverrides.of(state.getFacts());
+        long revision = state == null ? view.revision() : state.getRevision();
         GatewayView next = new GatewayView(table, overrides, revision);
         mView = next;
         if (next.tableVersion() >= mTableFetch.expectedVersion()) {
             mTableFetch.clear();
         }
+        mNewerTables.dropUpTo(next.tableVersion());
         mState.adoptView(nowNanos, next);
         mLog.instanceEvent("view")
                 .put("table", next.tableVersion())
@@ -296,21 +379,25 @@
                 .put("evacuated", overrides.evacuatedZones().size())
                 .put("moves", overrides.moves().size())
                 .put("controller", address)
-                .put("confirmed", String.valueOf(reply.isCaughtUp()))
+                .put("confirmed", String.valueOf(mHasCommittedView))
                 .put("newest_table", mFreshness.newestVersion())
                 .put("newest_age_ms", mFreshness.newestAgeNanos(nowNanos) / NANOS_PER_MILLI)
                 .write();
     }
 
-    private @Nullable RouteTable parseTable(SyncReply reply) {
+    private @Nullable RouteTable parseTable(LoggedTableData data) {
+        return parseTable(data.getVersion(), data.getDocument());
+    }
+
+    private @Nullable RouteTable parseTable(long version, byte[] document) {
         try {
-            return mProtocol.parseRouteTable(Deflate.inflate(reply.getTableDocument()));
+            return mProtocol.parseRouteTable(Deflate.inflate(document));
         } catch (HemlockrackException e) {
             mLog.instanceEvent("table_refused")
-                    .put("table", reply.getTableVersion())
+                    .put("table", version)
                     .put("cause", String.valueOf(e.getMessage()))
                     .write();
-            return mView.table();
+            return null;
         }
     }
 
@@ -324,6 +411,7 @@
         }
         mReachableControllers = List.copyOf(controllers);
         if (!reachable) {
+            mNewerTables.forget(address);
             mQuarantine.forget(mLoop.nowNanos(), address);
         }
         if (!reachable && mPrefixUseSource.equals(address)) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ViewFreshness.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ViewFreshness.java
@@ -1,8 +1,8 @@
 package org.hemlockrack.daemon.gateway;
 
-import java.util.concurrent.TimeUnit;
 import org.hemlockrack.daemon.sync.ConfirmedTime;
 import org.hemlockrack.wire.SyncReply;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Tells whether the view of a gateway may rest on the newest table. Written on the loop, read from
@@ -10,9 +10,13 @@
  */
 final class ViewFreshness {
     /** A view that no majority has confirmed for this long may be outdated. */
-    private static final long STALE_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final long STALE_NANOS = TableStanding.MAX_AGE_NANOS;
 
     private final ConfirmedTime mConfirmed = ConfirmedTime.unknown();
+
+    /** The newest time by which the table in force is known to have been the newest one. */
+    private final ConfirmedTime mTableConfirmed = ConfirmedTime.unknown();
+
     private final long mStartNanos;
     private volatile long mNewestVersion;
     private volatile long mNewestSinceNanos;
@@ -45,9 +49,27 @@
      *
      * @param reply the report
      * @param requestNanos monotonic time of the request for it
+     * @param tableVersion version of the table in force
      */
-    void recordConfirmation(SyncReply reply, long requestNanos) {
+    void recordConfirmation(SyncReply reply, long requestNanos, long tableVersion) {
         mConfirmed.record(reply, requestNanos);
+        if (reply.getTableVersion() <= tableVersion) {
+            mTableConfirmed.record(reply, requestNanos);
+        }
+    }
+
+    /**
+     * Records that no table newer than the one in force had been acknowledged.
+     *
+     * @param atNanos monotonic time
+     */
+    void recordTableConfirmation(long atNanos) {
+        mTableConfirmed.record(atNanos);
+    }
+
+    /** Returns the newest time by which the table in force was the newest, null if never. */
+    @Nullable Long tableConfirmedNanos() {
+        return mTableConfirmed.nanos();
     }
 
     /** Returns whether a majority has confirmed the view recently. */
@@ -63,7 +85,7 @@
      * @param tableVersion version of the table
      */
     boolean isNewest(long nowNanos, long tableVersion) {
-        return isConfirmed(nowNanos) && tableVersion >= mNewestVersion;
+        return mTableConfirmed.isWithin(nowNanos, STALE_NANOS) && tableVersion >= mNewestVersion;
     }
 
     /** Returns the time since a majority confirmed the view, or since the creation if none has. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ConfirmedTime.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ConfirmedTime.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.wire.SyncReply;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The newest time at which the state of this instance is known to have held every change that was
@@ -67,6 +68,11 @@
         return mKnown && nowNanos - mNanos < ageNanos;
     }
 
+    /** Returns the newest confirmed time, or null if none is known. */
+    public synchronized @Nullable Long nanos() {
+        return mKnown ? mNanos : null;
+    }
+
     /**
      * Returns the newest confirmed time.
      *
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
@@ -30,6 +30,7 @@
 import org.hemlockrack.consensus.internal.WireCodec;
 import org.hemlockrack.control.ControlCommand;
 import org.hemlockrack.control.ControlState;
+import org.hemlockrack.control.TableHistory;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.gateway.VersionProtocol;
 import org.hemlockrack.daemon.http.HeaderField;
@@ -67,6 +68,7 @@
     private final DecisionLog mLog = DecisionLog.open("a", new ByteArrayOutputStream());
     private final PeerNetwork mNetwork =
             PeerNetwork.create(SELF, Map.of(), null, (address, cause) -> {});
+    private final TableHistory mTables = TableHistory.create();
     private ReplicaService mReplica;
     private ControllerService mService;
 
@@ -94,7 +96,8 @@
         store.sync();
         store.close();
 
-        LogStore reopened = LogStore.open(mFolder, new SecureRandom());
+        LogStore reopened =
+                TableTrackingStore.of(LogStore.open(mFolder, new SecureRandom()), mTables);
         ControlState durable = ControlState.create();
         durable.apply(2, 0, table);
         durable.apply(3, 0, departure);
@@ -120,6 +123,7 @@
                         1,
                         false,
                         instance -> UNREACHABLE,
+                        mTables,
                         mLog,
                         1);
         mService.publishDurable(durable);
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
@@ -16,7 +16,9 @@
 import org.hemlockrack.dispatch.ServerPool;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.model.ZoneId;
+import org.hemlockrack.wire.LoggedTableData;
 import org.hemlockrack.wire.SyncReply;
+import org.hemlockrack.wire.SyncRequest;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -122,26 +124,48 @@
         assertTrue(mUpdater.isNewestTable(7));
     }
 
-    /** Creates the reply of a controller that has only read its disk. */
-    private static SyncReply unconfirmedReply(long tableVersion, int voters) {
-        SyncReply reply = replyWithTable(tableVersion);
+    /** Receives the reply of a controller that has only read its disk. */
+    private void receiveFromDisk(String controller, long tableVersion, int voters) {
+        SyncRequest request = mUpdater.createRequest(controller, Map.of());
+        SyncReply reply = replyWithoutTable(tableVersion);
         reply.setCaughtUp(false);
         reply.unsetConfirmedAgeMillis();
         reply.setVoters(voters);
-        return reply;
+        if (voters > 0) {
+            LoggedTableData data = new LoggedTableData(tableVersion);
+            if (request.isWantsTableDocuments()) {
+                data.setDocument(Deflate.deflate(VersionProtocol.document(tableVersion)));
+            }
+            boolean isListed = tableVersion > request.getListTablesAbove();
+            reply.setLoggedTableVersion(tableVersion);
+            reply.setLoggedTables(isListed ? List.of(data) : List.of());
+        }
+        receive(controller, reply);
     }
 
     /**
      * Guards against an old table in force after a restart of all processes: a controller without a
-     * vote, which may lag, counted towards the majority that holds every acknowledged table.
+     * vote, which may lag, counted towards the majority that holds every acknowledged table. Also
+     * guards against a table that only one of the majority has, which may be lost.
      */
     @Test
     void controllersWithoutAVoteAreNoPartOfTheMajority() {
-        receive(CONTROLLER, unconfirmedReply(7, 0));
-        receive(OTHER_CONTROLLER, unconfirmedReply(7, 3));
+        for (int i = 0; i < 2; i++) {
+            receiveFromDisk(CONTROLLER, 7, 0);
+            receiveFromDisk(OTHER_CONTROLLER, 7, 3);
+        }
         assertEquals(0, mUpdater.view().tableVersion());
-        receive(THIRD_CONTROLLER, unconfirmedReply(8, 3));
-        assertEquals(8, mUpdater.view().tableVersion());
+        for (int i = 0; i < 2; i++) {
+            receiveFromDisk(THIRD_CONTROLLER, 8, 3);
+            receiveFromDisk(OTHER_CONTROLLER, 7, 3);
+        }
+        receiveFromDisk(OTHER_CONTROLLER, 7, 3);
+        assertEquals(7, mUpdater.view().tableVersion());
         assertFalse(mUpdater.isNewestTable(mUpdater.view().tableVersion()));
+        receiveFromDisk(OTHER_CONTROLLER, 8, 3);
+        receiveFromDisk(THIRD_CONTROLLER, 8, 3);
+        receiveFromDisk(THIRD_CONTROLLER, 8, 3);
+        assertEquals(8, mUpdater.view().tableVersion());
+        assertTrue(mUpdater.isNewestTable(8));
     }
 }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
@@ -38,7 +38,9 @@
 import org.hemlockrack.routing.RouteTable;
 import org.hemlockrack.routing.ServiceSpec;
 import org.hemlockrack.routing.WeightedService;
+import org.hemlockrack.wire.LoggedTableData;
 import org.hemlockrack.wire.SyncReply;
+import org.hemlockrack.wire.SyncRequest;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -236,36 +238,92 @@
         mLog.close();
     }
 
-    private static SyncReply reply(long tableVersion) {
-        SyncReply reply = new SyncReply();
-        reply.setTableVersion(tableVersion);
-        reply.setVoters(VOTERS);
-        reply.setServers(List.of());
-        reply.setFleetInFlight(List.of());
-        reply.setControllers(List.of());
-        reply.setPrefixUses(List.of());
-        return reply;
-    }
+    /** A controller that restarted with some tables in its log. */
+    private final class Controller {
+        private final String mAddress;
+        private final List<Long> mLogged;
+        private int mVoters = VOTERS;
 
-    private static void addTable(SyncReply reply) {
-        reply.setTableDocument(Deflate.deflate(RouteProtocol.document(reply.getTableVersion())));
-    }
+        /** Whether it lists its tables without their documents, as if they were too long. */
+        private boolean mOmitsDocuments;
 
-    /** Receives the reply of a controller whose state a majority confirmed some time ago. */
-    private void receiveConfirmed(String controller, long tableVersion, long ageNanos) {
-        SyncReply reply = reply(tableVersion);
-        reply.setCaughtUp(true);
-        reply.setConfirmedAgeMillis(0);
-        addTable(reply);
-        mUpdater.onReply(controller, reply, Map.of(), mLoop.nowNanos() - ageNanos);
-    }
+        Controller(String address, Long... logged) {
+            mAddress = address;
+            mLogged = List.of(logged);
+        }
+
+        private SyncReply reply(SyncRequest request) {
+            SyncReply reply = new SyncReply();
+            long newest = mLogged.get(mLogged.size() - 1);
+            reply.setTableVersion(newest);
+            reply.setVoters(mVoters);
+            reply.setServers(List.of());
+            reply.setFleetInFlight(List.of());
+            reply.setControllers(List.of());
+            reply.setPrefixUses(List.of());
+            if (mVoters > 0) {
+                reply.setLoggedTableVersion(newest);
+                reply.setLoggedTables(listTables(request));
+            }
+            return reply;
+        }
+
+        private List<LoggedTableData> listTables(SyncRequest request) {
+            List<LoggedTableData> listed = new ArrayList<>();
+            for (long version : mLogged) {
+                if (version <= request.getListTablesAbove()) {
+                    continue;
+                }
+                LoggedTableData data = new LoggedTableData(version);
+                if (request.isWantsTableDocuments() && !mOmitsDocuments) {
+                    data.setDocument(Deflate.deflate(RouteProtocol.document(version)));
+                }
+                listed.add(data);
+            }
+            return listed;
+        }
+
+        private SyncRequest request() {
+            SyncRequest request = mUpdater.createRequest(mAddress, Map.of());
+            request.setPrefixUses(List.of());
+            return request;
+        }
+
+        /** Answers without a leader, at once. */
+        void answer() {
+            answer(0);
+        }
+
+        /** Answers without a leader, some time after it was asked. */
+        void answer(long delayNanos) {
+            SyncReply reply = reply(request());
+            reply.setCaughtUp(false);
+            mUpdater.onReply(mAddress, reply, Map.of(), mLoop.nowNanos() - delayNanos);
+        }
+
+        /** Answers twice: the second answer holds the tables that the gateway asked for. */
+        void answerTwice() {
+            answer();
+            answer();
+        }
 
-    /** Receives the reply of a controller that has restarted and knows of no leader. */
-    private void receiveFromDisk(String controller, long tableVersion) {
-        SyncReply reply = reply(tableVersion);
-        reply.setCaughtUp(false);
-        addTable(reply);
-        mUpdater.onReply(controller, reply, Map.of(), mLoop.nowNanos());
+        /** Reports the newest table as committed, without the table itself. */
+        void confirmWithoutTable(long ageNanos) {
+            SyncReply reply = reply(request());
+            reply.setCaughtUp(true);
+            reply.setConfirmedAgeMillis(0);
+            mUpdater.onReply(mAddress, reply, Map.of(), mLoop.nowNanos() - ageNanos);
+        }
+
+        /** Reports the newest table as committed. */
+        void confirm(long ageNanos) {
+            SyncReply reply = reply(request());
+            reply.setCaughtUp(true);
+            reply.setConfirmedAgeMillis(0);
+            reply.setTableDocument(
+                    Deflate.deflate(RouteProtocol.document(reply.getTableVersion())));
+            mUpdater.onReply(mAddress, reply, Map.of(), mLoop.nowNanos() - ageNanos);
+        }
     }
 
     /** Sends a request and returns the service that answered, or the status of a failure. */
@@ -275,17 +333,138 @@
         return caller.mAnswer.get(10, TimeUnit.SECONDS);
     }
 
+    /** Gives the gateway table 7, which nobody has confirmed since. */
+    private void startWithStaleTable() throws Exception {
+        new Controller("a", 7L).confirm(STALE_NANOS);
+        assertEquals("old", send(MOVED));
+    }
+
     /**
      * Guards against a request that is handled by a replaced table after all controllers restarted:
      * the gateway ignored the newer table that a majority of them reported from their disks.
      */
     @Test
     void replacedTableIsNotUsedOnceAMajorityReportsANewerOne() throws Exception {
-        receiveConfirmed("a", 7, STALE_NANOS);
+        startWithStaleTable();
+        new Controller("a", 7L, 8L).answerTwice();
+        new Controller("b", 7L, 8L).answer();
+        assertEquals("503", send(MOVED));
+        assertEquals("old", send(SAME));
+    }
+
+    /**
+     * Guards against a table in force that was never acknowledged and is lost later: one disk of a
+     * majority has it. It may also be acknowledged, so the older one is not used either.
+     */
+    @Test
+    void tableOnOneDiskOfAMajorityIsNotUsed() throws Exception {
+        startWithStaleTable();
+        new Controller("a", 7L, 8L).answerTwice();
+        new Controller("b", 7L).answer();
+        assertEquals("503", send(MOVED));
+        assertEquals("old", send(SAME));
+        assertEquals(7, mUpdater.view().tableVersion());
+    }
+
+    /** Guards against a gateway that stops serving because it reaches no majority. */
+    @Test
+    void gatewayWithoutAMajorityGoesOnServing() throws Exception {
+        startWithStaleTable();
+        new Controller("a", 7L, 8L).answerTwice();
+        assertEquals("old", send(MOVED));
+        Controller withEmptyDisk = new Controller("b", 0L);
+        withEmptyDisk.mVoters = 0;
+        withEmptyDisk.answer();
+        assertEquals("old", send(MOVED));
+        new Controller("c", 7L, 8L).answer(STALE_NANOS);
+        assertEquals("old", send(MOVED), "an answer that took so long proves nothing");
+        mUpdater.onReachabilityChanged("a", false);
+        assertEquals("old", send(MOVED));
+    }
+
+    /** Guards against a controller that was replaced and still counts with its old report. */
+    @Test
+    void reportOfAReplacedControllerDoesNotCount() throws Exception {
+        startWithStaleTable();
+        new Controller("a", 7L, 8L).answerTwice();
+        new Controller("b", 7L, 8L).answer();
+        assertEquals("503", send(MOVED));
+        Controller replaced = new Controller("b", 0L);
+        replaced.mVoters = 0;
+        replaced.answer();
+        assertEquals("old", send(MOVED));
+    }
+
+    /** Guards against refusals while no leader is known, although no newer table can exist. */
+    @Test
+    void majorityOfDisksConfirmsTheNewestTable() throws Exception {
+        startWithStaleTable();
+        assertEquals("503", send("/unknown/"));
+        new Controller("a", 6L).answer();
+        assertEquals("503", send("/unknown/"));
+        new Controller("b", 6L, 7L).answer();
         assertEquals("old", send(MOVED));
-        receiveFromDisk("a", 8);
-        receiveFromDisk("b", 8);
+        assertEquals("404", send("/unknown/"));
+    }
+
+    /** Guards against a table between two others that is left out of the comparison. */
+    @Test
+    void everyNewerTableCounts() throws Exception {
+        startWithStaleTable();
+        Controller controller = new Controller("a", 8L, 9L);
+        controller.mOmitsDocuments = true;
+        controller.answerTwice();
+        new Controller("b", 7L).answer();
+        assertEquals("503", send(SAME), "the newer tables are not known");
+        new Controller("c", 8L, 9L).answerTwice();
         assertEquals("503", send(MOVED));
+    }
+
+    /**
+     * Guards against a table that is used without end while a newer committed one is fetched, since
+     * it is long or the fetch breaks off.
+     */
+    @Test
+    void replacedTableIsNotUsedWhileTheNewerOneIsFetched() throws Exception {
+        new Controller("a", 7L).confirm(0);
+        Controller newer = new Controller("a", 8L);
+        newer.mOmitsDocuments = true;
+        newer.confirmWithoutTable(0);
+        assertEquals("old", send(MOVED), "the newer table may have been acknowledged just now");
+        TimeUnit.NANOSECONDS.sleep(STALE_NANOS);
+        newer.confirmWithoutTable(0);
+        new Controller("b", 8L).confirmWithoutTable(0);
+        assertEquals("503", send(MOVED));
+        newer.confirm(0);
+        assertEquals("new", send(MOVED));
+    }
+
+    /** Guards against a committed table that is fetched again although it was fetched before. */
+    @Test
+    void fetchedTableIsUsedOnceItIsCommitted() throws Exception {
+        startWithStaleTable();
+        Controller controller = new Controller("a", 7L, 8L);
+        controller.answerTwice();
+        new Controller("b", 7L, 8L).answer();
+        controller.confirmWithoutTable(0);
+        assertEquals("new", send(MOVED));
+    }
+
+    /**
+     * Guards against a gateway that starts while the controllers have no leader and uses a table
+     * that only one disk has, or none at all.
+     */
+    @Test
+    void startedGatewayUsesTheNewestTableOfAMajority() throws Exception {
+        Controller ahead = new Controller("a", 7L, 8L);
+        Controller behind = new Controller("b", 6L, 7L);
+        ahead.answer();
+        assertEquals("503", send(SAME));
+        behind.answer();
+        behind.answer();
+        ahead.answerTwice();
+        assertEquals(7, mUpdater.view().tableVersion());
         assertEquals("old", send(SAME));
+        assertEquals("503", send(MOVED));
     }
 }
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -196,7 +196,18 @@
   /** Revision of the receiver's quarantine that the caller has, in the same epoch. */
   13: i64 quarantineRevision,
   /** The caller's decisions, if the receiver may have lost its own. */
-  14: list<VerdictData> verdicts
+  14: list<VerdictData> verdicts,
+  /** The reply lists the tables of the receiver's log that are newer than this one. */
+  15: optional i64 listTablesAbove,
+  /** Whether the reply is to hold the documents of those tables. */
+  16: optional bool wantsTableDocuments
+}
+
+/** A table in the durable log of a controller. */
+struct LoggedTableData {
+  1: i64 version,
+  /** The deflated route table, absent if it was not asked for or the reply would be too long. */
+  2: optional binary document
 }
 
 struct SyncReply {
@@ -230,5 +241,15 @@
    */
   15: optional i64 confirmedAgeMillis,
   /** Absent if the caller has this revision. */
-  16: optional QuarantineData quarantine
+  16: optional QuarantineData quarantine,
+  /**
+   * Version of the newest table in the durable log of the receiver, committed or not; absent if the
+   * receiver is no voter.
+   */
+  17: optional i64 loggedTableVersion,
+  /**
+   * Tables that may be in force as far as the receiver knows: the committed one and all later ones
+   * in its log, those only that are newer than the caller asks for.
+   */
+  18: optional list<LoggedTableData> loggedTables
 }
