Adopt a table that cannot be lost any more before a leader confirms it

What callers saw: with the table in force doubted after a restart of all controllers, requests whose route had changed were refused until a leader was elected and had committed an entry, 1.5 to 3 s.

Change: a controller reports its term if its log is durable and ends with an entry of that term, so that it has not voted for a leader whose log it does not hold. What a majority reports for the same term is in the log of every later leader, so the gateway puts it in force at once. To make sure that the log is durable, a replica syncs what it reads at its start: entries that a killed process wrote and did not sync can be read and could still be lost.

TableTrustTest.tableThatCannotBeLostIsUsedWithoutALeader and TableReportsTest.onlyTablesOfOneTermAreSettled fail without it.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ReplicaNode.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ReplicaNode.java
@@ -62,6 +62,8 @@
             state.restore(store.loadSnapshot());
             node.mSnapshotIndex = snapshot.index();
         }
+        // Entries that a killed process wrote and did not sync can be read, but are not durable.
+        store.sync();
         return node;
     }
 
--- a/hemlockrack-core/src/main/java/org/hemlockrack/control/TableReports.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/TableReports.java
@@ -24,6 +24,7 @@
      * @param listedAbove version above which the report lists tables
      * @param newerVersions versions of the tables in its log that may be in force and are newer
      *     than that
+     * @param settledTerm the term in which the voter has not voted beyond its durable log, or 0
      * @param voters number of voters
      * @param requestedNanos monotonic time at which the report was requested
      * @param receivedNanos monotonic time at which it arrived
@@ -32,6 +33,7 @@
             long newestVersion,
             long listedAbove,
             List<Long> newerVersions,
+            long settledTerm,
             int voters,
             long requestedNanos,
             long receivedNanos) {
@@ -122,6 +124,28 @@
         return version == null ? 0 : version;
     }
 
+    /**
+     * Returns the newest version that cannot be lost any more: a majority has it in a durable log
+     * that ends with an entry of their current term. All these logs are copies of the log of that
+     * term's leader. A later leader needs the vote of one of them, so it has the table too.
+     *
+     * @return the version, 0 if the reports show none
+     */
+    public long newestSettled() {
+        long newest = 0;
+        for (Report candidate : mReports.values()) {
+            List<Report> sameTerm = new ArrayList<>();
+            for (Report report : mReports.values()) {
+                if (report.settledTerm() > 0 && report.settledTerm() == candidate.settledTerm()) {
+                    sameTerm.add(report);
+                }
+            }
+            Long version = newestOfMajority(sameTerm, Report::newestVersion);
+            newest = version == null ? newest : Math.max(newest, version);
+        }
+        return newest;
+    }
+
     /**
      * Returns whether a voter has a table in its log.
      *
--- a/hemlockrack-core/src/test/java/org/hemlockrack/control/TableReportsTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/control/TableReportsTest.java
@@ -16,11 +16,17 @@
     private final TableReports mReports = TableReports.create();
 
     private void report(String voter, long requestedNanos, long... versions) {
+        reportSettled(voter, 0, requestedNanos, versions);
+    }
+
+    private void reportSettled(
+            String voter, long settledTerm, long requestedNanos, long... versions) {
         List<Long> listed = Arrays.stream(versions).boxed().toList();
         long newest = listed.get(listed.size() - 1);
         mReports.record(
                 voter,
-                new TableReports.Report(newest, 0, listed, VOTERS, requestedNanos, requestedNanos));
+                new TableReports.Report(
+                        newest, 0, listed, settledTerm, VOTERS, requestedNanos, requestedNanos));
     }
 
     /** Guards against an older table that comes into force after all controllers were killed. */
@@ -72,7 +78,7 @@
     @Test
     void listMustReachDownToTheTableInForce() {
         report("a", 10, 7, 8);
-        mReports.record("b", new TableReports.Report(8, 7, List.of(8L), VOTERS, 20, 20));
+        mReports.record("b", new TableReports.Report(8, 7, List.of(8L), 0, VOTERS, 20, 20));
         assertTrue(mReports.isListedAbove(7));
         assertFalse(mReports.isListedAbove(6));
     }
@@ -84,4 +90,19 @@
         report("b", Long.MIN_VALUE + 10, 7);
         assertEquals(Long.MAX_VALUE, mReports.confirmedNanos(7));
     }
+
+    /** Guards against a table in force that a later leader may lack. */
+    @Test
+    void onlyTablesOfOneTermAreSettled() {
+        reportSettled("a", 3, 10, 7, 8);
+        assertEquals(0, mReports.newestSettled());
+        reportSettled("b", 4, 20, 7, 8);
+        assertEquals(0, mReports.newestSettled(), "the voter of term 4 may follow another leader");
+        reportSettled("b", 0, 20, 7, 8);
+        assertEquals(0, mReports.newestSettled(), "the voter may have voted for another leader");
+        reportSettled("b", 3, 20, 7);
+        assertEquals(7, mReports.newestSettled());
+        reportSettled("c", 3, 20, 7, 8, 9);
+        assertEquals(8, mReports.newestSettled());
+    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -519,6 +519,11 @@
             listed.add(data);
         }
         reply.setLoggedTables(listed);
+        // Read after the tables: those that were listed are durable if the term is settled now.
+        long settledTerm = mReplica.settledTerm();
+        if (settledTerm > 0) {
+            reply.setSettledTerm(settledTerm);
+        }
     }
 
     private void recordRequests(long nowNanos, SyncRequest request) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -332,7 +332,11 @@
      * have elected a leader.
      */
     private void adoptUnconfirmed(long nowNanos, String address, SyncReply reply) {
-        if (mHasCommittedView || !reply.isSetLoggedTableVersion()) {
+        if (mHasCommittedView) {
+            adoptSettled(nowNanos, address);
+            return;
+        }
+        if (!reply.isSetLoggedTableVersion()) {
             return;
         }
         SyncReply newest = mUnconfirmedState;
@@ -352,6 +356,14 @@
         adopt(nowNanos, address, table, adoptOverrides ? newest : null);
     }
 
+    /** Adopts a newer table that no leader has confirmed yet, but that cannot be lost any more. */
+    private void adoptSettled(long nowNanos, String address) {
+        RouteTable settled = mNewerTables.newestSettled();
+        if (settled != null && settled.version() > mView.tableVersion()) {
+            adopt(nowNanos, address, settled, null);
+        }
+    }
+
     /**
      * Adopts a table and overrides.
      *
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/NewerTables.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/NewerTables.java
@@ -125,6 +125,7 @@
                         reply.getLoggedTableVersion(),
                         mListedAbove.getOrDefault(address, Long.MAX_VALUE),
                         versions,
+                        reply.getSettledTerm(),
                         reply.getVoters(),
                         requestedNanos,
                         nowNanos));
@@ -207,6 +208,14 @@
         return mTables.get(version);
     }
 
+    /**
+     * Returns the newest table that cannot be lost any more, or null if none is known or it was not
+     * fetched.
+     */
+    @Nullable RouteTable newestSettled() {
+        return mTables.get(mReports.newestSettled());
+    }
+
     /**
      * Returns the newest table that a majority has on its disks, or null if none is known or it was
      * not fetched.
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -55,6 +55,7 @@
     private volatile @Nullable InstanceId mLeader;
     private volatile Role mRole = Role.FOLLOWER;
     private volatile long mTerm;
+    private volatile long mSettledTerm;
     private volatile Membership mMembership = Membership.NONE;
     private volatile boolean mVoter;
     private boolean mCaughtUp;
@@ -123,6 +124,14 @@
         return mTerm;
     }
 
+    /**
+     * Returns the current term, if the whole log is durable and ends with an entry of that term; 0
+     * otherwise. Then this replica has not voted for a leader that its log does not come from.
+     */
+    public long settledTerm() {
+        return mSettledTerm;
+    }
+
     /** Returns the membership in the log of this replica; only the leader's is up to date. */
     public Membership membership() {
         return mMembership;
@@ -199,6 +208,7 @@
         if (mStopped) {
             return;
         }
+        mSettledTerm = 0;
         List<ConsensusEvent> batch = new ArrayList<>();
         ConsensusEvent event = mEvents.poll();
         while (event != null) {
@@ -213,6 +223,8 @@
             stopAfterFailure(e);
             return;
         }
+        Consensus consensus = mNode.consensus();
+        mSettledTerm = consensus.lastTerm() == consensus.term() ? consensus.term() : 0;
         mCaughtUp |= mVoter && hasAppliedCurrentTerm();
         if (mCaughtUp) {
             mAfterStep.run();
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
@@ -243,6 +243,7 @@
         private final String mAddress;
         private final List<Long> mLogged;
         private int mVoters = VOTERS;
+        private long mSettledTerm;
 
         /** Whether it lists its tables without their documents, as if they were too long. */
         private boolean mOmitsDocuments;
@@ -264,6 +265,7 @@
             if (mVoters > 0) {
                 reply.setLoggedTableVersion(newest);
                 reply.setLoggedTables(listTables(request));
+                reply.setSettledTerm(mSettledTerm);
             }
             return reply;
         }
@@ -407,6 +409,22 @@
         assertEquals("404", send("/unknown/"));
     }
 
+    /** Guards against refusals until there is a leader, although the newest table is certain. */
+    @Test
+    void tableThatCannotBeLostIsUsedWithoutALeader() throws Exception {
+        startWithStaleTable();
+        Controller first = new Controller("a", 7L, 8L);
+        Controller second = new Controller("b", 7L, 8L);
+        first.mSettledTerm = 3;
+        first.answerTwice();
+        second.answer();
+        assertEquals("503", send(MOVED));
+        second.mSettledTerm = 3;
+        second.answer();
+        assertEquals("new", send(MOVED));
+        assertEquals("404", send("/unknown/"));
+    }
+
     /** Guards against a table between two others that is left out of the comparison. */
     @Test
     void everyNewerTableCounts() throws Exception {
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -251,5 +251,10 @@
    * Tables that may be in force as far as the receiver knows: the committed one and all later ones
    * in its log, those only that are newer than the caller asks for.
    */
-  18: optional list<LoggedTableData> loggedTables
+  18: optional list<LoggedTableData> loggedTables,
+  /**
+   * The current term of the receiver, if the whole log is durable and ends with an entry of that
+   * term. What a majority holds in the same such term cannot be lost any more.
+   */
+  19: optional i64 settledTerm
 }
