Let a replica return after its disk was full

What operators saw: the disks of the controllers were full for some seconds, one after the other.

Cause: the first failed write stopped a replica for good; the process went on without it. After two of three there was no majority.

Change: after a failed write a replica leaves votes and leadership, closes its files, and opens them again with a growing pause of 0.1 to 1 s until they can be written. Entries that were not synced are written once more, since after a failed sync the files may show what the disk does not hold. The replicated state is kept; entries that it includes are not applied again. Closing a store goes on after an error, so that its lock is always released.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ReplicaNode.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ReplicaNode.java
@@ -24,6 +24,13 @@
     private final ArrayDeque<ConsensusEvent> mFollowUpEvents = new ArrayDeque<>();
     private long mSnapshotIndex;
     private long mReplayCost;
+
+    /** The last entry that the state includes. */
+    private long mAppliedIndex;
+
+    /** The last entry of the log that a sync has made durable. */
+    private long mDurableIndex;
+
     private boolean mSyncNeeded;
 
     private ReplicaNode(
@@ -61,12 +68,64 @@
         if (snapshot != null) {
             state.restore(store.loadSnapshot());
             node.mSnapshotIndex = snapshot.index();
+            node.mAppliedIndex = snapshot.index();
         }
         // Entries that a killed process wrote and did not sync can be read, but are not durable.
         store.sync();
+        node.mDurableIndex = consensus.lastIndex();
+        return node;
+    }
+
+    /**
+     * Starts a replica anew after its store has failed, with the state that it had. The entries
+     * that were not synced are written once more, because after a failed sync it is unknown which
+     * of them are durable, although they can be read.
+     *
+     * @param settings the settings
+     * @param store the store, opened anew; the new node closes it
+     * @param failed the node whose store has failed; closed
+     * @param random source for election timeouts
+     * @param nowNanos monotonic time
+     * @return the node
+     * @throws org.hemlockrack.errors.HemlockrackException if the store still fails; the caller then
+     *     closes it
+     */
+    public static ReplicaNode resume(
+            ConsensusSettings settings,
+            LogStore store,
+            ReplicaNode failed,
+            RandomGenerator random,
+            long nowNanos) {
+        RecoveredState recovered = store.recovered();
+        List<Entry> uncertain = new ArrayList<>();
+        for (Entry entry : recovered.entries()) {
+            if (entry.index() > failed.mDurableIndex) {
+                uncertain.add(entry);
+            }
+        }
+        if (!uncertain.isEmpty()) {
+            store.append(uncertain);
+        }
+        store.saveHardState(recovered.hardState());
+        store.sync();
+        Consensus consensus = Consensus.create(settings, recovered, random, nowNanos);
+        ReplicaNode node =
+                new ReplicaNode(consensus, store, failed.mState, failed.mSnapshotEntries);
+        SnapshotMeta snapshot = recovered.snapshot();
+        node.mSnapshotIndex = snapshot == null ? 0 : snapshot.index();
+        node.mAppliedIndex = failed.mAppliedIndex;
+        node.mDurableIndex = consensus.lastIndex();
+        if (node.mAppliedIndex < node.mSnapshotIndex) {
+            node.restoreState(snapshot);
+        }
         return node;
     }
 
+    /** Returns the id of the replica. */
+    public long replicaId() {
+        return mStore.recovered().hardState().replicaId();
+    }
+
     /** Returns the Raft state machine for queries; only this node may pass events to it. */
     public Consensus consensus() {
         return mConsensus;
@@ -95,6 +154,7 @@
         while (mSyncNeeded) {
             mStore.sync();
             mSyncNeeded = false;
+            mDurableIndex = mConsensus.lastIndex();
             sendHeldPackets(outputs);
             handle(nowNanos, persistedEvent(), outputs);
             handle(nowNanos, new ConsensusEvent.Flush(), outputs);
@@ -123,6 +183,7 @@
         if (output instanceof ConsensusOutput.Send send) {
             send(send.packet(), outputs);
         } else if (output instanceof ConsensusOutput.PersistEntries persist) {
+            mDurableIndex = Math.min(mDurableIndex, persist.entries().get(0).index() - 1);
             mStore.append(persist.entries());
             mSyncNeeded = true;
         } else if (output instanceof ConsensusOutput.PersistHardState persist) {
@@ -171,6 +232,11 @@
     }
 
     private void apply(ConsensusOutput.Apply apply, NodeOutputs outputs) {
+        if (apply.index() <= mAppliedIndex) {
+            // Applied before the store failed.
+            return;
+        }
+        mAppliedIndex = apply.index();
         byte[] result = mState.apply(apply.index(), apply.leaderTimeMillis(), apply.command());
         mReplayCost += mState.replayCost(apply.command());
         if (apply.ticket().isPresent()) {
@@ -181,12 +247,20 @@
     private void installSnapshot(SnapshotMeta meta) {
         boolean valid = mStore.installSnapshot(meta);
         if (valid) {
-            mState.restore(mStore.loadSnapshot());
+            mDurableIndex = meta.index();
+            if (meta.index() > mAppliedIndex) {
+                restoreState(meta);
+            }
             recordSnapshot(meta);
         }
         mFollowUpEvents.add(new ConsensusEvent.SnapshotInstalled(meta, valid));
     }
 
+    private void restoreState(SnapshotMeta snapshot) {
+        mState.restore(mStore.loadSnapshot());
+        mAppliedIndex = snapshot.index();
+    }
+
     private void saveSnapshotIfDue(long nowNanos, NodeOutputs outputs) {
         long cost = Math.max(mReplayCost, mConsensus.commitIndex() - mSnapshotIndex);
         long factor = mConsensus.isSendingSnapshot() ? TRANSFER_DELAY_FACTOR : 1;
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/DataFolder.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/DataFolder.java
@@ -1,5 +1,6 @@
 package org.hemlockrack.consensus.internal.file;
 
+import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -18,7 +19,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** A locked data folder with operations that survive a crash at any point. */
-final class DataFolder implements AutoCloseable {
+final class DataFolder implements Closeable {
     private static final String LOCK = "lock";
     private static final String TEMP_SUFFIX = ".tmp";
 
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/FileLogStore.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/FileLogStore.java
@@ -1,5 +1,6 @@
 package org.hemlockrack.consensus.internal.file;
 
+import com.google.common.io.Closer;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.file.Files;
@@ -351,14 +352,12 @@
 
     @Override
     public void close() {
-        runOrFail(
-                () -> {
-                    for (LogSegment segment : mSegments) {
-                        segment.close();
-                    }
-                    mSnapshot.closePartFile();
-                    mFolder.close();
-                });
+        Closer closer = Closer.create();
+        // Registered first, so closed last: nobody else may open the files before.
+        closer.register(mFolder);
+        closer.register(mSnapshot::closePartFile);
+        mSegments.forEach(closer::register);
+        runOrFail(closer::close);
     }
 
     /** An action that may fail with an I/O error. */
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/LogSegment.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/LogSegment.java
@@ -1,5 +1,6 @@
 package org.hemlockrack.consensus.internal.file;
 
+import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -14,7 +15,7 @@
 import org.hemlockrack.errors.HemlockrackException;
 
 /** One file of the log: consecutive entries, starting at the index in the file's name. */
-final class LogSegment implements AutoCloseable {
+final class LogSegment implements Closeable {
     static final String PREFIX = "log-";
     static final String SUFFIX = ".seg";
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -248,13 +248,11 @@
         if (folder == null || !listed) {
             return;
         }
-        LogStore store = openStore(folder);
         VoterState state = VoterState.create(mLogLoop);
         ReplicaNode node =
                 ReplicaNode.start(
-                        ConsensusSettings.of(
-                                mSettings.instanceId(), List.copyOf(mSettings.voters().keySet())),
-                        store,
+                        consensusSettings(),
+                        openStore(folder),
                         state.replicatedState(),
                         SNAPSHOT_INTERVAL_ENTRIES,
                         new SplittableRandom(mRandom.nextLong()),
@@ -264,14 +262,34 @@
         mReplica =
                 ReplicaService.start(
                         mLogLoop,
-                        store.recovered().hardState().replicaId(),
                         node,
+                        failed -> reopenReplica(failed, folder),
                         this::send,
                         mLog,
                         () -> onStateChanged(state, publishedVersion));
         registerCloseable(mReplica::close);
     }
 
+    private ConsensusSettings consensusSettings() {
+        return ConsensusSettings.of(
+                mSettings.instanceId(), List.copyOf(mSettings.voters().keySet()));
+    }
+
+    private ReplicaNode reopenReplica(ReplicaNode failed, Path folder) {
+        LogStore store = openStore(folder);
+        try {
+            return ReplicaNode.resume(
+                    consensusSettings(),
+                    store,
+                    failed,
+                    new SplittableRandom(mRandom.nextLong()),
+                    mLogLoop.nowNanos());
+        } catch (HemlockrackException e) {
+            store.close();
+            throw e;
+        }
+    }
+
     /** Opens the log; a damaged one is replaced, and the instance rejoins as a new replica. */
     private LogStore openStore(Path folder) {
         try {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -166,8 +166,8 @@
             throw HemlockrackException.of(
                     ErrorKind.SETTINGS_INVALID, "a controller needs voter.data_folder");
         }
-        LogStore store =
-                TableTrackingStore.of(openStore(folder.resolve(LOG_FOLDER), random), mTables);
+        Path logFolder = folder.resolve(LOG_FOLDER);
+        LogStore store = openStore(logFolder, random);
         mDurableState = readDurableState(store);
         ReplicaNode node =
                 ReplicaNode.start(
@@ -179,13 +179,28 @@
                         mLogLoop.nowNanos());
         return ReplicaService.start(
                 mLogLoop,
-                store.recovered().hardState().replicaId(),
                 node,
+                failed -> reopen(failed, logFolder, random),
                 this::send,
                 EventLog.create(),
                 () -> onApplied(state));
     }
 
+    private ReplicaNode reopen(ReplicaNode failed, Path logFolder, SecureRandom random) {
+        LogStore store = openStore(logFolder, random);
+        try {
+            return ReplicaNode.resume(
+                    consensusSettings(),
+                    store,
+                    failed,
+                    new SplittableRandom(random.nextLong()),
+                    mLogLoop.nowNanos());
+        } catch (HemlockrackException e) {
+            store.close();
+            throw e;
+        }
+    }
+
     /** Returns the control state after all commands on the local disk, committed or not. */
     private static ControlState readDurableState(LogStore store) {
         ControlState state = ControlState.create();
@@ -219,6 +234,10 @@
     }
 
     private LogStore openStore(Path folder, SecureRandom random) {
+        return TableTrackingStore.of(openUntracked(folder, random), mTables);
+    }
+
+    private LogStore openUntracked(Path folder, SecureRandom random) {
         try {
             return LogStore.open(folder, random);
         } catch (HemlockrackException e) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -34,9 +35,28 @@
  * called from any thread.
  */
 public final class ReplicaService implements AutoCloseable {
+    /** Pause before the first try to open the storage again after a failure. */
+    private static final long FIRST_RETRY_MILLIS = 100;
+
+    /** Longest pause between two tries. */
+    private static final long MAX_RETRY_MILLIS = 1_000;
+
+    /** Opens the storage of a replica again after it has failed. */
+    @FunctionalInterface
+    public interface Reopener {
+        /**
+         * Opens the storage and starts the replica anew.
+         *
+         * @param failed the replica whose storage has failed; closed
+         * @return the replica, with the state of the failed one
+         * @throws HemlockrackException if the storage still fails; it is closed then
+         */
+        ReplicaNode reopen(ReplicaNode failed);
+    }
+
     private final EventLoop mLoop;
-    private final long mReplicaId;
-    private final ReplicaNode mNode;
+    private final Reopener mReopener;
+    private ReplicaNode mNode;
     private final Consumer<Packet> mPacketSender;
     private final EventLog mLog;
     private final Runnable mAfterStep;
@@ -59,18 +79,20 @@
     private volatile Membership mMembership = Membership.NONE;
     private volatile boolean mVoter;
     private boolean mCaughtUp;
+    private volatile boolean mSuspended;
+    private long mRetryMillis = FIRST_RETRY_MILLIS;
     private volatile boolean mStopped;
 
     private ReplicaService(
             EventLoop loop,
-            long replicaId,
             ReplicaNode node,
+            Reopener reopener,
             Consumer<Packet> transport,
             EventLog log,
             Runnable afterStep) {
         mLoop = loop;
-        mReplicaId = replicaId;
         mNode = node;
+        mReopener = reopener;
         mPacketSender = transport;
         mLog = log;
         mAfterStep = afterStep;
@@ -80,8 +102,8 @@
      * Starts running a replica.
      *
      * @param loop dedicated loop, because it blocks on the disk
-     * @param replicaId id of the replica
      * @param node the replica
+     * @param reopener opens its storage again after a failure
      * @param transport sends packets; must not block
      * @param log the event log
      * @param afterStep runs on the loop after each batch, to publish the applied state; not called
@@ -90,13 +112,13 @@
      */
     public static ReplicaService start(
             EventLoop loop,
-            long replicaId,
             ReplicaNode node,
+            Reopener reopener,
             Consumer<Packet> transport,
             EventLog log,
             Runnable afterStep) {
         ReplicaService service =
-                new ReplicaService(loop, replicaId, node, transport, log, afterStep);
+                new ReplicaService(loop, node, reopener, transport, log, afterStep);
         service.scheduleStep();
         return service;
     }
@@ -139,6 +161,9 @@
 
     /** Handles a packet of another replica. */
     public void receive(Packet packet) {
+        if (mSuspended) {
+            return;
+        }
         post(new ConsensusEvent.Received(packet));
     }
 
@@ -181,7 +206,7 @@
 
     private CompletableFuture<ProposalOutcome> submit(EventFactory factory) {
         CompletableFuture<ProposalOutcome> future = new CompletableFuture<>();
-        if (mStopped) {
+        if (mStopped || mSuspended) {
             future.complete(ProposalOutcome.notApplied(ProposalStatus.NOT_LEADER, null));
             return future;
         }
@@ -205,7 +230,7 @@
 
     private void step() {
         mStepScheduled.set(false);
-        if (mStopped) {
+        if (mStopped || mSuspended) {
             return;
         }
         mSettledTerm = 0;
@@ -218,11 +243,16 @@
         try {
             mNode.step(mLoop.nowNanos(), batch, mOutputs);
             publishMembership();
+        } catch (HemlockrackException e) {
+            completeResults();
+            suspend(e);
+            return;
         } catch (RuntimeException e) {
             completeResults();
             stopAfterFailure(e);
             return;
         }
+        mRetryMillis = FIRST_RETRY_MILLIS;
         Consensus consensus = mNode.consensus();
         mSettledTerm = consensus.lastTerm() == consensus.term() ? consensus.term() : 0;
         mCaughtUp |= mVoter && hasAppliedCurrentTerm();
@@ -254,26 +284,78 @@
     }
 
     /**
-     * Stops the replica, because after a failed write it is unknown which data is on the disk.
-     * Pending proposals end with an unknown outcome.
+     * Leaves votes and leadership after a failed write, as it is unknown which data is on the disk,
+     * and tries to open the storage again until that succeeds. Pending proposals end with an
+     * unknown outcome.
      */
+    private void suspend(HemlockrackException cause) {
+        mSuspended = true;
+        endParticipation();
+        mLog.log(
+                LogEvent.REPLICA_SUSPENDED,
+                cause,
+                "the replica is suspended: %s",
+                cause.getMessage());
+        closeNode();
+        scheduleReopening();
+    }
+
+    private void scheduleReopening() {
+        mLoop.scheduleAt(
+                mLoop.nowNanos() + TimeUnit.MILLISECONDS.toNanos(mRetryMillis), this::reopen);
+        mRetryMillis = Math.min(2 * mRetryMillis, MAX_RETRY_MILLIS);
+    }
+
+    private void reopen() {
+        if (mStopped) {
+            return;
+        }
+        try {
+            mNode = mReopener.reopen(mNode);
+        } catch (HemlockrackException e) {
+            scheduleReopening();
+            return;
+        }
+        mLog.log(LogEvent.REPLICA_RESUMED, "the replica takes part again");
+        mSuspended = false;
+        scheduleStep();
+    }
+
+    /** Stops the replica for good, because it is unknown in which state it is. */
     private void stopAfterFailure(RuntimeException cause) {
         mStopped = true;
-        mLeader = null;
+        endParticipation();
         mLog.log(LogEvent.STORAGE_REFUSED, cause, "the replica stopped: %s", cause.getMessage());
+    }
+
+    private void endParticipation() {
+        mRole = Role.FOLLOWER;
+        mLeader = null;
+        mCaughtUp = false;
+        if (mTimer != null) {
+            mTimer.cancel(false);
+        }
         for (CompletableFuture<ProposalOutcome> proposal : mPendingProposals.values()) {
             proposal.complete(ProposalOutcome.notApplied(ProposalStatus.UNKNOWN, null));
         }
         mPendingProposals.clear();
     }
 
+    private void closeNode() {
+        try {
+            mNode.close();
+        } catch (HemlockrackException e) {
+            mLog.log(LogEvent.REPLICA_SUSPENDED, e, "%s", e.getMessage());
+        }
+    }
+
     /**
      * Publishes the membership. Called before a role or an outcome is published, so that a reader
      * of those does not see an older membership.
      */
     private void publishMembership() {
         Membership membership = mNode.consensus().membership();
-        mVoter = membership.isVoter(mReplicaId);
+        mVoter = membership.isVoter(mNode.replicaId());
         mMembership = membership;
     }
 
@@ -338,7 +420,9 @@
             mLoop.submit(
                             () -> {
                                 mStopped = true;
-                                mNode.close();
+                                if (!mSuspended) {
+                                    mNode.close();
+                                }
                                 return true;
                             })
                     .join();
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
@@ -111,7 +111,12 @@
                         mLogLoop.nowNanos());
         mReplica =
                 ReplicaService.start(
-                        mLogLoop, replicaId, node, packet -> {}, EventLog.create(), () -> {});
+                        mLogLoop,
+                        node,
+                        failed -> failed,
+                        packet -> {},
+                        EventLog.create(),
+                        () -> {});
         Proposer proposer = Proposer.create(mLoop, SELF, () -> voters, mNetwork, mReplica);
         mService =
                 new ControllerService(
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/TestInstance.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/TestInstance.java
@@ -121,12 +121,7 @@
                         new Random(1),
                         mLogLoop.nowNanos());
         return ReplicaService.start(
-                mLogLoop,
-                store.recovered().hardState().replicaId(),
-                node,
-                packet -> {},
-                log,
-                () -> publish(state));
+                mLogLoop, node, failed -> failed, packet -> {}, log, () -> publish(state));
     }
 
     private void publish(VoterState state) {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/ReplicaServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/ReplicaServiceTest.java
@@ -1,6 +1,8 @@
 package org.hemlockrack.daemon.replica;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
 import java.security.SecureRandom;
@@ -9,48 +11,89 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import org.hemlockrack.consensus.ConsensusSettings;
+import org.hemlockrack.consensus.Entry;
+import org.hemlockrack.consensus.EntryKind;
 import org.hemlockrack.consensus.LogStore;
+import org.hemlockrack.consensus.ProposalStatus;
 import org.hemlockrack.consensus.ReplicaNode;
 import org.hemlockrack.consensus.Role;
 import org.hemlockrack.control.ControlCommand;
 import org.hemlockrack.control.ControlState;
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.EventLoop;
+import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.InstanceId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ReplicaServiceTest {
     private static final InstanceId SELF = InstanceId.of("a");
+    private static final int SNAPSHOT_ENTRIES = 10;
 
     private final EventLoop mLoop = EventLoop.open("log", Throwable::printStackTrace);
     private final ControlState mState = ControlState.create();
     private final AtomicLong mPublishedVersion = new AtomicLong();
 
+    private final AtomicBoolean mDiskFull = new AtomicBoolean();
+    private boolean mFailsAtSync;
+
+    private LogStore open(Path folder) {
+        return new FullDiskStore(
+                LogStore.open(folder, new SecureRandom()), mDiskFull, mFailsAtSync);
+    }
+
+    private ReplicaNode reopen(Path folder, ReplicaNode failed) {
+        LogStore store = open(folder);
+        try {
+            return ReplicaNode.resume(
+                    ConsensusSettings.of(SELF, List.of(SELF)),
+                    store,
+                    failed,
+                    new SplittableRandom(1),
+                    mLoop.nowNanos());
+        } catch (HemlockrackException e) {
+            store.close();
+            throw e;
+        }
+    }
+
     private ReplicaService start(Path folder) throws InterruptedException {
-        LogStore store = LogStore.open(folder, new SecureRandom());
         ReplicaNode node =
                 ReplicaNode.start(
                         ConsensusSettings.of(SELF, List.of(SELF)),
-                        store,
+                        open(folder),
                         mState,
-                        100,
+                        SNAPSHOT_ENTRIES,
                         new SplittableRandom(1),
                         mLoop.nowNanos());
         ReplicaService replica =
                 ReplicaService.start(
                         mLoop,
-                        store.recovered().hardState().replicaId(),
                         node,
+                        failed -> reopen(folder, failed),
                         packet -> {},
                         EventLog.create(),
                         () -> mPublishedVersion.set(mState.tableVersion()));
-        while (replica.role() != Role.LEADER) {
+        awaitLeader(replica);
+        return replica;
+    }
+
+    private static void awaitLeader(ReplicaService replica) throws InterruptedException {
+        for (int i = 0; i < 2_000 && replica.role() != Role.LEADER; i++) {
             TimeUnit.MILLISECONDS.sleep(5);
         }
-        return replica;
+        assertEquals(Role.LEADER, replica.role());
+    }
+
+    private static ProposalStatus publish(ReplicaService replica, int version) throws Exception {
+        return replica.propose(ControlCommand.publishTable(version, new byte[] {1}))
+                .get(10, TimeUnit.SECONDS)
+                .status();
     }
 
     /**
@@ -79,4 +122,60 @@
             assertEquals(7, seenByReader.get(10, TimeUnit.SECONDS));
         }
     }
+
+    /**
+     * Guards against a replica that takes no part any more after its disk was full for some time:
+     * once that has happened to a majority, no change is acknowledged, while all processes run.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void replicaReturnsAfterItsDiskWasFull(boolean failsAtSync, @TempDir Path folder)
+            throws Exception {
+        mFailsAtSync = failsAtSync;
+        try (ReplicaService replica = start(folder)) {
+            assertEquals(ProposalStatus.APPLIED, publish(replica, 7));
+            for (int round = 1; round <= 2; round++) {
+                mDiskFull.set(true);
+                assertNotEquals(ProposalStatus.APPLIED, publish(replica, 10 * round));
+                assertEquals(Role.FOLLOWER, replica.role());
+                assertEquals(0, replica.settledTerm());
+                TimeUnit.MILLISECONDS.sleep(500);
+                mDiskFull.set(false);
+                awaitLeader(replica);
+                assertEquals(ProposalStatus.APPLIED, publish(replica, 10 * round + 1));
+                assertEquals(10 * round + 1, mPublishedVersion.get());
+            }
+        }
+        ControlState read = ControlState.create();
+        try (LogStore store = LogStore.open(folder, new SecureRandom())) {
+            if (store.recovered().snapshot() != null) {
+                read.restore(store.loadSnapshot());
+            }
+            for (Entry entry : store.recovered().entries()) {
+                if (entry.kind() == EntryKind.COMMAND && entry.index() > read.revision()) {
+                    read.apply(entry.index(), 0, entry.data());
+                }
+            }
+        }
+        assertEquals(21, read.tableVersion());
+    }
+
+    /** Guards against a change that takes effect twice, or is lost, when its disk fills up. */
+    @Test
+    void stateIsTheSameAfterTheDiskWasFull(@TempDir Path folder) throws Exception {
+        try (ReplicaService replica = start(folder)) {
+            for (int version = 1; version <= 3 * SNAPSHOT_ENTRIES; version++) {
+                assertEquals(ProposalStatus.APPLIED, publish(replica, version));
+                if (version % 7 == 0) {
+                    long revision = mLoop.submit(mState::revision).join();
+                    mDiskFull.set(true);
+                    publish(replica, 1);
+                    mDiskFull.set(false);
+                    awaitLeader(replica);
+                    assertTrue(mLoop.submit(mState::revision).join() >= revision);
+                }
+                assertEquals(version, mPublishedVersion.get());
+            }
+        }
+    }
 }
