--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -112,6 +112,11 @@
         return mFreshness.ageNanos(mLoop.nowNanos()) / NANOS_PER_SECOND;
     }
 
+    /** Returns the time since the table in force was the newest, or since the start if unknown. */
+    double tableAgeSeconds() {
+        return mFreshness.tableAgeNanos(mLoop.nowNanos()) / NANOS_PER_SECOND;
+    }
+
     /** Returns the highest version of a committed table that a controller has reported. */
     long newestReportedVersion() {
         return mFreshness.newestVersion();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ViewFreshness.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ViewFreshness.java
@@ -93,6 +93,11 @@
         return nowNanos - mConfirmed.nanosOr(mStartNanos);
     }
 
+    /** Returns the time since the table in force was the newest, or since the creation if never. */
+    long tableAgeNanos(long nowNanos) {
+        return nowNanos - mTableConfirmed.nanosOr(mStartNanos);
+    }
+
     /** Returns the highest version of a committed table that a controller has reported. */
     long newestVersion() {
         return mNewestVersion;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
@@ -30,6 +30,11 @@
             MetricType.GAUGE,
             "s",
             "Time since a controller confirmed this gateway's state"),
+    TABLE_AGE(
+            "table_age_seconds",
+            MetricType.GAUGE,
+            "s",
+            "Time since the route table in force was known to be the newest acknowledged one"),
     PARTS_HELD(
             "prompt_parts_held",
             MetricType.GAUGE,
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
@@ -188,6 +188,32 @@
         assertEquals(reported, reportedVoters());
     }
 
+    /**
+     * Guards against an acknowledged table that gateways do not hear of until there is a leader: a
+     * voter reports the tables of its log, whether they are committed or not.
+     */
+    @ParameterizedTest
+    @CsvSource({"VOTER, true", "LEARNER, false"})
+    void votersReportTheTablesOfTheirLogs(MemberKind kind, boolean isVoter) throws Exception {
+        restart(kind);
+        reportedVoters();
+        SyncRequest request = mService.createRequest(UNREACHABLE, Map.of());
+        request.setPrefixUses(List.of());
+        request.setListTablesAbove(TABLE_VERSION - 1);
+        request.setWantsTableDocuments(true);
+        SyncReply reply = mService.sync(request);
+        assertEquals(isVoter, reply.isSetLoggedTableVersion());
+        if (!isVoter) {
+            return;
+        }
+        assertEquals(TABLE_VERSION, reply.getLoggedTableVersion());
+        assertEquals(1, reply.getLoggedTablesSize());
+        assertEquals(TABLE_VERSION, reply.getLoggedTables().get(0).getVersion());
+        assertTrue(reply.getLoggedTables().get(0).isSetDocument());
+        request.setListTablesAbove(TABLE_VERSION);
+        assertEquals(0, mService.sync(request).getLoggedTablesSize());
+    }
+
     private void receiveConfirmation(long revision) {
         SyncReply reply = new SyncReply();
         reply.setServers(List.of());
