Bring newer tables with the first report, and shorten the delay of refusals meanwhile

Now the first report after a loss of controllers holds newer tables of up to 16 KiB. While tables are fetched, refused callers may come back after the random delay alone.

TableTrustTest.firstReportBringsTheNewerTables fails without it.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/control/TableReports.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/TableReports.java
@@ -146,6 +146,11 @@
         return newest;
     }
 
+    /** Returns whether an instance has reported. */
+    public boolean hasReported(String voter) {
+        return mReports.containsKey(voter);
+    }
+
     /**
      * Returns whether a voter has a table in its log.
      *
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -64,9 +64,6 @@
      */
     private static final long PROPOSE_TIMEOUT_MILLIS = 2_500;
 
-    /** Most bytes of listed tables in one reply; the rest is listed without documents. */
-    private static final int MAX_LISTED_BYTES = 256 << 10;
-
     /** Recent prefix uses that are retained for gateways; at 400 new uses a second this is 10 s. */
     private static final int MAX_PREFIX_USES = 4_096;
 
@@ -508,7 +505,7 @@
             return;
         }
         reply.setLoggedTableVersion(mTables.newestVersion());
-        int remainingBytes = request.isWantsTableDocuments() ? MAX_LISTED_BYTES : 0;
+        int remainingBytes = request.getMaxTableBytes();
         List<LoggedTableData> listed = new ArrayList<>();
         for (LoggedTable table : mTables.newerThan(request.getListTablesAbove())) {
             LoggedTableData data = new LoggedTableData(table.version());
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
@@ -15,8 +15,8 @@
     /** Usual time until a gateway that starts together with all controllers has a route table. */
     private static final long USUAL_START_MILLIS = 2_000;
 
-    /** Usual time until controllers that have restarted confirm a route table. */
-    private static final long USUAL_CONFIRMATION_MILLIS = 500;
+    /** Usual time until controllers that have restarted elect a leader, which confirms a table. */
+    private static final long USUAL_ELECTION_MILLIS = 500;
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -105,8 +105,9 @@
                 .put("confirmed_ms", confirmedMillis())
                 .write();
         long expectedMillis = tableVersion == 0 ? remainingStartMillis() : 0;
-        if (tableVersion > 0 && kind == ErrorKind.NOT_READY) {
-            expectedMillis = USUAL_CONFIRMATION_MILLIS;
+        if (tableVersion > 0 && mViewUpdater.standing().hasAllNewer()) {
+            // Otherwise a newer table is being fetched, which takes less than the random delay.
+            expectedMillis = USUAL_ELECTION_MILLIS;
         }
         mContext.refuse(responder, kind, String.valueOf(cause.getMessage()), expectedMillis);
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/NewerTables.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/NewerTables.java
@@ -33,6 +33,15 @@
     /** A controller that is late by more than this counts as unreachable. */
     private static final long MAX_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    /** Most bytes of tables that one fetch takes. */
+    private static final int MAX_FETCH_BYTES = 256 << 10;
+
+    /**
+     * Most bytes of tables that come with the first report after a loss of all controllers. All
+     * controllers are asked for them, so that they arrive with whichever report is the first.
+     */
+    private static final int MAX_FIRST_BYTES = 16 << 10;
+
     /** Most tables that are kept; their number is up to the controllers. */
     private static final int MAX_TABLES = 64;
 
@@ -78,8 +87,12 @@
         long above = tableVersion > 0 ? tableVersion : versionBelowFirst();
         mListedAbove.put(address, above);
         request.setListTablesAbove(above);
-        request.setWantsTableDocuments(isRequestPending(address));
-        mFetchPending = mFetchPending && !isRequestPending(address);
+        if (isRequestPending(address)) {
+            mFetchPending = false;
+            request.setMaxTableBytes(MAX_FETCH_BYTES);
+        } else {
+            request.setMaxTableBytes(mReports.hasReported(address) ? 0 : MAX_FIRST_BYTES);
+        }
     }
 
     /**
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
@@ -200,7 +200,7 @@
         SyncRequest request = mService.createRequest(UNREACHABLE, Map.of());
         request.setPrefixUses(List.of());
         request.setListTablesAbove(TABLE_VERSION - 1);
-        request.setWantsTableDocuments(true);
+        request.setMaxTableBytes(1_000);
         SyncReply reply = mService.sync(request);
         assertEquals(isVoter, reply.isSetLoggedTableVersion());
         if (!isVoter) {
@@ -210,6 +210,8 @@
         assertEquals(1, reply.getLoggedTablesSize());
         assertEquals(TABLE_VERSION, reply.getLoggedTables().get(0).getVersion());
         assertTrue(reply.getLoggedTables().get(0).isSetDocument());
+        request.setMaxTableBytes(0);
+        assertFalse(mService.sync(request).getLoggedTables().get(0).isSetDocument());
         request.setListTablesAbove(TABLE_VERSION);
         assertEquals(0, mService.sync(request).getLoggedTablesSize());
     }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
@@ -133,7 +133,7 @@
         reply.setVoters(voters);
         if (voters > 0) {
             LoggedTableData data = new LoggedTableData(tableVersion);
-            if (request.isWantsTableDocuments()) {
+            if (request.getMaxTableBytes() > 0) {
                 data.setDocument(Deflate.deflate(VersionProtocol.document(tableVersion)));
             }
             boolean isListed = tableVersion > request.getListTablesAbove();
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
@@ -277,7 +277,7 @@
                     continue;
                 }
                 LoggedTableData data = new LoggedTableData(version);
-                if (request.isWantsTableDocuments() && !mOmitsDocuments) {
+                if (request.getMaxTableBytes() > 0 && !mOmitsDocuments) {
                     data.setDocument(Deflate.deflate(RouteProtocol.document(version)));
                 }
                 listed.add(data);
@@ -409,6 +409,17 @@
         assertEquals("404", send("/unknown/"));
     }
 
+    /** Guards against refusals while tables are fetched that the first report could bring. */
+    @Test
+    void firstReportBringsTheNewerTables() throws Exception {
+        startWithStaleTable();
+        mUpdater.onReachabilityChanged("a", false);
+        new Controller("a", 7L, 8L).answer();
+        new Controller("b", 7L, 8L).answer();
+        assertEquals("old", send(SAME));
+        assertEquals("503", send(MOVED));
+    }
+
     /** Guards against refusals until there is a leader, although the newest table is certain. */
     @Test
     void tableThatCannotBeLostIsUsedWithoutALeader() throws Exception {
@@ -451,7 +462,9 @@
         assertEquals("old", send(MOVED), "the newer table may have been acknowledged just now");
         TimeUnit.NANOSECONDS.sleep(STALE_NANOS);
         newer.confirmWithoutTable(0);
-        new Controller("b", 8L).confirmWithoutTable(0);
+        Controller other = new Controller("b", 8L);
+        other.mOmitsDocuments = true;
+        other.confirmWithoutTable(0);
         assertEquals("503", send(MOVED));
         newer.confirm(0);
         assertEquals("new", send(MOVED));
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -199,14 +199,14 @@
   14: list<VerdictData> verdicts,
   /** The reply lists the tables of the receiver's log that are newer than this one. */
   15: optional i64 listTablesAbove,
-  /** Whether the reply is to hold the documents of those tables. */
-  16: optional bool wantsTableDocuments
+  /** Most bytes of documents of those tables in the reply; the rest is listed without. */
+  16: i32 maxTableBytes
 }
 
 /** A table in the durable log of a controller. */
 struct LoggedTableData {
   1: i64 version,
-  /** The deflated route table, absent if it was not asked for or the reply would be too long. */
+  /** The deflated route table, absent if the reply would hold too many bytes. */
   2: optional binary document
 }
 
