Test on simulated clusters that no settled table is lost

400 histories with crashes, partitions and late messages: what the reports of a majority show to be settled is part of every final state. A rule that takes one log for a majority is caught.

--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.hemlockrack.model.InstanceId;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Deterministic simulation of a cluster from a seed: replicas on a simulated network and simulated
@@ -44,6 +45,11 @@
     final Set<ProtocolFeature> mDisabledFeatures;
     final Variant mVariant;
     LogFormation mFormation = LogFormation.WITH_ALL;
+
+    /** Whether no folder is lost and no voter changed. */
+    boolean mKeepsReplicas;
+
+    @Nullable SettledReports mSettled;
     long mNowNanos = 1;
     long mSteps;
     long mWallOffsetMillis = 1_800_000_000_000L;
@@ -202,6 +208,10 @@
         InjectedFault fault =
                 InjectedFault.values()[mRandom.nextInt(InjectedFault.values().length)];
         SimulatedInstance victim = randomInstance();
+        boolean changesReplicas = fault.ordinal() >= InjectedFault.FOLDER_LOST.ordinal();
+        if (mKeepsReplicas && changesReplicas) {
+            return;
+        }
         switch (fault) {
             case PARTITION -> changePartition();
             case CRASH -> victim.crash(mRandom.nextInt(2000));
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulationTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulationTest.java
@@ -88,4 +88,48 @@
         }
         assertTrue(false, variant + " passed " + limit + " histories");
     }
+
+    /**
+     * Returns how many commands were lost that reports had shown to be settled.
+     *
+     * @param required number of voters of which a majority is required, all of them if 0
+     */
+    private static int lostSettledCommands(long seed, int required) {
+        int voters = seed % 2 == 0 ? 3 : 5;
+        ClusterSimulation simulation =
+                new ClusterSimulation(seed, voters, 0, Variant.CORRECT, Set.of());
+        SettledReports settled = new SettledReports(required == 0 ? voters : required);
+        simulation.mKeepsReplicas = true;
+        simulation.mSettled = settled;
+        simulation.run(CHAOS_MILLIS);
+        assertEquals(List.of(), simulation.mOracle.mViolations);
+        assertTrue(settled.count() > 0);
+        return settled.lostCommands(simulation.mInstances.get(0).mState).size();
+    }
+
+    /**
+     * Guards against a table that a gateway puts in force before a leader confirms it, and that is
+     * lost: what a majority of logs of the current term holds must be part of every later state.
+     */
+    @Test
+    void noSettledCommandIsLost() {
+        long histories = Long.getLong("histories", 400);
+        long losing =
+                LongStream.range(0, histories)
+                        .parallel()
+                        .filter(seed -> lostSettledCommands(seed, 0) > 0)
+                        .count();
+        assertEquals(0, losing);
+    }
+
+    /** Guards against histories that cannot tell settled commands from others. */
+    @Test
+    void commandsOfOneLogAreLost() {
+        for (long seed = 0; seed < 400; seed++) {
+            if (lostSettledCommands(seed, 1) > 0) {
+                return;
+            }
+        }
+        assertTrue(false, "no command of a single log was lost in 400 histories");
+    }
 }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedInstance.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedInstance.java
@@ -17,10 +17,13 @@
     private final List<ConsensusEvent> mInbox = new ArrayList<>();
     private InMemoryLogStore.Disk mDisk;
     private InMemoryLogStore mStore;
+    private static final int REPORT_PERIOD_STEPS = 5;
+
     private ReplicaNode mNode;
     CommandListState mState;
     private long mBusyUntilNanos;
     private boolean mFolderLost;
+    private long mSteps;
 
     SimulatedInstance(ClusterSimulation simulation, InstanceId id) {
         mSimulation = simulation;
@@ -71,11 +74,20 @@
         mSimulation.mSteps++;
         try {
             mNode.step(mSimulation.mNowNanos, events, this);
+            reportLog();
         } catch (InMemoryLogStore.Crash e) {
             crash(mSimulation.mRandom.nextInt(1000));
         }
     }
 
+    /** Reports the log now and then, so that reports of different ages meet. */
+    private void reportLog() {
+        SettledReports settled = mSimulation.mSettled;
+        if (settled != null && mSteps++ % REPORT_PERIOD_STEPS == mId.hashCode() % 3) {
+            settled.report(mId, consensus(), mDisk.mDurableEntries);
+        }
+    }
+
     /** Starts the replica; a damaged data folder is replaced by an empty one with a new id. */
     private void start() {
         try {
