Adopt orders that cannot be lost any more before a leader confirms them

A restarted controller now states the revision of the state on its disk while its log still holds that in its current term. What a majority states for the same term is put in force without a leader, as for tables. Class renamed to LogReports, as it now covers more than tables.

TableTrustTest.evacuationThatCannotBeLostIsInForceWithoutALeader: before, the evacuation was not in force until a leader confirmed it.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/control/TableReports.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/LogReports.java
@@ -11,12 +11,12 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * What the voters have reported of the route tables in their logs. An acknowledged table is on the
- * disks of a majority. Any two majorities share a voter, and table versions only increase, so the
- * reports of a majority show every table that was acknowledged before they were requested. That
- * needs no leader. Not thread-safe.
+ * What the voters have reported of the route tables and orders in their logs. An acknowledged table
+ * is on the disks of a majority. Any two majorities share a voter, and table versions only
+ * increase, so the reports of a majority show every table that was acknowledged before they were
+ * requested. That needs no leader. Not thread-safe.
  */
-public final class TableReports {
+public final class LogReports {
     /**
      * The report of one voter.
      *
@@ -25,6 +25,7 @@
      * @param newerVersions versions of the tables in its log that may be in force and are newer
      *     than that
      * @param settledTerm the term in which the voter has not voted beyond its durable log, or 0
+     * @param settledRevision revision of the state that its log holds in that term, or 0
      * @param voters number of voters
      * @param requestedNanos monotonic time at which the report was requested
      * @param receivedNanos monotonic time at which it arrived
@@ -34,6 +35,7 @@
             long listedAbove,
             List<Long> newerVersions,
             long settledTerm,
+            long settledRevision,
             int voters,
             long requestedNanos,
             long receivedNanos) {
@@ -45,11 +47,11 @@
 
     private final Map<String, Report> mReports = new HashMap<>();
 
-    private TableReports() {}
+    private LogReports() {}
 
     /** Creates an instance without reports. */
-    public static TableReports create() {
-        return new TableReports();
+    public static LogReports create() {
+        return new LogReports();
     }
 
     /**
@@ -132,6 +134,15 @@
      * @return the version, 0 if the reports show none
      */
     public long newestSettled() {
+        return newestSettled(Report::newestVersion);
+    }
+
+    /** Returns the newest revision that cannot be lost any more; see {@link #newestSettled()}. */
+    public long newestSettledRevision() {
+        return newestSettled(Report::settledRevision);
+    }
+
+    private long newestSettled(ToLongFunction<Report> value) {
         long newest = 0;
         for (Report candidate : mReports.values()) {
             List<Report> sameTerm = new ArrayList<>();
@@ -140,8 +151,8 @@
                     sameTerm.add(report);
                 }
             }
-            Long version = newestOfMajority(sameTerm, Report::newestVersion);
-            newest = version == null ? newest : Math.max(newest, version);
+            Long settled = newestOfMajority(sameTerm, value);
+            newest = settled == null ? newest : Math.max(newest, settled);
         }
         return newest;
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -88,6 +88,7 @@
     private volatile List<String> mConfiguredControllers;
     private final TableHistory mTables = TableHistory.create();
     private ControlState mDurableState = ControlState.create();
+    private long mDurableTerm;
     private volatile boolean mStarted;
 
     private ControllerInstance(
@@ -123,7 +124,7 @@
                         mTables,
                         mLog,
                         random.nextLong());
-        mService.publishDurable(mDurableState);
+        mService.publishDurable(mDurableState, mDurableTerm);
         mDurableState = ControlState.create();
         startPrefixPersistence();
         mLinks = ControllerLinks.create(mLoop, mNetwork, mService, mLog);
@@ -169,6 +170,7 @@
         Path logFolder = folder.resolve(LOG_FOLDER);
         LogStore store = openStore(logFolder, random);
         mDurableState = readDurableState(store);
+        mDurableTerm = settledTerm(store.recovered());
         ReplicaNode node =
                 ReplicaNode.start(
                         consensusSettings(),
@@ -218,6 +220,14 @@
         return state;
     }
 
+    /** Returns the current term if the log ends with an entry of it, otherwise 0. */
+    private static long settledTerm(RecoveredState recovered) {
+        List<Entry> entries = recovered.entries();
+        long term = recovered.hardState().term();
+        boolean isSettled = !entries.isEmpty() && entries.get(entries.size() - 1).term() == term;
+        return isSettled ? term : 0;
+    }
+
     private void onApplied(ControlState state) {
         if (mStarted) {
             mService.publishCommitted(state);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -86,6 +86,12 @@
     private final LeaderTasks mLeaderTasks;
     private volatile ControlView mView = ControlView.EMPTY;
     private volatile boolean mHasCommittedView;
+
+    /**
+     * The settled term of the log that the view was read from, until committed state is published.
+     */
+    private volatile long mDurableTerm;
+
     private final ConfirmedTime mConfirmed = ConfirmedTime.unknown();
     private final AtomicBoolean mConfirming = new AtomicBoolean();
 
@@ -137,6 +143,7 @@
         synchronized (this) {
             ControlView view = mView;
             mHasCommittedView = true;
+            mDurableTerm = 0;
             if (!first && state.revision() == view.revision()) {
                 return;
             }
@@ -162,11 +169,13 @@
      * once, at the start.
      *
      * @param state the state after all commands on the disk, committed or not
+     * @param settledTerm the current term, if the log ends with an entry of it, otherwise 0
      */
-    void publishDurable(ControlState state) {
+    void publishDurable(ControlState state, long settledTerm) {
         synchronized (this) {
             if (!mHasCommittedView) {
                 mView = viewOf(state);
+                mDurableTerm = settledTerm;
             }
         }
         mLog.instanceEvent("durable_state")
@@ -521,6 +530,9 @@
         if (settledTerm > 0) {
             reply.setSettledTerm(settledTerm);
         }
+        if (!reply.isCaughtUp() && settledTerm > 0 && settledTerm == mDurableTerm) {
+            reply.setSettledRevision(reply.getRevision());
+        }
     }
 
     private void recordRequests(long nowNanos, SyncRequest request) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -58,6 +58,9 @@
     private volatile GatewayView mView = GatewayView.EMPTY;
     private volatile TableStanding mStanding = TableStanding.UNKNOWN;
 
+    /** States by revision that may be lost, as long as no majority has reported them. */
+    private final Map<Long, SyncReply> mUnsettledStates = new HashMap<>();
+
     /** The newest state that a controller which is not caught up has reported. */
     private @Nullable SyncReply mUnconfirmedState;
 
@@ -238,6 +241,7 @@
                         && (!mHasCommittedView || reply.getRevision() > mView.revision());
         mHasCommittedView = true;
         mUnconfirmedState = null;
+        mUnsettledStates.clear();
         adopt(nowNanos, address, table, adoptOverrides ? reply : null);
         recordConfirmation(nowNanos, address, reply, requestNanos);
         if (!reply.getControllers().isEmpty()) {
@@ -338,7 +342,7 @@
      */
     private void adoptUnconfirmed(long nowNanos, String address, SyncReply reply) {
         if (mHasCommittedView) {
-            adoptSettled(nowNanos, address);
+            adoptSettled(nowNanos, address, reply);
             return;
         }
         if (!reply.isSetLoggedTableVersion()) {
@@ -361,12 +365,19 @@
         adopt(nowNanos, address, table, adoptOverrides ? newest : null);
     }
 
-    /** Adopts a newer table that no leader has confirmed yet, but that cannot be lost any more. */
-    private void adoptSettled(long nowNanos, String address) {
+    /** Adopts what no leader has confirmed yet, but cannot be lost any more. */
+    private void adoptSettled(long nowNanos, String address, SyncReply reply) {
+        RouteTable table = mView.table();
         RouteTable settled = mNewerTables.newestSettled();
         if (settled != null && settled.version() > mView.tableVersion()) {
-            adopt(nowNanos, address, settled, null);
+            table = settled;
+        }
+        if (reply.isSetFacts() && reply.isSetSettledRevision()) {
+            mUnsettledStates.put(reply.getSettledRevision(), reply);
         }
+        SyncReply state = mUnsettledStates.get(mNewerTables.newestSettledRevision());
+        boolean adoptOverrides = state != null && state.getRevision() > mView.revision();
+        adopt(nowNanos, address, table, adoptOverrides ? state : null);
     }
 
     /**
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/NewerTables.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/NewerTables.java
@@ -8,7 +8,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import org.hemlockrack.control.TableReports;
+import org.hemlockrack.control.LogReports;
 import org.hemlockrack.daemon.sync.ControllerLink;
 import org.hemlockrack.routing.RouteTable;
 import org.hemlockrack.wire.LoggedTableData;
@@ -46,7 +46,7 @@
     private static final int MAX_TABLES = 64;
 
     private final Function<LoggedTableData, @Nullable RouteTable> mParser;
-    private final TableReports mReports = TableReports.create();
+    private final LogReports mReports = LogReports.create();
     private final TreeMap<Long, RouteTable> mTables = new TreeMap<>();
 
     /** What each controller was last asked for, and when. */
@@ -134,11 +134,12 @@
         }
         mReports.record(
                 address,
-                new TableReports.Report(
+                new LogReports.Report(
                         reply.getLoggedTableVersion(),
                         mListedAbove.getOrDefault(address, Long.MAX_VALUE),
                         versions,
                         reply.getSettledTerm(),
+                        reply.getSettledRevision(),
                         reply.getVoters(),
                         requestedNanos,
                         nowNanos));
@@ -229,6 +230,11 @@
         return mTables.get(mReports.newestSettled());
     }
 
+    /** Returns the newest revision of the control state that cannot be lost any more, 0 if none. */
+    long newestSettledRevision() {
+        return mReports.newestSettledRevision();
+    }
+
     /**
      * Returns the newest table that a majority has on its disks, or null if none is known or it was
      * not fetched.
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
@@ -13,10 +13,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.codec.Deflate;
+import org.hemlockrack.control.RoutingOverrides;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.http.HeaderField;
 import org.hemlockrack.daemon.http.HttpCall;
@@ -244,6 +246,8 @@
         private final List<Long> mLogged;
         private int mVoters = VOTERS;
         private long mSettledTerm;
+        private long mRevision;
+        private boolean mEvacuates;
 
         /** Whether it lists its tables without their documents, as if they were too long. */
         private boolean mOmitsDocuments;
@@ -257,6 +261,9 @@
             SyncReply reply = new SyncReply();
             long newest = mLogged.get(mLogged.size() - 1);
             reply.setTableVersion(newest);
+            reply.setRevision(mRevision);
+            Set<ZoneId> evacuated = mEvacuates ? Set.of(ZONE) : Set.of();
+            reply.setFacts(new RoutingOverrides(evacuated, Map.of(), Map.of()).toData());
             reply.setVoters(mVoters);
             reply.setServers(List.of());
             reply.setFleetInFlight(List.of());
@@ -266,6 +273,7 @@
                 reply.setLoggedTableVersion(newest);
                 reply.setLoggedTables(listTables(request));
                 reply.setSettledTerm(mSettledTerm);
+                reply.setSettledRevision(mRevision);
             }
             return reply;
         }
@@ -436,6 +444,30 @@
         assertEquals("404", send("/unknown/"));
     }
 
+    /**
+     * Guards against requests into a zone whose evacuation was acknowledged right before all
+     * controllers were lost, and against an evacuation in force that only one disk has.
+     */
+    @Test
+    void evacuationThatCannotBeLostIsInForceWithoutALeader() throws Exception {
+        startWithStaleTable();
+        Controller first = new Controller("a", 7L);
+        Controller second = new Controller("b", 7L);
+        Controller third = new Controller("c", 7L);
+        for (Controller each : List.of(first, second, third)) {
+            each.mSettledTerm = 3;
+            each.mRevision = 11;
+            each.mEvacuates = true;
+        }
+        second.mRevision = 10;
+        second.mEvacuates = false;
+        first.answer();
+        second.answer();
+        assertEquals(Set.of(), mUpdater.view().overrides().evacuatedZones());
+        third.answer();
+        assertEquals(Set.of(ZONE), mUpdater.view().overrides().evacuatedZones());
+    }
+
     /** Guards against a table between two others that is left out of the comparison. */
     @Test
     void everyNewerTableCounts() throws Exception {
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -256,5 +256,10 @@
    * The current term of the receiver, if the whole log is durable and ends with an entry of that
    * term. What a majority holds in the same such term cannot be lost any more.
    */
-  19: optional i64 settledTerm
+  19: optional i64 settledTerm,
+  /**
+   * The revision, if it belongs to the state that the receiver has read from its disk, and its log
+   * still holds that in the settled term; absent otherwise.
+   */
+  20: optional i64 settledRevision
 }
