Read whether a controller is caught up before the state that it reports

By reading, no run: a reply could pair the state read from the disk with the statement that it is committed, if committed state was published between the two reads.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -466,8 +466,9 @@
     SyncReply sync(SyncRequest request) {
         SyncReply reply = new SyncReply();
         mConfirmed.describe(reply, mLoop.nowNanos());
-        ControlView view = mView;
+        // Read before the view, which is committed if this is true.
         reply.setCaughtUp(isCaughtUp());
+        ControlView view = mView;
         reply.setRevision(view.revision());
         reply.setTableVersion(view.tableVersion());
         if (view.revision() > request.getHaveRevision()) {
