--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
@@ -140,7 +140,7 @@
         }
     }
 
-    /** Keeps the status and the first field of the answer that names a server. */
+    /** Keeps the body of a success, or the status of a failure. */
     private static final class Caller implements Responder {
         final CompletableFuture<String> mAnswer = new CompletableFuture<>();
         private final StringBuilder mBody = new StringBuilder();
