Close the file of a segment that could not be created

What operators would see: a replica whose disk is full opens its files again every second. Each try that got as far as a new segment left a file open. After a long time the process has no descriptors left, for its connections either.

Cause: LogSegment.create did not close the file when the sync of the file or of its folder failed; DataFolder.lock did not when the lock failed.

Storage that cannot be written now has an error kind of its own, STORAGE_FAILED; it was INTERNAL. FileLogStore takes the size of its segments from its tests, so that the history needs no large files.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/DataFolder.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/DataFolder.java
@@ -36,12 +36,16 @@
         FileChannel channel =
                 FileChannel.open(
                         path.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-        if (tryLock(channel) == null) {
+        try {
+            if (tryLock(channel) == null) {
+                throw HemlockrackException.of(
+                        ErrorKind.NOT_READY, String.format(ErrorText.STORE_LOCKED, path));
+            }
+            return new DataFolder(path, channel);
+        } catch (IOException | RuntimeException e) {
             channel.close();
-            throw HemlockrackException.of(
-                    ErrorKind.NOT_READY, String.format(ErrorText.STORE_LOCKED, path));
+            throw e;
         }
-        return new DataFolder(path, channel);
     }
 
     private static @Nullable FileLock tryLock(FileChannel channel) throws IOException {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/FileLogStore.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/FileLogStore.java
@@ -36,6 +36,7 @@
     private static final String DAMAGED_SUBFOLDER = "damaged";
 
     private final Path mPath;
+    private final long mSegmentBytes;
     private final DataFolder mFolder;
     private final SnapshotFile mSnapshot;
     private final List<LogSegment> mSegments = new ArrayList<>();
@@ -43,8 +44,9 @@
     private long mNewestSegmentBase;
     private @Nullable RecoveredState mRecovered;
 
-    private FileLogStore(Path path, DataFolder folder, HardState initial) {
+    private FileLogStore(Path path, long segmentBytes, DataFolder folder, HardState initial) {
         mPath = path;
+        mSegmentBytes = segmentBytes;
         mFolder = folder;
         mSnapshot = new SnapshotFile(folder);
         mHardState = initial;
@@ -58,7 +60,12 @@
      * @return the store
      */
     public static FileLogStore open(Path path, RandomGenerator random) {
-        return open(path, random, false);
+        return open(path, random, SEGMENT_BYTES);
+    }
+
+    /** Opens a folder whose segments get no more entries from a size on. */
+    static FileLogStore open(Path path, RandomGenerator random, long segmentBytes) {
+        return open(path, random, segmentBytes, false);
     }
 
     /**
@@ -69,13 +76,15 @@
      * @return the store
      */
     public static FileLogStore openDamaged(Path path, RandomGenerator random) {
-        return open(path, random, true);
+        return open(path, random, SEGMENT_BYTES, true);
     }
 
-    private static FileLogStore open(Path path, RandomGenerator random, boolean moveOldFilesAside) {
+    private static FileLogStore open(
+            Path path, RandomGenerator random, long segmentBytes, boolean moveOldFilesAside) {
         try {
             DataFolder folder = DataFolder.lock(path);
-            FileLogStore store = new FileLogStore(path, folder, HardState.fresh(newId(random)));
+            FileLogStore store =
+                    new FileLogStore(path, segmentBytes, folder, HardState.fresh(newId(random)));
             try {
                 if (moveOldFilesAside) {
                     folder.moveFilesTo(DAMAGED_SUBFOLDER);
@@ -101,7 +110,7 @@
 
     private static HemlockrackException ioFailure(Path path, IOException cause) {
         return HemlockrackException.of(
-                ErrorKind.INTERNAL, String.format(ErrorText.STORE_FAILED, path), cause);
+                ErrorKind.STORAGE_FAILED, String.format(ErrorText.STORE_FAILED, path), cause);
     }
 
     private void load() throws IOException {
@@ -249,7 +258,7 @@
     /** Returns the newest segment, or a new one if it is full. */
     private LogSegment writableSegment() throws IOException {
         LogSegment newest = mSegments.get(mSegments.size() - 1);
-        if (newest.sizeBytes() < SEGMENT_BYTES) {
+        if (newest.sizeBytes() < mSegmentBytes) {
             return newest;
         }
         newest.sync();
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/LogSegment.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/LogSegment.java
@@ -49,9 +49,14 @@
                         StandardOpenOption.CREATE,
                         StandardOpenOption.TRUNCATE_EXISTING,
                         StandardOpenOption.WRITE);
-        channel.force(true);
-        folder.sync();
-        return new LogSegment(name, base, channel);
+        try {
+            channel.force(true);
+            folder.sync();
+            return new LogSegment(name, base, channel);
+        } catch (IOException e) {
+            channel.close();
+            throw e;
+        }
     }
 
     /**
--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorKind.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorKind.java
@@ -25,6 +25,8 @@
     HEADERS_TOO_LARGE(431, RunState.NOT_RUN, false),
     INTERNAL(500, RunState.UNKNOWN, false),
     STORAGE_DAMAGED(500, RunState.NOT_RUN, false),
+    /** The files cannot be written or read now; a later try can succeed. */
+    STORAGE_FAILED(500, RunState.UNKNOWN, false),
     SETTINGS_INVALID(500, RunState.NOT_RUN, false),
     BACKEND_FAILED(502, RunState.UNKNOWN, false),
     ANSWER_MISMATCH(502, RunState.UNKNOWN, false),
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/FullDiskStore.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/FullDiskStore.java
@@ -26,7 +26,7 @@
 
     private void refuseIfFull() {
         if (mFull.get()) {
-            throw HemlockrackException.of(ErrorKind.INTERNAL, "no space left on device");
+            throw HemlockrackException.of(ErrorKind.STORAGE_FAILED, "no space left on device");
         }
     }
 
