Simulate disks that refuse writes

The histories of ClusterSimulation now have disks that are full for a time: one, some or all of them, refusing appends, of which a part may reach the disk, or only the sync after an append. Entries before a failed sync can be read, but only a new write and a sync make them durable. Processes are killed in between.

--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
@@ -28,11 +28,23 @@
         CRASH_IN_STEP,
         FROZEN,
         CLOCK_STEP,
+        DISK_FULL,
+        DISKS_FULL,
         FOLDER_LOST,
         FOLDER_DAMAGED,
         VOTER_CHANGE
     }
 
+    /** The faults of histories in which disks refuse writes. */
+    static final List<InjectedFault> DISK_FAULTS =
+            List.of(
+                    InjectedFault.DISK_FULL,
+                    InjectedFault.DISK_FULL,
+                    InjectedFault.DISKS_FULL,
+                    InjectedFault.CRASH,
+                    InjectedFault.CRASH_IN_STEP,
+                    InjectedFault.PARTITION);
+
     private record Delivery(long atNanos, long sequence, int target, byte[] bytes) {}
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -46,6 +58,9 @@
     final Variant mVariant;
     LogFormation mFormation = LogFormation.WITH_ALL;
 
+    /** The faults to inject. */
+    List<InjectedFault> mFaults = List.of(InjectedFault.values());
+
     /** Whether no folder is lost and no voter changed. */
     boolean mKeepsReplicas;
 
@@ -205,8 +220,7 @@
     }
 
     private void injectFault() {
-        InjectedFault fault =
-                InjectedFault.values()[mRandom.nextInt(InjectedFault.values().length)];
+        InjectedFault fault = mFaults.get(mRandom.nextInt(mFaults.size()));
         SimulatedInstance victim = randomInstance();
         boolean changesReplicas = fault.ordinal() >= InjectedFault.FOLDER_LOST.ordinal();
         if (mKeepsReplicas && changesReplicas) {
@@ -218,6 +232,11 @@
             case CRASH_IN_STEP -> victim.crashAfter(1 + mRandom.nextInt(4));
             case FROZEN -> victim.pause(mRandom.nextInt(5000));
             case CLOCK_STEP -> mWallOffsetMillis += mRandom.nextInt(7_200_000) - 3_600_000;
+            case DISK_FULL -> victim.setDiskFull(mRandom.nextInt(3) > 0);
+            case DISKS_FULL -> {
+                boolean full = mRandom.nextInt(3) == 0;
+                mInstances.forEach(instance -> instance.setDiskFull(full));
+            }
             case FOLDER_LOST, FOLDER_DAMAGED -> {
                 if (!isRepaired()) {
                     return;
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulationTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulationTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.LongStream;
+import org.hemlockrack.consensus.ClusterSimulation.InjectedFault;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -20,9 +21,14 @@
 
     /** Even seeds have 3 voters, odd ones 5; every third adds an instance for voter changes. */
     private static ClusterSimulation run(long seed, Variant variant) {
+        return run(seed, variant, List.of(InjectedFault.values()));
+    }
+
+    private static ClusterSimulation run(long seed, Variant variant, List<InjectedFault> faults) {
         int voters = seed % 2 == 0 ? 3 : 5;
         ClusterSimulation simulation =
                 new ClusterSimulation(seed, voters, seed % 3 == 0 ? 1 : 0, variant, Set.of());
+        simulation.mFaults = faults;
         simulation.mFormation = seed % 4 < 2 ? LogFormation.WITH_ALL : LogFormation.WITH_MAJORITY;
         try {
             simulation.run(CHAOS_MILLIS);
@@ -39,17 +45,29 @@
      */
     @Test
     void noHistoryViolatesTheOracle() {
+        requireNoViolation(List.of(InjectedFault.values()));
+    }
+
+    /**
+     * Guards against the same where disks refuse writes, one, some or all of them, while processes
+     * are killed and lose what they had not synced.
+     */
+    @Test
+    void noHistoryOfFullDisksViolatesTheOracle() {
+        requireNoViolation(ClusterSimulation.DISK_FAULTS);
+    }
+
+    private static void requireNoViolation(List<InjectedFault> injected) {
         long histories = Long.getLong("histories", 1000);
         AtomicLong steps = new AtomicLong();
         AtomicLong commands = new AtomicLong();
-        Map<ClusterSimulation.InjectedFault, Integer> faults =
-                new EnumMap<>(ClusterSimulation.InjectedFault.class);
+        Map<InjectedFault, Integer> faults = new EnumMap<>(InjectedFault.class);
         List<String> violations = Collections.synchronizedList(new ArrayList<>());
         LongStream.range(0, histories)
                 .parallel()
                 .forEach(
                         seed -> {
-                            ClusterSimulation simulation = run(seed, Variant.CORRECT);
+                            ClusterSimulation simulation = run(seed, Variant.CORRECT, injected);
                             steps.addAndGet(simulation.mSteps);
                             commands.addAndGet(
                                     simulation.mOracle.mIndexByAcknowledgedCommand.size());
@@ -78,7 +96,7 @@
     void theOracleCatchesBrokenVariants(Variant variant) {
         int limit = 400;
         for (long seed = 0; seed < limit; seed++) {
-            List<String> violations = run(seed, variant).mOracle.mViolations;
+            List<String> violations = run(seed, variant, variant.mFaults).mOracle.mViolations;
             for (String violation : violations) {
                 if (violation.startsWith(variant.mViolation)) {
                     System.out.printf("%s caught by seed %d: %s%n", variant, seed, violation);
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/InMemoryLogStore.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/InMemoryLogStore.java
@@ -25,6 +25,15 @@
         byte[] mSnapshotState = new byte[0];
         boolean mDamaged;
 
+        /** Whether the disk refuses every write. */
+        boolean mFull;
+
+        /** Whether a full disk refuses only the sync after an append. */
+        boolean mFailsAtSync;
+
+        /** What can be read until the process ends, although no sync has covered all of it. */
+        List<Entry> mReadableEntries = new ArrayList<>();
+
         Disk(Variant variant, long replicaId) {
             mVariant = variant;
             mHardState = HardState.fresh(replicaId);
@@ -37,6 +46,9 @@
     private final ByteArrayOutputStream mReceivedSnapshot = new ByteArrayOutputStream();
     private List<Entry> mEntries;
 
+    /** Number of the first entries that a sync can make durable. */
+    private int mSyncableCount = Integer.MAX_VALUE;
+
     /** Store operations left until the simulated process crashes. */
     int mOperationsUntilCrash = Integer.MAX_VALUE;
 
@@ -50,21 +62,48 @@
         mRecovered = new RecoveredState(disk.mHardState, disk.mSnapshot, List.copyOf(mEntries));
     }
 
+    private InMemoryLogStore(Disk disk, RandomGenerator random, List<Entry> readable) {
+        mDisk = disk;
+        mRandom = random;
+        mEntries = new ArrayList<>(readable);
+        mSyncableCount = commonCount(disk.mDurableEntries, readable);
+        mRecovered = new RecoveredState(disk.mHardState, disk.mSnapshot, List.copyOf(readable));
+    }
+
+    /**
+     * Opens the files again in the process whose writes have failed. Entries that were not synced
+     * can be read, but only a new write and a sync after it make them durable.
+     */
+    static InMemoryLogStore reopen(Disk disk, RandomGenerator random) {
+        return new InMemoryLogStore(disk, random, disk.mReadableEntries);
+    }
+
     private void crashIfDue() {
         if (--mOperationsUntilCrash <= 0) {
             throw new Crash();
         }
     }
 
-    /** Keeps a random prefix of the unsynced writes, as a crash may. */
-    void crash() {
-        List<Entry> durable = mDisk.mDurableEntries;
+    private void refuseIfFull() {
+        if (mDisk.mFull) {
+            throw HemlockrackException.of(ErrorKind.STORAGE_FAILED, "no space left on device");
+        }
+    }
+
+    private static int commonCount(List<Entry> durable, List<Entry> entries) {
         int common = 0;
-        int limit = Math.min(durable.size(), mEntries.size());
-        while (common < limit && durable.get(common).equals(mEntries.get(common))) {
+        int limit = Math.min(durable.size(), entries.size());
+        while (common < limit && durable.get(common).equals(entries.get(common))) {
             common++;
         }
-        int survivingCount = common + mRandom.nextInt(mEntries.size() - common + 1);
+        return common;
+    }
+
+    /** Keeps a random prefix of the unsynced writes, as a crash may. */
+    void crash() {
+        int common = commonCount(mDisk.mDurableEntries, mEntries);
+        int limit = Math.max(common, Math.min(mSyncableCount, mEntries.size()));
+        int survivingCount = common + mRandom.nextInt(limit - common + 1);
         if (survivingCount > common) {
             mDisk.mDurableEntries = new ArrayList<>(mEntries.subList(0, survivingCount));
         }
@@ -78,6 +117,7 @@
     @Override
     public void saveHardState(HardState hardState) {
         crashIfDue();
+        refuseIfFull();
         mDisk.mHardState = hardState;
     }
 
@@ -85,24 +125,42 @@
     public void append(List<Entry> entries) {
         crashIfDue();
         long first = entries.get(0).index();
+        if (mDisk.mVariant == Variant.COUNTS_FAILED_SYNC && mEntries.containsAll(entries)) {
+            return;
+        }
+        if (mDisk.mFull && !mDisk.mFailsAtSync) {
+            // Part of a refused write reaches the disk.
+            replaceFrom(first, entries.subList(0, mRandom.nextInt(entries.size() + 1)));
+            refuseIfFull();
+        }
+        replaceFrom(first, entries);
+    }
+
+    private void replaceFrom(long first, List<Entry> entries) {
         mEntries.removeIf(entry -> entry.index() >= first);
         if (!mEntries.isEmpty() && mEntries.get(mEntries.size() - 1).index() != first - 1) {
             mEntries.clear();
         }
+        if (mSyncableCount >= mEntries.size()) {
+            mSyncableCount = Integer.MAX_VALUE;
+        }
         mEntries.addAll(entries);
     }
 
     @Override
     public void sync() {
         crashIfDue();
+        refuseIfFull();
         if (mDisk.mVariant != Variant.ACKNOWLEDGES_UNSYNCED) {
-            mDisk.mDurableEntries = new ArrayList<>(mEntries);
+            int count = Math.min(mSyncableCount, mEntries.size());
+            mDisk.mDurableEntries = new ArrayList<>(mEntries.subList(0, count));
         }
     }
 
     @Override
     public void saveSnapshot(SnapshotMeta meta, byte[] state) {
         crashIfDue();
+        refuseIfFull();
         mDisk.mSnapshot = meta;
         mDisk.mSnapshotState = state;
     }
@@ -121,6 +179,7 @@
     @Override
     public void storeChunk(SnapshotMeta meta, long offset, byte[] data) {
         crashIfDue();
+        refuseIfFull();
         if (offset == 0) {
             mReceivedSnapshot.reset();
         }
@@ -130,6 +189,7 @@
     @Override
     public boolean installSnapshot(SnapshotMeta meta) {
         crashIfDue();
+        refuseIfFull();
         byte[] state = mReceivedSnapshot.toByteArray();
         CRC32C crc = new CRC32C();
         crc.update(state);
@@ -140,15 +200,22 @@
         mDisk.mSnapshotState = state;
         mEntries = new ArrayList<>();
         mDisk.mDurableEntries = new ArrayList<>();
+        mSyncableCount = Integer.MAX_VALUE;
         return true;
     }
 
     @Override
     public void compact(long firstIndex) {
+        int before = mEntries.size();
         mEntries.removeIf(entry -> entry.index() < firstIndex);
+        if (mSyncableCount != Integer.MAX_VALUE) {
+            mSyncableCount = Math.max(0, mSyncableCount - (before - mEntries.size()));
+        }
         mDisk.mDurableEntries.removeIf(entry -> entry.index() < firstIndex);
     }
 
     @Override
-    public void close() {}
+    public void close() {
+        mDisk.mReadableEntries = mEntries;
+    }
 }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedInstance.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedInstance.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.InstanceId;
 
@@ -23,6 +24,11 @@
     CommandListState mState;
     private long mBusyUntilNanos;
     private boolean mFolderLost;
+
+    /** The node whose disk has refused a write, until its files can be written again. */
+    private ReplicaNode mSuspendedNode;
+
+    private static final int REOPENING_PERIOD_MILLIS = 100;
     private long mSteps;
 
     SimulatedInstance(ClusterSimulation simulation, InstanceId id) {
@@ -56,7 +62,7 @@
     }
 
     long nextWakeNanos() {
-        if (mNode == null || !mInbox.isEmpty()) {
+        if (mSuspendedNode != null || mNode == null || !mInbox.isEmpty()) {
             return mBusyUntilNanos;
         }
         return Math.max(mBusyUntilNanos, mNode.nextTimerNanos());
@@ -66,20 +72,68 @@
         if (nextWakeNanos() > mSimulation.mNowNanos) {
             return;
         }
+        if (mSuspendedNode != null) {
+            resume();
+            return;
+        }
         if (mNode == null) {
             start();
         }
+        if (mNode == null) {
+            return;
+        }
         List<ConsensusEvent> events = List.copyOf(mInbox);
         mInbox.clear();
         mSimulation.mSteps++;
         try {
             mNode.step(mSimulation.mNowNanos, events, this);
             reportLog();
+        } catch (HemlockrackException e) {
+            suspend(e);
         } catch (InMemoryLogStore.Crash e) {
             crash(mSimulation.mRandom.nextInt(1000));
         }
     }
 
+    private void suspend(HemlockrackException cause) {
+        if (cause.kind() != ErrorKind.STORAGE_FAILED) {
+            throw cause;
+        }
+        mNode.close();
+        mSuspendedNode = mNode;
+        mNode = null;
+        mInbox.clear();
+        mAcknowledgedIndexByRead.clear();
+        pause(REOPENING_PERIOD_MILLIS);
+        if (mSimulation.mVariant == Variant.STOPS_AFTER_FAILED_WRITE) {
+            mBusyUntilNanos = Long.MAX_VALUE;
+        }
+    }
+
+    private void resume() {
+        InMemoryLogStore store = InMemoryLogStore.reopen(mDisk, mSimulation.mRandom);
+        try {
+            mNode =
+                    ReplicaNode.resume(
+                            settings(),
+                            store,
+                            mSuspendedNode,
+                            mSimulation.mRandom,
+                            mSimulation.mNowNanos);
+        } catch (HemlockrackException e) {
+            pause(REOPENING_PERIOD_MILLIS);
+            return;
+        }
+        mStore = store;
+        mSuspendedNode = null;
+    }
+
+    /** Makes the disk refuse every write for a time, or again accept them. */
+    void setDiskFull(boolean full) {
+        mDisk.mFull = full;
+        mDisk.mFailsAtSync = mSimulation.mRandom.nextBoolean();
+    }
+
     /** Reports the log now and then, so that reports of different ages meet. */
     private void reportLog() {
         SettledReports settled = mSimulation.mSettled;
@@ -97,22 +151,34 @@
             mStore = new InMemoryLogStore(mDisk, mSimulation.mRandom);
         }
         mState = new CommandListState(mSimulation.mOracle);
-        ConsensusSettings settings =
-                new ConsensusSettings(
-                        mId,
-                        mSimulation.mBootstrapVoters,
-                        mFolderLost ? LogFormation.NEVER : mSimulation.mFormation,
-                        mSimulation.millisToNanos(500),
-                        mSimulation.millisToNanos(100),
-                        200,
-                        3,
-                        4000,
-                        64,
-                        5,
-                        mSimulation.mDisabledFeatures);
-        mNode =
-                ReplicaNode.start(
-                        settings, mStore, mState, 20, mSimulation.mRandom, mSimulation.mNowNanos);
+        try {
+            mNode =
+                    ReplicaNode.start(
+                            settings(),
+                            mStore,
+                            mState,
+                            20,
+                            mSimulation.mRandom,
+                            mSimulation.mNowNanos);
+        } catch (HemlockrackException e) {
+            // The process waits until its disk can be written.
+            pause(REOPENING_PERIOD_MILLIS);
+        }
+    }
+
+    private ConsensusSettings settings() {
+        return new ConsensusSettings(
+                mId,
+                mSimulation.mBootstrapVoters,
+                mFolderLost ? LogFormation.NEVER : mSimulation.mFormation,
+                mSimulation.millisToNanos(500),
+                mSimulation.millisToNanos(100),
+                200,
+                3,
+                4000,
+                64,
+                5,
+                mSimulation.mDisabledFeatures);
     }
 
     void receive(Packet packet) {
@@ -140,6 +206,7 @@
             mStore.crash();
         }
         mNode = null;
+        mSuspendedNode = null;
         mInbox.clear();
         mAcknowledgedIndexByRead.clear();
         mBusyUntilNanos = mSimulation.mNowNanos + mSimulation.millisToNanos(downMillis);
@@ -169,7 +236,9 @@
     }
 
     void endFaults() {
-        mBusyUntilNanos = Math.min(mBusyUntilNanos, mSimulation.mNowNanos);
+        mDisk.mFull = false;
+        boolean isStopped = mBusyUntilNanos == Long.MAX_VALUE;
+        mBusyUntilNanos = isStopped ? Long.MAX_VALUE : mSimulation.mNowNanos;
         if (mNode != null) {
             mStore.mOperationsUntilCrash = Integer.MAX_VALUE;
         }
