End a process whose replica failed for another reason than its disk

What operators would see: a controller that runs, says it is a voter, and never answers the other controllers again; or one whose state lacks a change that all others have.

Cause: any exception but the store's stopped the replica for good (HR1402), and the process went on without it. A HemlockrackException of the replicated state was taken for a failed disk: the replica came back and passed over the entry, as the entry counted as applied before it was. An Error, or an exception of the publication of the state, was only logged, and the timer of the replica was not set again.

Change: only STORAGE_FAILED and STORAGE_DAMAGED suspend a replica. An entry counts as applied after it was.

Evidence: ReplicaServiceTest.unexpectedFailureIsReportedAsTheEndOfTheThread (an exception with a code, one without, an Error).

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ReplicaNode.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ReplicaNode.java
@@ -236,8 +236,8 @@
             // Applied before the store failed.
             return;
         }
-        mAppliedIndex = apply.index();
         byte[] result = mState.apply(apply.index(), apply.leaderTimeMillis(), apply.command());
+        mAppliedIndex = apply.index();
         mReplayCost += mState.replayCost(apply.command());
         if (apply.ticket().isPresent()) {
             outputs.proposalApplied(apply.ticket().getAsLong(), apply.index(), result);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -242,16 +242,21 @@
         }
         try {
             mNode.step(mLoop.nowNanos(), batch, mOutputs);
-            publishMembership();
+            publishStep();
         } catch (HemlockrackException e) {
-            completeResults();
-            suspend(e);
-            return;
-        } catch (RuntimeException e) {
-            completeResults();
+            if (isStorageFailure(e)) {
+                completeResults();
+                suspend(e);
+            } else {
+                stopAfterFailure(e);
+            }
+        } catch (RuntimeException | Error e) {
             stopAfterFailure(e);
-            return;
         }
+    }
+
+    private void publishStep() {
+        publishMembership();
         mRetryMillis = FIRST_RETRY_MILLIS;
         Consensus consensus = mNode.consensus();
         mSettledTerm = consensus.lastTerm() == consensus.term() ? consensus.term() : 0;
@@ -263,6 +268,10 @@
         rescheduleTimer();
     }
 
+    private static boolean isStorageFailure(HemlockrackException e) {
+        return e.kind() == ErrorKind.STORAGE_FAILED || e.kind() == ErrorKind.STORAGE_DAMAGED;
+    }
+
     /**
      * Completes the results of a step. This follows the publication of the applied state, so that
      * whoever waited for a result does not read an older state.
@@ -321,11 +330,18 @@
         scheduleStep();
     }
 
-    /** Stops the replica for good, because it is unknown in which state it is. */
-    private void stopAfterFailure(RuntimeException cause) {
+    /**
+     * Ends the replica, because it is unknown in which state it is, and reports the cause as if it
+     * had ended the thread. A process ends then, and the next one reads the state from the disk; a
+     * process that goes on would stay a voter that never answers.
+     */
+    private void stopAfterFailure(Throwable cause) {
         mStopped = true;
+        completeResults();
         endParticipation();
-        mLog.log(LogEvent.STORAGE_REFUSED, cause, "the replica stopped: %s", cause.getMessage());
+        mLog.log(LogEvent.INTERNAL_FAULT, cause, "the replica stopped: %s", cause);
+        Thread thread = Thread.currentThread();
+        thread.getUncaughtExceptionHandler().uncaughtException(thread, cause);
     }
 
     private void endParticipation() {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/ReplicaServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/ReplicaServiceTest.java
@@ -2,14 +2,17 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -24,11 +27,14 @@
 import org.hemlockrack.control.ControlState;
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.EventLoop;
+import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.InstanceId;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class ReplicaServiceTest {
@@ -39,6 +45,9 @@
     private final ControlState mState = ControlState.create();
     private final AtomicLong mPublishedVersion = new AtomicLong();
 
+    /** Thrown by the publication of the state, or by the transport. */
+    private volatile @Nullable Throwable mInjected;
+
     private final AtomicBoolean mDiskFull = new AtomicBoolean();
     private boolean mFailsAtSync;
 
@@ -78,11 +87,22 @@
                         failed -> reopen(folder, failed),
                         packet -> {},
                         EventLog.create(),
-                        () -> mPublishedVersion.set(mState.tableVersion()));
+                        this::publishState);
         awaitLeader(replica);
         return replica;
     }
 
+    private void publishState() {
+        Throwable injected = mInjected;
+        if (injected instanceof Error error) {
+            throw error;
+        }
+        if (injected instanceof RuntimeException exception) {
+            throw exception;
+        }
+        mPublishedVersion.set(mState.tableVersion());
+    }
+
     private static void awaitLeader(ReplicaService replica) throws InterruptedException {
         for (int i = 0; i < 2_000 && replica.role() != Role.LEADER; i++) {
             TimeUnit.MILLISECONDS.sleep(5);
@@ -160,6 +180,35 @@
         assertEquals(21, read.tableVersion());
     }
 
+    private static List<Throwable> unexpectedFailures() {
+        return List.of(
+                HemlockrackException.of(ErrorKind.INTERNAL, "injected"),
+                new IllegalStateException("injected"),
+                new StackOverflowError("injected"));
+    }
+
+    /**
+     * Guards against a replica that ends, or is taken for one whose disk failed, after an exception
+     * that has nothing to do with its disk, while its process goes on as a voter without a replica.
+     */
+    @ParameterizedTest
+    @MethodSource("unexpectedFailures")
+    void unexpectedFailureIsReportedAsTheEndOfTheThread(Throwable failure, @TempDir Path folder)
+            throws Exception {
+        BlockingQueue<Throwable> reported = new LinkedBlockingQueue<>();
+        Thread.UncaughtExceptionHandler before = Thread.getDefaultUncaughtExceptionHandler();
+        Thread.setDefaultUncaughtExceptionHandler((thread, cause) -> reported.add(cause));
+        try (ReplicaService replica = start(folder)) {
+            mInjected = failure;
+            replica.propose(ControlCommand.publishTable(7, new byte[] {1}));
+            assertSame(failure, reported.poll(10, TimeUnit.SECONDS));
+            assertEquals(Role.FOLLOWER, replica.role());
+            assertEquals(ProposalStatus.NOT_LEADER, publish(replica, 8));
+        } finally {
+            Thread.setDefaultUncaughtExceptionHandler(before);
+        }
+    }
+
     /** Guards against a change that takes effect twice, or is lost, when its disk fills up. */
     @Test
     void stateIsTheSameAfterTheDiskWasFull(@TempDir Path folder) throws Exception {
