Close a store whose replica could not be started on it

What operators would see: a replica whose disk was full for some seconds does not come back, although the disk has room again and its process runs.

Nobody closed the store, so that each later try found the lock of its own process. An exception of another kind also ended the tries.

Change: ReplicaStorage opens a store for the controller and for the full role, which each had this code, and closes it if no replica starts on it. An exception of the return that is not the disk's ends the process, as one of a step does.

Evidence: ReplicaServiceTest.replicaReturnsAfterItsFilesCouldNotBeRead.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -12,6 +12,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.UnaryOperator;
 import org.apache.hc.core5.http.nio.ssl.TlsStrategy;
 import org.hemlockrack.claims.AttemptSource;
 import org.hemlockrack.config.ConfigCommand;
@@ -46,6 +47,8 @@
 import org.hemlockrack.daemon.peer.PeerServer;
 import org.hemlockrack.daemon.replica.Proposer;
 import org.hemlockrack.daemon.replica.ReplicaService;
+import org.hemlockrack.daemon.replica.ReplicaStorage;
+import org.hemlockrack.daemon.replica.ReplicaStorageLog;
 import org.hemlockrack.daemon.replica.VoterState;
 import org.hemlockrack.daemon.rollout.OrderService;
 import org.hemlockrack.daemon.rollout.RolloutControllerService;
@@ -249,21 +252,20 @@
             return;
         }
         VoterState state = VoterState.create(mLogLoop);
-        ReplicaNode node =
-                ReplicaNode.start(
-                        consensusSettings(),
-                        openStore(folder),
-                        state.replicatedState(),
-                        SNAPSHOT_INTERVAL_ENTRIES,
-                        new SplittableRandom(mRandom.nextLong()),
-                        mLogLoop.nowNanos());
+        ReplicaStorage storage =
+                ReplicaStorage.of(
+                        folder,
+                        mRandom,
+                        UnaryOperator.identity(),
+                        ReplicaStorageLog.of(mLog, folder));
+        ReplicaNode node = storage.start(store -> startNode(store, state));
         AtomicLong publishedVersion = new AtomicLong(NOT_PUBLISHED);
         mVoterState = state;
         mReplica =
                 ReplicaService.start(
                         mLogLoop,
                         node,
-                        failed -> reopenReplica(failed, folder),
+                        failed -> storage.start(store -> resumeNode(store, failed)),
                         this::send,
                         mLog,
                         () -> onStateChanged(state, publishedVersion));
@@ -275,33 +277,23 @@
                 mSettings.instanceId(), List.copyOf(mSettings.voters().keySet()));
     }
 
-    private ReplicaNode reopenReplica(ReplicaNode failed, Path folder) {
-        LogStore store = openStore(folder);
-        try {
-            return ReplicaNode.resume(
-                    consensusSettings(),
-                    store,
-                    failed,
-                    new SplittableRandom(mRandom.nextLong()),
-                    mLogLoop.nowNanos());
-        } catch (HemlockrackException e) {
-            store.close();
-            throw e;
-        }
+    private ReplicaNode startNode(LogStore store, VoterState state) {
+        return ReplicaNode.start(
+                consensusSettings(),
+                store,
+                state.replicatedState(),
+                SNAPSHOT_INTERVAL_ENTRIES,
+                new SplittableRandom(mRandom.nextLong()),
+                mLogLoop.nowNanos());
     }
 
-    /** Opens the log; a damaged one is replaced, and the instance rejoins as a new replica. */
-    private LogStore openStore(Path folder) {
-        try {
-            return LogStore.open(folder, mRandom);
-        } catch (HemlockrackException e) {
-            if (e.kind() != ErrorKind.STORAGE_DAMAGED) {
-                throw e;
-            }
-            mLog.log(LogEvent.STORAGE_REFUSED, "%s: %s", folder, e.getMessage());
-            mLog.log(LogEvent.REPLICA_REJOINED, "%s starts as a new replica", folder);
-            return LogStore.openDamaged(folder, mRandom);
-        }
+    private ReplicaNode resumeNode(LogStore store, ReplicaNode failed) {
+        return ReplicaNode.resume(
+                consensusSettings(),
+                store,
+                failed,
+                new SplittableRandom(mRandom.nextLong()),
+                mLogLoop.nowNanos());
     }
 
     private void onStateChanged(VoterState state, AtomicLong publishedVersion) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -40,6 +40,7 @@
 import org.hemlockrack.daemon.peer.PeerServer;
 import org.hemlockrack.daemon.replica.Proposer;
 import org.hemlockrack.daemon.replica.ReplicaService;
+import org.hemlockrack.daemon.replica.ReplicaStorage;
 import org.hemlockrack.daemon.settings.SettingKey;
 import org.hemlockrack.daemon.settings.Settings;
 import org.hemlockrack.daemon.settings.SettingsReloader;
@@ -167,40 +168,41 @@
             throw HemlockrackException.of(
                     ErrorKind.SETTINGS_INVALID, "a controller needs voter.data_folder");
         }
-        Path logFolder = folder.resolve(LOG_FOLDER);
-        LogStore store = openStore(logFolder, random);
-        mDurableState = readDurableState(store);
-        mDurableTerm = settledTerm(store.recovered());
-        ReplicaNode node =
-                ReplicaNode.start(
-                        consensusSettings(),
-                        store,
-                        state,
-                        SNAPSHOT_INTERVAL_ENTRIES,
-                        new SplittableRandom(random.nextLong()),
-                        mLogLoop.nowNanos());
+        ReplicaStorage storage =
+                ReplicaStorage.of(
+                        folder.resolve(LOG_FOLDER),
+                        random,
+                        store -> TableTrackingStore.of(store, mTables),
+                        ControllerStorageLog.of(mLog));
+        ReplicaNode node = storage.start(store -> startNode(store, state, random));
         return ReplicaService.start(
                 mLogLoop,
                 node,
-                failed -> reopen(failed, logFolder, random),
+                failed -> storage.start(store -> resumeNode(store, failed, random)),
                 this::send,
                 EventLog.create(),
                 () -> onApplied(state));
     }
 
-    private ReplicaNode reopen(ReplicaNode failed, Path logFolder, SecureRandom random) {
-        LogStore store = openStore(logFolder, random);
-        try {
-            return ReplicaNode.resume(
-                    consensusSettings(),
-                    store,
-                    failed,
-                    new SplittableRandom(random.nextLong()),
-                    mLogLoop.nowNanos());
-        } catch (HemlockrackException e) {
-            store.close();
-            throw e;
-        }
+    private ReplicaNode startNode(LogStore store, ControlState state, SecureRandom random) {
+        mDurableState = readDurableState(store);
+        mDurableTerm = settledTerm(store.recovered());
+        return ReplicaNode.start(
+                consensusSettings(),
+                store,
+                state,
+                SNAPSHOT_INTERVAL_ENTRIES,
+                new SplittableRandom(random.nextLong()),
+                mLogLoop.nowNanos());
+    }
+
+    private ReplicaNode resumeNode(LogStore store, ReplicaNode failed, SecureRandom random) {
+        return ReplicaNode.resume(
+                consensusSettings(),
+                store,
+                failed,
+                new SplittableRandom(random.nextLong()),
+                mLogLoop.nowNanos());
     }
 
     /** Returns the control state after all commands on the local disk, committed or not. */
@@ -243,25 +245,6 @@
                 PREFIX_SAVE_PERIOD_MILLIS, () -> mService.savePrefixUses(file));
     }
 
-    private LogStore openStore(Path folder, SecureRandom random) {
-        return TableTrackingStore.of(openUntracked(folder, random), mTables);
-    }
-
-    private LogStore openUntracked(Path folder, SecureRandom random) {
-        try {
-            return LogStore.open(folder, random);
-        } catch (HemlockrackException e) {
-            if (e.kind() != ErrorKind.STORAGE_DAMAGED) {
-                throw e;
-            }
-            mLog.instanceEvent("storage_damaged")
-                    .put("cause", e.getMessage())
-                    .put("action", "joins as a new replica")
-                    .write();
-            return LogStore.openDamaged(folder, random);
-        }
-    }
-
     private ConsensusSettings consensusSettings() {
         List<InstanceId> controllers = new ArrayList<>();
         for (String peer : mConfiguredControllers) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -49,7 +49,7 @@
          *
          * @param failed the replica whose storage has failed; closed
          * @return the replica, with the state of the failed one
-         * @throws HemlockrackException if the storage still fails; it is closed then
+         * @throws HemlockrackException if the storage still fails; its files are closed then
          */
         ReplicaNode reopen(ReplicaNode failed);
     }
@@ -322,7 +322,14 @@
         try {
             mNode = mReopener.reopen(mNode);
         } catch (HemlockrackException e) {
-            scheduleReopening();
+            if (canPass(e)) {
+                scheduleReopening();
+            } else {
+                stopAfterFailure(e);
+            }
+            return;
+        } catch (RuntimeException | Error e) {
+            stopAfterFailure(e);
             return;
         }
         mLog.log(LogEvent.REPLICA_RESUMED, "the replica takes part again");
@@ -330,6 +337,11 @@
         scheduleStep();
     }
 
+    /** Returns whether a later try to open the files can succeed. */
+    private static boolean canPass(HemlockrackException e) {
+        return e.kind() == ErrorKind.STORAGE_FAILED || e.kind() == ErrorKind.NOT_READY;
+    }
+
     /**
      * Ends the replica, because it is unknown in which state it is, and reports the cause as if it
      * had ended the thread. A process ends then, and the next one reads the state from the disk; a
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/ReplicaServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/ReplicaServiceTest.java
@@ -11,10 +11,12 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.hemlockrack.consensus.ConsensusSettings;
 import org.hemlockrack.consensus.Entry;
@@ -49,42 +51,61 @@
     private volatile @Nullable Throwable mInjected;
 
     private final AtomicBoolean mDiskFull = new AtomicBoolean();
+
+    /** How many openings fail after the folder was locked. */
+    private final AtomicInteger mFailingWraps = new AtomicInteger();
+
+    private final StorageEvents mStorageLog = new StorageEvents();
     private boolean mFailsAtSync;
 
-    private LogStore open(Path folder) {
-        return new FullDiskStore(
-                LogStore.open(folder, new SecureRandom()), mDiskFull, mFailsAtSync);
+    /** Records what the storage reports. */
+    private static final class StorageEvents implements ReplicaStorage.Listener {
+        private final List<String> mEvents = new CopyOnWriteArrayList<>();
+
+        @Override
+        public void onDamaged(HemlockrackException cause) {
+            mEvents.add("damaged");
+        }
     }
 
-    private ReplicaNode reopen(Path folder, ReplicaNode failed) {
-        LogStore store = open(folder);
-        try {
-            return ReplicaNode.resume(
-                    ConsensusSettings.of(SELF, List.of(SELF)),
-                    store,
-                    failed,
-                    new SplittableRandom(1),
-                    mLoop.nowNanos());
-        } catch (HemlockrackException e) {
-            store.close();
-            throw e;
+    private ReplicaStorage storage(Path folder) {
+        return ReplicaStorage.of(folder, new SecureRandom(), this::wrap, mStorageLog);
+    }
+
+    private LogStore wrap(LogStore store) {
+        if (mFailingWraps.getAndUpdate(count -> Math.max(0, count - 1)) > 0) {
+            throw HemlockrackException.of(ErrorKind.STORAGE_FAILED, "cannot be read");
         }
+        return new FullDiskStore(store, mDiskFull, mFailsAtSync);
+    }
+
+    private ReplicaNode startNode(LogStore store) {
+        return ReplicaNode.start(
+                ConsensusSettings.of(SELF, List.of(SELF)),
+                store,
+                mState,
+                SNAPSHOT_ENTRIES,
+                new SplittableRandom(1),
+                mLoop.nowNanos());
+    }
+
+    private ReplicaNode resumeNode(LogStore store, ReplicaNode failed) {
+        return ReplicaNode.resume(
+                ConsensusSettings.of(SELF, List.of(SELF)),
+                store,
+                failed,
+                new SplittableRandom(1),
+                mLoop.nowNanos());
     }
 
     private ReplicaService start(Path folder) throws InterruptedException {
-        ReplicaNode node =
-                ReplicaNode.start(
-                        ConsensusSettings.of(SELF, List.of(SELF)),
-                        open(folder),
-                        mState,
-                        SNAPSHOT_ENTRIES,
-                        new SplittableRandom(1),
-                        mLoop.nowNanos());
+        ReplicaStorage storage = storage(folder);
+        ReplicaNode node = storage.start(this::startNode);
         ReplicaService replica =
                 ReplicaService.start(
                         mLoop,
                         node,
-                        failed -> reopen(folder, failed),
+                        failed -> storage.start(store -> resumeNode(store, failed)),
                         packet -> {},
                         EventLog.create(),
                         this::publishState);
@@ -180,6 +201,25 @@
         assertEquals(21, read.tableVersion());
     }
 
+    /**
+     * Guards against a replica that finds its own lock at each later try, after its files were
+     * locked and then could not be read.
+     */
+    @Test
+    void replicaReturnsAfterItsFilesCouldNotBeRead(@TempDir Path folder) throws Exception {
+        try (ReplicaService replica = start(folder)) {
+            assertEquals(ProposalStatus.APPLIED, publish(replica, 7));
+            mFailingWraps.set(2);
+            mDiskFull.set(true);
+            publish(replica, 8);
+            mDiskFull.set(false);
+            awaitLeader(replica);
+            assertEquals(0, mFailingWraps.get());
+            assertEquals(ProposalStatus.APPLIED, publish(replica, 9));
+            assertEquals(List.of(), mStorageLog.mEvents);
+        }
+    }
+
     private static List<Throwable> unexpectedFailures() {
         return List.of(
                 HemlockrackException.of(ErrorKind.INTERNAL, "injected"),
