Let the start of a process wait for a disk that cannot be used

Each start costs processor time and delays the return, and the alerts say that the process crashes.

Cause: an error at the opening of the data folder ended the process, whatever it was.

Change: while the files cannot be written or read, the start waits, with one line in the log, tries again after 0.1 to 1 s, and goes on by itself. No port is open meanwhile, so the process is not ready. SIGTERM ends it with code 0; the handler was set after the start. A folder that is a file, or whose rights forbid its use, is still an error that ends the process, now SETTINGS_INVALID with the reason.

Evidence: ReplicaServiceTest.startWaitsUntilTheFilesCanBeUsed, before: "cannot be read" ends the start. FileLogStoreTest.aFileInPlaceOfTheFolderIsAnErrorOfTheSettings guards the exception.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/FileLogStore.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/FileLogStore.java
@@ -3,7 +3,10 @@
 import com.google.common.io.Closer;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.file.AccessDeniedException;
+import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
+import java.nio.file.NotDirectoryException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -109,8 +112,14 @@
     }
 
     private static HemlockrackException ioFailure(Path path, IOException cause) {
+        boolean isUnusable =
+                cause instanceof AccessDeniedException
+                        || cause instanceof FileAlreadyExistsException
+                        || cause instanceof NotDirectoryException;
         return HemlockrackException.of(
-                ErrorKind.STORAGE_FAILED, String.format(ErrorText.STORE_FAILED, path), cause);
+                isUnusable ? ErrorKind.SETTINGS_INVALID : ErrorKind.STORAGE_FAILED,
+                String.format(ErrorText.STORE_FAILED, path, cause),
+                cause);
     }
 
     private void load() throws IOException {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
@@ -100,7 +100,7 @@
     public static final String STORE_DAMAGED = "%s is damaged at byte %d: %s";
     public static final String STORE_MISSING = "%s is missing";
     public static final String STORE_LOCKED = "another process uses the data folder %s";
-    public static final String STORE_FAILED = "the data folder %s cannot be written or read";
+    public static final String STORE_FAILED = "the data folder %s cannot be written or read: %s";
     public static final String ROLLOUT_SAME_VERSION =
             "the version to roll out is the version in use";
     public static final String ROLLOUT_DEADLINE_PAST = "the deadline has passed";
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreTest.java
@@ -111,6 +111,16 @@
         open().close();
     }
 
+    /** Guards against an unusable folder that is taken for a disk that may recover. */
+    @Test
+    void aFileInPlaceOfTheFolderIsAnErrorOfTheSettings() throws IOException {
+        Path file = Files.writeString(mFolder.resolve("file"), "text");
+        HemlockrackException e =
+                assertThrows(HemlockrackException.class, () -> LogStore.open(file, mRandom));
+        assertEquals(ErrorKind.SETTINGS_INVALID, e.kind());
+        assertEquals("text", Files.readString(file));
+    }
+
     /** Guards against segments that are never removed and entries lost by compaction. */
     @Test
     void compactionRemovesSegmentsAndTruncationSpansThem() throws IOException {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -265,7 +265,7 @@
                 ReplicaService.start(
                         mLogLoop,
                         node,
-                        failed -> storage.start(store -> resumeNode(store, failed)),
+                        failed -> storage.reopen(store -> resumeNode(store, failed)),
                         this::send,
                         mLog,
                         () -> onStateChanged(state, publishedVersion));
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/ServiceProcess.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/ServiceProcess.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.daemon;
 
 import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.impl.Arguments;
@@ -12,6 +13,7 @@
 import org.hemlockrack.daemon.settings.SettingKey;
 import org.hemlockrack.daemon.settings.Settings;
 import org.hemlockrack.errors.HemlockrackException;
+import org.jspecify.annotations.Nullable;
 
 /** Runs one instance as a process: parses arguments, loads settings, sets up logs and shutdown. */
 public final class ServiceProcess {
@@ -83,20 +85,33 @@
         }
         LogFormat.of(settings.text(SettingKey.LOG_FORMAT)).install();
         Thread.setDefaultUncaughtExceptionHandler(ServiceProcess::exitAfterLoss);
-        Instance instance = starter.apply(new StartOptions(settings, file));
-        Thread shutdown =
-                new Thread(
-                        () -> {
-                            sStopping = true;
-                            instance.shutDown();
-                            // Otherwise the exit code would be that of the signal.
-                            Runtime.getRuntime().halt(0);
-                        },
-                        "shutdown");
+        AtomicReference<Instance> started = new AtomicReference<>();
+        Thread shutdown = new Thread(() -> shutDown(started.get()), "shutdown");
+        // A start waits while its disk cannot be used; it can be stopped meanwhile.
         Runtime.getRuntime().addShutdownHook(shutdown);
+        try {
+            started.set(starter.apply(new StartOptions(settings, file)));
+        } catch (HemlockrackException e) {
+            if (!sStopping) {
+                Runtime.getRuntime().removeShutdownHook(shutdown);
+            }
+            throw e;
+        }
         Thread.currentThread().join();
     }
 
+    private static void shutDown(@Nullable Instance instance) {
+        sStopping = true;
+        try {
+            if (instance != null) {
+                instance.shutDown();
+            }
+        } finally {
+            // Otherwise the exit code would be that of the signal.
+            Runtime.getRuntime().halt(0);
+        }
+    }
+
     /**
      * Ends the process after an exception has ended one of its threads. Without the thread, a part
      * of the instance no longer answers while the others still report that it is ready. Pools that
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -178,7 +178,7 @@
         return ReplicaService.start(
                 mLogLoop,
                 node,
-                failed -> storage.start(store -> resumeNode(store, failed, random)),
+                failed -> storage.reopen(store -> resumeNode(store, failed, random)),
                 this::send,
                 EventLog.create(),
                 () -> onApplied(state));
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerStorageLog.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerStorageLog.java
@@ -23,4 +23,17 @@
                 .put("action", "joins as a new replica")
                 .write();
     }
+
+    @Override
+    public void onUnavailable(HemlockrackException cause) {
+        mLog.instanceEvent("storage_unavailable")
+                .put("cause", cause.getMessage())
+                .put("action", "waits")
+                .write();
+    }
+
+    @Override
+    public void onAvailable() {
+        mLog.instanceEvent("storage_available").write();
+    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaStorage.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaStorage.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.daemon.replica;
 
 import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
@@ -15,6 +16,9 @@
  * free. Not thread-safe.
  */
 public final class ReplicaStorage {
+    private static final long FIRST_PAUSE_MILLIS = 100;
+    private static final long MAX_PAUSE_MILLIS = 1_000;
+
     /** Hears of what operators should know about the storage. */
     public interface Listener {
         /**
@@ -23,6 +27,16 @@
          * @param cause what is damaged
          */
         void onDamaged(HemlockrackException cause);
+
+        /**
+         * Called once when the start begins to wait, because the files cannot be written or read.
+         *
+         * @param cause why
+         */
+        void onUnavailable(HemlockrackException cause);
+
+        /** Called when a start that has waited goes on. */
+        void onAvailable();
     }
 
     private final Path mFolder;
@@ -58,6 +72,37 @@
         return new ReplicaStorage(folder, random, wrapper, listener);
     }
 
+    /**
+     * Opens the store and starts a replica on it. While the files cannot be written or read, this
+     * waits and tries again; the calling thread sleeps meanwhile.
+     *
+     * @param starter starts a replica on a store
+     * @return the replica
+     * @throws HemlockrackException with {@link ErrorKind#NOT_READY} if another process uses the
+     *     folder, or if the thread is interrupted
+     */
+    public ReplicaNode start(Function<LogStore, ReplicaNode> starter) {
+        long pauseMillis = FIRST_PAUSE_MILLIS;
+        while (true) {
+            try {
+                ReplicaNode node = reopen(starter);
+                if (pauseMillis > FIRST_PAUSE_MILLIS) {
+                    mListener.onAvailable();
+                }
+                return node;
+            } catch (HemlockrackException e) {
+                if (e.kind() != ErrorKind.STORAGE_FAILED) {
+                    throw e;
+                }
+                if (pauseMillis == FIRST_PAUSE_MILLIS) {
+                    mListener.onUnavailable(e);
+                }
+            }
+            sleep(pauseMillis);
+            pauseMillis = Math.min(2 * pauseMillis, MAX_PAUSE_MILLIS);
+        }
+    }
+
     /**
      * Opens the store and starts a replica on it.
      *
@@ -66,7 +111,7 @@
      * @throws HemlockrackException with {@link ErrorKind#STORAGE_FAILED} if the files cannot be
      *     written or read, with {@link ErrorKind#NOT_READY} if another process uses the folder
      */
-    public ReplicaNode start(Function<LogStore, ReplicaNode> starter) {
+    public ReplicaNode reopen(Function<LogStore, ReplicaNode> starter) {
         LogStore store = open();
         try {
             return starter.apply(mWrapper.apply(store));
@@ -96,4 +141,14 @@
             return LogStore.openDamaged(mFolder, mRandom);
         }
     }
+
+    private static void sleep(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw HemlockrackException.of(
+                    ErrorKind.NOT_READY, "interrupted while the storage was not available", e);
+        }
+    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaStorageLog.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaStorageLog.java
@@ -31,4 +31,14 @@
         mLog.log(LogEvent.STORAGE_REFUSED, "%s: %s", mFolder, cause.getMessage());
         mLog.log(LogEvent.REPLICA_REJOINED, "%s starts as a new replica", mFolder);
     }
+
+    @Override
+    public void onUnavailable(HemlockrackException cause) {
+        mLog.log(LogEvent.REPLICA_SUSPENDED, "the start waits: %s", cause.getMessage());
+    }
+
+    @Override
+    public void onAvailable() {
+        mLog.log(LogEvent.REPLICA_RESUMED, "the start goes on");
+    }
 }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/ReplicaServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/ReplicaServiceTest.java
@@ -66,6 +66,16 @@
         public void onDamaged(HemlockrackException cause) {
             mEvents.add("damaged");
         }
+
+        @Override
+        public void onUnavailable(HemlockrackException cause) {
+            mEvents.add("unavailable");
+        }
+
+        @Override
+        public void onAvailable() {
+            mEvents.add("available");
+        }
     }
 
     private ReplicaStorage storage(Path folder) {
@@ -105,7 +115,7 @@
                 ReplicaService.start(
                         mLoop,
                         node,
-                        failed -> storage.start(store -> resumeNode(store, failed)),
+                        failed -> storage.reopen(store -> resumeNode(store, failed)),
                         packet -> {},
                         EventLog.create(),
                         this::publishState);
@@ -220,6 +230,16 @@
         }
     }
 
+    /** Guards against a process that ends, again and again, while its disk cannot be used. */
+    @Test
+    void startWaitsUntilTheFilesCanBeUsed(@TempDir Path folder) throws Exception {
+        mFailingWraps.set(3);
+        try (ReplicaService replica = start(folder)) {
+            assertEquals(List.of("unavailable", "available"), mStorageLog.mEvents);
+            assertEquals(ProposalStatus.APPLIED, publish(replica, 7));
+        }
+    }
+
     private static List<Throwable> unexpectedFailures() {
         return List.of(
                 HemlockrackException.of(ErrorKind.INTERNAL, "injected"),
