--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/LogStore.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/LogStore.java
@@ -7,7 +7,8 @@
 
 /**
  * Durable storage of one replica: log, snapshot and hard state. Not thread-safe. After an exception
- * from a method that writes, the store must be closed, because it is unknown what reached the disk.
+ * from a method that writes, except {@link #saveSnapshot}, the store must be closed, because it is
+ * unknown what reached the disk.
  */
 public interface LogStore extends AutoCloseable {
     /**
@@ -64,7 +65,8 @@
     void sync();
 
     /**
-     * Saves a snapshot of the local state durably and removes older ones.
+     * Saves a snapshot of the local state durably and removes older ones. If that fails, the
+     * earlier snapshot and the log are as before, and the store can be used further.
      *
      * @param meta the snapshot
      * @param state the state
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/NodeOutputs.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/NodeOutputs.java
@@ -1,5 +1,6 @@
 package org.hemlockrack.consensus;
 
+import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.InstanceId;
 import org.jspecify.annotations.Nullable;
 
@@ -55,4 +56,11 @@
      * @param leader the instance that leads, if known
      */
     default void roleChanged(Role role, long term, @Nullable InstanceId leader) {}
+
+    /**
+     * A snapshot could not be saved; the replica goes on with its log and tries again after 5 s.
+     *
+     * @param cause why
+     */
+    default void snapshotFailed(HemlockrackException cause) {}
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ReplicaNode.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ReplicaNode.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.random.RandomGenerator;
 import java.util.zip.CRC32C;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.HemlockrackException;
 
 /**
  * Drives one replica: executes the outputs of {@link Consensus} on the log store and the replicated
@@ -16,6 +18,9 @@
     /** A running snapshot transfer delays a new snapshot to this multiple of the interval. */
     private static final int TRANSFER_DELAY_FACTOR = 4;
 
+    /** Time between a snapshot that could not be saved and the next one. */
+    private static final long SNAPSHOT_RETRY_NANOS = 5_000_000_000L;
+
     private final Consensus mConsensus;
     private final LogStore mStore;
     private final ReplicatedState mState;
@@ -32,6 +37,10 @@
     private long mDurableIndex;
 
     private boolean mSyncNeeded;
+    private boolean mSnapshotFailed;
+
+    /** When the last snapshot failed; valid if {@link #mSnapshotFailed}. */
+    private long mSnapshotFailureNanos;
 
     private ReplicaNode(
             Consensus consensus, LogStore store, ReplicatedState state, long snapshotEntries) {
@@ -267,14 +276,29 @@
         if (cost < factor * mSnapshotEntries) {
             return;
         }
+        if (mSnapshotFailed && nowNanos - mSnapshotFailureNanos < SNAPSHOT_RETRY_NANOS) {
+            return;
+        }
         byte[] state = mState.snapshot();
         SnapshotMeta meta = mConsensus.describeSnapshot(state.length, checksum(state));
-        mStore.saveSnapshot(meta, state);
+        try {
+            mStore.saveSnapshot(meta, state);
+        } catch (HemlockrackException e) {
+            if (e.kind() != ErrorKind.STORAGE_FAILED) {
+                throw e;
+            }
+            // The log goes on without it: a disk may have room for entries, not for a snapshot.
+            mSnapshotFailed = true;
+            mSnapshotFailureNanos = nowNanos;
+            outputs.snapshotFailed(e);
+            return;
+        }
         recordSnapshot(meta);
         handle(nowNanos, new ConsensusEvent.SnapshotSaved(meta), outputs);
     }
 
     private void recordSnapshot(SnapshotMeta meta) {
+        mSnapshotFailed = false;
         mSnapshotIndex = meta.index();
         mReplayCost = 0;
     }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/DataFolder.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/DataFolder.java
@@ -84,9 +84,19 @@
     /** Writes a file so that after a crash it holds either the old or the new content. */
     void replace(String name, ByteBuffer... parts) throws IOException {
         Path temp = mPath.resolve(name + TEMP_SUFFIX);
+        try {
+            writeDurably(temp, parts);
+            rename(temp, name);
+        } catch (IOException e) {
+            deleteAfter(e, temp);
+            throw e;
+        }
+    }
+
+    private static void writeDurably(Path file, ByteBuffer... parts) throws IOException {
         try (FileChannel channel =
                 FileChannel.open(
-                        temp,
+                        file,
                         StandardOpenOption.CREATE,
                         StandardOpenOption.TRUNCATE_EXISTING,
                         StandardOpenOption.WRITE)) {
@@ -95,7 +105,22 @@
             }
             channel.force(true);
         }
-        rename(temp, name);
+    }
+
+    /** Gives back the space of a file that was not written to its end. */
+    private static void deleteAfter(IOException cause, Path file) {
+        try {
+            Files.deleteIfExists(file);
+        } catch (IOException e) {
+            cause.addSuppressed(e);
+        }
+    }
+
+    /** Removes the files that a process left behind when it ended during {@link #replace}. */
+    void deleteTemporaryFiles() throws IOException {
+        for (String name : fileNames("", TEMP_SUFFIX)) {
+            delete(name);
+        }
     }
 
     /** Durably renames a synced file within the folder. */
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/InMemoryLogStore.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/InMemoryLogStore.java
@@ -28,6 +28,9 @@
         /** Whether the disk refuses every write. */
         boolean mFull;
 
+        /** Whether the disk has no room for snapshots. */
+        boolean mRefusesSnapshots;
+
         /** Whether a full disk refuses only the sync after an append. */
         boolean mFailsAtSync;
 
@@ -161,6 +164,9 @@
     public void saveSnapshot(SnapshotMeta meta, byte[] state) {
         crashIfDue();
         refuseIfFull();
+        if (mDisk.mRefusesSnapshots) {
+            throw HemlockrackException.of(ErrorKind.STORAGE_FAILED, "no space for a snapshot");
+        }
         mDisk.mSnapshot = meta;
         mDisk.mSnapshotState = state;
     }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ReplicaNodeTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ReplicaNodeTest.java
@@ -101,6 +101,24 @@
         }
     }
 
+    /** Guards against a replica that leaves its log because there is no room for a snapshot. */
+    @Test
+    void replicaGoesOnWithoutASnapshotThatCannotBeSaved() {
+        try (ReplicaNode node = open(new SlowState())) {
+            mDisk.mRefusesSnapshots = true;
+            propose(node, 200);
+            propose(node, 200);
+            assertNull(mDisk.mSnapshot);
+            assertEquals(Role.LEADER, node.consensus().role());
+            mDisk.mRefusesSnapshots = false;
+            propose(node, 1);
+            assertNull(mDisk.mSnapshot);
+            mNowNanos += 5_000_000_000L;
+            propose(node, 1);
+            assertNotNull(mDisk.mSnapshot);
+        }
+    }
+
     /** Guards against a replay cost that restarts reset, so that no snapshot is ever due. */
     @Test
     void commandsAppliedAgainAfterARestartCountForTheNextSnapshot() {
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreFaultsTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreFaultsTest.java
@@ -224,6 +224,49 @@
         deleteFolder(folder);
     }
 
+    /**
+     * Guards against a snapshot that could not be saved and spoils the store, or keeps the space of
+     * what was written of it.
+     */
+    @Test
+    void aRefusedSnapshotLeavesTheStoreAsItWas() throws IOException {
+        FaultyDisk disk = FaultyDisk.create();
+        disk.setTornSixteenths(8);
+        Expected expected = new Expected();
+        try (LogStore store = open(disk, mTemp)) {
+            expected.mHardState = store.recovered().hardState();
+            expected.mReplicaId = expected.mHardState.replicaId();
+            write(1, 9, 1, 20).run(store, expected);
+            snapshot(4, 1).run(store, expected);
+            int refusedCount = 0;
+            for (long at = 0; refusedCount == at; at++) {
+                long refused = at;
+                disk.setFaults((operation, number) -> number == refused);
+                try {
+                    snapshot(8, 1).run(store, expected);
+                } catch (HemlockrackException e) {
+                    refusedCount++;
+                    write(9 + refusedCount, 9 + refusedCount, 1, 20).run(store, expected);
+                    assertEquals(100, store.loadSnapshot().length);
+                }
+                requireOnlyFilesInUse(mTemp);
+            }
+            assertTrue(refusedCount >= 5, "refused " + refusedCount);
+        }
+        try (LogStore store = open(disk, mTemp)) {
+            expected.requireReadBy(store.recovered());
+        }
+    }
+
+    /** Guards against files that a killed process left behind and that keep their space. */
+    @Test
+    void filesThatWereNotWrittenToTheirEndAreRemoved() throws IOException {
+        open(FaultyDisk.create(), mTemp).close();
+        Files.write(mTemp.resolve("snapshot-00000000000000000004.snap.tmp"), new byte[100]);
+        open(FaultyDisk.create(), mTemp).close();
+        requireOnlyFilesInUse(mTemp);
+    }
+
     private static void requireOnlyFilesInUse(Path folder) throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
             List<String> others =
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -440,6 +440,11 @@
                 mLog.log(LogEvent.LEADER_CHANGED, "term %d leader %s", term, leader);
             }
         }
+
+        @Override
+        public void snapshotFailed(HemlockrackException cause) {
+            mLog.log(LogEvent.SNAPSHOT_FAILED, "%s", cause.getMessage());
+        }
     }
 
     @Override
