--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ReplicaNode.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ReplicaNode.java
@@ -273,7 +273,7 @@
     private void saveSnapshotIfDue(long nowNanos, NodeOutputs outputs) {
         long cost = Math.max(mReplayCost, mConsensus.commitIndex() - mSnapshotIndex);
         long factor = mConsensus.isSendingSnapshot() ? TRANSFER_DELAY_FACTOR : 1;
-        if (cost < factor * mSnapshotEntries) {
+        if (cost < factor * mSnapshotEntries || isStateAheadOfLog()) {
             return;
         }
         if (mSnapshotFailed && nowNanos - mSnapshotFailureNanos < SNAPSHOT_RETRY_NANOS) {
@@ -297,6 +297,14 @@
         handle(nowNanos, new ConsensusEvent.SnapshotSaved(meta), outputs);
     }
 
+    /**
+     * Returns whether the state includes entries that the log does not know to be committed, after
+     * the store has failed. A snapshot of it would be of later entries than its index says.
+     */
+    private boolean isStateAheadOfLog() {
+        return mAppliedIndex > mConsensus.commitIndex();
+    }
+
     private void recordSnapshot(SnapshotMeta meta) {
         mSnapshotFailed = false;
         mSnapshotIndex = meta.index();
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ReplicaNodeTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ReplicaNodeTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -65,12 +66,16 @@
     }
 
     private ReplicaNode open(SlowState state) {
+        return open(state, SNAPSHOT_ENTRIES);
+    }
+
+    private ReplicaNode open(SlowState state, int snapshotEntries) {
         ReplicaNode node =
                 ReplicaNode.start(
                         ConsensusSettings.of(SELF, List.of(SELF)),
                         new InMemoryLogStore(mDisk, mRandom),
                         CompositeState.of(Map.of(STATE_ID, state)),
-                        SNAPSHOT_ENTRIES,
+                        snapshotEntries,
                         mRandom,
                         mNowNanos);
         mNowNanos += 10_000_000_000L;
@@ -119,6 +124,35 @@
         }
     }
 
+    /**
+     * Guards against a snapshot that includes later entries than it says, which a restart would
+     * apply once more: a replica whose folder was replaced keeps its state and starts a new log.
+     */
+    @Test
+    void noSnapshotIsSavedOfAStateThatIsAheadOfTheLog() {
+        SlowState state = new SlowState();
+        ReplicaNode failed = open(state, 60);
+        propose(failed, 150);
+        failed.close();
+        mDisk.mDurableEntries = new ArrayList<>(mDisk.mDurableEntries.subList(0, 100));
+        mDisk.mReadableEntries = mDisk.mDurableEntries;
+        mDisk.mSnapshot = null;
+        ReplicaNode node =
+                ReplicaNode.resume(
+                        ConsensusSettings.of(SELF, List.of(SELF)),
+                        InMemoryLogStore.reopen(mDisk, mRandom),
+                        failed,
+                        mRandom,
+                        mNowNanos);
+        mNowNanos += 10_000_000_000L;
+        node.step(mNowNanos, List.of(), new NoOutputs());
+        for (int i = 0; i < 300 && mDisk.mSnapshot == null; i++) {
+            propose(node, 1);
+        }
+        assertNotNull(mDisk.mSnapshot);
+        assertTrue(mDisk.mSnapshot.index() > 150, "snapshot of " + mDisk.mSnapshot.index());
+    }
+
     /** Guards against a replay cost that restarts reset, so that no snapshot is ever due. */
     @Test
     void commandsAppliedAgainAfterARestartCountForTheNextSnapshot() {
