--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreFaultsTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreFaultsTest.java
@@ -253,6 +253,7 @@
             }
             assertTrue(refusedCount >= 5, "refused " + refusedCount);
         }
+        disk.setFaults(FaultyDisk.NONE);
         try (LogStore store = open(disk, mTemp)) {
             expected.requireReadBy(store.recovered());
         }
