Name a segment in the meta file whose first naming was refused

What operators would see: nothing, until the newest file of the log is lost. Then a controller starts with a shorter log, votes as if it were complete, and changes that were acknowledged can be lost without a word.

Cause: meta names the newest segment so that the loss of that file is noticed. When the disk filled up between the creation of a segment and the write of meta, the replica came back, found the new segment, and wrote its entries there; meta named the one before until the next segment.

Change: before an append, meta is written if it does not name the newest segment.

Evidence: FileLogStoreFaultsTest, each operation refused in turn, now removes the newest segment at the end and requires STORAGE_DAMAGED. Before: 4 of 6 tests failed, "Expected HemlockrackException to be thrown, but nothing was thrown"; also with a full disk only.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/FileLogStore.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/FileLogStore.java
@@ -265,17 +265,19 @@
         mSegments.get(keptCount - 1).truncateFrom(index);
     }
 
-    /** Returns the newest segment, or a new one if it is full. */
+    /** Returns the newest segment, or a new one if it is full; the meta file names it. */
     private LogSegment writableSegment() throws IOException {
         LogSegment newest = mSegments.get(mSegments.size() - 1);
-        if (newest.sizeBytes() < mSegmentBytes) {
-            return newest;
+        if (newest.sizeBytes() >= mSegmentBytes) {
+            newest.sync();
+            newest = LogSegment.create(mFolder, newest.lastIndex() + 1);
+            mSegments.add(newest);
         }
-        newest.sync();
-        LogSegment next = LogSegment.create(mFolder, newest.lastIndex() + 1);
-        mSegments.add(next);
-        recordNewestSegment(next.baseIndex());
-        return next;
+        // It differs also after an earlier write of the meta file was refused.
+        if (newest.baseIndex() != mNewestSegmentBase) {
+            recordNewestSegment(newest.baseIndex());
+        }
+        return newest;
     }
 
     private void recordNewestSegment(long base) throws IOException {
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreFaultsTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreFaultsTest.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.consensus.internal.file;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -160,12 +161,14 @@
                 write(15, 16, 2, 20),
                 write(12, 13, 3, 20),
                 write(14, 16, 3, LARGE_ENTRY_BYTES),
-                write(17, 17, 3, 20),
+                write(17, 24, 3, LARGE_ENTRY_BYTES),
                 snapshot(16, 3),
                 vote(4, 9),
                 install(100, 4),
                 write(101, 103, 4, 20),
-                write(102, 102, 5, 20));
+                write(102, 102, 5, 20),
+                write(103, 107, 5, LARGE_ENTRY_BYTES),
+                write(108, 108, 5, 20));
     }
 
     private LogStore open(FaultyDisk disk, Path folder) {
@@ -217,13 +220,28 @@
         assertEquals(0, disk.openChannels());
         try (LogStore last = open(disk, folder)) {
             expected.requireReadBy(last.recovered());
-            long lastIndex = last.recovered().entries().get(1).index();
-            assertEquals(102, lastIndex);
+            List<Entry> read = last.recovered().entries();
+            assertEquals(108, read.get(read.size() - 1).index());
         }
         requireOnlyFilesInUse(folder);
+        requireThatTheLossOfTheNewestSegmentIsNoticed(disk, folder);
         deleteFolder(folder);
     }
 
+    private void requireThatTheLossOfTheNewestSegmentIsNoticed(FaultyDisk disk, Path folder)
+            throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            Path newest =
+                    files.filter(file -> file.toString().endsWith(LogSegment.SUFFIX))
+                            .max(Comparator.naturalOrder())
+                            .orElseThrow();
+            Files.delete(newest);
+        }
+        HemlockrackException e =
+                assertThrows(HemlockrackException.class, () -> open(disk, folder).close());
+        assertEquals(ErrorKind.STORAGE_DAMAGED, e.kind());
+    }
+
     /**
      * Guards against a snapshot that could not be saved and spoils the store, or keeps the space of
      * what was written of it.
