Publish what a failed step has applied before its results

What operators would see: a change is acknowledged, and the controller that acknowledged it does not show it until its disk can be written again.

Cause: when the disk refused a call after an entry of the same step had been applied, the results were completed and the applied state was not published.

Change: the state is published first, as after any other step.

Evidence: ReplicaServiceTest.resultsOfAStepThatFailsFollowThePublicationToo, before: expected 258 but was 257.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -241,30 +241,29 @@
             event = mEvents.poll();
         }
         try {
-            mNode.step(mLoop.nowNanos(), batch, mOutputs);
-            publishStep();
-        } catch (HemlockrackException e) {
-            if (isStorageFailure(e)) {
-                completeResults();
-                suspend(e);
-            } else {
-                stopAfterFailure(e);
-            }
+            handle(batch);
         } catch (RuntimeException | Error e) {
             stopAfterFailure(e);
         }
     }
 
-    private void publishStep() {
+    private void handle(List<ConsensusEvent> batch) {
+        try {
+            mNode.step(mLoop.nowNanos(), batch, mOutputs);
+        } catch (HemlockrackException e) {
+            if (!isStorageFailure(e)) {
+                throw e;
+            }
+            publishState();
+            suspend(e);
+            return;
+        }
         publishMembership();
         mRetryMillis = FIRST_RETRY_MILLIS;
         Consensus consensus = mNode.consensus();
         mSettledTerm = consensus.lastTerm() == consensus.term() ? consensus.term() : 0;
         mCaughtUp |= mVoter && hasAppliedCurrentTerm();
-        if (mCaughtUp) {
-            mAfterStep.run();
-        }
-        completeResults();
+        publishState();
         rescheduleTimer();
     }
 
@@ -273,9 +272,16 @@
     }
 
     /**
-     * Completes the results of a step. This follows the publication of the applied state, so that
-     * whoever waited for a result does not read an older state.
+     * Publishes the applied state, then completes the results of the step, so that whoever waited
+     * for a result does not read an older state.
      */
+    private void publishState() {
+        if (mCaughtUp) {
+            mAfterStep.run();
+        }
+        completeResults();
+    }
+
     private void completeResults() {
         mResults.forEach(Runnable::run);
         mResults.clear();
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/FullDiskStore.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/FullDiskStore.java
@@ -12,19 +12,33 @@
 
 /** A log store whose disk refuses writes while it is full. */
 final class FullDiskStore implements LogStore {
+    /** Which calls fail while the disk is full. */
+    enum RefusedCall {
+        /** All that write. */
+        WRITE,
+        /** Appends reach the files; the sync after them fails, and so do other writes. */
+        SYNC,
+        /** Only the removal of old entries. */
+        COMPACTION
+    }
+
     private final LogStore mStore;
     private final AtomicBoolean mFull;
+    private final RefusedCall mRefused;
 
-    /** Whether appends reach the files and only the sync after them fails. */
-    private final boolean mFailsAtSync;
-
-    FullDiskStore(LogStore store, AtomicBoolean full, boolean failsAtSync) {
+    FullDiskStore(LogStore store, AtomicBoolean full, RefusedCall refused) {
         mStore = store;
         mFull = full;
-        mFailsAtSync = failsAtSync;
+        mRefused = refused;
     }
 
     private void refuseIfFull() {
+        if (mRefused != RefusedCall.COMPACTION) {
+            refuse();
+        }
+    }
+
+    private void refuse() {
         if (mFull.get()) {
             throw HemlockrackException.of(ErrorKind.STORAGE_FAILED, "no space left on device");
         }
@@ -43,8 +57,8 @@
 
     @Override
     public void append(List<Entry> entries) {
-        if (!mFailsAtSync) {
-            refuseIfFull();
+        if (mRefused == RefusedCall.WRITE) {
+            refuse();
         }
         mStore.append(entries);
     }
@@ -85,6 +99,9 @@
 
     @Override
     public void compact(long firstIndex) {
+        if (mRefused == RefusedCall.COMPACTION) {
+            refuse();
+        }
         mStore.compact(firstIndex);
     }
 
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/ReplicaServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/ReplicaServiceTest.java
@@ -29,6 +29,7 @@
 import org.hemlockrack.control.ControlState;
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.EventLoop;
+import org.hemlockrack.daemon.replica.FullDiskStore.RefusedCall;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.InstanceId;
@@ -36,8 +37,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.junit.jupiter.params.provider.ValueSource;
 
 class ReplicaServiceTest {
     private static final InstanceId SELF = InstanceId.of("a");
@@ -56,7 +57,7 @@
     private final AtomicInteger mFailingWraps = new AtomicInteger();
 
     private final StorageEvents mStorageLog = new StorageEvents();
-    private boolean mFailsAtSync;
+    private RefusedCall mRefused = RefusedCall.WRITE;
 
     /** Records what the storage reports. */
     private static final class StorageEvents implements ReplicaStorage.Listener {
@@ -86,7 +87,7 @@
         if (mFailingWraps.getAndUpdate(count -> Math.max(0, count - 1)) > 0) {
             throw HemlockrackException.of(ErrorKind.STORAGE_FAILED, "cannot be read");
         }
-        return new FullDiskStore(store, mDiskFull, mFailsAtSync);
+        return new FullDiskStore(store, mDiskFull, mRefused);
     }
 
     private ReplicaNode startNode(LogStore store) {
@@ -179,10 +180,10 @@
      * once that has happened to a majority, no change is acknowledged, while all processes run.
      */
     @ParameterizedTest
-    @ValueSource(booleans = {false, true})
-    void replicaReturnsAfterItsDiskWasFull(boolean failsAtSync, @TempDir Path folder)
+    @EnumSource(names = {"WRITE", "SYNC"})
+    void replicaReturnsAfterItsDiskWasFull(RefusedCall refused, @TempDir Path folder)
             throws Exception {
-        mFailsAtSync = failsAtSync;
+        mRefused = refused;
         try (ReplicaService replica = start(folder)) {
             assertEquals(ProposalStatus.APPLIED, publish(replica, 7));
             for (int round = 1; round <= 2; round++) {
@@ -240,6 +241,30 @@
         }
     }
 
+    /**
+     * Guards against a change that is acknowledged and not shown, as the disk then refuses a call.
+     */
+    @Test
+    void resultsOfAStepThatFailsFollowThePublicationToo(@TempDir Path folder) throws Exception {
+        mRefused = RefusedCall.COMPACTION;
+        try (ReplicaService replica = start(folder)) {
+            long version = 1;
+            while (version <= 400) {
+                long proposed = version++;
+                mDiskFull.set(proposed > 250);
+                long seen =
+                        replica.propose(ControlCommand.publishTable(proposed, new byte[] {1}))
+                                .thenApply(outcome -> mPublishedVersion.get())
+                                .get(10, TimeUnit.SECONDS);
+                assertEquals(proposed, seen);
+                if (replica.role() != Role.LEADER) {
+                    break;
+                }
+            }
+            assertTrue(version <= 400, "no compaction was refused");
+        }
+    }
+
     private static List<Throwable> unexpectedFailures() {
         return List.of(
                 HemlockrackException.of(ErrorKind.INTERNAL, "injected"),
