Bound the time that a stop waits for a disk

What operators would see: a controller whose disk does not answer, without an error, is not stopped by SIGTERM; the platform kills it at the end of the grace period.

Cause: the stop waited for the loop of the log without a limit, and the loop waited in a write or sync.

Change: it waits for 2 s. What was not synced was not acknowledged either, and the next start reads what the disk holds.

Evidence: ReplicaServiceTest.stopDoesNotWaitForADiskThatStalls, before: execution timed out after 10 s.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -41,6 +41,9 @@
     /** Longest pause between two tries. */
     private static final long MAX_RETRY_MILLIS = 1_000;
 
+    /** Longest time that a stop waits for a write to a disk that does not answer. */
+    private static final long CLOSE_TIMEOUT_MILLIS = 2_000;
+
     /** Opens the storage of a replica again after it has failed. */
     @FunctionalInterface
     public interface Reopener {
@@ -456,18 +459,19 @@
     @Override
     public void close() {
         try {
-            mLoop.submit(
-                            () -> {
-                                mStopped = true;
-                                if (!mSuspended) {
-                                    mNode.close();
-                                }
-                                return true;
-                            })
-                    .join();
+            mLoop.submit(this::stop).orTimeout(CLOSE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).join();
         } catch (RuntimeException e) {
-            throw HemlockrackException.of(ErrorKind.INTERNAL, "the replica did not close", e);
+            // What was not synced was not acknowledged either.
+            mLog.log(LogEvent.INTERNAL_FAULT, e, "the replica did not close: %s", e);
         }
         mLoop.close();
     }
+
+    private boolean stop() {
+        mStopped = true;
+        if (!mSuspended) {
+            mNode.close();
+        }
+        return true;
+    }
 }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/ReplicaServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/ReplicaServiceTest.java
@@ -1,12 +1,16 @@
 package org.hemlockrack.daemon.replica;
 
+import static java.util.concurrent.TimeUnit.SECONDS;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
@@ -265,6 +269,28 @@
         }
     }
 
+    /**
+     * Guards against a stop that waits for a disk that does not answer, until the process is
+     * killed.
+     */
+    @Test
+    void stopDoesNotWaitForADiskThatStalls(@TempDir Path folder) throws Exception {
+        CountDownLatch stalled = new CountDownLatch(1);
+        CountDownLatch released = new CountDownLatch(1);
+        ReplicaService replica = start(folder);
+        mLoop.execute(
+                () -> {
+                    stalled.countDown();
+                    boolean isReleased = false;
+                    while (!isReleased) {
+                        isReleased = Uninterruptibles.awaitUninterruptibly(released, 60, SECONDS);
+                    }
+                });
+        stalled.await();
+        assertTimeoutPreemptively(Duration.ofSeconds(10), replica::close);
+        released.countDown();
+    }
+
     private static List<Throwable> unexpectedFailures() {
         return List.of(
                 HemlockrackException.of(ErrorKind.INTERNAL, "injected"),
