--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
@@ -219,6 +219,11 @@
         return new ConsensusEvent.Propose(command, bytes, wall);
     }
 
+    /** Returns a proposal of a command that no other has. */
+    ConsensusEvent nextProposal() {
+        return proposal(mNextCommand++);
+    }
+
     private void injectFault() {
         InjectedFault fault = mFaults.get(mRandom.nextInt(mFaults.size()));
         SimulatedInstance victim = randomInstance();
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulationTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulationTest.java
@@ -90,6 +90,69 @@
         assertEquals(List.of(), violations.subList(0, Math.min(20, violations.size())));
     }
 
+    /**
+     * Returns for how many simulated milliseconds a cluster of three takes no change after disks
+     * have filled up, the leader's first.
+     */
+    private static long millisWithoutChanges(long seed, int fullDisks, long fullMillis) {
+        ClusterSimulation simulation = new ClusterSimulation(seed, 3, 0, Variant.CORRECT, Set.of());
+        simulation.requireConvergence();
+        SimulatedInstance leader = simulation.leader();
+        leader.setDiskFull(true);
+        for (SimulatedInstance other : simulation.mInstances) {
+            if (other != leader && fullDisks > 1) {
+                other.setDiskFull(true);
+                break;
+            }
+        }
+        long startNanos = simulation.mNowNanos;
+        long endOfFullNanos = startNanos + simulation.millisToNanos(fullMillis);
+        while (simulation.mNowNanos < endOfFullNanos + simulation.millisToNanos(10_000)) {
+            if (simulation.mNowNanos >= endOfFullNanos) {
+                simulation.mInstances.forEach(instance -> instance.setDiskFull(false));
+            }
+            SimulatedInstance target = simulation.leader();
+            long acknowledged = simulation.mOracle.mIndexByAcknowledgedCommand.size();
+            if (target != null) {
+                target.receive(simulation.nextProposal());
+            }
+            simulation.advance(simulation.mNowNanos + simulation.millisToNanos(20));
+            boolean isTaken = simulation.mOracle.mIndexByAcknowledgedCommand.size() > acknowledged;
+            if (isTaken && simulation.mNowNanos > startNanos + simulation.millisToNanos(40)) {
+                return (simulation.mNowNanos - startNanos) / 1_000_000;
+            }
+        }
+        return Long.MAX_VALUE;
+    }
+
+    private static long[] sortedPauses(int fullDisks, long fullMillis) {
+        return LongStream.range(0, 200)
+                .parallel()
+                .map(seed -> millisWithoutChanges(seed, fullDisks, fullMillis))
+                .sorted()
+                .toArray();
+    }
+
+    /**
+     * Guards against a majority that can write and takes no changes, as the leader's disk is full.
+     */
+    @Test
+    void aMajorityTakesChangesWithinTwoSecondsAfterTheDiskOfTheLeaderFilled() {
+        long[] millis = sortedPauses(1, 30_000);
+        System.out.printf("leader's disk full: p50=%d max=%d ms%n", millis[100], millis[199]);
+        assertTrue(millis[199] <= 2_000, "no change for " + millis[199] + " ms");
+    }
+
+    /**
+     * Guards against a cluster that takes no changes although two disks of three have room again.
+     */
+    @Test
+    void changesAreTakenWithinThreeSecondsAfterTwoDisksHaveRoomAgain() {
+        long[] millis = sortedPauses(2, 4_500);
+        System.out.printf("two disks full: p50=%d max=%d ms%n", millis[100], millis[199]);
+        assertTrue(millis[199] <= 4_500 + 3_000, "no change for " + millis[199] + " ms");
+    }
+
     /** Guards against an oracle that accepts a broken implementation. */
     @ParameterizedTest
     @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "CORRECT")
