Treat a folder that cannot be listed like any other failure of the disk

Cause: the iterator of a directory throws a RuntimeException for an I/O error, which FileLogStore did not translate. It ended the replica for good; now it would end the process.

Change: it is an I/O error, STORAGE_FAILED, after which the replica returns.

Evidence: FileLogStoreFaultsTest, each operation refused in turn, now also the listing: before, 4 of 6 tests ended with DirectoryIteratorException.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/DataFolder.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/DataFolder.java
@@ -6,6 +6,7 @@
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.DirectoryIteratorException;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -63,18 +64,26 @@
     /** Returns the sorted names of the files with a prefix and a suffix. */
     List<String> fileNames(String prefix, String suffix) throws IOException {
         List<String> names = new ArrayList<>();
-        try (DirectoryStream<Path> files = Files.newDirectoryStream(mPath)) {
-            for (Path file : files) {
-                String name = file.getFileName().toString();
-                if (name.startsWith(prefix) && name.endsWith(suffix)) {
-                    names.add(name);
-                }
+        for (Path file : files(mPath)) {
+            String name = file.getFileName().toString();
+            if (name.startsWith(prefix) && name.endsWith(suffix)) {
+                names.add(name);
             }
         }
         names.sort(null);
         return names;
     }
 
+    private static List<Path> files(Path folder) throws IOException {
+        List<Path> paths = new ArrayList<>();
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder)) {
+            files.forEach(paths::add);
+        } catch (DirectoryIteratorException e) {
+            throw e.getCause();
+        }
+        return paths;
+    }
+
     void sync() throws IOException {
         try (FileChannel channel = FileChannel.open(mPath, StandardOpenOption.READ)) {
             channel.force(true);
@@ -141,10 +150,8 @@
     void moveFilesTo(String subfolder) throws IOException {
         Path target = mPath.resolve(subfolder);
         Files.createDirectories(target);
-        try (DirectoryStream<Path> old = Files.newDirectoryStream(target)) {
-            for (Path file : old) {
-                Files.delete(file);
-            }
+        for (Path file : files(target)) {
+            Files.delete(file);
         }
         // The meta file goes first: after a crash in between, a folder without it still counts as
         // damaged.
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/disk/FaultyProvider.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/disk/FaultyProvider.java
@@ -6,6 +6,7 @@
 import java.nio.channels.SeekableByteChannel;
 import java.nio.file.AccessMode;
 import java.nio.file.CopyOption;
+import java.nio.file.DirectoryIteratorException;
 import java.nio.file.DirectoryStream;
 import java.nio.file.FileStore;
 import java.nio.file.FileSystem;
@@ -89,7 +90,6 @@
     @Override
     public DirectoryStream<Path> newDirectoryStream(
             Path folder, DirectoryStream.Filter<? super Path> filter) throws IOException {
-        mDisk.check(DiskOperation.LIST);
         List<Path> paths = new ArrayList<>();
         try (DirectoryStream<Path> files = Files.newDirectoryStream(unwrap(folder))) {
             for (Path file : files) {
@@ -99,6 +99,11 @@
         return new DirectoryStream<>() {
             @Override
             public Iterator<Path> iterator() {
+                try {
+                    mDisk.check(DiskOperation.LIST);
+                } catch (IOException e) {
+                    throw new DirectoryIteratorException(e);
+                }
                 return paths.iterator();
             }
 
