Write the file of burn accounts on a thread of its own

What operators would see: while the disk of an instance of the full role does not answer, the instance admits and answers nothing; every 30 s at the latest.

Cause: the accounts were written and synced on the loop that makes the decisions. The controller writes its file of prefix uses on a thread of its own; this file was not.

Change: BurnFile, with the reading and writing of BurnService, writes on another thread; while a write waits, only the newest contents are kept.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -94,6 +94,7 @@
     private final Metrics mMetrics = Metrics.create();
     private final EventLoop mLoop;
     private final EventLoop mLogLoop;
+    private final EventLoop mBurnFileLoop;
     private final SecureRandom mRandom = new SecureRandom();
 
     private @Nullable TlsKeys mTls;
@@ -129,6 +130,7 @@
         mSettings = settings;
         mLoop = EventLoop.open("core", this::logInternalError);
         mLogLoop = EventLoop.open("log", this::logInternalError);
+        mBurnFileLoop = EventLoop.open("burn-file", this::logInternalError);
     }
 
     /**
@@ -160,6 +162,7 @@
 
     private void start() {
         registerCloseable(mLogLoop::close);
+        registerCloseable(mBurnFileLoop::close);
         registerCloseable(mLoop::close);
         mTls = openTls();
         mNetwork =
@@ -395,7 +398,7 @@
         mOrders =
                 OrderService.create(mLoop, mNetwork, mProposer, mSettings.voters(), commandClient);
         mOwner.setListener(new OrderLeaseForwarder(mLoop, mOrders));
-        mBurn = BurnService.create(mLoop, mFleet, mNetwork, mConfig, mLog, mSettings.burnFile());
+        mBurn = createBurnService();
         mEntry =
                 EntryService.create(
                         mLoop,
@@ -416,6 +419,11 @@
         startRolloutController();
     }
 
+    private BurnService createBurnService() {
+        return BurnService.create(
+                mLoop, mFleet, mNetwork, mConfig, mLog, mSettings.burnFile(), mBurnFileLoop);
+    }
+
     private void startRolloutController() {
         ReplicaService replica = mReplica;
         VoterState state = mVoterState;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/burn/BurnService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/burn/BurnService.java
@@ -1,16 +1,12 @@
 package org.hemlockrack.daemon.burn;
 
-import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.burn.BurnAccounts;
 import org.hemlockrack.burn.BurnReport;
@@ -26,8 +22,6 @@
 import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.EventLoop;
-import org.hemlockrack.errors.HemlockrackException;
-import org.hemlockrack.events.LogEvent;
 import org.hemlockrack.membership.Member;
 import org.hemlockrack.model.WorkspaceId;
 import org.jspecify.annotations.Nullable;
@@ -46,8 +40,7 @@
     private final FleetMembership mFleet;
     private final PeerNetwork mNetwork;
     private final ConfigService mConfig;
-    private final EventLog mLog;
-    private final @Nullable Path mFile;
+    private final @Nullable BurnFile mFile;
     private final BurnAccounts mAccounts;
 
     private BurnService(
@@ -55,14 +48,12 @@
             FleetMembership fleet,
             PeerNetwork network,
             ConfigService config,
-            EventLog log,
-            @Nullable Path file,
+            @Nullable BurnFile file,
             BurnAccounts accounts) {
         mLoop = loop;
         mFleet = fleet;
         mNetwork = network;
         mConfig = config;
-        mLog = log;
         mFile = file;
         mAccounts = accounts;
     }
@@ -76,6 +67,7 @@
      * @param config the configuration in force
      * @param log the event log
      * @param file file that stores the accounts across restarts, or null to store none
+     * @param disk runs the writes of the file; may wait for the disk
      * @return the service
      */
     public static BurnService create(
@@ -84,52 +76,22 @@
             PeerNetwork network,
             ConfigService config,
             EventLog log,
-            @Nullable Path file) {
-        BurnService service =
-                new BurnService(loop, fleet, network, config, log, file, load(file, log));
+            @Nullable Path file,
+            Executor disk) {
+        BurnFile burnFile = file == null ? null : BurnFile.of(file, disk, log);
+        BurnAccounts accounts = burnFile == null ? BurnAccounts.create() : burnFile.load();
+        BurnService service = new BurnService(loop, fleet, network, config, burnFile, accounts);
         loop.scheduleWithFixedDelay(SAVE_INTERVAL_MILLIS, service::save);
         return service;
     }
 
-    private static BurnAccounts load(@Nullable Path file, EventLog log) {
-        if (file == null || !Files.exists(file)) {
-            return BurnAccounts.create();
-        }
-        try {
-            return BurnAccounts.decode(Files.readAllBytes(file));
-        } catch (IOException | HemlockrackException e) {
-            log.log(LogEvent.BURN_FILE_REFUSED, "%s: %s", file, e.getMessage());
-            return BurnAccounts.create();
-        }
-    }
-
-    /** Writes the accounts to a new file that replaces the old one only when it is complete. */
+    /** Writes the accounts asynchronously. */
     public void save() {
-        if (mFile == null) {
-            return;
-        }
-        Path temporary = mFile.resolveSibling(mFile.getFileName() + ".new");
-        try (FileChannel channel =
-                FileChannel.open(
-                        temporary,
-                        StandardOpenOption.CREATE,
-                        StandardOpenOption.TRUNCATE_EXISTING,
-                        StandardOpenOption.WRITE)) {
-            ByteBuffer bytes = ByteBuffer.wrap(mAccounts.encode());
-            while (bytes.hasRemaining()) {
-                channel.write(bytes);
-            }
-            channel.force(true);
-            Files.move(temporary, mFile, StandardCopyOption.ATOMIC_MOVE);
-        } catch (IOException e) {
-            logWriteFailure(e);
+        if (mFile != null) {
+            mFile.save(mAccounts.encode());
         }
     }
 
-    private void logWriteFailure(IOException cause) {
-        mLog.log(LogEvent.BURN_FILE_REFUSED, "%s cannot be written: %s", mFile, cause);
-    }
-
     /**
      * Counts a finished request.
      *
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/TestInstance.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/TestInstance.java
@@ -89,7 +89,7 @@
                         commands,
                         VoterCommands.create(mLoop, mReplica, voters),
                         RolloutCommands.create(proposer, rollouts(proposer, log)),
-                        BurnService.create(mLoop, mFleet, mNetwork, mConfig, log, null),
+                        BurnService.create(mLoop, mFleet, mNetwork, mConfig, log, null, mLoop),
                         HealthEndpoints.create(() -> true, Metrics.create()));
     }
 
