Play histories of full disks with the real store

ClusterSimulation can use FileLogStore on a FaultyDisk: disks that refuse writes, of which a half reaches the file, or syncs, after which the writes before them are never made durable; processes that end in any operation of the store, also while it is opened, and lose what was not synced.

--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
@@ -10,6 +10,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 import org.hemlockrack.model.InstanceId;
 import org.jspecify.annotations.Nullable;
 
@@ -68,6 +69,7 @@
     long mNowNanos = 1;
     long mSteps;
     long mWallOffsetMillis = 1_800_000_000_000L;
+    private final @Nullable Supplier<SimulatedDisk> mDisks;
     private final PriorityQueue<Delivery> mNetwork =
             new PriorityQueue<>(
                     Comparator.comparingLong(Delivery::atNanos)
@@ -85,6 +87,22 @@
             int spares,
             Variant variant,
             Set<ProtocolFeature> disabledFeatures) {
+        this(seed, voters, spares, variant, disabledFeatures, null);
+    }
+
+    /**
+     * Creates a simulation.
+     *
+     * @param disks creates the disks; they are simulated in memory if null
+     */
+    ClusterSimulation(
+            long seed,
+            int voters,
+            int spares,
+            Variant variant,
+            Set<ProtocolFeature> disabledFeatures,
+            @Nullable Supplier<SimulatedDisk> disks) {
+        mDisks = disks;
         mRandom = new SplittableRandom(seed);
         mVariant = variant;
         mDisabledFeatures = disabledFeatures;
@@ -98,6 +116,11 @@
         mCurrentLossPercent = mLossPercentChoices[mRandom.nextInt(mLossPercentChoices.length)];
     }
 
+    /** Returns an empty disk. */
+    SimulatedDisk newDisk(long replicaId) {
+        return mDisks == null ? new InMemoryLogStore.Disk(mVariant, replicaId) : mDisks.get();
+    }
+
     long millisToNanos(long millis) {
         return millis * NANOS_PER_MILLI;
     }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulationTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulationTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.base.Throwables;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.EnumMap;
@@ -13,6 +15,7 @@
 import java.util.stream.LongStream;
 import org.hemlockrack.consensus.ClusterSimulation.InjectedFault;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -57,6 +60,53 @@
         requireNoViolation(ClusterSimulation.DISK_FAULTS);
     }
 
+    /**
+     * Guards against the same with the real store, on disks that refuse writes or syncs and lose
+     * what was not synced; also against files left open and replicas that took a new id.
+     */
+    @Test
+    void noHistoryOfFullDisksWithFilesViolatesTheOracle(@TempDir Path folder) {
+        long histories = Long.getLong("histories", 100);
+        List<String> violations = Collections.synchronizedList(new ArrayList<>());
+        LongStream.range(0, histories)
+                .parallel()
+                .forEach(seed -> violations.addAll(violationsWithFiles(seed, folder)));
+        System.out.printf("file histories=%d violations=%d%n", histories, violations.size());
+        assertEquals(List.of(), violations);
+    }
+
+    private static List<String> violationsWithFiles(long seed, Path folder) {
+        List<FileDisk> disks = new ArrayList<>();
+        ClusterSimulation simulation =
+                new ClusterSimulation(
+                        seed,
+                        3,
+                        0,
+                        Variant.CORRECT,
+                        Set.of(),
+                        () -> {
+                            disks.add(new FileDisk(folder));
+                            return disks.get(disks.size() - 1);
+                        });
+        simulation.mFaults = ClusterSimulation.DISK_FAULTS;
+        simulation.mKeepsReplicas = true;
+        List<String> violations = new ArrayList<>();
+        try {
+            simulation.run(CHAOS_MILLIS);
+        } catch (RuntimeException e) {
+            violations.add("seed " + seed + ": " + Throwables.getStackTraceAsString(e));
+        }
+        simulation.mOracle.mViolations.forEach(
+                what -> violations.add("seed " + seed + ": " + what));
+        for (SimulatedInstance instance : simulation.mInstances) {
+            instance.crash(0);
+        }
+        if (disks.stream().anyMatch(disk -> disk.openFiles() > 0)) {
+            violations.add("seed " + seed + ": files left open");
+        }
+        return violations;
+    }
+
     private static void requireNoViolation(List<InjectedFault> injected) {
         long histories = Long.getLong("histories", 1000);
         AtomicLong steps = new AtomicLong();
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/InMemoryLogStore.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/InMemoryLogStore.java
@@ -8,6 +8,7 @@
 import java.util.zip.CRC32C;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
+import org.jspecify.annotations.Nullable;
 
 /** A log store on a simulated disk that loses unsynced writes in a crash. */
 final class InMemoryLogStore implements LogStore {
@@ -17,7 +18,7 @@
     }
 
     /** The content of the disk, which survives a crash. */
-    static final class Disk {
+    static final class Disk implements SimulatedDisk {
         final Variant mVariant;
         HardState mHardState;
         List<Entry> mDurableEntries = new ArrayList<>();
@@ -41,6 +42,58 @@
             mVariant = variant;
             mHardState = HardState.fresh(replicaId);
         }
+
+        private @Nullable InMemoryLogStore mStore;
+
+        @Override
+        public LogStore open(RandomGenerator random) {
+            mStore = new InMemoryLogStore(this, random);
+            return mStore;
+        }
+
+        @Override
+        public LogStore reopen(RandomGenerator random) {
+            mStore = InMemoryLogStore.reopen(this, random);
+            return mStore;
+        }
+
+        @Override
+        public void crash() {
+            if (mStore != null) {
+                mStore.crash();
+            }
+        }
+
+        @Override
+        public void crashAfter(int operations) {
+            mStore.mOperationsUntilCrash = operations;
+        }
+
+        @Override
+        public void cancelCrash() {
+            mStore.mOperationsUntilCrash = Integer.MAX_VALUE;
+        }
+
+        @Override
+        public void setFull(boolean full, boolean failsAtSync) {
+            mFull = full;
+            mFailsAtSync = failsAtSync;
+        }
+
+        @Override
+        public long replicaId() {
+            return mDamaged ? 0 : mHardState.replicaId();
+        }
+
+        @Override
+        public void damage() {
+            mDamaged = true;
+        }
+
+        @Override
+        public List<Entry> durableEntries() {
+            return mDurableEntries;
+        }
     }
 
     private final Disk mDisk;
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedInstance.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedInstance.java
@@ -7,6 +7,7 @@
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.InstanceId;
+import org.jspecify.annotations.Nullable;
 
 /**
  * One instance of a {@link ClusterSimulation}: a process that can crash and pause, and its disk.
@@ -16,8 +17,7 @@
     private final ClusterSimulation mSimulation;
     private final Map<Long, Long> mAcknowledgedIndexByRead = new HashMap<>();
     private final List<ConsensusEvent> mInbox = new ArrayList<>();
-    private InMemoryLogStore.Disk mDisk;
-    private InMemoryLogStore mStore;
+    private SimulatedDisk mDisk;
     private static final int REPORT_PERIOD_STEPS = 5;
 
     private ReplicaNode mNode;
@@ -25,6 +25,9 @@
     private long mBusyUntilNanos;
     private boolean mFolderLost;
 
+    /** Whether the process has used its disk since the last crash. */
+    private boolean mHasProcess;
+
     /** The node whose disk has refused a write, until its files can be written again. */
     private ReplicaNode mSuspendedNode;
 
@@ -34,7 +37,7 @@
     SimulatedInstance(ClusterSimulation simulation, InstanceId id) {
         mSimulation = simulation;
         mId = id;
-        mDisk = new InMemoryLogStore.Disk(simulation.mVariant, newReplicaId());
+        mDisk = simulation.newDisk(newReplicaId());
         mBusyUntilNanos = simulation.millisToNanos(simulation.mRandom.nextInt(800));
     }
 
@@ -52,7 +55,7 @@
 
     /** Returns the replica id, or 0 while the data folder is damaged. */
     long replicaId() {
-        return mDisk.mDamaged ? 0 : mDisk.mHardState.replicaId();
+        return mDisk.replicaId();
     }
 
     /** Returns whether the newest membership is committed. */
@@ -72,16 +75,23 @@
         if (nextWakeNanos() > mSimulation.mNowNanos) {
             return;
         }
-        if (mSuspendedNode != null) {
-            resume();
-            return;
-        }
-        if (mNode == null) {
-            start();
-        }
-        if (mNode == null) {
-            return;
+        try {
+            if (mSuspendedNode != null) {
+                resume();
+                return;
+            }
+            if (mNode == null) {
+                start();
+            }
+            if (mNode != null) {
+                step();
+            }
+        } catch (InMemoryLogStore.Crash e) {
+            crash(mSimulation.mRandom.nextInt(1000));
         }
+    }
+
+    private void step() {
         List<ConsensusEvent> events = List.copyOf(mInbox);
         mInbox.clear();
         mSimulation.mSteps++;
@@ -90,8 +100,6 @@
             reportLog();
         } catch (HemlockrackException e) {
             suspend(e);
-        } catch (InMemoryLogStore.Crash e) {
-            crash(mSimulation.mRandom.nextInt(1000));
         }
     }
 
@@ -111,8 +119,9 @@
     }
 
     private void resume() {
-        InMemoryLogStore store = InMemoryLogStore.reopen(mDisk, mSimulation.mRandom);
+        LogStore store = null;
         try {
+            store = mDisk.reopen(mSimulation.mRandom);
             mNode =
                     ReplicaNode.resume(
                             settings(),
@@ -121,48 +130,65 @@
                             mSimulation.mRandom,
                             mSimulation.mNowNanos);
         } catch (HemlockrackException e) {
-            pause(REOPENING_PERIOD_MILLIS);
+            waitForDisk(store, e);
             return;
         }
-        mStore = store;
         mSuspendedNode = null;
     }
 
+    private void waitForDisk(@Nullable LogStore store, HemlockrackException cause) {
+        if (cause.kind() != ErrorKind.STORAGE_FAILED) {
+            throw cause;
+        }
+        if (store != null) {
+            store.close();
+        }
+        pause(REOPENING_PERIOD_MILLIS);
+    }
+
     /** Makes the disk refuse every write for a time, or again accept them. */
     void setDiskFull(boolean full) {
-        mDisk.mFull = full;
-        mDisk.mFailsAtSync = mSimulation.mRandom.nextBoolean();
+        mDisk.setFull(full, mSimulation.mRandom.nextBoolean());
     }
 
     /** Reports the log now and then, so that reports of different ages meet. */
     private void reportLog() {
         SettledReports settled = mSimulation.mSettled;
         if (settled != null && mSteps++ % REPORT_PERIOD_STEPS == mId.hashCode() % 3) {
-            settled.report(mId, consensus(), mDisk.mDurableEntries);
+            settled.report(mId, consensus(), mDisk.durableEntries());
         }
     }
 
     /** Starts the replica; a damaged data folder is replaced by an empty one with a new id. */
     private void start() {
-        try {
-            mStore = new InMemoryLogStore(mDisk, mSimulation.mRandom);
-        } catch (HemlockrackException e) {
-            mDisk = new InMemoryLogStore.Disk(mSimulation.mVariant, newReplicaId());
-            mStore = new InMemoryLogStore(mDisk, mSimulation.mRandom);
-        }
+        mHasProcess = true;
         mState = new CommandListState(mSimulation.mOracle);
+        LogStore store = null;
         try {
+            store = openOrReplace();
             mNode =
                     ReplicaNode.start(
                             settings(),
-                            mStore,
+                            store,
                             mState,
                             20,
                             mSimulation.mRandom,
                             mSimulation.mNowNanos);
         } catch (HemlockrackException e) {
             // The process waits until its disk can be written.
-            pause(REOPENING_PERIOD_MILLIS);
+            waitForDisk(store, e);
+        }
+    }
+
+    private LogStore openOrReplace() {
+        try {
+            return mDisk.open(mSimulation.mRandom);
+        } catch (HemlockrackException e) {
+            if (e.kind() != ErrorKind.STORAGE_DAMAGED || mSimulation.mKeepsReplicas) {
+                throw e;
+            }
+            mDisk = mSimulation.newDisk(newReplicaId());
+            return mDisk.open(mSimulation.mRandom);
         }
     }
 
@@ -202,9 +228,10 @@
     }
 
     void crash(int downMillis) {
-        if (mNode != null) {
-            mStore.crash();
+        if (mHasProcess) {
+            mDisk.crash();
         }
+        mHasProcess = false;
         mNode = null;
         mSuspendedNode = null;
         mInbox.clear();
@@ -214,7 +241,7 @@
 
     void crashAfter(int operations) {
         if (mNode != null) {
-            mStore.mOperationsUntilCrash = operations;
+            mDisk.crashAfter(operations);
         }
     }
 
@@ -226,21 +253,19 @@
         crash(mSimulation.mRandom.nextInt(1000));
         mFolderLost |= mSimulation.mFormation == LogFormation.WITH_MAJORITY;
         if (damaged) {
-            mDisk.mDamaged = true;
+            mDisk.damage();
         } else {
             boolean keep = mSimulation.mVariant == Variant.KEEPS_REPLICA_ID;
-            mDisk =
-                    new InMemoryLogStore.Disk(
-                            mSimulation.mVariant, keep ? replicaId() : newReplicaId());
+            mDisk = mSimulation.newDisk(keep ? replicaId() : newReplicaId());
         }
     }
 
     void endFaults() {
-        mDisk.mFull = false;
+        mDisk.setFull(false, false);
         boolean isStopped = mBusyUntilNanos == Long.MAX_VALUE;
         mBusyUntilNanos = isStopped ? Long.MAX_VALUE : mSimulation.mNowNanos;
         if (mNode != null) {
-            mStore.mOperationsUntilCrash = Integer.MAX_VALUE;
+            mDisk.cancelCrash();
         }
     }
 
