Remove only temporary files of the store's own at its opening

Since the opening of a data folder removed every file whose name ends in .tmp, also one that the store did not write, as in a folder of another program.

FileLogStoreFaultsTest.filesThatWereNotWrittenToTheirEndAreRemoved has a foreign file now; before: expected <true> but was <false>.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/DataFolder.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/DataFolder.java
@@ -125,9 +125,12 @@
         }
     }
 
-    /** Removes the files that a process left behind when it ended during {@link #replace}. */
-    void deleteTemporaryFiles() throws IOException {
-        for (String name : fileNames("", TEMP_SUFFIX)) {
+    /**
+     * Removes the files that a process left behind when it ended during {@link #replace} of files
+     * with a prefix and a suffix.
+     */
+    void deleteTemporaryFiles(String prefix, String suffix) throws IOException {
+        for (String name : fileNames(prefix, suffix + TEMP_SUFFIX)) {
             delete(name);
         }
     }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/FileLogStore.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/FileLogStore.java
@@ -123,7 +123,7 @@
     }
 
     private void load() throws IOException {
-        mFolder.deleteTemporaryFiles();
+        mFolder.deleteTemporaryFiles(META_FILE, "");
         List<String> names = mFolder.fileNames(LogSegment.PREFIX, LogSegment.SUFFIX);
         Path file = mFolder.resolve(META_FILE);
         if (Files.exists(file)) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/SnapshotFile.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/SnapshotFile.java
@@ -37,6 +37,7 @@
     /** Opens the newest snapshot, verifies its size and checksum and removes older ones. */
     void open() throws IOException {
         mFolder.delete(PART_FILE);
+        mFolder.deleteTemporaryFiles(PREFIX, SUFFIX);
         List<String> names = mFolder.fileNames(PREFIX, SUFFIX);
         if (names.isEmpty()) {
             return;
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreFaultsTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreFaultsTest.java
@@ -282,7 +282,11 @@
     void filesThatWereNotWrittenToTheirEndAreRemoved() throws IOException {
         open(FaultyDisk.create(), mTemp).close();
         Files.write(mTemp.resolve("snapshot-00000000000000000004.snap.tmp"), new byte[100]);
+        Files.write(mTemp.resolve("meta.tmp"), new byte[100]);
+        Path foreign = Files.write(mTemp.resolve("notes.tmp"), new byte[1]);
         open(FaultyDisk.create(), mTemp).close();
+        assertTrue(Files.exists(foreign));
+        Files.delete(foreign);
         requireOnlyFilesInUse(mTemp);
     }
 
