End results whose state was not published as unknown

Callers saw: a change acknowledged that no reader is shown, in the moment before the process ends. Cause: ReplicaService.stopAfterFailure completed the results of the step as applied, also when the publication of their state had just failed. Evidence: ReplicaServiceTest.resultsWhoseStateCannotBePublishedAreUnknown, before: expected UNKNOWN but was APPLIED. Change: results that are left when the replica stops end with an unknown outcome, which is true in every case.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -69,8 +69,8 @@
     private final Map<Long, CompletableFuture<ProposalOutcome>> mPendingProposals =
             new ConcurrentHashMap<>();
 
-    /** Completions of results that the current step has produced. */
-    private final List<Runnable> mResults = new ArrayList<>();
+    /** Results that the current step has produced. */
+    private final List<Result> mResults = new ArrayList<>();
 
     private final Outputs mOutputs = new Outputs();
 
@@ -202,6 +202,8 @@
         return submit(ticket -> new ConsensusEvent.ChangeVoters(ticket, change));
     }
 
+    private record Result(CompletableFuture<ProposalOutcome> future, ProposalOutcome outcome) {}
+
     /** Builds an event for a ticket. */
     private interface EventFactory {
         ConsensusEvent create(long ticket);
@@ -286,7 +288,7 @@
     }
 
     private void completeResults() {
-        mResults.forEach(Runnable::run);
+        mResults.forEach(result -> result.future().complete(result.outcome()));
         mResults.clear();
     }
 
@@ -354,11 +356,14 @@
     /**
      * Ends the replica, because it is unknown in which state it is, and reports the cause as if it
      * had ended the thread. A process ends then, and the next one reads the state from the disk; a
-     * process that goes on would stay a voter that never answers.
+     * process that goes on would stay a voter that never answers. Results whose state was not
+     * published end with an unknown outcome.
      */
     private void stopAfterFailure(Throwable cause) {
         mStopped = true;
-        completeResults();
+        ProposalOutcome unknown = ProposalOutcome.notApplied(ProposalStatus.UNKNOWN, null);
+        mResults.forEach(result -> result.future().complete(unknown));
+        mResults.clear();
         endParticipation();
         mLog.log(LogEvent.INTERNAL_FAULT, cause, "the replica stopped: %s", cause);
         Thread thread = Thread.currentThread();
@@ -407,7 +412,7 @@
     private void completeProposal(long ticket, ProposalOutcome outcome) {
         CompletableFuture<ProposalOutcome> future = mPendingProposals.remove(ticket);
         if (future != null) {
-            mResults.add(() -> future.complete(outcome));
+            mResults.add(new Result(future, outcome));
         }
     }
 
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/ReplicaServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/ReplicaServiceTest.java
@@ -320,6 +320,23 @@
         }
     }
 
+    /**
+     * Guards against a change that is acknowledged and not shown, because an exception ended the
+     * publication of the state that includes it.
+     */
+    @Test
+    void resultsWhoseStateCannotBePublishedAreUnknown(@TempDir Path folder) throws Exception {
+        Thread.UncaughtExceptionHandler before = Thread.getDefaultUncaughtExceptionHandler();
+        Thread.setDefaultUncaughtExceptionHandler((thread, cause) -> {});
+        try (ReplicaService replica = start(folder)) {
+            assertEquals(ProposalStatus.APPLIED, publish(replica, 7));
+            mInjected = new IllegalStateException("injected");
+            assertEquals(ProposalStatus.UNKNOWN, publish(replica, 8));
+        } finally {
+            Thread.setDefaultUncaughtExceptionHandler(before);
+        }
+    }
+
     /** Guards against a change that takes effect twice, or is lost, when its disk fills up. */
     @Test
     void stateIsTheSameAfterTheDiskWasFull(@TempDir Path folder) throws Exception {
