Take only a version that the leader confirms when an instance starts

Cause: an instance that starts pulled the configuration from any peer and took it for the newest one. Change: the voters are asked in turn; the leader answers after a read index with the state of its log, others do not confirm. After 5 s without a leader the version of any peer is taken, so that an instance can start while there is no majority.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -45,6 +45,7 @@
 import org.hemlockrack.daemon.operator.VoterCommands;
 import org.hemlockrack.daemon.owner.OwnerService;
 import org.hemlockrack.daemon.peer.PeerServer;
+import org.hemlockrack.daemon.replica.ConfigEndpoint;
 import org.hemlockrack.daemon.replica.Proposer;
 import org.hemlockrack.daemon.replica.ReplicaService;
 import org.hemlockrack.daemon.replica.ReplicaStorage;
@@ -245,7 +246,7 @@
                         nowNanos);
         mMembership = membership;
         mFleet = FleetMembership.create(mLoop, self, membership, mNetwork);
-        mConfig = ConfigService.create(mLoop, mFleet, mNetwork, mLog);
+        mConfig = ConfigService.create(mLoop, mFleet, mNetwork, mSettings.voters().keySet(), mLog);
     }
 
     private void startReplica() {
@@ -519,6 +520,10 @@
                                 RolloutCommands.create(mProposer, mRollouts),
                                 mBurn,
                                 endpoints));
+        openPeerServer();
+    }
+
+    private void openPeerServer() {
         PeerServer peerServer =
                 PeerServer.open(
                         mSettings.address(SettingKey.LISTEN_PEER),
@@ -529,6 +534,7 @@
                                 mOwner,
                                 mClaims,
                                 mReplica,
+                                ConfigEndpoint.of(mReplica, mVoterState),
                                 new PeerHandler.RolloutServices(
                                         mRollouts, mOrders, () -> mRolloutController, mBurn),
                                 mLog),
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/PeerHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/PeerHandler.java
@@ -13,6 +13,7 @@
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.EventLoop;
 import org.hemlockrack.daemon.owner.OwnerService;
+import org.hemlockrack.daemon.replica.ConfigEndpoint;
 import org.hemlockrack.daemon.replica.ProposalEndpoint;
 import org.hemlockrack.daemon.replica.ReplicaService;
 import org.hemlockrack.daemon.rollout.OrderService;
@@ -43,6 +44,7 @@
     private final OwnerService mOwner;
     private final ClaimService mClaims;
     private final @Nullable ReplicaService mReplica;
+    private final ConfigEndpoint mConfigEndpoint;
     private final RolloutServices mRollouts;
     private final EventLog mLog;
 
@@ -53,6 +55,7 @@
             OwnerService owner,
             ClaimService claims,
             @Nullable ReplicaService replica,
+            ConfigEndpoint configEndpoint,
             RolloutServices rollouts,
             EventLog log) {
         mLoop = loop;
@@ -61,6 +64,7 @@
         mOwner = owner;
         mClaims = claims;
         mReplica = replica;
+        mConfigEndpoint = configEndpoint;
         mRollouts = rollouts;
         mLog = log;
     }
@@ -134,6 +138,11 @@
         return reply;
     }
 
+    @Override
+    public ConfigReply fetchConfirmedConfig() {
+        return mConfigEndpoint.fetchConfirmed();
+    }
+
     @Override
     public boolean abandoned(String attempt) {
         return mClaims.isAbandoned(attempt);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/config/ConfigService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/config/ConfigService.java
@@ -2,13 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.hemlockrack.config.ConfigReplica;
 import org.hemlockrack.config.Configuration;
 import org.hemlockrack.daemon.fleet.FleetMembership;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.EventLoop;
+import org.hemlockrack.daemon.peer.PeerClient;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.events.LogEvent;
 import org.hemlockrack.membership.Fact;
@@ -16,12 +19,14 @@
 import org.hemlockrack.membership.MembershipInput;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.wire.ConfigReply;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Holds the configuration that is in force on this instance. A voter receives new versions from its
- * replicated log; every instance also pulls from a peer until it is initialized, and when gossip
- * reports a higher version. Confined to the loop except {@link #current()} and {@link
- * #isInitialized()}.
+ * replicated log. Until it is initialized, every instance also pulls from the leader, since any
+ * other peer may be behind what this instance had in force before it restarted; later, it pulls
+ * from a peer when gossip reports a higher version. Confined to the loop except {@link #current()}
+ * and {@link #isInitialized()}.
  */
 public final class ConfigService {
     private static final long PULL_INTERVAL_MILLIS = 200;
@@ -29,6 +34,12 @@
     /** Logs a warning if no peer has sent a configuration this long after the start. */
     private static final long START_WARNING_NANOS = 5_000_000_000L;
 
+    /**
+     * Takes a version from any peer if no leader has confirmed one this long after the start, so
+     * that an instance can start while there is no majority of voters.
+     */
+    private static final long CONFIRMATION_TIMEOUT_NANOS = 5_000_000_000L;
+
     /**
      * A version and its configuration.
      *
@@ -40,6 +51,7 @@
     private final EventLoop mLoop;
     private final FleetMembership mFleet;
     private final PeerNetwork mNetwork;
+    private final Set<InstanceId> mVoters;
     private final EventLog mLog;
     private final ConfigReplica mReplica = ConfigReplica.create();
     private final List<Consumer<VersionedConfig>> mListeners = new ArrayList<>();
@@ -52,10 +64,15 @@
     private int mNextPeer;
 
     private ConfigService(
-            EventLoop loop, FleetMembership fleet, PeerNetwork network, EventLog log) {
+            EventLoop loop,
+            FleetMembership fleet,
+            PeerNetwork network,
+            Set<InstanceId> voters,
+            EventLog log) {
         mLoop = loop;
         mFleet = fleet;
         mNetwork = network;
+        mVoters = Set.copyOf(voters);
         mLog = log;
         mStartedNanos = loop.nowNanos();
     }
@@ -66,12 +83,17 @@
      * @param loop loop that owns it
      * @param fleet the fleet
      * @param network connections to other instances
+     * @param voters the instances that may lead; if there are none, versions are not confirmed
      * @param log the event log
      * @return the service
      */
     public static ConfigService create(
-            EventLoop loop, FleetMembership fleet, PeerNetwork network, EventLog log) {
-        ConfigService service = new ConfigService(loop, fleet, network, log);
+            EventLoop loop,
+            FleetMembership fleet,
+            PeerNetwork network,
+            Set<InstanceId> voters,
+            EventLog log) {
+        ConfigService service = new ConfigService(loop, fleet, network, voters, log);
         loop.scheduleWithFixedDelay(PULL_INTERVAL_MILLIS, service::pullIfBehind);
         return service;
     }
@@ -131,36 +153,50 @@
             return;
         }
         warnIfNotInitialized();
-        List<Member> peers = candidatePeers();
-        if (peers.isEmpty()) {
+        boolean mustBeConfirmed =
+                !mInitialized
+                        && !mVoters.isEmpty()
+                        && mLoop.nowNanos() - mStartedNanos < CONFIRMATION_TIMEOUT_NANOS;
+        if (mustBeConfirmed) {
+            pull(
+                    reachablePeers(member -> mVoters.contains(member.id())),
+                    client -> client.fetchConfirmedConfig(),
+                    ConfigReply::isConfirmed);
             return;
         }
-        Member peer = peers.get(mNextPeer++ % peers.size());
-        mPulling = true;
         long haveVersion = mCurrent.version();
-        mNetwork.callAsync(peer.info().peerAddress(), client -> client.fetchConfig(haveVersion))
-                .whenComplete((reply, error) -> mLoop.execute(() -> onPulled(peer.id(), reply)));
+        List<Member> newer = reachablePeers(member -> member.configVersion() > haveVersion);
+        pull(
+                newer.isEmpty() ? reachablePeers(member -> true) : newer,
+                client -> client.fetchConfig(haveVersion),
+                reply -> true);
     }
 
-    /**
-     * Returns the reachable peers with a higher version, or all reachable peers if none has one.
-     */
-    private List<Member> candidatePeers() {
-        List<Member> newer = new ArrayList<>();
-        List<Member> all = new ArrayList<>();
+    private List<Member> reachablePeers(Predicate<Member> filter) {
+        List<Member> peers = new ArrayList<>();
         for (Member member : mFleet.view().members().values()) {
-            if (member.id().equals(mFleet.selfId()) || !member.status().isReachable()) {
-                continue;
-            }
-            all.add(member);
-            if (member.configVersion() > mCurrent.version()) {
-                newer.add(member);
+            boolean isPeer = !member.id().equals(mFleet.selfId()) && member.status().isReachable();
+            if (isPeer && filter.test(member)) {
+                peers.add(member);
             }
         }
-        return newer.isEmpty() ? all : newer;
+        return peers;
+    }
+
+    /** Calls the next of some peers, and applies its reply if it is accepted. */
+    private void pull(
+            List<Member> peers, PeerClient.Call<ConfigReply> call, Predicate<ConfigReply> filter) {
+        if (peers.isEmpty()) {
+            return;
+        }
+        Member peer = peers.get(mNextPeer++ % peers.size());
+        mPulling = true;
+        mNetwork.callAsync(peer.info().peerAddress(), call)
+                .thenApply(reply -> filter.test(reply) ? reply : null)
+                .whenComplete((reply, error) -> mLoop.execute(() -> onPulled(peer.id(), reply)));
     }
 
-    private void onPulled(InstanceId peer, ConfigReply reply) {
+    private void onPulled(InstanceId peer, @Nullable ConfigReply reply) {
         mPulling = false;
         if (reply == null) {
             return;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerPeerHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerPeerHandler.java
@@ -99,6 +99,11 @@
         throw unsupported();
     }
 
+    @Override
+    public ConfigReply fetchConfirmedConfig() throws TException {
+        throw unsupported();
+    }
+
     @Override
     public boolean abandoned(String attempt) throws TException {
         throw unsupported();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/VoterState.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/VoterState.java
@@ -15,6 +15,7 @@
 import org.hemlockrack.config.HistoryEntry;
 import org.hemlockrack.consensus.CompositeState;
 import org.hemlockrack.consensus.ReplicatedState;
+import org.hemlockrack.daemon.config.ConfigService.VersionedConfig;
 import org.hemlockrack.daemon.loop.EventLoop;
 import org.hemlockrack.daemon.operator.ConfigCommands;
 import org.hemlockrack.rollout.RolloutState;
@@ -71,6 +72,11 @@
         return mConfig.configuration();
     }
 
+    /** Returns the version and its configuration. Safe for any thread but the loop of the log. */
+    public VersionedConfig current() {
+        return mLoop.submit(() -> new VersionedConfig(configVersion(), configuration())).join();
+    }
+
     /** Returns the number of claims. Safe for use from any thread but the loop of the log. */
     public int claimCount() {
         return mLoop.submit(mClaims::size).join();
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/TestInstance.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/TestInstance.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -61,7 +62,7 @@
         EventLog log = EventLog.create();
         mFleet =
                 onLoop(() -> FleetMembership.create(mLoop, info(SELF), membership(SELF), mNetwork));
-        mConfig = onLoop(() -> ConfigService.create(mLoop, mFleet, mNetwork, log));
+        mConfig = onLoop(() -> ConfigService.create(mLoop, mFleet, mNetwork, Set.of(), log));
         VoterState state = folder == null ? null : VoterState.create(mLogLoop);
         mReplica = state == null ? null : replica(folder, state, log);
         Map<InstanceId, String> listed = Map.of(SELF, VOTER_ADDRESS);
--- a/hemlockrack-testing/src/test/java/org/hemlockrack/testing/FleetConfigTest.java
+++ b/hemlockrack-testing/src/test/java/org/hemlockrack/testing/FleetConfigTest.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -259,4 +260,59 @@
         assertTrue(mHighestVersions.values().stream().allMatch(highest -> highest > 1));
         mRecoveryTimes.print("config");
     }
+
+    /**
+     * Guards against a version that goes back on an instance that led, acknowledged a change and
+     * was killed: the peers that it asks when it starts do not have the change.
+     */
+    @Test
+    void killedLeaderComesBackWithNoOlderVersion() throws InterruptedException {
+        mFixture.awaitReady();
+        String leader = mFixture.awaitLeader();
+        List<String> others =
+                List.of("i1", "i2", "i3").stream().filter(id -> !id.equals(leader)).toList();
+        String informed = others.get(0);
+        String uninformed = others.get(1);
+        mFixture.fleet().instanceRelays().isolate(uninformed);
+        mFixture.fleet().instanceRelays().isolate("i4");
+        assertEquals(200, new Patch(1, "last-of-the-leader").send(leader));
+        mFixture.process(leader).kill();
+        FleetFault.FREEZE.begin(mFixture, informed);
+        mFixture.fleet().instanceRelays().heal();
+        // Otherwise the instance that led may ask the frozen peer first, and wait for it.
+        mFixture.fleet()
+                .await(
+                        informed + " counts as dead on " + uninformed,
+                        60,
+                        () -> statusOf(informed, uninformed).equals("DEAD"));
+        mFixture.fleet().restartWithEmptyDisk(leader);
+        mFixture.fleet()
+                .await(
+                        "the peers without the change, on the instance that led",
+                        60,
+                        () -> statusOf(uninformed, leader).equals("ALIVE"));
+        assertNoVersionBelow(2, leader, 1_000);
+        FleetFault.FREEZE.end(mFixture, informed);
+        mFixture.fleet().await("version 2", 60, () -> mFixture.configVersion(leader) == 2);
+    }
+
+    private String statusOf(String instance, String reporter) {
+        JsonNode page =
+                mFixture.client().fetchPage(mFixture.operatorAddress(reporter), "instances");
+        for (JsonNode row : page.path("instances")) {
+            if (row.path("id").asText().equals(instance)) {
+                return row.path("status").asText();
+            }
+        }
+        return "";
+    }
+
+    private void assertNoVersionBelow(long version, String instance, long millis) {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (System.nanoTime() < endNanos) {
+            long reported = mFixture.configVersion(instance);
+            assertTrue(reported < 0 || reported >= version, () -> "reported " + reported);
+            LocalFleet.sleep(5);
+        }
+    }
 }
--- a/hemlockrack-wire/src/main/thrift/peer.thrift
+++ b/hemlockrack-wire/src/main/thrift/peer.thrift
@@ -46,7 +46,9 @@
   /** Version of the configuration held by the receiver; 0 if it holds none. */
   1: i64 version,
   /** The whole configuration as TOML, absent if the caller's version is not lower. */
-  2: optional string document
+  2: optional string document,
+  /** Whether the version includes all changes that were acknowledged before the call. */
+  3: optional bool confirmed
 }
 
 /** An order of the roll-out controller to a backend server. */
@@ -62,6 +64,8 @@
   oneway void deliver(1: list<Envelope> envelopes),
   ProposeReply propose(1: ProposeRequest request),
   ConfigReply fetchConfig(1: i64 haveVersion),
+  /** The configuration with all acknowledged changes; version 0 and not confirmed if the receiver does not lead. */
+  ConfigReply fetchConfirmedConfig(),
   /** Asks the holder of an attempt for a claimed key whether it abandoned the attempt without dispatch. */
   bool abandoned(1: string attempt),
   /** The encoded roll-outs that the receiver knows. */
