Play stalled disks and the return of a follower in simulated clusters

DISK_STALLED lets the sync of a step block for up to 5 s; packets and results of the step appear after that, by the time at which it began. The two tests of full disks keep their bounds; they share their loop with the new one.

--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -31,17 +32,19 @@
         CLOCK_STEP,
         DISK_FULL,
         DISKS_FULL,
+        DISK_STALLED,
         FOLDER_LOST,
         FOLDER_DAMAGED,
         VOTER_CHANGE
     }
 
-    /** The faults of histories in which disks refuse writes. */
+    /** The faults of histories in which disks refuse writes or stall. */
     static final List<InjectedFault> DISK_FAULTS =
             List.of(
                     InjectedFault.DISK_FULL,
                     InjectedFault.DISK_FULL,
                     InjectedFault.DISKS_FULL,
+                    InjectedFault.DISK_STALLED,
                     InjectedFault.CRASH,
                     InjectedFault.CRASH_IN_STEP,
                     InjectedFault.PARTITION);
@@ -75,6 +78,10 @@
                     Comparator.comparingLong(Delivery::atNanos)
                             .thenComparingLong(Delivery::sequence));
     private final int[] mLossPercentChoices = {0, 2, 10, 25};
+
+    /** Bytes of packets by the index of the receiver. */
+    private final Map<Integer, Long> mSentBytes = new HashMap<>();
+
     private long mNextSequence;
     private long mNextCommand = 1;
     private boolean[][] mBlockedLinks;
@@ -188,6 +195,7 @@
             return;
         }
         byte[] bytes = ConsensusCodec.encode(packet);
+        mSentBytes.merge(target, (long) bytes.length, Long::sum);
         schedule(target, bytes);
         if (mFaultsEnabled && mRandom.nextInt(100) < 3) {
             countFault(InjectedFault.DOUBLED);
@@ -204,6 +212,11 @@
         mNetwork.add(new Delivery(mNowNanos + delay, mNextSequence++, target, bytes));
     }
 
+    /** Returns how many bytes of packets were sent to an instance. */
+    long sentBytes(SimulatedInstance instance) {
+        return mSentBytes.getOrDefault(mInstances.indexOf(instance), 0L);
+    }
+
     private SimulatedInstance randomInstance() {
         return mInstances.get(mRandom.nextInt(mInstances.size()));
     }
@@ -265,6 +278,7 @@
                 boolean full = mRandom.nextInt(3) == 0;
                 mInstances.forEach(instance -> instance.setDiskFull(full));
             }
+            case DISK_STALLED -> victim.stallDisk(1 + mRandom.nextInt(5000));
             case FOLDER_LOST, FOLDER_DAMAGED -> {
                 if (!isRepaired()) {
                     return;
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulationTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulationTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ClusterSimulationTest {
     private static final long CHAOS_MILLIS = 15_000;
@@ -52,8 +53,8 @@
     }
 
     /**
-     * Guards against the same where disks refuse writes, one, some or all of them, while processes
-     * are killed and lose what they had not synced.
+     * Guards against the same where disks stall or refuse writes, one, some or all of them, while
+     * processes are killed and lose what they had not synced.
      */
     @Test
     void noHistoryOfFullDisksViolatesTheOracle() {
@@ -61,8 +62,8 @@
     }
 
     /**
-     * Guards against the same with the real store, on disks that refuse writes or syncs and lose
-     * what was not synced; also against files left open and replicas that took a new id.
+     * Guards against the same with the real store, on disks that stall, refuse writes or syncs and
+     * lose what was not synced; also against files left open and replicas that took a new id.
      */
     @Test
     void noHistoryOfFullDisksWithFilesViolatesTheOracle(@TempDir Path folder) {
@@ -140,25 +141,46 @@
         assertEquals(List.of(), violations.subList(0, Math.min(20, violations.size())));
     }
 
-    /**
-     * Returns for how many simulated milliseconds a cluster of three takes no change after disks
-     * have filled up, the leader's first.
-     */
-    private static long millisWithoutChanges(long seed, int fullDisks, long fullMillis) {
-        ClusterSimulation simulation = new ClusterSimulation(seed, 3, 0, Variant.CORRECT, Set.of());
-        simulation.requireConvergence();
-        SimulatedInstance leader = simulation.leader();
-        leader.setDiskFull(true);
-        for (SimulatedInstance other : simulation.mInstances) {
-            if (other != leader && fullDisks > 1) {
-                other.setDiskFull(true);
-                break;
+    private static final int FULL_MILLIS = 30_000;
+    private static final int STALL_MILLIS = 30_000;
+
+    /** What happens to the disks of a cluster of three, the leader's first. */
+    private enum DiskFault {
+        LEADER_FULL(FULL_MILLIS),
+        LEADER_AND_OTHER_FULL(4_500),
+        LEADER_STALLED(STALL_MILLIS);
+
+        private final long mMillis;
+
+        DiskFault(long millis) {
+            mMillis = millis;
+        }
+
+        private void begin(ClusterSimulation simulation) {
+            SimulatedInstance leader = simulation.leader();
+            if (this == LEADER_STALLED) {
+                leader.stallDisk(STALL_MILLIS);
+                return;
+            }
+            leader.setDiskFull(true);
+            for (SimulatedInstance other : simulation.mInstances) {
+                if (other != leader && this == LEADER_AND_OTHER_FULL) {
+                    other.setDiskFull(true);
+                    break;
+                }
             }
         }
+    }
+
+    /** Returns for how many simulated milliseconds no change is taken after a fault. */
+    private static long millisWithoutChanges(long seed, DiskFault fault) {
+        ClusterSimulation simulation = new ClusterSimulation(seed, 3, 0, Variant.CORRECT, Set.of());
+        simulation.requireConvergence();
+        fault.begin(simulation);
         long startNanos = simulation.mNowNanos;
-        long endOfFullNanos = startNanos + simulation.millisToNanos(fullMillis);
-        while (simulation.mNowNanos < endOfFullNanos + simulation.millisToNanos(10_000)) {
-            if (simulation.mNowNanos >= endOfFullNanos) {
+        long endOfFaultNanos = startNanos + simulation.millisToNanos(fault.mMillis);
+        while (simulation.mNowNanos < endOfFaultNanos + simulation.millisToNanos(10_000)) {
+            if (simulation.mNowNanos >= endOfFaultNanos) {
                 simulation.mInstances.forEach(instance -> instance.setDiskFull(false));
             }
             SimulatedInstance target = simulation.leader();
@@ -175,12 +197,15 @@
         return Long.MAX_VALUE;
     }
 
-    private static long[] sortedPauses(int fullDisks, long fullMillis) {
-        return LongStream.range(0, 200)
-                .parallel()
-                .map(seed -> millisWithoutChanges(seed, fullDisks, fullMillis))
-                .sorted()
-                .toArray();
+    private static void requireChangesWithin(DiskFault fault, long millis) {
+        long[] pauses =
+                LongStream.range(0, 200)
+                        .parallel()
+                        .map(seed -> millisWithoutChanges(seed, fault))
+                        .sorted()
+                        .toArray();
+        System.out.printf("%s: no change for p50=%d max=%d ms%n", fault, pauses[100], pauses[199]);
+        assertTrue(pauses[199] <= millis, "no change for " + pauses[199] + " ms");
     }
 
     /**
@@ -188,9 +213,13 @@
      */
     @Test
     void aMajorityTakesChangesWithinTwoSecondsAfterTheDiskOfTheLeaderFilled() {
-        long[] millis = sortedPauses(1, 30_000);
-        System.out.printf("leader's disk full: p50=%d max=%d ms%n", millis[100], millis[199]);
-        assertTrue(millis[199] <= 2_000, "no change for " + millis[199] + " ms");
+        requireChangesWithin(DiskFault.LEADER_FULL, 2_000);
+    }
+
+    /** Guards against the same, as the leader waits for its disk and reports no error. */
+    @Test
+    void aMajorityTakesChangesWithinTwoSecondsAfterTheDiskOfTheLeaderStalled() {
+        requireChangesWithin(DiskFault.LEADER_STALLED, 2_000);
     }
 
     /**
@@ -198,9 +227,93 @@
      */
     @Test
     void changesAreTakenWithinThreeSecondsAfterTwoDisksHaveRoomAgain() {
-        long[] millis = sortedPauses(2, 4_500);
-        System.out.printf("two disks full: p50=%d max=%d ms%n", millis[100], millis[199]);
-        assertTrue(millis[199] <= 4_500 + 3_000, "no change for " + millis[199] + " ms");
+        requireChangesWithin(DiskFault.LEADER_AND_OTHER_FULL, 4_500 + 3_000);
+    }
+
+    /**
+     * What the return of a replica cost whose disk was full.
+     *
+     * @param millis simulated milliseconds until it had applied what was acknowledged
+     * @param bytes bytes sent to it meanwhile
+     * @param pauseMillis longest time meanwhile in which the others took no change
+     */
+    private record Return(long millis, long bytes, long pauseMillis) {}
+
+    /** Lets a follower return while the others take a change every 20 ms, as they did before. */
+    private static Return returnOfFollower(long seed, long fullMillis) {
+        ClusterSimulation simulation = new ClusterSimulation(seed, 3, 0, Variant.CORRECT, Set.of());
+        simulation.requireConvergence();
+        SimulatedInstance follower = simulation.mInstances.get(0);
+        if (follower == simulation.leader()) {
+            follower = simulation.mInstances.get(1);
+        }
+        follower.setDiskFull(true);
+        long startNanos = simulation.mNowNanos;
+        long endOfFullNanos = startNanos + simulation.millisToNanos(fullMillis);
+        long lastTakenNanos = startNanos;
+        long longestPauseNanos = 0;
+        long sentBefore = 0;
+        long acknowledgedBefore = 0;
+        boolean isFull = true;
+        while (simulation.mNowNanos < endOfFullNanos + simulation.millisToNanos(10_000)) {
+            if (isFull && simulation.mNowNanos >= endOfFullNanos) {
+                isFull = false;
+                follower.setDiskFull(false);
+                acknowledgedBefore = simulation.mOracle.mAcknowledgedIndex;
+                sentBefore = simulation.sentBytes(follower);
+                longestPauseNanos = 0;
+            }
+            long acknowledged = simulation.mOracle.mAcknowledgedIndex;
+            simulation.leader().receive(simulation.nextProposal());
+            simulation.advance(simulation.mNowNanos + simulation.millisToNanos(20));
+            if (simulation.mOracle.mAcknowledgedIndex > acknowledged) {
+                lastTakenNanos = simulation.mNowNanos;
+            }
+            longestPauseNanos = Math.max(longestPauseNanos, simulation.mNowNanos - lastTakenNanos);
+            if (!isFull && follower.mState.mIndex >= acknowledgedBefore) {
+                return new Return(
+                        (simulation.mNowNanos - endOfFullNanos) / 1_000_000,
+                        simulation.sentBytes(follower) - sentBefore,
+                        longestPauseNanos / 1_000_000);
+            }
+        }
+        return new Return(Long.MAX_VALUE, 0, 0);
+    }
+
+    private static void requireReturnWithinThreeSeconds(long fullMillis) {
+        List<Return> returns =
+                LongStream.range(0, 200)
+                        .parallel()
+                        .mapToObj(seed -> returnOfFollower(seed, fullMillis))
+                        .toList();
+        long millis = returns.stream().mapToLong(Return::millis).max().orElseThrow();
+        long bytes = returns.stream().mapToLong(Return::bytes).max().orElseThrow();
+        long pauseMillis = returns.stream().mapToLong(Return::pauseMillis).max().orElseThrow();
+        System.out.printf(
+                "follower's disk full for %d ms: back after max=%d ms, max=%d bytes,"
+                        + " no change meanwhile for max=%d ms%n",
+                fullMillis, millis, bytes, pauseMillis);
+        assertTrue(millis <= 3_000, "returned after " + millis + " ms");
+        assertTrue(pauseMillis <= 2_000, "no change for " + pauseMillis + " ms");
+    }
+
+    /**
+     * Guards against a replica that does not catch up after its disk was full, by entries or by a
+     * snapshot, and against one whose return keeps the others from taking changes.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {300, 5_000})
+    void aFollowerReturnsWithinThreeSecondsAfterItsDiskHasRoomAgain(long fullMillis) {
+        requireReturnWithinThreeSeconds(fullMillis);
+    }
+
+    /**
+     * Guards against a replica that never receives a whole snapshot, as the leader saves a newer
+     * one while it still sends the last.
+     */
+    @Test
+    void aFollowerReturnsByASnapshotThatIsSentForLong() {
+        requireReturnWithinThreeSeconds(60_000);
     }
 
     /** Guards against an oracle that accepts a broken implementation. */
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedInstance.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedInstance.java
@@ -34,6 +34,14 @@
     private static final int REOPENING_PERIOD_MILLIS = 100;
     private long mSteps;
 
+    /** For how long the next sync of the disk blocks the process. */
+    private int mStallMillis;
+
+    /** The events of a step whose sync blocks, or null. */
+    private @Nullable List<ConsensusEvent> mStalledEvents;
+
+    private long mStalledSinceNanos;
+
     SimulatedInstance(ClusterSimulation simulation, InstanceId id) {
         mSimulation = simulation;
         mId = id;
@@ -65,7 +73,8 @@
     }
 
     long nextWakeNanos() {
-        if (mSuspendedNode != null || mNode == null || !mInbox.isEmpty()) {
+        boolean isStalled = mStalledEvents != null;
+        if (mSuspendedNode != null || mNode == null || !mInbox.isEmpty() || isStalled) {
             return mBusyUntilNanos;
         }
         return Math.max(mBusyUntilNanos, mNode.nextTimerNanos());
@@ -92,11 +101,24 @@
     }
 
     private void step() {
-        List<ConsensusEvent> events = List.copyOf(mInbox);
-        mInbox.clear();
+        List<ConsensusEvent> events = mStalledEvents;
+        long startNanos = mStalledSinceNanos;
+        if (events == null) {
+            events = List.copyOf(mInbox);
+            startNanos = mSimulation.mNowNanos;
+            mInbox.clear();
+            if (mStallMillis > 0) {
+                mStalledEvents = events;
+                mStalledSinceNanos = startNanos;
+                pause(mStallMillis);
+                mStallMillis = 0;
+                return;
+            }
+        }
+        mStalledEvents = null;
         mSimulation.mSteps++;
         try {
-            mNode.step(mSimulation.mNowNanos, events, this);
+            mNode.step(startNanos, events, this);
             reportLog();
         } catch (HemlockrackException e) {
             suspend(e);
@@ -151,6 +173,14 @@
         mDisk.setFull(full, mSimulation.mRandom.nextBoolean());
     }
 
+    /**
+     * Lets the sync of the next step block the process. The results and packets of the step appear
+     * after that, by the time at which the step began.
+     */
+    void stallDisk(int millis) {
+        mStallMillis = millis;
+    }
+
     /** Reports the log now and then, so that reports of different ages meet. */
     private void reportLog() {
         SettledReports settled = mSimulation.mSettled;
@@ -234,6 +264,7 @@
         mHasProcess = false;
         mNode = null;
         mSuspendedNode = null;
+        mStalledEvents = null;
         mInbox.clear();
         mAcknowledgedIndexByRead.clear();
         mBusyUntilNanos = mSimulation.mNowNanos + mSimulation.millisToNanos(downMillis);
@@ -262,6 +293,7 @@
 
     void endFaults() {
         mDisk.setFull(false, false);
+        mStallMillis = 0;
         boolean isStopped = mBusyUntilNanos == Long.MAX_VALUE;
         mBusyUntilNanos = isStopped ? Long.MAX_VALUE : mSimulation.mNowNanos;
         if (mNode != null) {
