Wait for the end of a step before a test proposes the next change

Cause: the test. A step that fails completes its results, then suspends the replica. In between, the test read the role LEADER and proposed the next change, which was refused; it took the refusal for a result without its state. Change: the test waits until the loop has ended the step, then reads the role. It demands the same of every result.

--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/ReplicaServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/replica/ReplicaServiceTest.java
@@ -261,6 +261,8 @@
                                 .thenApply(outcome -> mPublishedVersion.get())
                                 .get(10, TimeUnit.SECONDS);
                 assertEquals(proposed, seen);
+                // The step that completed the result ends first; it may suspend the replica.
+                mLoop.submit(() -> true).join();
                 if (replica.role() != Role.LEADER) {
                     break;
                 }
