End the check of a restarted leader with the time for a confirmation

killedLeaderComesBackWithNoOlderVersion checked for 1 s after the restarted instance answered. On a machine on which that takes over 4 s the check went beyond the 5 s after which design.md lets an instance take any version. It ends there now.

--- a/hemlockrack-testing/src/test/java/org/hemlockrack/testing/FleetConfigTest.java
+++ b/hemlockrack-testing/src/test/java/org/hemlockrack/testing/FleetConfigTest.java
@@ -285,13 +285,16 @@
                         informed + " counts as dead on " + uninformed,
                         60,
                         () -> statusOf(informed, uninformed).equals("DEAD"));
+        // From 5 s after its start on, an instance takes a version that no leader confirms.
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
         mFixture.fleet().restartWithEmptyDisk(leader);
         mFixture.fleet()
                 .await(
                         "the peers without the change, on the instance that led",
                         60,
                         () -> statusOf(uninformed, leader).equals("ALIVE"));
-        assertNoVersionBelow(2, leader, 1_000);
+        long checkedUntilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(1);
+        assertNoVersionBelow(2, leader, Math.min(endNanos, checkedUntilNanos));
         FleetFault.FREEZE.end(mFixture, informed);
         mFixture.fleet().await("version 2", 60, () -> mFixture.configVersion(leader) == 2);
     }
@@ -307,11 +310,11 @@
         return "";
     }
 
-    private void assertNoVersionBelow(long version, String instance, long millis) {
-        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    private void assertNoVersionBelow(long version, String instance, long endNanos) {
         while (System.nanoTime() < endNanos) {
             long reported = mFixture.configVersion(instance);
-            assertTrue(reported < 0 || reported >= version, () -> "reported " + reported);
+            boolean isInTime = System.nanoTime() < endNanos;
+            assertTrue(!isInTime || reported < 0 || reported >= version, "reported " + reported);
             LocalFleet.sleep(5);
         }
     }
