Log what a replica knows of its members while there is no leader

A replica logs at its start what it found on its disk (HR1407), at each change of the leader its members with kinds and replica ids (HR1401), and once a second without a leader the time since the last message of each member and the votes that it refused, by reason (HR1408). A leader logs members that are silent, or that do not vote yet and lack entries (HR1409).

No rule of the protocol changes: Election names the reason for which it refuses, and decides as before.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/Consensus.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/Consensus.java
@@ -50,6 +50,14 @@
     /** Returns the term of the last entry. */
     long lastTerm();
 
+    /**
+     * Describes this replica and what it knows of its cluster, for the log.
+     *
+     * @param nowNanos monotonic time
+     * @return the status
+     */
+    ReplicaStatus status(long nowNanos);
+
     /**
      * Returns whether a snapshot is being sent to another member. Saving a newer snapshot would
      * restart that transfer.
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Election.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Election.java
@@ -7,6 +7,8 @@
 import org.hemlockrack.consensus.ProtocolFeature;
 import org.hemlockrack.consensus.ReplicaRef;
 import org.hemlockrack.consensus.Role;
+import org.hemlockrack.consensus.VoteRefusal;
+import org.jspecify.annotations.Nullable;
 
 /** Pre-votes and votes, for both the candidate and the voter. */
 final class Election {
@@ -69,14 +71,25 @@
 
     /** Answers a pre-vote request; this changes no state. */
     void onPreVote(Packet packet, Message.PreVote request) {
-        boolean granted =
-                packet.term() > mState.term()
-                        && !mState.hasRecentLeaderContact()
-                        && isUpToDate(request.lastIndex(), request.lastTerm());
+        VoteRefusal refusal = preVoteRefusal(packet, request);
+        if (refusal != null) {
+            mState.countRefusal(refusal);
+        }
+        boolean granted = refusal == null;
         long term = granted ? packet.term() : mState.term();
         mState.send(packet.from(), term, new Message.PreVoteReply(granted));
     }
 
+    private @Nullable VoteRefusal preVoteRefusal(Packet packet, Message.PreVote request) {
+        if (packet.term() <= mState.term()) {
+            return VoteRefusal.TERM_OUTDATED;
+        }
+        if (mState.hasRecentLeaderContact()) {
+            return VoteRefusal.LEADER_KNOWN;
+        }
+        return isUpToDate(request.lastIndex(), request.lastTerm()) ? null : VoteRefusal.LOG_BEHIND;
+    }
+
     /**
      * Counts a pre-vote and starts the vote at a majority. Returns whether the election is already
      * won.
@@ -95,16 +108,25 @@
     /** Answers a vote request of the current or an earlier term. */
     void onVote(Packet packet, Message.Vote request) {
         long candidate = packet.from().replicaId();
-        long vote = mState.mHardState.vote();
-        boolean granted =
-                packet.term() == mState.term()
-                        && (vote == 0 || vote == candidate)
-                        && isUpToDate(request.lastIndex(), request.lastTerm());
-        if (granted) {
+        VoteRefusal refusal = voteRefusal(packet, request);
+        if (refusal == null) {
             mState.persistHardState(mState.mHardState.inTerm(mState.term(), candidate));
             mState.resetElectionDeadline();
+        } else {
+            mState.countRefusal(refusal);
+        }
+        mState.send(packet.from(), new Message.VoteReply(refusal == null));
+    }
+
+    private @Nullable VoteRefusal voteRefusal(Packet packet, Message.Vote request) {
+        long vote = mState.mHardState.vote();
+        if (packet.term() != mState.term()) {
+            return VoteRefusal.TERM_OUTDATED;
+        }
+        if (vote != 0 && vote != packet.from().replicaId()) {
+            return VoteRefusal.VOTE_GIVEN;
         }
-        mState.send(packet.from(), new Message.VoteReply(granted));
+        return isUpToDate(request.lastIndex(), request.lastTerm()) ? null : VoteRefusal.LOG_BEHIND;
     }
 
     /** Counts a vote of the current term. Returns whether the election is won. */
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Raft.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Raft.java
@@ -1,19 +1,25 @@
 package org.hemlockrack.consensus.internal;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.hemlockrack.consensus.Consensus;
 import org.hemlockrack.consensus.ConsensusEvent;
 import org.hemlockrack.consensus.ConsensusOutput;
 import org.hemlockrack.consensus.ConsensusSettings;
+import org.hemlockrack.consensus.Member;
 import org.hemlockrack.consensus.Membership;
 import org.hemlockrack.consensus.Message;
 import org.hemlockrack.consensus.Packet;
 import org.hemlockrack.consensus.ProposalStatus;
 import org.hemlockrack.consensus.RecoveredState;
 import org.hemlockrack.consensus.ReplicaRef;
+import org.hemlockrack.consensus.ReplicaStatus;
 import org.hemlockrack.consensus.Role;
 import org.hemlockrack.consensus.SnapshotMeta;
+import org.hemlockrack.consensus.VoteRefusal;
 import org.hemlockrack.model.InstanceId;
 import org.jspecify.annotations.Nullable;
 
@@ -161,6 +167,7 @@
             return;
         }
         mState.mRequestClusterId = packet.clusterId();
+        noteHeard(packet.from());
         if (packet.body() instanceof Message.Hello) {
             onHello(packet);
         } else if (packet.body() instanceof Message.HelloReply reply) {
@@ -170,6 +177,16 @@
         }
     }
 
+    private void noteHeard(ReplicaRef sender) {
+        Membership members = mState.membership();
+        boolean isMember =
+                members.member(sender.replicaId()).isPresent()
+                        || members.memberOf(sender.instance(), true).isPresent();
+        if (isMember) {
+            mState.mLastHeardNanos.put(sender.instance(), mState.mNowNanos);
+        }
+    }
+
     private boolean isAddressedToSelf(Packet packet) {
         ReplicaRef to = packet.to();
         boolean isForAnyReplica = to.replicaId() == ReplicaRef.ANY;
@@ -212,6 +229,7 @@
             return;
         }
         if (body instanceof Message.Vote && mState.hasRecentLeaderContact()) {
+            mState.countRefusal(VoteRefusal.LEADER_KNOWN);
             return;
         }
         if (packet.term() > mState.term()) {
@@ -333,6 +351,43 @@
         return mLeadership != null && mLeadership.isSendingSnapshot();
     }
 
+    @Override
+    public ReplicaStatus status(long nowNanos) {
+        List<ReplicaStatus.MemberStatus> members = new ArrayList<>();
+        for (Member member : mState.membership().members()) {
+            members.add(memberStatus(nowNanos, member));
+        }
+        return new ReplicaStatus(
+                mState.selfId(),
+                mState.mRole,
+                mState.term(),
+                mState.leaderInstance(),
+                mState.mCommitIndex,
+                mState.mLog.lastIndex(),
+                mState.mLog.lastTerm(),
+                members,
+                mState.mRefusals);
+    }
+
+    private ReplicaStatus.MemberStatus memberStatus(long nowNanos, Member member) {
+        ReplicaRef replica = member.replica();
+        if (replica.replicaId() == mState.selfId()) {
+            return new ReplicaStatus.MemberStatus(member, 0, 0);
+        }
+        Long heardNanos = mState.mLastHeardNanos.get(replica.instance());
+        long silentMillis =
+                heardNanos == null
+                        ? ReplicaStatus.UNKNOWN
+                        : TimeUnit.NANOSECONDS.toMillis(nowNanos - heardNanos);
+        MemberProgress progress =
+                mLeadership == null ? null : mLeadership.progress(replica.replicaId());
+        long behindEntries =
+                progress == null
+                        ? ReplicaStatus.UNKNOWN
+                        : mState.mLog.lastIndex() - progress.mMatchIndex;
+        return new ReplicaStatus.MemberStatus(member, silentMillis, behindEntries);
+    }
+
     @Override
     public SnapshotMeta describeSnapshot(long sizeBytes, int crc32c) {
         long index = mState.mCommitIndex;
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/RaftState.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/RaftState.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.consensus.internal;
 
 import java.util.ArrayDeque;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +22,7 @@
 import org.hemlockrack.consensus.ReplicaRef;
 import org.hemlockrack.consensus.Role;
 import org.hemlockrack.consensus.SnapshotMeta;
+import org.hemlockrack.consensus.VoteRefusal;
 import org.hemlockrack.model.InstanceId;
 import org.jspecify.annotations.Nullable;
 
@@ -52,6 +54,12 @@
     /** Cluster id of the packet being handled. */
     long mRequestClusterId;
 
+    /** Time of the last message of each instance that is a member. */
+    final Map<InstanceId, Long> mLastHeardNanos = new HashMap<>();
+
+    /** Votes and pre-votes that were refused since the start. */
+    final Map<VoteRefusal, Integer> mRefusals = new EnumMap<>(VoteRefusal.class);
+
     boolean mHasLeaderContact;
     long mElectionDeadlineNanos;
     long mNowNanos;
@@ -258,6 +266,11 @@
                         && mNowNanos - mLastLeaderContactNanos < mSettings.electionTimeoutNanos();
     }
 
+    /** Counts a refused vote or pre-vote for {@link org.hemlockrack.consensus.ReplicaStatus}. */
+    void countRefusal(VoteRefusal reason) {
+        mRefusals.merge(reason, 1, Integer::sum);
+    }
+
     void resetElectionDeadline() {
         long timeout = mSettings.electionTimeoutNanos();
         mElectionDeadlineNanos = mNowNanos + timeout + mRandom.nextLong(timeout);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -18,6 +18,7 @@
 import org.hemlockrack.consensus.Packet;
 import org.hemlockrack.consensus.ProposalStatus;
 import org.hemlockrack.consensus.ReplicaNode;
+import org.hemlockrack.consensus.ReplicaStatus;
 import org.hemlockrack.consensus.Role;
 import org.hemlockrack.consensus.VoterChange;
 import org.hemlockrack.daemon.log.EventLog;
@@ -44,6 +45,9 @@
     /** Longest time that a stop waits for a write to a disk that does not answer. */
     private static final long CLOSE_TIMEOUT_MILLIS = 2_000;
 
+    /** Time between two lines that describe a cluster without a leader or with a member behind. */
+    private static final long STATUS_PERIOD_MILLIS = 1_000;
+
     /** Opens the storage of a replica again after it has failed. */
     @FunctionalInterface
     public interface Reopener {
@@ -82,6 +86,7 @@
     private volatile Membership mMembership = Membership.NONE;
     private volatile boolean mVoter;
     private boolean mCaughtUp;
+    private long mStatusDueNanos;
     private volatile boolean mSuspended;
     private long mRetryMillis = FIRST_RETRY_MILLIS;
     private volatile boolean mStopped;
@@ -122,6 +127,9 @@
             Runnable afterStep) {
         ReplicaService service =
                 new ReplicaService(loop, node, reopener, transport, log, afterStep);
+        long nowNanos = loop.nowNanos();
+        service.postponeStatus(nowNanos);
+        log.log(LogEvent.REPLICA_STARTED, "%s", node.consensus().status(nowNanos).describe());
         service.scheduleStep();
         return service;
     }
@@ -269,9 +277,29 @@
         mSettledTerm = consensus.lastTerm() == consensus.term() ? consensus.term() : 0;
         mCaughtUp |= mVoter && hasAppliedCurrentTerm();
         publishState();
+        logStatusIfDue();
         rescheduleTimer();
     }
 
+    /** Logs what explains an election that does not end, or a change of voters that waits. */
+    private void logStatusIfDue() {
+        long nowNanos = mLoop.nowNanos();
+        if (nowNanos - mStatusDueNanos < 0) {
+            return;
+        }
+        postponeStatus(nowNanos);
+        ReplicaStatus status = mNode.consensus().status(nowNanos);
+        if (status.leader() == null) {
+            mLog.log(LogEvent.LEADER_MISSING, "%s", status.describe());
+        } else if (status.role() == Role.LEADER && status.hasMemberBehind(STATUS_PERIOD_MILLIS)) {
+            mLog.log(LogEvent.MEMBER_BEHIND, "%s", status.describe());
+        }
+    }
+
+    private void postponeStatus(long nowNanos) {
+        mStatusDueNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(STATUS_PERIOD_MILLIS);
+    }
+
     private static boolean isStorageFailure(HemlockrackException e) {
         return e.kind() == ErrorKind.STORAGE_FAILED || e.kind() == ErrorKind.STORAGE_DAMAGED;
     }
@@ -450,9 +478,13 @@
             mRole = role;
             mTerm = term;
             mLeader = leader;
-            if (changed) {
-                mLog.log(LogEvent.LEADER_CHANGED, "term %d leader %s", term, leader);
+            if (!changed) {
+                return;
             }
+            long nowNanos = mLoop.nowNanos();
+            postponeStatus(nowNanos);
+            String status = mNode.consensus().status(nowNanos).describe();
+            mLog.log(LogEvent.LEADER_CHANGED, "term %d leader %s: %s", term, leader, status);
         }
 
         @Override
