End the check of a client that resets its connection

An order of an operator that is checked before it is proposed would wait for ever and log no outcome.

Cause: the I/O thread takes the pending checks from the queue, then reads one byte to see whether the client has left. If the client has reset the connection the read throws, and nobody ends the checks that were taken.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnectionFactory.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnectionFactory.java
@@ -193,9 +193,16 @@
 
         private void checkConnected(IOSession session) throws IOException {
             List<CompletableFuture<Boolean>> checks = mConnection.takeChecks();
-            closeAtEndOfInput(session);
-            boolean connected = session.isOpen();
-            checks.forEach(check -> check.complete(connected));
+            boolean connected = false;
+            try {
+                closeAtEndOfInput(session);
+                connected = session.isOpen();
+            } finally {
+                // The read fails if the client has reset the connection.
+                for (CompletableFuture<Boolean> check : checks) {
+                    check.complete(connected);
+                }
+            }
         }
 
         @Override
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
@@ -452,4 +452,20 @@
         assertFalse(responder.checkConnected().get(5, TimeUnit.SECONDS));
         assertFalse(responder.checkConnected().get(5, TimeUnit.SECONDS));
     }
+
+    /**
+     * Guards against a check of the client that never ends: the client resets its connection while
+     * the connection's I/O thread is writing.
+     */
+    @Test
+    void clientThatResetsItsConnectionIsNotConnected() throws Exception {
+        open(longTimeouts());
+        for (int i = 0; i < 2_000; i++) {
+            RawClient client = connect();
+            client.write(GET + GET.replace("echo", "held"));
+            Responder responder = mPendingResponders.take();
+            client.reset();
+            assertFalse(responder.checkConnected().get(5, TimeUnit.SECONDS));
+        }
+    }
 }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/RawClient.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/RawClient.java
@@ -57,6 +57,12 @@
         }
     }
 
+    /** Closes the connection with a TCP reset. */
+    void reset() throws IOException {
+        mSocket.setSoLinger(true, 0);
+        mSocket.close();
+    }
+
     /** Ends the output; the client can still read. */
     void shutdownOutput() throws IOException {
         mSocket.shutdownOutput();
