Let a learner forget a leader that is silent

Only voters start elections, and only an election reset the known leader. So a learner whose leader was gone named it for ever: it was ready by its health check, sent orders to it, and would not log HR1408.

RegressionsTest.aLearnerForgetsASilentLeader failed before the change (expected null but was b). After it RegressionsTest, VoterHistoryTest, FirstStartTest and ClusterSimulationTest pass, but for the known red aFollowerReturnsByASnapshotThatIsSentForLong.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Election.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Election.java
@@ -23,6 +23,7 @@
     boolean start() {
         mState.resetElectionDeadline();
         if (!mState.electorate().isVoter(mState.selfId())) {
+            forgetLeader();
             return false;
         }
         if (mState.mSettings.disabledFeatures().contains(ProtocolFeature.PRE_VOTE)) {
@@ -41,6 +42,13 @@
         return false;
     }
 
+    private void forgetLeader() {
+        if (mState.mLeader != null) {
+            mState.mLeader = null;
+            mState.emitRoleChanged();
+        }
+    }
+
     private boolean startVote() {
         mState.mRole = Role.CANDIDATE;
         mState.mLeader = null;
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/RegressionsTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/RegressionsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.util.ArrayList;
@@ -119,4 +120,28 @@
         byte[] large = new byte[ConsensusCodec.MAX_PACKET_BYTES + 1];
         assertThrows(HemlockrackException.class, () -> ConsensusCodec.decode(large));
     }
+
+    /** Guards against a learner that names a leader which has been silent for seconds. */
+    @Test
+    void aLearnerForgetsASilentLeader() {
+        Membership members =
+                new Membership(
+                        9,
+                        List.of(
+                                new Member(REF_B, MemberKind.VOTER),
+                                new Member(REF_A, MemberKind.LEARNER)));
+        SnapshotMeta snapshot = new SnapshotMeta(5, 2, 0, members, 0, 0);
+        Consensus learner =
+                Consensus.create(
+                        ConsensusSettings.of(A, List.of(B, A)),
+                        new RecoveredState(new HardState(1, 2, 0), snapshot, List.of()),
+                        new SplittableRandom(1),
+                        0);
+        receive(learner, packet(REF_B, 2, new Message.Append(5, 2, 5, 0, List.of())));
+        assertEquals(B, learner.leader());
+        List<ConsensusOutput> out = new ArrayList<>();
+        learner.onTimer(1_000_000_000L, out::add);
+        assertNull(learner.leader());
+        assertEquals(1, out.stream().filter(ConsensusOutput.RoleChanged.class::isInstance).count());
+    }
 }
