Show that connections that fall silent leave the core without a leader

The platform lets open connections fall silent for good, without a reset, while new ones work. Packets of the replicated log are one-way calls on a connection of their own, which the sender never reads, so it goes on writing into it.

Relay can now discard the bytes of open connections in one or both directions, stop reading from them, and heal a cut for new connections only. A cut is modelled as TCP's back-off makes it: after it heals, old connections stay silent.

--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Relay.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/Relay.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
 
 /**
  * TCP relay that forwards connections to a target address and can simulate network faults. While it
@@ -31,6 +32,7 @@
     private final InetSocketAddress mAddress;
     private final InetSocketAddress mTarget;
     private final Set<Socket> mSockets = ConcurrentHashMap.newKeySet();
+    private final Set<Connection> mConnections = ConcurrentHashMap.newKeySet();
     private final AtomicLong mForwardedBytes = new AtomicLong();
     private final AtomicLong mForwardedReads = new AtomicLong();
     private volatile ServerSocket mServerSocket;
@@ -39,6 +41,38 @@
     private volatile long mDelayMillis;
     private volatile boolean mClosed;
 
+    /** What happens to bytes of connections that are open, while new connections work. */
+    public enum SilentDirection {
+        /** Bytes to the target are discarded. */
+        TO_TARGET,
+        /** Bytes from the target are discarded. */
+        FROM_TARGET,
+        /** All bytes are discarded. */
+        BOTH;
+
+        private boolean includes(boolean fromTarget) {
+            return this == BOTH || (this == FROM_TARGET) == fromTarget;
+        }
+    }
+
+    /** A connection of a client and the one to the target that belongs to it. */
+    private static final class Connection {
+        private final Socket mClient;
+        private final Socket mTarget;
+        private volatile @Nullable SilentDirection mSilence;
+        private volatile boolean mStalled;
+
+        private Connection(Socket client, Socket target) {
+            mClient = client;
+            mTarget = target;
+        }
+
+        private boolean isSilent(boolean fromTarget) {
+            SilentDirection silence = mSilence;
+            return silence != null && silence.includes(fromTarget);
+        }
+    }
+
     private Relay(ServerSocket server, InetSocketAddress target) {
         mServerSocket = server;
         mAddress = (InetSocketAddress) server.getLocalSocketAddress();
@@ -134,6 +168,29 @@
         openSockets.forEach(mSockets::remove);
     }
 
+    /**
+     * Discards bytes of the connections that are open now, which stay open; later connections work.
+     *
+     * @param direction the direction whose bytes are discarded
+     */
+    public void silenceOpenConnections(SilentDirection direction) {
+        mConnections.forEach(connection -> connection.mSilence = direction);
+    }
+
+    /** Stops reading from the connections that are open now; later connections work. */
+    public void stallOpenConnections() {
+        mConnections.forEach(connection -> connection.mStalled = true);
+    }
+
+    /**
+     * Ends the dropping of traffic for later connections. Those that were open stay open and
+     * silent, as TCP pauses about as long as a cut before it sends again.
+     */
+    public void healForNewConnections() {
+        silenceOpenConnections(SilentDirection.BOTH);
+        mDropsTraffic = false;
+    }
+
     private void startThread(String name, Runnable task) {
         Thread thread = new Thread(task, name);
         thread.setDaemon(true);
@@ -199,8 +256,10 @@
             clientSocket.setTcpNoDelay(true);
             targetSocket.setTcpNoDelay(true);
             targetSocket.connect(mTarget, CONNECT_TIMEOUT_MILLIS);
-            startThread("relay-up", () -> forward(clientSocket, targetSocket, false));
-            forward(targetSocket, clientSocket, true);
+            Connection connection = new Connection(clientSocket, targetSocket);
+            mConnections.add(connection);
+            startThread("relay-up", () -> forward(connection, false));
+            forward(connection, true);
         } catch (IOException e) {
             if (mDropsTraffic) {
                 return;
@@ -211,7 +270,9 @@
         }
     }
 
-    private void forward(Socket from, Socket to, boolean fromTarget) {
+    private void forward(Connection connection, boolean fromTarget) {
+        Socket from = fromTarget ? connection.mTarget : connection.mClient;
+        Socket to = fromTarget ? connection.mClient : connection.mTarget;
         byte[] buffer = new byte[BUFFER_BYTES];
         try {
             InputStream in = from.getInputStream();
@@ -221,7 +282,14 @@
                 if (mDelayMillis > 0) {
                     LocalFleet.sleep(mDelayMillis);
                 }
-                if (!mDropsTraffic && !(fromTarget && mDropsAnswers)) {
+                while (connection.mStalled && !from.isClosed()) {
+                    LocalFleet.sleep(TARGET_POLL_MILLIS);
+                }
+                boolean isDropped =
+                        mDropsTraffic
+                                || (fromTarget && mDropsAnswers)
+                                || connection.isSilent(fromTarget);
+                if (!isDropped) {
                     out.write(buffer, 0, count);
                     mForwardedBytes.addAndGet(count);
                     mForwardedReads.incrementAndGet();
@@ -234,6 +302,7 @@
         if (mDropsTraffic) {
             return;
         }
+        mConnections.remove(connection);
         closeQuietly(from);
         closeQuietly(to);
     }
