Probe connections for one-way messages

Callers saw a core without a leader for as long as was recorded, after all connections had fallen silent: the three controllers answered each other's calls, which time out and connect again, but packets of the replicated log travel one way, and their sender never learnt that its connection was dead. A write into a full send buffer blocked the only sending thread for ever.

A messenger now sends the call ping with the next message when the last answer is older than 500 ms. Messages go on while the answer is awaited on another thread. Without an answer within 1 s, or if a write takes longer, the TCP socket is closed and the next message opens a new one. The limit is twice the last answer's time, between 1 and 2 s, and doubles after a miss, so the connection of a slow peer is not given up again and again; 500 ms and 2 s leave time for the connection within contact_ms (3 s). An error reply of a peer without the call counts as an answer.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/PeerHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/PeerHandler.java
@@ -122,6 +122,9 @@
         }
     }
 
+    @Override
+    public void ping() {}
+
     @Override
     public ProposeReply propose(ProposeRequest request) {
         return ProposalEndpoint.handle(mReplica, request);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerPeerHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerPeerHandler.java
@@ -63,6 +63,9 @@
         }
     }
 
+    @Override
+    public void ping() {}
+
     @Override
     public ProposeReply propose(ProposeRequest request) {
         return ProposalEndpoint.handle(mReplica, request);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/fleet/PeerNetwork.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/fleet/PeerNetwork.java
@@ -1,13 +1,15 @@
 package org.hemlockrack.daemon.fleet;
 
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.ExecutorService;
 import org.hemlockrack.daemon.peer.PeerClient;
+import org.hemlockrack.daemon.peer.PeerExecutors;
+import org.hemlockrack.daemon.peer.PeerMessenger;
 import org.hemlockrack.daemon.tls.TlsKeys;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.wire.Envelope;
@@ -16,23 +18,40 @@
 
 /** Connections to other instances, by peer address. Safe for use from any thread. */
 public final class PeerNetwork implements AutoCloseable {
-    /** Called when messages to an address could not be delivered. */
+    /** Receives what is known of the delivery of messages. Called on any thread. */
     @FunctionalInterface
-    public interface UnreachableListener {
+    public interface Listener {
         /**
-         * Called on the thread of the connection to that address.
+         * Called when messages to an address could not be delivered.
          *
          * @param address {@code ip:port}
          * @param cause the cause
          */
         void onUnreachable(String address, Exception cause);
+
+        /**
+         * Called when a connection for messages is given up because nothing was answered in time;
+         * not called again before {@link #onAnswering}.
+         *
+         * @param address {@code ip:port}
+         * @param limitMillis the time limit in milliseconds
+         */
+        default void onSilent(String address, long limitMillis) {}
+
+        /**
+         * Called when an address answers again after {@link #onSilent}.
+         *
+         * @param address {@code ip:port}
+         */
+        default void onAnswering(String address) {}
     }
 
     private final InstanceId mSelf;
     private final Map<String, String> mConnectAddresses;
     private final @Nullable TlsKeys mKeys;
-    private final UnreachableListener mListener;
-    private final ConcurrentMap<String, PeerClient> mMessageClients = new ConcurrentHashMap<>();
+    private final Listener mListener;
+    private final ExecutorService mAnswerExecutor = PeerExecutors.newAnswerExecutor();
+    private final ConcurrentMap<String, PeerMessenger> mMessengers = new ConcurrentHashMap<>();
 
     /** Separate connections for calls, whose wait for a reply would delay one-way messages. */
     private final ConcurrentMap<String, PeerClient> mCallClients = new ConcurrentHashMap<>();
@@ -41,7 +60,7 @@
             InstanceId self,
             Map<String, String> routes,
             @Nullable TlsKeys keys,
-            UnreachableListener listener) {
+            Listener listener) {
         mSelf = self;
         mConnectAddresses = Map.copyOf(routes);
         mKeys = keys;
@@ -54,14 +73,14 @@
      * @param self this instance
      * @param routes addresses to connect to instead of advertised addresses, by advertised address
      * @param keys keys for TLS, or null for plain text
-     * @param listener called when an address is unreachable
+     * @param listener receives what is known of the delivery of messages
      * @return the network
      */
     public static PeerNetwork create(
             InstanceId self,
             Map<String, String> routes,
             @Nullable TlsKeys keys,
-            UnreachableListener listener) {
+            Listener listener) {
         return new PeerNetwork(self, routes, keys, listener);
     }
 
@@ -89,7 +108,7 @@
         envelope.setTarget(target);
         envelope.setSlice(slice);
         envelope.setPayload(ByteBuffer.wrap(payload));
-        clientFor(mMessageClients, address).deliver(List.of(envelope));
+        messengerFor(address).deliver(List.of(envelope));
     }
 
     /**
@@ -101,23 +120,50 @@
      * @return completes with the reply, or exceptionally if the call failed
      */
     public <T> CompletableFuture<T> callAsync(String address, PeerClient.Call<T> call) {
-        return clientFor(mCallClients, address).callAsync(call);
+        return mCallClients
+                .computeIfAbsent(address, key -> PeerClient.create(connectAddress(key), mKeys))
+                .callAsync(call);
     }
 
-    private PeerClient clientFor(ConcurrentMap<String, PeerClient> clients, String address) {
-        return clients.computeIfAbsent(
+    private PeerMessenger messengerFor(String address) {
+        return mMessengers.computeIfAbsent(
                 address,
                 key ->
-                        PeerClient.create(
+                        PeerMessenger.create(
                                 connectAddress(key),
                                 mKeys,
-                                cause -> mListener.onUnreachable(key, cause)));
+                                mAnswerExecutor,
+                                new MessengerListener(key)));
+    }
+
+    /** Adds the address to what a messenger reports. */
+    private final class MessengerListener implements PeerMessenger.Listener {
+        private final String mAddress;
+
+        private MessengerListener(String address) {
+            mAddress = address;
+        }
+
+        @Override
+        public void onUnreachable(Exception cause) {
+            mListener.onUnreachable(mAddress, cause);
+        }
+
+        @Override
+        public void onSilent(long limitMillis) {
+            mListener.onSilent(mAddress, limitMillis);
+        }
+
+        @Override
+        public void onAnswering() {
+            mListener.onAnswering(mAddress);
+        }
     }
 
     @Override
     public void close() {
-        List<PeerClient> all = new ArrayList<>(mMessageClients.values());
-        all.addAll(mCallClients.values());
-        all.forEach(PeerClient::close);
+        mMessengers.values().forEach(PeerMessenger::close);
+        mCallClients.values().forEach(PeerClient::close);
+        mAnswerExecutor.shutdownNow();
     }
 }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/peer/PeerServerTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/peer/PeerServerTest.java
@@ -34,7 +34,7 @@
             String address = "127.0.0.1:" + server.address().getPort();
             List<CompletableFuture<Boolean>> replies = new ArrayList<>();
             for (int i = 0; i < CALLERS; i++) {
-                PeerClient client = PeerClient.create(address, null, cause -> {});
+                PeerClient client = PeerClient.create(address, null);
                 clients.add(client);
                 replies.add(client.callAsync(peer -> peer.abandoned("a")));
             }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/tls/TlsPortsTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/tls/TlsPortsTest.java
@@ -180,7 +180,7 @@
     /** Makes a call and returns whether it was answered. */
     private boolean isCallAnswered(PeerServer server, TlsKeys keys) throws Exception {
         String address = "127.0.0.1:" + server.address().getPort();
-        PeerClient client = closeAfterTest(PeerClient.create(address, keys, cause -> {}));
+        PeerClient client = closeAfterTest(PeerClient.create(address, keys));
         try {
             return client.callAsync(peer -> peer.abandoned("attempt")).get(60, TimeUnit.SECONDS);
         } catch (ExecutionException e) {
--- a/hemlockrack-wire/src/main/thrift/peer.thrift
+++ b/hemlockrack-wire/src/main/thrift/peer.thrift
@@ -62,6 +62,8 @@
 
 service Peer {
   oneway void deliver(1: list<Envelope> envelopes),
+  /** Answered at once; tells the sender of one-way messages that its connection works. */
+  void ping(),
   ProposeReply propose(1: ProposeRequest request),
   ConfigReply fetchConfig(1: i64 haveVersion),
   /** The configuration with all acknowledged changes; version 0 and not confirmed if the receiver does not lead. */
