Log connections that are given up as silent

Controllers passed an empty listener, so nothing showed that messages to another controller were lost.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -28,6 +28,7 @@
 import org.hemlockrack.daemon.entry.EntryService;
 import org.hemlockrack.daemon.fleet.FleetMembership;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
+import org.hemlockrack.daemon.fleet.SilentPeerLog;
 import org.hemlockrack.daemon.fleet.ZoneReachabilityLogger;
 import org.hemlockrack.daemon.http.CallHandler;
 import org.hemlockrack.daemon.http.HttpClient;
@@ -171,7 +172,7 @@
                         mSettings.instanceId(),
                         mSettings.peerAddressOverrides(),
                         mTls,
-                        this::onPeerUnreachable);
+                        SilentPeerLog.create(mLog, this::onPeerUnreachable));
         registerCloseable(mNetwork::close);
         onLoop(this::startFleet);
         startReplica();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -27,6 +27,7 @@
 import org.hemlockrack.control.TableHistory;
 import org.hemlockrack.daemon.ServiceProcess;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
+import org.hemlockrack.daemon.fleet.SilentPeerLog;
 import org.hemlockrack.daemon.gateway.ProtocolAdapter;
 import org.hemlockrack.daemon.http.CallHandler;
 import org.hemlockrack.daemon.http.HttpLimits;
@@ -80,6 +81,7 @@
     private final Settings mSettings;
     private final Closer mCloser = Closer.create();
     private final DecisionLog mLog;
+    private final EventLog mEventLog = EventLog.create();
     private final EventLoop mLoop;
     private final EventLoop mLogLoop;
     private final PeerNetwork mNetwork;
@@ -104,7 +106,11 @@
         mCloser.register(mLoop::close);
         mCloser.register(mLogLoop::close);
         mNetwork =
-                PeerNetwork.create(settings.instanceId(), Map.of(), null, (address, cause) -> {});
+                PeerNetwork.create(
+                        settings.instanceId(),
+                        Map.of(),
+                        null,
+                        SilentPeerLog.create(mEventLog, (address, cause) -> {}));
         mCloser.register(mNetwork::close);
         ControlState state = ControlState.create();
         mReplica = startReplica(state, random);
@@ -180,7 +186,7 @@
                 node,
                 failed -> storage.reopen(store -> resumeNode(store, failed, random)),
                 this::send,
-                EventLog.create(),
+                mEventLog,
                 () -> onApplied(state));
     }
 
