Close connections whose calls find no free thread

With all threads busy, the plain peer port dropped a call and left its connection registered and unread: THsHaServer stops reading from it until the dropped call has been handled. Callers ran into their timeout; a sender of one-way messages wrote into the connection for ever. A rejected call now closes its connection, which the client opens anew.

PeerServerTest.connectionWithoutAFreeThreadIsClosed before: SocketTimeoutException: Read timed out ==> expected: <4> but was: <3> After: passes.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
@@ -2,7 +2,6 @@
 
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import java.net.InetSocketAddress;
-import java.util.concurrent.RejectedExecutionHandler;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -30,11 +29,10 @@
 
     /**
      * Maximum number of worker threads without TLS. A thread is blocked while a proposal waits for
-     * its commit or an exchange for its turn. A call that finds no free thread is dropped, and its
-     * caller waits seconds for the timeout, so there is a thread for each of the 330 instances of
-     * the largest planned fleet.
+     * its commit or an exchange for its turn. The connection of a call that finds no free thread is
+     * closed, so there is a thread for each of the 330 instances of the largest planned fleet.
      */
-    private static final int MAX_WORKERS = 512;
+    static final int MAX_WORKERS = 512;
 
     /**
      * Maximum number of threads with TLS, one for each connection. An instance opens two
@@ -88,8 +86,7 @@
                                 .clientTimeout(CLIENT_TIMEOUT_MILLIS)
                                 .maxFrameSize(MAX_FRAME_BYTES)
                                 .backlog(BACKLOG));
-        ThreadPoolExecutor workers =
-                createWorkerPool(MAX_WORKERS, new ThreadPoolExecutor.DiscardPolicy());
+        ThreadPoolExecutor workers = createWorkerPool(MAX_WORKERS);
         THsHaServer server =
                 new THsHaServer(
                         new THsHaServer.Args(socket)
@@ -104,8 +101,7 @@
     private static PeerServer openTls(InetSocketAddress address, Peer.Iface handler, TlsKeys keys)
             throws TTransportException {
         TlsServerTransport transport = TlsServerTransport.open(address, keys);
-        ThreadPoolExecutor workers =
-                createWorkerPool(MAX_TLS_CONNECTIONS, new ThreadPoolExecutor.AbortPolicy());
+        ThreadPoolExecutor workers = createWorkerPool(MAX_TLS_CONNECTIONS);
         TThreadPoolServer server =
                 new TThreadPoolServer(
                         new TThreadPoolServer.Args(transport)
@@ -117,8 +113,7 @@
                 server, workers, new InetSocketAddress(address.getAddress(), transport.port()));
     }
 
-    private static ThreadPoolExecutor createWorkerPool(
-            int maxThreads, RejectedExecutionHandler whenFull) {
+    private static ThreadPoolExecutor createWorkerPool(int maxThreads) {
         return new ThreadPoolExecutor(
                 4,
                 maxThreads,
@@ -131,7 +126,9 @@
                         // The pool replaces a thread that a call has ended.
                         .setUncaughtExceptionHandler((thread, cause) -> cause.printStackTrace())
                         .build(),
-                whenFull);
+                // The servers close a connection whose call is rejected; a dropped call of a plain
+                // connection would leave it open and unread.
+                new ThreadPoolExecutor.AbortPolicy());
     }
 
     /** Returns the bound address. */
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/peer/PeerServerTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/peer/PeerServerTest.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.daemon.peer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
@@ -9,6 +10,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.apache.thrift.TException;
+import org.apache.thrift.protocol.TCompactProtocol;
+import org.apache.thrift.transport.TSocket;
+import org.apache.thrift.transport.TTransportException;
+import org.apache.thrift.transport.layered.TFramedTransport;
 import org.hemlockrack.wire.Peer;
 import org.junit.jupiter.api.Test;
 
@@ -53,4 +59,43 @@
         mAllCallsReceived.countDown();
         return mAllCallsReceived.await(2, TimeUnit.SECONDS);
     }
+
+    /**
+     * Guards against connections that are never read again after a call of theirs found no free
+     * thread: whoever sends one-way messages, which have no reply, writes into them for ever.
+     */
+    @Test
+    void connectionWithoutAFreeThreadIsClosed() throws Exception {
+        CountDownLatch released = new CountDownLatch(1);
+        Peer.Iface handler =
+                (Peer.Iface)
+                        Proxy.newProxyInstance(
+                                Peer.Iface.class.getClassLoader(),
+                                new Class<?>[] {Peer.Iface.class},
+                                (proxy, method, args) -> released.await(60, TimeUnit.SECONDS));
+        InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+        List<TSocket> sockets = new ArrayList<>();
+        try (PeerServer server = PeerServer.open(any, handler, null)) {
+            for (int i = 0; i < PeerServer.MAX_WORKERS; i++) {
+                sockets.add(sendCall(server));
+            }
+            TSocket excess = sendCall(server);
+            sockets.add(excess);
+            excess.setTimeout(10_000);
+            TTransportException end =
+                    assertThrows(
+                            TTransportException.class, () -> excess.readAll(new byte[1], 0, 1));
+            assertEquals(TTransportException.END_OF_FILE, end.getType(), end.toString());
+        } finally {
+            released.countDown();
+            sockets.forEach(TSocket::close);
+        }
+    }
+
+    private static TSocket sendCall(PeerServer server) throws TException {
+        TSocket socket = new TSocket("127.0.0.1", server.address().getPort(), 60_000);
+        socket.open();
+        new Peer.Client(new TCompactProtocol(new TFramedTransport(socket))).send_abandoned("a");
+        return socket;
+    }
 }
