Test probes of old and slow peers, their log, and blocked calls

An error reply of an older version counts as an answer, a peer that takes 1.3 s for it is given up once, and a silence is reported once.

--- a/hemlockrack-testing/src/test/java/org/hemlockrack/testing/SilentConnectionTest.java
+++ b/hemlockrack-testing/src/test/java/org/hemlockrack/testing/SilentConnectionTest.java
@@ -1,5 +1,7 @@
 package org.hemlockrack.testing;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.reflect.Proxy;
@@ -7,14 +9,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.thrift.TApplicationException;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.peer.PeerServer;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.testing.Relay.SilentDirection;
 import org.hemlockrack.wire.Envelope;
 import org.hemlockrack.wire.Peer;
+import org.hemlockrack.wire.ProposeRequest;
 import org.hemlockrack.wire.Slice;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -29,11 +37,40 @@
 
     private static final long HEARTBEAT_MILLIS = 50;
 
+    private final AtomicInteger mProbes = new AtomicInteger();
     private final BlockingQueue<Envelope> mReceived = new LinkedBlockingQueue<>();
     private final PeerServer mServer = PeerServer.open(ANY, handler(), null);
     private final Relay mRelay = Relay.open(0, mServer.address());
+    private final PeerEvents mEvents = new PeerEvents();
     private final PeerNetwork mNetwork =
-            PeerNetwork.create(InstanceId.of("a"), Map.of(), null, (address, cause) -> {});
+            PeerNetwork.create(InstanceId.of("a"), Map.of(), null, mEvents);
+    private volatile Probe mProbe = () -> {};
+
+    /** Handles a probe. */
+    @FunctionalInterface
+    private interface Probe {
+        void handle() throws Exception;
+    }
+
+    /** Records what the network reports. */
+    private static final class PeerEvents implements PeerNetwork.Listener {
+        private final List<String> mNames = new CopyOnWriteArrayList<>();
+
+        @Override
+        public void onUnreachable(String address, Exception cause) {
+            mNames.add("unreachable");
+        }
+
+        @Override
+        public void onSilent(String address, long limitMillis) {
+            mNames.add("silent");
+        }
+
+        @Override
+        public void onAnswering(String address) {
+            mNames.add("answering");
+        }
+    }
 
     @AfterEach
     void close() {
@@ -53,7 +90,11 @@
                                     mReceived.add((Envelope) envelope);
                                 }
                             }
-                            return null;
+                            if (method.getName().equals("ping")) {
+                                mProbes.incrementAndGet();
+                                mProbe.handle();
+                            }
+                            return method.getName().equals("abandoned") ? true : null;
                         });
     }
 
@@ -119,4 +160,68 @@
         mRelay.healForNewConnections();
         assertInTouch(awaitMessage());
     }
+
+    /** Sends messages for some time. */
+    private void sendFor(long millis) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (System.nanoTime() - endNanos < 0) {
+            awaitMessage();
+        }
+    }
+
+    /** Guards against a silence that no log line shows. */
+    @Test
+    void silenceAndItsEndAreReportedOnce() throws Exception {
+        assertInTouch(awaitMessage());
+        mRelay.silenceOpenConnections(SilentDirection.BOTH);
+        sendFor(2 * CONTACT_MILLIS);
+        assertEquals(List.of("silent", "answering"), mEvents.mNames);
+    }
+
+    /** Guards against connections to instances of an older version that are given up. */
+    @Test
+    void errorReplyOfAnInstanceWithoutProbesIsAnAnswer() throws Exception {
+        mProbe =
+                () -> {
+                    throw new TApplicationException(
+                            TApplicationException.UNKNOWN_METHOD, "Invalid method name: 'ping'");
+                };
+        sendFor(2 * CONTACT_MILLIS);
+        assertTrue(mProbes.get() > 2, mProbes.get() + " probes");
+        assertEquals(List.of(), mEvents.mNames);
+    }
+
+    /** Guards against connections to a slow instance that are given up again and again. */
+    @Test
+    void connectionToASlowInstanceIsGivenUpOnce() throws Exception {
+        mProbe = () -> TimeUnit.MILLISECONDS.sleep(1_300);
+        sendFor(3 * CONTACT_MILLIS);
+        assertTrue(mProbes.get() > 2, mProbes.get() + " probes");
+        assertEquals(List.of("silent", "answering"), mEvents.mNames);
+    }
+
+    /**
+     * Guards against calls that all fail after one was too large for the send buffer of a
+     * connection whose other end takes no more data.
+     */
+    @Test
+    void callsAreAnsweredAfterTheSendBufferFilledUp() throws Exception {
+        assertTrue(mNetwork.callAsync(mRelay.address(), peer -> peer.abandoned("x")).join());
+        mRelay.stallOpenConnections();
+        ProposeRequest large = new ProposeRequest();
+        large.setSender("a");
+        large.setCommand(new byte[32 << 20]);
+        CompletableFuture<?> stuck =
+                mNetwork.callAsync(mRelay.address(), peer -> peer.propose(large));
+        assertThrows(CompletionException.class, stuck::join);
+        boolean isAnswered = false;
+        for (int i = 0; i < 20 && !isAnswered; i++) {
+            isAnswered =
+                    mNetwork.callAsync(mRelay.address(), peer -> peer.abandoned("x"))
+                            .exceptionally(e -> false)
+                            .completeOnTimeout(false, 500, TimeUnit.MILLISECONDS)
+                            .join();
+        }
+        assertTrue(isAnswered);
+    }
 }
