Histories of machines that are replaced, failing for now

Machines of a simulated core are replaced by ones at other addresses: lost first, started first and then lost, or stopped as planned; the leader or the power of all may be lost meanwhile. After the time for which a new machine counts as lost, as many disks are lost as must be tolerated.

--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
@@ -11,6 +11,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.hemlockrack.model.InstanceId;
 import org.jspecify.annotations.Nullable;
@@ -69,6 +70,10 @@
     boolean mKeepsReplicas;
 
     @Nullable SettledReports mSettled;
+
+    /** Called with the leader when a requested change of its voters is committed. */
+    Consumer<SimulatedInstance> mVoterChangeListener = leader -> {};
+
     long mNowNanos = 1;
     long mSteps;
     long mWallOffsetMillis = 1_800_000_000_000L;
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedInstance.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedInstance.java
@@ -25,6 +25,9 @@
     private long mBusyUntilNanos;
     private boolean mFolderLost;
 
+    /** The instances that the next process is told of. */
+    private List<InstanceId> mSeeds;
+
     /** Whether the process has used its disk since the last crash. */
     private boolean mHasProcess;
 
@@ -45,6 +48,7 @@
     SimulatedInstance(ClusterSimulation simulation, InstanceId id) {
         mSimulation = simulation;
         mId = id;
+        mSeeds = simulation.mBootstrapVoters;
         mDisk = simulation.newDisk(newReplicaId());
         mBusyUntilNanos = simulation.millisToNanos(simulation.mRandom.nextInt(800));
     }
@@ -225,7 +229,7 @@
     private ConsensusSettings settings() {
         return new ConsensusSettings(
                 mId,
-                mSimulation.mBootstrapVoters,
+                mSeeds,
                 mFolderLost ? LogFormation.NEVER : mSimulation.mFormation,
                 mSimulation.millisToNanos(500),
                 mSimulation.millisToNanos(100),
@@ -291,6 +295,23 @@
         }
     }
 
+    /** Takes the machine away, or keeps it from being started, until it is started explicitly. */
+    void remove() {
+        crash(0);
+        mBusyUntilNanos = Long.MAX_VALUE;
+    }
+
+    /** Starts a machine that was not there before, with an empty disk. */
+    void startNew() {
+        mFolderLost = true;
+        mBusyUntilNanos = mSimulation.mNowNanos;
+    }
+
+    /** Changes the instances that the next process is told of. */
+    void setSeeds(List<InstanceId> seeds) {
+        mSeeds = List.copyOf(seeds);
+    }
+
     void endFaults() {
         mDisk.setFull(false, false);
         mStallMillis = 0;
@@ -316,6 +337,9 @@
         if (ticket > 0 && status != ProposalStatus.UNKNOWN) {
             mSimulation.mOracle.onRefused(ticket);
         }
+        if (ticket <= 0 && status == ProposalStatus.APPLIED) {
+            mSimulation.mVoterChangeListener.accept(this);
+        }
     }
 
     @Override
