Give the seat of a lost voter to any replica that holds the log

A voter that is away for 2 s loses its seat to any learner that holds the log, and all controllers record who answers them, also while they follow.

Before, only a learner that this leader itself had added in the last 15 s counted as the successor; any other waited for 20 s, counted anew by each leader. A machine that was started before its predecessor left, or whose leader went, stayed a learner for 20 s, and another disk that was lost meanwhile left one voter of three with its state, for ever.

The bound is 2 s since the last request of the voter; 1.5 s began only when the requests had stopped for 1.2 s. Time in which the process itself was paused counts against nobody. A seat beyond 2 * tolerated + 1 is given up without a successor: three controllers, a spare and two machines that were replaced made five seats, two of which nobody held.

A move during a pause costs no majority: of four voters three answer, as two of three did before.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/VoterReconciler.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/VoterReconciler.java
@@ -13,9 +13,13 @@
 /**
  * Maintains the number of voters that tolerates the stated losses while controller instances fail
  * and are replaced. Runs on the leader, which proposes one change at a time; a change that is not
- * possible yet is refused and proposed again later. A voter that is away keeps its seat until
- * another replica that holds the log was promoted: without it, the remaining voters would tolerate
- * one loss less, although its log is still there. Not thread-safe; time is monotonic and passed in.
+ * possible yet is refused and proposed again later. Other controllers only record who answers them,
+ * so that a new leader knows who is away.
+ *
+ * <p>A voter that is away keeps its seat until another replica that holds the log was promoted,
+ * unless there are more voters than the stated losses need: without it, the remaining voters would
+ * tolerate one loss less, although its log is still there. Not thread-safe; time is monotonic and
+ * passed in.
  */
 public final class VoterReconciler {
     /** Voters of a fleet with fewer than five controllers, unless more losses are stated. */
@@ -25,23 +29,24 @@
     private static final int LARGE_FLEET_VOTERS = 5;
 
     /**
-     * A voter unreachable for this long is replaced by a new instance, presumably its successor.
+     * A voter that is away for this long loses its seat to any replica that holds the log. The seat
+     * moves although the voter may return: four voters of which three answer tolerate as little as
+     * three of which two answer, and a voter that is gone for good costs a tolerated loss for as
+     * long as it keeps the seat.
      */
-    private static final long REPLACE_BY_NEW_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+    private static final long VACANT_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-    /**
-     * A voter unreachable for this long is replaced by any instance; process pauses are shorter.
-     */
-    private static final long REPLACE_BY_ANY_NANOS = TimeUnit.SECONDS.toNanos(20);
-
-    /** An instance counts as new for this long after it was first seen. */
-    private static final long NEW_INSTANCE_NANOS = TimeUnit.SECONDS.toNanos(15);
+    /** Longer times without a sign of life of this process itself are pauses of it. */
+    private static final long OWN_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final int mMinVoters;
     private final Map<InstanceId, Long> mLastReachedNanos = new HashMap<>();
 
-    /** When each instance was first seen outside the membership. */
-    private final Map<InstanceId, Long> mFirstSeenNanos = new HashMap<>();
+    /** When this process last called {@link #recordRunning}, or null. */
+    private @Nullable Long mLastRunningNanos;
+
+    /** Since when answers are recorded, or null. */
+    private @Nullable Long mRecordingSinceNanos;
 
     private @Nullable VoterChange mLastChange;
 
@@ -59,14 +64,34 @@
     }
 
     /**
-     * Records which controllers are responsive.
+     * Records that this process runs; called several times a second. Time in which it did not run
+     * counts against no controller, because it heard none.
      *
      * @param nowNanos monotonic time
-     * @param responsive the controllers that answer now, this one included
      */
-    public void recordResponsive(long nowNanos, Set<InstanceId> responsive) {
+    public void recordRunning(long nowNanos) {
+        Long lastNanos = mLastRunningNanos;
+        mLastRunningNanos = nowNanos;
+        if (lastNanos == null || mRecordingSinceNanos == null) {
+            mRecordingSinceNanos = nowNanos;
+            return;
+        }
+        long pauseNanos = nowNanos - lastNanos;
+        if (pauseNanos >= OWN_PAUSE_NANOS) {
+            mRecordingSinceNanos += pauseNanos;
+            mLastReachedNanos.replaceAll((instance, nanos) -> nanos + pauseNanos);
+        }
+    }
+
+    /**
+     * Records that controllers answered.
+     *
+     * @param answeredNanos monotonic time of the answers
+     * @param responsive the controllers, this one included
+     */
+    public void recordResponsive(long answeredNanos, Set<InstanceId> responsive) {
         for (InstanceId instance : responsive) {
-            mLastReachedNanos.put(instance, nowNanos);
+            mLastReachedNanos.merge(instance, answeredNanos, Math::max);
         }
     }
 
@@ -82,11 +107,9 @@
             long nowNanos, Membership membership, Set<InstanceId> responsive) {
         int voters = membership.voters().size();
         int targetVoters = targetVoters(membership, responsive);
-        InstanceId unreachable = longestUnreachable(nowNanos, membership);
-        if (unreachable != null
-                && voters > targetVoters
-                && unreachableNanos(nowNanos, unreachable) >= REPLACE_BY_NEW_NANOS) {
-            return new VoterChange(VoterChange.Action.REMOVE, unreachable);
+        InstanceId vacant = longestVacant(nowNanos, membership);
+        if (vacant != null && voters > targetVoters) {
+            return new VoterChange(VoterChange.Action.REMOVE, vacant);
         }
         List<VoterChange> changes = new ArrayList<>();
         for (InstanceId instance : new TreeSet<>(responsive)) {
@@ -94,12 +117,14 @@
                 continue;
             }
             if (membership.memberOf(instance, false).isEmpty()) {
-                mFirstSeenNanos.putIfAbsent(instance, nowNanos);
                 changes.add(new VoterChange(VoterChange.Action.ADD_LEARNER, instance));
-            } else if (voters < targetVoters || canReplace(nowNanos, instance, unreachable)) {
+            } else if (voters < targetVoters || vacant != null) {
                 changes.add(new VoterChange(VoterChange.Action.PROMOTE, instance));
             }
         }
+        if (vacant != null && voters > mMinVoters) {
+            changes.add(new VoterChange(VoterChange.Action.REMOVE, vacant));
+        }
         return nextInTurn(changes);
     }
 
@@ -121,32 +146,19 @@
                 : Math.max(mMinVoters, LARGE_FLEET_VOTERS);
     }
 
-    private boolean canReplace(
-            long nowNanos, InstanceId instance, @Nullable InstanceId unreachable) {
-        if (unreachable == null) {
-            return false;
-        }
-        Long firstSeenNanos = mFirstSeenNanos.get(instance);
-        boolean isNew = firstSeenNanos != null && nowNanos - firstSeenNanos < NEW_INSTANCE_NANOS;
-        return unreachableNanos(nowNanos, unreachable)
-                >= (isNew ? REPLACE_BY_NEW_NANOS : REPLACE_BY_ANY_NANOS);
-    }
-
-    private @Nullable InstanceId longestUnreachable(long nowNanos, Membership membership) {
-        InstanceId longestUnreachable = null;
-        long longestNanos = 0;
+    /** Returns the voter that has been away longest, or null if none has lost its seat. */
+    private @Nullable InstanceId longestVacant(long nowNanos, Membership membership) {
+        InstanceId longestVacant = null;
+        long longestNanos = VACANT_NANOS;
+        long sinceNanos = mRecordingSinceNanos == null ? nowNanos : mRecordingSinceNanos;
         for (ReplicaRef voter : membership.voters()) {
-            mLastReachedNanos.putIfAbsent(voter.instance(), nowNanos);
-            long nanos = unreachableNanos(nowNanos, voter.instance());
-            if (nanos > longestNanos) {
-                longestUnreachable = voter.instance();
+            mLastReachedNanos.putIfAbsent(voter.instance(), sinceNanos);
+            long nanos = nowNanos - mLastReachedNanos.get(voter.instance());
+            if (nanos >= longestNanos) {
+                longestVacant = voter.instance();
                 longestNanos = nanos;
             }
         }
-        return longestUnreachable;
-    }
-
-    private long unreachableNanos(long nowNanos, InstanceId instance) {
-        return nowNanos - mLastReachedNanos.getOrDefault(instance, nowNanos);
+        return longestVacant;
     }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -685,6 +685,7 @@
         }
         mQuarantine.setGatewayCount(gateways);
         mQuarantine.evaluate(mLoop.nowNanos());
+        mLeaderTasks.recordControllers();
         if (mReplica.role() == Role.LEADER) {
             confirmState();
             mLeaderTasks.run(mView.overrides(), this::answersByVersion);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/LeaderTasks.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/LeaderTasks.java
@@ -85,13 +85,21 @@
         }
     }
 
-    private void reconcileVoters() {
-        Set<InstanceId> reachable = new HashSet<>();
+    /** Records which controllers answer. Runs on every controller, as any may lead next. */
+    void recordControllers() {
         long nowNanos = mLoop.nowNanos();
+        mVoterReconciler.recordRunning(nowNanos);
+        mControllersSeenNanos.forEach(
+                (controller, seenNanos) ->
+                        mVoterReconciler.recordResponsive(seenNanos, Set.of(controller)));
+        mVoterReconciler.recordResponsive(nowNanos, Set.of(mSelf));
         mControllersSeenNanos.values().removeIf(seen -> nowNanos - seen > CONTROLLER_EXPIRY_NANOS);
-        reachable.addAll(mControllersSeenNanos.keySet());
+    }
+
+    private void reconcileVoters() {
+        long nowNanos = mLoop.nowNanos();
+        Set<InstanceId> reachable = new HashSet<>(mControllersSeenNanos.keySet());
         reachable.add(mSelf);
-        mVoterReconciler.recordResponsive(nowNanos, reachable);
         VoterChange change =
                 mVoterReconciler.nextChange(nowNanos, mReplica.membership(), reachable);
         if (change == null || mChangingVoters.getAndSet(true)) {
