Bound the time that an exchange waits for its turn

A state exchange waited for one of two permits without a limit. Its caller gives up after 3 s and connects again, and each connection blocked one more thread of the peer port, whose threads also take the messages of the log. An exchange now waits no longer than its caller.

ControllerServiceTest.exchangeThatWaitsTooLongIsRefused before: java.util.concurrent.TimeoutException (no exchange ended for 10 s) After: passes, with the other 8 tests of the class.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerPeerHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerPeerHandler.java
@@ -3,10 +3,12 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import org.apache.thrift.TApplicationException;
 import org.apache.thrift.TException;
 import org.hemlockrack.consensus.ConsensusCodec;
 import org.hemlockrack.daemon.log.DecisionLog;
+import org.hemlockrack.daemon.peer.PeerClient;
 import org.hemlockrack.daemon.replica.ProposalEndpoint;
 import org.hemlockrack.daemon.replica.ReplicaService;
 import org.hemlockrack.errors.HemlockrackException;
@@ -73,17 +75,30 @@
 
     @Override
     public SyncReply sync(SyncRequest request) throws TException {
+        acquireExchangePermit();
         try {
-            mExchangePermits.acquire();
+            return mService.sync(request);
+        } finally {
+            mExchangePermits.release();
+        }
+    }
+
+    /** Waits no longer than the caller, so that callers that connect again do not add up. */
+    private void acquireExchangePermit() throws TException {
+        boolean isAcquired;
+        try {
+            isAcquired =
+                    mExchangePermits.tryAcquire(
+                            PeerClient.READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new TApplicationException(
                     TApplicationException.INTERNAL_ERROR, "the controller is stopping");
         }
-        try {
-            return mService.sync(request);
-        } finally {
-            mExchangePermits.release();
+        if (!isAcquired) {
+            throw new TApplicationException(
+                    TApplicationException.INTERNAL_ERROR,
+                    "no exchange ended for " + PeerClient.READ_TIMEOUT_MILLIS + " ms");
         }
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerClient.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerClient.java
@@ -12,8 +12,11 @@
 
 /** Makes calls to one other instance over one connection, in order, on a separate thread. */
 public final class PeerClient implements AutoCloseable {
+    /** Time limit in milliseconds for each read of a reply. */
+    public static final int READ_TIMEOUT_MILLIS = 3_000;
+
     /** Time limit of a call, which may read more than once. */
-    private static final long CALL_TIMEOUT_MILLIS = 2L * PeerSocket.READ_TIMEOUT_MILLIS;
+    private static final long CALL_TIMEOUT_MILLIS = 2L * READ_TIMEOUT_MILLIS;
 
     private final String mAddress;
     private final @Nullable TlsKeys mKeys;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerSocket.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerSocket.java
@@ -13,9 +13,6 @@
 
 /** An open connection to another instance, which any thread may close. */
 final class PeerSocket implements AutoCloseable {
-    /** Time limit of a read unless another is set. */
-    static final int READ_TIMEOUT_MILLIS = 3_000;
-
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
     private final TSocket mTransport;
@@ -50,7 +47,7 @@
                         null,
                         address.getHostString(),
                         address.getPort(),
-                        READ_TIMEOUT_MILLIS,
+                        PeerClient.READ_TIMEOUT_MILLIS,
                         CONNECT_TIMEOUT_MILLIS);
         transport.open();
         return new PeerSocket(transport, transport.getSocket());
@@ -69,10 +66,10 @@
                                             address.getHostString(),
                                             address.getPort(),
                                             true);
-            socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+            socket.setSoTimeout(PeerClient.READ_TIMEOUT_MILLIS);
             socket.startHandshake();
             TSocket transport = new TSocket(socket);
-            transport.setTimeout(READ_TIMEOUT_MILLIS);
+            transport.setTimeout(PeerClient.READ_TIMEOUT_MILLIS);
             return new PeerSocket(transport, plain);
         } catch (IOException e) {
             closeQuietly(plain);
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import org.apache.thrift.TException;
 import org.hemlockrack.consensus.ConsensusSettings;
 import org.hemlockrack.consensus.Entry;
 import org.hemlockrack.consensus.EntryKind;
@@ -288,4 +289,52 @@
             assertEquals("the caller has left", refusal.getCause().getMessage());
         }
     }
+
+    /**
+     * Guards against threads that wait for exchanges whose callers gave up long ago: each caller
+     * connects again and blocks one more, until none is left for the messages of the log.
+     */
+    @Test
+    void exchangeThatWaitsTooLongIsRefused() throws Exception {
+        restart(MemberKind.VOTER);
+        ControllerPeerHandler handler =
+                new ControllerPeerHandler(SELF.value(), mReplica, mService, mLog);
+        SyncRequest request = mService.createRequest(UNREACHABLE, Map.of());
+        request.setPrefixUses(List.of());
+        List<CompletableFuture<SyncReply>> exchanges = new ArrayList<>();
+        CompletableFuture<Object> first = new CompletableFuture<>();
+        synchronized (mService) {
+            for (int i = 0; i < 20; i++) {
+                CompletableFuture<SyncReply> exchange = new CompletableFuture<>();
+                exchanges.add(exchange);
+                Thread thread = new Thread(() -> exchange(handler, request, exchange));
+                thread.setDaemon(true);
+                thread.start();
+                exchange.exceptionally(
+                        cause -> {
+                            first.complete(cause);
+                            return null;
+                        });
+            }
+            assertInstanceOf(TException.class, first.get(10, TimeUnit.SECONDS));
+        }
+        int answered = 0;
+        for (CompletableFuture<SyncReply> exchange : exchanges) {
+            boolean isAnswered =
+                    exchange.handle((reply, cause) -> cause == null).get(10, TimeUnit.SECONDS);
+            answered += isAnswered ? 1 : 0;
+        }
+        assertTrue(answered > 0);
+    }
+
+    private static void exchange(
+            ControllerPeerHandler handler,
+            SyncRequest request,
+            CompletableFuture<SyncReply> exchange) {
+        try {
+            exchange.complete(handler.sync(request));
+        } catch (TException e) {
+            exchange.completeExceptionally(e);
+        }
+    }
 }
