--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ReplicaNode.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ReplicaNode.java
@@ -29,6 +29,10 @@
     private final ArrayDeque<ConsensusEvent> mFollowUpEvents = new ArrayDeque<>();
     private long mSnapshotIndex;
     private long mReplayCost;
+    private long mSnapshotBytes;
+
+    /** Size of the commands that were applied since the last snapshot. */
+    private long mAppliedBytes;
 
     /** The last entry that the state includes. */
     private long mAppliedIndex;
@@ -77,6 +81,7 @@
         if (snapshot != null) {
             state.restore(store.loadSnapshot());
             node.mSnapshotIndex = snapshot.index();
+            node.mSnapshotBytes = snapshot.sizeBytes();
             node.mAppliedIndex = snapshot.index();
         }
         // Entries that a killed process wrote and did not sync can be read, but are not durable.
@@ -122,6 +127,7 @@
                 new ReplicaNode(consensus, store, failed.mState, failed.mSnapshotEntries);
         SnapshotMeta snapshot = recovered.snapshot();
         node.mSnapshotIndex = snapshot == null ? 0 : snapshot.index();
+        node.mSnapshotBytes = snapshot == null ? 0 : snapshot.sizeBytes();
         node.mAppliedIndex = failed.mAppliedIndex;
         node.mDurableIndex = consensus.lastIndex();
         if (node.mAppliedIndex < node.mSnapshotIndex) {
@@ -248,6 +254,7 @@
         byte[] result = mState.apply(apply.index(), apply.leaderTimeMillis(), apply.command());
         mAppliedIndex = apply.index();
         mReplayCost += mState.replayCost(apply.command());
+        mAppliedBytes += apply.command().length;
         if (apply.ticket().isPresent()) {
             outputs.proposalApplied(apply.ticket().getAsLong(), apply.index(), result);
         }
@@ -272,8 +279,7 @@
 
     private void saveSnapshotIfDue(long nowNanos, NodeOutputs outputs) {
         long cost = Math.max(mReplayCost, mConsensus.commitIndex() - mSnapshotIndex);
-        long factor = mConsensus.isSendingSnapshot() ? TRANSFER_DELAY_FACTOR : 1;
-        if (cost < factor * mSnapshotEntries || isStateAheadOfLog()) {
+        if (cost < mSnapshotEntries || isStateAheadOfLog() || isDelayedByTransfer(cost)) {
             return;
         }
         if (mSnapshotFailed && nowNanos - mSnapshotFailureNanos < SNAPSHOT_RETRY_NANOS) {
@@ -297,6 +303,17 @@
         handle(nowNanos, new ConsensusEvent.SnapshotSaved(meta), outputs);
     }
 
+    /**
+     * Returns whether a snapshot waits for the transfer of the last one, which would begin anew. A
+     * log that grows by more than the snapshot meanwhile would not be caught up with either, so the
+     * delay ends there.
+     */
+    private boolean isDelayedByTransfer(long cost) {
+        return mConsensus.isSendingSnapshot()
+                && (cost < TRANSFER_DELAY_FACTOR * mSnapshotEntries
+                        || mAppliedBytes < mSnapshotBytes);
+    }
+
     /**
      * Returns whether the state includes entries that the log does not know to be committed, after
      * the store has failed. A snapshot of it would be of later entries than its index says.
@@ -308,7 +325,9 @@
     private void recordSnapshot(SnapshotMeta meta) {
         mSnapshotFailed = false;
         mSnapshotIndex = meta.index();
+        mSnapshotBytes = meta.sizeBytes();
         mReplayCost = 0;
+        mAppliedBytes = 0;
     }
 
     private static int checksum(byte[] state) {
