Propose the next change of the voters once the last one is committed

The promotion of a successor and the removal of the lost voter were a maintenance period of 200 ms apart. A leader that went between them left four voters, one of them gone, of which three had to answer.

LeaderTasksTest without the change, with one run of the tasks and two voters to remove: "expected: <[a, b, c]> but was: <[a, b, c, d]>".

--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ReplacedMachineTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ReplacedMachineTest.java
@@ -89,6 +89,7 @@
                             Variant.CORRECT,
                             Set.of());
             mSimulation.mFormation = LogFormation.WITH_MAJORITY;
+            mSimulation.mVoterChangeListener = this::reconcile;
             mRandom = new SplittableRandom(seed);
             mNextMachine = fleet.controllers() + fleet.spares();
             List<SimulatedInstance> all = mSimulation.mInstances;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/LeaderTasks.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/LeaderTasks.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import org.hemlockrack.consensus.ProposalStatus;
+import org.hemlockrack.consensus.Role;
 import org.hemlockrack.consensus.VoterChange;
 import org.hemlockrack.consensus.VoterReconciler;
 import org.hemlockrack.control.ControlCommand;
@@ -114,10 +115,21 @@
                                         .put("action", change.action().name())
                                         .put("controller", change.instance().value())
                                         .write();
+                                mLoop.execute(this::continueReconciling);
                             }
                         });
     }
 
+    /**
+     * Proposes the change that follows a committed one. Between the promotion of a successor and
+     * the removal of a lost voter a majority is one replica more.
+     */
+    private void continueReconciling() {
+        if (mReplica.role() == Role.LEADER) {
+            reconcileVoters();
+        }
+    }
+
     private void advanceMove(TrafficMove move, Map<String, VersionAnswers> answers) {
         VersionAnswers target = answers.getOrDefault(move.target(), VersionAnswers.NONE);
         VersionAnswers others = VersionAnswers.NONE;
