Tell unsynced writes of the log from damaged ones

Operators saw replicas join as new ones after a loss of power: a write that was not synced may be present, missing or torn then, and the log took such a tail for damage. Two of three in the same second leave no majority.

Cause: a record did not say whether it had been synced, so every record that did not read counted as acknowledged.

The entries of one write are now a frame with a mark of one byte. The mark is set after the sync that covers the frame, and needs no sync of its own; a single byte cannot be torn. Each frame also states how much before it was unsynced when it was written. A frame that does not read is damage if its mark is set, or a whole frame behind it proves that it was synced, or a newer segment exists; else the rest of the file is cut off. The checksum covers a salt and the position, so nothing inside an entry looks like a frame. At the opening, whole frames without a mark are written and synced again before they count as durable, also after a failed sync.

Frames are only appended: a frame that starts at an earlier index replaces the entries from there on. Overwriting a marked frame could leave the old mark on the new bytes.

The meta file states version 2 of the form. Segments of version 1 are converted one by one, each by a rename of a synced file; the version is written last, so an interrupted conversion goes on. A newer version is refused as SETTINGS_INVALID before anything is changed.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/FileLogStore.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/FileLogStore.java
@@ -35,11 +35,17 @@
     /** A segment of this size gets no more entries; compaction removes whole segments. */
     private static final long SEGMENT_BYTES = 4 << 20;
 
+    /** Version of the form of the files; version 1 does not state it. */
+    private static final int FORM_VERSION = 2;
+
+    private static final int LEGACY_FORM_VERSION = 1;
+
     private static final String META_FILE = "meta";
     private static final String DAMAGED_SUBFOLDER = "damaged";
 
     private final Path mPath;
     private final long mSegmentBytes;
+    private final long mSalt;
     private final DataFolder mFolder;
     private final SnapshotFile mSnapshot;
     private final List<LogSegment> mSegments = new ArrayList<>();
@@ -47,9 +53,11 @@
     private long mNewestSegmentBase;
     private @Nullable RecoveredState mRecovered;
 
-    private FileLogStore(Path path, long segmentBytes, DataFolder folder, HardState initial) {
+    private FileLogStore(
+            Path path, long segmentBytes, long salt, DataFolder folder, HardState initial) {
         mPath = path;
         mSegmentBytes = segmentBytes;
+        mSalt = salt;
         mFolder = folder;
         mSnapshot = new SnapshotFile(folder);
         mHardState = initial;
@@ -87,7 +95,12 @@
         try {
             DataFolder folder = DataFolder.lock(path);
             FileLogStore store =
-                    new FileLogStore(path, segmentBytes, folder, HardState.fresh(newId(random)));
+                    new FileLogStore(
+                            path,
+                            segmentBytes,
+                            random.nextLong(),
+                            folder,
+                            HardState.fresh(newId(random)));
             try {
                 if (moveOldFilesAside) {
                     folder.moveFilesTo(DAMAGED_SUBFOLDER);
@@ -123,38 +136,78 @@
     }
 
     private void load() throws IOException {
-        mFolder.deleteTemporaryFiles(META_FILE, "");
-        List<String> names = mFolder.fileNames(LogSegment.PREFIX, LogSegment.SUFFIX);
         Path file = mFolder.resolve(META_FILE);
-        if (Files.exists(file)) {
-            loadMetaFile(file);
-        } else if (!names.isEmpty() || !mFolder.fileNames("snapshot-", ".snap").isEmpty()) {
-            throw RecordFormat.missing(file);
-        } else {
+        boolean isNew = !Files.exists(file);
+        // A newer form is refused before anything is changed.
+        int formVersion = isNew ? FORM_VERSION : loadMetaFile(file);
+        mFolder.deleteTemporaryFiles(META_FILE, "");
+        mFolder.deleteTemporaryFiles(LogSegment.PREFIX, LogSegment.SUFFIX);
+        if (isNew) {
+            requireNoOtherFiles(file);
             writeMetaFile();
         }
+        if (formVersion == LEGACY_FORM_VERSION) {
+            convertSegments();
+        }
         mSnapshot.open();
         SnapshotMeta snapshot = mSnapshot.meta();
-        List<Entry> entries = loadSegments(names, snapshot);
+        List<Entry> entries = loadSegments(segmentNames(), snapshot);
         mRecovered = new RecoveredState(mHardState, snapshot, entries);
     }
 
-    private void loadMetaFile(Path file) throws IOException {
+    private List<String> segmentNames() throws IOException {
+        return mFolder.fileNames(LogSegment.PREFIX, LogSegment.SUFFIX);
+    }
+
+    private void requireNoOtherFiles(Path file) throws IOException {
+        if (!segmentNames().isEmpty() || !mFolder.fileNames("snapshot-", ".snap").isEmpty()) {
+            throw RecordFormat.missing(file);
+        }
+    }
+
+    /** Reads the meta file and returns the version of the form. */
+    private int loadMetaFile(Path file) throws IOException {
         byte[] payload = RecordFormat.readNext(file, ByteBuffer.wrap(Files.readAllBytes(file)));
         if (payload == null) {
             throw RecordFormat.damaged(file, 0, "incomplete record");
         }
         WireMeta wire = WireCodec.decode(payload, new WireMeta());
+        int formVersion = wire.isSetFormVersion() ? wire.getFormVersion() : LEGACY_FORM_VERSION;
+        if (formVersion > FORM_VERSION) {
+            throw HemlockrackException.of(
+                    ErrorKind.SETTINGS_INVALID,
+                    String.format(ErrorText.STORE_NEWER, mPath, formVersion, FORM_VERSION));
+        }
         mHardState = new HardState(wire.getReplicaId(), wire.getTerm(), wire.getVote());
         mNewestSegmentBase = wire.getNewestSegment();
+        return formVersion;
     }
 
-    private List<Entry> loadSegments(List<String> names, @Nullable SnapshotMeta snapshot)
-            throws IOException {
-        List<Entry> entries = new ArrayList<>();
+    /**
+     * Converts the segments of version 1 one by one. The meta file states the new version last, so
+     * that a conversion that was interrupted goes on at the next opening.
+     */
+    private void convertSegments() throws IOException {
+        List<String> names = segmentNames();
+        requireNewestSegment(names);
+        for (int i = 0; i < names.size(); i++) {
+            LogSegment.convert(mFolder, names.get(i), i == names.size() - 1, mSalt);
+        }
+        // Version 1 may hold entries in a segment that its meta file does not name yet.
+        recordNewestSegment(
+                names.isEmpty() ? 0 : LogSegment.baseIndex(names.get(names.size() - 1)));
+    }
+
+    private void requireNewestSegment(List<String> names) {
         if (mNewestSegmentBase != 0 && !names.contains(LogSegment.name(mNewestSegmentBase))) {
             throw RecordFormat.missing(mFolder.resolve(LogSegment.name(mNewestSegmentBase)));
         }
+    }
+
+    private List<Entry> loadSegments(List<String> names, @Nullable SnapshotMeta snapshot)
+            throws IOException {
+        List<Entry> entries = new ArrayList<>();
+        requireNewestSegment(names);
         long snapshotIndex = snapshot == null ? 0 : snapshot.index();
         for (String name : names) {
             boolean newest = name.equals(names.get(names.size() - 1));
@@ -212,6 +265,7 @@
                         mHardState.term(),
                         mHardState.vote(),
                         mNewestSegmentBase);
+        wire.setFormVersion(FORM_VERSION);
         mFolder.replace(META_FILE, RecordFormat.encode(WireCodec.encode(wire)));
     }
 
@@ -238,8 +292,9 @@
         runOrFail(
                 () -> {
                     prepareAppendAt(entries.get(0).index());
-                    for (Entry entry : entries) {
-                        writableSegment().append(entry);
+                    int next = 0;
+                    while (next < entries.size()) {
+                        next = writableSegment().append(entries, next, mSegmentBytes);
                     }
                 });
     }
@@ -262,15 +317,15 @@
             dropSegmentsFrom(keptCount);
             mFolder.sync();
         }
-        mSegments.get(keptCount - 1).truncateFrom(index);
+        mSegments.get(keptCount - 1).replaceFrom(index);
     }
 
     /** Returns the newest segment, or a new one if it is full; the meta file names it. */
     private LogSegment writableSegment() throws IOException {
         LogSegment newest = mSegments.get(mSegments.size() - 1);
-        if (newest.sizeBytes() >= mSegmentBytes) {
+        if (newest.isFull(mSegmentBytes)) {
             newest.sync();
-            newest = LogSegment.create(mFolder, newest.lastIndex() + 1);
+            newest = LogSegment.create(mFolder, newest.lastIndex() + 1, mSalt);
             mSegments.add(newest);
         }
         // It differs also after an earlier write of the meta file was refused.
@@ -290,7 +345,7 @@
         recordNewestSegment(0);
         dropSegmentsFrom(0);
         mFolder.sync();
-        mSegments.add(LogSegment.create(mFolder, firstIndex));
+        mSegments.add(LogSegment.create(mFolder, firstIndex, mSalt));
         recordNewestSegment(firstIndex);
     }
 
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/LogSegment.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/LogSegment.java
@@ -8,27 +8,35 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import org.hemlockrack.consensus.Entry;
-import org.hemlockrack.consensus.internal.WireCodec;
-import org.hemlockrack.errors.HemlockrackException;
 
-/** One file of the log: consecutive entries, starting at the index in the file's name. */
+/**
+ * One file of the log: consecutive entries, starting at the index in the file's name.
+ *
+ * <p>Frames are only appended. A frame whose first index is not the next one replaces the entries
+ * from there on, so that a loss of power never mixes bytes of old and new frames.
+ */
 final class LogSegment implements Closeable {
     static final String PREFIX = "log-";
     static final String SUFFIX = ".seg";
 
     private final String mName;
     private final long mBaseIndex;
+    private final long mSalt;
     private final FileChannel mChannel;
-    private long[] mOffsets = new long[64];
     private int mCount;
-    private long mSizeBytes;
+    private int mSizeBytes = SegmentHeader.SIZE_BYTES;
+    private int mSyncedBytes = SegmentHeader.SIZE_BYTES;
+    private int mLastFrame;
 
-    private LogSegment(String name, long base, FileChannel channel) {
+    /** Whether the next frame replaces entries, which it can do in this segment only. */
+    private boolean mReplacesEntries;
+
+    private LogSegment(String name, long base, long salt, FileChannel channel) {
         mName = name;
         mBaseIndex = base;
+        mSalt = salt;
         mChannel = channel;
     }
 
@@ -41,7 +49,7 @@
         return Long.parseLong(digits);
     }
 
-    static LogSegment create(DataFolder folder, long base) throws IOException {
+    static LogSegment create(DataFolder folder, long base, long salt) throws IOException {
         String name = name(base);
         FileChannel channel =
                 FileChannel.open(
@@ -50,9 +58,10 @@
                         StandardOpenOption.TRUNCATE_EXISTING,
                         StandardOpenOption.WRITE);
         try {
+            DataFolder.writeFully(channel, new SegmentHeader(salt).encode());
             channel.force(true);
             folder.sync();
-            return new LogSegment(name, base, channel);
+            return new LogSegment(name, base, salt, channel);
         } catch (IOException e) {
             channel.close();
             throw e;
@@ -62,17 +71,20 @@
     /**
      * Opens a file and reads its entries.
      *
-     * @param newest whether this is the newest segment, whose last record may be torn by a crash
-     *     and is then cut off
+     * @param newest whether this is the newest segment, whose unsynced end may be torn and is then
+     *     cut off
      * @param entries receives the entries
      */
     static LogSegment open(DataFolder folder, String name, boolean newest, List<Entry> entries)
             throws IOException {
-        Path file = folder.resolve(name);
-        FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE);
-        LogSegment segment = new LogSegment(name, baseIndex(name), channel);
+        Path path = folder.resolve(name);
+        ByteBuffer file = ByteBuffer.wrap(Files.readAllBytes(path));
+        SegmentContent content = SegmentContent.read(path, file, baseIndex(name), newest);
+        FileChannel channel = FileChannel.open(path, StandardOpenOption.WRITE);
+        LogSegment segment = new LogSegment(name, baseIndex(name), content.salt(), channel);
         try {
-            segment.load(file, newest, entries);
+            segment.restore(file, content);
+            entries.addAll(content.entries());
             return segment;
         } catch (IOException | RuntimeException e) {
             channel.close();
@@ -80,69 +92,101 @@
         }
     }
 
-    private void load(Path file, boolean newest, List<Entry> entries) throws IOException {
-        ByteBuffer in = ByteBuffer.wrap(Files.readAllBytes(file));
-        while (in.hasRemaining()) {
-            int start = in.position();
-            byte[] payload = RecordFormat.readNext(file, in);
-            if (payload == null) {
-                truncateTornTail(file, start, newest);
-                break;
-            }
-            Entry entry = decode(file, start, payload);
-            if (entry.index() != mBaseIndex + mCount) {
-                throw RecordFormat.damaged(file, start, "order of entries");
-            }
-            recordOffset(start);
-            mSizeBytes = in.position();
-            entries.add(entry);
+    /** Cuts off a torn end and makes durable what can be read. */
+    private void restore(ByteBuffer file, SegmentContent content) throws IOException {
+        mCount = content.entries().size();
+        mLastFrame = content.lastFrame();
+        mSizeBytes = content.validBytes();
+        mSyncedBytes = content.syncedBytes();
+        boolean isTorn = mSizeBytes < file.limit();
+        if (isTorn) {
+            mChannel.truncate(mSizeBytes);
+        }
+        ByteBuffer unsynced = content.unsyncedFrames(file);
+        if (unsynced != null) {
+            // After a failed sync, a further sync does not cover the same pages again.
+            mChannel.position(mSyncedBytes);
+            DataFolder.writeFully(mChannel, unsynced);
         }
         mChannel.position(mSizeBytes);
-    }
-
-    private void truncateTornTail(Path file, int start, boolean newest) throws IOException {
-        if (!newest) {
-            throw RecordFormat.damaged(file, start, "incomplete record");
+        if (isTorn) {
+            mChannel.force(true);
         }
-        mChannel.truncate(start);
-        mChannel.force(true);
+        sync();
     }
 
-    private static Entry decode(Path file, int start, byte[] payload) {
-        try {
-            return WireCodec.decodeEntry(payload);
-        } catch (HemlockrackException e) {
-            throw RecordFormat.damaged(file, start, e.getMessage());
+    /** Replaces a segment of version 1. */
+    static void convert(DataFolder folder, String name, boolean newest, long salt)
+            throws IOException {
+        Path path = folder.resolve(name);
+        ByteBuffer file = ByteBuffer.wrap(Files.readAllBytes(path));
+        if (SegmentHeader.read(file) != null) {
+            return;
         }
+        List<Entry> entries = LegacySegment.read(path, file, baseIndex(name), newest);
+        List<ByteBuffer> parts = new ArrayList<>();
+        parts.add(new SegmentHeader(salt).encode());
+        int position = SegmentHeader.SIZE_BYTES;
+        int next = 0;
+        while (next < entries.size()) {
+            LogFrame.Builder frame = new LogFrame.Builder();
+            while (next < entries.size() && !frame.isFull()) {
+                frame.add(entries.get(next++));
+            }
+            // The file gets its name only after its sync.
+            parts.add(frame.build(salt, position, 0, LogFrame.SYNCED));
+            position += frame.sizeBytes();
+        }
+        folder.replace(name, parts.toArray(new ByteBuffer[0]));
     }
 
-    void append(Entry entry) throws IOException {
-        ByteBuffer record = RecordFormat.encode(WireCodec.encodeEntry(entry));
-        recordOffset(mSizeBytes);
-        mSizeBytes += record.remaining();
-        DataFolder.writeFully(mChannel, record);
-    }
-
-    private void recordOffset(long offset) {
-        if (mCount == mOffsets.length) {
-            mOffsets = Arrays.copyOf(mOffsets, mCount * 2);
+    /**
+     * Writes entries in one frame, until the segment or the frame is full.
+     *
+     * @param entries the entries
+     * @param from position of the first one to write
+     * @param fullBytes size from which on the segment gets no more entries
+     * @return position of the first one that was not written
+     */
+    int append(List<Entry> entries, int from, long fullBytes) throws IOException {
+        LogFrame.Builder frame = new LogFrame.Builder();
+        int next = from;
+        do {
+            frame.add(entries.get(next++));
+        } while (next < entries.size()
+                && !frame.isFull()
+                && mSizeBytes + frame.sizeBytes() < fullBytes);
+        ByteBuffer bytes =
+                frame.build(mSalt, mSizeBytes, mSizeBytes - mSyncedBytes, LogFrame.UNSYNCED);
+        mLastFrame = mSizeBytes;
+        mSizeBytes += bytes.remaining();
+        mCount += next - from;
+        mReplacesEntries = false;
+        DataFolder.writeFully(mChannel, bytes);
+        return next;
+    }
+
+    /** Makes the next frame replace the entries from an index on. */
+    void replaceFrom(long index) {
+        int count = Math.toIntExact(index - mBaseIndex);
+        if (count < mCount) {
+            mCount = count;
+            mReplacesEntries = true;
         }
-        mOffsets[mCount++] = offset;
     }
 
-    void truncateFrom(long index) throws IOException {
-        int position = Math.toIntExact(index - mBaseIndex);
-        if (position >= mCount) {
+    /** Makes all frames durable and marks the last one, which testifies for those before it. */
+    void sync() throws IOException {
+        if (mSyncedBytes == mSizeBytes) {
             return;
         }
-        mSizeBytes = mOffsets[position];
-        mCount = position;
-        mChannel.truncate(mSizeBytes);
-        mChannel.position(mSizeBytes);
+        mChannel.force(false);
+        mSyncedBytes = mSizeBytes;
+        mChannel.write(ByteBuffer.wrap(new byte[] {LogFrame.SYNCED}), mLastFrame);
     }
 
-    void sync() throws IOException {
-        mChannel.force(false);
+    boolean isFull(long fullBytes) {
+        return mSizeBytes >= fullBytes && !mReplacesEntries;
     }
 
     String name() {
@@ -157,18 +201,6 @@
         return mBaseIndex + mCount - 1;
     }
 
-    long sizeBytes() {
-        return mSizeBytes;
-    }
-
-    static List<Long> baseIndexes(List<String> names) {
-        List<Long> bases = new ArrayList<>();
-        for (String name : names) {
-            bases.add(baseIndex(name));
-        }
-        return bases;
-    }
-
     @Override
     public void close() throws IOException {
         mChannel.close();
--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
@@ -99,6 +99,9 @@
     public static final String WIRE_ENCODING = "a consensus struct cannot be encoded";
     public static final String STORE_DAMAGED = "%s is damaged at byte %d: %s";
     public static final String STORE_MISSING = "%s is missing";
+    public static final String STORE_NEWER =
+            "the data folder %s was written by a newer release in file form %d;"
+                    + " this release reads forms up to %d";
     public static final String STORE_LOCKED = "another process uses the data folder %s";
     public static final String STORE_FAILED = "the data folder %s cannot be written or read: %s";
     public static final String ROLLOUT_SAME_VERSION =
--- a/hemlockrack-wire/src/main/thrift/consensus.thrift
+++ b/hemlockrack-wire/src/main/thrift/consensus.thrift
@@ -30,7 +30,9 @@
   2: required i64 term,
   3: required i64 vote,
   /** First index of the newest log segment, whose absence is damage; 0 if there is none. */
-  4: required i64 newestSegment
+  4: required i64 newestSegment,
+  /** Version of the form of all files in the folder; absent in version 1. */
+  5: optional i32 formVersion
 }
 
 struct WireSnapshotMeta {
