Survive names of files that a loss of power brings back or takes away

After a loss of power each file that was created, renamed or removed without a sync of its folder may be kept or lost by itself.

- Segments removed by a truncation could return in part, which looked like a gap in the log and so like damage.
Segments after the one that the meta file names are now removed at the opening; they never hold entries that count.
- The name of a data folder created at the first start was never synced in its parent, so a loss of power could take the whole folder.
- A rename that a process did not sync before it ended was trusted at the next opening: a vote could be answered from it and then be undone.
The folder is synced before its files count.
- While a damaged folder is set aside, the move of the meta file could be undone alone and leave an empty log with the old replica id.
The move is synced before the others begin.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/DataFolder.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/DataFolder.java
@@ -33,7 +33,7 @@
     }
 
     static DataFolder lock(Path path) throws IOException {
-        Files.createDirectories(path);
+        createDurably(path);
         FileChannel channel =
                 FileChannel.open(
                         path.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
@@ -49,6 +49,20 @@
         }
     }
 
+    private static void createDurably(Path folder) throws IOException {
+        if (Files.isDirectory(folder)) {
+            return;
+        }
+        Path parent = folder.toAbsolutePath().getParent();
+        if (parent != null) {
+            createDurably(parent);
+        }
+        Files.createDirectories(folder);
+        if (parent != null) {
+            sync(parent);
+        }
+    }
+
     private static @Nullable FileLock tryLock(FileChannel channel) throws IOException {
         try {
             return channel.tryLock();
@@ -85,11 +99,24 @@
     }
 
     void sync() throws IOException {
-        try (FileChannel channel = FileChannel.open(mPath, StandardOpenOption.READ)) {
+        sync(mPath);
+    }
+
+    private static void sync(Path folder) throws IOException {
+        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
             channel.force(true);
         }
     }
 
+    /** Makes the name of the folder durable, which a process may have created before it ended. */
+    void syncParent() throws IOException {
+        Path parent = mPath.toAbsolutePath().getParent();
+        // A folder that others have created may be in one that cannot be read.
+        if (parent != null && Files.isReadable(parent)) {
+            sync(parent);
+        }
+    }
+
     /** Writes a file so that after a crash it holds either the old or the new content. */
     void replace(String name, ByteBuffer... parts) throws IOException {
         Path temp = mPath.resolve(name + TEMP_SUFFIX);
@@ -156,13 +183,16 @@
         for (Path file : files(target)) {
             Files.delete(file);
         }
-        // The meta file goes first: after a crash in between, a folder without it still counts as
-        // damaged.
+        // The meta file goes first and durably: after a crash in between, a folder without it
+        // still counts as damaged, while one with nothing else would be an empty log.
         List<String> names = fileNames("", "");
         names.sort((a, b) -> Boolean.compare(b.equals("meta"), a.equals("meta")));
         for (String name : names) {
             if (!name.equals(LOCK) && !name.equals(subfolder)) {
                 Files.move(mPath.resolve(name), target.resolve(name));
+                if (name.equals("meta")) {
+                    sync();
+                }
             }
         }
         sync();
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/FileLogStore.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/FileLogStore.java
@@ -29,7 +29,8 @@
  *
  * <p>{@code meta} names the newest segment so that the loss of that file is detected. Otherwise a
  * shorter log would look complete, and the replica could vote for a leader that lacks entries which
- * this replica has acknowledged.
+ * this replica has acknowledged. Segments after the newest one are left over from a truncation, or
+ * from a creation that was interrupted before {@code meta} was written.
  */
 public final class FileLogStore implements LogStore {
     /** A segment of this size gets no more entries; compaction removes whole segments. */
@@ -144,11 +145,16 @@
         mFolder.deleteTemporaryFiles(LogSegment.PREFIX, LogSegment.SUFFIX);
         if (isNew) {
             requireNoOtherFiles(file);
+            mFolder.syncParent();
             writeMetaFile();
+        } else {
+            // A process may have ended after a rename that no sync has covered.
+            mFolder.sync();
         }
         if (formVersion == LEGACY_FORM_VERSION) {
             convertSegments();
         }
+        deleteSegmentsAfterNewest();
         mSnapshot.open();
         SnapshotMeta snapshot = mSnapshot.meta();
         List<Entry> entries = loadSegments(segmentNames(), snapshot);
@@ -190,6 +196,7 @@
     private void convertSegments() throws IOException {
         List<String> names = segmentNames();
         requireNewestSegment(names);
+        mFolder.syncParent();
         for (int i = 0; i < names.size(); i++) {
             LogSegment.convert(mFolder, names.get(i), i == names.size() - 1, mSalt);
         }
@@ -198,6 +205,14 @@
                 names.isEmpty() ? 0 : LogSegment.baseIndex(names.get(names.size() - 1)));
     }
 
+    private void deleteSegmentsAfterNewest() throws IOException {
+        for (String name : segmentNames()) {
+            if (LogSegment.baseIndex(name) > mNewestSegmentBase) {
+                mFolder.delete(name);
+            }
+        }
+    }
+
     private void requireNewestSegment(List<String> names) {
         if (mNewestSegmentBase != 0 && !names.contains(LogSegment.name(mNewestSegmentBase))) {
             throw RecordFormat.missing(mFolder.resolve(LogSegment.name(mNewestSegmentBase)));
