Add hemlockrack storage check

It ends with 0, 1 (damage) or 2 (usage, or a folder that cannot be checked: in use, of another program, of a newer release). The meta file has a class of its own, which the store and the check share.

--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Main.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Main.java
@@ -55,6 +55,8 @@
         add(rollout, "rollout stop", new RolloutStopCommand());
         Subparsers report = group(top, "report", "print reports");
         add(report, "report burn", new ReportBurnCommand());
+        Subparsers storage = group(top, "storage", "inspect the files of a replica");
+        add(storage, "storage check", new StorageCheckCommand());
         add(top, "explain", new ExplainCommand());
     }
 
--- a/hemlockrack-cli/src/test/java/org/hemlockrack/cli/MainTest.java
+++ b/hemlockrack-cli/src/test/java/org/hemlockrack/cli/MainTest.java
@@ -150,7 +150,9 @@
                 "rollout",
                 "rollout start s m",
                 "rollout stop s",
-                "report"
+                "report",
+                "storage",
+                "storage check"
             })
     void usageErrorExitsWithTwo(String line) {
         ToolRun run = ToolRun.of(line.isEmpty() ? new String[0] : line.split(" "));
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/DataFolder.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/DataFolder.java
@@ -21,8 +21,8 @@
 
 /** A locked data folder with operations that survive a crash at any point. */
 final class DataFolder implements Closeable {
-    private static final String LOCK = "lock";
-    private static final String TEMP_SUFFIX = ".tmp";
+    static final String LOCK = "lock";
+    static final String TEMP_SUFFIX = ".tmp";
 
     private final Path mPath;
     private final FileChannel mLock;
@@ -77,8 +77,13 @@
 
     /** Returns the sorted names of the files with a prefix and a suffix. */
     List<String> fileNames(String prefix, String suffix) throws IOException {
+        return fileNames(mPath, prefix, suffix);
+    }
+
+    /** Returns the sorted names of the files in a folder with a prefix and a suffix. */
+    static List<String> fileNames(Path folder, String prefix, String suffix) throws IOException {
         List<String> names = new ArrayList<>();
-        for (Path file : files(mPath)) {
+        for (Path file : files(folder)) {
             String name = file.getFileName().toString();
             if (name.startsWith(prefix) && name.endsWith(suffix)) {
                 names.add(name);
@@ -186,11 +191,11 @@
         // The meta file goes first and durably: after a crash in between, a folder without it
         // still counts as damaged, while one with nothing else would be an empty log.
         List<String> names = fileNames("", "");
-        names.sort((a, b) -> Boolean.compare(b.equals("meta"), a.equals("meta")));
+        names.sort((a, b) -> Boolean.compare(b.equals(MetaFile.NAME), a.equals(MetaFile.NAME)));
         for (String name : names) {
             if (!name.equals(LOCK) && !name.equals(subfolder)) {
                 Files.move(mPath.resolve(name), target.resolve(name));
-                if (name.equals("meta")) {
+                if (name.equals(MetaFile.NAME)) {
                     sync();
                 }
             }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/FileLogStore.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/FileLogStore.java
@@ -2,7 +2,6 @@
 
 import com.google.common.io.Closer;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.file.AccessDeniedException;
 import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
@@ -16,11 +15,9 @@
 import org.hemlockrack.consensus.LogStore;
 import org.hemlockrack.consensus.RecoveredState;
 import org.hemlockrack.consensus.SnapshotMeta;
-import org.hemlockrack.consensus.internal.WireCodec;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.ErrorText;
 import org.hemlockrack.errors.HemlockrackException;
-import org.hemlockrack.wire.WireMeta;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -36,12 +33,6 @@
     /** A segment of this size gets no more entries; compaction removes whole segments. */
     private static final long SEGMENT_BYTES = 4 << 20;
 
-    /** Version of the form of the files; version 1 does not state it. */
-    private static final int FORM_VERSION = 2;
-
-    private static final int LEGACY_FORM_VERSION = 1;
-
-    private static final String META_FILE = "meta";
     private static final String DAMAGED_SUBFOLDER = "damaged";
 
     private final Path mPath;
@@ -137,22 +128,23 @@
     }
 
     private void load() throws IOException {
-        Path file = mFolder.resolve(META_FILE);
-        boolean isNew = !Files.exists(file);
+        Path file = mFolder.resolve(MetaFile.NAME);
         // A newer form is refused before anything is changed.
-        int formVersion = isNew ? FORM_VERSION : loadMetaFile(file);
-        mFolder.deleteTemporaryFiles(META_FILE, "");
+        MetaFile meta = Files.exists(file) ? MetaFile.read(mPath, file) : null;
+        mFolder.deleteTemporaryFiles(MetaFile.NAME, "");
         mFolder.deleteTemporaryFiles(LogSegment.PREFIX, LogSegment.SUFFIX);
-        if (isNew) {
+        if (meta == null) {
             requireNoOtherFiles(file);
             mFolder.syncParent();
             writeMetaFile();
         } else {
+            mHardState = meta.hardState();
+            mNewestSegmentBase = meta.newestSegment();
             // A process may have ended after a rename that no sync has covered.
             mFolder.sync();
-        }
-        if (formVersion == LEGACY_FORM_VERSION) {
-            convertSegments();
+            if (meta.formVersion() == MetaFile.LEGACY_FORM_VERSION) {
+                convertSegments();
+            }
         }
         deleteSegmentsAfterNewest();
         mSnapshot.open();
@@ -166,29 +158,12 @@
     }
 
     private void requireNoOtherFiles(Path file) throws IOException {
-        if (!segmentNames().isEmpty() || !mFolder.fileNames("snapshot-", ".snap").isEmpty()) {
+        if (!segmentNames().isEmpty()
+                || !mFolder.fileNames(SnapshotFile.PREFIX, SnapshotFile.SUFFIX).isEmpty()) {
             throw RecordFormat.missing(file);
         }
     }
 
-    /** Reads the meta file and returns the version of the form. */
-    private int loadMetaFile(Path file) throws IOException {
-        byte[] payload = RecordFormat.readNext(file, ByteBuffer.wrap(Files.readAllBytes(file)));
-        if (payload == null) {
-            throw RecordFormat.damaged(file, 0, "incomplete record");
-        }
-        WireMeta wire = WireCodec.decode(payload, new WireMeta());
-        int formVersion = wire.isSetFormVersion() ? wire.getFormVersion() : LEGACY_FORM_VERSION;
-        if (formVersion > FORM_VERSION) {
-            throw HemlockrackException.of(
-                    ErrorKind.SETTINGS_INVALID,
-                    String.format(ErrorText.STORE_NEWER, mPath, formVersion, FORM_VERSION));
-        }
-        mHardState = new HardState(wire.getReplicaId(), wire.getTerm(), wire.getVote());
-        mNewestSegmentBase = wire.getNewestSegment();
-        return formVersion;
-    }
-
     /**
      * Converts the segments of version 1 one by one. The meta file states the new version last, so
      * that a conversion that was interrupted goes on at the next opening.
@@ -274,14 +249,8 @@
     }
 
     private void writeMetaFile() throws IOException {
-        WireMeta wire =
-                new WireMeta(
-                        mHardState.replicaId(),
-                        mHardState.term(),
-                        mHardState.vote(),
-                        mNewestSegmentBase);
-        wire.setFormVersion(FORM_VERSION);
-        mFolder.replace(META_FILE, RecordFormat.encode(WireCodec.encode(wire)));
+        MetaFile meta = new MetaFile(MetaFile.FORM_VERSION, mHardState, mNewestSegmentBase);
+        mFolder.replace(MetaFile.NAME, meta.encode());
     }
 
     @Override
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/LegacySegment.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/LegacySegment.java
@@ -17,7 +17,7 @@
     private LegacySegment() {}
 
     /**
-     * Reads the entries.
+     * Reads a segment.
      *
      * @param path the file, for errors
      * @param file its content
@@ -26,7 +26,7 @@
      * @throws HemlockrackException with {@link org.hemlockrack.errors.ErrorKind#STORAGE_DAMAGED} if
      *     the segment is damaged
      */
-    static List<Entry> read(Path path, ByteBuffer file, long base, boolean newest) {
+    static SegmentContent read(Path path, ByteBuffer file, long base, boolean newest) {
         List<Entry> entries = new ArrayList<>();
         while (file.hasRemaining()) {
             int start = file.position();
@@ -35,7 +35,7 @@
                 if (!newest) {
                     throw RecordFormat.damaged(path, start, "incomplete record");
                 }
-                return entries;
+                return content(entries, start);
             }
             Entry entry = decode(path, start, payload);
             if (entry.index() != base + entries.size()) {
@@ -43,7 +43,11 @@
             }
             entries.add(entry);
         }
-        return entries;
+        return content(entries, file.limit());
+    }
+
+    private static SegmentContent content(List<Entry> entries, int validBytes) {
+        return new SegmentContent(0, entries, validBytes, 0, 0);
     }
 
     private static Entry decode(Path path, int start, byte[] payload) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/LogSegment.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/LogSegment.java
@@ -123,7 +123,7 @@
         if (SegmentHeader.read(file) != null) {
             return;
         }
-        List<Entry> entries = LegacySegment.read(path, file, baseIndex(name), newest);
+        List<Entry> entries = LegacySegment.read(path, file, baseIndex(name), newest).entries();
         List<ByteBuffer> parts = new ArrayList<>();
         parts.add(new SegmentHeader(salt).encode());
         int position = SegmentHeader.SIZE_BYTES;
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/SnapshotFile.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/SnapshotFile.java
@@ -14,8 +14,8 @@
 
 /** The snapshot file: a record with the {@link SnapshotMeta}, followed by the state. */
 final class SnapshotFile {
-    private static final String PREFIX = "snapshot-";
-    private static final String SUFFIX = ".snap";
+    static final String PREFIX = "snapshot-";
+    static final String SUFFIX = ".snap";
     private static final String PART_FILE = "snapshot.part";
 
     private final DataFolder mFolder;
@@ -42,8 +42,17 @@
         if (names.isEmpty()) {
             return;
         }
-        String newest = names.get(names.size() - 1);
-        Path file = mFolder.resolve(newest);
+        mMeta = verify(mFolder.resolve(names.get(names.size() - 1)));
+        removeOlder();
+    }
+
+    /**
+     * Reads the description of a snapshot after verifying name, size and checksum.
+     *
+     * @throws org.hemlockrack.errors.HemlockrackException with {@link
+     *     org.hemlockrack.errors.ErrorKind#STORAGE_DAMAGED} if they differ
+     */
+    static SnapshotMeta verify(Path file) throws IOException {
         ByteBuffer in = ByteBuffer.wrap(Files.readAllBytes(file));
         byte[] header = RecordFormat.readNext(file, in);
         if (header == null) {
@@ -52,11 +61,10 @@
         SnapshotMeta meta = WireCodec.snapshot(WireCodec.decode(header, new WireSnapshotMeta()));
         byte[] state = new byte[in.remaining()];
         in.get(state);
-        if (!matches(meta, state) || !newest.equals(name(meta.index()))) {
+        if (!matches(meta, state) || !file.getFileName().toString().equals(name(meta.index()))) {
             throw RecordFormat.damaged(file, RecordFormat.HEADER_BYTES + header.length, "state");
         }
-        mMeta = meta;
-        removeOlder();
+        return meta;
     }
 
     private static boolean matches(SnapshotMeta meta, byte[] state) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
@@ -102,6 +102,8 @@
     public static final String STORE_NEWER =
             "the data folder %s was written by a newer release in file form %d;"
                     + " this release reads forms up to %d";
+    public static final String STORE_NO_FOLDER = "%s is not a folder";
+    public static final String STORE_NO_REPLICA = "the folder %s holds no files of a replica";
     public static final String STORE_LOCKED = "another process uses the data folder %s";
     public static final String STORE_FAILED = "the data folder %s cannot be written or read: %s";
     public static final String ROLLOUT_SAME_VERSION =
