--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/DataFolder.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/file/DataFolder.java
@@ -21,8 +21,8 @@
 
 /** A locked data folder with operations that survive a crash at any point. */
 final class DataFolder implements Closeable {
-    private static final String LOCK = "lock";
-    private static final String TEMP_SUFFIX = ".tmp";
+    static final String LOCK = "lock";
+    static final String TEMP_SUFFIX = ".tmp";
 
     private final Path mPath;
     private final FileChannel mLock;
@@ -33,7 +33,7 @@
     }
 
     static DataFolder lock(Path path) throws IOException {
-        Files.createDirectories(path);
+        createDurably(path);
         FileChannel channel =
                 FileChannel.open(
                         path.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
@@ -49,6 +49,20 @@
         }
     }
 
+    private static void createDurably(Path folder) throws IOException {
+        if (Files.isDirectory(folder)) {
+            return;
+        }
+        Path parent = folder.toAbsolutePath().getParent();
+        if (parent != null) {
+            createDurably(parent);
+        }
+        Files.createDirectories(folder);
+        if (parent != null) {
+            sync(parent);
+        }
+    }
+
     private static @Nullable FileLock tryLock(FileChannel channel) throws IOException {
         try {
             return channel.tryLock();
@@ -63,8 +77,13 @@
 
     /** Returns the sorted names of the files with a prefix and a suffix. */
     List<String> fileNames(String prefix, String suffix) throws IOException {
+        return fileNames(mPath, prefix, suffix);
+    }
+
+    /** Returns the sorted names of the files in a folder with a prefix and a suffix. */
+    static List<String> fileNames(Path folder, String prefix, String suffix) throws IOException {
         List<String> names = new ArrayList<>();
-        for (Path file : files(mPath)) {
+        for (Path file : files(folder)) {
             String name = file.getFileName().toString();
             if (name.startsWith(prefix) && name.endsWith(suffix)) {
                 names.add(name);
@@ -85,11 +104,24 @@
     }
 
     void sync() throws IOException {
-        try (FileChannel channel = FileChannel.open(mPath, StandardOpenOption.READ)) {
+        sync(mPath);
+    }
+
+    private static void sync(Path folder) throws IOException {
+        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
             channel.force(true);
         }
     }
 
+    /** Makes the name of the folder durable, which a process may have created before it ended. */
+    void syncParent() throws IOException {
+        Path parent = mPath.toAbsolutePath().getParent();
+        // A folder that others have created may be in one that cannot be read.
+        if (parent != null && Files.isReadable(parent)) {
+            sync(parent);
+        }
+    }
+
     /** Writes a file so that after a crash it holds either the old or the new content. */
     void replace(String name, ByteBuffer... parts) throws IOException {
         Path temp = mPath.resolve(name + TEMP_SUFFIX);
@@ -156,13 +188,16 @@
         for (Path file : files(target)) {
             Files.delete(file);
         }
-        // The meta file goes first: after a crash in between, a folder without it still counts as
-        // damaged.
+        // The meta file goes first and durably: after a crash in between, a folder without it
+        // still counts as damaged, while one with nothing else would be an empty log.
         List<String> names = fileNames("", "");
-        names.sort((a, b) -> Boolean.compare(b.equals("meta"), a.equals("meta")));
+        names.sort((a, b) -> Boolean.compare(b.equals(MetaFile.NAME), a.equals(MetaFile.NAME)));
         for (String name : names) {
             if (!name.equals(LOCK) && !name.equals(subfolder)) {
                 Files.move(mPath.resolve(name), target.resolve(name));
+                if (name.equals(MetaFile.NAME)) {
+                    sync();
+                }
             }
         }
         sync();
