Hand over the seat of a controller before a planned stop

A controller that votes and is told to stop announces in its exchanges with the others that it leaves, if a learner answers. The leader, which may be the leaving one, promotes a learner that holds the log and removes the leaving voter at once. The process ends when it leads no longer and is no voter, or a majority of the other voters reports that it is no member, and after 2 s in any case. Without a learner the stop is not delayed. After a restart it announces itself and returns as a learner.

Before, the seat was vacant only after the voter had been silent, although the successor had been ready for long, and a disk that was lost right after the stop left no majority.

The election timeout of LeaderTasksTest is longer: on a busy machine its leader once stepped down between the two changes.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/VoterReconciler.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/VoterReconciler.java
@@ -48,6 +48,9 @@
     /** Since when answers are recorded, or null. */
     private @Nullable Long mRecordingSinceNanos;
 
+    /** Controllers that are about to stop. */
+    private Set<InstanceId> mLeaving = Set.of();
+
     private @Nullable VoterChange mLastChange;
 
     private VoterReconciler(int minVoters) {
@@ -95,6 +98,16 @@
         }
     }
 
+    /**
+     * Records which controllers are about to stop. Their seats go to others at once, and they get
+     * none.
+     *
+     * @param leaving the controllers
+     */
+    public void recordLeaving(Set<InstanceId> leaving) {
+        mLeaving = Set.copyOf(leaving);
+    }
+
     /**
      * Returns the next change to propose.
      *
@@ -113,7 +126,7 @@
         }
         List<VoterChange> changes = new ArrayList<>();
         for (InstanceId instance : new TreeSet<>(responsive)) {
-            if (membership.memberOf(instance, true).isPresent()) {
+            if (mLeaving.contains(instance) || membership.memberOf(instance, true).isPresent()) {
                 continue;
             }
             if (membership.memberOf(instance, false).isEmpty()) {
@@ -146,14 +159,20 @@
                 : Math.max(mMinVoters, LARGE_FLEET_VOTERS);
     }
 
-    /** Returns the voter that has been away longest, or null if none has lost its seat. */
+    /**
+     * Returns the voter whose seat others may take: one that leaves, or the one that has been away
+     * longest. Null if no seat is vacant.
+     */
     private @Nullable InstanceId longestVacant(long nowNanos, Membership membership) {
         InstanceId longestVacant = null;
         long longestNanos = VACANT_NANOS;
         long sinceNanos = mRecordingSinceNanos == null ? nowNanos : mRecordingSinceNanos;
         for (ReplicaRef voter : membership.voters()) {
             mLastReachedNanos.putIfAbsent(voter.instance(), sinceNanos);
-            long nanos = nowNanos - mLastReachedNanos.get(voter.instance());
+            long nanos =
+                    mLeaving.contains(voter.instance())
+                            ? Long.MAX_VALUE
+                            : nowNanos - mLastReachedNanos.get(voter.instance());
             if (nanos >= longestNanos) {
                 longestVacant = voter.instance();
                 longestNanos = nanos;
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ReplacedMachineTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ReplacedMachineTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -27,6 +28,11 @@
     /** Longest time that a killed process or a machine without power is down. */
     private static final int MAX_DOWN_MILLIS = 1_000;
 
+    /** How long a stop waits at most for a successor. */
+    private static final long STOP_LIMIT_MILLIS = 2_000;
+
+    private static final long STOP_POLL_MILLIS = 50;
+
     /** A leader must exist this long after the last disturbance. */
     private static final long LEADER_LIMIT_MILLIS = 3_000;
 
@@ -73,6 +79,7 @@
         private final SplittableRandom mRandom;
         private final List<SimulatedInstance> mPresent = new ArrayList<>();
         private final Map<InstanceId, VoterReconciler> mReconcilers = new HashMap<>();
+        private final Set<InstanceId> mLeaving = new HashSet<>();
         private final List<String> mViolations = new ArrayList<>();
         private long mNextTicket = -1_000_000;
         private long mNextTickNanos;
@@ -154,10 +161,24 @@
             return mSimulation.mNowNanos;
         }
 
+        /** Stops a machine as the process does: it waits until it has given up its seat. */
         private void stop(SimulatedInstance old) {
+            mLeaving.add(old.mId);
+            long endNanos = mSimulation.mNowNanos + mSimulation.millisToNanos(STOP_LIMIT_MILLIS);
+            while (mSimulation.mNowNanos < endNanos && holdsSeat(old)) {
+                advance(STOP_POLL_MILLIS);
+            }
             remove(old);
         }
 
+        private boolean holdsSeat(SimulatedInstance machine) {
+            SimulatedInstance leader = mSimulation.leader();
+            if (leader == null || leader == machine || !leader.isMembershipCommitted()) {
+                return true;
+            }
+            return leader.consensus().membership().memberOf(machine.mId, true).isPresent();
+        }
+
         private void remove(SimulatedInstance old) {
             old.remove();
             mReconcilers.remove(old.mId);
@@ -305,6 +326,7 @@
         private void record(SimulatedInstance instance) {
             VoterReconciler reconciler = reconciler(instance);
             reconciler.recordRunning(mSimulation.mNowNanos);
+            reconciler.recordLeaving(mLeaving);
             reconciler.recordResponsive(
                     mSimulation.mNowNanos, mSimulation.instancesInTouchWith(instance));
         }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/VoterReconcilerTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/VoterReconcilerTest.java
@@ -211,4 +211,36 @@
                 VoterChange.Action.PROMOTE,
                 mReconciler.nextChange(12 * SECOND, learning, ids("a", "b", "d")).action());
     }
+
+    /** Guards against a voter that stops and takes its seat along although a learner waits. */
+    @Test
+    void seatOfALeavingVoterGoesToALearnerAtOnce() {
+        mReconciler.recordLeaving(ids("c"));
+        assertEquals(
+                new VoterChange(VoterChange.Action.PROMOTE, InstanceId.of("d")),
+                next(0, members(List.of("a", "b", "c"), List.of("d")), "a", "b", "c", "d"));
+        assertEquals(
+                new VoterChange(VoterChange.Action.REMOVE, InstanceId.of("c")),
+                next(0, members(List.of("a", "b", "c", "d"), List.of()), "a", "b", "c", "d"));
+        assertNull(next(0, members(List.of("a", "b", "d"), List.of()), "a", "b", "c", "d"));
+    }
+
+    /** Guards against a restart, without a learner, that costs a seat. */
+    @Test
+    void leavingVoterKeepsItsSeatWithoutALearner() {
+        Membership full = members(List.of("a", "b", "c"), List.of());
+        mReconciler.recordLeaving(ids("c"));
+        assertNull(next(0, full, "a", "b", "c"));
+        mReconciler.recordLeaving(Set.of());
+        assertNull(next(SECOND, full, "a", "b", "c"));
+    }
+
+    /** Guards against a learner that is promoted although it is about to stop. */
+    @Test
+    void leavingLearnerGetsNoSeat() {
+        Membership learning = members(List.of("a", "b", "c"), List.of("d"));
+        next(0, learning, "a", "b", "c", "d");
+        mReconciler.recordLeaving(ids("d"));
+        assertNull(next(5 * SECOND, learning, "a", "b", "d"));
+    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import org.hemlockrack.consensus.ConsensusCodec;
 import org.hemlockrack.consensus.ConsensusSettings;
 import org.hemlockrack.consensus.Entry;
@@ -64,6 +65,11 @@
     /** Time between two saves of the prefix uses; uses since the last save are lost at the exit. */
     private static final long PREFIX_SAVE_PERIOD_MILLIS = 2_000;
 
+    /** Longest time that a planned stop waits until a learner has the seat of this controller. */
+    private static final long HANDOVER_LIMIT_MILLIS = 2_000;
+
+    private static final long HANDOVER_POLL_MILLIS = 20;
+
     private static final String LOG_FOLDER = "log";
 
     /** Creates the handler of calls by operators and backend servers. */
@@ -326,9 +332,34 @@
     @Override
     public void shutDown() {
         mLog.instanceEvent("stopping").write();
+        handOverSeat();
         close();
     }
 
+    private void handOverSeat() {
+        SeatHandover handover = mService.handover();
+        if (!handover.isPossible()) {
+            return;
+        }
+        long startNanos = mLoop.nowNanos();
+        handover.start(startNanos);
+        long elapsedMillis = 0;
+        while (!handover.isDone() && elapsedMillis < HANDOVER_LIMIT_MILLIS) {
+            mLoop.execute(mLinks::exchangeSoon);
+            try {
+                TimeUnit.MILLISECONDS.sleep(HANDOVER_POLL_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+            elapsedMillis = TimeUnit.NANOSECONDS.toMillis(mLoop.nowNanos() - startNanos);
+        }
+        mLog.instanceEvent("seat_handover")
+                .put("outcome", handover.isDone() ? "done" : "timed_out")
+                .put("elapsed_ms", elapsedMillis)
+                .write();
+    }
+
     @Override
     public void close() {
         try {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -84,6 +84,7 @@
     private final ControllerQuarantine mQuarantine;
     private final PermitKeeper mPermits;
     private final LeaderTasks mLeaderTasks;
+    private final SeatHandover mHandover;
     private volatile ControlView mView = ControlView.EMPTY;
     private volatile boolean mHasCommittedView;
 
@@ -122,6 +123,12 @@
                         : PermitKeeper.createEmpty(loop.nowNanos());
         mQuarantine = ControllerQuarantine.create(loop.nowNanos(), this::hasHeartbeatSince, log);
         mLeaderTasks = LeaderTasks.create(loop, self, replica, toleratedLosses, log);
+        mHandover = SeatHandover.create(self, peerAddresses.apply(self), replica, mLeaderTasks);
+    }
+
+    /** Returns the handover of the seat of this controller at a planned stop. */
+    SeatHandover handover() {
+        return mHandover;
     }
 
     /** Returns the prompt parts that are held back. */
@@ -422,10 +429,8 @@
                         PROPOSE_TIMEOUT_MILLIS)
                 .thenAccept(
                         result -> {
-                            logOrder(
-                                    description,
-                                    result.name().toLowerCase(Locale.ROOT),
-                                    startNanos);
+                            String outcome = result.name().toLowerCase(Locale.ROOT);
+                            logOrder(description, outcome, startNanos);
                             switch (result) {
                                 case COMMITTED -> {}
                                 case CALLER_LEFT -> throw callerLeft();
@@ -492,7 +497,7 @@
                 mGatewayReports.recordReport(nowNanos, request);
                 recordRequests(nowNanos, request);
             } else {
-                mLeaderTasks.noteController(nowNanos, InstanceId.of(request.getSender()));
+                mLeaderTasks.noteRequest(nowNanos, request);
             }
             exchangePrefixUses(nowNanos, sameEpoch, request, reply);
             long haveRevision = sameEpoch ? request.getRegistryRevision() : 0;
@@ -619,6 +624,7 @@
         request.setInFlight(List.of());
         request.setCounts(List.of());
         request.setRequests(List.of());
+        request.setLeaving(mHandover.isLeaving());
         return request;
     }
 
@@ -633,6 +639,7 @@
             SyncReply reply,
             Map<BackendId, Integer> ownLoadAtRequest,
             long requestNanos) {
+        mHandover.recordReply(address, reply);
         if (reply.isSetQuarantine()) {
             mQuarantine.adopt(mLoop.nowNanos(), reply.getQuarantine().getVerdicts(), address);
         }
@@ -685,10 +692,9 @@
         }
         mQuarantine.setGatewayCount(gateways);
         mQuarantine.evaluate(mLoop.nowNanos());
-        mLeaderTasks.recordControllers();
         if (mReplica.role() == Role.LEADER) {
             confirmState();
-            mLeaderTasks.run(mView.overrides(), this::answersByVersion);
         }
+        mLeaderTasks.run(mView.overrides(), this::answersByVersion);
     }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/LeaderTasks.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/LeaderTasks.java
@@ -23,10 +23,11 @@
 import org.hemlockrack.daemon.replica.ReplicaService;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.wire.SyncRequest;
 
 /**
  * Tasks of the leading controller: replaces lost voters and advances traffic moves. Confined to the
- * loop, except for {@link #noteController}.
+ * loop, except for the methods that are marked as thread-safe.
  */
 final class LeaderTasks {
     /**
@@ -42,6 +43,7 @@
     private final Map<TrafficMove, Long> mMoveStartNanos = new HashMap<>();
     private final VoterReconciler mVoterReconciler;
     private final Map<InstanceId, Long> mControllersSeenNanos = new ConcurrentHashMap<>();
+    private final Set<InstanceId> mLeavingControllers = ConcurrentHashMap.newKeySet();
     private final AtomicBoolean mChangingVoters = new AtomicBoolean();
 
     private LeaderTasks(
@@ -66,18 +68,44 @@
         return new LeaderTasks(loop, self, replica, toleratedLosses, log);
     }
 
-    /** Records that another controller has sent a request. Thread-safe. */
-    void noteController(long nowNanos, InstanceId controller) {
+    /** Records a request of another controller. Thread-safe. */
+    void noteRequest(long nowNanos, SyncRequest request) {
+        noteController(nowNanos, InstanceId.of(request.getSender()), request.isLeaving());
+    }
+
+    /**
+     * Records that a controller runs. Thread-safe.
+     *
+     * @param nowNanos monotonic time
+     * @param controller the controller, this one included
+     * @param leaving whether it stops as soon as another one has its seat
+     */
+    void noteController(long nowNanos, InstanceId controller, boolean leaving) {
         mControllersSeenNanos.put(controller, nowNanos);
+        if (!leaving) {
+            mLeavingControllers.remove(controller);
+        } else if (mLeavingControllers.add(controller)) {
+            mLoop.execute(this::continueReconciling);
+        }
+    }
+
+    /** Returns whether a controller has sent a request lately. Thread-safe. */
+    boolean isResponsive(InstanceId controller) {
+        return mControllersSeenNanos.containsKey(controller);
     }
 
     /**
-     * Runs the tasks that are due.
+     * Runs the tasks that are due. On a controller that does not lead, it only records which others
+     * answer, as any may lead next.
      *
      * @param overrides the routing overrides of the control state
      * @param answers returns the answer counts of a service by software version
      */
     void run(RoutingOverrides overrides, Function<ServiceId, Map<String, VersionAnswers>> answers) {
+        recordControllers();
+        if (mReplica.role() != Role.LEADER) {
+            return;
+        }
         reconcileVoters();
         for (TrafficMove move : overrides.moves().values()) {
             if (move.status() == MoveStatus.IN_PROGRESS) {
@@ -86,8 +114,7 @@
         }
     }
 
-    /** Records which controllers answer. Runs on every controller, as any may lead next. */
-    void recordControllers() {
+    private void recordControllers() {
         long nowNanos = mLoop.nowNanos();
         mVoterReconciler.recordRunning(nowNanos);
         mControllersSeenNanos.forEach(
@@ -101,6 +128,7 @@
         long nowNanos = mLoop.nowNanos();
         Set<InstanceId> reachable = new HashSet<>(mControllersSeenNanos.keySet());
         reachable.add(mSelf);
+        mVoterReconciler.recordLeaving(mLeavingControllers);
         VoterChange change =
                 mVoterReconciler.nextChange(nowNanos, mReplica.membership(), reachable);
         if (change == null || mChangingVoters.getAndSet(true)) {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/LeaderTasksTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/LeaderTasksTest.java
@@ -45,6 +45,7 @@
     private static final InstanceId SELF = InstanceId.of("a");
     private static final Set<InstanceId> ANSWERING = ids("b", "c");
     private static final Set<InstanceId> GONE = ids("d", "e");
+    private static final long ELECTION_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(3);
     private static final long AWAY_NANOS = TimeUnit.SECONDS.toNanos(5);
     private static final long LIMIT_NANOS = TimeUnit.SECONDS.toNanos(20);
 
@@ -71,7 +72,7 @@
         store.close();
         ReplicaNode node =
                 ReplicaNode.start(
-                        ConsensusSettings.of(SELF, List.of(SELF)),
+                        settings(),
                         LogStore.open(mFolder, new SecureRandom()),
                         ControlState.create(),
                         100,
@@ -89,6 +90,23 @@
         await(() -> mReplica.role() == Role.LEADER);
     }
 
+    /** The long election timeout keeps a leader whose thread is delayed on a busy machine. */
+    private static ConsensusSettings settings() {
+        ConsensusSettings usual = ConsensusSettings.of(SELF, List.of(SELF));
+        return new ConsensusSettings(
+                usual.self(),
+                usual.bootstrapVoters(),
+                usual.formation(),
+                ELECTION_TIMEOUT_NANOS,
+                usual.heartbeatNanos(),
+                usual.maxBatchBytes(),
+                usual.maxInflightAppends(),
+                usual.maxPendingBytes(),
+                usual.maxChunkBytes(),
+                usual.trailingEntries(),
+                usual.disabledFeatures());
+    }
+
     @AfterEach
     void close() {
         mReplica.close();
@@ -132,9 +150,8 @@
 
     private boolean runTasks() {
         long nowNanos = mLoop.nowNanos();
-        ANSWERING.forEach(each -> mTasks.noteController(nowNanos, each));
-        GONE.forEach(each -> mTasks.noteController(nowNanos - AWAY_NANOS, each));
-        mTasks.recordControllers();
+        ANSWERING.forEach(each -> mTasks.noteController(nowNanos, each, false));
+        GONE.forEach(each -> mTasks.noteController(nowNanos - AWAY_NANOS, each, false));
         mTasks.run(RoutingOverrides.NONE, service -> Map.of());
         return true;
     }
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -200,7 +200,9 @@
   /** The reply lists the tables of the receiver's log that are newer than this one. */
   15: optional i64 listTablesAbove,
   /** Most bytes of documents of those tables in the reply; the rest is listed without. */
-  16: i32 maxTableBytes
+  16: i32 maxTableBytes,
+  /** Whether the sender is a controller that stops as soon as another one has its seat. */
+  17: bool leaving
 }
 
 /** A table in the durable log of a controller. */
