Announce a replica without a leader to seeds that were exchanged

A replica announced itself to the seeds of its process start and to the members in its log. Seeds that were exchanged later changed only the links for the exchange of state, so a replica whose first seeds were all gone was added by nobody. The settings that are reloaded now reach the replica as its contacts. Who may form a log is still decided by the seeds of the start.

AnnouncementTest without the contacts: "expected: <Optional[LEARNER]> but was: <Optional.empty>".

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ConsensusEvent.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ConsensusEvent.java
@@ -1,5 +1,8 @@
 package org.hemlockrack.consensus;
 
+import java.util.List;
+import org.hemlockrack.model.InstanceId;
+
 /** Input events of {@link Consensus}. */
 public sealed interface ConsensusEvent {
     /**
@@ -36,6 +39,19 @@
      */
     record ChangeVoters(long ticket, VoterChange change) implements ConsensusEvent {}
 
+    /**
+     * Replaces the instances, beside the members, to which this replica announces itself. Who forms
+     * a log is still decided by the bootstrap voters of the settings.
+     *
+     * @param instances the instances
+     */
+    record ContactsChanged(List<InstanceId> instances) implements ConsensusEvent {
+        /** Copies the list. */
+        public ContactsChanged {
+            instances = List.copyOf(instances);
+        }
+    }
+
     /**
      * Ends a batch of events: the entries proposed since the last flush are sent and persisted
      * together. The driver passes it in after each batch.
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/ClusterBootstrap.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/ClusterBootstrap.java
@@ -40,16 +40,22 @@
 
     private final RaftState mState;
     private final Map<InstanceId, Long> mEmptyReplicas = new HashMap<>();
+    private List<InstanceId> mContacts;
     private long mAnnouncementDueNanos;
     private long mFormationDueNanos = NEVER;
     private boolean mAttempted;
 
     ClusterBootstrap(RaftState state) {
         mState = state;
+        mContacts = state.mSettings.bootstrapVoters();
         mAnnouncementDueNanos = state.mNowNanos;
         updateFormationDue();
     }
 
+    void setContacts(List<InstanceId> contacts) {
+        mContacts = contacts;
+    }
+
     long nextTimerNanos() {
         return Math.min(mAnnouncementDueNanos, attemptDueNanos());
     }
@@ -80,12 +86,16 @@
     }
 
     /**
-     * Announces this replica to the bootstrap voters and the members that it knows. A replica with
-     * a log does so too while it has no contact with a leader: the entry that added it may have
-     * been lost, or it may have been removed while it was unreachable.
+     * Announces this replica to its contacts and the members that it knows, and to the bootstrap
+     * voters as long as it may form a log with them. A replica with a log does so too while it has
+     * no contact with a leader: the entry that added it may have been lost, or it may have been
+     * removed while it was unreachable.
      */
     void announce() {
-        Set<InstanceId> instances = new LinkedHashSet<>(mState.mSettings.bootstrapVoters());
+        Set<InstanceId> instances = new LinkedHashSet<>(mContacts);
+        if (canForm()) {
+            instances.addAll(mState.mSettings.bootstrapVoters());
+        }
         mState.membership().members().forEach(each -> instances.add(each.replica().instance()));
         for (InstanceId instance : instances) {
             if (!instance.equals(mState.mSelf.instance())) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Raft.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Raft.java
@@ -111,6 +111,8 @@
             read(read.ticket());
         } else if (event instanceof ConsensusEvent.ChangeVoters change) {
             changeVoters(change);
+        } else if (event instanceof ConsensusEvent.ContactsChanged contacts) {
+            mBootstrap.setContacts(contacts.instances());
         } else if (event instanceof ConsensusEvent.Flush) {
             flush();
         } else if (event instanceof ConsensusEvent.Persisted persisted) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -149,7 +149,7 @@
         SettingsReloader.start(
                 mLoop,
                 file,
-                changed -> mConfiguredControllers = changed.controllerPeerAddresses(),
+                changed -> setConfiguredControllers(changed.controllerPeerAddresses()),
                 mLog);
         mLog.instanceEvent("started").put("zone", settings.zone().value()).write();
     }
@@ -252,12 +252,21 @@
     }
 
     private ConsensusSettings consensusSettings() {
+        return ConsensusSettings.of(mSettings.instanceId(), configuredInstances())
+                .withFormation(mayFormLog() ? LogFormation.WITH_MAJORITY : LogFormation.NEVER);
+    }
+
+    private void setConfiguredControllers(List<String> addresses) {
+        mConfiguredControllers = addresses;
+        mReplica.setContacts(configuredInstances());
+    }
+
+    private List<InstanceId> configuredInstances() {
         List<InstanceId> controllers = new ArrayList<>();
         for (String peer : mConfiguredControllers) {
             controllers.add(instanceIdOf(peer));
         }
-        return ConsensusSettings.of(mSettings.instanceId(), controllers)
-                .withFormation(mayFormLog() ? LogFormation.WITH_MAJORITY : LogFormation.NEVER);
+        return controllers;
     }
 
     /** Returns whether the fleet starts for the first time. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -200,6 +200,14 @@
         return submit(ConsensusEvent.ReadIndex::new);
     }
 
+    /**
+     * Replaces the instances, beside the members, to which this replica announces itself while it
+     * has no leader.
+     */
+    public void setContacts(List<InstanceId> instances) {
+        post(new ConsensusEvent.ContactsChanged(instances));
+    }
+
     /**
      * Changes the voters.
      *
