--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
@@ -65,6 +65,9 @@
     /** The faults to inject. */
     List<InjectedFault> mFaults = List.of(InjectedFault.values());
 
+    /** Whether no part of a snapshot arrives. */
+    boolean mDropsSnapshotChunks;
+
     /** Whether no folder is lost and no voter changed. */
     boolean mKeepsReplicas;
 
@@ -187,7 +190,9 @@
         mOracle.onPacketSent(packet);
         int source = mInstances.indexOf(from);
         int target = Integer.parseInt(packet.to().instance().value().substring(1));
-        if (mBlockedLinks[source][target]) {
+        boolean isDroppedChunk =
+                mDropsSnapshotChunks && packet.body() instanceof Message.SnapshotChunk;
+        if (mBlockedLinks[source][target] || isDroppedChunk) {
             return;
         }
         if (mFaultsEnabled && mRandom.nextInt(100) < mCurrentLossPercent) {
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulationTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulationTest.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.base.Throwables;
@@ -316,6 +317,39 @@
         requireReturnWithinThreeSeconds(60_000);
     }
 
+    /**
+     * Guards against a log that fills the disk of the leader while it waits for the transfer of a
+     * snapshot that never ends.
+     */
+    @Test
+    void aTransferThatNeverEndsDoesNotKeepTheWholeLog() {
+        ClusterSimulation simulation = new ClusterSimulation(1, 3, 0, Variant.CORRECT, Set.of());
+        simulation.requireConvergence();
+        SimulatedInstance leader = simulation.leader();
+        SimulatedInstance follower = simulation.mInstances.get(0);
+        if (follower == leader) {
+            follower = simulation.mInstances.get(1);
+        }
+        follower.setDiskFull(true);
+        int changes = 6_000;
+        int longestLog = 0;
+        int afterFull = 500;
+        for (int i = 0; i < changes; i++) {
+            if (i == afterFull) {
+                simulation.mDropsSnapshotChunks = true;
+                follower.setDiskFull(false);
+            }
+            leader.receive(simulation.nextProposal());
+            simulation.advance(simulation.mNowNanos + simulation.millisToNanos(20));
+            longestLog = Math.max(longestLog, leader.durableEntries());
+        }
+        assertSame(leader, simulation.leader());
+        assertTrue(follower.mState.mIndex < afterFull, "the transfer ended");
+        System.out.printf("%d changes beside a transfer, log of %d entries%n", changes, longestLog);
+        assertTrue(longestLog > afterFull, longestLog + " entries");
+        assertTrue(longestLog <= changes / 2 + afterFull, longestLog + " entries");
+    }
+
     /** Guards against an oracle that accepts a broken implementation. */
     @ParameterizedTest
     @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "CORRECT")
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedInstance.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedInstance.java
@@ -173,6 +173,11 @@
         mDisk.setFull(full, mSimulation.mRandom.nextBoolean());
     }
 
+    /** Returns the number of entries on the disk. */
+    int durableEntries() {
+        return mDisk.durableEntries().size();
+    }
+
     /**
      * Lets the sync of the next step block the process. The results and packets of the step appear
      * after that, by the time at which the step began.
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/tls/TlsPortsTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/tls/TlsPortsTest.java
@@ -19,8 +19,10 @@
 import java.nio.file.attribute.FileTime;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import javax.net.ssl.SSLContext;
@@ -30,6 +32,8 @@
 import org.hemlockrack.daemon.http.HttpPort;
 import org.hemlockrack.daemon.http.UpstreamListener;
 import org.hemlockrack.daemon.peer.PeerClient;
+import org.hemlockrack.daemon.peer.PeerExecutors;
+import org.hemlockrack.daemon.peer.PeerMessenger;
 import org.hemlockrack.daemon.peer.PeerServer;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
@@ -188,6 +192,47 @@
         }
     }
 
+    /**
+     * Guards against connections with TLS that are given up although the peer answers, or that an
+     * answer and a message break when they are read and written at the same time.
+     */
+    @Test
+    void messagesWithTlsAreAnswered() throws Exception {
+        PeerServer server = openPeer();
+        List<String> events = new CopyOnWriteArrayList<>();
+        ExecutorService answers = PeerExecutors.newAnswerExecutor();
+        String address = "127.0.0.1:" + server.address().getPort();
+        PeerMessenger messenger =
+                closeAfterTest(
+                        PeerMessenger.create(
+                                address,
+                                mKeys,
+                                answers,
+                                new PeerMessenger.Listener() {
+                                    @Override
+                                    public void onUnreachable(Exception cause) {
+                                        events.add("unreachable: " + cause);
+                                    }
+
+                                    @Override
+                                    public void onSilent(long limitMillis) {
+                                        events.add("silent");
+                                    }
+
+                                    @Override
+                                    public void onAnswering() {
+                                        events.add("answering");
+                                    }
+                                }));
+        for (int i = 0; i < 400; i++) {
+            messenger.deliver(List.of());
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        answers.shutdown();
+        assertEquals(List.of(), events);
+        assertTrue(mCalls.get() > 400, mCalls.get() + " messages and probes");
+    }
+
     /** Guards against accepting messages of any client that can connect to the peer port. */
     @Test
     void peerPortAcceptsOnlyTrustedClients() throws Exception {
--- a/hemlockrack-testing/src/test/java/org/hemlockrack/testing/SilentConnectionTest.java
+++ b/hemlockrack-testing/src/test/java/org/hemlockrack/testing/SilentConnectionTest.java
@@ -115,6 +115,7 @@
     }
 
     private static void assertInTouch(long elapsedMillis) {
+        System.out.printf("silent connection: a message after %d ms%n", elapsedMillis);
         assertTrue(elapsedMillis <= CONTACT_MILLIS, "no message for " + elapsedMillis + " ms");
     }
 
--- a/hemlockrack-testing/src/test/java/org/hemlockrack/testing/SilentReplicasTest.java
+++ b/hemlockrack-testing/src/test/java/org/hemlockrack/testing/SilentReplicasTest.java
@@ -203,6 +203,7 @@
 
     private void assertChangeIsTakenInTime() throws Exception {
         long elapsedMillis = awaitChange();
+        System.out.printf("silent replicas: a change after %d ms%n", elapsedMillis);
         assertTrue(
                 elapsedMillis <= MAX_MILLIS_WITHOUT_LEADER,
                 "no change was taken for " + elapsedMillis + " ms");
