--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/LogStore.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/LogStore.java
@@ -21,9 +21,10 @@
      *     org.hemlockrack.errors.ErrorKind#STORAGE_DAMAGED} if files are damaged or missing; {@link
      *     #openDamaged} then turns the folder into a new replica. With {@link
      *     org.hemlockrack.errors.ErrorKind#NOT_READY} if another process holds the lock. With
-     *     {@link org.hemlockrack.errors.ErrorKind#SETTINGS_INVALID} if the folder is a file or its
-     *     rights forbid its use. With {@link org.hemlockrack.errors.ErrorKind#STORAGE_FAILED} if
-     *     the files cannot be written or read now, as on a full disk
+     *     {@link org.hemlockrack.errors.ErrorKind#SETTINGS_INVALID} if the folder is a file, its
+     *     rights forbid its use, or a newer release has written it; the files are then as before.
+     *     With {@link org.hemlockrack.errors.ErrorKind#STORAGE_FAILED} if the files cannot be
+     *     written or read now, as on a full disk
      */
     static LogStore open(Path folder, RandomGenerator random) {
         return FileLogStore.open(folder, random);
