Let the soak tear frames of the present form of the log

It appended the first bytes of the segment, which were the start of a record in version 1 and are now the magic number: a byte that no write leaves where a frame begins. It appends the start of the first frame with an empty mark, as an interrupted write leaves it.

--- a/hemlockrack-soak/src/main/java/org/hemlockrack/soak/FaultKind.java
+++ b/hemlockrack-soak/src/main/java/org/hemlockrack/soak/FaultKind.java
@@ -56,7 +56,7 @@
             return suspend(fleet, SoakFleet.controllerName(target));
         }
     },
-    /** A controller is killed and its log ends with an incomplete record, as after a torn write. */
+    /** A controller is killed and its log ends with an incomplete frame, as after a torn write. */
     TORN_WRITE(Target.CONTROLLER) {
         @Override
         Runnable inject(SoakFleet fleet, int target, RandomGenerator random) {
@@ -157,6 +157,9 @@
     /** Shorter than any complete record. */
     private static final int MAX_TORN_BYTES = 9;
 
+    /** Size of what precedes the first frame of a segment. */
+    private static final int SEGMENT_HEADER_BYTES = 20;
+
     private final Target mTarget;
 
     FaultKind(Target target) {
@@ -182,15 +185,18 @@
         return () -> fleet.sendSignal(name, "CONT");
     }
 
-    /** Appends the start of a record to the newest segment, as an interrupted write leaves it. */
+    /** Appends the start of a frame to the newest segment, as an interrupted write leaves it. */
     private static void appendTornRecord(Path logFolder, int bytes) {
         try (Stream<Path> files = Files.list(logFolder)) {
             Optional<Path> newest =
                     files.filter(file -> file.toString().endsWith(".seg"))
                             .max(Comparator.comparing(Path::getFileName));
             if (newest.isPresent()) {
-                byte[] records = Files.readAllBytes(newest.get());
-                byte[] torn = Arrays.copyOf(records, Math.min(bytes, records.length));
+                byte[] segment = Files.readAllBytes(newest.get());
+                int end = Math.min(segment.length, SEGMENT_HEADER_BYTES + bytes);
+                byte[] torn = Arrays.copyOfRange(segment, SEGMENT_HEADER_BYTES, end);
+                // A frame is written with an empty sync mark.
+                Arrays.fill(torn, 0, Math.min(1, torn.length), (byte) 0);
                 Files.write(newest.get(), torn, StandardOpenOption.APPEND);
             }
         } catch (IOException e) {
