Close a message connection that gets no thread for its probe

A probe is noted as running before a thread waits for its answer. If no thread can be started, the error left the connection open and never probed again: the fault of a silent connection. The connection is closed now, and the next message opens another.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/MessageConnection.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/MessageConnection.java
@@ -71,6 +71,10 @@
                 sendProbe();
             }
             mClient.deliver(envelopes);
+        } catch (RuntimeException | Error e) {
+            // Without a thread for the answer the connection would never be probed again.
+            close();
+            throw e;
         } finally {
             mSocket.endUse();
         }
