Count messages of the replica as a sign of life of a controller

By reading, found in the review: a voter loses its seat after 2 s without a request, while a call on a silent connection ends only after 3 s, and a request may wait for a permit that gateways hold. When connections fall silent, messages arrive again first, and a leader with a learner, or with more voters than it needs, would take the seats of sound voters.

Messages of the replicated log now count as requests do. The guard voterWhoseMessagesArriveKeepsItsSeat is new with this change; the method that it calls did not exist before, so it was not run on the earlier code.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerPeerHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerPeerHandler.java
@@ -7,6 +7,7 @@
 import org.apache.thrift.TApplicationException;
 import org.apache.thrift.TException;
 import org.hemlockrack.consensus.ConsensusCodec;
+import org.hemlockrack.consensus.Packet;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.peer.PeerClient;
 import org.hemlockrack.daemon.replica.ProposalEndpoint;
@@ -55,7 +56,9 @@
                 continue;
             }
             try {
-                mReplica.receive(ConsensusCodec.decode(envelope.getPayload()));
+                Packet packet = ConsensusCodec.decode(envelope.getPayload());
+                mService.noteMessage(packet.from().instance());
+                mReplica.receive(packet);
             } catch (HemlockrackException e) {
                 mLog.instanceEvent("peer_message_rejected")
                         .put("sender", envelope.getSender())
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -126,6 +126,11 @@
         mHandover = SeatHandover.create(self, peerAddresses.apply(self), replica, mLeaderTasks);
     }
 
+    /** Records a message of the replica of another controller. */
+    void noteMessage(InstanceId controller) {
+        mLeaderTasks.noteMessage(mLoop.nowNanos(), controller);
+    }
+
     /** Returns the handover of the seat of this controller at a planned stop. */
     SeatHandover handover() {
         return mHandover;
@@ -259,7 +264,7 @@
                 .thenCompose(
                         connected -> {
                             if (!connected) {
-                                throw callerLeft();
+                                throw OrderFailures.callerLeft();
                             }
                             return recordDeparture(id, startMillis);
                         });
@@ -315,7 +320,7 @@
                 .thenApply(
                         outcome -> {
                             if (outcome.status() != ProposalStatus.APPLIED || !mHasCommittedView) {
-                                throw noQuorum(outcome.status().name());
+                                throw OrderFailures.noQuorum(outcome.status().name());
                             }
                             return mView;
                         });
@@ -411,7 +416,7 @@
                                     committed ? "committed" : outcome.status().name(),
                                     startNanos);
                             if (!committed) {
-                                throw noQuorum(outcome.status().name());
+                                throw OrderFailures.noQuorum(outcome.status().name());
                             }
                         });
     }
@@ -433,8 +438,8 @@
                             logOrder(description, outcome, startNanos);
                             switch (result) {
                                 case COMMITTED -> {}
-                                case CALLER_LEFT -> throw callerLeft();
-                                default -> throw noQuorum(result.name());
+                                case CALLER_LEFT -> throw OrderFailures.callerLeft();
+                                default -> throw OrderFailures.noQuorum(result.name());
                             }
                         });
     }
@@ -452,16 +457,6 @@
                 .write();
     }
 
-    private static HemlockrackException callerLeft() {
-        return HemlockrackException.of(ErrorKind.NOT_READY, "the caller has left");
-    }
-
-    private static HemlockrackException noQuorum(String outcome) {
-        return HemlockrackException.of(
-                ErrorKind.NO_QUORUM,
-                "no majority of controllers confirmed the request: " + outcome);
-    }
-
     /**
      * Exchanges state with a gateway or another controller.
      *
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/LeaderTasks.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/LeaderTasks.java
@@ -89,7 +89,12 @@
         }
     }
 
-    /** Returns whether a controller has sent a request lately. Thread-safe. */
+    /** Records a message of the replica of another controller. Thread-safe. */
+    void noteMessage(long nowNanos, InstanceId controller) {
+        mControllersSeenNanos.put(controller, nowNanos);
+    }
+
+    /** Returns whether a controller has sent a request or a message lately. Thread-safe. */
     boolean isResponsive(InstanceId controller) {
         return mControllersSeenNanos.containsKey(controller);
     }
@@ -124,10 +129,15 @@
         mControllersSeenNanos.values().removeIf(seen -> nowNanos - seen > CONTROLLER_EXPIRY_NANOS);
     }
 
-    private void reconcileVoters() {
-        long nowNanos = mLoop.nowNanos();
+    private Set<InstanceId> reachableControllers() {
         Set<InstanceId> reachable = new HashSet<>(mControllersSeenNanos.keySet());
         reachable.add(mSelf);
+        return reachable;
+    }
+
+    private void reconcileVoters() {
+        long nowNanos = mLoop.nowNanos();
+        Set<InstanceId> reachable = reachableControllers();
         mVoterReconciler.recordLeaving(mLeavingControllers);
         VoterChange change =
                 mVoterReconciler.nextChange(nowNanos, mReplica.membership(), reachable);
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/LeaderTasksTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/LeaderTasksTest.java
@@ -163,4 +163,23 @@
         await(() -> members().size() == 3);
         assertEquals(ids("a", "b", "c"), members());
     }
+
+    /**
+     * Guards against voters that lose their seats because the connections of their requests are
+     * silent, while the messages of their replicas arrive.
+     */
+    @Test
+    void voterWhoseMessagesArriveKeepsItsSeat() {
+        mLoop.submit(this::runTasksWithMessages).join();
+        assertEquals(5, members().size());
+    }
+
+    private boolean runTasksWithMessages() {
+        long nowNanos = mLoop.nowNanos();
+        ANSWERING.forEach(each -> mTasks.noteController(nowNanos, each, false));
+        GONE.forEach(each -> mTasks.noteController(nowNanos - AWAY_NANOS, each, false));
+        GONE.forEach(each -> mTasks.noteMessage(nowNanos, each));
+        mTasks.run(RoutingOverrides.NONE, service -> Map.of());
+        return mReplica.readIndex().join().status() != null;
+    }
 }
