Hand over a seat at a planned stop if there are more voters than needed

By reading, found in the review: a controller that stops announced that it leaves only if a learner answers. With four voters, after a voter answered again between the promotion of its successor and its removal, it kept its seat for 2 s after it was gone. A disk that is lost in that time leaves two of four.

A voter that is not needed now gives its seat up too. fourthVoterOfAFleetThatNeedsThreeIsSurplus guards the condition; no test plays the stop of a whole process with four voters.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/VoterReconciler.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/VoterReconciler.java
@@ -141,6 +141,16 @@
         return nextInTurn(changes);
     }
 
+    /**
+     * Returns whether there are more voters than the stated losses need.
+     *
+     * @param membership the current members
+     * @param responsive the controllers that answer now, this one included
+     */
+    public boolean hasSurplusVoter(Membership membership, Set<InstanceId> responsive) {
+        return membership.voters().size() > targetVoters(membership, responsive);
+    }
+
     /** Returns the changes in turn, because one that is refused must not block the others. */
     private @Nullable VoterChange nextInTurn(List<VoterChange> changes) {
         mLastChange =
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/VoterReconcilerTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/VoterReconcilerTest.java
@@ -1,7 +1,9 @@
 package org.hemlockrack.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -243,4 +245,13 @@
         mReconciler.recordLeaving(ids("d"));
         assertNull(next(5 * SECOND, learning, "a", "b", "d"));
     }
+
+    /** Guards against a planned stop that leaves four voters of which one is gone. */
+    @Test
+    void fourthVoterOfAFleetThatNeedsThreeIsSurplus() {
+        Membership four = members(List.of("a", "b", "c", "d"), List.of());
+        assertTrue(mReconciler.hasSurplusVoter(four, ids("a", "b", "c", "d")));
+        Membership three = members(List.of("a", "b", "c"), List.of("d"));
+        assertFalse(mReconciler.hasSurplusVoter(three, ids("a", "b", "c", "d")));
+    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/LeaderTasks.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/LeaderTasks.java
@@ -94,6 +94,11 @@
         mControllersSeenNanos.put(controller, nowNanos);
     }
 
+    /** Returns whether the cluster has more voters than it needs. Thread-safe. */
+    boolean hasSurplusVoter() {
+        return mVoterReconciler.hasSurplusVoter(mReplica.membership(), reachableControllers());
+    }
+
     /** Returns whether a controller has sent a request or a message lately. Thread-safe. */
     boolean isResponsive(InstanceId controller) {
         return mControllersSeenNanos.containsKey(controller);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/SeatHandover.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/SeatHandover.java
@@ -46,11 +46,17 @@
         return new SeatHandover(self, selfAddress, replica, leaderTasks);
     }
 
-    /** Returns whether this controller votes and a learner answers. */
+    /**
+     * Returns whether this controller votes and its seat is not needed: a learner answers, or there
+     * are more voters than needed, of which one that is gone would cost a tolerated loss.
+     */
     boolean isPossible() {
         if (!mReplica.isVoter()) {
             return false;
         }
+        if (mLeaderTasks.hasSurplusVoter()) {
+            return true;
+        }
         for (Member member : mReplica.membership().members()) {
             boolean isLearner = member.kind() == MemberKind.LEARNER;
             if (isLearner && mLeaderTasks.isResponsive(member.replica().instance())) {
