--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ReplacedMachineTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ReplacedMachineTest.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.consensus;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.Collections;
@@ -10,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import org.hemlockrack.model.InstanceId;
@@ -56,6 +58,38 @@
         POWER_LOST
     }
 
+    /** The rules, and ones of which a part is turned off. */
+    private enum Rule {
+        CURRENT,
+        /** A learner waits for 20 s while more controllers answer than there are seats. */
+        SPARES_WAIT {
+            @Override
+            boolean allows(VoterChange change, History history, SimulatedInstance leader) {
+                int answering = history.mSimulation.instancesInTouchWith(leader).size();
+                return change.action() != VoterChange.Action.PROMOTE
+                        || answering <= history.mFleet.controllers()
+                        || history.nanosSinceRemoval() >= SPARE_WAIT_NANOS;
+            }
+        },
+        /** A machine that stops does not say so. */
+        STOPS_SILENTLY {
+            @Override
+            boolean announcesStops() {
+                return false;
+            }
+        };
+
+        private static final long SPARE_WAIT_NANOS = TimeUnit.SECONDS.toNanos(20);
+
+        boolean allows(VoterChange change, History history, SimulatedInstance leader) {
+            return true;
+        }
+
+        boolean announcesStops() {
+            return true;
+        }
+    }
+
     /**
      * Sizes of a fleet.
      *
@@ -75,19 +109,22 @@
     private static final class History {
         private final Fleet mFleet;
         private final Departure mDeparture;
+        private final Rule mRule;
         private final ClusterSimulation mSimulation;
         private final SplittableRandom mRandom;
         private final List<SimulatedInstance> mPresent = new ArrayList<>();
         private final Map<InstanceId, VoterReconciler> mReconcilers = new HashMap<>();
         private final Set<InstanceId> mLeaving = new HashSet<>();
         private final List<String> mViolations = new ArrayList<>();
+        private long mRemovedNanos;
         private long mNextTicket = -1_000_000;
         private long mNextTickNanos;
         private int mNextMachine;
 
-        History(long seed, Fleet fleet, Departure departure) {
+        History(long seed, Fleet fleet, Departure departure, Rule rule) {
             mFleet = fleet;
             mDeparture = departure;
+            mRule = rule;
             mSimulation =
                     new ClusterSimulation(
                             seed,
@@ -121,6 +158,10 @@
             return mViolations;
         }
 
+        long nanosSinceRemoval() {
+            return mSimulation.mNowNanos - mRemovedNanos;
+        }
+
         private void replaceMachine() {
             SimulatedInstance old = chooseMachine();
             long startedNanos;
@@ -163,6 +204,10 @@
 
         /** Stops a machine as the process does: it waits until it has given up its seat. */
         private void stop(SimulatedInstance old) {
+            if (!mRule.announcesStops()) {
+                remove(old);
+                return;
+            }
             mLeaving.add(old.mId);
             long endNanos = mSimulation.mNowNanos + mSimulation.millisToNanos(STOP_LIMIT_MILLIS);
             while (mSimulation.mNowNanos < endNanos && holdsSeat(old)) {
@@ -180,6 +225,7 @@
         }
 
         private void remove(SimulatedInstance old) {
+            mRemovedNanos = mSimulation.mNowNanos;
             old.remove();
             mReconcilers.remove(old.mId);
             mPresent.remove(old);
@@ -338,7 +384,7 @@
                                     mSimulation.mNowNanos,
                                     leader.consensus().membership(),
                                     mSimulation.instancesInTouchWith(leader));
-            if (change != null) {
+            if (change != null && mRule.allows(change, this, leader)) {
                 leader.receive(new ConsensusEvent.ChangeVoters(mNextTicket--, change));
             }
         }
@@ -350,12 +396,16 @@
     }
 
     private static List<String> violations(Fleet fleet, Departure departure) {
+        return violations(fleet, departure, Rule.CURRENT);
+    }
+
+    private static List<String> violations(Fleet fleet, Departure departure, Rule rule) {
         List<String> violations = Collections.synchronizedList(new ArrayList<>());
         LongStream.range(0, HISTORIES)
                 .parallel()
                 .forEach(
                         seed -> {
-                            for (String each : new History(seed, fleet, departure).run()) {
+                            for (String each : new History(seed, fleet, departure, rule).run()) {
                                 violations.add("seed " + seed + ": " + each);
                             }
                         });
@@ -404,4 +454,23 @@
     void lostMachineLeavesItsSeatAmongFiveWithSpares() {
         assertEquals(List.of(), violations(Fleet.LARGE_WITH_SPARES, Departure.LOST));
     }
+
+    private static void assertCaught(Fleet fleet, Departure departure, Rule rule) {
+        List<String> violations = violations(fleet, departure, rule);
+        assertTrue(
+                violations.stream().anyMatch(each -> each.contains("no leader")),
+                violations.toString());
+    }
+
+    /** Guards against histories that do not exercise a seat that is kept while a spare waits. */
+    @Test
+    void historiesCatchASpareThatWaits() {
+        assertCaught(Fleet.SMALL_WITH_SPARE, Departure.LOST, Rule.SPARES_WAIT);
+    }
+
+    /** Guards against histories that do not exercise a stop that is not announced. */
+    @Test
+    void historiesCatchASilentStop() {
+        assertCaught(Fleet.SMALL, Departure.STOPPED, Rule.STOPS_SILENTLY);
+    }
 }
