Try faults between the entries that replace a voter

The leader is killed, all lose power or, while the leaving voter still runs, a disk is lost up to 8 ms after the leader has appended one of the first three changes of the members.

--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ReplacedMachineTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ReplacedMachineTest.java
@@ -12,10 +12,13 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import org.hemlockrack.model.InstanceId;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Machines that are replaced by ones at other addresses, and then as many lost disks as must be
@@ -90,6 +93,14 @@
         }
     }
 
+    /** What happens while an entry that changes the members is on its way or just committed. */
+    private enum MomentFault {
+        NONE,
+        LEADER_KILLED,
+        POWER_LOST,
+        DISK_LOST
+    }
+
     /**
      * Sizes of a fleet.
      *
@@ -117,6 +128,9 @@
         private final Set<InstanceId> mLeaving = new HashSet<>();
         private final List<String> mViolations = new ArrayList<>();
         private long mRemovedNanos;
+        private MomentFault mMomentFault = MomentFault.NONE;
+        private int mChangesBeforeFault;
+        private Membership mLastMembership = Membership.NONE;
         private long mNextTicket = -1_000_000;
         private long mNextTickNanos;
         private int mNextMachine;
@@ -141,6 +155,36 @@
             all.subList(mNextMachine, all.size()).forEach(SimulatedInstance::remove);
         }
 
+        /** Replaces machines, each time with a fault at a moment of the change of the members. */
+        List<String> runWithFaultsInChanges(MomentFault fault) {
+            advance(8_000);
+            for (int round = 0; round < ROUNDS && mViolations.isEmpty(); round++) {
+                acknowledge();
+                SimulatedInstance old = chooseMachine();
+                if (mDeparture == Departure.LOST) {
+                    remove(old);
+                    advance(1_000);
+                    startMachine();
+                    armFault(fault);
+                } else {
+                    startMachine();
+                    advance(mFleet.syncMillis());
+                    armFault(fault);
+                    stop(old);
+                }
+                advance(mFleet.syncMillis() + MAX_DOWN_MILLIS);
+                mMomentFault = MomentFault.NONE;
+                requireLeader(fault.name());
+                advance(REPAIR_LIMIT_MILLIS);
+                requireVoters();
+            }
+            if (mViolations.isEmpty()) {
+                requireConvergence();
+            }
+            mViolations.addAll(mSimulation.mOracle.mViolations);
+            return mViolations;
+        }
+
         List<String> run() {
             advance(8_000);
             for (int round = 0; round < ROUNDS && mViolations.isEmpty(); round++) {
@@ -268,13 +312,17 @@
             advance(20 + mRandom.nextInt(60));
         }
 
+        private void loseDisk(SimulatedInstance victim) {
+            victim.loseFolder(false);
+            mReconcilers.remove(victim.mId);
+        }
+
         private void loseDisks() {
             List<SimulatedInstance> victims = new ArrayList<>(mPresent);
             boolean losesPower = mRandom.nextInt(3) == 0;
             for (int i = 0; i < mFleet.toleratedLosses(); i++) {
                 SimulatedInstance victim = victims.remove(mRandom.nextInt(victims.size()));
-                victim.loseFolder(false);
-                mReconcilers.remove(victim.mId);
+                loseDisk(victim);
             }
             if (losesPower) {
                 victims.forEach(this::crash);
@@ -347,9 +395,49 @@
             advanceUntil(mSimulation.mNowNanos + mSimulation.millisToNanos(millis));
         }
 
+        /** Lets a fault happen up to 8 ms after one of the next changes of the members. */
+        private void armFault(MomentFault fault) {
+            SimulatedInstance leader = mSimulation.leader();
+            mMomentFault = leader == null ? MomentFault.NONE : fault;
+            mChangesBeforeFault = 1 + mRandom.nextInt(3);
+            mLastMembership = leader == null ? Membership.NONE : leader.consensus().membership();
+        }
+
+        private void injectArmedFault() {
+            SimulatedInstance leader = mSimulation.leader();
+            if (mMomentFault == MomentFault.NONE || leader == null) {
+                return;
+            }
+            Membership membership = leader.consensus().membership();
+            if (membership.equals(mLastMembership)) {
+                return;
+            }
+            mLastMembership = membership;
+            mChangesBeforeFault--;
+            if (mChangesBeforeFault > 0) {
+                return;
+            }
+            MomentFault fault = mMomentFault;
+            mMomentFault = MomentFault.NONE;
+            mSimulation.advance(
+                    mSimulation.mNowNanos + mRandom.nextLong(mSimulation.millisToNanos(8)));
+            switch (fault) {
+                case LEADER_KILLED -> crash(leader);
+                case POWER_LOST -> List.copyOf(mPresent).forEach(this::crash);
+                case DISK_LOST -> loseDisk(mPresent.get(mRandom.nextInt(mPresent.size())));
+                default -> throw new IllegalStateException(fault.name());
+            }
+        }
+
         private void advanceUntil(long endNanos) {
             while (mSimulation.mNowNanos < endNanos) {
-                mSimulation.advance(Math.min(endNanos, mNextTickNanos));
+                long nextNanos = Math.min(endNanos, mNextTickNanos);
+                if (mMomentFault != MomentFault.NONE) {
+                    long stepNanos = mSimulation.mNowNanos + mSimulation.millisToNanos(1);
+                    nextNanos = Math.min(nextNanos, stepNanos);
+                }
+                mSimulation.advance(nextNanos);
+                injectArmedFault();
                 if (mSimulation.mNowNanos >= mNextTickNanos) {
                     mNextTickNanos += mSimulation.millisToNanos(TICK_MILLIS);
                     tick();
@@ -400,12 +488,24 @@
     }
 
     private static List<String> violations(Fleet fleet, Departure departure, Rule rule) {
+        return violations(seed -> new History(seed, fleet, departure, rule).run());
+    }
+
+    private static List<String> violationsInChanges(
+            Fleet fleet, Departure departure, MomentFault fault) {
+        return violations(
+                seed ->
+                        new History(seed, fleet, departure, Rule.CURRENT)
+                                .runWithFaultsInChanges(fault));
+    }
+
+    private static List<String> violations(LongFunction<List<String>> histories) {
         List<String> violations = Collections.synchronizedList(new ArrayList<>());
         LongStream.range(0, HISTORIES)
                 .parallel()
                 .forEach(
                         seed -> {
-                            for (String each : new History(seed, fleet, departure, rule).run()) {
+                            for (String each : histories.apply(seed)) {
                                 violations.add("seed " + seed + ": " + each);
                             }
                         });
@@ -473,4 +573,23 @@
     void historiesCatchASilentStop() {
         assertCaught(Fleet.SMALL, Departure.STOPPED, Rule.STOPS_SILENTLY);
     }
+
+    /** Guards against a leader that goes, or a loss of power, while a lost voter is replaced. */
+    @ParameterizedTest
+    @EnumSource(names = {"LEADER_KILLED", "POWER_LOST"})
+    void changesAfterALossSurvive(MomentFault fault) {
+        assertEquals(List.of(), violationsInChanges(Fleet.SMALL, Departure.LOST, fault));
+        assertEquals(List.of(), violationsInChanges(Fleet.SMALL_WITH_SPARE, Departure.LOST, fault));
+        assertEquals(List.of(), violationsInChanges(Fleet.LARGE, Departure.LOST, fault));
+    }
+
+    /** Guards against the same, or a lost disk, while a leaving voter is replaced. */
+    @ParameterizedTest
+    @EnumSource(names = {"LEADER_KILLED", "POWER_LOST", "DISK_LOST"})
+    void changesOfAPlannedStopSurvive(MomentFault fault) {
+        assertEquals(List.of(), violationsInChanges(Fleet.SMALL, Departure.STOPPED, fault));
+        assertEquals(
+                List.of(), violationsInChanges(Fleet.SMALL_WITH_SPARE, Departure.STOPPED, fault));
+        assertEquals(List.of(), violationsInChanges(Fleet.LARGE, Departure.STOPPED, fault));
+    }
 }
