Send retries after a lost answer over new connections

When all open connections fall silent, the pooled ones to several servers are dead at the same time, for up to the 10 s that a pooled connection lives. A request whose first attempt was ended for its silence was tried at another server over such a connection too; with two attempts allowed it waited for its time limit and failed with 504, although both servers could be reached. An attempt that follows one that may have run now uses a new connection, as commands do.

ServerAnswersTest.requestIsAnsweredAfterPooledConnectionsFellSilent before: expected: <200> but was: <504> After: passes, with the other 35 tests of the package. The test's context now has a single-use client of its own, as a gateway has.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -4,6 +4,7 @@
 import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.hemlockrack.answers.EventStreamFramer;
@@ -41,6 +42,7 @@
     private final Registration mServer;
     private final ServerChoice mChoice;
     private final long mStartNanos;
+    private final boolean mFollowsLostAttempt;
 
     /** The monotonic clock stands still while a machine is suspended, the time of day does not. */
     private final long mStartWallMillis = System.currentTimeMillis();
@@ -79,21 +81,23 @@
      * Creates an attempt.
      *
      * @param exchange the exchange it belongs to
-     * @param server the server
-     * @param choice the choice of the server, with its reason
+     * @param choice the choice of a server, with its reason
      * @param startNanos monotonic time of the start
      * @param eventFramer tracks which events of the stream were forwarded, or null if the stream
      *     cannot be resumed
+     * @param followsLostAttempt whether an earlier attempt may have run and its answer was lost;
+     *     the pooled connections to other servers may have fallen silent or broken with its own
      */
     ForwardAttempt(
             GatewayExchange exchange,
-            Registration server,
             ServerChoice choice,
             long startNanos,
-            @Nullable EventStreamFramer eventFramer) {
+            @Nullable EventStreamFramer eventFramer,
+            boolean followsLostAttempt) {
+        mFollowsLostAttempt = followsLostAttempt;
         mEventFramer = eventFramer;
         mExchange = exchange;
-        mServer = server;
+        mServer = Objects.requireNonNull(choice.server());
         mChoice = choice;
         mStartNanos = startNanos;
     }
@@ -126,8 +130,8 @@
                                 mExchange.rank(),
                                 Math.max(1, mExchange.remainingMillis()),
                                 mEventFramer == null ? null : mEventFramer.lastEventId());
-        HttpClient client =
-                mExchange.route().allowsRerun() ? context.client() : context.singleUseClient();
+        boolean usesPool = mExchange.route().allowsRerun() && !mFollowsLostAttempt;
+        HttpClient client = usesPool ? context.client() : context.singleUseClient();
         UpstreamCall upstream =
                 client.send(
                         mServer.address(),
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
@@ -23,8 +23,9 @@
  * @param retries grants retries within the fleet's limits
  * @param quarantine holds back requests that crash servers
  * @param client sends requests that may be retried, over pooled connections
- * @param singleUseClient sends each command over a new connection; if a server closed a pooled
- *     connection while a command is sent, the outcome of the command would be unknown
+ * @param singleUseClient sends each command, and each retry after a lost answer, over a new
+ *     connection; if a server closed a pooled connection while a command is sent, the outcome of
+ *     the command would be unknown
  * @param openExchanges the exchanges that have not ended
  * @param answerBudget memory for answers that callers have not taken yet
  * @param log log with one line for each decision
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -219,7 +219,7 @@
                 return;
             }
             mTriedServers.add(choice.server().id());
-            attempt = new ForwardAttempt(this, choice.server(), choice, nowNanos, mEventFramer);
+            attempt = new ForwardAttempt(this, choice, nowNanos, mEventFramer, mMayHaveRun);
             mAttempt = attempt;
             mLastProgressNanos = nowNanos;
             if (mRoute.allowsRerun()) {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
@@ -18,9 +18,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -73,6 +75,7 @@
     private final EventLoop mLoop = EventLoop.open("test", Throwable::printStackTrace);
     private final DecisionLog mLog = DecisionLog.open("g1", new ByteArrayOutputStream());
     private final HttpClient mClient = HttpClient.open(1, 250, 60_000, true);
+    private final HttpClient mSingleUseClient = HttpClient.open(1, 250, 60_000, false);
     private final PeerNetwork mNetwork =
             PeerNetwork.create(InstanceId.of("g1"), Map.of(), null, (address, cause) -> {});
     private final PeerServer mController = startController();
@@ -85,6 +88,12 @@
     private final BlockingQueue<String> mAnswers = new LinkedBlockingQueue<>();
     private final List<ServerSocket> mSockets = new ArrayList<>();
 
+    /** Whether connections are kept open and take more than one request. */
+    private volatile boolean mKeepsConnections;
+
+    private final Set<Socket> mKeptConnections = ConcurrentHashMap.newKeySet();
+    private final Set<Socket> mSilentConnections = ConcurrentHashMap.newKeySet();
+
     @BeforeEach
     void startServers() throws IOException {
         for (int i = 1; i <= 3; i++) {
@@ -107,6 +116,7 @@
             socket.close();
         }
         mClient.close();
+        mSingleUseClient.close();
         mNetwork.close();
         mController.close();
         mLoop.close();
@@ -131,15 +141,16 @@
 
     /** Reads the head of one request, and writes the next answer; then closes the connection. */
     private void serve(Socket socket) {
+        if (mKeepsConnections) {
+            Thread thread = new Thread(() -> serveUntilClosed(socket));
+            thread.setDaemon(true);
+            thread.start();
+            return;
+        }
         try (socket) {
             InputStream in = socket.getInputStream();
-            StringBuilder head = new StringBuilder();
-            while (head.indexOf("\r\n\r\n") < 0) {
-                int next = in.read();
-                if (next < 0) {
-                    return;
-                }
-                head.append((char) next);
+            if (!readHead(in)) {
+                return;
             }
             String answer = mAnswers.poll(10, TimeUnit.SECONDS);
             if (answer.endsWith(ENDLESS)) {
@@ -155,6 +166,52 @@
         }
     }
 
+    private static boolean readHead(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = in.read();
+            if (next < 0) {
+                return false;
+            }
+            head.append((char) next);
+        }
+        return true;
+    }
+
+    private void serveUntilClosed(Socket socket) {
+        String answer = HEAD + "Content-Length: 2\r\n\r\nok";
+        mKeptConnections.add(socket);
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            while (readHead(in)) {
+                if (!mSilentConnections.contains(socket)) {
+                    socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
+                }
+            }
+        } catch (IOException ignored) {
+            // The gateway has closed the connection.
+        }
+    }
+
+    /**
+     * Guards against requests that fail although their servers can be reached, because each attempt
+     * meets another pooled connection that fell silent without a reset.
+     */
+    @Test
+    void requestIsAnsweredAfterPooledConnectionsFellSilent() throws Exception {
+        mKeepsConnections = true;
+        for (int i = 0; i < 100 && mKeptConnections.size() < mSockets.size(); i++) {
+            Caller warmUp = send(RerunPolicy.IDEMPOTENT);
+            assertTrue(warmUp.mComplete.get(10, TimeUnit.SECONDS));
+            warmUp.release();
+        }
+        assertEquals(mSockets.size(), mKeptConnections.size());
+        mSilentConnections.addAll(mKeptConnections);
+        Caller caller = send(RerunPolicy.IDEMPOTENT);
+        assertTrue(caller.mComplete.get(20, TimeUnit.SECONDS));
+        assertEquals(200, caller.mStatus);
+    }
+
     private void flood(Socket socket, String answer) throws IOException {
         OutputStream out = socket.getOutputStream();
         byte[] block = "x".repeat(64 << 10).getBytes(StandardCharsets.ISO_8859_1);
@@ -277,7 +334,7 @@
                         createPermits(),
                         GatewayQuarantine.create(mLog),
                         mClient,
-                        mClient,
+                        mSingleUseClient,
                         mOpenExchanges,
                         mAnswerBudget,
                         mLog,
