Probe a new connection with its first message

A connection that fell silent again before its first answer, 500 ms after it was opened, was given up only after 2.5 s, because the time limit doubles after a miss. The first message now carries a probe, whose answer ends the longer limit.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/MessageConnection.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/MessageConnection.java
@@ -45,7 +45,9 @@
     private final ProbeTimeout mTimeout;
     private final Listener mListener;
     private volatile boolean mProbing;
-    private volatile long mAnsweredNanos = System.nanoTime();
+
+    /** Time of the last answer; a new connection is probed with its first message. */
+    private volatile long mAnsweredNanos = System.nanoTime() - PROBE_INTERVAL_NANOS;
 
     MessageConnection(
             PeerSocket socket, Executor answerExecutor, ProbeTimeout timeout, Listener listener)
