Keep the disk of the tests in memory, with what each sync has covered

FaultyDisk passed files on to the default file system, kept names at once and lost all or nothing of a write. It now holds the files itself: the durable content and each later write or truncation of a file, and the names that no sync of their folder has covered. A loss of power keeps, loses or tears (a prefix or a suffix) each of these by itself, or all of them alike. A file's own sync makes its creation durable, as DEPLOY.md says. A kill releases locks and open files and keeps what was written.

FileLogStoreFaultsTest uses files of that disk instead of a temporary folder; its checks are the same.

cluster histories with files lose all unsynced changes as before, and now also names that no sync of the folder has covered.

--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulationTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulationTest.java
@@ -4,18 +4,18 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.base.Throwables;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.LongStream;
 import org.hemlockrack.consensus.ClusterSimulation.InjectedFault;
+import org.hemlockrack.consensus.disk.PowerLoss;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -66,17 +66,20 @@
      * lose what was not synced; also against files left open and replicas that took a new id.
      */
     @Test
-    void noHistoryOfFullDisksWithFilesViolatesTheOracle(@TempDir Path folder) {
+    void noHistoryOfFullDisksWithFilesViolatesTheOracle() {
         long histories = Long.getLong("histories", 100);
         List<String> violations = Collections.synchronizedList(new ArrayList<>());
         LongStream.range(0, histories)
                 .parallel()
-                .forEach(seed -> violations.addAll(violationsWithFiles(seed, folder)));
+                .forEach(
+                        seed ->
+                                violations.addAll(
+                                        violationsWithFiles(seed, List.of(PowerLoss.LOSES_ALL))));
         System.out.printf("file histories=%d violations=%d%n", histories, violations.size());
         assertEquals(List.of(), violations);
     }
 
-    private static List<String> violationsWithFiles(long seed, Path folder) {
+    private static List<String> violationsWithFiles(long seed, List<PowerLoss> losses) {
         List<FileDisk> disks = new ArrayList<>();
         ClusterSimulation simulation =
                 new ClusterSimulation(
@@ -86,7 +89,9 @@
                         Variant.CORRECT,
                         Set.of(),
                         () -> {
-                            disks.add(new FileDisk(folder));
+                            disks.add(
+                                    new FileDisk(
+                                            new SplittableRandom(seed + disks.size()), losses));
                             return disks.get(disks.size() - 1);
                         });
         simulation.mFaults = ClusterSimulation.DISK_FAULTS;
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/FileDisk.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/FileDisk.java
@@ -1,31 +1,36 @@
 package org.hemlockrack.consensus;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.hemlockrack.consensus.disk.DiskOperation;
 import org.hemlockrack.consensus.disk.FaultyDisk;
+import org.hemlockrack.consensus.disk.PowerLoss;
 import org.jspecify.annotations.Nullable;
 
 /** A disk with the real store; a crash takes what was not synced, as a loss of power may. */
 final class FileDisk implements SimulatedDisk {
-    private final FaultyDisk mDisk = FaultyDisk.create();
+    private final FaultyDisk mDisk;
     private final Path mFolder;
+    private final RandomGenerator mRandom;
+    private final List<PowerLoss> mLosses;
     private @Nullable LogStore mStore;
     private long mFirstReplicaId;
     private boolean mFull;
     private boolean mFailsAtSync;
     private long mOperationsUntilCrash = Long.MAX_VALUE;
 
-    FileDisk(Path parent) {
-        try {
-            mFolder = Files.createTempDirectory(parent, "log");
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+    /**
+     * Creates an empty disk.
+     *
+     * @param random source of randomness
+     * @param losses what a loss of power may leave
+     */
+    FileDisk(RandomGenerator random, List<PowerLoss> losses) {
+        mRandom = random;
+        mLosses = losses;
+        mDisk = FaultyDisk.create(random);
+        mFolder = mDisk.path(Path.of("data"));
         mDisk.setFaults((operation, number) -> refuses(operation));
     }
 
@@ -39,7 +44,7 @@
 
     @Override
     public LogStore open(RandomGenerator random) {
-        LogStore store = LogStore.open(mDisk.path(mFolder), random);
+        LogStore store = LogStore.open(mFolder, random);
         mStore = store;
         long replicaId = replicaId();
         if (mFirstReplicaId == 0) {
@@ -59,14 +64,7 @@
     @Override
     public void crash() {
         cancelCrash();
-        if (mStore != null) {
-            mStore.close();
-        }
-        try {
-            mDisk.losePower();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        mDisk.losePower(mLosses.get(mRandom.nextInt(mLosses.size())));
     }
 
     @Override
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/disk/FaultyPath.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/disk/FaultyPath.java
@@ -1,6 +1,5 @@
 package org.hemlockrack.consensus.disk;
 
-import java.io.IOException;
 import java.net.URI;
 import java.nio.file.FileSystem;
 import java.nio.file.LinkOption;
@@ -9,7 +8,7 @@
 import java.nio.file.WatchKey;
 import java.nio.file.WatchService;
 
-/** A path of a {@link FaultyFileSystem}; leads to the same path of the default file system. */
+/** A path of a {@link FaultyFileSystem}, named by a path of the default file system. */
 final class FaultyPath implements Path {
     private final FaultyFileSystem mFileSystem;
     private final Path mPath;
@@ -104,8 +103,8 @@
     }
 
     @Override
-    public Path toRealPath(LinkOption... options) throws IOException {
-        return wrap(mPath.toRealPath(options));
+    public Path toRealPath(LinkOption... options) {
+        return normalize();
     }
 
     @Override
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/disk/FaultyProvider.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/disk/FaultyProvider.java
@@ -10,10 +10,11 @@
 import java.nio.file.DirectoryStream;
 import java.nio.file.FileStore;
 import java.nio.file.FileSystem;
-import java.nio.file.Files;
+import java.nio.file.FileSystemException;
 import java.nio.file.LinkOption;
 import java.nio.file.OpenOption;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.nio.file.attribute.BasicFileAttributes;
 import java.nio.file.attribute.FileAttribute;
@@ -25,7 +26,7 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Passes operations on to the default file system unless the {@link FaultyDisk} refuses them. */
+/** Passes operations on files to a {@link FaultyDisk}. */
 final class FaultyProvider extends FileSystemProvider {
     private final FaultyFileSystem mFileSystem;
     private final FaultyDisk mDisk;
@@ -70,31 +71,33 @@
     public FileChannel newFileChannel(
             Path path, Set<? extends OpenOption> options, FileAttribute<?>... attributes)
             throws IOException {
-        Path file = unwrap(path);
-        boolean writes = options.contains(StandardOpenOption.WRITE);
-        boolean isNew = writes && !Files.exists(file);
-        if (!writes) {
+        Path name = unwrap(path);
+        FaultyFile file = mDisk.find(name);
+        if (!options.contains(StandardOpenOption.WRITE)) {
             mDisk.check(DiskOperation.READ);
-        } else if (isNew) {
-            mDisk.check(DiskOperation.CREATE);
+            return new FaultyChannel(mDisk, name, mDisk.get(name), options);
         }
-        long sizeBytes = isNew || Files.isDirectory(file) ? 0 : Files.size(file);
-        if (sizeBytes > 0 && options.contains(StandardOpenOption.TRUNCATE_EXISTING)) {
+        boolean createsAlways = options.contains(StandardOpenOption.CREATE_NEW);
+        if (createsAlways || file == null && options.contains(StandardOpenOption.CREATE)) {
+            return new FaultyChannel(mDisk, name, mDisk.create(name, false), options);
+        }
+        file = mDisk.get(name);
+        if (file.isFolder()) {
+            throw new FileSystemException(name.toString(), null, "is a folder");
+        }
+        if (file.sizeBytes() > 0 && options.contains(StandardOpenOption.TRUNCATE_EXISTING)) {
             mDisk.check(DiskOperation.TRUNCATE);
-            mDisk.truncated(file, 0);
+            file.truncate(0);
         }
-        FileChannel channel = FileChannel.open(file, options, attributes);
-        return new FaultyChannel(mDisk, file, channel);
+        return new FaultyChannel(mDisk, name, file, options);
     }
 
     @Override
     public DirectoryStream<Path> newDirectoryStream(
             Path folder, DirectoryStream.Filter<? super Path> filter) throws IOException {
         List<Path> paths = new ArrayList<>();
-        try (DirectoryStream<Path> files = Files.newDirectoryStream(unwrap(folder))) {
-            for (Path file : files) {
-                paths.add(mFileSystem.wrap(file));
-            }
+        for (Path path : mDisk.list(unwrap(folder))) {
+            paths.add(mFileSystem.wrap(path));
         }
         return new DirectoryStream<>() {
             @Override
@@ -114,17 +117,12 @@
 
     @Override
     public void createDirectory(Path folder, FileAttribute<?>... attributes) throws IOException {
-        if (!Files.exists(unwrap(folder))) {
-            mDisk.check(DiskOperation.CREATE);
-        }
-        Files.createDirectory(unwrap(folder), attributes);
+        mDisk.create(unwrap(folder), true);
     }
 
     @Override
     public void delete(Path path) throws IOException {
-        mDisk.check(DiskOperation.DELETE);
-        Files.delete(unwrap(path));
-        mDisk.deleted(unwrap(path));
+        mDisk.delete(unwrap(path));
     }
 
     @Override
@@ -134,53 +132,49 @@
 
     @Override
     public void move(Path source, Path target, CopyOption... options) throws IOException {
-        mDisk.check(DiskOperation.RENAME);
-        Files.move(unwrap(source), unwrap(target), options);
-        mDisk.renamed(unwrap(source), unwrap(target));
+        boolean replaces = Set.of(options).contains(StandardCopyOption.REPLACE_EXISTING);
+        mDisk.move(unwrap(source), unwrap(target), replaces);
     }
 
     @Override
     public boolean isSameFile(Path path, Path other) throws IOException {
-        return Files.isSameFile(unwrap(path), unwrap(other));
+        return mDisk.get(unwrap(path)) == mDisk.get(unwrap(other));
     }
 
     @Override
-    public boolean isHidden(Path path) throws IOException {
-        return Files.isHidden(unwrap(path));
+    public boolean isHidden(Path path) {
+        return false;
     }
 
     @Override
-    public FileStore getFileStore(Path path) throws IOException {
-        return Files.getFileStore(unwrap(path));
+    public FileStore getFileStore(Path path) {
+        throw new UnsupportedOperationException();
     }
 
     @Override
     public void checkAccess(Path path, AccessMode... modes) throws IOException {
-        Path file = unwrap(path);
-        file.getFileSystem().provider().checkAccess(file, modes);
+        mDisk.get(unwrap(path));
     }
 
     @Override
     public <V extends FileAttributeView> V getFileAttributeView(
             Path path, Class<V> type, LinkOption... options) {
-        return Files.getFileAttributeView(unwrap(path), type, options);
+        throw new UnsupportedOperationException();
     }
 
     @Override
     public <A extends BasicFileAttributes> A readAttributes(
             Path path, Class<A> type, LinkOption... options) throws IOException {
-        return Files.readAttributes(unwrap(path), type, options);
+        return type.cast(new FaultyAttributes(mDisk.get(unwrap(path))));
     }
 
     @Override
-    public Map<String, Object> readAttributes(Path path, String names, LinkOption... options)
-            throws IOException {
-        return Files.readAttributes(unwrap(path), names, options);
+    public Map<String, Object> readAttributes(Path path, String names, LinkOption... options) {
+        throw new UnsupportedOperationException();
     }
 
     @Override
-    public void setAttribute(Path path, String name, Object value, LinkOption... options)
-            throws IOException {
-        Files.setAttribute(unwrap(path), name, value, options);
+    public void setAttribute(Path path, String name, Object value, LinkOption... options) {
+        throw new UnsupportedOperationException();
     }
 }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreFaultsTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreFaultsTest.java
@@ -24,7 +24,6 @@
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -33,6 +32,7 @@
     private static final int LARGE_ENTRY_BYTES = 800;
     private static final int SEGMENT_BYTES = 4_096;
     private static final int MAX_OPENINGS = 50;
+    private static final Path FOLDER = Path.of("data");
 
     /** One call of the history, and what it makes durable. */
     private interface Call {
@@ -78,7 +78,6 @@
         }
     }
 
-    @TempDir Path mTemp;
     private final SplittableRandom mRandom = new SplittableRandom(1);
 
     private static List<Entry> entries(long from, long to, long term, int sizeBytes) {
@@ -171,16 +170,16 @@
                 write(108, 108, 5, 20));
     }
 
-    private LogStore open(FaultyDisk disk, Path folder) {
-        return FileLogStore.open(disk.path(folder), mRandom, SEGMENT_BYTES);
+    private LogStore open(Path folder) {
+        return FileLogStore.open(folder, mRandom, SEGMENT_BYTES);
     }
 
     /** Opens the store again until that succeeds. */
-    private LogStore reopen(FaultyDisk disk, Path folder, Expected expected) {
+    private LogStore reopen(Path folder, Expected expected) {
         HemlockrackException last = null;
         for (int i = 0; i < MAX_OPENINGS; i++) {
             try {
-                LogStore store = open(disk, folder);
+                LogStore store = open(folder);
                 expected.requireReadBy(store.recovered());
                 return store;
             } catch (HemlockrackException e) {
@@ -193,9 +192,9 @@
 
     /** Plays the history; a call that fails is repeated on a store that is opened anew. */
     private void play(FaultyDisk disk, FaultyDisk.Faults faults) throws IOException {
-        Path folder = Files.createTempDirectory(mTemp, "log");
+        Path folder = disk.path(FOLDER);
         Expected expected = new Expected();
-        LogStore store = open(disk, folder);
+        LogStore store = open(folder);
         expected.mHardState = store.recovered().hardState();
         expected.mNextHardState = expected.mHardState;
         expected.mReplicaId = expected.mHardState.replicaId();
@@ -211,25 +210,23 @@
                     assertEquals(ErrorKind.STORAGE_FAILED, e.kind());
                     assertTrue(failures++ < MAX_OPENINGS);
                     store.close();
-                    store = reopen(disk, folder, expected);
+                    store = reopen(folder, expected);
                 }
             }
         }
         disk.setFaults(FaultyDisk.NONE);
         store.close();
         assertEquals(0, disk.openChannels());
-        try (LogStore last = open(disk, folder)) {
+        try (LogStore last = open(folder)) {
             expected.requireReadBy(last.recovered());
             List<Entry> read = last.recovered().entries();
             assertEquals(108, read.get(read.size() - 1).index());
         }
         requireOnlyFilesInUse(folder);
-        requireThatTheLossOfTheNewestSegmentIsNoticed(disk, folder);
-        deleteFolder(folder);
+        requireThatTheLossOfTheNewestSegmentIsNoticed(folder);
     }
 
-    private void requireThatTheLossOfTheNewestSegmentIsNoticed(FaultyDisk disk, Path folder)
-            throws IOException {
+    private void requireThatTheLossOfTheNewestSegmentIsNoticed(Path folder) throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
             Path newest =
                     files.filter(file -> file.toString().endsWith(LogSegment.SUFFIX))
@@ -238,7 +235,7 @@
             Files.delete(newest);
         }
         HemlockrackException e =
-                assertThrows(HemlockrackException.class, () -> open(disk, folder).close());
+                assertThrows(HemlockrackException.class, () -> open(folder).close());
         assertEquals(ErrorKind.STORAGE_DAMAGED, e.kind());
     }
 
@@ -249,9 +246,10 @@
     @Test
     void aRefusedSnapshotLeavesTheStoreAsItWas() throws IOException {
         FaultyDisk disk = FaultyDisk.create();
+        Path folder = disk.path(FOLDER);
         disk.setTornSixteenths(8);
         Expected expected = new Expected();
-        try (LogStore store = open(disk, mTemp)) {
+        try (LogStore store = open(folder)) {
             expected.mHardState = store.recovered().hardState();
             expected.mReplicaId = expected.mHardState.replicaId();
             write(1, 9, 1, 20).run(store, expected);
@@ -267,12 +265,13 @@
                     write(9 + refusedCount, 9 + refusedCount, 1, 20).run(store, expected);
                     assertEquals(100, store.loadSnapshot().length);
                 }
-                requireOnlyFilesInUse(mTemp);
+                disk.setFaults(FaultyDisk.NONE);
+                requireOnlyFilesInUse(folder);
             }
             assertTrue(refusedCount >= 5, "refused " + refusedCount);
         }
         disk.setFaults(FaultyDisk.NONE);
-        try (LogStore store = open(disk, mTemp)) {
+        try (LogStore store = open(folder)) {
             expected.requireReadBy(store.recovered());
         }
     }
@@ -280,14 +279,15 @@
     /** Guards against files that a killed process left behind and that keep their space. */
     @Test
     void filesThatWereNotWrittenToTheirEndAreRemoved() throws IOException {
-        open(FaultyDisk.create(), mTemp).close();
-        Files.write(mTemp.resolve("snapshot-00000000000000000004.snap.tmp"), new byte[100]);
-        Files.write(mTemp.resolve("meta.tmp"), new byte[100]);
-        Path foreign = Files.write(mTemp.resolve("notes.tmp"), new byte[1]);
-        open(FaultyDisk.create(), mTemp).close();
+        Path folder = FaultyDisk.create().path(FOLDER);
+        open(folder).close();
+        Files.write(folder.resolve("snapshot-00000000000000000004.snap.tmp"), new byte[100]);
+        Files.write(folder.resolve("meta.tmp"), new byte[100]);
+        Path foreign = Files.write(folder.resolve("notes.tmp"), new byte[1]);
+        open(folder).close();
         assertTrue(Files.exists(foreign));
         Files.delete(foreign);
-        requireOnlyFilesInUse(mTemp);
+        requireOnlyFilesInUse(folder);
     }
 
     private static void requireOnlyFilesInUse(Path folder) throws IOException {
@@ -300,14 +300,6 @@
         }
     }
 
-    private static void deleteFolder(Path folder) throws IOException {
-        try (Stream<Path> files = Files.walk(folder)) {
-            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-                Files.delete(file);
-            }
-        }
-    }
-
     private long operationsOfHistory() throws IOException {
         FaultyDisk disk = FaultyDisk.create();
         long[] last = new long[1];
