--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStorePowerLossTest.java
@@ -0,0 +1,151 @@
+package org.hemlockrack.consensus.internal.file;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.hemlockrack.consensus.disk.PowerLoss;
+import org.hemlockrack.consensus.internal.file.StoreHistory.Step;
+import org.junit.jupiter.api.Test;
+
+/** Plays a history of a log store that loses power at each of its operations. */
+class FileLogStorePowerLossTest {
+    private static final int LARGE_ENTRY_BYTES = 800;
+    private static final int MAX_REPORTED = 5;
+
+    /** Random outcomes for each operation at which power is lost. */
+    private static final int OUTCOMES = Integer.getInteger("outcomes", 8);
+
+    private static Step write(long from, long to, long term, int sizeBytes) {
+        return history -> {
+            history.append(from, to, term, sizeBytes);
+            history.sync();
+        };
+    }
+
+    private static Step append(long from, long to, long term, int sizeBytes) {
+        return history -> history.append(from, to, term, sizeBytes);
+    }
+
+    private static Step vote(long term, long candidate) {
+        return history -> history.vote(term, candidate);
+    }
+
+    private static Step snapshot(long index) {
+        return history -> history.saveSnapshot(index);
+    }
+
+    private static Step install(long index, long term, int sizeBytes) {
+        return history -> history.installSnapshot(index, term, sizeBytes);
+    }
+
+    /** Has all calls of a store: also tails that are replaced, by entries of any size. */
+    private static List<Step> history() {
+        return List.of(
+                vote(1, 7),
+                write(1, 3, 1, 20),
+                append(4, 4, 1, 20),
+                append(5, 6, 1, 300),
+                StoreHistory::sync,
+                vote(2, 0),
+                write(5, 7, 2, 300),
+                snapshot(4),
+                StoreHistory::closeAndOpen,
+                write(8, 14, 2, LARGE_ENTRY_BYTES),
+                write(15, 16, 2, 20),
+                write(12, 13, 3, 20),
+                append(14, 16, 3, LARGE_ENTRY_BYTES),
+                StoreHistory::killAndOpen,
+                append(16, 17, 4, 20),
+                write(17, 24, 4, LARGE_ENTRY_BYTES),
+                snapshot(16),
+                vote(5, 9),
+                install(100, 5, 3_000),
+                write(101, 103, 5, 20),
+                write(102, 102, 6, 20),
+                append(103, 107, 6, LARGE_ENTRY_BYTES),
+                append(104, 104, 7, LARGE_ENTRY_BYTES),
+                StoreHistory::sync,
+                write(105, 108, 7, 20),
+                install(104, 7, 100),
+                write(105, 108, 8, 20));
+    }
+
+    /** Failed histories by the failure, with the first of each. */
+    private static final class Failures {
+        private final Map<String, Integer> mCounts = new TreeMap<>();
+        private final List<String> mFirst = new ArrayList<>();
+        private int mPlays;
+        private int mFailed;
+
+        void play(String name, StoreHistory history, List<Step> steps) throws IOException {
+            mPlays++;
+            try {
+                history.play(steps);
+            } catch (AssertionError | RuntimeException e) {
+                mFailed++;
+                String kind = e.toString().replaceAll("[0-9]+", "#");
+                if (mCounts.merge(kind, 1, Integer::sum) == 1) {
+                    mFirst.add(name + ": " + e);
+                }
+            }
+        }
+
+        void requireNone() {
+            System.out.printf("plays=%d failed=%d %s%n", mPlays, mFailed, mCounts);
+            assertEquals(List.of(), mFirst.subList(0, Math.min(MAX_REPORTED, mFirst.size())));
+        }
+    }
+
+    private static long operationsOfHistory() throws IOException {
+        StoreHistory history = StoreHistory.create(1, PowerLoss.LOSES_ALL);
+        long[] last = new long[1];
+        history.disk()
+                .setFaults(
+                        (operation, number) -> {
+                            last[0] = number + 1;
+                            return false;
+                        });
+        history.play(history());
+        return last[0];
+    }
+
+    private static void playAllPoints(PowerLoss loss, int outcomes) throws IOException {
+        long operations = operationsOfHistory();
+        Failures failures = new Failures();
+        for (long at = 0; at <= operations; at++) {
+            for (int outcome = 0; outcome < outcomes; outcome++) {
+                StoreHistory history = StoreHistory.create(outcome, loss);
+                history.disk().losePowerAt(at);
+                failures.play(
+                        String.format("%s at %d, seed %d", loss, at, outcome), history, history());
+            }
+        }
+        System.out.printf("%s operations=%d outcomes=%d%n", loss, operations, outcomes);
+        failures.requireNone();
+    }
+
+    /**
+     * Guards against a replica that forgets what it has acknowledged or takes a new id after a loss
+     * of power at any operation that loses all that no sync has covered.
+     */
+    @Test
+    void nothingIsLostIfPowerLossLosesAllUnsyncedChanges() throws IOException {
+        playAllPoints(PowerLoss.LOSES_ALL, 1);
+    }
+
+    /** Guards against the same if all is kept that no sync has covered. */
+    @Test
+    void nothingIsLostIfPowerLossKeepsAllUnsyncedChanges() throws IOException {
+        playAllPoints(PowerLoss.KEEPS_ALL, 1);
+    }
+
+    /** Guards against the same if each change is kept, lost or torn by itself. */
+    @Test
+    void nothingIsLostIfPowerLossTearsUnsyncedChanges() throws IOException {
+        playAllPoints(PowerLoss.MIXED, OUTCOMES);
+    }
+}
