Play random histories of the log store on disks with faults

Compared at each opening with what was acknowledged; what a replica has read and synced at its start counts as acknowledged. At the end no file is open or left over, and a loss of all unsynced changes takes nothing away.

--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/ExpectedStore.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/ExpectedStore.java
@@ -19,6 +19,9 @@
     private final Set<SnapshotMeta> mNextSnapshots = new HashSet<>();
     private @Nullable SnapshotMeta mInstalled;
 
+    /** Last index of all snapshots; a replica has only snapshots of committed entries. */
+    private long mCommittedIndex;
+
     /** The durable log, and the logs after each later append. */
     private final List<List<Entry>> mLogs = new ArrayList<>(List.of(List.of()));
 
@@ -48,6 +51,10 @@
         return mSnapshot == null ? 0 : mSnapshot.index();
     }
 
+    long committedIndex() {
+        return mCommittedIndex;
+    }
+
     HardState hardState() {
         return mHardState;
     }
@@ -82,6 +89,7 @@
 
     void savesSnapshot(SnapshotMeta meta) {
         mNextSnapshots.add(meta);
+        mCommittedIndex = Math.max(mCommittedIndex, meta.index());
     }
 
     void savedSnapshot(SnapshotMeta meta) {
@@ -91,7 +99,7 @@
 
     void installs(SnapshotMeta meta) {
         mInstalled = meta;
-        mNextSnapshots.add(meta);
+        savesSnapshot(meta);
     }
 
     void installed(SnapshotMeta meta) {
@@ -103,12 +111,30 @@
     /** Counts all that was read at a start as durable, as a replica does that has started. */
     void started(RecoveredState recovered) {
         savedHardState(recovered.hardState());
-        if (recovered.snapshot() != null) {
-            savedSnapshot(recovered.snapshot());
+        List<Entry> read = recovered.entries();
+        SnapshotMeta snapshot = recovered.snapshot();
+        boolean hasLog = !read.isEmpty() && read.get(0).index() <= snapshotIndex() + 1;
+        if (snapshot != null && !hasLog) {
+            savedSnapshot(snapshot);
         }
-        mNextSnapshots.clear();
         mInstalled = null;
-        durable(recovered.entries());
+        durable(withCompacted(read));
+    }
+
+    /** Returns entries with those before them, whose files may come back by a loss of power. */
+    private List<Entry> withCompacted(List<Entry> read) {
+        if (read.isEmpty()) {
+            return read;
+        }
+        List<Entry> all = new ArrayList<>();
+        for (List<Entry> log : mLogs) {
+            if (isPartOf(read, log)) {
+                log.stream().filter(e -> e.index() < read.get(0).index()).forEach(all::add);
+                break;
+            }
+        }
+        all.addAll(read);
+        return all;
     }
 
     /** Requires that a store that was opened anew has read what it had acknowledged. */
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStorePowerLossTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreLossPointsTest.java
@@ -1,20 +1,19 @@
 package org.hemlockrack.consensus.internal.file;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
+import org.hemlockrack.consensus.disk.DiskOperation;
 import org.hemlockrack.consensus.disk.PowerLoss;
 import org.hemlockrack.consensus.internal.file.StoreHistory.Step;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Plays a history of a log store that loses power at each of its operations. */
-class FileLogStorePowerLossTest {
+class FileLogStoreLossPointsTest {
     private static final int LARGE_ENTRY_BYTES = 800;
-    private static final int MAX_REPORTED = 5;
 
     /** Random outcomes for each operation at which power is lost. */
     private static final int OUTCOMES = Integer.getInteger("outcomes", 8);
@@ -74,32 +73,6 @@
                 write(105, 108, 8, 20));
     }
 
-    /** Failed histories by the failure, with the first of each. */
-    private static final class Failures {
-        private final Map<String, Integer> mCounts = new TreeMap<>();
-        private final List<String> mFirst = new ArrayList<>();
-        private int mPlays;
-        private int mFailed;
-
-        void play(String name, StoreHistory history, List<Step> steps) throws IOException {
-            mPlays++;
-            try {
-                history.play(steps);
-            } catch (AssertionError | RuntimeException e) {
-                mFailed++;
-                String kind = e.toString().replaceAll("[0-9]+", "#");
-                if (mCounts.merge(kind, 1, Integer::sum) == 1) {
-                    mFirst.add(name + ": " + e);
-                }
-            }
-        }
-
-        void requireNone() {
-            System.out.printf("plays=%d failed=%d %s%n", mPlays, mFailed, mCounts);
-            assertEquals(List.of(), mFirst.subList(0, Math.min(MAX_REPORTED, mFirst.size())));
-        }
-    }
-
     private static long operationsOfHistory() throws IOException {
         StoreHistory history = StoreHistory.create(1, PowerLoss.LOSES_ALL);
         long[] last = new long[1];
@@ -115,13 +88,14 @@
 
     private static void playAllPoints(PowerLoss loss, int outcomes) throws IOException {
         long operations = operationsOfHistory();
-        Failures failures = new Failures();
+        PlayFailures failures = new PlayFailures();
         for (long at = 0; at <= operations; at++) {
             for (int outcome = 0; outcome < outcomes; outcome++) {
                 StoreHistory history = StoreHistory.create(outcome, loss);
                 history.disk().losePowerAt(at);
-                failures.play(
-                        String.format("%s at %d, seed %d", loss, at, outcome), history, history());
+                failures.run(
+                        String.format("%s at %d, seed %d", loss, at, outcome),
+                        () -> history.play(history()));
             }
         }
         System.out.printf("%s operations=%d outcomes=%d%n", loss, operations, outcomes);
@@ -148,4 +122,60 @@
     void nothingIsLostIfPowerLossTearsUnsyncedChanges() throws IOException {
         playAllPoints(PowerLoss.MIXED, OUTCOMES);
     }
+
+    private interface Breaking {
+        void apply(StoreHistory history);
+    }
+
+    /** Returns how many plays fail if all power losses lose all unsynced changes. */
+    private static int failuresOf(Breaking breaking) throws IOException {
+        long operations = operationsOfHistory();
+        PlayFailures failures = new PlayFailures();
+        for (long at = 0; at <= operations; at++) {
+            StoreHistory history = StoreHistory.create(at, PowerLoss.LOSES_ALL);
+            breaking.apply(history);
+            history.disk().losePowerAt(at);
+            failures.run("at " + at, () -> history.play(history()));
+        }
+        return failures.count();
+    }
+
+    /** Guards against a test that accepts a store which leaves out a sync. */
+    @ParameterizedTest
+    @ValueSource(strings = {"log-.*", "meta.*", "snapshot-.*"})
+    void aSyncOfFilesThatIsLeftOutIsNoticed(String name) throws IOException {
+        int failed =
+                failuresOf(
+                        history ->
+                                history.disk()
+                                        .setIgnoredSyncs(
+                                                (operation, file) ->
+                                                        file.getFileName()
+                                                                .toString()
+                                                                .matches(name)));
+        System.out.printf("no sync of %s: failed=%d%n", name, failed);
+        assertTrue(failed > 0);
+    }
+
+    /** Guards against a test that accepts a store which does not sync its folder. */
+    @Test
+    void aSyncOfTheFolderThatIsLeftOutIsNoticed() throws IOException {
+        int failed =
+                failuresOf(
+                        history ->
+                                history.disk()
+                                        .setIgnoredSyncs(
+                                                (operation, file) ->
+                                                        operation == DiskOperation.SYNC_FOLDER));
+        System.out.printf("no sync of the folder: failed=%d%n", failed);
+        assertTrue(failed > 0);
+    }
+
+    /** Guards against a test that accepts entries that count as durable before their sync. */
+    @Test
+    void entriesThatCountBeforeTheirSyncAreNoticed() throws IOException {
+        int failed = failuresOf(StoreHistory::countUnsynced);
+        System.out.printf("entries count before their sync: failed=%d%n", failed);
+        assertTrue(failed > 0);
+    }
 }
--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/PlayFailures.java
@@ -0,0 +1,45 @@
+package org.hemlockrack.consensus.internal.file;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Counts the plays of histories that fail, by the kind of failure. */
+final class PlayFailures {
+    /** A history that is played. */
+    interface Play {
+        void run() throws IOException;
+    }
+
+    private final Map<String, Integer> mCounts = new TreeMap<>();
+    private final List<String> mFirst = new ArrayList<>();
+    private int mPlays;
+    private int mFailed;
+
+    void run(String name, Play play) throws IOException {
+        mPlays++;
+        try {
+            play.run();
+        } catch (AssertionError | RuntimeException e) {
+            mFailed++;
+            String kind = e.toString().replaceAll("[-0-9]+", "#");
+            if (mCounts.merge(kind, 1, Integer::sum) == 1) {
+                mFirst.add(name + ": " + e);
+            }
+        }
+    }
+
+    int count() {
+        return mFailed;
+    }
+
+    /** Fails with the first failure of each kind. */
+    void requireNone() {
+        System.out.printf("plays=%d failed=%d %s%n", mPlays, mFailed, mCounts);
+        assertEquals(List.of(), mFirst);
+    }
+}
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/StoreHistory.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/StoreHistory.java
@@ -50,8 +50,12 @@
     /** Whether an entry counts as durable before its sync; a broken variant. */
     private boolean mCountsUnsynced;
 
+    /** Whether a process whose disk has refused an operation is killed. */
+    private boolean mKillsAfterFailures;
+
     private LogStore mStore;
     private int mLosses;
+    private int mFailures;
 
     private StoreHistory(long seed, PowerLoss loss) {
         mRandom = new SplittableRandom(seed);
@@ -76,10 +80,22 @@
         return mLosses;
     }
 
+    int failures() {
+        return mFailures;
+    }
+
+    void killAfterFailures() {
+        mKillsAfterFailures = true;
+    }
+
     void countUnsynced() {
         mCountsUnsynced = true;
     }
 
+    void clearFaultsAfterLoss() {
+        mFaultsAfterLosses.clear();
+    }
+
     /** Adds faults that begin with the start after a loss of power. */
     void addFaultsAfterLoss(FaultyDisk.Faults faults) {
         mFaultsAfterLosses.add(faults);
@@ -87,7 +103,7 @@
 
     /** Plays all steps on a disk with the faults that were set, and checks what is left. */
     void play(List<Step> steps) throws IOException {
-        perform(StoreHistory::start);
+        perform(StoreHistory::closeAndOpen);
         steps.forEach(this::perform);
         end();
     }
@@ -124,13 +140,14 @@
                 startAfterLossOfPower();
             } catch (HemlockrackException e) {
                 requireStorageFailed(e);
-                resume();
+                resumeOrKill();
             }
         }
         throw new AssertionError("a step that never succeeds");
     }
 
-    private static void requireStorageFailed(HemlockrackException e) {
+    private void requireStorageFailed(HemlockrackException e) {
+        mFailures++;
         if (e.kind() != ErrorKind.STORAGE_FAILED) {
             throw new AssertionError(e.kind() + " " + e.getMessage(), e);
         }
@@ -185,6 +202,18 @@
         mExpected.started(mStore.recovered());
     }
 
+    private void resumeOrKill() {
+        try {
+            if (mKillsAfterFailures) {
+                killAndOpen();
+            } else {
+                resume();
+            }
+        } catch (FaultyDisk.PowerLostException e) {
+            startAfterLossOfPower();
+        }
+    }
+
     /** Goes on in the process whose store has failed, as {@code ReplicaNode.resume} does. */
     private void resume() {
         for (int i = 0; i < MAX_TRIES; i++) {
@@ -194,9 +223,6 @@
                 writeAgain(recovered);
                 mExpected.started(recovered);
                 return;
-            } catch (FaultyDisk.PowerLostException e) {
-                startAfterLossOfPower();
-                return;
             } catch (HemlockrackException e) {
                 requireStorageFailed(e);
             }
@@ -276,7 +302,7 @@
     /** Saves a snapshot of durable entries. A replica goes on without one that is refused. */
     void saveSnapshot(long lastIndex) {
         long index = Math.min(lastIndex, mExpected.durableIndex());
-        if (index <= mExpected.snapshotIndex()) {
+        if (index <= mExpected.snapshotIndex() || index < mExpected.committedIndex()) {
             return;
         }
         byte[] state = state(index, 100);
