--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/FileDisk.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/FileDisk.java
@@ -30,7 +30,7 @@
         mRandom = random;
         mLosses = losses;
         mDisk = FaultyDisk.create(random);
-        mFolder = mDisk.path(Path.of("data"));
+        mFolder = mDisk.path(Path.of("/data"));
         mDisk.setFaults((operation, number) -> refuses(operation));
     }
 
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreFaultsTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreFaultsTest.java
@@ -32,7 +32,7 @@
     private static final int LARGE_ENTRY_BYTES = 800;
     private static final int SEGMENT_BYTES = 4_096;
     private static final int MAX_OPENINGS = 50;
-    private static final Path FOLDER = Path.of("data");
+    private static final Path FOLDER = Path.of("/data");
 
     /** One call of the history, and what it makes durable. */
     private interface Call {
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/StoreHistory.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/StoreHistory.java
@@ -61,7 +61,7 @@
         mRandom = new SplittableRandom(seed);
         mLoss = loss;
         mDisk = FaultyDisk.create(mRandom.split());
-        mFolder = mDisk.path(Path.of("disk")).resolve("data");
+        mFolder = mDisk.path(Path.of("/disk")).resolve("data");
     }
 
     static StoreHistory create(long seed, PowerLoss loss) {
