--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreConversionTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreConversionTest.java
@@ -20,6 +20,7 @@
 import org.hemlockrack.consensus.HardState;
 import org.hemlockrack.consensus.LogStore;
 import org.hemlockrack.consensus.disk.FaultyDisk;
+import org.hemlockrack.consensus.disk.PowerLoss;
 import org.hemlockrack.consensus.internal.WireCodec;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
@@ -27,12 +28,14 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Opens folders whose files have another version of the form. */
 class FileLogStoreConversionTest {
     private static final HardState HARD_STATE = new HardState(17, 5, 9);
     private static final int SEGMENT_ENTRIES = 4;
+    private static final Path FOLDER = Path.of("/data");
 
     @TempDir Path mTemp;
     private final SplittableRandom mRandom = new SplittableRandom(1);
@@ -59,7 +62,10 @@
 
     /** Writes three segments of version 1, of which {@code meta} names one. */
     private Path writeLegacyFolder(long newestSegment) throws IOException {
-        Path folder = Files.createTempDirectory(mTemp, "log");
+        return writeLegacyFolder(Files.createTempDirectory(mTemp, "log"), newestSegment);
+    }
+
+    private static Path writeLegacyFolder(Path folder, long newestSegment) throws IOException {
         for (int base = 1; base <= 1 + 2 * SEGMENT_ENTRIES; base += SEGMENT_ENTRIES) {
             ByteArrayOutputStream file = new ByteArrayOutputStream();
             for (long i = base; i < base + SEGMENT_ENTRIES; i++) {
@@ -111,15 +117,15 @@
         int refusals = 1;
         for (long at = 0; refusals > 0; at++) {
             refusals = 0;
-            Path folder = writeLegacyFolder(5);
             FaultyDisk disk = FaultyDisk.create();
+            Path folder = writeLegacyFolder(disk.path(FOLDER), 5);
             disk.setTornSixteenths(8);
             long first = at;
             disk.setFaults((operation, number) -> number >= first && number < first + refusedCount);
             LogStore store = null;
             while (store == null) {
                 try {
-                    store = FileLogStore.open(disk.path(folder), mRandom);
+                    store = FileLogStore.open(folder, mRandom);
                 } catch (HemlockrackException e) {
                     assertEquals(ErrorKind.STORAGE_FAILED, e.kind());
                     refusals++;
@@ -129,12 +135,51 @@
             requireContent(store, 3 * SEGMENT_ENTRIES);
             store.close();
             assertEquals(0, disk.openChannels());
+            disk.setFaults(FaultyDisk.NONE);
             try (LogStore again = LogStore.open(folder, mRandom)) {
                 requireContent(again, 3 * SEGMENT_ENTRIES);
             }
         }
     }
 
+    /** Returns whether the conversion lost power, after which it is opened again. */
+    private boolean convertWithLoss(long at, PowerLoss loss, long seed) throws IOException {
+        FaultyDisk disk = FaultyDisk.create(new SplittableRandom(seed));
+        Path folder = writeLegacyFolder(disk.path(FOLDER), 5);
+        disk.losePower(PowerLoss.KEEPS_ALL);
+        disk.losePowerAt(at);
+        boolean isLost = false;
+        try (LogStore store = LogStore.open(folder, mRandom)) {
+            requireContent(store, 3 * SEGMENT_ENTRIES);
+        } catch (FaultyDisk.PowerLostException e) {
+            isLost = true;
+        }
+        for (PowerLoss next : List.of(loss, PowerLoss.LOSES_ALL)) {
+            disk.losePower(next);
+            disk.setFaults(FaultyDisk.NONE);
+            try (LogStore store = LogStore.open(folder, mRandom)) {
+                requireContent(store, 3 * SEGMENT_ENTRIES);
+            }
+        }
+        assertEquals(0, disk.openChannels());
+        return isLost;
+    }
+
+    /** Guards against an upgrade that loses something when power is lost at any operation. */
+    @ParameterizedTest
+    @EnumSource
+    void aConversionThatLosesPowerGoesOn(PowerLoss loss) throws IOException {
+        long at = 0;
+        boolean isLost = true;
+        while (isLost) {
+            for (long seed = 0; seed < 10; seed++) {
+                isLost = convertWithLoss(at, loss, seed);
+            }
+            at++;
+        }
+        System.out.printf("conversion %s: points=%d%n", loss, at);
+    }
+
     /** Guards against damage that an upgrade hides. */
     @Test
     void everyFlippedByteOfVersion1IsRefused() throws IOException {
