Kill a process that uses the log store before power is lost

What a process reads at its start counts, though the one before it may have been killed between a rename or write and its sync. A kill at each of the operations of the history, a start, and a loss of all unsynced changes right after it.

--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreLossPointsTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreLossPointsTest.java
@@ -1,14 +1,25 @@
 package org.hemlockrack.consensus.internal.file;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
+import java.util.SplittableRandom;
+import org.hemlockrack.consensus.Entry;
+import org.hemlockrack.consensus.EntryKind;
+import org.hemlockrack.consensus.LogStore;
 import org.hemlockrack.consensus.disk.DiskOperation;
+import org.hemlockrack.consensus.disk.FaultyDisk;
 import org.hemlockrack.consensus.disk.PowerLoss;
 import org.hemlockrack.consensus.internal.file.StoreHistory.Step;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.HemlockrackException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Plays a history of a log store that loses power at each of its operations. */
@@ -123,6 +134,82 @@
         playAllPoints(PowerLoss.MIXED, OUTCOMES);
     }
 
+    /**
+     * Guards against what a process has read at its start and that is not durable, as the process
+     * before was killed at any operation and power is lost soon after.
+     */
+    @Test
+    void nothingIsLostByALossOfPowerAfterAKill() throws IOException {
+        long operations = operationsOfHistory();
+        PlayFailures failures = new PlayFailures();
+        for (long at = 0; at <= operations; at++) {
+            StoreHistory history = StoreHistory.create(at, PowerLoss.LOSES_ALL);
+            history.killAt(at);
+            failures.run("kill at " + at, () -> history.play(history()));
+        }
+        failures.requireNone();
+    }
+
+    /** Returns whether a folder was damaged and moved aside while power was lost. */
+    private static boolean openDamagedWithLoss(long at, PowerLoss loss, long seed)
+            throws IOException {
+        FaultyDisk disk = FaultyDisk.create(new SplittableRandom(seed));
+        SplittableRandom ids = new SplittableRandom(seed);
+        Path folder = disk.path(Path.of("/data"));
+        long oldId;
+        try (LogStore store = FileLogStore.open(folder, ids)) {
+            oldId = store.recovered().hardState().replicaId();
+            store.append(List.of(new Entry(1, 1, EntryKind.COMMAND, 1, new byte[20])));
+            store.sync();
+        }
+        Files.delete(folder.resolve(LogSegment.name(1)));
+        disk.losePower(PowerLoss.KEEPS_ALL);
+        disk.losePowerAt(at);
+        long newId = 0;
+        try (LogStore store = FileLogStore.openDamaged(folder, ids)) {
+            newId = store.recovered().hardState().replicaId();
+        } catch (FaultyDisk.PowerLostException e) {
+            assertEquals(0, newId);
+        }
+        disk.losePower(loss);
+        disk.setFaults(FaultyDisk.NONE);
+        long readId = replicaIdOf(folder, ids);
+        assertTrue(readId != oldId, "the old replica id");
+        assertTrue(newId == 0 || readId == newId, "another replica id");
+        assertEquals(0, disk.openChannels());
+        return newId == 0;
+    }
+
+    private static long replicaIdOf(Path folder, SplittableRandom ids) {
+        try (LogStore store = FileLogStore.open(folder, ids)) {
+            assertEquals(List.of(), store.recovered().entries());
+            return store.recovered().hardState().replicaId();
+        } catch (HemlockrackException e) {
+            assertEquals(ErrorKind.STORAGE_DAMAGED, e.kind());
+        }
+        try (LogStore store = FileLogStore.openDamaged(folder, ids)) {
+            return store.recovered().hardState().replicaId();
+        }
+    }
+
+    /**
+     * Guards against a damaged folder that passes for a sound one after power was lost while its
+     * files were moved aside.
+     */
+    @ParameterizedTest
+    @EnumSource
+    void aDamagedFolderStaysDamagedUntilItsReplicaIsNew(PowerLoss loss) throws IOException {
+        long at = 0;
+        boolean isLost = true;
+        while (isLost) {
+            for (long seed = 0; seed < 10; seed++) {
+                isLost = openDamagedWithLoss(at, loss, seed);
+            }
+            at++;
+        }
+        System.out.printf("moved aside %s: points=%d%n", loss, at);
+    }
+
     private interface Breaking {
         void apply(StoreHistory history);
     }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/StoreHistory.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/StoreHistory.java
@@ -39,6 +39,7 @@
     private static final long SEGMENT_BYTES = 4_096;
     private static final int CHUNK_BYTES = 2_000;
     private static final int MAX_TRIES = 200;
+    private static final long NEVER = Long.MAX_VALUE;
 
     private final FaultyDisk mDisk;
     private final Path mFolder;
@@ -53,6 +54,7 @@
     /** Whether a process whose disk has refused an operation is killed. */
     private boolean mKillsAfterFailures;
 
+    private long mKillAt = NEVER;
     private LogStore mStore;
     private int mLosses;
     private int mFailures;
@@ -130,6 +132,19 @@
         }
     }
 
+    /** Kills the process at an operation, and loses power as soon as the next one has started. */
+    void killAt(long operationNumber) {
+        mKillAt = operationNumber;
+        mDisk.losePowerAt(operationNumber);
+    }
+
+    private void startAfterKill() {
+        mKillAt = NEVER;
+        mDisk.setFaults(FaultyDisk.NONE);
+        killAndOpen();
+        startAfterLossOfPower();
+    }
+
     /** Runs a step until it succeeds. */
     void perform(Step step) {
         for (int i = 0; i < MAX_TRIES; i++) {
@@ -137,7 +152,11 @@
                 step.run(this);
                 return;
             } catch (FaultyDisk.PowerLostException e) {
-                startAfterLossOfPower();
+                if (mKillAt == NEVER) {
+                    startAfterLossOfPower();
+                } else {
+                    startAfterKill();
+                }
             } catch (HemlockrackException e) {
                 requireStorageFailed(e);
                 resumeOrKill();
