Lose power again and again with entries of one size

Frames of equal size follow each other at the same offsets, so that a truncation which is not synced lets an old frame follow a new one.

--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreHistoriesTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/internal/file/FileLogStoreHistoriesTest.java
@@ -170,4 +170,37 @@
     void nothingIsLostByKillsAfterFailures() throws IOException {
         playHistories(Arrays.asList(Fault.values()), true);
     }
+
+    /** Loses power again and again after appends of entries of one size, mostly without a sync. */
+    private static void playLosses(StoreHistory history, SplittableRandom random)
+            throws IOException {
+        history.perform(StoreHistory::closeAndOpen);
+        for (long term = 1; term <= 20; term++) {
+            long currentTerm = term;
+            history.perform(h -> h.vote(currentTerm, 0));
+            int count = random.nextInt(1, 5);
+            for (int i = 0; i < count; i++) {
+                long next = history.expected().lastIndex() + 1;
+                history.perform(h -> h.append(next, next, currentTerm, 50));
+            }
+            if (random.nextInt(4) == 0) {
+                history.perform(StoreHistory::sync);
+            }
+            history.startAfterLossOfPower();
+        }
+        history.end();
+    }
+
+    /** Guards against entries that a loss of power has cut off and the next one brings back. */
+    @Test
+    void nothingComesBackByRepeatedLossesOfPower() throws IOException {
+        long histories = 3 * Long.getLong("histories", 100);
+        PlayFailures failures = new PlayFailures();
+        for (long seed = 0; seed < histories; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            StoreHistory history = StoreHistory.create(seed, PowerLoss.MIXED);
+            failures.run("seed " + seed, () -> playLosses(history, random));
+        }
+        failures.requireNone();
+    }
 }
