--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/FileDisk.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/FileDisk.java
@@ -1,37 +1,57 @@
 package org.hemlockrack.consensus;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.random.RandomGenerator;
 import org.hemlockrack.consensus.disk.DiskOperation;
 import org.hemlockrack.consensus.disk.FaultyDisk;
+import org.hemlockrack.consensus.disk.PowerLoss;
 import org.jspecify.annotations.Nullable;
 
 /** A disk with the real store; a crash takes what was not synced, as a loss of power may. */
 final class FileDisk implements SimulatedDisk {
-    private final FaultyDisk mDisk = FaultyDisk.create();
+    private final FaultyDisk mDisk;
     private final Path mFolder;
+    private final RandomGenerator mRandom;
+    private final List<PowerLoss> mLosses;
+    private final boolean mKills;
     private @Nullable LogStore mStore;
     private long mFirstReplicaId;
     private boolean mFull;
     private boolean mFailsAtSync;
     private long mOperationsUntilCrash = Long.MAX_VALUE;
 
-    FileDisk(Path parent) {
-        try {
-            mFolder = Files.createTempDirectory(parent, "log");
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+    /** Whether a crash has interrupted the process in the middle of a call. */
+    private boolean mIsInterrupted;
+
+    private int mLeftOpen;
+
+    /**
+     * Creates an empty disk.
+     *
+     * @param random source of randomness
+     * @param losses what a loss of power may leave
+     * @param kills whether a crash may be a kill of the process, which loses nothing
+     */
+    FileDisk(RandomGenerator random, List<PowerLoss> losses, boolean kills) {
+        mKills = kills;
+        mRandom = random;
+        mLosses = losses;
+        mDisk = FaultyDisk.create(random);
+        mDisk.setFailedSync(losses.get(random.nextInt(losses.size())));
+        mFolder = mDisk.path(Path.of("/data"));
         mDisk.setFaults((operation, number) -> refuses(operation));
     }
 
+    /** Lets the syncs of files whose paths match succeed without an effect. */
+    void ignoreSyncs(String paths) {
+        mDisk.setIgnoredSyncs((operation, file) -> file.toString().matches(paths));
+    }
+
     private boolean refuses(DiskOperation operation) {
         if (--mOperationsUntilCrash <= 0) {
             mOperationsUntilCrash = Long.MAX_VALUE;
+            mIsInterrupted = true;
             throw new InMemoryLogStore.Crash();
         }
         return mFull && (mFailsAtSync ? operation == DiskOperation.SYNC : operation.needsSpace());
@@ -39,7 +59,7 @@
 
     @Override
     public LogStore open(RandomGenerator random) {
-        LogStore store = LogStore.open(mDisk.path(mFolder), random);
+        LogStore store = LogStore.open(mFolder, random);
         mStore = store;
         long replicaId = replicaId();
         if (mFirstReplicaId == 0) {
@@ -59,14 +79,16 @@
     @Override
     public void crash() {
         cancelCrash();
-        if (mStore != null) {
+        if (mStore != null && !mIsInterrupted) {
             mStore.close();
+            mLeftOpen += mDisk.openChannels();
         }
-        try {
-            mDisk.losePower();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+        mIsInterrupted = false;
+        if (mKills && mRandom.nextInt(3) == 0) {
+            mDisk.killProcess();
+            return;
         }
+        mDisk.losePower(mLosses.get(mRandom.nextInt(mLosses.size())));
     }
 
     @Override
@@ -91,9 +113,9 @@
         return mStore == null ? 0 : mStore.recovered().hardState().replicaId();
     }
 
-    /** Returns the number of files that are open. */
+    /** Returns the number of files that were left open by processes that ended between calls. */
     int openFiles() {
-        return mDisk.openChannels();
+        return mLeftOpen;
     }
 
     @Override
