Log the phases of a gateway's stop and what it passes on late

Each phase of a stop now has a line with what is open and the time since the stop began; a late request that is passed on has one with the time left and expected; answer_cut, failed_* and caller_left say how long the stop had gone on and how much of the answer had come.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ExchangeLog.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ExchangeLog.java
@@ -13,6 +13,7 @@
     private static final int MAX_LOGGED_PARTS = 8;
 
     private final DecisionLog mLog;
+    private final OpenExchanges mOpenExchanges;
     private final String mAttemptId;
     private final Route mRoute;
     private final @Nullable String mWorkspace;
@@ -22,6 +23,7 @@
 
     ExchangeLog(
             DecisionLog log,
+            OpenExchanges openExchanges,
             String attemptId,
             Route route,
             @Nullable String workspace,
@@ -29,6 +31,7 @@
             List<String> promptParts,
             long startNanos) {
         mLog = log;
+        mOpenExchanges = openExchanges;
         mAttemptId = attemptId;
         mRoute = route;
         mWorkspace = workspace;
@@ -76,14 +79,32 @@
     }
 
     void ended(String event, @Nullable ForwardAttempt attempt, String cause, int attempts) {
-        mLog.requestEvent(event, mAttemptId)
+        DecisionLog.Line line =
+                mLog.requestEvent(event, mAttemptId)
+                        .put("route", mRoute.name())
+                        .put("workspace", mWorkspace)
+                        .put("server", attempt == null ? null : attempt.server().id().value())
+                        .put("cause", cause)
+                        .put("table", mTableVersion)
+                        .put("attempts", attempts)
+                        .put("elapsed_ms", elapsedMillis());
+        if (attempt != null) {
+            line.put("body_bytes", attempt.bodyBytes());
+        }
+        if (mOpenExchanges.isStopping()) {
+            line.put("stopping_ms", mOpenExchanges.sinceStopMillis(System.nanoTime()));
+        }
+        line.write();
+    }
+
+    /** Writes a line about a late request that is passed on although this instance stops. */
+    void passedOnWhileStopping(long expectedNanos) {
+        long nowNanos = System.nanoTime();
+        mLog.requestEvent("passed_on_while_stopping", mAttemptId)
                 .put("route", mRoute.name())
-                .put("workspace", mWorkspace)
-                .put("server", attempt == null ? null : attempt.server().id().value())
-                .put("cause", cause)
-                .put("table", mTableVersion)
-                .put("attempts", attempts)
-                .put("elapsed_ms", elapsedMillis())
+                .put("expected_ms", TimeUnit.NANOSECONDS.toMillis(expectedNanos))
+                .put("left_ms", mOpenExchanges.remainingMillis(nowNanos))
+                .put("stopping_ms", mOpenExchanges.sinceStopMillis(nowNanos))
                 .write();
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -49,7 +49,7 @@
     private final double mRoutingFraction;
     private final ExchangeLog mLog;
     private final long mStartNanos;
-    private final long mDeadlineNanos;
+    private final TimeLimits mTimeLimits;
     private final Set<BackendId> mTriedServers = new HashSet<>();
     private final PromptParts mParts;
     private final List<String> mPartNames;
@@ -109,17 +109,14 @@
         mLog =
                 new ExchangeLog(
                         context.log(),
+                        context.openExchanges(),
                         metadata.attemptId(),
                         route,
                         mWorkspace,
                         tableVersion,
                         mPartNames,
                         mStartNanos);
-        long timeoutMillis = route.timeoutMillis();
-        if (metadata.timeoutMillis() >= 0) {
-            timeoutMillis = Math.min(timeoutMillis, metadata.timeoutMillis());
-        }
-        mDeadlineNanos = mStartNanos + timeoutMillis * NANOS_PER_MILLI;
+        mTimeLimits = TimeLimits.of(context, route, metadata, mStartNanos);
         mEventFramer =
                 route.isStreaming() && route.allowsRerun() ? EventStreamFramer.create() : null;
         mResumable = mEventFramer != null;
@@ -163,7 +160,7 @@
     }
 
     long remainingMillis() {
-        return (mDeadlineNanos - System.nanoTime()) / NANOS_PER_MILLI;
+        return mTimeLimits.remainingMillis();
     }
 
     /** Returns the names of the parts of the prompt. */
@@ -173,7 +170,7 @@
 
     void start() {
         mContext.retries().countRequest(mService);
-        mDeadlineTimer = mContext.loop().scheduleAt(mDeadlineNanos, this::onDeadline);
+        mDeadlineTimer = mContext.loop().scheduleAt(mTimeLimits.deadlineNanos(), this::onDeadline);
         if (!mPartNames.isEmpty()) {
             mContext.quarantine().addExchange(this);
         }
@@ -190,10 +187,13 @@
                 return;
             }
             long nowNanos = System.nanoTime();
-            if (!canCompleteBeforeStop(nowNanos)) {
+            if (!mTimeLimits.canCompleteBeforeStop(nowNanos)) {
                 failStopping();
                 return;
             }
+            if (mTimeLimits.isLate()) {
+                mLog.passedOnWhileStopping(mTimeLimits.expectedNanos(nowNanos));
+            }
             Verdict verdict = mContext.quarantine().inForce(nowNanos, mPartNames);
             if (verdict != null) {
                 failHeld(nowNanos, verdict);
@@ -229,20 +229,6 @@
         attempt.send();
     }
 
-    /**
-     * Returns whether an attempt that starts now can be complete before this instance stops. Its
-     * answer takes as long as those before it on the route, and ends at the deadline.
-     */
-    private boolean canCompleteBeforeStop(long nowNanos) {
-        long remainingNanos = mDeadlineNanos - nowNanos;
-        return mContext.openExchanges()
-                .canComplete(
-                        nowNanos,
-                        Math.min(
-                                remainingNanos,
-                                mContext.state().expectedNanos(mRoute, remainingNanos)));
-    }
-
     /** Schedules a check that an attempt has made progress within the silence timeout. */
     private void scheduleSilenceCheck(ForwardAttempt attempt, long silenceTimeoutNanos) {
         mContext.loop()
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -6,9 +6,7 @@
 import java.security.SecureRandom;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.hemlockrack.daemon.GracefulShutdown;
 import org.hemlockrack.daemon.ServiceProcess;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.http.HttpClient;
@@ -43,27 +41,6 @@
 
     private static final long EXPIRY_PERIOD_MILLIS = 500;
 
-    /**
-     * Time until the load balancer stops sending new callers: it checks readiness once a second and
-     * removes a gateway after the second failed check.
-     */
-    private static final long BALANCER_REMOVAL_MILLIS = 2_600;
-
-    /**
-     * Time between the end of new connections and the end of idle ones: a caller whose connection
-     * was just accepted sends its request meanwhile.
-     */
-    private static final long ACCEPTED_GRACE_MILLIS = 300;
-
-    /**
-     * Part of the shutdown timeout that is reserved for the errors of requests that are still open
-     * then, and for closing, so that the process exits by itself before the timeout.
-     */
-    private static final long STOP_MARGIN_MILLIS = 600;
-
-    /** Part of that margin in which callers can read the errors. */
-    private static final long ERROR_FLUSH_MILLIS = 400;
-
     private final Settings mSettings;
     private final Closer mCloser = Closer.create();
     private final EventLoop mLoop;
@@ -201,27 +178,9 @@
 
     @Override
     public void shutDown() {
-        long timeoutMillis = mSettings.integer(SettingKey.SHUTDOWN_DRAIN_TIMEOUT_MS);
-        long drainEndNanos =
-                System.nanoTime()
-                        + TimeUnit.MILLISECONDS.toNanos(timeoutMillis - STOP_MARGIN_MILLIS);
         mDraining = true;
-        mOpenExchanges.stopAt(drainEndNanos);
-        mLog.instanceEvent("stopping").put("open", mOpenRequests.get()).write();
-        GracefulShutdown.sleep(BALANCER_REMOVAL_MILLIS);
-        mCallerPort.stopAccepting();
-        GracefulShutdown.sleep(ACCEPTED_GRACE_MILLIS);
-        mCallerPort.closeIdleConnections();
-        // A connection is open while a request arrives, is served, or its answer is sent.
-        GracefulShutdown.awaitDrained(mCallerPort::openConnections, drainEndNanos);
-        int cut = mOpenExchanges.endAll() + mCallerPort.refuseIncompleteRequests();
-        if (cut > 0) {
-            long flushEndNanos =
-                    System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ERROR_FLUSH_MILLIS);
-            GracefulShutdown.awaitDrained(mCallerPort::openConnections, flushEndNanos);
-        }
-        mCallerPort.closeNow();
-        mLog.instanceEvent("stopped").put("cut", cut).write();
+        long timeoutMillis = mSettings.integer(SettingKey.SHUTDOWN_DRAIN_TIMEOUT_MS);
+        PlannedStop.begin(mCallerPort, mOpenExchanges, mLog, timeoutMillis).run();
         close();
     }
 
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
@@ -246,6 +246,12 @@
         assertTrue(condition.getAsBoolean());
     }
 
+    /** Begins a stop in which each request is late. */
+    private void stopIn(long seconds) {
+        long nowNanos = System.nanoTime();
+        mOpenExchanges.stopAt(nowNanos, nowNanos + TimeUnit.SECONDS.toNanos(seconds));
+    }
+
     /**
      * Guards against a command that is cut at its server because the caller has left, and against
      * its load being counted forever.
@@ -301,7 +307,7 @@
         StatusResponder open = new StatusResponder();
         start(() -> {}, RerunPolicy.AT_MOST_ONCE, HELD_PATH, open);
         await(() -> mRequestsAtServer.get() == 1);
-        mOpenExchanges.stopAt(System.nanoTime() + TimeUnit.SECONDS.toNanos(1));
+        stopIn(1);
         StatusResponder late = new StatusResponder();
         start(() -> {}, RerunPolicy.AT_MOST_ONCE, "/book", late);
         assertEquals(503, late.mStatus.get(5, TimeUnit.SECONDS));
@@ -315,7 +321,7 @@
     @Test
     void stoppingGatewayServesWhatCompletesInTime() throws Exception {
         assertEquals(200, send(() -> {}));
-        mOpenExchanges.stopAt(System.nanoTime() + TimeUnit.SECONDS.toNanos(30));
+        stopIn(30);
         assertEquals(200, send(() -> {}));
     }
 }
