Begin a late answer only once it is whole

What callers saw: streams that a stopping gateway took in late began and ended by a reset at the end of its grace period.

Cause: a late request is passed on if its answer is expected to end in time, by the answers before it on its route. Nobody can foretell the end of one answer: a slower server, a longer stream or a retry overruns the estimate, and an answer that has begun can only be cut.

Change: an answer to a request that came whole after the listener closed, and whose deadline is not before the end, is kept until it is complete. The estimate still decides whether it is passed on at all. If it is not complete at the end, or there is no memory left for it, the caller gets an error that says that the request may have run. Weighed: to refuse all late requests whose time limit is after the end, which refuses answers that could be whole (the body of one may end 4 s after the signal and its answer take 0.1 s); to hand the stream over to another gateway, which would have to be trusted with the caller's connection. The price is that a late stream comes in one piece. Callers who came before the listener closed get their streams as before.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -32,6 +32,9 @@
      */
     static final int MAX_COLLECTED_BYTES = 64 << 10;
 
+    /** Memory of a whole answer is reserved in steps of this size. */
+    private static final int RESERVATION_BYTES = 16 << 10;
+
     /**
      * Time after which a choice may rest on an outdated view of the servers. Opening a connection
      * takes a quarter of it at most, so an older choice shows that this process was delayed.
@@ -71,6 +74,9 @@
     private enum Mode {
         AWAITING_HEAD,
         COLLECTING,
+
+        /** The answer is kept whatever its size, as the caller may only get a whole one. */
+        COMPLETING,
         STREAMING,
         REFUSED,
         MISDIRECTED,
@@ -234,6 +240,10 @@
             failOversized();
             return;
         }
+        if (success && mExchange.requiresWholeAnswer()) {
+            mMode = Mode.COMPLETING;
+            return;
+        }
         beginStreaming(success, lengthBytes);
     }
 
@@ -345,12 +355,14 @@
         int bytes = data.remaining();
         boolean begun = hasBegun();
         mEvents.feed(data.duplicate());
-        if (!begun && hasBegun() && mMode == Mode.STREAMING) {
+        boolean passesOn = mMode == Mode.STREAMING || mMode == Mode.COMPLETING;
+        if (!begun && hasBegun() && passesOn) {
             mExchange.onAnswerBegun();
         }
         switch (mMode) {
             case STREAMING -> mExchange.forwardBody(this, data);
             case COLLECTING -> collect(data);
+            case COMPLETING -> complete(data);
             default -> {
                 data.position(data.limit());
                 releaseBytes(bytes);
@@ -386,6 +398,27 @@
         }
     }
 
+    /** Keeps a part of an answer that the caller may only get as a whole. */
+    private void complete(ByteBuffer data) {
+        int bytes = data.remaining();
+        if (mDetached) {
+            data.position(data.limit());
+            releaseBytes(bytes);
+            return;
+        }
+        long keptBytes = mCollectedBody.size() + (long) bytes;
+        long steps = (keptBytes + RESERVATION_BYTES - 1) / RESERVATION_BYTES;
+        if (!mExchange.answerMemory().tryReserve(steps * RESERVATION_BYTES)) {
+            failPossiblyRun(AttemptOutcome.ABANDONED, "no memory is left for a whole answer");
+            return;
+        }
+        mExchange.recordProgress(this);
+        byte[] chunk = new byte[bytes];
+        data.get(chunk);
+        mCollectedBody.writeBytes(chunk);
+        releaseBytes(bytes);
+    }
+
     /** Lets the server send as much as the caller has taken. */
     private void onDrained(int bytes) {
         int earlyBytes = Math.min(bytes, mReleasedEarlyBytes.get());
@@ -410,10 +443,7 @@
         mMode = Mode.ENDED;
         switch (mode) {
             case STREAMING -> {
-                boolean hasEvents = mSuccessStream && mExchange.route().isStreaming();
-                if (hasEvents && mEvents.isInsideEvent()) {
-                    countAnswer(false);
-                    mExchange.onCut(this, "the stream ended inside an event");
+                if (mSuccessStream && cutInsideEvent()) {
                     return;
                 }
                 if (mExchange.completeStream(this)) {
@@ -422,6 +452,12 @@
                 }
             }
             case COLLECTING -> finishCollected();
+            case COMPLETING -> {
+                if (!cutInsideEvent()) {
+                    countAnswer(true);
+                    deliverCollected(false);
+                }
+            }
             case REFUSED ->
                     mExchange.onNotRun(
                             this, AttemptOutcome.REJECTED, "refused with status " + mStatus);
@@ -432,6 +468,16 @@
         }
     }
 
+    /** Ends the attempt if its stream of events ended inside one; returns whether it did. */
+    private boolean cutInsideEvent() {
+        boolean cut = mExchange.route().isStreaming() && mEvents.isInsideEvent();
+        if (cut) {
+            countAnswer(false);
+            mExchange.onCut(this, "the stream ended inside an event");
+        }
+        return cut;
+    }
+
     private void finishCollected() {
         boolean failure = isFailure();
         countAnswer(!failure);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -314,6 +314,11 @@
         }
     }
 
+    /** Returns whether the answer may only begin once it is whole. */
+    boolean requiresWholeAnswer() {
+        return mTimeLimits.requiresWholeAnswer();
+    }
+
     synchronized boolean isHeadSent() {
         return mHeadSent;
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/TimeLimits.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/TimeLimits.java
@@ -64,4 +64,13 @@
     boolean isLate() {
         return mOpenExchanges.isLate(mStartNanos);
     }
+
+    /**
+     * Returns whether the answer may only begin once it is whole. The end of a late answer cannot
+     * be foretold, and one that has begun could only be cut when this instance ends. A deadline
+     * before that ends it in any case.
+     */
+    boolean requiresWholeAnswer() {
+        return isLate() && !mOpenExchanges.canComplete(mStartNanos, mDeadlineNanos - mStartNanos);
+    }
 }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
@@ -49,6 +49,13 @@
     private static final String HELD_PATH = "/held";
     private static final long DELAY_MILLIS = 1_500;
 
+    /** A path whose answers have no length and are complete once they are released. */
+    private static final String STREAM_PATH = "/stream";
+
+    private static final int STREAM_BYTES = 40 << 10;
+
+    private static final Runnable NO_DELAY = () -> {};
+
     private final EventLoop mLoop = EventLoop.open("test", Throwable::printStackTrace);
     private final DecisionLog mLog = DecisionLog.open("g1", new ByteArrayOutputStream());
     private final HttpClient mClient = HttpClient.open(1, 250, 60_000, true);
@@ -57,6 +64,7 @@
     private final OpenExchanges mOpenExchanges = OpenExchanges.create();
     private final GatewayState mState =
             GatewayState.create(ServerPool.create(ZONE, new SplittableRandom(1)));
+    private final ByteBudget mAnswerBudget = ByteBudget.of(1 << 20);
     private final CountDownLatch mRelease = new CountDownLatch(1);
     private final AtomicInteger mRequestsAtServer = new AtomicInteger();
     private final ServerRegistry mServers = ServerRegistry.create();
@@ -72,7 +80,13 @@
                     if (exchange.getRequestURI().getPath().equals(HELD_PATH)) {
                         awaitRelease();
                     }
-                    exchange.sendResponseHeaders(200, 2);
+                    boolean streams = exchange.getRequestURI().getPath().equals(STREAM_PATH);
+                    exchange.sendResponseHeaders(200, streams ? 0 : 2);
+                    if (streams) {
+                        exchange.getResponseBody().write(new byte[STREAM_BYTES - 2]);
+                        exchange.getResponseBody().flush();
+                        awaitRelease();
+                    }
                     exchange.getResponseBody().write("ok".getBytes());
                     exchange.close();
                 });
@@ -82,6 +96,8 @@
 
     @AfterEach
     void close() {
+        // The server waits for its exchanges when it stops.
+        mRelease.countDown();
         mServer.stop(0);
         mClient.close();
         mNetwork.close();
@@ -114,6 +130,7 @@
 
         DelayedProtocol(Runnable duringDelay) {
             mDuringDelay = duringDelay;
+            mDelayed = duringDelay == NO_DELAY;
         }
 
         @Override
@@ -150,7 +167,8 @@
     /** Completes with the status of the answer. */
     private static final class StatusResponder implements Responder {
         final CompletableFuture<Integer> mStatus = new CompletableFuture<>();
-        private int mHeadStatus;
+        private volatile int mHeadStatus;
+        private volatile int mBytes;
         private Runnable mOnCancel = () -> {};
 
         @Override
@@ -160,6 +178,8 @@
 
         @Override
         public int write(ByteBuffer data) {
+            mBytes += data.remaining();
+            data.position(data.limit());
             return 0;
         }
 
@@ -207,7 +227,7 @@
                         mClient,
                         mClient,
                         mOpenExchanges,
-                        ByteBudget.of(1 << 20),
+                        mAnswerBudget,
                         mLog,
                         Metrics.create(),
                         new SplittableRandom(1));
@@ -324,4 +344,57 @@
         stopIn(30);
         assertEquals(200, send(() -> {}));
     }
+
+    private StatusResponder startLateStream() throws Exception {
+        assertEquals(200, send(NO_DELAY));
+        stopIn(5);
+        StatusResponder late = new StatusResponder();
+        start(NO_DELAY, RerunPolicy.AT_MOST_ONCE, STREAM_PATH, late);
+        await(() -> mRequestsAtServer.get() == 2);
+        return late;
+    }
+
+    /** Guards against a late stream that is begun and then cut when the gateway ends. */
+    @Test
+    void lateStreamIsNotCut() throws Exception {
+        StatusResponder late = startLateStream();
+        await(() -> mAnswerBudget.reservedBytes() >= STREAM_BYTES - 2);
+        assertEquals(0, late.mHeadStatus);
+        assertEquals(1, mOpenExchanges.endAll());
+        assertEquals(502, late.mStatus.get(5, TimeUnit.SECONDS));
+        mRelease.countDown();
+    }
+
+    /** Guards against a late stream that is refused or shortened although it ends in time. */
+    @Test
+    void lateStreamThatEndsInTimeIsWhole() throws Exception {
+        StatusResponder late = startLateStream();
+        mRelease.countDown();
+        assertEquals(200, late.mStatus.get(5, TimeUnit.SECONDS));
+        assertEquals(STREAM_BYTES, late.mBytes);
+        assertEquals(0, mOpenExchanges.count());
+    }
+
+    /** Guards against late streams that fill the heap, and against cutting them for that. */
+    @Test
+    void lateStreamWithoutMemoryEndsWithAnError() throws Exception {
+        ByteBudget.Reservation taken = mAnswerBudget.tryReserve((1 << 20) - STREAM_BYTES / 2);
+        StatusResponder late = startLateStream();
+        assertEquals(502, late.mStatus.get(5, TimeUnit.SECONDS));
+        taken.close();
+        mRelease.countDown();
+    }
+
+    /**
+     * Guards against a stop that delays the streams of callers who came before its listener closed.
+     */
+    @Test
+    void streamThatIsNotLateBeginsAtOnce() throws Exception {
+        long nowNanos = System.nanoTime();
+        mOpenExchanges.stopAt(
+                nowNanos + TimeUnit.SECONDS.toNanos(20), nowNanos + TimeUnit.SECONDS.toNanos(30));
+        StatusResponder early = new StatusResponder();
+        start(NO_DELAY, RerunPolicy.AT_MOST_ONCE, STREAM_PATH, early);
+        await(() -> early.mBytes > 0);
+    }
 }
