Refuse a request in a stop as soon as its answer cannot be whole

A request whose body still arrives when its answer could no longer be whole was refused only once its last byte had come, or at the end of the grace period: its caller could have gone to another instance seconds before. Each 50 ms a stopping gateway now asks the question that it asks before it passes a request on, by the head alone, and refuses at once with 503, not run. A request is refused by one thread or handled by another, never both: a refusal claims it before it is sent. The refusal has the retry delay of the gateway's other refusals instead of a whole second.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
@@ -6,6 +6,7 @@
 import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.ErrorText;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.routing.Route;
 import org.hemlockrack.routing.RouteTable;
@@ -70,6 +71,49 @@
                 .start();
     }
 
+    /**
+     * Returns whether the answer to a request whose body still arrives can no longer be whole when
+     * this instance stops.
+     *
+     * @param head the request without its body
+     */
+    boolean isTooLate(HttpCall head) {
+        RouteTable table = mViewUpdater.standing().table();
+        if (table == null) {
+            return false;
+        }
+        try {
+            RequestMetadata metadata = mContext.protocol().readRequest(head);
+            Route route = Routing.of(table, head, metadata).route();
+            long nowNanos = System.nanoTime();
+            return !TimeLimits.of(mContext, route, metadata, nowNanos)
+                    .canCompleteBeforeStop(nowNanos);
+        } catch (HemlockrackException e) {
+            // It is refused for that reason once its body has arrived.
+            return false;
+        }
+    }
+
+    /** Refuses a request whose body still arrives, because this instance stops. */
+    void refuseIncomplete(HttpCall head, Responder responder) {
+        mContext.log()
+                .requestEvent("refused", readAttemptId(head))
+                .put("kind", ErrorKind.NOT_READY.name())
+                .put("cause", ErrorText.INSTANCE_STOPS)
+                .put("body", "incomplete")
+                .put("stopping_ms", mContext.openExchanges().sinceStopMillis(System.nanoTime()))
+                .write();
+        mContext.refuse(responder, ErrorKind.NOT_READY, ErrorText.INSTANCE_STOPS);
+    }
+
+    private String readAttemptId(HttpCall head) {
+        try {
+            return mContext.protocol().readRequest(head).attemptId();
+        } catch (HemlockrackException e) {
+            return "";
+        }
+    }
+
     /**
      * Requires that the table may be relied on for a request: a table that may have been replaced
      * serves only what each newer one would treat alike.
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -52,6 +52,7 @@
     private final OpenExchanges mOpenExchanges = OpenExchanges.create();
     private final ByteBudget mAnswerBudget =
             ByteBudget.of((long) (ANSWER_HEAP_FRACTION * Runtime.getRuntime().maxMemory()));
+    private final GatewayHandler mHandler;
     private final HttpPort mCallerPort;
     private volatile boolean mDraining;
 
@@ -77,14 +78,14 @@
                         mLoop, network, senderId, protocol, mState, retries, quarantine, mLog);
         retries.setControllers(mViewUpdater::reachableControllers);
         GatewayContext context = createContext(protocol, retries, quarantine, random);
-        GatewayHandler handler = new GatewayHandler(context, mViewUpdater);
+        mHandler = new GatewayHandler(context, mViewUpdater);
         mCallerPort =
                 HttpPort.open(
                         "callers",
                         settings.address(SettingKey.LISTEN_CALLERS),
                         settings.callerLimits(),
                         (call, responder) ->
-                                handler.handle(
+                                mHandler.handle(
                                         call, CountingResponder.of(responder, mOpenRequests)));
         mCloser.register(mCallerPort::close);
         HttpPort pages = openPages();
@@ -180,7 +181,7 @@
     public void shutDown() {
         mDraining = true;
         long timeoutMillis = mSettings.integer(SettingKey.SHUTDOWN_DRAIN_TIMEOUT_MS);
-        PlannedStop.begin(mCallerPort, mOpenExchanges, mLog, timeoutMillis).run();
+        PlannedStop.begin(mCallerPort, mHandler, mOpenExchanges, mLog, timeoutMillis).run();
         close();
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/PlannedStop.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/PlannedStop.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.daemon.gateway;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.hemlockrack.daemon.GracefulShutdown;
 import org.hemlockrack.daemon.http.HttpPort;
 import org.hemlockrack.daemon.log.DecisionLog;
@@ -31,7 +32,11 @@
     /** Part of that margin in which callers can read the errors. */
     private static final long ERROR_FLUSH_MILLIS = 400;
 
+    /** Period at which requests are refused whose bodies still arrive and which are too late. */
+    private static final long REFUSAL_PERIOD_MILLIS = 50;
+
     private final HttpPort mPort;
+    private final GatewayHandler mHandler;
     private final OpenExchanges mExchanges;
     private final DecisionLog mLog;
     private final long mStartNanos;
@@ -39,11 +44,13 @@
 
     private PlannedStop(
             HttpPort port,
+            GatewayHandler handler,
             OpenExchanges exchanges,
             DecisionLog log,
             long startNanos,
             long drainEndNanos) {
         mPort = port;
+        mHandler = handler;
         mExchanges = exchanges;
         mLog = log;
         mStartNanos = startNanos;
@@ -54,33 +61,40 @@
      * Begins a stop.
      *
      * @param port port of the callers
+     * @param handler handles their requests
      * @param exchanges the exchanges that have not ended
      * @param log receives the phases
      * @param timeoutMillis time until the process has to be gone
      */
     static PlannedStop begin(
-            HttpPort port, OpenExchanges exchanges, DecisionLog log, long timeoutMillis) {
+            HttpPort port,
+            GatewayHandler handler,
+            OpenExchanges exchanges,
+            DecisionLog log,
+            long timeoutMillis) {
         long startNanos = System.nanoTime();
         long drainEndNanos =
                 startNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMillis - STOP_MARGIN_MILLIS);
         long lateNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(BALANCER_REMOVAL_MILLIS);
         exchanges.stopAt(lateNanos, drainEndNanos);
-        return new PlannedStop(port, exchanges, log, startNanos, drainEndNanos);
+        return new PlannedStop(port, handler, exchanges, log, startNanos, drainEndNanos);
     }
 
     /** Runs the phases of the stop; returns once the connections of callers are closed. */
     void run() {
         logPhase("stopping");
-        GracefulShutdown.sleep(BALANCER_REMOVAL_MILLIS);
+        waitWhile(BALANCER_REMOVAL_MILLIS, () -> true);
         mPort.stopAccepting();
         logPhase("stop_listener_closed");
-        GracefulShutdown.sleep(ACCEPTED_GRACE_MILLIS);
+        waitWhile(ACCEPTED_GRACE_MILLIS, () -> true);
         mPort.closeIdleConnections();
         logPhase("stop_idle_closed");
         // A connection is open while a request arrives, is served, or its answer is sent.
-        GracefulShutdown.awaitDrained(mPort::openConnections, mDrainEndNanos);
+        long drainMillis = TimeUnit.NANOSECONDS.toMillis(mDrainEndNanos - System.nanoTime());
+        waitWhile(drainMillis, () -> mPort.openConnections() > 0);
         logPhase("stop_drained");
-        int cut = mExchanges.endAll() + mPort.refuseIncompleteRequests();
+        int incomplete = mPort.refuseIncompleteRequests(head -> true, mHandler::refuseIncomplete);
+        int cut = mExchanges.endAll() + incomplete;
         if (cut > 0) {
             long flushEndNanos =
                     System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ERROR_FLUSH_MILLIS);
@@ -90,6 +104,20 @@
         mPort.closeNow();
     }
 
+    /**
+     * Waits as long as a condition holds, for some time at most. Requests that can no longer be
+     * answered whole are refused meanwhile, so that their callers go elsewhere at once.
+     */
+    private void waitWhile(long maxMillis, BooleanSupplier condition) {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(maxMillis);
+        long leftMillis = maxMillis;
+        while (leftMillis > 0 && condition.getAsBoolean()) {
+            mPort.refuseIncompleteRequests(mHandler::isTooLate, mHandler::refuseIncomplete);
+            GracefulShutdown.sleep(Math.min(leftMillis, REFUSAL_PERIOD_MILLIS));
+            leftMillis = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
+        }
+    }
+
     private void logPhase(String event) {
         writeState(mLog.instanceEvent(event));
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
 import org.hemlockrack.errors.ErrorKind;
@@ -66,11 +67,11 @@
         return mOpenExchanges.get();
     }
 
-    /** Refuses the requests whose bodies have not arrived; returns their number. */
-    int refuseIncompleteRequests() {
+    /** Refuses requests whose bodies have not arrived; returns their number. */
+    int refuseIncompleteRequests(Predicate<HttpCall> condition, CallHandler refusal) {
         int refused = 0;
         for (ServerExchange exchange : mExchanges) {
-            refused += exchange.refuseIfIncomplete() ? 1 : 0;
+            refused += exchange.refuseIfIncomplete(condition, refusal) ? 1 : 0;
         }
         return refused;
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
 
@@ -90,9 +91,11 @@
         return mConnections.stream().mapToInt(ClientConnection::openExchanges).sum();
     }
 
-    /** Refuses the requests whose bodies have not arrived; returns their number. */
-    int refuseIncompleteRequests() {
-        return mConnections.stream().mapToInt(ClientConnection::refuseIncompleteRequests).sum();
+    /** Refuses requests whose bodies have not arrived; returns their number. */
+    int refuseIncompleteRequests(Predicate<HttpCall> condition, CallHandler refusal) {
+        return mConnections.stream()
+                .mapToInt(connection -> connection.refuseIncompleteRequests(condition, refusal))
+                .sum();
     }
 
     void connectionOpened(ClientConnection connection) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
 import org.apache.hc.core5.http.nio.ssl.TlsStrategy;
@@ -11,6 +12,7 @@
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.util.TimeValue;
 import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.ErrorText;
 import org.hemlockrack.errors.HemlockrackException;
 import org.jspecify.annotations.Nullable;
 
@@ -143,7 +145,21 @@
      * @return their number
      */
     public int refuseIncompleteRequests() {
-        return mLimiter.refuseIncompleteRequests();
+        return refuseIncompleteRequests(
+                head -> true,
+                (head, responder) ->
+                        responder.sendError(ErrorKind.NOT_READY, ErrorText.INSTANCE_STOPS, 0));
+    }
+
+    /**
+     * Refuses requests whose bodies have not arrived.
+     *
+     * @param condition whether to refuse a request, of which it gets no body
+     * @param refusal answers the requests to be refused
+     * @return their number
+     */
+    public int refuseIncompleteRequests(Predicate<HttpCall> condition, CallHandler refusal) {
+        return mLimiter.refuseIncompleteRequests(condition, refusal);
     }
 
     /** Closes the port and its connections without waiting for responses. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -54,6 +55,10 @@
     private boolean mResponseComplete;
     private boolean mIsHeadRequest;
     private boolean mRequestBodyComplete;
+
+    /** Whether the request is refused without its body, which may arrive at the same time. */
+    private boolean mBodyRefused;
+
     private volatile boolean mCloseAfterResponse;
     private long mBodyStartNanos;
     private long mLastProgressNanos;
@@ -125,17 +130,35 @@
         sendError(kind, message, 0);
     }
 
-    /** Refuses the request if its body has not arrived; returns whether it did. */
-    boolean refuseIfIncomplete() {
+    /**
+     * Refuses the request if its body has not arrived.
+     *
+     * @param condition whether to refuse a request, of which it gets no body
+     * @param refusal answers the request
+     * @return whether the request was refused
+     */
+    boolean refuseIfIncomplete(Predicate<HttpCall> condition, CallHandler refusal) {
+        if (!canRefuseBody()) {
+            return false;
+        }
+        HttpCall head = callWith(new byte[0]);
+        if (!condition.test(head)) {
+            return false;
+        }
         synchronized (this) {
-            if (mRequestBodyComplete || mHeadSent || mReleased) {
+            if (!canRefuseBody()) {
                 return false;
             }
+            mBodyRefused = true;
         }
-        refuseBody(ErrorKind.NOT_READY, ErrorText.INSTANCE_STOPS);
+        refusal.handle(head, this);
         return true;
     }
 
+    private synchronized boolean canRefuseBody() {
+        return !mRequestBodyComplete && !mHeadSent && !mReleased;
+    }
+
     /**
      * Closes the connection if the client has stopped reading the response, and refuses the request
      * if its body is late.
@@ -194,29 +217,32 @@
     public void streamEnd(@Nullable List<? extends Header> trailers) {
         synchronized (this) {
             mRequestBodyComplete = true;
+            if (mHeadSent || mBodyRefused) {
+                return;
+            }
         }
-        if (!isHeadSent()) {
-            dispatch();
-        }
+        dispatch();
     }
 
     private synchronized boolean isHeadSent() {
         return mHeadSent;
     }
 
-    private void dispatch() {
+    private HttpCall callWith(byte[] body) {
         HttpRequest request = mRequest;
         String target = request.getPath() == null ? "/" : request.getPath();
         int queryStart = target.indexOf('?');
-        HttpCall call =
-                new HttpCall(
-                        request.getMethod(),
-                        queryStart < 0 ? target : target.substring(0, queryStart),
-                        queryStart < 0 ? null : target.substring(queryStart + 1),
-                        HeaderField.listOf(request),
-                        mRequestBody.toByteArray());
+        return new HttpCall(
+                request.getMethod(),
+                queryStart < 0 ? target : target.substring(0, queryStart),
+                queryStart < 0 ? null : target.substring(queryStart + 1),
+                HeaderField.listOf(request),
+                body);
+    }
+
+    private void dispatch() {
         try {
-            mHandler.handle(call, this);
+            mHandler.handle(callWith(mRequestBody.toByteArray()), this);
         } catch (RuntimeException e) {
             sendError(ErrorKind.INTERNAL, "unexpected error: " + e, 0);
             throw e;
