Soak planned stops with bodies that arrive slowly

The soak stops gateways beside other faults, so its checks excuse what is lost around a stop. The new scenario does nothing but stop gateways: 48 callers keep their connections and send bodies in chunks over up to 5 s, servers become slow, some stops come twice or overlap with another. What was passed on must end with a complete answer, except where the time limit or the end of the grace period excuses it; what was refused must not run.

Gateways that are killed after 4 s are reported.

--- a/hemlockrack-soak/src/main/java/org/hemlockrack/soak/GuaranteeChecker.java
+++ b/hemlockrack-soak/src/main/java/org/hemlockrack/soak/GuaranteeChecker.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.platform.TestFleet;
 
@@ -134,13 +136,10 @@
         }
     }
 
-    synchronized int requestCount(int status) {
-        return (int)
-                mSentRequests.stream().filter(sent -> sent.answer().status() == status).count();
-    }
-
-    synchronized int requestCount() {
-        return mSentRequests.size();
+    synchronized SortedMap<Integer, Integer> statusCounts() {
+        SortedMap<Integer, Integer> counts = new TreeMap<>();
+        mSentRequests.forEach(sent -> counts.merge(sent.answer().status(), 1, Integer::sum));
+        return counts;
     }
 
     synchronized List<String> violations() {
--- a/hemlockrack-soak/src/main/java/org/hemlockrack/soak/SentRequest.java
+++ b/hemlockrack-soak/src/main/java/org/hemlockrack/soak/SentRequest.java
@@ -25,26 +25,31 @@
     /** Kinds of requests, with their route and how often each may be executed. */
     enum Kind {
         /** Idempotent; may be executed again. The answer repeats the request body. */
-        PLAIN("/plain/x", 2),
+        PLAIN("plain", 2),
         /** Not idempotent; executed at most once. The answer repeats the request body. */
-        COMMAND("/command/x", 1),
+        COMMAND("command", 1),
         /** An event stream, which another server may resume after the last complete event. */
-        STREAM("/stream/x", 3);
+        STREAM("stream", 3);
 
         private static final String COMPLETE_STREAM =
                 "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n"
                         + "id: 4\ndata: 4\n\nid: 5\ndata: 5\n\nid: 6\ndata: 6\n\n";
 
-        private final String mPath;
+        private final String mRoute;
         private final int mMaxExecutions;
 
-        Kind(String path, int maxExecutions) {
-            mPath = path;
+        Kind(String route, int maxExecutions) {
+            mRoute = route;
             mMaxExecutions = maxExecutions;
         }
 
+        /** Returns the first segment of the path. */
+        String route() {
+            return mRoute;
+        }
+
         String path() {
-            return mPath;
+            return "/" + mRoute + "/x";
         }
 
         int maxExecutions() {
--- a/hemlockrack-soak/src/main/java/org/hemlockrack/soak/Soak.java
+++ b/hemlockrack-soak/src/main/java/org/hemlockrack/soak/Soak.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.stream.LongStream;
 import net.sourceforge.argparse4j.ArgumentParsers;
@@ -23,6 +24,31 @@
     private static final int EXIT_USAGE = 2;
     private static final int MAX_PRINTED = 10;
 
+    /** What is done to the processes of a run. */
+    private enum Scenario {
+        /** Random faults of all kinds. */
+        FAULTS {
+            @Override
+            SoakResult run(SoakOptions options, Path folder) {
+                return SoakRun.run(options, folder);
+            }
+        },
+        /** Planned stops of gateways, and no faults. */
+        STOPS {
+            @Override
+            SoakResult run(SoakOptions options, Path folder) {
+                return StopRun.run(options, folder);
+            }
+        };
+
+        abstract SoakResult run(SoakOptions options, Path folder);
+
+        @Override
+        public String toString() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+    }
+
     private Soak() {}
 
     /**
@@ -46,9 +72,15 @@
                 .setDefault("target/soak")
                 .help("where folders of failed runs are kept");
         parser.addArgument("--known").help("file with one seed per line; # starts a comment");
+        parser.addArgument("--scenario")
+                .type(Arguments.enumStringType(Scenario.class))
+                .setDefault(Scenario.FAULTS)
+                .help("what is done to the processes");
         parser.addArgument("--broken-variant")
                 .action(Arguments.storeTrue())
-                .help("commands may run twice; the run must fail");
+                .help(
+                        "commands may run twice, or gateways are killed early in a stop; the run"
+                                + " must fail");
         Namespace options;
         try {
             options = parser.parseArgs(args);
@@ -90,15 +122,14 @@
         }
         Files.createDirectories(folder);
         int seconds = options.getInt("seconds");
-        boolean commandsMayRepeat = options.getBoolean("broken_variant");
-        SoakResult result = SoakRun.run(new SoakOptions(seed, seconds, commandsMayRepeat), folder);
+        Scenario scenario = options.get("scenario");
+        SoakResult result =
+                scenario.run(
+                        new SoakOptions(seed, seconds, options.getBoolean("broken_variant")),
+                        folder);
         System.out.printf(
-                "seed=%d faults=%d requests=%d served=%d broken=%d%n",
-                seed,
-                result.faults(),
-                result.requests(),
-                result.served(),
-                result.violations().size());
+                "seed=%d faults=%d statuses=%s broken=%d%n",
+                seed, result.faults(), result.statusCounts(), result.violations().size());
         result.violations().stream()
                 .limit(MAX_PRINTED)
                 .forEach(violation -> System.out.println("  " + violation));
--- a/hemlockrack-soak/src/main/java/org/hemlockrack/soak/SoakFleet.java
+++ b/hemlockrack-soak/src/main/java/org/hemlockrack/soak/SoakFleet.java
@@ -69,22 +69,28 @@
     }
 
     void kill(String name) {
-        awaitExit(name, mFleet.process(name).destroyForcibly());
+        mFleet.process(name).destroyForcibly();
+        awaitExit(name);
     }
 
     void terminate(String name) {
-        Process process = mFleet.process(name);
-        process.destroy();
-        awaitExit(name, process);
+        mFleet.process(name).destroy();
+        awaitExit(name);
     }
 
-    private static void awaitExit(String name, Process process) {
+    private void awaitExit(String name) {
+        if (!awaitExit(name, TimeUnit.SECONDS.toNanos(EXIT_SECONDS))) {
+            throw new IllegalStateException(name + " did not exit");
+        }
+    }
+
+    /** Waits until a process has ended. Returns whether it has. */
+    boolean awaitExit(String name, long timeoutNanos) {
         try {
-            if (!process.waitFor(EXIT_SECONDS, TimeUnit.SECONDS)) {
-                throw new IllegalStateException(name + " did not exit");
-            }
+            return mFleet.process(name).waitFor(timeoutNanos, TimeUnit.NANOSECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+            return false;
         }
     }
 
--- a/hemlockrack-soak/src/main/java/org/hemlockrack/soak/SoakOptions.java
+++ b/hemlockrack-soak/src/main/java/org/hemlockrack/soak/SoakOptions.java
@@ -5,7 +5,7 @@
  *
  * @param seed seed of all random choices
  * @param seconds how long faults are injected
- * @param commandsMayRepeat whether to run a deliberately broken variant, in which commands may be
- *     retried after they may have run; it tests the checker
+ * @param brokenVariant whether to run a deliberately broken variant, which tests the checker:
+ *     commands may be retried after they may have run, and gateways are killed early in a stop
  */
-record SoakOptions(long seed, int seconds, boolean commandsMayRepeat) {}
+record SoakOptions(long seed, int seconds, boolean brokenVariant) {}
--- a/hemlockrack-soak/src/main/java/org/hemlockrack/soak/SoakRun.java
+++ b/hemlockrack-soak/src/main/java/org/hemlockrack/soak/SoakRun.java
@@ -86,21 +86,17 @@
         threads.forEach(SoakRun::join);
         mChecker.checkExecutionCounts();
         return new SoakResult(
-                mOptions.seed(),
-                mFaultCount,
-                mChecker.requestCount(),
-                mChecker.requestCount(200),
-                mChecker.violations());
+                mOptions.seed(), mFaultCount, mChecker.statusCounts(), mChecker.violations());
     }
 
-    private static Thread startThread(String name, Runnable task) {
+    static Thread startThread(String name, Runnable task) {
         Thread thread = new Thread(task, name);
         thread.setDaemon(true);
         thread.start();
         return thread;
     }
 
-    private static void join(Thread thread) {
+    static void join(Thread thread) {
         try {
             thread.join();
         } catch (InterruptedException e) {
@@ -109,7 +105,7 @@
     }
 
     private void awaitReady(TestFleet fleet) {
-        fleet.awaitStatus(() -> fleet.publishTable(1, "/v1/", mOptions.commandsMayRepeat()), 200);
+        fleet.awaitStatus(() -> fleet.publishTable(1, "/v1/", mOptions.brokenVariant()), 200);
         mChecker.onAcknowledged(1);
         fleet.awaitServersRegistered();
         for (int i = 0; i < TestFleet.GATEWAYS; i++) {
@@ -165,11 +161,11 @@
 
     private void publishTable(TestFleet fleet, int version) {
         String prefix = "/v" + version + "/";
-        Answer answer = fleet.publishTable(version, prefix, mOptions.commandsMayRepeat());
+        Answer answer = fleet.publishTable(version, prefix, mOptions.brokenVariant());
         // A table may be in force even if it was not acknowledged, so the same one is sent again.
         for (int i = 0; i < 10 && answer.status() != 200 && !mFinished; i++) {
             TestFleet.sleep(200);
-            answer = fleet.publishTable(version, prefix, mOptions.commandsMayRepeat());
+            answer = fleet.publishTable(version, prefix, mOptions.brokenVariant());
         }
         if (answer.status() == 200) {
             mChecker.onAcknowledged(version);
--- a/hemlockrack-soak/src/test/java/org/hemlockrack/soak/SoakTest.java
+++ b/hemlockrack-soak/src/test/java/org/hemlockrack/soak/SoakTest.java
@@ -47,4 +47,23 @@
         }
         fail("the broken variant was not detected: " + results);
     }
+
+    /** Guards against planned stops that lose requests which gateways have taken in. */
+    @Test
+    void plannedStopsLoseNoRequest() {
+        SoakResult result = StopRun.run(new SoakOptions(SEED, 1, false), mFolder);
+        assertEquals(List.of(), result.violations());
+        assertTrue(
+                result.served() > 0 && result.faults() > 0,
+                () -> "no requests served or no gateway stopped: " + result);
+    }
+
+    /** Guards against a checker that misses lost requests, with gateways that are killed early. */
+    @Test
+    void lostRequestsAreDetected() {
+        SoakResult result = StopRun.run(new SoakOptions(SEED, 1, true), mFolder);
+        assertTrue(
+                result.violations().stream().anyMatch(violation -> violation.endsWith("lost")),
+                () -> "no lost request was detected: " + result);
+    }
 }
