Give up a silent server in a stop only if another can complete the answer

What callers saw: a stream that was passed on before SIGTERM, with an event each 1.4 s, ended by a reset, though its server would have completed it 3.9 s after SIGTERM. Late requests got a 502 where the answer could be whole.

Cause: a gateway gave up an attempt whose server had been silent for 1.2 s before it knew whether another one could follow. In a stop the next attempt was refused, as its answer may not be whole in time, and the begun stream was cut. The same happened outside a stop when all servers were full, or a part of the prompt was held back.

Change: the next server is chosen before the silent attempt is given up. If none can complete the answer, the attempt goes on, as it does when the retry is not granted.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -212,7 +212,7 @@
             return;
         }
         if (!metadata.misdirected()) {
-            mExchange.onStatement(mServer, metadata);
+            mExchange.context().recordStatement(mServer, metadata);
         }
         if (metadata.attemptId() == null && mExchange.route().allowsRerun()) {
             // On a kept connection it may answer an earlier request.
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.hemlockrack.daemon.http.HeaderField;
 import org.hemlockrack.daemon.http.HttpClient;
@@ -11,8 +12,11 @@
 import org.hemlockrack.daemon.loop.EventLoop;
 import org.hemlockrack.daemon.metrics.MetricName;
 import org.hemlockrack.daemon.metrics.Metrics;
+import org.hemlockrack.dispatch.AttemptOutcome;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.limits.ByteBudget;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.registry.Registration;
 
 /**
  * Services and state that all exchanges of a gateway share.
@@ -70,6 +74,45 @@
         metrics.increment(MetricName.REQUESTS, "kind", outcome);
     }
 
+    /** Records how an attempt at a server ended, which frees its place there. */
+    void recordOutcome(Registration server, AttemptOutcome outcome) {
+        state.onAttemptEnded(System.nanoTime(), server.id(), outcome);
+    }
+
+    /**
+     * Acquires one retry within the fleet's limit.
+     *
+     * @param onDecided receives whether the retry is granted
+     */
+    void acquireRetry(ServiceId service, Consumer<Boolean> onDecided) {
+        retries.acquire(
+                service,
+                granted -> {
+                    if (!granted) {
+                        metrics.increment(MetricName.RETRIES_DENIED, "limit", "fleet");
+                    }
+                    onDecided.accept(granted);
+                });
+    }
+
+    /** Records what a server says in its answer about further requests. */
+    void recordStatement(Registration server, AnswerMetadata metadata) {
+        long nowNanos = System.nanoTime();
+        boolean accepted = state.accepts(nowNanos, server);
+        if (metadata.leaving()) {
+            state.recordLeaving(server);
+        }
+        if (metadata.restMillis() > 0) {
+            state.recordRest(nowNanos, server, metadata.restMillis());
+        }
+        if (accepted && (metadata.leaving() || metadata.restMillis() > 0)) {
+            log.instanceEvent(metadata.leaving() ? "server_says_leaving" : "server_rests")
+                    .put("server", server.id().value())
+                    .put("rest_ms", metadata.restMillis())
+                    .write();
+        }
+    }
+
     /** Sends an error that this gateway itself reports. */
     void refuse(Responder responder, ErrorKind kind, String message) {
         refuse(responder, kind, message, 0);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -177,17 +177,19 @@
         mContext.openExchanges().add(this);
         mResponder.onReleased(mAnswerMemory::release);
         mResponder.onCancel(this::onCallerLeft);
-        startNextAttempt();
+        startNextAttempt(null);
     }
 
-    private void startNextAttempt() {
+    /** Starts an attempt; the choice of its server may have been made before. */
+    private void startNextAttempt(@Nullable ServerChoice chosen) {
         ForwardAttempt attempt;
         synchronized (this) {
             if (mEnded) {
+                abandonChoice(chosen);
                 return;
             }
             long nowNanos = System.nanoTime();
-            if (!mTimeLimits.canCompleteBeforeStop(nowNanos)) {
+            if (chosen == null && !mTimeLimits.canCompleteBeforeStop(nowNanos)) {
                 failStopping();
                 return;
             }
@@ -195,25 +197,11 @@
                 mLog.passedOnWhileStopping(mTimeLimits.expectedNanos(nowNanos));
             }
             Verdict verdict = mContext.quarantine().inForce(nowNanos, mPartNames);
-            if (verdict != null) {
+            if (chosen == null && verdict != null) {
                 failHeld(nowNanos, verdict);
                 return;
             }
-            long prefixHash =
-                    mRoute.prefixAffinity()
-                            ? PromptHash.ofSharedPrefix(mMetadata.promptPartIds())
-                            : 0;
-            ServerChoice choice =
-                    mContext.state()
-                            .choose(
-                                    nowNanos,
-                                    new SelectionCriteria(
-                                            mService,
-                                            prefixHash,
-                                            mRoutingFraction,
-                                            Set.copyOf(mTriedServers)));
-            mContext.metrics()
-                    .increment(MetricName.SERVER_CHOICES, "reason", choice.reason().name());
+            ServerChoice choice = chosen == null ? chooseServer(nowNanos) : chosen;
             if (choice.server() == null) {
                 failWithoutServer(choice);
                 return;
@@ -229,6 +217,29 @@
         attempt.send();
     }
 
+    /** Returns the place at a server that was chosen for an attempt that does not start. */
+    private void abandonChoice(@Nullable ServerChoice choice) {
+        if (choice != null && choice.server() != null) {
+            mContext.recordOutcome(choice.server(), AttemptOutcome.ABANDONED);
+        }
+    }
+
+    private ServerChoice chooseServer(long nowNanos) {
+        long prefixHash =
+                mRoute.prefixAffinity() ? PromptHash.ofSharedPrefix(mMetadata.promptPartIds()) : 0;
+        ServerChoice choice =
+                mContext.state()
+                        .choose(
+                                nowNanos,
+                                new SelectionCriteria(
+                                        mService,
+                                        prefixHash,
+                                        mRoutingFraction,
+                                        Set.copyOf(mTriedServers)));
+        mContext.metrics().increment(MetricName.SERVER_CHOICES, "reason", choice.reason().name());
+        return choice;
+    }
+
     /** Schedules a check that an attempt has made progress within the silence timeout. */
     private void scheduleSilenceCheck(ForwardAttempt attempt, long silenceTimeoutNanos) {
         mContext.loop()
@@ -253,18 +264,33 @@
         acquireRetry(granted -> onSilent(attempt, silenceTimeoutNanos, granted));
     }
 
-    /** Ends a silent attempt if its retry was granted. Without one, its answer may still come. */
+    /**
+     * Ends a silent attempt if its retry was granted and can begin. Otherwise its answer may still
+     * come.
+     */
     private void onSilent(ForwardAttempt attempt, long silenceTimeoutNanos, boolean granted) {
+        ServerChoice next;
         synchronized (this) {
-            boolean stillSilent = System.nanoTime() - mLastProgressNanos >= silenceTimeoutNanos;
+            long nowNanos = System.nanoTime();
+            boolean stillSilent = nowNanos - mLastProgressNanos >= silenceTimeoutNanos;
             if (mEnded || attempt != mAttempt || !granted || !stillSilent) {
                 return;
             }
+            if (!mTimeLimits.canCompleteBeforeStop(nowNanos)
+                    || mContext.quarantine().inForce(nowNanos, mPartNames) != null) {
+                return;
+            }
+            next = chooseServer(nowNanos);
+            if (next.server() == null && mHeadSent) {
+                return;
+            }
             mMayHaveRun = true;
+            clearAttempt();
         }
         attempt.cancel();
+        mContext.recordOutcome(attempt.server(), AttemptOutcome.SILENT);
         String cause = "silent for " + silenceTimeoutNanos / NANOS_PER_MILLI + " ms";
-        endAttempt(attempt, AttemptOutcome.SILENT, cause, NextAttempt.GRANTED);
+        startNextOrFail(attempt, AttemptOutcome.SILENT, cause, true, next);
     }
 
     /**
@@ -335,25 +361,6 @@
         fail(kind, choice.reason().name(), choice.waitNanos() / NANOS_PER_MILLI);
     }
 
-    /** Records what a server says in its answer about further requests. */
-    void onStatement(Registration server, AnswerMetadata metadata) {
-        long nowNanos = System.nanoTime();
-        boolean accepted = mContext.state().accepts(nowNanos, server);
-        if (metadata.leaving()) {
-            mContext.state().recordLeaving(server);
-        }
-        if (metadata.restMillis() > 0) {
-            mContext.state().recordRest(nowNanos, server, metadata.restMillis());
-        }
-        if (accepted && (metadata.leaving() || metadata.restMillis() > 0)) {
-            mContext.log()
-                    .instanceEvent(metadata.leaving() ? "server_says_leaving" : "server_rests")
-                    .put("server", server.id().value())
-                    .put("rest_ms", metadata.restMillis())
-                    .write();
-        }
-    }
-
     /** Ends the request because a part of its prompt is held back. Called with the lock held. */
     private void failHeld(long nowNanos, Verdict verdict) {
         ErrorKind kind = mMayHaveRun ? ErrorKind.BACKEND_FAILED : ErrorKind.PROMPT_HELD;
@@ -483,31 +490,41 @@
     private void endAttempt(
             ForwardAttempt attempt, AttemptOutcome outcome, String cause, NextAttempt next) {
         Registration server = attempt.server();
-        mContext.state().onAttemptEnded(System.nanoTime(), server.id(), outcome);
+        mContext.recordOutcome(server, outcome);
         synchronized (this) {
             if (mEnded || attempt != mAttempt) {
                 return;
             }
-            mAttempt = null;
-            if (mEventFramer != null) {
-                mEventFramer.discardPartial();
-            }
+            clearAttempt();
         }
         switch (next) {
-            case GRANTED -> startNextOrFail(attempt, outcome, cause, true);
-            case NONE -> startNextOrFail(attempt, outcome, cause, false);
+            case GRANTED -> startNextOrFail(attempt, outcome, cause, true, null);
+            case NONE -> startNextOrFail(attempt, outcome, cause, false, null);
             case WANTED ->
-                    acquireRetry(granted -> startNextOrFail(attempt, outcome, cause, granted));
+                    acquireRetry(
+                            granted -> startNextOrFail(attempt, outcome, cause, granted, null));
             default -> throw new AssertionError(next);
         }
     }
 
+    /** Forgets the current attempt, which has ended. Called with the lock held. */
+    private void clearAttempt() {
+        mAttempt = null;
+        if (mEventFramer != null) {
+            mEventFramer.discardPartial();
+        }
+    }
+
     private void startNextOrFail(
-            ForwardAttempt attempt, AttemptOutcome outcome, String cause, boolean retry) {
+            ForwardAttempt attempt,
+            AttemptOutcome outcome,
+            String cause,
+            boolean retry,
+            @Nullable ServerChoice chosen) {
         mLog.attemptFailed(attempt, outcome, cause, retry);
         if (retry) {
             mContext.metrics().increment(MetricName.RETRIES, "", "");
-            startNextAttempt();
+            startNextAttempt(chosen);
             return;
         }
         synchronized (this) {
@@ -532,14 +549,7 @@
             onDecided.accept(false);
             return;
         }
-        mContext.retries().acquire(mService, granted -> onRetryDecided(granted, onDecided));
-    }
-
-    private void onRetryDecided(boolean granted, Consumer<Boolean> onDecided) {
-        if (!granted) {
-            mContext.metrics().increment(MetricName.RETRIES_DENIED, "limit", "fleet");
-        }
-        onDecided.accept(granted);
+        mContext.acquireRetry(mService, onDecided);
     }
 
     /**
@@ -559,7 +569,7 @@
 
     /** Ends the exchange after an attempt has delivered an answer. */
     void onDelivered(ForwardAttempt attempt, int status, AttemptOutcome outcome) {
-        mContext.state().onAttemptEnded(System.nanoTime(), attempt.server().id(), outcome);
+        mContext.recordOutcome(attempt.server(), outcome);
         synchronized (this) {
             if (mEnded) {
                 return;
@@ -622,8 +632,7 @@
 
     /** Ends an attempt whose caller had left before the server answered. */
     void onDetachedEnd(ForwardAttempt attempt) {
-        mContext.state()
-                .onAttemptEnded(System.nanoTime(), attempt.server().id(), AttemptOutcome.ABANDONED);
+        mContext.recordOutcome(attempt.server(), AttemptOutcome.ABANDONED);
     }
 
     private void onDeadline() {
@@ -644,9 +653,7 @@
     private void abandonAttempt(@Nullable ForwardAttempt attempt) {
         if (attempt != null) {
             attempt.cancel();
-            mContext.state()
-                    .onAttemptEnded(
-                            System.nanoTime(), attempt.server().id(), AttemptOutcome.ABANDONED);
+            mContext.recordOutcome(attempt.server(), AttemptOutcome.ABANDONED);
         }
     }
 
