Keep a complete response when it is aborted afterwards

Callers could lose a whole answer: the gateway marks an exchange as ended only after it has called end(), so an abort by a stop or by the deadline could come in between. The abort then cut the response after its queued bytes.

An abort after end() has no effect now, and neither has one after the last byte of a response with a known length.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
@@ -47,6 +47,8 @@
     private @Nullable DrainListener mOnDrain;
     private @Nullable Runnable mOnReleased;
     private int mQueuedBytes;
+    private long mLengthBytes;
+    private long mAcceptedBytes;
     private boolean mHeadSent;
     private boolean mEnded;
     private boolean mAborted;
@@ -236,6 +238,7 @@
                 return;
             }
             mHeadSent = true;
+            mLengthBytes = lengthBytes;
             if (!mRequestBodyComplete) {
                 mCloseAfterResponse = true;
             }
@@ -269,6 +272,7 @@
             if (mReleased) {
                 return 0;
             }
+            mAcceptedBytes += data.remaining();
             if (mQueuedBytes == 0) {
                 mLastProgressNanos = System.nanoTime();
             }
@@ -303,8 +307,12 @@
     private void finish(boolean aborted) {
         DataStreamChannel output;
         synchronized (this) {
+            if (mEnded) {
+                return;
+            }
             mEnded = true;
-            mAborted |= aborted;
+            // A response is complete with its last byte, also if end() has not been called yet.
+            mAborted = aborted && !isWhole();
             output = mOutput;
         }
         if (output != null) {
@@ -312,6 +320,11 @@
         }
     }
 
+    /** Returns whether all bytes of the response are queued or written. */
+    private boolean isWhole() {
+        return mResponseComplete || mHeadSent && mAcceptedBytes == mLengthBytes;
+    }
+
     @Override
     public void onCancel(Runnable action) {
         synchronized (this) {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/RawClient.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/RawClient.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import org.jspecify.annotations.Nullable;
 
 /** A client that writes and reads the raw bytes of a connection. */
 final class RawClient implements AutoCloseable {
@@ -85,6 +86,15 @@
         return all.toString(StandardCharsets.ISO_8859_1);
     }
 
+    /** Reads until the end of the connection; returns the bytes, or null after a reset. */
+    byte @Nullable [] readToEnd() throws IOException {
+        try {
+            return mSocket.getInputStream().readAllBytes();
+        } catch (SocketException e) {
+            return null;
+        }
+    }
+
     /** Reads until the text read by this call ends with a mark, and returns that text. */
     String readUntil(String mark) throws IOException {
         StringBuilder text = new StringBuilder();
