Log who closed the connection in caller_left

Operators could not tell a caller that left from a connection that the gateway had closed itself, after the write timeout or an error in the HTTP layer: both were logged as caller_left with an empty cause.

The connection keeps the reason why it is closed, and the responder returns it. caller_left has it as its cause.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -579,7 +579,7 @@
             attempt = mAttempt;
         }
         mContext.countEnded("caller_left");
-        mLog.ended("caller_left", attempt, "", mTriedServers.size());
+        mLog.ended("caller_left", attempt, mResponder.cancelReason(), mTriedServers.size());
         detachOrAbandon(attempt);
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
@@ -45,6 +45,7 @@
     private volatile long mHeadStartNanos;
     private volatile boolean mLingering;
     private volatile long mLingerUntilNanos;
+    private volatile CloseReason mCloseReason = CloseReason.CLIENT;
     private volatile @Nullable ServerExchange mLatestExchange;
 
     ClientConnection(IOSession session, ConnectionLimiter limiter) {
@@ -205,7 +206,16 @@
         mSession.close(CloseMode.GRACEFUL);
     }
 
-    void closeNow() {
+    /** Resets the connection. */
+    void closeNow(CloseReason reason) {
+        if (mCloseReason == CloseReason.CLIENT) {
+            mCloseReason = reason;
+        }
         mSession.close(CloseMode.IMMEDIATE);
     }
+
+    /** Returns why the connection was closed before its responses were complete. */
+    CloseReason closeReason() {
+        return mCloseReason;
+    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
@@ -68,7 +68,7 @@
             } catch (RuntimeException e) {
                 // The exception must not reach the executor, which would cancel the periodic task
                 // and with it the timeouts of all other connections.
-                connection.closeNow();
+                connection.closeNow(CloseReason.INTERNAL_ERROR);
             }
         }
     }
@@ -95,6 +95,11 @@
         return mConnections.stream().mapToInt(ClientConnection::refuseIncompleteRequests).sum();
     }
 
+    /** Resets all connections. */
+    void closeConnections() {
+        mConnections.forEach(connection -> connection.closeNow(CloseReason.PORT_CLOSED));
+    }
+
     void connectionOpened(ClientConnection connection) {
         if (mOpenConnections.incrementAndGet() > mLimits.maxConnections()) {
             connection.refuseAllRequests();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
@@ -98,6 +98,7 @@
     }
 
     private static void closeQuietly(HttpAsyncServer server, ConnectionLimiter limiter) {
+        limiter.closeConnections();
         server.close(CloseMode.IMMEDIATE);
         limiter.close();
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/Responder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/Responder.java
@@ -56,6 +56,11 @@
      */
     void onCancel(Runnable action);
 
+    /** Returns why the exchange ended before the response was complete. */
+    default String cancelReason() {
+        return "";
+    }
+
     /**
      * Checks whether the client is still connected. All that had arrived on the connection before
      * this call counts, also if this process was stopped and has not read it yet. A responder
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
@@ -157,7 +157,7 @@
                                     nowNanos, mLastProgressNanos, limits.writeTimeoutMillis());
         }
         if (stalled) {
-            mConnection.closeNow();
+            mConnection.closeNow(CloseReason.WRITE_TIMEOUT);
             return;
         }
         if (bodyTimedOut) {
@@ -325,6 +325,11 @@
         return mResponseComplete || mHeadSent && mAcceptedBytes == mLengthBytes;
     }
 
+    @Override
+    public String cancelReason() {
+        return mConnection.closeReason().text();
+    }
+
     @Override
     public void onCancel(Runnable action) {
         synchronized (this) {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortEndTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortEndTest.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.daemon.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
 import java.io.IOException;
@@ -10,10 +11,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -33,6 +36,7 @@
     private static final int RECEIVE_BUFFER_BYTES = 4 << 10;
 
     private final BlockingQueue<Responder> mResponders = new LinkedBlockingQueue<>();
+    private final CompletableFuture<String> mCancelReason = new CompletableFuture<>();
     private final List<RawClient> mClients = new ArrayList<>();
     private HttpPort mPort;
 
@@ -57,6 +61,7 @@
     }
 
     private void handle(HttpCall call, Responder responder) {
+        responder.onCancel(() -> mCancelReason.complete(responder.cancelReason()));
         mResponders.add(responder);
     }
 
@@ -107,4 +112,26 @@
         mPort.closeIdleConnections();
         assertWhole(LARGE_BYTES, client.readToEnd());
     }
+
+    /** Guards against a client that is blamed for a connection which the server has closed. */
+    @Test
+    void cancelReasonTellsWhoClosed() throws Exception {
+        mPort.close();
+        open(LONG_MILLIS, SHORT_MILLIS);
+        connect().write(GET);
+        Responder responder = takeResponder();
+        responder.sendHead(200, List.of(), Responder.UNKNOWN_LENGTH);
+        responder.write(ByteBuffer.allocate(LARGE_BYTES));
+        assertEquals("the caller has stopped reading", mCancelReason.get(30, TimeUnit.SECONDS));
+        assertFalse(responder.cancelReason().isEmpty());
+    }
+
+    /** Guards against a client that has left and is not named as the one that closed. */
+    @Test
+    void cancelReasonTellsThatTheClientLeft() throws Exception {
+        RawClient client = connect().write(GET);
+        takeResponder();
+        client.close();
+        assertEquals("the caller closed the connection", mCancelReason.get(30, TimeUnit.SECONDS));
+    }
 }
