End connections without cutting complete responses

At the end of a planned stop callers lost whole answers. A response of 24 MiB that had been handed over completely ended after 2.8 MB, and nothing counted or logged it: the port was closed without regard to queued output, and time for it was only given if some other request had been cut. A response of 200 KiB that the kernel still sent was reset if the caller sent more bytes that nobody had read, because closing a socket with unread input resets the connection. A refusal that was sent before the body had arrived was reset 2 s later while the caller still sent the body.

A connection now ends its output after the last response and discards its input, until the client closes it or for at most 2 s; after a refusal until the body timeout, and for 2 s only once the client has sent more than a body may have. HttpPort.finish() waits until queued responses are written and returns the number of those that could not be; the line "stopped" has it as untaken. A response that is truncated still ends by a reset: the port's close could end one without a length by a FIN, so that it looked complete.

On the code before, with a finish() that calls closeNow(), five of the new tests failed: queuedResponseIsWrittenAtTheEnd (2,809,856 of 25,165,824 bytes), unreadInputDoesNotCutTheResponse and refusalIsReadAfterTheBodyWasSent (reset), abortedResponseEndsByReset (a FIN) and untakenResponseIsCountedAndReset (0 of 2 counted).

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/PlannedStop.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/PlannedStop.java
@@ -28,7 +28,7 @@
      */
     private static final long STOP_MARGIN_MILLIS = 600;
 
-    /** Part of that margin in which callers can read the errors. */
+    /** Part of that margin in which callers can read the errors and the ends of answers. */
     private static final long ERROR_FLUSH_MILLIS = 400;
 
     private final HttpPort mPort;
@@ -81,13 +81,9 @@
         GracefulShutdown.awaitDrained(mPort::openConnections, mDrainEndNanos);
         logPhase("stop_drained");
         int cut = mExchanges.endAll() + mPort.refuseIncompleteRequests();
-        if (cut > 0) {
-            long flushEndNanos =
-                    System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ERROR_FLUSH_MILLIS);
-            GracefulShutdown.awaitDrained(mPort::openConnections, flushEndNanos);
-        }
-        writeState(mLog.instanceEvent("stopped").put("cut", cut));
-        mPort.closeNow();
+        int untaken =
+                mPort.finish(mDrainEndNanos + TimeUnit.MILLISECONDS.toNanos(ERROR_FLUSH_MILLIS));
+        writeState(mLog.instanceEvent("stopped").put("cut", cut).put("untaken", untaken));
     }
 
     private void logPhase(String event) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,7 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.ErrorText;
 import org.jspecify.annotations.Nullable;
@@ -27,12 +28,14 @@
     private static final int MAX_PIPELINED = 16;
 
     /**
-     * Time for which input is discarded after an error response before the connection is closed.
+     * Time for which input is discarded after the last response before the connection is closed.
      * Closing immediately would reset the connection, and the client could lose the response.
      */
     private static final long LINGER_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-    private final IOSession mSession;
+    private static final int SCRATCH_BYTES = 16 << 10;
+
+    private final ProtocolIOSession mSession;
     private final ConnectionLimiter mLimiter;
     private final HttpLimits mLimits;
     private final ConcurrentHashMap.KeySetView<ServerExchange, Boolean> mExchanges =
@@ -45,10 +48,15 @@
     private volatile long mHeadStartNanos;
     private volatile boolean mLingering;
     private volatile long mLingerUntilNanos;
+    private volatile long mMinLingerNanos;
+    private volatile long mLastResponseNanos;
+    private volatile boolean mHalfClosed;
+    private volatile boolean mTruncated;
     private volatile CloseReason mCloseReason = CloseReason.CLIENT;
+    private long mDiscardedBytes;
     private volatile @Nullable ServerExchange mLatestExchange;
 
-    ClientConnection(IOSession session, ConnectionLimiter limiter) {
+    ClientConnection(ProtocolIOSession session, ConnectionLimiter limiter) {
         mSession = session;
         mLimiter = limiter;
         mLimits = limiter.limits();
@@ -115,6 +123,8 @@
     }
 
     void exchangeReleased(ServerExchange exchange) {
+        mLastResponseNanos = System.nanoTime();
+        mTruncated |= exchange.isTruncated();
         if (mExchanges.remove(exchange)) {
             mOpenExchanges.decrementAndGet();
         }
@@ -158,18 +168,115 @@
         }
     }
 
-    /** Closes the connection after the linger time, even if the client still sends data. */
-    void closeAfterLinger() {
-        mLingerUntilNanos = System.nanoTime() + LINGER_NANOS;
+    /**
+     * Closes the connection after a response whose request has not arrived to its end: once the
+     * response is written, the output ends, and input is discarded while the client may still send
+     * the rest of the body.
+     *
+     * @param bodyStartNanos monotonic time at which the body began
+     */
+    void closeAfterRefusal(long bodyStartNanos) {
+        lingerUntil(bodyStartNanos + TimeUnit.MILLISECONDS.toNanos(mLimits.bodyTimeoutMillis()));
+    }
+
+    /** Closes the connection once the last response is written. */
+    void closeAfterLastResponse() {
+        lingerUntil(System.nanoTime());
+    }
+
+    private void lingerUntil(long untilNanos) {
+        mLastResponseNanos = System.nanoTime();
+        mLingerUntilNanos = untilNanos;
         mLingering = true;
+        mSession.setEvent(SelectionKey.OP_WRITE);
+    }
+
+    /** Called on the connection's I/O thread when nothing is left to write. */
+    void onOutputWritten() {
+        if (mLingering && !mHalfClosed && mOpenExchanges.get() <= 1) {
+            halfClose();
+        }
+    }
+
+    /**
+     * Closes the connection so that the client can read all responses. After one that is not
+     * complete the connection is reset, because its end could be taken for that of the response.
+     */
+    void closeGracefully() {
+        if (mTruncated || mExchanges.stream().anyMatch(ServerExchange::isTruncated)) {
+            mSession.close(CloseMode.IMMEDIATE);
+            return;
+        }
+        long nowNanos = System.nanoTime();
+        boolean hasResponded =
+                mLastResponseNanos != 0 && nowNanos - mLastResponseNanos < LINGER_NANOS;
+        if (!hasResponded) {
+            mSession.close(CloseMode.GRACEFUL);
+            return;
+        }
+        if (!mLingering) {
+            closeAfterLastResponse();
+        }
+        halfClose();
+    }
+
+    /** Ends the output and discards the input from now on. */
+    private void halfClose() {
+        if (mSession.getTlsDetails() != null
+                || !(mSession.channel() instanceof SocketChannel channel)) {
+            // The end of a TLS connection needs a message of its own.
+            if (!hasOpenExchanges()) {
+                mSession.close(CloseMode.GRACEFUL);
+            }
+            return;
+        }
+        try {
+            channel.shutdownOutput();
+            mMinLingerNanos = System.nanoTime() + LINGER_NANOS;
+            if (mMinLingerNanos - mLingerUntilNanos > 0) {
+                mLingerUntilNanos = mMinLingerNanos;
+            }
+            mHalfClosed = true;
+            mSession.setEventMask(SelectionKey.OP_READ);
+        } catch (IOException e) {
+            mSession.close(CloseMode.GRACEFUL);
+        }
+    }
+
+    /** Returns whether all responses are written and the output has ended. */
+    boolean isHalfClosed() {
+        return mHalfClosed;
+    }
+
+    /** Reads and discards the input that has arrived; closes the connection at its end. */
+    void discardInput() throws IOException {
+        ByteBuffer scratch = ByteBuffer.allocate(SCRATCH_BYTES);
+        int count = mSession.read(scratch);
+        if (count < 0) {
+            mSession.close(CloseMode.GRACEFUL);
+            return;
+        }
+        mDiscardedBytes += count;
+        if (mDiscardedBytes > mLimits.maxBodyBytes()) {
+            mLingerUntilNanos = mMinLingerNanos;
+        }
     }
 
     /** Enforces all timeouts that have passed at the given time. */
     void enforceTimeouts(long nowNanos) {
-        if (mLingering && nowNanos - mLingerUntilNanos >= 0) {
-            mSession.close(CloseMode.IMMEDIATE);
+        if (mHalfClosed) {
+            if (nowNanos - mLingerUntilNanos >= 0) {
+                mSession.close(CloseMode.GRACEFUL);
+            }
             return;
         }
+        if (mLingering && mOpenExchanges.get() <= 1) {
+            long writeNanos = TimeUnit.MILLISECONDS.toNanos(mLimits.writeTimeoutMillis());
+            if (nowNanos - mLastResponseNanos >= Math.max(writeNanos, LINGER_NANOS)) {
+                closeNow(CloseReason.WRITE_TIMEOUT);
+                return;
+            }
+        }
         for (ServerExchange exchange : mExchanges) {
             exchange.enforceTimeouts(nowNanos);
         }
@@ -203,7 +310,24 @@
         } catch (IOException ignored) {
             // The client has disconnected; the session is closed below.
         }
-        mSession.close(CloseMode.GRACEFUL);
+        mLastResponseNanos = System.nanoTime();
+        closeGracefully();
+    }
+
+    /** Returns the number of complete responses that are not written to their end. */
+    int untakenResponses() {
+        return mHalfClosed
+                ? 0
+                : (int) mExchanges.stream().filter(ServerExchange::isEndedUnsent).count();
+    }
+
+    /** Closes the connection; resets it if a response is not written to its end. */
+    void closeAtEnd() {
+        if (mHalfClosed) {
+            mSession.close(CloseMode.GRACEFUL);
+            return;
+        }
+        closeNow(CloseReason.PORT_CLOSED);
     }
 
     /** Resets the connection. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
@@ -95,9 +95,14 @@
         return mConnections.stream().mapToInt(ClientConnection::refuseIncompleteRequests).sum();
     }
 
-    /** Resets all connections. */
+    /** Returns the number of complete responses that are not written to their end. */
+    int untakenResponses() {
+        return mConnections.stream().mapToInt(ClientConnection::untakenResponses).sum();
+    }
+
+    /** Closes all connections; those whose responses are not written to their end are reset. */
     void closeConnections() {
-        mConnections.forEach(connection -> connection.closeNow(CloseReason.PORT_CLOSED));
+        mConnections.forEach(ClientConnection::closeAtEnd);
     }
 
     void connectionOpened(ClientConnection connection) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.util.TimeValue;
+import org.hemlockrack.daemon.GracefulShutdown;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.jspecify.annotations.Nullable;
@@ -147,6 +148,24 @@
         return mLimiter.refuseIncompleteRequests();
     }
 
+    /**
+     * Waits until clients have taken the responses that are complete, and closes the port. The
+     * output of a connection ends with its last response, and its input is read until the client
+     * closes it or the deadline has passed; otherwise the close would reset the connection, and the
+     * client could lose the end of the response. A response that was aborted ends by a reset.
+     *
+     * @param deadlineNanos deadline in monotonic time
+     * @return number of complete responses that could not be written to their end
+     */
+    public int finish(long deadlineNanos) {
+        stopAccepting();
+        closeIdleConnections();
+        GracefulShutdown.awaitDrained(this::openConnections, deadlineNanos);
+        int untaken = mLimiter.untakenResponses();
+        closeNow();
+        return untaken;
+    }
+
     /** Closes the port and its connections without waiting for responses. */
     public void closeNow() {
         closeQuietly(mServer, mLimiter);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnectionFactory.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnectionFactory.java
@@ -67,7 +67,8 @@
             Timeout timeout = Timeout.ofMilliseconds(mLimiter.limits().headTimeoutMillis());
             mTls.upgrade(session, null, attachment, timeout, null);
         }
-        return new TrackingEventHandler(new Duplexer(session, connection), connection);
+        ProtocolIOSession lingering = new LingeringSession(session, connection);
+        return new TrackingEventHandler(new Duplexer(lingering, connection), connection);
     }
 
     private AsyncServerExchangeHandler createExchange(
@@ -158,6 +159,10 @@
 
         @Override
         public void inputReady(IOSession session, @Nullable ByteBuffer src) throws IOException {
+            if (mConnection.isHalfClosed()) {
+                mConnection.discardInput();
+                return;
+            }
             mDelegate.inputReady(session, src);
             if (mConnection.hasOpenExchanges() && !isReading(session)) {
                 closeAtEndOfInput(session);
@@ -185,7 +190,14 @@
 
         @Override
         public void outputReady(IOSession session) throws IOException {
-            mDelegate.outputReady(session);
+            if (mConnection.isHalfClosed()) {
+                session.clearEvent(SelectionKey.OP_WRITE);
+            } else {
+                mDelegate.outputReady(session);
+                if ((session.getEventMask() & SelectionKey.OP_WRITE) == 0) {
+                    mConnection.onOutputWritten();
+                }
+            }
             if (mConnection.hasChecks()) {
                 checkConnected(session);
             }
@@ -195,7 +207,9 @@
             List<CompletableFuture<Boolean>> checks = mConnection.takeChecks();
             boolean connected = false;
             try {
-                closeAtEndOfInput(session);
+                if (!mConnection.isHalfClosed()) {
+                    closeAtEndOfInput(session);
+                }
                 connected = session.isOpen();
             } finally {
                 // The read fails if the client has reset the connection.
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
@@ -57,6 +57,7 @@
     private boolean mIsHeadRequest;
     private boolean mRequestBodyComplete;
     private volatile boolean mCloseAfterResponse;
+    private volatile boolean mIsLast;
     private long mBodyStartNanos;
     private long mLastProgressNanos;
 
@@ -242,7 +243,8 @@
             if (!mRequestBodyComplete) {
                 mCloseAfterResponse = true;
             }
-            if (!mRequestBodyComplete || mConnection.closesAfterResponse()) {
+            mIsLast = mConnection.closesAfterResponse();
+            if (!mRequestBodyComplete || mIsLast) {
                 response.addHeader("Connection", "close");
             }
             // HttpCore releases the exchange of a response without a body before end() is called;
@@ -250,13 +252,14 @@
             mResponseComplete |= lengthBytes == 0 || mIsHeadRequest || isBodyless(status);
         }
         EntityDetails entity = lengthBytes == 0 ? null : new BasicEntityDetails(lengthBytes, null);
-        if (mCloseAfterResponse && entity == null) {
-            mConnection.closeAfterLinger();
-        }
         try {
             mResponseChannel.sendResponse(response, entity, mContext);
         } catch (IOException | HttpException e) {
             cancel();
+            return;
+        }
+        if (entity == null) {
+            closeIfLast();
         }
     }
 
@@ -325,6 +328,16 @@
         return mResponseComplete || mHeadSent && mAcceptedBytes == mLengthBytes;
     }
 
+    /** Returns whether the response has begun and is not complete. */
+    synchronized boolean isTruncated() {
+        return mHeadSent && !mResponseComplete;
+    }
+
+    /** Returns whether the response is complete, but not written to its end. */
+    synchronized boolean isEndedUnsent() {
+        return mEnded && !mAborted && !mReleased;
+    }
+
     @Override
     public String cancelReason() {
         return mConnection.closeReason().text();
@@ -403,8 +416,14 @@
             throw new IOException("response truncated: the backend server did not complete it");
         }
         channel.endStream();
+        closeIfLast();
+    }
+
+    private void closeIfLast() {
         if (mCloseAfterResponse) {
-            mConnection.closeAfterLinger();
+            mConnection.closeAfterRefusal(mBodyStartNanos);
+        } else if (mIsLast) {
+            mConnection.closeAfterLastResponse();
         }
     }
 
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortEndTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortEndTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -95,6 +97,82 @@
         assertEquals(bodyBytes, response.length - headBytes);
     }
 
+    /** Guards against a complete response that is cut because its client reads slowly. */
+    @Test
+    void queuedResponseIsWrittenAtTheEnd() throws Exception {
+        RawClient client = connect().write(GET);
+        takeResponder().send(200, List.of(), new byte[LARGE_BYTES]);
+        CompletableFuture<Integer> untaken =
+                CompletableFuture.supplyAsync(() -> mPort.finish(afterMillis(20_000)));
+        TimeUnit.MILLISECONDS.sleep(SHORT_MILLIS);
+        assertWhole(LARGE_BYTES, client.readToEnd());
+        client.close();
+        assertEquals(0, untaken.get(5, TimeUnit.SECONDS));
+    }
+
+    /** Guards against the loss of what the kernel has not sent yet. */
+    @Test
+    void responseInTheKernelIsSentAfterTheEnd() throws Exception {
+        RawClient client = connect().write(GET);
+        takeResponder().send(200, List.of(), new byte[MEDIUM_BYTES]);
+        assertEquals(0, mPort.finish(afterMillis(SHORT_MILLIS)));
+        assertWhole(MEDIUM_BYTES, client.readToEnd());
+    }
+
+    /** Guards against a response that is cut without being counted, and that looks complete. */
+    @Test
+    void untakenResponseIsCountedAndReset() throws Exception {
+        RawClient client = connect().write(GET);
+        takeResponder().send(200, List.of(), new byte[LARGE_BYTES]);
+        connect().write(GET.replace("1.1", "1.0"));
+        Responder unknownLength = takeResponder();
+        unknownLength.sendHead(200, List.of(), Responder.UNKNOWN_LENGTH);
+        unknownLength.write(ByteBuffer.allocate(LARGE_BYTES));
+        unknownLength.end();
+        TimeUnit.MILLISECONDS.sleep(SHORT_MILLIS);
+        assertEquals(2, mPort.finish(afterMillis(SHORT_MILLIS)));
+        assertNull(client.readToEnd());
+        assertNull(mClients.get(1).readToEnd());
+    }
+
+    /** Guards against an aborted response without a length that looks complete. */
+    @Test
+    void abortedResponseEndsByReset() throws Exception {
+        RawClient client = connect().write(GET.replace("1.1", "1.0"));
+        Responder responder = takeResponder();
+        responder.sendHead(200, List.of(), Responder.UNKNOWN_LENGTH);
+        responder.write(ByteBuffer.allocate(10));
+        responder.abort();
+        assertEquals(0, mPort.finish(afterMillis(SHORT_MILLIS)));
+        assertNull(client.readToEnd());
+    }
+
+    /**
+     * Guards against input that nobody has read and that turns the close after a response into a
+     * reset, which discards the rest of the response.
+     */
+    @Test
+    void unreadInputDoesNotCutTheResponse() throws Exception {
+        for (boolean idle : List.of(false, true)) {
+            RawClient client = connect().write(GET);
+            Responder responder = takeResponder();
+            if (!idle) {
+                mPort.stopAccepting();
+            }
+            responder.send(200, List.of(), new byte[MEDIUM_BYTES]);
+            TimeUnit.MILLISECONDS.sleep(SHORT_MILLIS);
+            if (idle) {
+                mPort.closeIdleConnections();
+                TimeUnit.MILLISECONDS.sleep(SHORT_MILLIS);
+            }
+            client.write(POST);
+            TimeUnit.MILLISECONDS.sleep(SHORT_MILLIS);
+            assertWhole(MEDIUM_BYTES, client.readToEnd());
+            mPort.close();
+            open();
+        }
+    }
+
     /** Guards against an abort that cuts a response whose last byte was passed on already. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
@@ -113,6 +191,48 @@
         assertWhole(LARGE_BYTES, client.readToEnd());
     }
 
+    /** Guards against a refusal that is lost because the client sends its body for a while. */
+    @Test
+    void refusalIsReadAfterTheBodyWasSent() throws Exception {
+        RawClient client = connect().write(POST);
+        TimeUnit.MILLISECONDS.sleep(SHORT_MILLIS);
+        assertEquals(1, mPort.refuseIncompleteRequests());
+        for (int i = 0; i < 10; i++) {
+            client.write("x");
+            TimeUnit.MILLISECONDS.sleep(300);
+        }
+        byte[] response = client.readToEnd();
+        assertNotNull(response, "the connection was reset");
+        assertTrue(new String(response, StandardCharsets.UTF_8).startsWith("HTTP/1.1 503 "));
+    }
+
+    /** Guards against a closing response that is cut because its client pauses. */
+    @Test
+    void slowReaderGetsTheClosingResponse() throws Exception {
+        RawClient client = connect().write(GET);
+        Responder responder = takeResponder();
+        mPort.stopAccepting();
+        responder.send(200, List.of(), new byte[LARGE_BYTES]);
+        TimeUnit.SECONDS.sleep(3);
+        assertWhole(LARGE_BYTES, client.readToEnd());
+    }
+
+    /** Guards against refused clients that hold their connections for ever. */
+    @Test
+    void connectionOfSilentRefusedClientIsClosed() throws Exception {
+        mPort.close();
+        open(SHORT_MILLIS, LONG_MILLIS);
+        connect().write(POST);
+        for (int i = 0; i < 100 && mPort.openConnections() == 0; i++) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        assertEquals(1, mPort.openConnections());
+        for (int i = 0; i < 100 && mPort.openConnections() > 0; i++) {
+            TimeUnit.MILLISECONDS.sleep(50);
+        }
+        assertEquals(0, mPort.openConnections());
+    }
+
     /** Guards against a client that is blamed for a connection which the server has closed. */
     @Test
     void cancelReasonTellsWhoClosed() throws Exception {
