--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -240,8 +240,9 @@
             failOversized();
             return;
         }
-        if (success && mExchange.requiresWholeAnswer()) {
+        if (mExchange.requiresWholeAnswer()) {
             mMode = Mode.COMPLETING;
+            mSuccessStream = success;
             return;
         }
         beginStreaming(success, lengthBytes);
@@ -269,7 +270,7 @@
         if (!mExchange.tryBeginAnswer(this, success)) {
             cancel();
             if (mDetached) {
-                mExchange.onDetachedEnd(this);
+                mExchange.context().recordOutcome(mServer, AttemptOutcome.ABANDONED);
             }
             return;
         }
@@ -387,6 +388,11 @@
             failOversized();
             return;
         }
+        if (mExchange.requiresWholeAnswer()) {
+            mMode = Mode.COMPLETING;
+            complete(data);
+            return;
+        }
         // The window was released for these bytes already.
         mReleasedEarlyBytes.set(mCollectedBody.size());
         beginStreaming(false, Responder.UNKNOWN_LENGTH);
@@ -443,7 +449,7 @@
         mMode = Mode.ENDED;
         switch (mode) {
             case STREAMING -> {
-                if (mSuccessStream && cutInsideEvent()) {
+                if (cutInsideEvent()) {
                     return;
                 }
                 if (mExchange.completeStream(this)) {
@@ -470,7 +476,8 @@
 
     /** Ends the attempt if its stream of events ended inside one; returns whether it did. */
     private boolean cutInsideEvent() {
-        boolean cut = mExchange.route().isStreaming() && mEvents.isInsideEvent();
+        boolean hasEvents = mSuccessStream && mExchange.route().isStreaming();
+        boolean cut = hasEvents && mEvents.isInsideEvent();
         if (cut) {
             countAnswer(false);
             mExchange.onCut(this, "the stream ended inside an event");
@@ -484,7 +491,8 @@
         if (!failure) {
             mExchange.onAnswerBegun();
         }
-        if (failure && mExchange.route().allowsRerun()) {
+        boolean canRetry = mExchange.route().allowsRerun() && mExchange.canCompleteBeforeStop();
+        if (failure && canRetry) {
             mExchange.acquireRetry(this::retryOrDeliver);
             return;
         }
@@ -500,9 +508,9 @@
     }
 
     private void deliverCollected(boolean failure) {
-        if (!mExchange.tryBeginAnswer(this, false)) {
+        if (!mExchange.tryEnd(this)) {
             if (mDetached) {
-                mExchange.onDetachedEnd(this);
+                mExchange.context().recordOutcome(mServer, AttemptOutcome.ABANDONED);
             }
             return;
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -330,6 +330,7 @@
             return false;
         }
         mResponder.end();
+        markEnded();
         return true;
     }
 
@@ -489,8 +490,7 @@
 
     private void endAttempt(
             ForwardAttempt attempt, AttemptOutcome outcome, String cause, NextAttempt next) {
-        Registration server = attempt.server();
-        mContext.recordOutcome(server, outcome);
+        mContext.recordOutcome(attempt.server(), outcome);
         synchronized (this) {
             if (mEnded || attempt != mAttempt) {
                 return;
@@ -567,15 +567,27 @@
         return true;
     }
 
-    /** Ends the exchange after an attempt has delivered an answer. */
+    /**
+     * Reserves the answer to the caller for the whole answer of an attempt, and ends the exchange.
+     * Returns false if the exchange has ended or the attempt is no longer current.
+     */
+    synchronized boolean tryEnd(ForwardAttempt attempt) {
+        if (mEnded || attempt != mAttempt) {
+            return false;
+        }
+        mHeadSent = true;
+        markEnded();
+        return true;
+    }
+
+    /** Returns whether another attempt could complete the answer before this instance stops. */
+    boolean canCompleteBeforeStop() {
+        return mTimeLimits.canCompleteBeforeStop(System.nanoTime());
+    }
+
+    /** Records that an attempt has delivered a whole answer, which has ended the exchange. */
     void onDelivered(ForwardAttempt attempt, int status, AttemptOutcome outcome) {
         mContext.recordOutcome(attempt.server(), outcome);
-        synchronized (this) {
-            if (mEnded) {
-                return;
-            }
-            markEnded();
-        }
         long wholeNanos = System.nanoTime() - mStartNanos;
         if (outcome == AttemptOutcome.SERVED) {
             mContext.state().recordWholeAnswer(mRoute, wholeNanos);
@@ -594,7 +606,7 @@
             attempt = mAttempt;
         }
         mContext.countEnded("caller_left");
-        mLog.ended("caller_left", attempt, "", mTriedServers.size());
+        mLog.ended("caller_left", attempt, mResponder.cancelReason(), mTriedServers.size());
         detachOrAbandon(attempt);
     }
 
@@ -630,11 +642,6 @@
         abandonAttempt(attempt);
     }
 
-    /** Ends an attempt whose caller had left before the server answered. */
-    void onDetachedEnd(ForwardAttempt attempt) {
-        mContext.recordOutcome(attempt.server(), AttemptOutcome.ABANDONED);
-    }
-
     private void onDeadline() {
         ForwardAttempt attempt;
         synchronized (this) {
@@ -657,9 +664,6 @@
         }
     }
 
-    /**
-     * Sends an error to the caller, or aborts an answer that has begun. Called with the lock held.
-     */
     private void fail(ErrorKind kind, String cause) {
         fail(kind, cause, 0);
     }
@@ -684,15 +688,10 @@
 
     private void markEnded() {
         mEnded = true;
-        cancelDeadlineTimer();
+        if (mDeadlineTimer != null) {
+            mDeadlineTimer.cancel(false);
+        }
         mContext.quarantine().removeExchange(this);
         mContext.openExchanges().remove(this);
     }
-
-    private void cancelDeadlineTimer() {
-        ScheduledFuture<?> timer = mDeadlineTimer;
-        if (timer != null) {
-            timer.cancel(false);
-        }
-    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/PlannedStop.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/PlannedStop.java
@@ -2,7 +2,9 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import org.hemlockrack.daemon.GracefulShutdown;
+import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.HttpPort;
 import org.hemlockrack.daemon.log.DecisionLog;
 
@@ -29,7 +31,7 @@
      */
     private static final long STOP_MARGIN_MILLIS = 600;
 
-    /** Part of that margin in which callers can read the errors. */
+    /** Part of that margin in which callers can read the errors and the ends of answers. */
     private static final long ERROR_FLUSH_MILLIS = 400;
 
     /** Period at which requests are refused whose bodies still arrive and which are too late. */
@@ -93,15 +95,10 @@
         long drainMillis = TimeUnit.NANOSECONDS.toMillis(mDrainEndNanos - System.nanoTime());
         waitWhile(drainMillis, () -> mPort.openConnections() > 0);
         logPhase("stop_drained");
-        int incomplete = mPort.refuseIncompleteRequests(head -> true, mHandler::refuseIncomplete);
-        int cut = mExchanges.endAll() + incomplete;
-        if (cut > 0) {
-            long flushEndNanos =
-                    System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ERROR_FLUSH_MILLIS);
-            GracefulShutdown.awaitDrained(mPort::openConnections, flushEndNanos);
-        }
-        writeState(mLog.instanceEvent("stopped").put("cut", cut));
-        mPort.closeNow();
+        int cut = mExchanges.endAll() + refuseIncomplete(head -> true);
+        int untaken =
+                mPort.finish(mDrainEndNanos + TimeUnit.MILLISECONDS.toNanos(ERROR_FLUSH_MILLIS));
+        writeState(mLog.instanceEvent("stopped").put("cut", cut).put("untaken", untaken));
     }
 
     /**
@@ -112,12 +109,23 @@
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(maxMillis);
         long leftMillis = maxMillis;
         while (leftMillis > 0 && condition.getAsBoolean()) {
-            mPort.refuseIncompleteRequests(mHandler::isTooLate, mHandler::refuseIncomplete);
+            refuseIncomplete(mHandler::isTooLate);
             GracefulShutdown.sleep(Math.min(leftMillis, REFUSAL_PERIOD_MILLIS));
             leftMillis = TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime());
         }
     }
 
+    /** Refuses requests whose bodies still arrive; returns their number. */
+    private int refuseIncomplete(Predicate<HttpCall> condition) {
+        try {
+            return mPort.refuseIncompleteRequests(condition, mHandler::refuseIncomplete);
+        } catch (RuntimeException e) {
+            // It must not end the stop, on which all other requests depend.
+            mLog.instanceEvent("internal_fault").put("cause", e.toString()).write();
+            return 0;
+        }
+    }
+
     private void logPhase(String event) {
         writeState(mLog.instanceEvent(event));
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
@@ -69,7 +69,7 @@
             } catch (RuntimeException e) {
                 // The exception must not reach the executor, which would cancel the periodic task
                 // and with it the timeouts of all other connections.
-                connection.closeNow();
+                connection.closeNow(CloseReason.INTERNAL_ERROR);
             }
         }
     }
@@ -98,6 +98,16 @@
                 .sum();
     }
 
+    /** Returns the number of complete responses that are not written to their end. */
+    int untakenResponses() {
+        return mConnections.stream().mapToInt(ClientConnection::untakenResponses).sum();
+    }
+
+    /** Closes all connections; those whose responses are not written to their end are reset. */
+    void closeConnections() {
+        mConnections.forEach(ClientConnection::closeAtEnd);
+    }
+
     void connectionOpened(ClientConnection connection) {
         if (mOpenConnections.incrementAndGet() > mLimits.maxConnections()) {
             connection.refuseAllRequests();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
@@ -48,6 +48,8 @@
     private @Nullable DrainListener mOnDrain;
     private @Nullable Runnable mOnReleased;
     private int mQueuedBytes;
+    private long mLengthBytes;
+    private long mAcceptedBytes;
     private boolean mHeadSent;
     private boolean mEnded;
     private boolean mAborted;
@@ -56,10 +58,11 @@
     private boolean mIsHeadRequest;
     private boolean mRequestBodyComplete;
 
-    /** Whether the request is refused without its body, which may arrive at the same time. */
-    private boolean mBodyRefused;
+    /** Whether the request was given to a handler or refused; it must not be both. */
+    private boolean mClaimed;
 
     private volatile boolean mCloseAfterResponse;
+    private volatile boolean mIsLast;
     private long mBodyStartNanos;
     private long mLastProgressNanos;
 
@@ -79,13 +82,15 @@
         mResponseChannel = responseChannel;
         mContext = context;
         mIsHeadRequest = request.getMethod().equals("HEAD");
+        synchronized (this) {
+            mRequestBodyComplete = entity == null;
+            mBodyStartNanos = System.nanoTime();
+        }
         mConnection.exchangeStarted(this);
         if (entity == null) {
-            mRequestBodyComplete = true;
             dispatch();
             return;
         }
-        mBodyStartNanos = System.nanoTime();
         if (request instanceof RefusedRequest) {
             dispatch();
             return;
@@ -127,7 +132,18 @@
      * the start of the next request is not known.
      */
     void refuseBody(ErrorKind kind, String message) {
-        sendError(kind, message, 0);
+        if (tryClaim()) {
+            sendError(kind, message, 0);
+        }
+    }
+
+    /** Returns whether the caller alone is to answer the request. */
+    private synchronized boolean tryClaim() {
+        if (mClaimed || mReleased) {
+            return false;
+        }
+        mClaimed = true;
+        return true;
     }
 
     /**
@@ -138,25 +154,19 @@
      * @return whether the request was refused
      */
     boolean refuseIfIncomplete(Predicate<HttpCall> condition, CallHandler refusal) {
-        if (!canRefuseBody()) {
+        if (isBodyComplete()) {
             return false;
         }
         HttpCall head = callWith(new byte[0]);
-        if (!condition.test(head)) {
+        if (!condition.test(head) || !tryClaim()) {
             return false;
         }
-        synchronized (this) {
-            if (!canRefuseBody()) {
-                return false;
-            }
-            mBodyRefused = true;
-        }
-        refusal.handle(head, this);
+        handle(refusal, head);
         return true;
     }
 
-    private synchronized boolean canRefuseBody() {
-        return !mRequestBodyComplete && !mHeadSent && !mReleased;
+    private synchronized boolean isBodyComplete() {
+        return mRequestBodyComplete;
     }
 
     /**
@@ -178,7 +188,7 @@
                                     nowNanos, mLastProgressNanos, limits.writeTimeoutMillis());
         }
         if (stalled) {
-            mConnection.closeNow();
+            mConnection.closeNow(CloseReason.WRITE_TIMEOUT);
             return;
         }
         if (bodyTimedOut) {
@@ -199,7 +209,7 @@
 
     @Override
     public void consume(ByteBuffer src) {
-        if (isHeadSent()) {
+        if (isClaimed()) {
             src.position(src.limit());
             return;
         }
@@ -217,15 +227,12 @@
     public void streamEnd(@Nullable List<? extends Header> trailers) {
         synchronized (this) {
             mRequestBodyComplete = true;
-            if (mHeadSent || mBodyRefused) {
-                return;
-            }
         }
         dispatch();
     }
 
-    private synchronized boolean isHeadSent() {
-        return mHeadSent;
+    private synchronized boolean isClaimed() {
+        return mClaimed;
     }
 
     private HttpCall callWith(byte[] body) {
@@ -241,8 +248,14 @@
     }
 
     private void dispatch() {
+        if (tryClaim()) {
+            handle(mHandler, callWith(mRequestBody.toByteArray()));
+        }
+    }
+
+    private void handle(CallHandler handler, HttpCall call) {
         try {
-            mHandler.handle(callWith(mRequestBody.toByteArray()), this);
+            handler.handle(call, this);
         } catch (RuntimeException e) {
             sendError(ErrorKind.INTERNAL, "unexpected error: " + e, 0);
             throw e;
@@ -262,10 +275,12 @@
                 return;
             }
             mHeadSent = true;
+            mLengthBytes = lengthBytes;
             if (!mRequestBodyComplete) {
                 mCloseAfterResponse = true;
             }
-            if (!mRequestBodyComplete || mConnection.closesAfterResponse()) {
+            mIsLast = mConnection.closesAfterResponse();
+            if (!mRequestBodyComplete || mIsLast) {
                 response.addHeader("Connection", "close");
             }
             // HttpCore releases the exchange of a response without a body before end() is called;
@@ -273,13 +288,14 @@
             mResponseComplete |= lengthBytes == 0 || mIsHeadRequest || isBodyless(status);
         }
         EntityDetails entity = lengthBytes == 0 ? null : new BasicEntityDetails(lengthBytes, null);
-        if (mCloseAfterResponse && entity == null) {
-            mConnection.closeAfterLinger();
-        }
         try {
             mResponseChannel.sendResponse(response, entity, mContext);
         } catch (IOException | HttpException e) {
             cancel();
+            return;
+        }
+        if (entity == null) {
+            closeIfLast();
         }
     }
 
@@ -295,6 +311,7 @@
             if (mReleased) {
                 return 0;
             }
+            mAcceptedBytes += data.remaining();
             if (mQueuedBytes == 0) {
                 mLastProgressNanos = System.nanoTime();
             }
@@ -329,8 +346,12 @@
     private void finish(boolean aborted) {
         DataStreamChannel output;
         synchronized (this) {
+            if (mEnded) {
+                return;
+            }
             mEnded = true;
-            mAborted |= aborted;
+            // A response is complete with its last byte, also if end() has not been called yet.
+            mAborted = aborted && !isWhole();
             output = mOutput;
         }
         if (output != null) {
@@ -338,6 +359,26 @@
         }
     }
 
+    /** Returns whether all bytes of the response are queued or written. */
+    private boolean isWhole() {
+        return mResponseComplete || mHeadSent && mAcceptedBytes == mLengthBytes;
+    }
+
+    /** Returns whether the response has begun and is not complete. */
+    synchronized boolean isTruncated() {
+        return mHeadSent && !mResponseComplete;
+    }
+
+    /** Returns whether the response is complete, but not written to its end. */
+    synchronized boolean isEndedUnsent() {
+        return mEnded && !mAborted && !mReleased;
+    }
+
+    @Override
+    public String cancelReason() {
+        return mConnection.closeReason().text();
+    }
+
     @Override
     public void onCancel(Runnable action) {
         synchronized (this) {
@@ -411,8 +452,14 @@
             throw new IOException("response truncated: the backend server did not complete it");
         }
         channel.endStream();
+        closeIfLast();
+    }
+
+    private void closeIfLast() {
         if (mCloseAfterResponse) {
-            mConnection.closeAfterLinger();
+            mConnection.closeAfterRefusal(mBodyStartNanos);
+        } else if (mIsLast) {
+            mConnection.closeAfterLastResponse();
         }
     }
 
