Answer all pipelined requests when a port stops

A caller that sends several requests on one connection lost answers in a planned stop: the first response after the listener had closed carried "Connection: close", or the idle connections were closed, and HttpCore then dropped the responses to the other requests, which had been passed on already.

The connection now closes after the last request that was handled. Requests that arrive after the closing response has begun are not handled any more, so a client can safely send them elsewhere.

HttpPortEndTest.pipelinedRequestsAreAnsweredInStop failed before after 60 s without the other responses, and requestAfterTheClosingResponseIsNotHandled as the request was handled.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
@@ -12,8 +12,11 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.Command;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.ErrorText;
@@ -40,6 +43,8 @@
     private final HttpLimits mLimits;
     private final ConcurrentHashMap.KeySetView<ServerExchange, Boolean> mExchanges =
             ConcurrentHashMap.newKeySet();
+    private final Object mOrderLock = new Object();
+    private final AtomicBoolean mShutdownRequested = new AtomicBoolean();
     private final AtomicInteger mOpenExchanges = new AtomicInteger();
     private final Queue<CompletableFuture<Boolean>> mChecks = new ConcurrentLinkedQueue<>();
 
@@ -52,6 +57,8 @@
     private volatile long mLastResponseNanos;
     private volatile boolean mHalfClosed;
     private volatile boolean mTruncated;
+    private volatile boolean mClosesWhenIdle;
+    private boolean mIgnoresRequests;
     private volatile CloseReason mCloseReason = CloseReason.CLIENT;
     private long mDiscardedBytes;
     private volatile @Nullable ServerExchange mLatestExchange;
@@ -66,9 +73,19 @@
         return mLimits;
     }
 
-    /** Returns whether the connection closes after the next response. */
-    boolean closesAfterResponse() {
-        return mLimiter.closesAfterResponse();
+    /**
+     * Returns whether the connection closes after the response to an exchange. It does so after the
+     * last one only, as requests that were handled before would get no response; later ones are
+     * ignored.
+     */
+    boolean closesAfter(ServerExchange exchange) {
+        if (!mLimiter.closesAfterResponse()) {
+            return false;
+        }
+        synchronized (mOrderLock) {
+            mIgnoresRequests |= exchange == mLatestExchange;
+            return mIgnoresRequests;
+        }
     }
 
     int openExchanges() {
@@ -84,6 +101,21 @@
         return refused;
     }
 
+    /** Closes the connection if no request is in progress, and otherwise after its response. */
+    void closeWhenIdle() {
+        mClosesWhenIdle = true;
+        closeIfIdle();
+    }
+
+    private void closeIfIdle() {
+        // HttpCore completes one response after this command, but none of further requests.
+        if (mClosesWhenIdle
+                && mOpenExchanges.get() <= 1
+                && mShutdownRequested.compareAndSet(false, true)) {
+            mSession.enqueue(ShutdownCommand.GRACEFUL, Command.Priority.NORMAL);
+        }
+    }
+
     /** Refuses all requests of this connection, because too many connections are open. */
     void refuseAllRequests() {
         mOverLimit = true;
@@ -116,10 +148,17 @@
         return mOpenExchanges.get() > 0;
     }
 
-    void exchangeStarted(ServerExchange exchange) {
+    /** Adds an exchange; returns false if its request has to be ignored. */
+    boolean exchangeStarted(ServerExchange exchange) {
+        synchronized (mOrderLock) {
+            if (mIgnoresRequests) {
+                return false;
+            }
+            mLatestExchange = exchange;
+        }
         mOpenExchanges.incrementAndGet();
         mExchanges.add(exchange);
-        mLatestExchange = exchange;
+        return true;
     }
 
     void exchangeReleased(ServerExchange exchange) {
@@ -127,6 +166,7 @@
         mTruncated |= exchange.isTruncated();
         if (mExchanges.remove(exchange)) {
             mOpenExchanges.decrementAndGet();
+            closeIfIdle();
         }
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
@@ -95,6 +95,11 @@
         return mConnections.stream().mapToInt(ClientConnection::refuseIncompleteRequests).sum();
     }
 
+    /** Closes each connection once no request is in progress on it. */
+    void closeIdleConnections() {
+        mConnections.forEach(ClientConnection::closeWhenIdle);
+    }
+
     /** Returns the number of complete responses that are not written to their end. */
     int untakenResponses() {
         return mConnections.stream().mapToInt(ClientConnection::untakenResponses).sum();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
@@ -123,7 +123,7 @@
      * that holds for them.
      */
     public void closeIdleConnections() {
-        mServer.initiateShutdown();
+        mLimiter.closeIdleConnections();
     }
 
     /** Returns the number of open connections. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
@@ -56,6 +56,7 @@
     private boolean mResponseComplete;
     private boolean mIsHeadRequest;
     private boolean mRequestBodyComplete;
+    private boolean mIgnored;
     private volatile boolean mCloseAfterResponse;
     private volatile boolean mIsLast;
     private long mBodyStartNanos;
@@ -77,7 +78,10 @@
         mResponseChannel = responseChannel;
         mContext = context;
         mIsHeadRequest = request.getMethod().equals("HEAD");
-        mConnection.exchangeStarted(this);
+        if (!mConnection.exchangeStarted(this)) {
+            mIgnored = true;
+            return;
+        }
         if (entity == null) {
             mRequestBodyComplete = true;
             dispatch();
@@ -179,7 +183,7 @@
 
     @Override
     public void consume(ByteBuffer src) {
-        if (isHeadSent()) {
+        if (mIgnored || isHeadSent()) {
             src.position(src.limit());
             return;
         }
@@ -198,7 +202,7 @@
         synchronized (this) {
             mRequestBodyComplete = true;
         }
-        if (!isHeadSent()) {
+        if (!mIgnored && !isHeadSent()) {
             dispatch();
         }
     }
@@ -243,7 +247,7 @@
             if (!mRequestBodyComplete) {
                 mCloseAfterResponse = true;
             }
-            mIsLast = mConnection.closesAfterResponse();
+            mIsLast = mConnection.closesAfter(this);
             if (!mRequestBodyComplete || mIsLast) {
                 response.addHeader("Connection", "close");
             }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortEndTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortEndTest.java
@@ -233,6 +233,39 @@
         assertEquals(0, mPort.openConnections());
     }
 
+    /** Guards against pipelined requests that are handled and get no response in a stop. */
+    @Test
+    void pipelinedRequestsAreAnsweredInStop() throws Exception {
+        RawClient client = connect().write(GET.repeat(3));
+        List<Responder> responders = List.of(takeResponder(), takeResponder(), takeResponder());
+        mPort.stopAccepting();
+        mPort.closeIdleConnections();
+        for (Responder responder : responders) {
+            responder.send(200, List.of(), "whole".getBytes(StandardCharsets.UTF_8));
+        }
+        byte[] response = client.readToEnd();
+        assertNotNull(response, "the connection was reset");
+        String text = new String(response, StandardCharsets.UTF_8);
+        assertEquals(3, text.split("whole", -1).length - 1, text);
+    }
+
+    /** Guards against a request that is handled after a response which closes the connection. */
+    @Test
+    void requestAfterTheClosingResponseIsNotHandled() throws Exception {
+        RawClient client = connect().write(GET);
+        Responder responder = takeResponder();
+        mPort.stopAccepting();
+        responder.sendHead(200, List.of(), Responder.UNKNOWN_LENGTH);
+        responder.write(ByteBuffer.wrap("part".getBytes(StandardCharsets.UTF_8)));
+        client.readUntil("part");
+        client.write(GET + POST + "x".repeat(100));
+        assertNull(mResponders.poll(SHORT_MILLIS, TimeUnit.MILLISECONDS));
+        responder.end();
+        byte[] rest = client.readToEnd();
+        assertNotNull(rest, "the connection was reset");
+        assertEquals("\r\n0\r\n\r\n", new String(rest, StandardCharsets.UTF_8));
+    }
+
     /** Guards against a client that is blamed for a connection which the server has closed. */
     @Test
     void cancelReasonTellsWhoClosed() throws Exception {
