--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
@@ -125,7 +125,7 @@
      * that holds for them.
      */
     public void closeIdleConnections() {
-        mServer.initiateShutdown();
+        mLimiter.closeIdleConnections();
     }
 
     /** Returns the number of open connections. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
@@ -86,7 +86,10 @@
             mRequestBodyComplete = entity == null;
             mBodyStartNanos = System.nanoTime();
         }
-        mConnection.exchangeStarted(this);
+        if (!mConnection.exchangeStarted(this)) {
+            tryClaim();
+            return;
+        }
         if (entity == null) {
             dispatch();
             return;
@@ -279,7 +282,7 @@
             if (!mRequestBodyComplete) {
                 mCloseAfterResponse = true;
             }
-            mIsLast = mConnection.closesAfterResponse();
+            mIsLast = mConnection.closesAfter(this);
             if (!mRequestBodyComplete || mIsLast) {
                 response.addHeader("Connection", "close");
             }
