End open requests of a stopping full role with errors, in time

Callers of an instance that stops got no answer if their requests were still open at the end of shutdown.drain_timeout_ms: connections were closed under a command, a stream and a request whose body still arrived. The process ended 10.3 s after SIGTERM with a drain timeout of 8 s, so a service manager that kills at this timeout would have ended it before. An instance with open requests also took new connections until its end, and cut what came on them.

Daemon.shutDown waited for open requests and closed the ports without ending them; the listener was closed last.

Now what is open 2.4 s before the timeout is ended: 503 for what has not run, bodies that are incomplete among it, 502 for what may have run, an error event in a stream. A command whose answer is whole and waits only for its record is answered. If requests are still open 2.6 s after SIGTERM the listener closes and answers carry Connection: close, and idle connections close 0.3 s later. The process ends before the timeout.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -87,6 +87,21 @@
     /** Time for which the load balancer may still send requests after readiness has ended. */
     private static final long BALANCER_DELAY_MILLIS = 1_000;
 
+    /**
+     * Time after which a stopping instance takes no more connections while requests are open. Load
+     * balancers that check less often than once a second have noticed by then.
+     */
+    private static final long LISTENER_CLOSE_MILLIS = 2_600;
+
+    /** Time in which a caller whose connection was just accepted sends its request. */
+    private static final long ACCEPTED_GRACE_MILLIS = 300;
+
+    /**
+     * Part of the drain timeout that is reserved for the errors of requests that are still open,
+     * for the leave, and for closing the ports.
+     */
+    private static final long STOP_MARGIN_MILLIS = 2_400;
+
     /** Time for gossip to spread the leave; requests that others forward until then are refused. */
     private static final long LEAVE_PROPAGATION_MILLIS = 1_000;
 
@@ -122,6 +137,7 @@
     private volatile @Nullable RolloutControllerService mRolloutController;
     private Proposer mProposer;
     private HttpPort mCallerPort;
+    private HttpPort mInternalPort;
     private HttpPort mOperatorPort;
     private long mPublishedRolloutRevision;
     private volatile boolean mServicesStarted;
@@ -493,12 +509,13 @@
                             }
                             mEntry.handle(call, responder);
                         });
-        openPort(
-                "internal",
-                SettingKey.LISTEN_INTERNAL,
-                HttpLimits.internal(),
-                tlsStrategy(),
-                new InternalHandler(mLoop, mOwner, mEntry));
+        mInternalPort =
+                openPort(
+                        "internal",
+                        SettingKey.LISTEN_INTERNAL,
+                        HttpLimits.internal(),
+                        tlsStrategy(),
+                        new InternalHandler(mLoop, mOwner, mEntry));
         ConfigCommands.ConfigStateReader stateReader =
                 mVoterState == null ? new EmptyConfigState() : mVoterState;
         VoterAddresses voterAddresses = VoterAddresses.of(mSettings.voters());
@@ -595,33 +612,52 @@
     }
 
     /**
-     * Stops gracefully: ends readiness, hands owned backend servers over to other instances, waits
-     * for open requests until the drain timeout, leaves the fleet, then closes everything.
+     * Stops gracefully: ends readiness, hands owned backend servers over to other instances and
+     * waits for open requests. Those that are still open shortly before the drain timeout get an
+     * error. Then the instance leaves the fleet and closes everything before the timeout.
      */
     public void shutDown() {
         mLog.log(LogEvent.DAEMON_STOPPING, "instance %s", mSettings.instanceId());
+        long startNanos = mLoop.nowNanos();
+        long timeoutMillis = mSettings.integer(SettingKey.SHUTDOWN_DRAIN_TIMEOUT_MS);
+        long drainMillis = Math.max(0, timeoutMillis - STOP_MARGIN_MILLIS);
+        long endNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(drainMillis);
         mDraining = true;
         onLoop(
                 () -> {
                     refreshState();
                     mOwner.handOverAll();
                 });
-        long endNanos =
-                mLoop.nowNanos()
-                        + TimeUnit.MILLISECONDS.toNanos(
-                                mSettings.integer(SettingKey.SHUTDOWN_DRAIN_TIMEOUT_MS));
-        GracefulShutdown.sleep(BALANCER_DELAY_MILLIS);
-        int openCount = GracefulShutdown.awaitDrained(this::openRequests, endNanos);
-        if (openCount > 0) {
-            mLog.log(LogEvent.DRAIN_TIMED_OUT, "%d requests were aborted", openCount);
-        }
+        GracefulShutdown.sleep(Math.min(BALANCER_DELAY_MILLIS, drainMillis));
+        long listenerMillis = Math.min(LISTENER_CLOSE_MILLIS, drainMillis);
+        GracefulShutdown.awaitDrained(
+                this::openRequests, startNanos + TimeUnit.MILLISECONDS.toNanos(listenerMillis));
+        mCallerPort.stopAccepting();
+        GracefulShutdown.sleep(Math.min(ACCEPTED_GRACE_MILLIS, drainMillis));
+        mCallerPort.closeIdleConnections();
+        GracefulShutdown.awaitDrained(this::openRequests, endNanos);
+        endOpenRequests();
         onLoop(() -> mFleet.handleEvent(new MembershipInput.Leave()));
         onLoop(mBurn::save);
+        mOperatorPort.stopAccepting();
+        mOperatorPort.closeIdleConnections();
+        // Callers read their errors meanwhile.
         GracefulShutdown.sleep(LEAVE_PROPAGATION_MILLIS);
+        mCallerPort.closeNow();
+        mInternalPort.closeNow();
         close();
         mLog.log(LogEvent.DAEMON_STOPPED, "instance %s", mSettings.instanceId());
     }
 
+    private void endOpenRequests() {
+        List<Integer> counts = new ArrayList<>();
+        onLoop(() -> counts.add(mEntry.endAll() + mOwner.inFlight()));
+        int openCount = counts.get(0) + mCallerPort.refuseIncompleteRequests();
+        if (openCount > 0) {
+            mLog.log(LogEvent.DRAIN_TIMED_OUT, "%d requests were aborted", openCount);
+        }
+    }
+
     private int openRequests() {
         List<Integer> counts = new ArrayList<>();
         onLoop(() -> counts.add(mEntry.openRequestCount() + mOwner.inFlight()));
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CallerExchange.java
@@ -66,6 +66,7 @@
     private boolean mClosed;
     private boolean mComplete;
     private boolean mCallerGone;
+    private boolean mInstanceStops;
     private volatile boolean mServerError;
 
     CallerExchange(
@@ -115,6 +116,9 @@
 
         @Override
         public void onReplay(int status, List<HeaderField> headers, byte @Nullable [] body) {
+            if (mClosed) {
+                return;
+            }
             List<HeaderField> all = new ArrayList<>(headers);
             all.add(HeaderField.of("Idempotency-Replayed", "true"));
             mResponder.send(status, all, body == null ? new byte[0] : body);
@@ -123,6 +127,9 @@
 
         @Override
         public void onRefused(ErrorKind kind, RunState ran, String message) {
+            if (mClosed) {
+                return;
+            }
             mResponder.sendError(kind, ran, message, kind.isRetryable() ? 1_000 : 0);
             close();
         }
@@ -330,17 +337,24 @@
             return;
         }
         mTicket = null;
-        byte[] body = mAnswerBuffer.body();
-        List<HeaderField> headers = new ArrayList<>(mAnswerBuffer.headers());
-        headers.add(HeaderField.of(ForwardingMetadata.REQUEST_ID, mRequest.id()));
         ticket.recordAnswer(
                 mAnswerBuffer.status(),
                 mAnswerBuffer.headers(),
-                body,
-                () -> {
-                    mResponder.send(mAnswerBuffer.status(), headers, body);
-                    close();
-                });
+                mAnswerBuffer.body(),
+                this::sendBufferedAnswer);
+        if (mInstanceStops) {
+            sendBufferedAnswer();
+        }
+    }
+
+    private void sendBufferedAnswer() {
+        if (mClosed) {
+            return;
+        }
+        List<HeaderField> headers = new ArrayList<>(mAnswerBuffer.headers());
+        headers.add(HeaderField.of(ForwardingMetadata.REQUEST_ID, mRequest.id()));
+        mResponder.send(mAnswerBuffer.status(), headers, mAnswerBuffer.body());
+        close();
     }
 
     private void retryOrGiveUp(ErrorKind cause, @Nullable String lastEventId) {
@@ -380,6 +394,9 @@
      * those of the tracker describe how an answer ended.
      */
     private String failureText(AnswerOutput.Fail failed) {
+        if (mInstanceStops) {
+            return ErrorText.INSTANCE_STOPS;
+        }
         return switch (failed.kind()) {
             case NO_BACKEND -> String.format(ErrorText.NO_BACKEND, mRequest.service());
             case OVERLOADED -> ErrorText.OVERLOADED;
@@ -389,7 +406,13 @@
     }
 
     private void fail(AnswerOutput.Fail failed) {
-        reportBackendFailure(failed.kind());
+        ErrorKind kind = failed.kind();
+        if (mInstanceStops) {
+            boolean notRun = failed.runState() == RunState.NOT_RUN;
+            kind = notRun ? ErrorKind.NOT_READY : ErrorKind.BACKEND_FAILED;
+        } else {
+            reportBackendFailure(kind);
+        }
         String message = failureText(failed);
         if (mTicket != null) {
             if (failed.runState() == RunState.NOT_RUN) {
@@ -399,9 +422,9 @@
             }
             mTicket = null;
         }
-        mService.metrics().increment(MetricName.REFUSALS, "kind", failed.kind().name());
-        mResponder.sendError(failed.kind(), failed.runState(), message, mRetryAfterMillis);
-        closeAfterFailure(failed.kind(), message);
+        mService.metrics().increment(MetricName.REFUSALS, "kind", kind.name());
+        mResponder.sendError(kind, failed.runState(), message, mRetryAfterMillis);
+        closeAfterFailure(kind, message);
     }
 
     private void closeAfterFailure(ErrorKind kind, String message) {
@@ -440,6 +463,23 @@
         processEvent(new AnswerEvent.GaveUp(ErrorKind.BACKEND_TIMEOUT));
     }
 
+    /**
+     * Ends the request because this instance stops. An answer that is whole is sent without waiting
+     * for its record; otherwise the caller gets an error, or an error event in its stream.
+     */
+    void onInstanceStops() {
+        if (mClosed) {
+            return;
+        }
+        mInstanceStops = true;
+        if (mComplete) {
+            sendBufferedAnswer();
+            return;
+        }
+        cancelAttempt();
+        processEvent(new AnswerEvent.GaveUp(ErrorKind.BACKEND_FAILED));
+    }
+
     private void onCallerGone() {
         if (mClosed) {
             return;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/EntryService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/EntryService.java
@@ -26,6 +26,7 @@
 import org.hemlockrack.daemon.owner.RunningAttempt;
 import org.hemlockrack.daemon.rollout.RolloutService;
 import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.ErrorText;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.membership.Backend;
 import org.hemlockrack.membership.Member;
@@ -67,6 +68,7 @@
     private WorkspaceLimiter mLimiter = WorkspaceLimiter.create(quota(1, 1));
     private volatile Configuration mConfiguration = Configuration.empty();
     private volatile boolean mReady;
+    private boolean mStopped;
 
     private EntryService(
             EventLoop loop,
@@ -193,6 +195,18 @@
         return mOpenExchanges.size();
     }
 
+    /**
+     * Ends all open requests because this instance stops, and refuses those that come later.
+     *
+     * @return number of requests that were ended
+     */
+    public int endAll() {
+        mStopped = true;
+        List<CallerExchange> open = List.copyOf(mOpenExchanges);
+        open.forEach(CallerExchange::onInstanceStops);
+        return open.size();
+    }
+
     /**
      * Handles a caller's request. Safe for use from any thread.
      *
@@ -213,6 +227,10 @@
     }
 
     private void accept(CallerRequest request, Responder responder) {
+        if (mStopped) {
+            refuse(responder, ErrorKind.NOT_READY, ErrorText.INSTANCE_STOPS, 0);
+            return;
+        }
         WorkspaceLimiter.Decision decision =
                 mLimiter.tryAcquire(mLoop.nowNanos(), request.workspace());
         if (!decision.allowed()) {
