Bound a proposal at a silent leader by its own timeout

An order to a controller whose leader had fallen silent was answered up to 3 s after its time limit: a proposal that is forwarded waited for the read timeout of the connection, while one at the local replica ends at the timeout.

A forwarded proposal now ends 0.2 s after its timeout with the outcome UNKNOWN, which it had before as well, later.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/Proposer.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/Proposer.java
@@ -22,6 +22,9 @@
 public final class Proposer {
     private static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /** Time for the reply of a leader that has waited for a majority until the timeout. */
+    private static final long REPLY_DELAY_MILLIS = 200;
+
     private final EventLoop mLoop;
     private final InstanceId mSelf;
     private final Supplier<Map<InstanceId, String>> mVoters;
@@ -119,6 +122,10 @@
             request.setCommand(mCommand);
             request.setTimeoutMillis(Math.max(1, remainingMillis));
             mNetwork.callAsync(mVoters.get().get(target), client -> client.propose(request))
+                    .copy()
+                    .orTimeout(
+                            Math.max(1, remainingMillis) + REPLY_DELAY_MILLIS,
+                            TimeUnit.MILLISECONDS)
                     .whenComplete((reply, failure) -> onReply(reply, failure));
         }
 
