Answer the orders that a stopping controller has taken in

An operator whose order was open when its controller got SIGTERM saw the connection close without an answer: an order that waited for a majority, one whose body still arrived, and one whose body ended 1.5 s after SIGTERM, though the other controllers could commit it.

The control port got one second at the end of the stop, less than an order may take (2.5 s), and nothing refused what had not arrived.

After the handover of its seat the controller now closes its listener, 0.3 s later its idle connections, and waits until the others are done. What has not arrived whole 3 s after SIGTERM is refused with 503, not run; what has is waited for by its own time limit. All of it takes at most 6 s, and 0.3 s if no call is open. A line "stopped" tells what was refused and what is open.

StoppedControllerTest failed before (3 of 3 cases, empty answers) and passes; ReplacedControllerTest, FrozenControllerTest, SeatHandoverTest and ControllerServiceTest: 14 of 14.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -26,6 +26,7 @@
 import org.hemlockrack.consensus.SnapshotMeta;
 import org.hemlockrack.control.ControlState;
 import org.hemlockrack.control.TableHistory;
+import org.hemlockrack.daemon.GracefulShutdown;
 import org.hemlockrack.daemon.ServiceProcess;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.fleet.SilentPeerLog;
@@ -71,6 +72,15 @@
 
     private static final long HANDOVER_POLL_MILLIS = 20;
 
+    /** Time between the end of new connections and the end of idle ones at a planned stop. */
+    private static final long ACCEPTED_GRACE_MILLIS = 300;
+
+    /** Time after the begin of a planned stop until which calls are received to their end. */
+    private static final long RECEIVE_LIMIT_MILLIS = 3_000;
+
+    /** Longer than the longest call takes once it was received. */
+    private static final long CALL_LIMIT_MILLIS = 3_000;
+
     private static final String LOG_FOLDER = "log";
 
     /** Creates the handler of calls by operators and backend servers. */
@@ -94,6 +104,7 @@
     private final ReplicaService mReplica;
     private final ControllerService mService;
     private final ControllerLinks mLinks;
+    private final HttpPort mControlPort;
     private volatile List<String> mConfiguredControllers;
     private final TableHistory mTables = TableHistory.create();
     private ControlState mDurableState = ControlState.create();
@@ -149,8 +160,8 @@
                                 settings.instanceId().value(), mReplica, mService, mLog),
                         null);
         mCloser.register(peers::close);
-        HttpPort port = openPort(handlers.create(mService));
-        mCloser.register(port::close);
+        mControlPort = openPort(handlers.create(mService));
+        mCloser.register(mControlPort::close);
         mLoop.scheduleWithFixedDelay(MAINTENANCE_PERIOD_MILLIS, this::runMaintenance);
         SettingsReloader.start(
                 mLoop,
@@ -346,11 +357,35 @@
 
     @Override
     public void shutDown() {
+        long startNanos = mLoop.nowNanos();
         mLog.instanceEvent("stopping").write();
         handOverSeat();
+        endCalls(startNanos);
         close();
     }
 
+    /**
+     * Closes the control port once the calls that it took in are answered. Those that have not
+     * arrived whole in time are refused; all others end by their own time limit.
+     */
+    private void endCalls(long startNanos) {
+        mControlPort.stopAccepting();
+        GracefulShutdown.sleep(ACCEPTED_GRACE_MILLIS);
+        mControlPort.closeIdleConnections();
+        long receiveEndNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(RECEIVE_LIMIT_MILLIS);
+        GracefulShutdown.awaitDrained(mControlPort::openConnections, receiveEndNanos);
+        int refused = mControlPort.refuseIncompleteRequests();
+        long callEndNanos = mLoop.nowNanos() + TimeUnit.MILLISECONDS.toNanos(CALL_LIMIT_MILLIS);
+        GracefulShutdown.awaitDrained(mControlPort::openConnections, callEndNanos);
+        mLog.instanceEvent("stopped")
+                .put("refused", refused)
+                .put("connections", mControlPort.openConnections())
+                .put("unfinished", mControlPort.openExchanges())
+                .put("elapsed_ms", TimeUnit.NANOSECONDS.toMillis(mLoop.nowNanos() - startNanos))
+                .write();
+        mControlPort.closeNow();
+    }
+
     private void handOverSeat() {
         SeatHandover handover = mService.handover();
         if (!handover.isPossible()) {
