--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/entry/CallerExchangeTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/entry/CallerExchangeTest.java
@@ -19,6 +19,8 @@
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.EventLoop;
 import org.hemlockrack.daemon.metrics.Metrics;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.RunState;
 import org.hemlockrack.membership.ControlBudget;
 import org.hemlockrack.membership.InstanceInfo;
 import org.hemlockrack.membership.Membership;
@@ -102,7 +104,7 @@
                 CallerRequest request, LatencySample sample, MissContext missContext) {}
     }
 
-    private EntryService createService() {
+    private EntryService createService(ClaimGate claims) {
         long nowNanos = mLoop.nowNanos();
         Membership membership =
                 Membership.create(
@@ -117,7 +119,7 @@
                 null,
                 null,
                 null,
-                null,
+                claims,
                 null,
                 new NoObserver(),
                 EventLog.create(),
@@ -125,7 +127,7 @@
                 "test-");
     }
 
-    private CallerRequest createRequest(int number) {
+    private CallerRequest createRequest(int number, RequestKind kind) {
         WorkspaceId workspace = WorkspaceId.of("demo");
         long deadlineNanos = mLoop.nowNanos() + HOUR_NANOS;
         return new CallerRequest(
@@ -135,10 +137,10 @@
                 null,
                 ServiceId.of("assistant"),
                 "assistant",
-                RequestKind.CHAT,
+                kind,
                 PlacementKey.ofChat(workspace, "chat"),
                 true,
-                null,
+                kind == RequestKind.CHAT ? null : "key",
                 deadlineNanos,
                 deadlineNanos);
     }
@@ -152,12 +154,12 @@
         CountDownLatch ended = new CountDownLatch(REQUESTS);
         mLoop.submit(
                         () -> {
-                            EntryService service = createService();
+                            EntryService service = createService(null);
                             for (int i = 0; i < REQUESTS; i++) {
                                 new CallerExchange(
                                                 service,
                                                 mLoop,
-                                                createRequest(i),
+                                                createRequest(i, RequestKind.CHAT),
                                                 new CountDownResponder(ended))
                                         .start();
                             }
@@ -168,4 +170,92 @@
         int scheduledTasks = mLoop.submit(mLoop::queuedTaskCount).join();
         assertTrue(scheduledTasks < REQUESTS / 4, scheduledTasks + " tasks are still scheduled");
     }
+
+    /** Keeps the callback of a claim that is not decided yet. */
+    private static final class OpenClaim implements ClaimGate {
+        private Callback mCallback;
+
+        @Override
+        public void claim(CallerRequest request, Callback callback) {
+            mCallback = callback;
+        }
+    }
+
+    /** Counts the bytes and the ends of one answer. */
+    private static final class CountingResponder implements Responder {
+        private int mStatus;
+        private int mWrites;
+        private int mEnds;
+
+        @Override
+        public void sendHead(int status, List<HeaderField> headers, long lengthBytes) {
+            mStatus = mStatus == 0 ? status : mStatus;
+        }
+
+        @Override
+        public int write(ByteBuffer data) {
+            mWrites++;
+            return 0;
+        }
+
+        @Override
+        public int queuedBytes() {
+            return 0;
+        }
+
+        @Override
+        public void end() {
+            mEnds++;
+        }
+
+        @Override
+        public void abort() {}
+
+        @Override
+        public void onCancel(Runnable action) {}
+
+        @Override
+        public void onDrain(DrainListener action) {}
+    }
+
+    /**
+     * Guards against a second answer after the error of a stopping instance, once the claim of the
+     * command is decided.
+     */
+    @Test
+    void decidedClaimAddsNothingToTheErrorOfAStop() {
+        OpenClaim claim = new OpenClaim();
+        CountingResponder responder = new CountingResponder();
+        CallerExchange exchange =
+                mLoop.submit(
+                                () -> {
+                                    CallerRequest request =
+                                            createRequest(0, RequestKind.SERVICE_COMMAND);
+                                    CallerExchange started =
+                                            new CallerExchange(
+                                                    createService(claim),
+                                                    mLoop,
+                                                    request,
+                                                    responder);
+                                    started.start();
+                                    return started;
+                                })
+                        .join();
+        runOnLoop(exchange::onInstanceStops);
+        // The error is sent by a task of its own.
+        runOnLoop(() -> assertEquals(503, responder.mStatus));
+        runOnLoop(() -> claim.mCallback.onReplay(200, List.of(), new byte[] {1}));
+        runOnLoop(() -> claim.mCallback.onRefused(ErrorKind.NO_QUORUM, RunState.NOT_RUN, "late"));
+        assertEquals(1, responder.mWrites);
+        assertEquals(1, responder.mEnds);
+    }
+
+    private void runOnLoop(Runnable task) {
+        mLoop.submit(
+                        () -> {
+                            task.run();
+                            return true;
+                        })
+                .join();
+    }
 }
