Test that a stop does not cut an answer that is being delivered

Found by the review of the fix: an answer was whole for the gateway some time before its exchange had ended, and the end of a stop or its deadline in between aborted it.

--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
@@ -169,6 +169,7 @@
         final CompletableFuture<Integer> mStatus = new CompletableFuture<>();
         private volatile int mHeadStatus;
         private volatile int mBytes;
+        private volatile Runnable mOnWrite = () -> {};
         private Runnable mOnCancel = () -> {};
 
         @Override
@@ -179,6 +180,7 @@
         @Override
         public int write(ByteBuffer data) {
             mBytes += data.remaining();
+            mOnWrite.run();
             data.position(data.limit());
             return 0;
         }
@@ -375,6 +377,16 @@
         assertEquals(0, mOpenExchanges.count());
     }
 
+    /** Guards against a stop that cuts an answer which is whole and is being delivered. */
+    @Test
+    void answerThatIsDeliveredAtTheEndIsNotCut() throws Exception {
+        StatusResponder late = startLateStream();
+        late.mOnWrite = mOpenExchanges::endAll;
+        mRelease.countDown();
+        assertEquals(200, late.mStatus.get(5, TimeUnit.SECONDS));
+        assertEquals(STREAM_BYTES, late.mBytes);
+    }
+
     /** Guards against late streams that fill the heap, and against cutting them for that. */
     @Test
     void lateStreamWithoutMemoryEndsWithAnError() throws Exception {
