--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/log/DecisionLog.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/log/DecisionLog.java
@@ -27,6 +27,10 @@
     private static final long SAMPLE_INTERVAL = 16;
 
     private static final long POLL_MILLIS = 200;
+
+    /** An entry of the queue that is no line; it wakes the writer when the log is closed. */
+    private static final String WAKE_UP = "";
+
     private static final long CLOSE_TIMEOUT_MILLIS = 300;
     private static final int BATCH_BYTES = 16 << 10;
 
@@ -151,11 +155,11 @@
             while (!mClosed || !mLines.isEmpty()) {
                 String line = mLines.poll(POLL_MILLIS, TimeUnit.MILLISECONDS);
                 while (line != null && batch.length() < BATCH_BYTES) {
-                    batch.append(line).append('\n');
+                    append(batch, line);
                     line = mLines.poll();
                 }
                 if (line != null) {
-                    batch.append(line).append('\n');
+                    append(batch, line);
                 }
                 if (batch.length() > 0) {
                     mOut.write(batch.toString().getBytes(StandardCharsets.UTF_8));
@@ -176,9 +180,16 @@
         }
     }
 
+    private static void append(StringBuilder batch, String line) {
+        if (!line.equals(WAKE_UP)) {
+            batch.append(line).append('\n');
+        }
+    }
+
     @Override
     public void close() {
         mClosed = true;
+        mLines.offer(WAKE_UP);
         try {
             mWriter.join(CLOSE_TIMEOUT_MILLIS);
         } catch (InterruptedException e) {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/log/DecisionLogTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/log/DecisionLogTest.java
@@ -8,6 +8,7 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 class DecisionLogTest {
@@ -50,6 +51,23 @@
         assertTrue(text.contains("log_lines_dropped"), "the drops are not reported");
     }
 
+    /** Guards against a close that waits for nothing, which takes from the end of a stop. */
+    @Test
+    void closeDoesNotWaitForTheNextPoll() throws InterruptedException {
+        long startNanos = System.nanoTime();
+        for (int i = 0; i < 10; i++) {
+            ByteArrayOutputStream out = new ByteArrayOutputStream();
+            DecisionLog log = DecisionLog.open("i", out);
+            log.instanceEvent("stopped").write();
+            TimeUnit.MILLISECONDS.sleep(20);
+            log.close();
+            String text = out.toString(StandardCharsets.UTF_8);
+            assertEquals(1, text.lines().count(), text);
+        }
+        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        assertTrue(elapsedMillis < 1_000, elapsedMillis + " ms");
+    }
+
     /** Guards against a log that grows with every ordinary request. */
     @Test
     void ordinaryRequestsAreSampled() {
