Count the time limit of a soaked request from the begin of its last chunk

The check counted from after the write of the last chunk, which is later than its arrival at the gateway.

--- a/hemlockrack-soak/src/main/java/org/hemlockrack/soak/CallerConnection.java
+++ b/hemlockrack-soak/src/main/java/org/hemlockrack/soak/CallerConnection.java
@@ -55,6 +55,7 @@
 
     /** Sends a request and reads its answer. */
     StopRequest send(StopRequest.Plan plan, String id, int gateway) {
+        long lastChunkNanos = StopRequest.NOT_SENT;
         long sentNanos = StopRequest.NOT_SENT;
         StringBuilder body = new StringBuilder();
         int status = 0;
@@ -64,6 +65,7 @@
                 write(plan.head(id));
                 for (int chunk = 0; chunk < plan.chunks(); chunk++) {
                     TestFleet.sleep(plan.chunkPauseMillis());
+                    lastChunkNanos = System.nanoTime();
                     write(chunk + 1 < plan.chunks() ? "4\r\nbody\r\n" : LAST_CHUNK);
                 }
                 sentNanos = System.nanoTime();
@@ -78,7 +80,15 @@
             failure = e.toString();
         }
         return new StopRequest(
-                id, plan, gateway, sentNanos, System.nanoTime(), status, body.toString(), failure);
+                id,
+                plan,
+                gateway,
+                lastChunkNanos,
+                sentNanos,
+                System.nanoTime(),
+                status,
+                body.toString(),
+                failure);
     }
 
     private void write(String text) throws IOException {
--- a/hemlockrack-soak/src/main/java/org/hemlockrack/soak/StopChecker.java
+++ b/hemlockrack-soak/src/main/java/org/hemlockrack/soak/StopChecker.java
@@ -110,7 +110,7 @@
                 stop != null
                         && request.sentNanos() - stop.startNanos() <= EARLY_NANOS
                         && mFleet.wasAtWork(request.id(), stop.startNanos() + LAST_SIXTH_NANOS);
-        return servedToTheEnd || elapsedNanos >= TIME_LIMIT_NANOS;
+        return servedToTheEnd || request.endNanos() - request.lastChunkNanos() >= TIME_LIMIT_NANOS;
     }
 
     /** Returns the last stop of its gateway that began before a request ended. */
--- a/hemlockrack-soak/src/main/java/org/hemlockrack/soak/StopRequest.java
+++ b/hemlockrack-soak/src/main/java/org/hemlockrack/soak/StopRequest.java
@@ -10,6 +10,8 @@
  * @param id request id
  * @param plan what was sent
  * @param gateway number of the gateway, from 1
+ * @param lastChunkNanos time when the last chunk that was begun began; the gateway's time limit
+ *     counts from its arrival
  * @param sentNanos time when the last byte was sent, {@link #NOT_SENT} if it was not
  * @param endNanos time when the answer was complete or the connection ended
  * @param status status of the answer, 0 if there was none
@@ -20,6 +22,7 @@
         String id,
         Plan plan,
         int gateway,
+        long lastChunkNanos,
         long sentNanos,
         long endNanos,
         int status,
