Follow controllers that a gateway knows from a disk only

After a loss of power of the whole fleet, gateways asked their three seeds only, until a controller had confirmed its state. Gateways now also ask the members of the log that any controller reports from its disk.

The new test of GatewayViewUpdaterTest ends with 'Accept timed out' before the change and passes after it.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -222,6 +222,7 @@
             adoptConfirmed(nowNanos, address, reply, requestNanos);
         } else {
             logUnconfirmed(address, reply);
+            followUnconfirmedControllers(reply);
             adoptUnconfirmed(nowNanos, address, reply);
         }
         updateStanding(nowNanos, address, reply.getGateways());
@@ -245,11 +246,27 @@
         adopt(nowNanos, address, table, adoptOverrides ? reply : null);
         recordConfirmation(nowNanos, address, reply, requestNanos);
         if (!reply.getControllers().isEmpty()) {
-            Set<String> controllers = Set.copyOf(reply.getControllers());
-            if (!controllers.equals(mControllers)) {
-                mControllers = controllers;
-                updateLinks();
-            }
+            followControllers(Set.copyOf(reply.getControllers()));
+        }
+    }
+
+    private void followControllers(Set<String> controllers) {
+        if (!controllers.equals(mControllers)) {
+            mControllers = controllers;
+            updateLinks();
+        }
+    }
+
+    /**
+     * Follows the members of the log that controllers report from their disks, until one has
+     * confirmed them. The seeds may hold too few voters for a majority, and if all gateways wait
+     * for the seeds to confirm a view after a loss of power, those controllers are overloaded.
+     */
+    private void followUnconfirmedControllers(SyncReply reply) {
+        if (!mHasCommittedView) {
+            Set<String> controllers = new HashSet<>(mControllers);
+            controllers.addAll(reply.getControllers());
+            followControllers(Set.copyOf(controllers));
         }
     }
 
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
@@ -5,6 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -168,4 +171,23 @@
         assertEquals(8, mUpdater.view().tableVersion());
         assertTrue(mUpdater.isNewestTable(8));
     }
+
+    /**
+     * Guards against gateways that wait for their seeds after a loss of power: two of three seeds
+     * voted, and the other three voters, which could have made up the majority, were only asked
+     * once a leader had reached the seeds.
+     */
+    @Test
+    void controllersThatAreKnownFromADiskAreAskedToo() throws IOException {
+        try (ServerSocket voter = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            voter.setSoTimeout((int) TimeUnit.SECONDS.toMillis(10));
+            SyncReply reply = replyWithoutTable(7);
+            reply.setCaughtUp(false);
+            reply.unsetConfirmedAgeMillis();
+            reply.setVoters(5);
+            reply.setControllers(List.of("127.0.0.1:" + voter.getLocalPort()));
+            mLoop.execute(() -> receive(CONTROLLER, reply));
+            voter.accept().close();
+        }
+    }
 }
