Add the replicated state and the decisions of single-holder duties

Duties are calls to the platform that one controller at a time may make.

Commands about duties leave the revision of the control state alone, because a new revision makes every gateway fetch the overrides.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlCommand.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlCommand.java
@@ -8,6 +8,7 @@
 import org.hemlockrack.wire.ControlCommandData;
 import org.hemlockrack.wire.ControlCommandKind;
 import org.hemlockrack.wire.DepartureData;
+import org.hemlockrack.wire.DutyCommandData;
 import org.jspecify.annotations.Nullable;
 
 /** Encodes the commands of {@link ControlState}. Each command is idempotent. */
@@ -116,6 +117,18 @@
         return withMove(ControlCommandKind.FINISH_MOVE, move);
     }
 
+    /**
+     * Changes the state of the duties.
+     *
+     * @param command built by {@link org.hemlockrack.duties.DutyCommand}
+     * @return the command
+     */
+    public static byte[] changeDuty(DutyCommandData command) {
+        ControlCommandData data = of(ControlCommandKind.CHANGE_DUTY);
+        data.setDuty(command);
+        return StructCodec.encode(data);
+    }
+
     private static byte[] withMove(ControlCommandKind kind, TrafficMove move) {
         ControlCommandData data = of(kind);
         data.setMove(move.toData());
--- a/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlState.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/ControlState.java
@@ -6,10 +6,12 @@
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.codec.StructCodec;
 import org.hemlockrack.consensus.ReplicatedState;
+import org.hemlockrack.duties.DutyState;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.ZoneId;
 import org.hemlockrack.wire.ControlCommandData;
+import org.hemlockrack.wire.ControlCommandKind;
 import org.hemlockrack.wire.ControlSnapshotData;
 import org.hemlockrack.wire.DepartureData;
 
@@ -36,6 +38,7 @@
     private final Map<String, Long> mOrderRevisions = new HashMap<>();
 
     private long mRevision;
+    private DutyState mDuties = DutyState.EMPTY;
 
     private ControlState() {}
 
@@ -59,7 +62,16 @@
         return mOverrides;
     }
 
-    /** Returns the log index of the newest command; equal revisions mean equal states. */
+    /** Returns the state of the duties that only the leading controller has. */
+    public DutyState duties() {
+        return mDuties;
+    }
+
+    /**
+     * Returns the log index of the newest command that was not about a duty; equal revisions mean
+     * equal states apart from the duties. Commands about duties come every few seconds and would
+     * otherwise make every gateway fetch overrides that have not changed.
+     */
     public long revision() {
         return mRevision;
     }
@@ -87,14 +99,19 @@
 
     @Override
     public byte[] apply(long index, long leaderTimeMillis, byte[] command) {
-        mRevision = index;
         ControlCommandData data;
         try {
             data = StructCodec.decode(command, MAX_ENCODED_BYTES, new ControlCommandData());
         } catch (HemlockrackException e) {
             // All replicas refuse the same bytes; an exception would stop every one of them here.
+            mRevision = index;
             return REFUSED.clone();
         }
+        if (isAboutDuty(data)) {
+            mDuties = mDuties.after(data.getDuty());
+            return SUCCESS.clone();
+        }
+        mRevision = index;
         if (data.getKind() == null) {
             return REFUSED.clone();
         }
@@ -118,6 +135,10 @@
         return SUCCESS.clone();
     }
 
+    private static boolean isAboutDuty(ControlCommandData data) {
+        return data.getKind() == ControlCommandKind.CHANGE_DUTY && data.isSetDuty();
+    }
+
     private void publishTable(ControlCommandData data) {
         if (data.getTableVersion() <= mTableVersion) {
             return;
@@ -215,6 +236,9 @@
                         mOverrides.toData(),
                         mRevision);
         data.setOrderRevisions(mOrderRevisions);
+        if (mDuties != DutyState.EMPTY) {
+            data.setDuties(mDuties.toData());
+        }
         return StructCodec.encode(data);
     }
 
@@ -226,6 +250,7 @@
         mTableDocument = data.getTableDocument();
         mOverrides = RoutingOverrides.of(data.getFacts());
         mRevision = data.getRevision();
+        mDuties = DutyState.of(data.getDuties());
         mOrderRevisions.clear();
         if (data.isSetOrderRevisions()) {
             mOrderRevisions.putAll(data.getOrderRevisions());
--- a/hemlockrack-core/src/test/java/org/hemlockrack/control/ControlStateTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/control/ControlStateTest.java
@@ -11,6 +11,9 @@
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.hemlockrack.duties.Duty;
+import org.hemlockrack.duties.DutyCommand;
+import org.hemlockrack.duties.DutyState;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.ServiceId;
 import org.hemlockrack.model.ZoneId;
@@ -170,4 +173,26 @@
             assertEquals(expected, state.overrides().evacuatedZones().contains(zone));
         }
     }
+
+    /**
+     * Guards against a snapshot that loses tokens, against a snapshot of a version without duties
+     * that cannot be read, and against a change of a duty that makes gateways fetch overrides.
+     */
+    @Test
+    void dutiesAreReplicatedApartFromTheRevision() {
+        ControlState state = ControlState.create();
+        state.apply(1, 5, ControlCommand.publishTable(3, document(3)));
+        byte[] withoutDuties = state.snapshot();
+        byte[] take = ControlCommand.changeDuty(DutyCommand.take(Duty.METERING, "c", "p", 0));
+        assertTrue(ControlState.isSuccess(state.apply(2, 5, take)));
+        assertTrue(ControlState.isSuccess(state.apply(3, 5, take)));
+        assertEquals(1, state.duties().token(Duty.METERING));
+        assertEquals(1, state.revision());
+        ControlState other = ControlState.create();
+        other.restore(state.snapshot());
+        assertEquals(state.duties(), other.duties());
+        other.restore(withoutDuties);
+        assertEquals(DutyState.EMPTY, other.duties());
+        assertEquals(3, other.tableVersion());
+    }
 }
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -80,13 +80,48 @@
   3: list<DepartureData> departures
 }
 
+/** Requests that began to run in one window of fleet time, by workspace. */
+struct UsageWindowData {
+  /** The window begins this many intervals after the start of 1970. */
+  1: i64 windowId,
+  2: map<string, i64> counts
+}
+
+/** The incarnation of a controller that holds a duty. */
+struct DutyHolderData {
+  1: string duty,
+  2: i64 token,
+  3: string machine,
+  4: string incarnation
+}
+
+struct DutyStateData {
+  1: list<DutyHolderData> holders,
+  2: list<UsageWindowData> windows,
+  /** Those of the windows that the platform has accepted. */
+  3: set<i64> reportedWindows,
+  /** Newest window that was dropped; neither it nor an older one is accepted again. */
+  4: i64 droppedWindow
+}
+
+/** A change of the state of the duties; the fields that are set apply. */
+struct DutyCommandData {
+  1: optional DutyHolderData holder,
+  /** The holder takes the duty only if the token is still this one, so that a repeat has no effect. */
+  2: optional i64 expectedToken,
+  3: optional UsageWindowData window,
+  4: optional i64 reportedWindow
+}
+
 struct ControlSnapshotData {
   1: i64 tableVersion,
   2: binary tableDocument,
   3: ControlFactsData facts,
   4: i64 revision,
   /** Log index of the newest order about each zone and service, by subject. */
-  5: optional map<string, i64> orderRevisions
+  5: optional map<string, i64> orderRevisions,
+  /** Absent in snapshots of versions without duties. */
+  30: optional DutyStateData duties
 }
 
 enum ControlCommandKind {
@@ -96,7 +131,8 @@
   DEPART = 4,
   START_MOVE = 5,
   ADVANCE_MOVE = 6,
-  FINISH_MOVE = 7
+  FINISH_MOVE = 7,
+  CHANGE_DUTY = 30
 }
 
 struct ControlCommandData {
@@ -107,7 +143,8 @@
   5: optional DepartureData departure,
   6: optional MoveData move,
   /** Revision of the state that the order was given for; a newer order about the same subject supersedes it. */
-  7: optional i64 basedOnRevision
+  7: optional i64 basedOnRevision,
+  30: optional DutyCommandData duty
 }
 
 /** Requests under one shared limit that one gateway has received since it started. */
@@ -202,7 +239,11 @@
   /** Most bytes of documents of those tables in the reply; the rest is listed without. */
   16: i32 maxTableBytes,
   /** Whether the sender is a controller that stops as soon as another one has its seat. */
-  17: bool leaving
+  17: bool leaving,
+  /** Counts of this gateway that have changed since its last report to the holder of the metering duty. */
+  30: optional list<UsageWindowData> usage,
+  /** Fleet time up to which this gateway has reported every count to the receiver. */
+  31: optional i64 usageThroughMillis
 }
 
 /** A table in the durable log of a controller. */
@@ -263,5 +304,11 @@
    * The revision, if it belongs to the state that the receiver has read from its disk, and its log
    * still holds that in the settled term; absent otherwise.
    */
-  20: optional i64 settledRevision
+  20: optional i64 settledRevision,
+  /** Time of day at the receiver. */
+  30: optional i64 wallMillis,
+  /** Length of a window of usage counts; absent if nothing is metered. */
+  31: optional i64 usageIntervalMillis,
+  /** Token under which the receiver holds the metering duty; absent if it does not. */
+  32: optional i64 usageToken
 }
