Report usage to the platform from the controller that holds the metering duty

Gateways count requests that began to run, in windows of fleet time, and send the counts to the one controller whose sync reply says that it holds the duty. It fixes each window in the log and repeats POST /usage with the same bytes until the platform answers 200. Off unless [duties] names an address.

The run with processes on loopback first found that streams were not counted, because a stream whose head was sent looked like a resumed one; the attempt now notes at the head whether it starts the run.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/duties/UsageSchedule.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/duties/UsageSchedule.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** Decides which counts the holder of the metering duty fixes, and which window it reports. */
@@ -44,10 +46,15 @@
         return Math.floorDiv(fleetMillis, mIntervalMillis);
     }
 
+    /** Returns the fleet time at which a window ends. */
+    public long endMillis(long windowId) {
+        return (windowId + 1) * mIntervalMillis;
+    }
+
     /**
      * Returns the windows whose counts are to be fixed now. A window without any request is fixed
-     * with no counts. Windows from before the first holder are left out unless a gateway reported
-     * counts of them.
+     * with no counts. Windows from before the first one that was fixed or seen by this holder are
+     * left out, because the fleet did not run then.
      *
      * @param state the replicated state
      * @param collector the reports of the gateways
@@ -62,14 +69,16 @@
             long fleetMillis,
             long nowNanos) {
         List<UsageWindow> due = new ArrayList<>();
-        boolean isFirstHolder = state.windows().isEmpty();
+        List<UsageWindow> fixed = state.windows();
+        long firstFixed = fixed.isEmpty() ? Long.MAX_VALUE : fixed.get(0).id();
         long current = windowAt(fleetMillis);
         for (long id = current - windowsKept() + 1; id < current; id++) {
-            boolean observed = id >= heldSinceWindow || collector.hasCountsUpTo(id);
-            if (!state.isOpen(id) || isFirstHolder && !observed) {
+            boolean observed =
+                    id > firstFixed || id >= heldSinceWindow || collector.hasCountsUpTo(id);
+            if (!state.isOpen(id) || !observed) {
                 continue;
             }
-            long endMillis = (id + 1) * mIntervalMillis;
+            long endMillis = endMillis(id);
             long ageMillis = fleetMillis - endMillis;
             boolean settled =
                     ageMillis >= MIN_SETTLE_MILLIS && collector.isComplete(nowNanos, endMillis);
@@ -80,13 +89,27 @@
         return due;
     }
 
-    /** Returns the oldest window that is fixed and not accepted, or null. */
-    public @Nullable UsageWindow unreported(DutyState state) {
+    /**
+     * Returns the window to report next: of those that are fixed and not accepted the oldest of
+     * those with the fewest tries, so that a window that the platform refuses delays no other one.
+     *
+     * @param state the replicated state
+     * @param accepted windows that the platform accepted, whether the state says so yet or not
+     * @param tries calls that this holder has made, by window
+     * @return the window, or null if all are accepted
+     */
+    public @Nullable UsageWindow unreported(
+            DutyState state, Set<Long> accepted, Map<Long, Integer> tries) {
+        UsageWindow next = null;
+        int fewest = Integer.MAX_VALUE;
         for (UsageWindow window : state.windows()) {
-            if (!state.isReported(window.id())) {
-                return window;
+            int tried = tries.getOrDefault(window.id(), 0);
+            boolean done = state.isReported(window.id()) || accepted.contains(window.id());
+            if (!done && tried < fewest) {
+                next = window;
+                fewest = tried;
             }
         }
-        return null;
+        return next;
     }
 }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/duties/UsageProperties.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/duties/UsageProperties.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -141,9 +142,9 @@
         assertEquals(List.of(new UsageWindow(20, Map.of()), new UsageWindow(21, Map.of())), due);
         DutyState state = DutyState.EMPTY.withWindow(due.get(0)).withWindow(due.get(1));
         state = state.withReported(20);
-        assertEquals(21, schedule.unreported(state).id());
-        assertTrue(
-                schedule.due(state, collector, 20, 118_000, 0).stream().allMatch(w -> w.id() < 20));
+        assertEquals(21, schedule.unreported(state, Set.of(), Map.of()).id());
+        assertTrue(schedule.due(state, collector, 20, 118_000, 0).isEmpty());
+        assertEquals(1, schedule.due(state, collector, 22, 123_000, 0).size());
     }
 
     /** Guards against a window boundary that moves with the jump of one clock. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -52,6 +52,7 @@
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.wire.Slice;
+import org.jspecify.annotations.Nullable;
 
 /** A running controller: its replica of the log, its ports and its links to other controllers. */
 public final class ControllerInstance implements ServiceProcess.Instance, AutoCloseable {
@@ -103,6 +104,8 @@
     private final PeerNetwork mNetwork;
     private final ReplicaService mReplica;
     private final ControllerService mService;
+    private final @Nullable DutyService mDuties;
+    private final Metrics mMetrics = Metrics.create();
     private final ControllerLinks mLinks;
     private final HttpPort mControlPort;
     private volatile List<String> mConfiguredControllers;
@@ -112,7 +115,11 @@
     private volatile boolean mStarted;
 
     private ControllerInstance(
-            Settings settings, Path file, ProtocolAdapter protocol, HandlerFactory handlers) {
+            Settings settings,
+            Path file,
+            ProtocolAdapter protocol,
+            HandlerFactory handlers,
+            @Nullable DutyCalls dutyCalls) {
         mSettings = settings;
         mConfiguredControllers = settings.controllerPeerAddresses();
         SecureRandom random = new SecureRandom();
@@ -148,18 +155,13 @@
                         mTables,
                         mLog,
                         random.nextLong());
+        mDuties = createDuties(dutyCalls, Long.toString(random.nextLong() >>> 1, 36));
         mService.publishDurable(mDurableState, mDurableTerm);
         mDurableState = ControlState.create();
         startPrefixPersistence();
         mLinks = ControllerLinks.create(mLoop, mNetwork, mService, mLog);
         mStarted = true;
-        PeerServer peers =
-                PeerServer.open(
-                        settings.address(SettingKey.LISTEN_PEER),
-                        new ControllerPeerHandler(
-                                settings.instanceId().value(), mReplica, mService, mLog),
-                        null);
-        mCloser.register(peers::close);
+        openPeers();
         mControlPort = openPort(handlers.create(mService));
         mCloser.register(mControlPort::close);
         mLoop.scheduleWithFixedDelay(MAINTENANCE_PERIOD_MILLIS, this::runMaintenance);
@@ -182,7 +184,50 @@
      */
     public static ControllerInstance open(
             Settings settings, Path file, ProtocolAdapter protocol, HandlerFactory handlers) {
-        return new ControllerInstance(settings, file, protocol, handlers);
+        return new ControllerInstance(settings, file, protocol, handlers, null);
+    }
+
+    /**
+     * Starts a controller on a platform that has duties for it.
+     *
+     * @param settings checked settings, which may enable duties
+     * @param file the file that they came from, read again when it changes
+     * @param protocol parses the route tables that operators publish
+     * @param handlers creates the handler of the control port
+     * @param dutyCalls translates the calls of duties
+     * @return the running controller
+     */
+    public static ControllerInstance openWithDuties(
+            Settings settings,
+            Path file,
+            ProtocolAdapter protocol,
+            HandlerFactory handlers,
+            DutyCalls dutyCalls) {
+        return new ControllerInstance(settings, file, protocol, handlers, dutyCalls);
+    }
+
+    private @Nullable DutyService createDuties(@Nullable DutyCalls calls, String incarnation) {
+        DutySettings settings = DutySettings.of(mSettings);
+        if (settings == null || calls == null) {
+            return null;
+        }
+        HttpDutyTransport transport = HttpDutyTransport.open(mLoop, settings.address());
+        mCloser.register(transport::close);
+        DutyService duties =
+                DutyService.create(
+                        settings,
+                        mSettings.instanceId().value(),
+                        incarnation,
+                        LogDutyReplica.of(mReplica),
+                        calls,
+                        transport,
+                        DutyClock.SYSTEM,
+                        mMetrics,
+                        mLog);
+        mMetrics.registerValue(MetricName.DUTY_TOKEN, duties::highestToken);
+        mMetrics.registerValue(MetricName.USAGE_REPORTED_WINDOW, duties::newestReportedWindow);
+        mService.enableDuties(duties);
+        return duties;
     }
 
     private ReplicaService startReplica(ControlState state, SecureRandom random) {
@@ -256,6 +301,10 @@
     private void onApplied(ControlState state) {
         if (mStarted) {
             mService.publishCommitted(state);
+            DutyService duties = mDuties;
+            if (duties != null) {
+                duties.publish(state.duties());
+            }
         }
     }
 
@@ -316,8 +365,18 @@
         return voters;
     }
 
+    private void openPeers() {
+        PeerServer peers =
+                PeerServer.open(
+                        mSettings.address(SettingKey.LISTEN_PEER),
+                        new ControllerPeerHandler(
+                                mSettings.instanceId().value(), mReplica, mService, mDuties, mLog),
+                        null);
+        mCloser.register(peers::close);
+    }
+
     private HttpPort openPort(CallHandler handler) {
-        Metrics metrics = Metrics.create();
+        Metrics metrics = mMetrics;
         metrics.registerValue(MetricName.LEADER, () -> mReplica.role() == Role.LEADER ? 1 : 0);
         metrics.registerValue(MetricName.TERM, mReplica::term);
         metrics.registerValue(
@@ -349,6 +408,9 @@
         addresses.remove(addressOf(mSettings.instanceId()));
         mLinks.setControllers(addresses);
         mService.runMaintenance();
+        if (mDuties != null) {
+            mDuties.run();
+        }
     }
 
     private void logFault(Throwable cause) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerPeerHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerPeerHandler.java
@@ -24,6 +24,7 @@
 import org.hemlockrack.wire.Slice;
 import org.hemlockrack.wire.SyncReply;
 import org.hemlockrack.wire.SyncRequest;
+import org.jspecify.annotations.Nullable;
 
 /** Handles calls of gateways and other controllers. Called on the peer port's threads. */
 final class ControllerPeerHandler implements Peer.Iface {
@@ -37,11 +38,17 @@
     private final String mSelf;
     private final ReplicaService mReplica;
     private final ControllerService mService;
+    private final @Nullable DutyService mDuties;
     private final DecisionLog mLog;
     private final Semaphore mExchangePermits = new Semaphore(MAX_CONCURRENT_EXCHANGES, true);
 
     ControllerPeerHandler(
-            String self, ReplicaService replica, ControllerService service, DecisionLog log) {
+            String self,
+            ReplicaService replica,
+            ControllerService service,
+            @Nullable DutyService duties,
+            DecisionLog log) {
+        mDuties = duties;
         mSelf = self;
         mReplica = replica;
         mService = service;
@@ -76,11 +83,19 @@
         return ProposalEndpoint.handle(mReplica, request);
     }
 
+    private SyncReply exchange(SyncRequest request) {
+        SyncReply reply = mService.sync(request);
+        if (mDuties != null) {
+            mDuties.exchange(request, reply);
+        }
+        return reply;
+    }
+
     @Override
     public SyncReply sync(SyncRequest request) throws TException {
         acquireExchangePermit();
         try {
-            return mService.sync(request);
+            return exchange(request);
         } finally {
             mExchangePermits.release();
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import java.util.function.LongFunction;
 import org.hemlockrack.codec.Deflate;
@@ -94,7 +93,8 @@
     private volatile long mDurableTerm;
 
     private final ConfirmedTime mConfirmed = ConfirmedTime.unknown();
-    private final AtomicBoolean mConfirming = new AtomicBoolean();
+    private final LeaderConfirmation mConfirmation;
+    private volatile @Nullable DutyService mDuties;
 
     ControllerService(
             EventLoop loop,
@@ -123,9 +123,15 @@
                         : PermitKeeper.createEmpty(loop.nowNanos());
         mQuarantine = ControllerQuarantine.create(loop.nowNanos(), this::hasHeartbeatSince, log);
         mLeaderTasks = LeaderTasks.create(loop, self, replica, toleratedLosses, log);
+        mConfirmation = LeaderConfirmation.create(loop, replica, this::recordConfirmed);
         mHandover = SeatHandover.create(self, peerAddresses.apply(self), replica, mLeaderTasks);
     }
 
+    /** Lets duties learn what confirms the leadership. Called before the ports open. */
+    void enableDuties(DutyService duties) {
+        mDuties = duties;
+    }
+
     /** Records a message of the replica of another controller. */
     void noteMessage(InstanceId controller) {
         mLeaderTasks.noteMessage(mLoop.nowNanos(), controller);
@@ -635,6 +641,10 @@
             Map<BackendId, Integer> ownLoadAtRequest,
             long requestNanos) {
         mHandover.recordReply(address, reply);
+        DutyService duties = mDuties;
+        if (duties != null) {
+            duties.recordClock(address, reply, requestNanos);
+        }
         if (reply.isSetQuarantine()) {
             mQuarantine.adopt(mLoop.nowNanos(), reply.getQuarantine().getVerdicts(), address);
         }
@@ -646,25 +656,15 @@
         }
     }
 
-    /**
-     * Lets a majority confirm the state of this leader. To know of a leader is not enough to
-     * confirm a state: the message that named it may have been held up, and the follower may lag.
-     */
-    private void confirmState() {
-        if (mConfirming.getAndSet(true)) {
+    private void recordConfirmed(long requestNanos, long requestWallMillis) {
+        if (!mHasCommittedView) {
             return;
         }
-        long requestNanos = mLoop.nowNanos();
-        mReplica.readIndex()
-                .whenComplete(
-                        (outcome, fault) -> {
-                            mConfirming.set(false);
-                            if (outcome != null
-                                    && outcome.status() == ProposalStatus.APPLIED
-                                    && mHasCommittedView) {
-                                mConfirmed.record(requestNanos);
-                            }
-                        });
+        mConfirmed.record(requestNanos);
+        DutyService duties = mDuties;
+        if (duties != null) {
+            duties.recordConfirmation(requestNanos, requestWallMillis);
+        }
     }
 
     private synchronized Map<String, VersionAnswers> answersByVersion(ServiceId service) {
@@ -688,7 +688,7 @@
         mQuarantine.setGatewayCount(gateways);
         mQuarantine.evaluate(mLoop.nowNanos());
         if (mReplica.role() == Role.LEADER) {
-            confirmState();
+            mConfirmation.request();
         }
         mLeaderTasks.run(mView.overrides(), this::answersByVersion);
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -59,6 +59,9 @@
     private volatile boolean mStreaming;
     private boolean mSuccessStream;
 
+    /** Whether the request is still to be counted; the rest of a resumed stream is not. */
+    private boolean mStartsRun;
+
     /** Collected bytes that the server may have replaced before the caller has taken them. */
     private final AtomicInteger mReleasedEarlyBytes = new AtomicInteger();
 
@@ -180,6 +183,14 @@
         return Math.max(ageMillis, wallAgeMillis) > MAX_CHOICE_AGE_MILLIS;
     }
 
+    /** Counts the request as one that a server began to run. */
+    private void countRun() {
+        if (mStartsRun) {
+            mStartsRun = false;
+            mExchange.context().usage().recordBegun(System.nanoTime(), mExchange.workspace());
+        }
+    }
+
     /** Returns whether the server has sent a whole event of the answer. */
     boolean hasBegun() {
         return mEvents.hasEvent();
@@ -228,6 +239,10 @@
             failPossiblyRun(AttemptOutcome.BROKEN, "the answer is not signed");
             return;
         }
+        mStartsRun = metadata.signed() && !isResuming();
+        if (!mExchange.route().isStreaming()) {
+            countRun();
+        }
         if (isResuming()) {
             resumeStream(success);
             return;
@@ -356,6 +371,9 @@
         int bytes = data.remaining();
         boolean begun = hasBegun();
         mEvents.feed(data.duplicate());
+        if (!begun && hasBegun()) {
+            countRun();
+        }
         boolean passesOn = mMode == Mode.STREAMING || mMode == Mode.COMPLETING;
         if (!begun && hasBegun() && passesOn) {
             mExchange.onAnswerBegun();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -6,7 +6,9 @@
 import java.security.SecureRandom;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.hemlockrack.daemon.GracefulShutdown;
 import org.hemlockrack.daemon.ServiceProcess;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.http.HttpClient;
@@ -41,12 +43,18 @@
 
     private static final long EXPIRY_PERIOD_MILLIS = 500;
 
+    /** Longest time that the end of a planned stop waits until the last counts are reported. */
+    private static final long LAST_REPORT_MILLIS = 150;
+
+    private static final long LAST_REPORT_POLL_MILLIS = 10;
+
     private final Settings mSettings;
     private final Closer mCloser = Closer.create();
     private final EventLoop mLoop;
     private final DecisionLog mLog;
     private final Metrics mMetrics = Metrics.create();
     private final GatewayState mState;
+    private final UsageReports mUsage = UsageReports.create();
     private final GatewayViewUpdater mViewUpdater;
     private final AtomicInteger mOpenRequests = new AtomicInteger();
     private final OpenExchanges mOpenExchanges = OpenExchanges.create();
@@ -75,7 +83,15 @@
         GatewayQuarantine quarantine = GatewayQuarantine.create(mLog);
         mViewUpdater =
                 new GatewayViewUpdater(
-                        mLoop, network, senderId, protocol, mState, retries, quarantine, mLog);
+                        mLoop,
+                        network,
+                        senderId,
+                        protocol,
+                        mState,
+                        retries,
+                        quarantine,
+                        mUsage,
+                        mLog);
         retries.setControllers(mViewUpdater::reachableControllers);
         GatewayContext context = createContext(protocol, retries, quarantine, random);
         mHandler = new GatewayHandler(context, mViewUpdater);
@@ -112,6 +128,7 @@
                 mState,
                 retries,
                 quarantine,
+                mUsage,
                 openClient(true),
                 openClient(false),
                 mOpenExchanges,
@@ -180,11 +197,21 @@
     @Override
     public void shutDown() {
         mDraining = true;
+        mUsage.reportAtOnce();
         long timeoutMillis = mSettings.integer(SettingKey.SHUTDOWN_DRAIN_TIMEOUT_MS);
         PlannedStop.begin(mCallerPort, mHandler, mOpenExchanges, mLog, timeoutMillis).run();
+        reportLastUsage();
         close();
     }
 
+    private void reportLastUsage() {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_REPORT_MILLIS);
+        while (mUsage.hasUnreported() && System.nanoTime() - endNanos < 0) {
+            mViewUpdater.exchangeSoon();
+            GracefulShutdown.sleep(LAST_REPORT_POLL_MILLIS);
+        }
+    }
+
     @Override
     public void close() {
         try {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -42,6 +42,7 @@
     private final GatewayState mState;
     private final RetryPermits mRetries;
     private final GatewayQuarantine mQuarantine;
+    private final UsageReports mUsage;
     private final DecisionLog mLog;
     private final ControllerLinks mLinks;
     private Set<String> mSeeds = Set.of();
@@ -75,7 +76,9 @@
             GatewayState state,
             RetryPermits retries,
             GatewayQuarantine quarantine,
+            UsageReports usage,
             DecisionLog log) {
+        mUsage = usage;
         mQuarantine = quarantine;
         mLoop = loop;
         mLinks = ControllerLinks.create(loop, network, this, log);
@@ -130,6 +133,11 @@
         return mReachableControllers;
     }
 
+    /** Starts the next exchange with each controller early. Thread-safe. */
+    void exchangeSoon() {
+        mLoop.execute(mLinks::exchangeSoon);
+    }
+
     /** Sets the controllers that are listed in the settings. Called on the loop. */
     void setSeeds(List<String> addresses) {
         mSeeds = Set.copyOf(addresses);
@@ -188,6 +196,7 @@
         request.setInFlight(ControllerLink.toLoadData(ownLoad));
         request.setCounts(mState.answerCounts());
         request.setRequests(mRetries.requestCounts());
+        mUsage.describe(mLoop.nowNanos(), address, request);
         return request;
     }
 
@@ -218,6 +227,7 @@
         }
         mState.updateFleetLoad(reply.getFleetInFlight(), ownLoadAtRequest, reply.getGateways());
         mNewerTables.recordReply(nowNanos, address, reply, requestNanos);
+        mUsage.recordReply(nowNanos, address, reply, requestNanos);
         if (reply.isCaughtUp()) {
             adoptConfirmed(nowNanos, address, reply, requestNanos);
         } else {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
@@ -68,6 +68,17 @@
     CONFIG_VERSION("config_version", MetricType.GAUGE, "1", "Configuration version in force"),
     LEADER("leader", MetricType.GAUGE, "1", "1 while this instance leads the log, else 0"),
     TERM("term", MetricType.GAUGE, "1", "Term of the log; 0 without a replica"),
+    DUTY_TOKEN(
+            "duty_token",
+            MetricType.GAUGE,
+            "1",
+            "Token under which this instance holds a duty, else 0; the highest of all duties"),
+    DUTY_CALLS("duty_calls_total", MetricType.COUNTER, "calls", "Calls of duties by answer"),
+    USAGE_REPORTED_WINDOW(
+            "usage_reported_window",
+            MetricType.GAUGE,
+            "1",
+            "Newest usage window that the platform has accepted, -1 for none"),
     HEAP_BYTES("heap_bytes", MetricType.GAUGE, "B", "Heap in use"),
     HEAP_MAX_BYTES("heap_max_bytes", MetricType.GAUGE, "B", "Largest heap");
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
@@ -7,6 +7,7 @@
 import static org.hemlockrack.daemon.settings.SettingType.DECIMAL;
 import static org.hemlockrack.daemon.settings.SettingType.INTEGER;
 import static org.hemlockrack.daemon.settings.SettingType.NAME;
+import static org.hemlockrack.daemon.settings.SettingType.NAME_LIST;
 import static org.hemlockrack.daemon.settings.SettingType.PATH;
 import static org.hemlockrack.daemon.settings.SettingType.VOTER_LIST;
 
@@ -33,6 +34,13 @@
     FLEET_RETRY_RATIO("fleet.retry_ratio", DECIMAL, "0.1", "0 to 1"),
     FLEET_RETRY_SLACK("fleet.retry_slack", DECIMAL, "30", "number"),
     FLEET_RETRY_WINDOW_S("fleet.retry_window_s", DECIMAL, "10", "number"),
+    DUTIES_ADDRESS("duties.address", ADDRESS, "", "ip:port"),
+    DUTIES_NAMES("duties.names", NAME_LIST, "", "name list"),
+    DUTIES_CALLS_PER_S("duties.calls_per_s", DECIMAL, "50", "number"),
+    DUTIES_LEASE_MS("duties.lease_ms", 3_000, 500, 60_000),
+    DUTIES_FENCING("duties.fencing", CHOICE, "true", "true|false"),
+    DUTIES_USAGE_INTERVAL_MS("duties.usage_interval_ms", 5_000, 1_000, 40_000),
+    DUTIES_USAGE_DELAY_MS("duties.usage_delay_ms", 10_000, 1_000, 600_000),
     BURN_FILE("burn.file", PATH, "", "path"),
     LOG_FORMAT("log.format", CHOICE, "text", "text|json"),
     HTTP_MAX_BODY_BYTES("http.max_body_bytes", 1_048_576, 1_024, 67_108_864),
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingType.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingType.java
@@ -14,6 +14,13 @@
             return value.isTextual() && Names.isValid(value.textValue());
         }
     },
+    /** A list of {@link #NAME} values. */
+    NAME_LIST {
+        @Override
+        boolean accepts(SettingKey key, JsonNode value) {
+            return isListOf(value, Names::isValid);
+        }
+    },
     /** An IP address and port. */
     ADDRESS {
         @Override
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
@@ -298,7 +298,7 @@
     void exchangeThatWaitsTooLongIsRefused() throws Exception {
         restart(MemberKind.VOTER);
         ControllerPeerHandler handler =
-                new ControllerPeerHandler(SELF.value(), mReplica, mService, mLog);
+                new ControllerPeerHandler(SELF.value(), mReplica, mService, null, mLog);
         SyncRequest request = mService.createRequest(UNREACHABLE, Map.of());
         request.setPrefixUses(List.of());
         List<CompletableFuture<SyncReply>> exchanges = new ArrayList<>();
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
@@ -226,6 +226,7 @@
                         mState,
                         RetryPermits.create(mLoop, mNetwork, "g1/1", limits),
                         GatewayQuarantine.create(mLog),
+                        UsageReports.create(),
                         mClient,
                         mClient,
                         mOpenExchanges,
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
@@ -333,6 +333,7 @@
                         mState,
                         createPermits(),
                         GatewayQuarantine.create(mLog),
+                        UsageReports.create(),
                         mClient,
                         mSingleUseClient,
                         mOpenExchanges,
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
@@ -76,7 +76,15 @@
     private final RouteProtocol mProtocol = new RouteProtocol();
     private final GatewayViewUpdater mUpdater =
             new GatewayViewUpdater(
-                    mLoop, mNetwork, "g1/1", mProtocol, mState, mRetries, mQuarantine, mLog);
+                    mLoop,
+                    mNetwork,
+                    "g1/1",
+                    mProtocol,
+                    mState,
+                    mRetries,
+                    mQuarantine,
+                    UsageReports.create(),
+                    mLog);
     private final List<HttpServer> mServers = new ArrayList<>();
     private GatewayHandler mHandler;
 
@@ -221,6 +229,7 @@
                         mState,
                         mRetries,
                         mQuarantine,
+                        UsageReports.create(),
                         mClient,
                         mClient,
                         OpenExchanges.create(),
