Order servers from the controller that holds the autoscaling duty

The holder asks gateways for refused requests by service and plans once a second from those, the requests in progress and the bounds in the committed route table. The newest order of a service and zone is repeated until it is answered with 200, and again if the number of servers stays different.

The loss of a zone keeps servers but adds none: as a reason to add, it ordered servers for a zone at a tenth of its slots. Crashed servers get no order.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/duties/ReplicaPlanner.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/duties/ReplicaPlanner.java
@@ -85,11 +85,16 @@
         }
     }
 
-    /** Records that the platform has accepted an order. A newer one may be pending. */
-    public void recordAccepted(ReplicaOrder order) {
+    /**
+     * Records that the platform has accepted an order. A newer one may be pending.
+     *
+     * @param nowNanos monotonic time
+     * @param order the order
+     */
+    public void recordAccepted(long nowNanos, ReplicaOrder order) {
         ZonePlan plan = mPlans.get(order.key());
         if (plan != null) {
-            plan.recordAccepted(order.servers());
+            plan.recordAccepted(nowNanos, order.servers());
         }
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/duties/ZonePlan.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/duties/ZonePlan.java
@@ -46,6 +46,9 @@
      */
     private static final long MISMATCH_NANOS = TimeUnit.SECONDS.toNanos(15);
 
+    /** Longer than a crashed server takes to register again. */
+    private static final long CRASH_NANOS = TimeUnit.SECONDS.toNanos(30);
+
     private static final int NOT_ACCEPTED = -1;
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -66,6 +69,7 @@
     private long mNeedsMoreNanos;
     private long mLastRemovalNanos;
     private long mMatchedNanos;
+    private long mFewerNanos;
 
     /** Records the demand. */
     void observe(long nowNanos, ZoneDemand demand) {
@@ -86,13 +90,26 @@
         mLastNanos = nowNanos;
         mDemand = demand;
         if (!mOrdered) {
-            mWanted = demand.servers();
+            followServers(nowNanos, demand.servers());
         }
         if (demand.servers() == mWanted) {
             mMatchedNanos = nowNanos;
         }
     }
 
+    /**
+     * Takes the number of servers that run for the one that the platform was told before. A number
+     * that is lower for a short time means that servers have crashed.
+     */
+    private void followServers(long nowNanos, int servers) {
+        if (servers >= mWanted) {
+            mFewerNanos = nowNanos;
+        }
+        if (servers >= mWanted || nowNanos - mFewerNanos >= CRASH_NANOS) {
+            mWanted = servers;
+        }
+    }
+
     double smoothedSlots() {
         return mFast;
     }
@@ -100,13 +117,16 @@
     /** Decides how many servers are wanted. */
     void decide(long nowNanos, AutoscaleSpec spec, double lostZoneSlots) {
         double forecast = forecast(spec);
-        int floor = serversFor(mFast + lostZoneSlots, 1, spec);
-        int required = Math.max(serversFor(forecast, TARGET_USE, spec), floor);
-        rememberRequired(nowNanos, required);
+        int required = serversFor(forecast, TARGET_USE, spec);
+        // The loss of a zone is a reason to keep servers, not one to pay for more.
+        rememberRequired(nowNanos, Math.max(required, serversFor(mFast + lostZoneSlots, 1, spec)));
         if (nowNanos - mFirstNanos < WARM_UP_NANOS) {
             return;
         }
-        boolean needsMore = required > mWanted && (isAbove(forecast, ADD_USE) || floor > mWanted);
+        if (!mOrdered) {
+            mWanted = Math.max(spec.minReplicas(), Math.min(spec.maxReplicas(), mWanted));
+        }
+        boolean needsMore = required > mWanted && isAbove(forecast, ADD_USE);
         if (needsMore && !mNeedsMore) {
             mNeedsMoreNanos = nowNanos;
         }
@@ -194,7 +214,8 @@
         }
     }
 
-    void recordAccepted(int servers) {
+    void recordAccepted(long nowNanos, int servers) {
         mAccepted = servers;
+        mMatchedNanos = nowNanos;
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/registry/ServerRegistry.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/registry/ServerRegistry.java
@@ -152,6 +152,18 @@
         return all;
     }
 
+    /** Returns the servers that run and do not leave. */
+    public List<Registration> runningServers() {
+        List<Registration> running = new ArrayList<>(mEntries.size());
+        for (Entry entry : mEntries.values()) {
+            Registration registration = entry.mServer.registration();
+            if (!registration.leaving()) {
+                running.add(registration);
+            }
+        }
+        return running;
+    }
+
     /**
      * Returns the servers that changed after a revision.
      *
--- a/hemlockrack-core/src/test/java/org/hemlockrack/duties/ReplicaPlannerProperties.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/duties/ReplicaPlannerProperties.java
@@ -77,7 +77,7 @@
                         zone.execute(second, order.servers());
                     }
                 }
-                planner.recordAccepted(order);
+                planner.recordAccepted(nowNanos, order);
                 executed.add(order);
             }
         }
@@ -105,6 +105,20 @@
         assertTrue(run(300, List.of(zone)).isEmpty());
     }
 
+    /**
+     * Guards against orders because servers have crashed, of which the platform starts new ones.
+     */
+    @Test
+    void crashesGetNoOrder() {
+        Zone zone = new Zone("a", 24, second -> 0.69 * 24 * SLOTS);
+        Zone smallest = new Zone("b", 18, second -> 0.1 * 18 * SLOTS);
+        for (Zone each : List.of(zone, smallest)) {
+            each.mBoots.put(20, -2);
+            each.mBoots.put(35, 2);
+        }
+        assertEquals(List.of(), run(100, List.of(zone, smallest)));
+    }
+
     /** Guards against orders that come after the servers are full when the demand doubles. */
     @Test
     void rampIsServedWithoutAFullZone() {
@@ -163,7 +177,7 @@
             for (ReplicaOrder order :
                     planner.plan(nowNanos, Map.of(key, demand), Map.of(SERVICE, SPEC))) {
                 planner.recordSent(order);
-                planner.recordAccepted(order);
+                planner.recordAccepted(nowNanos, order);
                 repeats += accepted ? 1 : 0;
                 accepted = true;
             }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -51,6 +52,9 @@
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.registry.Registration;
+import org.hemlockrack.routing.AutoscaleSpec;
 import org.hemlockrack.wire.Slice;
 import org.jspecify.annotations.Nullable;
 
@@ -105,6 +109,7 @@
     private final ReplicaService mReplica;
     private final ControllerService mService;
     private final @Nullable DutyService mDuties;
+    private final AutoscaleSpecs mAutoscaleSpecs;
     private final Metrics mMetrics = Metrics.create();
     private final ControllerLinks mLinks;
     private final HttpPort mControlPort;
@@ -155,6 +160,7 @@
                         mTables,
                         mLog,
                         random.nextLong());
+        mAutoscaleSpecs = AutoscaleSpecs.create(protocol);
         mDuties = createDuties(dutyCalls, Long.toString(random.nextLong() >>> 1, 36));
         mService.publishDurable(mDurableState, mDurableTerm);
         mDurableState = ControlState.create();
@@ -219,6 +225,7 @@
                         mSettings.instanceId().value(),
                         incarnation,
                         LogDutyReplica.of(mReplica),
+                        autoscaleView(),
                         calls,
                         transport,
                         DutyClock.SYSTEM,
@@ -226,10 +233,25 @@
                         mLog);
         mMetrics.registerValue(MetricName.DUTY_TOKEN, duties::highestToken);
         mMetrics.registerValue(MetricName.USAGE_REPORTED_WINDOW, duties::newestReportedWindow);
+        mMetrics.registerValues(MetricName.ORDERED_SERVERS, "service_zone", duties::acceptedOrders);
         mService.enableDuties(duties);
         return duties;
     }
 
+    private AutoscaleView autoscaleView() {
+        return new AutoscaleView() {
+            @Override
+            public Collection<Registration> servers() {
+                return mService.runningServers();
+            }
+
+            @Override
+            public Map<ServiceId, AutoscaleSpec> specs() {
+                return mAutoscaleSpecs.get();
+            }
+        };
+    }
+
     private ReplicaService startReplica(ControlState state, SecureRandom random) {
         Path folder = mSettings.dataFolder();
         if (folder == null) {
@@ -303,6 +325,7 @@
             mService.publishCommitted(state);
             DutyService duties = mDuties;
             if (duties != null) {
+                mAutoscaleSpecs.publish(state);
                 duties.publish(state.duties());
             }
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -656,6 +656,11 @@
         }
     }
 
+    /** Returns the servers that run and do not leave. */
+    synchronized List<Registration> runningServers() {
+        return mRegistry.runningServers();
+    }
+
     private void recordConfirmed(long requestNanos, long requestWallMillis) {
         if (!mHasCommittedView) {
             return;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/DutyCalls.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/DutyCalls.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.hemlockrack.daemon.http.HeaderField;
 import org.hemlockrack.duties.DutyHolder;
+import org.hemlockrack.duties.ReplicaOrder;
 import org.hemlockrack.duties.UsageWindow;
 
 /** Translates the calls of duties to the API of the platform. */
@@ -26,6 +27,15 @@
      */
     Call reportUsage(DutyHolder holder, UsageWindow window);
 
+    /**
+     * Sets the number of servers of a service in a zone.
+     *
+     * @param holder the holder of the duty
+     * @param order the order
+     * @return the request
+     */
+    Call setReplicas(DutyHolder holder, ReplicaOrder order);
+
     /**
      * Reads the status of an answer.
      *
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/DutyService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/DutyService.java
@@ -1,17 +1,20 @@
 package org.hemlockrack.daemon.controller;
 
+import java.util.Collection;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.metrics.Metrics;
 import org.hemlockrack.duties.Duty;
-import org.hemlockrack.duties.DutyLease;
 import org.hemlockrack.duties.DutyState;
 import org.hemlockrack.duties.FleetClock;
 import org.hemlockrack.duties.UsageCollector;
 import org.hemlockrack.duties.UsageSchedule;
 import org.hemlockrack.duties.UsageWindow;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.registry.Registration;
+import org.hemlockrack.routing.AutoscaleSpec;
 import org.hemlockrack.wire.SyncReply;
 import org.hemlockrack.wire.SyncRequest;
 
@@ -24,11 +27,17 @@
 
     private final DutySettings mSettings;
     private final DutyReplica mReplica;
+    private final AutoscaleView mView;
     private final DutyClock mClock;
     private final Map<Duty, DutyTenure> mTenures = new EnumMap<>(Duty.class);
     private final FleetClock mFleetClock = FleetClock.create();
     private final UsageCollector mCollector;
     private final MeteringDuty mMetering;
+    private final AutoscalingDuty mAutoscaling;
+
+    /** Which duty may call first; a duty whose calls fail must not keep the other one waiting. */
+    private boolean mMeteringFirst;
+
     private DutyState mState = DutyState.EMPTY;
 
     private DutyService(
@@ -36,6 +45,7 @@
             String machine,
             String incarnation,
             DutyReplica replica,
+            AutoscaleView view,
             DutyCalls calls,
             DutyTransport transport,
             DutyClock clock,
@@ -43,6 +53,7 @@
             DecisionLog log) {
         mSettings = settings;
         mReplica = replica;
+        mView = view;
         mClock = clock;
         for (Duty duty : settings.duties()) {
             mTenures.put(duty, new DutyTenure(duty, machine, incarnation, settings, replica, log));
@@ -53,6 +64,7 @@
         DutyCaller caller =
                 new DutyCaller(this, calls, transport, settings.callsPerSecond(), clock, metrics);
         mMetering = new MeteringDuty(schedule, mCollector, caller, calls, replica, log);
+        mAutoscaling = new AutoscalingDuty(caller, calls, log, clock.nanos());
     }
 
     /**
@@ -62,6 +74,7 @@
      * @param machine name of this controller
      * @param incarnation identifies this process
      * @param replica the replicated log
+     * @param view the servers and their configuration
      * @param calls translates calls
      * @param transport sends calls
      * @param clock the clocks of this machine
@@ -74,13 +87,23 @@
             String machine,
             String incarnation,
             DutyReplica replica,
+            AutoscaleView view,
             DutyCalls calls,
             DutyTransport transport,
             DutyClock clock,
             Metrics metrics,
             DecisionLog log) {
         return new DutyService(
-                settings, machine, incarnation, replica, calls, transport, clock, metrics, log);
+                settings,
+                machine,
+                incarnation,
+                replica,
+                view,
+                calls,
+                transport,
+                clock,
+                metrics,
+                log);
     }
 
     /** Publishes the committed state. */
@@ -112,23 +135,37 @@
         }
     }
 
-    /** Takes over the counts of a gateway and states whether this process wants them. */
+    /** Takes over the reports of a gateway and states whether this process wants them. */
     synchronized void exchange(SyncRequest request, SyncReply reply) {
-        long nowNanos = mClock.nanos();
-        long nowWallMillis = mClock.wallMillis();
-        reply.setWallMillis(nowWallMillis);
-        DutyTenure tenure = mTenures.get(Duty.METERING);
-        if (tenure == null) {
+        reply.setWallMillis(mClock.wallMillis());
+        if (heldToken(Duty.AUTOSCALING) != 0) {
+            reply.setWantsDemand(true);
+            mAutoscaling.record(mClock.nanos(), request);
+        }
+        if (!mTenures.containsKey(Duty.METERING)) {
             return;
         }
         reply.setUsageIntervalMillis(mSettings.usageIntervalMillis());
-        DutyLease lease = tenure.lease();
-        if (lease.token() != 0 && lease.isConfirmed(nowNanos, nowWallMillis)) {
-            reply.setUsageToken(lease.token());
+        long token = heldToken(Duty.METERING);
+        if (token != 0) {
+            reply.setUsageToken(token);
         }
-        if (!request.isGateway()) {
-            return;
+        if (request.isGateway()) {
+            recordUsage(mClock.nanos(), request);
         }
+    }
+
+    /**
+     * Returns the token under which this process holds a duty, acting or not yet; 0 if it doesn't.
+     */
+    private long heldToken(Duty duty) {
+        DutyTenure tenure = mTenures.get(duty);
+        boolean holds =
+                tenure != null && tenure.lease().isConfirmed(mClock.nanos(), mClock.wallMillis());
+        return holds ? tenure.lease().token() : 0;
+    }
+
+    private void recordUsage(long nowNanos, SyncRequest request) {
         String gateway = request.getSender();
         mCollector.recordGateway(nowNanos, gateway);
         if (request.isSetUsage()) {
@@ -141,7 +178,15 @@
     }
 
     /** Runs what is due. Called a few times a second. */
-    synchronized void run() {
+    void run() {
+        boolean autoscales = mTenures.containsKey(Duty.AUTOSCALING) && mReplica.isLeader();
+        // Parsing a new route table takes long, so no lock is held.
+        Map<ServiceId, AutoscaleSpec> specs = autoscales ? mView.specs() : Map.of();
+        run(specs, specs.isEmpty() ? List.of() : mView.servers());
+    }
+
+    private synchronized void run(
+            Map<ServiceId, AutoscaleSpec> specs, Collection<Registration> servers) {
         long nowNanos = mClock.nanos();
         long nowWallMillis = mClock.wallMillis();
         mFleetClock.record(OWN_CLOCK, nowWallMillis, nowNanos, nowNanos);
@@ -150,12 +195,37 @@
             return;
         }
         mTenures.values().forEach(each -> each.run(mState, nowNanos, nowWallMillis));
-        DutyTenure metering = mTenures.get(Duty.METERING);
-        if (metering != null && metering.lease().token() != 0) {
-            mMetering.observe(mFleetClock.millis(nowNanos), metering.lease().token());
-            if (metering.lease().mayAct(nowNanos, nowWallMillis)) {
-                mMetering.run(mState, metering, mFleetClock.millis(nowNanos), nowNanos);
-            }
+        mMeteringFirst = !mMeteringFirst;
+        if (mMeteringFirst) {
+            meter(nowNanos);
+        }
+        autoscale(nowNanos, specs, servers);
+        if (!mMeteringFirst) {
+            meter(nowNanos);
+        }
+    }
+
+    private void meter(long nowNanos) {
+        DutyTenure tenure = mTenures.get(Duty.METERING);
+        if (tenure == null || tenure.lease().token() == 0) {
+            return;
+        }
+        long fleetMillis = mFleetClock.millis(nowNanos);
+        mMetering.observe(fleetMillis, tenure.lease().token());
+        if (tenure.lease().mayAct(nowNanos, mClock.wallMillis())) {
+            mMetering.run(mState, tenure, fleetMillis, nowNanos);
+        }
+    }
+
+    private void autoscale(
+            long nowNanos, Map<ServiceId, AutoscaleSpec> specs, Collection<Registration> servers) {
+        DutyTenure tenure = mTenures.get(Duty.AUTOSCALING);
+        if (tenure == null || tenure.lease().token() == 0) {
+            return;
+        }
+        mAutoscaling.observe(nowNanos, tenure.lease().token(), servers, specs);
+        if (tenure.lease().mayAct(nowNanos, mClock.wallMillis())) {
+            mAutoscaling.run(tenure, nowNanos);
         }
     }
 
@@ -164,6 +234,11 @@
         return mTenures.values().stream().mapToLong(each -> each.lease().token()).max().orElse(0);
     }
 
+    /** Returns the servers of the last accepted orders, by service and zone. */
+    synchronized Map<String, Number> acceptedOrders() {
+        return mAutoscaling.acceptedOrders();
+    }
+
     /** Returns the newest usage window that the platform has accepted, -1 if none. */
     synchronized long newestReportedWindow() {
         return mState.newestReported();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/UsageReports.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/DutyReports.java
@@ -1,18 +1,24 @@
 package org.hemlockrack.daemon.gateway;
 
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.duties.FleetClock;
 import org.hemlockrack.duties.UsageWindow;
 import org.hemlockrack.duties.UsageWindows;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.model.ZoneId;
 import org.hemlockrack.wire.SyncReply;
 import org.hemlockrack.wire.SyncRequest;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Counts the requests that began to run and reports the counts to the controller that holds the
- * metering duty. Does nothing until a controller says that the fleet is metered. Thread-safe.
+ * Counts what the holders of duties need and reports it to them: requests that began to run, for
+ * metering, and requests that no server had room for, for autoscaling. Nothing is sent until a
+ * controller says that it wants it. Thread-safe.
  */
-final class UsageReports {
+final class DutyReports {
     /** Time between two reports; counts since the last one are lost if this process is killed. */
     private static final long REPORT_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -32,10 +38,21 @@
     private boolean mReportDue = true;
     private boolean mReportsAtOnce;
 
-    private UsageReports() {}
+    private final ZoneId mZone;
+    private final Map<String, Long> mRefused = new ConcurrentHashMap<>();
+    private String mDemandReceiver = "";
 
-    static UsageReports create() {
-        return new UsageReports();
+    private DutyReports(ZoneId zone) {
+        mZone = zone;
+    }
+
+    static DutyReports create(ZoneId zone) {
+        return new DutyReports(zone);
+    }
+
+    /** Counts a request that was refused because no server of its service had room. */
+    void recordRefused(ServiceId service) {
+        mRefused.merge(service.value(), 1L, Long::sum);
     }
 
     /**
@@ -53,6 +70,10 @@
 
     /** Adds what has changed to a request if the receiver is the holder and a report is due. */
     synchronized void describe(long nowNanos, String address, SyncRequest request) {
+        if (address.equals(mDemandReceiver)) {
+            request.setZone(mZone.value());
+            request.setRefused(new HashMap<>(mRefused));
+        }
         UsageWindows windows = mWindows;
         boolean isDue =
                 mReportDue || mReportsAtOnce || nowNanos - mSentNanos >= REPORT_PERIOD_NANOS;
@@ -73,6 +94,11 @@
     /** Takes over what a reply says about metering and what it confirms. */
     synchronized void recordReply(
             long nowNanos, String address, SyncReply reply, long requestNanos) {
+        if (reply.isWantsDemand()) {
+            mDemandReceiver = address;
+        } else if (address.equals(mDemandReceiver)) {
+            mDemandReceiver = "";
+        }
         if (reply.isSetWallMillis()) {
             mClock.record(address, reply.getWallMillis(), requestNanos, nowNanos);
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -187,7 +187,7 @@
     private void countRun() {
         if (mStartsRun) {
             mStartsRun = false;
-            mExchange.context().usage().recordBegun(System.nanoTime(), mExchange.workspace());
+            mExchange.context().dutyReports().recordBegun(System.nanoTime(), mExchange.workspace());
         }
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
@@ -26,7 +26,7 @@
  * @param state servers and answer counts
  * @param retries grants retries within the fleet's limits
  * @param quarantine holds back requests that crash servers
- * @param usage counts the requests that began to run
+ * @param dutyReports counts what the holders of duties need
  * @param client sends requests that may be retried, over pooled connections
  * @param singleUseClient sends each command, and each retry after a lost answer, over a new
  *     connection; if a server closed a pooled connection while a command is sent, the outcome of
@@ -43,7 +43,7 @@
         GatewayState state,
         RetryPermits retries,
         GatewayQuarantine quarantine,
-        UsageReports usage,
+        DutyReports dutyReports,
         HttpClient client,
         HttpClient singleUseClient,
         OpenExchanges openExchanges,
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -359,6 +359,7 @@
                 choice.reason() == ServerChoice.Reason.NO_SERVER
                         ? ErrorKind.NO_BACKEND
                         : ErrorKind.OVERLOADED;
+        mContext.dutyReports().recordRefused(mService);
         fail(kind, choice.reason().name(), choice.waitNanos() / NANOS_PER_MILLI);
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -54,7 +54,7 @@
     private final DecisionLog mLog;
     private final Metrics mMetrics = Metrics.create();
     private final GatewayState mState;
-    private final UsageReports mUsage = UsageReports.create();
+    private final DutyReports mDutyReports;
     private final GatewayViewUpdater mViewUpdater;
     private final AtomicInteger mOpenRequests = new AtomicInteger();
     private final OpenExchanges mOpenExchanges = OpenExchanges.create();
@@ -81,6 +81,7 @@
         String senderId = settings.instanceId() + "/" + Long.toString(random.nextLong() >>> 1, 36);
         RetryPermits retries = RetryPermits.create(mLoop, network, senderId, retryLimits(settings));
         GatewayQuarantine quarantine = GatewayQuarantine.create(mLog);
+        mDutyReports = DutyReports.create(settings.zone());
         mViewUpdater =
                 new GatewayViewUpdater(
                         mLoop,
@@ -90,7 +91,7 @@
                         mState,
                         retries,
                         quarantine,
-                        mUsage,
+                        mDutyReports,
                         mLog);
         retries.setControllers(mViewUpdater::reachableControllers);
         GatewayContext context = createContext(protocol, retries, quarantine, random);
@@ -128,7 +129,7 @@
                 mState,
                 retries,
                 quarantine,
-                mUsage,
+                mDutyReports,
                 openClient(true),
                 openClient(false),
                 mOpenExchanges,
@@ -197,7 +198,7 @@
     @Override
     public void shutDown() {
         mDraining = true;
-        mUsage.reportAtOnce();
+        mDutyReports.reportAtOnce();
         long timeoutMillis = mSettings.integer(SettingKey.SHUTDOWN_DRAIN_TIMEOUT_MS);
         PlannedStop.begin(mCallerPort, mHandler, mOpenExchanges, mLog, timeoutMillis).run();
         reportLastUsage();
@@ -206,7 +207,7 @@
 
     private void reportLastUsage() {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_REPORT_MILLIS);
-        while (mUsage.hasUnreported() && System.nanoTime() - endNanos < 0) {
+        while (mDutyReports.hasUnreported() && System.nanoTime() - endNanos < 0) {
             mViewUpdater.exchangeSoon();
             GracefulShutdown.sleep(LAST_REPORT_POLL_MILLIS);
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -42,7 +42,7 @@
     private final GatewayState mState;
     private final RetryPermits mRetries;
     private final GatewayQuarantine mQuarantine;
-    private final UsageReports mUsage;
+    private final DutyReports mDutyReports;
     private final DecisionLog mLog;
     private final ControllerLinks mLinks;
     private Set<String> mSeeds = Set.of();
@@ -76,9 +76,9 @@
             GatewayState state,
             RetryPermits retries,
             GatewayQuarantine quarantine,
-            UsageReports usage,
+            DutyReports dutyReports,
             DecisionLog log) {
-        mUsage = usage;
+        mDutyReports = dutyReports;
         mQuarantine = quarantine;
         mLoop = loop;
         mLinks = ControllerLinks.create(loop, network, this, log);
@@ -196,7 +196,7 @@
         request.setInFlight(ControllerLink.toLoadData(ownLoad));
         request.setCounts(mState.answerCounts());
         request.setRequests(mRetries.requestCounts());
-        mUsage.describe(mLoop.nowNanos(), address, request);
+        mDutyReports.describe(mLoop.nowNanos(), address, request);
         return request;
     }
 
@@ -227,7 +227,7 @@
         }
         mState.updateFleetLoad(reply.getFleetInFlight(), ownLoadAtRequest, reply.getGateways());
         mNewerTables.recordReply(nowNanos, address, reply, requestNanos);
-        mUsage.recordReply(nowNanos, address, reply, requestNanos);
+        mDutyReports.recordReply(nowNanos, address, reply, requestNanos);
         if (reply.isCaughtUp()) {
             adoptConfirmed(nowNanos, address, reply, requestNanos);
         } else {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
@@ -79,6 +79,11 @@
             MetricType.GAUGE,
             "1",
             "Newest usage window that the platform has accepted, -1 for none"),
+    ORDERED_SERVERS(
+            "ordered_servers",
+            MetricType.GAUGE,
+            "servers",
+            "Servers of the last accepted order by service and zone, on its holder"),
     HEAP_BYTES("heap_bytes", MetricType.GAUGE, "B", "Heap in use"),
     HEAP_MAX_BYTES("heap_max_bytes", MetricType.GAUGE, "B", "Largest heap");
 
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/DutyFleet.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/DutyFleet.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
@@ -12,7 +13,13 @@
 import org.hemlockrack.duties.Duty;
 import org.hemlockrack.duties.DutyState;
 import org.hemlockrack.duties.UsageWindow;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.model.ZoneId;
+import org.hemlockrack.registry.Registration;
+import org.hemlockrack.routing.AutoscaleSpec;
 import org.hemlockrack.wire.DutyCommandData;
+import org.hemlockrack.wire.LoadData;
 import org.hemlockrack.wire.SyncReply;
 import org.hemlockrack.wire.SyncRequest;
 
@@ -20,6 +27,24 @@
 final class DutyFleet {
     static final long LEASE_MILLIS = 3_000;
     static final long START_MILLIS = 1_000_000;
+    static final int SLOTS = 64;
+
+    /** The platform runs that many servers whatever is ordered. */
+    private static final int SERVERS = 24;
+
+    private static final Registration SERVER =
+            new Registration(
+                    BackendId.of("i-1"),
+                    1,
+                    1,
+                    ServiceId.of("s"),
+                    "127.0.0.1:1",
+                    ZoneId.of("a"),
+                    "v1",
+                    SLOTS,
+                    false,
+                    0);
+
     private static final long STEP_MILLIS = 100;
     private static final long INTERVAL_MILLIS = 5_000;
     private static final long DELAY_MILLIS = 10_000;
@@ -47,6 +72,7 @@
                             mName,
                             mName + "/" + ++mStarts,
                             this,
+                            mView,
                             mPlatform,
                             mPlatform.transport(),
                             this,
@@ -101,6 +127,21 @@
                     INTERVAL_MILLIS,
                     DELAY_MILLIS);
     private final FakePlatform mPlatform = new FakePlatform();
+
+    private final AutoscaleView mView =
+            new AutoscaleView() {
+                @Override
+                public List<Registration> servers() {
+                    return Collections.nCopies(SERVERS, SERVER);
+                }
+
+                @Override
+                public Map<ServiceId, AutoscaleSpec> specs() {
+                    return Map.of(SERVER.service(), new AutoscaleSpec(10, 60, 8_000, 3_000));
+                }
+            };
+
+    private int mRunning = 16 * SLOTS;
     private final List<Node> mNodes = new ArrayList<>();
     private final Map<Long, Long> mTruth = new TreeMap<>();
     private DutyState mState = DutyState.EMPTY;
@@ -136,6 +177,11 @@
         return mTruth;
     }
 
+    /** Sets the requests in progress at all servers together. */
+    void setRunning(int requests) {
+        mRunning = requests;
+    }
+
     /** Elects a leader. The previous one goes on to believe that it leads if it is frozen. */
     void elect(int index) {
         for (Node node : mNodes) {
@@ -174,6 +220,10 @@
         SyncRequest request = new SyncRequest();
         request.setSender("g/1");
         request.setGateway(true);
+        request.setZone("a");
+        request.setRefused(Map.of());
+        // All servers of the view have the same id.
+        request.setInFlight(List.of(new LoadData("i-1", mRunning / SERVERS)));
         SyncReply reply = new SyncReply();
         node.mService.exchange(request, reply);
         if (reply.isSetUsageToken()) {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/DutyServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/DutyServiceTest.java
@@ -14,6 +14,7 @@
 
 class DutyServiceTest {
     private static final String USAGE = "/usage";
+    private static final String REPLICAS = "/replicas";
 
     private final DutyFleet mFleet = new DutyFleet();
     private final FakePlatform mPlatform = mFleet.platform();
@@ -25,7 +26,7 @@
     /** Requires that every ended window was accepted, always with the same, right counts. */
     private void assertAllReported(long dueMillis) {
         Map<Long, String> bodies = new HashMap<>();
-        for (Executed call : mPlatform.accepted()) {
+        for (Executed call : mPlatform.accepted(USAGE)) {
             String known = bodies.putIfAbsent(windowOf(call), call.body());
             assertTrue(known == null || known.equals(call.body()), call.toString());
         }
@@ -48,8 +49,8 @@
         mFleet.run(60_000);
         assertAllReported(10_000);
         assertEquals(
-                mPlatform.accepted().size(),
-                mPlatform.accepted().stream().map(Executed::body).distinct().count());
+                mPlatform.accepted(USAGE).size(),
+                mPlatform.accepted(USAGE).stream().map(Executed::body).distinct().count());
         assertEquals(1, mFleet.node(0).service().highestToken());
     }
 
@@ -150,4 +151,65 @@
         }
         assertAllReported(10_000);
     }
+
+    /** Guards against orders for a service whose number of servers suits its demand. */
+    @Test
+    void suitableNumberOfServersGetsNoOrder() {
+        mFleet.run(120_000);
+        assertTrue(mPlatform.accepted(REPLICAS).isEmpty());
+    }
+
+    /** Guards against orders that are queued, and against one that is not repeated after a 429. */
+    @Test
+    void newestOrderIsRepeatedUntilAccepted() {
+        mFleet.run(20_000);
+        mPlatform.setMode(Mode.LIMITS);
+        mFleet.setRunning(20 * DutyFleet.SLOTS);
+        mFleet.run(10_000);
+        mFleet.setRunning(24 * DutyFleet.SLOTS);
+        mFleet.run(20_000);
+        mPlatform.setMode(Mode.ANSWERS);
+        mFleet.run(10_000);
+        List<Executed> orders = mPlatform.accepted(REPLICAS);
+        assertEquals(1, orders.size(), orders.toString());
+        assertTrue(Integer.parseInt(orders.get(0).body()) >= 24 / 0.75, orders.toString());
+    }
+
+    /** Guards against a number of servers that stays as a late, older call has set it. */
+    @Test
+    void orderOverwrittenByALateCallIsRepeated() {
+        mFleet.run(20_000);
+        mPlatform.setMode(Mode.LATE);
+        mFleet.setRunning(20 * DutyFleet.SLOTS);
+        mFleet.run(5_000);
+        mPlatform.setMode(Mode.ANSWERS);
+        mFleet.setRunning(24 * DutyFleet.SLOTS);
+        mFleet.run(10_000);
+        double needed = 24 / 0.75;
+        assertTrue(lastOrder() >= needed);
+        mPlatform.executeLate();
+        assertTrue(lastOrder() < needed);
+        mFleet.run(60_000);
+        assertTrue(lastOrder() >= needed);
+    }
+
+    /** Guards against a frozen holder whose order would undo that of the next one. */
+    @Test
+    void frozenHolderGivesNoOrder() {
+        mFleet.run(20_000);
+        mPlatform.setMode(Mode.ABSENT);
+        mFleet.setRunning(24 * DutyFleet.SLOTS);
+        mFleet.run(5_000);
+        mFleet.node(0).freeze(8_000);
+        mFleet.elect(1);
+        mPlatform.setMode(Mode.ANSWERS);
+        mFleet.run(30_000);
+        assertFalse(mPlatform.accepted(REPLICAS).isEmpty());
+        assertTrue(mPlatform.accepted(REPLICAS).stream().allMatch(each -> each.token() == 2));
+    }
+
+    private int lastOrder() {
+        List<Executed> orders = mPlatform.accepted(REPLICAS);
+        return Integer.parseInt(orders.get(orders.size() - 1).body());
+    }
 }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/FakePlatform.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/FakePlatform.java
@@ -11,6 +11,7 @@
 import java.util.function.IntConsumer;
 import org.hemlockrack.daemon.http.HeaderField;
 import org.hemlockrack.duties.DutyHolder;
+import org.hemlockrack.duties.ReplicaOrder;
 import org.hemlockrack.duties.UsageWindow;
 
 /** The platform API with fencing, which can refuse, lose and delay calls. */
@@ -52,8 +53,11 @@
         return mExecuted;
     }
 
-    List<Executed> accepted() {
-        return mExecuted.stream().filter(each -> each.status() == 200).toList();
+    /** Returns the accepted calls of a path, in the order of their execution. */
+    List<Executed> accepted(String path) {
+        return mExecuted.stream()
+                .filter(each -> each.status() == 200 && each.subject().equals(path))
+                .toList();
     }
 
     List<Long> attemptMillis() {
@@ -109,6 +113,15 @@
                 (window.id() + " " + window.counts()).getBytes(StandardCharsets.UTF_8));
     }
 
+    @Override
+    public Call setReplicas(DutyHolder holder, ReplicaOrder order) {
+        return new Call(
+                "POST",
+                "/replicas",
+                List.of(HeaderField.of("token", Long.toString(holder.token()))),
+                Integer.toString(order.servers()).getBytes(StandardCharsets.UTF_8));
+    }
+
     @Override
     public DutyAnswer readAnswer(int status) {
         return switch (status) {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/UsageReportsTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/DutyReportsTest.java
@@ -6,14 +6,16 @@
 
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.model.ZoneId;
 import org.hemlockrack.wire.SyncReply;
 import org.hemlockrack.wire.SyncRequest;
 import org.junit.jupiter.api.Test;
 
-class UsageReportsTest {
+class DutyReportsTest {
     private static final long WALL_MILLIS = 1_000_000;
 
-    private final UsageReports mReports = UsageReports.create();
+    private final DutyReports mReports = DutyReports.create(ZoneId.of("a"));
 
     private static long nanos(long millis) {
         return TimeUnit.MILLISECONDS.toNanos(millis);
@@ -84,6 +86,20 @@
         assertEquals(Map.of("w", 2L), request(2_100, "b").getUsage().get(0).getCounts());
     }
 
+    /** Guards against refusals that are sent to every controller or to none. */
+    @Test
+    void onlyTheHolderOfAutoscalingGetsRefusals() {
+        mReports.recordRefused(ServiceId.of("s"));
+        SyncReply wants = new SyncReply();
+        wants.setWantsDemand(true);
+        mReports.recordReply(nanos(1), "a", wants, nanos(1));
+        assertFalse(request(2, "b").isSetRefused());
+        assertEquals(Map.of("s", 1L), request(2, "a").getRefused());
+        assertEquals("a", request(2, "a").getZone());
+        mReports.recordReply(nanos(3), "a", new SyncReply(), nanos(3));
+        assertFalse(request(4, "a").isSetRefused());
+    }
+
     /** Guards against counts that a planned stop leaves behind. */
     @Test
     void stopReportsAtOnce() {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
@@ -226,7 +226,7 @@
                         mState,
                         RetryPermits.create(mLoop, mNetwork, "g1/1", limits),
                         GatewayQuarantine.create(mLog),
-                        UsageReports.create(),
+                        DutyReports.create(ZoneId.of("a")),
                         mClient,
                         mClient,
                         mOpenExchanges,
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
@@ -41,7 +41,7 @@
                     GatewayState.create(ServerPool.create(ZoneId.of("a"), new SplittableRandom(1))),
                     RetryPermits.create(mLoop, mNetwork, "g1/1", new RetryLimits(0.1, 10, 10)),
                     GatewayQuarantine.create(mLog),
-                    UsageReports.create(),
+                    DutyReports.create(ZoneId.of("a")),
                     mLog);
 
     @AfterEach
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
@@ -333,7 +333,7 @@
                         mState,
                         createPermits(),
                         GatewayQuarantine.create(mLog),
-                        UsageReports.create(),
+                        DutyReports.create(ZoneId.of("a")),
                         mClient,
                         mSingleUseClient,
                         mOpenExchanges,
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
@@ -83,7 +83,7 @@
                     mState,
                     mRetries,
                     mQuarantine,
-                    UsageReports.create(),
+                    DutyReports.create(ZoneId.of("a")),
                     mLog);
     private final List<HttpServer> mServers = new ArrayList<>();
     private GatewayHandler mHandler;
@@ -229,7 +229,7 @@
                         mState,
                         mRetries,
                         mQuarantine,
-                        UsageReports.create(),
+                        DutyReports.create(ZoneId.of("a")),
                         mClient,
                         mClient,
                         OpenExchanges.create(),
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -243,7 +243,11 @@
   /** Counts of this gateway that have changed since its last report to the holder of the metering duty. */
   30: optional list<UsageWindowData> usage,
   /** Fleet time up to which this gateway has reported every count to the receiver. */
-  31: optional i64 usageThroughMillis
+  31: optional i64 usageThroughMillis,
+  /** Zone of this gateway; this field and the next are only for the holder of the autoscaling duty. */
+  32: optional string zone,
+  /** Requests that this gateway has refused since its start because no server had room, by service. */
+  33: optional map<string, i64> refused
 }
 
 /** A table in the durable log of a controller. */
@@ -310,5 +314,7 @@
   /** Length of a window of usage counts; absent if nothing is metered. */
   31: optional i64 usageIntervalMillis,
   /** Token under which the receiver holds the metering duty; absent if it does not. */
-  32: optional i64 usageToken
+  32: optional i64 usageToken,
+  /** Whether the receiver holds the autoscaling duty. */
+  33: optional bool wantsDemand
 }
