--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/DutyCaller.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/DutyCaller.java
@@ -12,8 +12,8 @@
  * {@link DutyService}.
  */
 final class DutyCaller {
-    /** Shortest time between two calls. */
-    static final long MIN_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    /** Shortest time between two calls; {@link DutyService#run} makes one call at most. */
+    private static final long MIN_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     /**
      * Part of the accepted rate that is used; after a change of holder the last calls of the
