--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -6,7 +6,9 @@
 import java.security.SecureRandom;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.hemlockrack.daemon.GracefulShutdown;
 import org.hemlockrack.daemon.ServiceProcess;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.http.HttpClient;
@@ -41,12 +43,18 @@
 
     private static final long EXPIRY_PERIOD_MILLIS = 500;
 
+    /** Longest time that the end of a planned stop waits until the last counts are reported. */
+    private static final long LAST_REPORT_MILLIS = 150;
+
+    private static final long LAST_REPORT_POLL_MILLIS = 10;
+
     private final Settings mSettings;
     private final Closer mCloser = Closer.create();
     private final EventLoop mLoop;
     private final DecisionLog mLog;
     private final Metrics mMetrics = Metrics.create();
     private final GatewayState mState;
+    private final DutyReports mDutyReports;
     private final GatewayViewUpdater mViewUpdater;
     private final AtomicInteger mOpenRequests = new AtomicInteger();
     private final OpenExchanges mOpenExchanges = OpenExchanges.create();
@@ -73,9 +81,18 @@
         String senderId = settings.instanceId() + "/" + Long.toString(random.nextLong() >>> 1, 36);
         RetryPermits retries = RetryPermits.create(mLoop, network, senderId, retryLimits(settings));
         GatewayQuarantine quarantine = GatewayQuarantine.create(mLog);
+        mDutyReports = DutyReports.create(settings.zone());
         mViewUpdater =
                 new GatewayViewUpdater(
-                        mLoop, network, senderId, protocol, mState, retries, quarantine, mLog);
+                        mLoop,
+                        network,
+                        senderId,
+                        protocol,
+                        mState,
+                        retries,
+                        quarantine,
+                        mDutyReports,
+                        mLog);
         retries.setControllers(mViewUpdater::reachableControllers);
         GatewayContext context = createContext(protocol, retries, quarantine, random);
         mHandler = new GatewayHandler(context, mViewUpdater);
@@ -112,6 +129,7 @@
                 mState,
                 retries,
                 quarantine,
+                mDutyReports,
                 openClient(true),
                 openClient(false),
                 mOpenExchanges,
@@ -180,11 +198,21 @@
     @Override
     public void shutDown() {
         mDraining = true;
+        mDutyReports.reportAtOnce();
         long timeoutMillis = mSettings.integer(SettingKey.SHUTDOWN_DRAIN_TIMEOUT_MS);
         PlannedStop.begin(mCallerPort, mHandler, mOpenExchanges, mLog, timeoutMillis).run();
+        reportLastUsage();
         close();
     }
 
+    private void reportLastUsage() {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_REPORT_MILLIS);
+        while (mDutyReports.hasUnreported() && System.nanoTime() - endNanos < 0) {
+            mViewUpdater.exchangeSoon();
+            GracefulShutdown.sleep(LAST_REPORT_POLL_MILLIS);
+        }
+    }
+
     @Override
     public void close() {
         try {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
@@ -226,6 +226,7 @@
                         mState,
                         RetryPermits.create(mLoop, mNetwork, "g1/1", limits),
                         GatewayQuarantine.create(mLog),
+                        DutyReports.create(ZoneId.of("a")),
                         mClient,
                         mClient,
                         mOpenExchanges,
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
@@ -333,6 +333,7 @@
                         mState,
                         createPermits(),
                         GatewayQuarantine.create(mLog),
+                        DutyReports.create(ZoneId.of("a")),
                         mClient,
                         mSingleUseClient,
                         mOpenExchanges,
