--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.hemlockrack.capacity.ReportedLoad;
+import org.hemlockrack.capacity.SchedulingMode;
 import org.hemlockrack.control.RoutingOverrides;
 import org.hemlockrack.control.TrafficMove;
 import org.hemlockrack.model.BackendId;
@@ -64,6 +66,8 @@
 
     private final ZoneId mHomeZone;
     private final RandomGenerator mRandom;
+    private final SchedulingMode mMode;
+    private final Set<ServiceId> mSpeedReported = new HashSet<>();
     private final Map<BackendId, ServerSlot> mSlots = new HashMap<>();
     private final PrefixDirectory mPrefixes = PrefixDirectory.create();
     private final PagedLog<PrefixUseData> mUseLog = PagedLog.of(MAX_LOGGED_USES);
@@ -72,20 +76,33 @@
     private Map<ServiceId, ServiceSpec> mSpecs = Map.of();
     private int mGatewayCount = INITIAL_GATEWAYS;
 
-    private ServerPool(ZoneId homeZone, RandomGenerator random) {
+    private ServerPool(ZoneId homeZone, RandomGenerator random, SchedulingMode mode) {
+        mMode = mode;
         mHomeZone = homeZone;
         mRandom = random;
     }
 
     /**
-     * Creates an empty pool.
+     * Creates an empty pool that learns no capacity.
      *
      * @param homeZone availability zone of the gateway
      * @param random source of randomness for ties and for the phase of cold servers
      * @return the pool
      */
     public static ServerPool create(ZoneId homeZone, RandomGenerator random) {
-        return new ServerPool(homeZone, random);
+        return create(homeZone, random, SchedulingMode.OFF);
+    }
+
+    /**
+     * Creates an empty pool.
+     *
+     * @param homeZone availability zone of the gateway
+     * @param random source of randomness for ties and for the phase of cold servers
+     * @param mode for which services the capacity of the servers is learned
+     * @return the pool
+     */
+    public static ServerPool create(ZoneId homeZone, RandomGenerator random, SchedulingMode mode) {
+        return new ServerPool(homeZone, random, mode);
     }
 
     /**
@@ -484,6 +501,29 @@
         }
     }
 
+    /**
+     * Returns whether queueing and learned capacity apply to a service. Once a server has reported
+     * the speed of its machine, this holds for its service while the process runs.
+     *
+     * @param service the service
+     */
+    public boolean isManaged(ServiceId service) {
+        return mMode.manages(mSpeedReported.contains(service));
+    }
+
+    /**
+     * Records the load that a server has reported.
+     *
+     * @param nowNanos monotonic time
+     * @param server the incarnation
+     * @param load the load
+     */
+    public void recordReport(long nowNanos, Registration server, ReportedLoad load) {
+        if (load.hasWorkPercent()) {
+            mSpeedReported.add(server.service());
+        }
+    }
+
     /**
      * Returns whether a server has said nothing against new requests.
      *
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/AnswerMetadata.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/AnswerMetadata.java
@@ -1,5 +1,6 @@
 package org.hemlockrack.daemon.gateway;
 
+import org.hemlockrack.capacity.ReportedLoad;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -11,6 +12,7 @@
  * @param misdirected whether the request reached a server other than the intended one
  * @param leaving whether the server states that it leaves
  * @param restMillis time for which the server wants no requests, negative if it states none
+ * @param load load that the server reports, {@link ReportedLoad#NONE} if it reports none
  */
 public record AnswerMetadata(
         @Nullable String attemptId,
@@ -18,4 +20,16 @@
         boolean refused,
         boolean misdirected,
         boolean leaving,
-        long restMillis) {}
+        long restMillis,
+        ReportedLoad load) {
+    /** Creates the metadata of an answer without a load report. */
+    public AnswerMetadata(
+            @Nullable String attemptId,
+            boolean signed,
+            boolean refused,
+            boolean misdirected,
+            boolean leaving,
+            long restMillis) {
+        this(attemptId, signed, refused, misdirected, leaving, restMillis, ReportedLoad.NONE);
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
@@ -98,6 +98,7 @@
     /** Records what a server says in its answer about further requests. */
     void recordStatement(Registration server, AnswerMetadata metadata) {
         long nowNanos = System.nanoTime();
+        state.recordReport(nowNanos, server, metadata.load());
         boolean accepted = state.accepts(nowNanos, server);
         if (metadata.leaving()) {
             state.recordLeaving(server);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.hemlockrack.capacity.SchedulingMode;
 import org.hemlockrack.daemon.ServiceProcess;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.http.HttpClient;
@@ -69,7 +70,9 @@
         mState =
                 GatewayState.create(
                         ServerPool.create(
-                                settings.zone(), new SplittableRandom(random.nextLong())));
+                                settings.zone(),
+                                new SplittableRandom(random.nextLong()),
+                                SchedulingMode.of(settings.text(SettingKey.SCHEDULING_MODE))));
         String senderId = settings.instanceId() + "/" + Long.toString(random.nextLong() >>> 1, 36);
         RetryPermits retries = RetryPermits.create(mLoop, network, senderId, retryLimits(settings));
         GatewayQuarantine quarantine = GatewayQuarantine.create(mLog);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.hemlockrack.capacity.ReportedLoad;
 import org.hemlockrack.control.RoutingOverrides;
 import org.hemlockrack.dispatch.AttemptOutcome;
 import org.hemlockrack.dispatch.DurationEstimate;
@@ -72,6 +73,16 @@
         mPool.recordOutcome(nowNanos, id, outcome);
     }
 
+    /** Returns whether queueing and learned capacity apply to a service. */
+    synchronized boolean isManaged(ServiceId service) {
+        return mPool.isManaged(service);
+    }
+
+    /** Records the load that a server has reported. */
+    synchronized void recordReport(long nowNanos, Registration server, ReportedLoad load) {
+        mPool.recordReport(nowNanos, server, load);
+    }
+
     /** Records that a server has said that it leaves. */
     synchronized void recordLeaving(Registration server) {
         mPool.recordLeaving(server);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
@@ -34,6 +34,7 @@
     FLEET_RETRY_SLACK("fleet.retry_slack", DECIMAL, "30", "number"),
     FLEET_RETRY_WINDOW_S("fleet.retry_window_s", DECIMAL, "10", "number"),
     BURN_FILE("burn.file", PATH, "", "path"),
+    SCHEDULING_MODE("scheduling.mode", CHOICE, "off", "off|reported|on"),
     LOG_FORMAT("log.format", CHOICE, "text", "text|json"),
     HTTP_MAX_BODY_BYTES("http.max_body_bytes", 1_048_576, 1_024, 67_108_864),
     HTTP_MAX_HEADER_COUNT("http.max_header_count", 100, 10, 1_000),
