Split ServerPool into load, health, cold pacing, affinity and cost

A learned capacity has to enter the choice of a server in one place. Choices are the same, including the order of random draws; the tests of ServerPool pass unchanged.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerChoice.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerChoice.java
@@ -34,6 +34,10 @@
         ALL_COLD;
     }
 
+    static ServerChoice of(ServerSlot slot, Reason reason, int candidates) {
+        return new ServerChoice(slot.registration(), reason, slot.load(), candidates, 0);
+    }
+
     static ServerChoice none(Reason reason) {
         return new ServerChoice(null, reason, 0, 0, 0);
     }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -11,7 +11,6 @@
 import org.hemlockrack.capacity.ReportedLoad;
 import org.hemlockrack.capacity.SchedulingMode;
 import org.hemlockrack.control.RoutingOverrides;
-import org.hemlockrack.control.TrafficMove;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.ServiceId;
 import org.hemlockrack.model.ZoneId;
@@ -29,48 +28,15 @@
  * passed in.
  */
 public final class ServerPool {
-    /** Prefix uses retained until they are reported to a controller. */
-    private static final int MAX_LOGGED_USES = 2_048;
-
-    /** Multiple of the mean load up to which a request stays at its first-ranked server. */
-    private static final double AFFINITY_LOAD_FACTOR = 1.6;
-
-    /** Requests added to that bound, so that it does not apply at low load. */
-    private static final double AFFINITY_LOAD_SLACK = 2.5;
-
-    /**
-     * Replaces {@link #AFFINITY_LOAD_FACTOR} when all usable servers are above that bound; then it
-     * is a multiple of the mean load of the usable servers only.
-     */
-    private static final double SCARCE_LOAD_FACTOR = 1.25;
-
-    /** Requests added to the bound of {@link #SCARCE_LOAD_FACTOR}. */
-    private static final double SCARCE_LOAD_SLACK = 1;
-
-    /**
-     * A server is avoided if its failure rate exceeds that of the best server by more than this.
-     */
-    private static final double FAILURE_MARGIN = 0.2;
-
-    /** Maximum requests per slot, queued ones included, at a server that runs no model engine. */
-    private static final int MAX_REQUESTS_PER_PLAIN_SLOT = 4;
-
-    /** Load, as a fraction of the slots, added for a server in another availability zone. */
-    private static final double ZONE_PENALTY = 0.5;
-
     /** Number of gateways assumed until a controller has reported it. */
     private static final int INITIAL_GATEWAYS = 16;
 
-    /** Share of the cold limit that is used; the rest covers cold starts reported late. */
-    private static final double COLD_LIMIT_SHARE = 0.8;
-
-    private final ZoneId mHomeZone;
+    private final LeastCost mLeastCost;
     private final RandomGenerator mRandom;
     private final SchedulingMode mMode;
     private final Set<ServiceId> mSpeedReported = new HashSet<>();
     private final Map<BackendId, ServerSlot> mSlots = new HashMap<>();
-    private final PrefixDirectory mPrefixes = PrefixDirectory.create();
-    private final PagedLog<PrefixUseData> mUseLog = PagedLog.of(MAX_LOGGED_USES);
+    private final PrefixAffinity mAffinity = new PrefixAffinity();
     private Map<ServiceId, List<ServerSlot>> mByService = new HashMap<>();
     private RoutingOverrides mOverrides = RoutingOverrides.NONE;
     private Map<ServiceId, ServiceSpec> mSpecs = Map.of();
@@ -78,7 +44,7 @@
 
     private ServerPool(ZoneId homeZone, RandomGenerator random, SchedulingMode mode) {
         mMode = mode;
-        mHomeZone = homeZone;
+        mLeastCost = new LeastCost(homeZone, random);
         mRandom = random;
     }
 
@@ -130,20 +96,19 @@
             Registration registration = server.registration();
             present.add(registration.id());
             ServerSlot slot = mSlots.get(registration.id());
-            if (slot == null
-                    || slot.mServer.registration().startMillis() != registration.startMillis()) {
+            if (slot == null || slot.registration().startMillis() != registration.startMillis()) {
                 mSlots.put(
                         registration.id(), new ServerSlot(server, nowNanos, mRandom.nextDouble()));
             } else {
-                slot.mServer = server;
+                slot.setServer(server);
             }
         }
         if (mSlots.keySet().retainAll(present)) {
-            mPrefixes.retainServers(present);
+            mAffinity.retainServers(present);
         }
         mByService = new HashMap<>();
         for (ServerSlot slot : mSlots.values()) {
-            ServiceId service = slot.mServer.registration().service();
+            ServiceId service = slot.registration().service();
             mByService.computeIfAbsent(service, key -> new ArrayList<>()).add(slot);
         }
     }
@@ -172,10 +137,9 @@
             Map<BackendId, Integer> fleet, Map<BackendId, Integer> ownAtReport, int gateways) {
         mGatewayCount = Math.max(1, gateways);
         mSlots.forEach(
-                (id, slot) -> {
-                    slot.mFleetRequests = fleet.getOrDefault(id, 0);
-                    slot.mOwnRequestsAtReport = ownAtReport.getOrDefault(id, 0);
-                });
+                (id, slot) ->
+                        slot.mLoad.recordFleet(
+                                fleet.getOrDefault(id, 0), ownAtReport.getOrDefault(id, 0)));
     }
 
     /** Returns the number of gateways that share the limits of a server. */
@@ -188,8 +152,8 @@
         Map<BackendId, Integer> own = new HashMap<>();
         mSlots.forEach(
                 (id, slot) -> {
-                    if (slot.mOwnRequests > 0) {
-                        own.put(id, slot.mOwnRequests);
+                    if (slot.mLoad.ownRequests() > 0) {
+                        own.put(id, slot.mLoad.ownRequests());
                     }
                 });
         return own;
@@ -201,7 +165,8 @@
      * @param nowNanos monotonic time
      */
     public int suspendedCount(long nowNanos) {
-        return (int) mSlots.values().stream().filter(slot -> slot.isSuspended(nowNanos)).count();
+        return (int)
+                mSlots.values().stream().filter(slot -> slot.mHealth.isSuspended(nowNanos)).count();
     }
 
     /** Returns whether the pool holds any server. */
@@ -217,7 +182,8 @@
      * @return the choice; without a server if none is eligible or all are at their limits
      */
     public ServerChoice choose(long nowNanos, SelectionCriteria criteria) {
-        List<ServerSlot> eligible = eligibleSlots(nowNanos, criteria);
+        List<ServerSlot> all = mByService.getOrDefault(criteria.service(), List.of());
+        List<ServerSlot> eligible = UsableServers.eligible(nowNanos, all, mOverrides, criteria);
         if (eligible.isEmpty()) {
             return ServerChoice.none(ServerChoice.Reason.NO_SERVER);
         }
@@ -234,143 +200,31 @@
             return ServerChoice.allResting(shortestRestNanos);
         }
         ServiceSpec spec = mSpecs.get(criteria.service());
-        List<ServerSlot> available = withCapacity(withoutRejecting(nowNanos, accepting), spec);
+        List<ServerSlot> available =
+                UsableServers.withCapacity(
+                        UsableServers.withoutRejecting(nowNanos, accepting), spec);
         if (available.isEmpty()) {
             return ServerChoice.none(ServerChoice.Reason.ALL_FULL);
         }
-        List<ServerSlot> usable = withColdCapacity(nowNanos, available, spec);
+        List<ServerSlot> usable =
+                UsableServers.withColdCapacity(nowNanos, available, spec, mGatewayCount);
         if (usable.isEmpty()) {
             return ServerChoice.none(ServerChoice.Reason.ALL_COLD);
         }
-        usable = withoutFailing(nowNanos, usable);
-        ServerChoice choice =
-                criteria.affinityKey() == 0
-                        ? chooseLeastLoaded(usable)
-                        : chooseByAffinity(nowNanos, usable, criteria);
-        recordDispatch(nowNanos, choice);
+        usable = UsableServers.withoutFailing(nowNanos, usable);
+        ServerChoice choice = chooseAmong(nowNanos, all, usable, criteria.affinityKey());
+        BackendId chosen = choice.server().id();
+        mSlots.get(chosen).recordDispatch(nowNanos);
         if (criteria.affinityKey() != 0) {
-            recordLocalUse(nowNanos, criteria.affinityKey(), choice.server().id());
+            mAffinity.recordLocalUse(nowNanos, criteria.affinityKey(), chosen);
         }
         return choice;
     }
 
-    private List<ServerSlot> eligibleSlots(long nowNanos, SelectionCriteria criteria) {
-        TrafficMove move = mOverrides.move(criteria.service());
-        List<ServerSlot> ready = new ArrayList<>();
-        for (ServerSlot slot : mByService.getOrDefault(criteria.service(), List.of())) {
-            Registration server = slot.mServer.registration();
-            if (server.leaving()
-                    || slot.mStatement.isLeaving()
-                    || mOverrides.hasDeparted(server.id(), server.startMillis())
-                    || mOverrides.evacuatedZones().contains(server.zone())
-                    || criteria.triedServers().contains(server.id())) {
-                continue;
-            }
-            ready.add(slot);
-        }
-        List<ServerSlot> allowed = withAllowedVersion(ready, move, criteria.versionDraw());
-        if (allowed.isEmpty() && move != null) {
-            // No eligible server runs the target version; requests drawn for it use the old one.
-            allowed = withAllowedVersion(ready, move, 1);
-        }
-        List<ServerSlot> reachable = new ArrayList<>();
-        for (ServerSlot slot : allowed) {
-            if (!slot.isSuspended(nowNanos)) {
-                reachable.add(slot);
-            }
-        }
-        return reachable.isEmpty() ? allowed : reachable;
-    }
-
-    private static List<ServerSlot> withAllowedVersion(
-            List<ServerSlot> slots, @Nullable TrafficMove move, double draw) {
-        List<ServerSlot> allowed = new ArrayList<>();
-        for (ServerSlot slot : slots) {
-            String version = slot.mServer.registration().softwareVersion();
-            if (VersionGate.allows(move, version, draw)) {
-                allowed.add(slot);
-            }
-        }
-        return allowed;
-    }
-
-    /** Removes servers that have just rejected a request, unless all have. */
-    private static List<ServerSlot> withoutRejecting(long nowNanos, List<ServerSlot> slots) {
-        List<ServerSlot> accepting = new ArrayList<>();
-        for (ServerSlot slot : slots) {
-            if (!slot.isFull(nowNanos)) {
-                accepting.add(slot);
-            }
-        }
-        return accepting.isEmpty() ? slots : accepting;
-    }
-
-    private static List<ServerSlot> withCapacity(
-            List<ServerSlot> slots, @Nullable ServiceSpec spec) {
-        boolean engines = spec != null && spec.runsEngines();
-        List<ServerSlot> open = new ArrayList<>();
-        for (ServerSlot slot : slots) {
-            int maxRequests = engines ? slot.slots() : MAX_REQUESTS_PER_PLAIN_SLOT * slot.slots();
-            if (slot.load() < maxRequests) {
-                open.add(slot);
-            }
-        }
-        return open;
-    }
-
-    private List<ServerSlot> withColdCapacity(
-            long nowNanos, List<ServerSlot> slots, @Nullable ServiceSpec spec) {
-        List<ServerSlot> usable = new ArrayList<>();
-        for (ServerSlot slot : slots) {
-            if (!slot.mServer.isCold(nowNanos)
-                    || spec == null
-                    || spec.coldRequestsPerSecond() <= 0
-                    || slot.hasColdCapacity(nowNanos, coldRatePerGateway(spec))) {
-                usable.add(slot);
-            }
-        }
-        return usable;
-    }
-
-    private double coldRatePerGateway(ServiceSpec spec) {
-        return spec.coldRequestsPerSecond() * COLD_LIMIT_SHARE / mGatewayCount;
-    }
-
-    private static List<ServerSlot> withoutFailing(long nowNanos, List<ServerSlot> slots) {
-        double best = 1;
-        for (ServerSlot slot : slots) {
-            best = Math.min(best, slot.failureRate(nowNanos));
-        }
-        List<ServerSlot> healthy = new ArrayList<>();
-        for (ServerSlot slot : slots) {
-            if (slot.failureRate(nowNanos) <= best + FAILURE_MARGIN) {
-                healthy.add(slot);
-            }
-        }
-        return healthy;
-    }
-
-    private ServerChoice chooseLeastLoaded(List<ServerSlot> slots) {
-        ServerSlot best = slots.get(0);
-        double bestCost = Double.MAX_VALUE;
-        for (ServerSlot slot : slots) {
-            boolean otherZone = !slot.mServer.registration().zone().equals(mHomeZone);
-            double cost =
-                    (double) slot.load() / slot.slots()
-                            + (otherZone ? ZONE_PENALTY : 0)
-                            + mRandom.nextDouble() / (4 * slot.slots());
-            if (cost < bestCost) {
-                best = slot;
-                bestCost = cost;
-            }
-        }
-        return choiceOf(best, ServerChoice.Reason.LEAST_LOAD, slots.size());
-    }
-
-    private void recordLocalUse(long nowNanos, long prefixHash, BackendId server) {
-        if (mPrefixes.recordUse(nowNanos, prefixHash, server)) {
-            mUseLog.add(new PrefixUseData(prefixHash, server.value()));
-        }
+    private ServerChoice chooseAmong(
+            long nowNanos, List<ServerSlot> all, List<ServerSlot> usable, long key) {
+        ServerChoice choice = key == 0 ? null : mAffinity.choose(nowNanos, all, usable, key);
+        return choice == null ? mLeastCost.choose(usable) : choice;
     }
 
     /**
@@ -380,99 +234,12 @@
      * @param uses the uses
      */
     public void recordRemoteUses(long nowNanos, List<PrefixUseData> uses) {
-        for (PrefixUseData use : uses) {
-            mPrefixes.recordUse(nowNanos, use.getPrefixHash(), BackendId.of(use.getServer()));
-        }
+        mAffinity.recordRemoteUses(nowNanos, uses);
     }
 
     /** Returns the log of the prefix uses of this gateway. */
     public PagedLog<PrefixUseData> localUses() {
-        return mUseLog;
-    }
-
-    private ServerChoice chooseByAffinity(
-            long nowNanos, List<ServerSlot> slots, SelectionCriteria criteria) {
-        long key = criteria.affinityKey();
-        // The mean includes servers that receive no requests now, such as those of an evacuated
-        // zone.
-        List<ServerSlot> all = mByService.getOrDefault(criteria.service(), List.of());
-        double bound = meanLoad(all) * AFFINITY_LOAD_FACTOR + AFFINITY_LOAD_SLACK;
-        ServerChoice choice = chooseWithinBound(nowNanos, slots, key, bound);
-        if (choice == null) {
-            // So few servers are usable that the load of each of them is above the bound.
-            bound = meanLoad(slots) * SCARCE_LOAD_FACTOR + SCARCE_LOAD_SLACK;
-            choice = chooseWithinBound(nowNanos, slots, key, bound);
-        }
-        return choice == null ? chooseLeastLoaded(slots) : choice;
-    }
-
-    /**
-     * Chooses the server that ranks first for a key among those below the load bound, preferring
-     * those that have recently processed the prefix. Returns null if no server is below the bound.
-     */
-    private @Nullable ServerChoice chooseWithinBound(
-            long nowNanos, List<ServerSlot> slots, long key, double bound) {
-        List<BackendId> holders = mPrefixes.holders(nowNanos, key);
-        List<ServerSlot> cached = new ArrayList<>();
-        List<ServerSlot> open = new ArrayList<>();
-        for (ServerSlot slot : slots) {
-            if (slot.load() >= bound) {
-                continue;
-            }
-            open.add(slot);
-            if (holders.contains(slot.mServer.registration().id())) {
-                cached.add(slot);
-            }
-        }
-        if (!cached.isEmpty()) {
-            return choiceOf(firstRanked(cached, key), ServerChoice.Reason.CACHED, slots.size());
-        }
-        if (open.isEmpty()) {
-            return null;
-        }
-        ServerSlot first = firstRanked(open, key);
-        boolean preferred = open.size() == slots.size() || first == firstRanked(slots, key);
-        ServerChoice.Reason reason =
-                preferred ? ServerChoice.Reason.AFFINITY : ServerChoice.Reason.OVERFLOW;
-        return choiceOf(first, reason, slots.size());
-    }
-
-    private static double meanLoad(List<ServerSlot> slots) {
-        int total = 0;
-        for (ServerSlot slot : slots) {
-            total += slot.load();
-        }
-        return (double) total / Math.max(1, slots.size());
-    }
-
-    /**
-     * Rendezvous hashing: all gateways rank the servers in the same order, and a change of servers
-     * moves few keys.
-     */
-    private static ServerSlot firstRanked(List<ServerSlot> slots, long key) {
-        ServerSlot first = slots.get(0);
-        long lowestRank = Long.MAX_VALUE;
-        for (ServerSlot slot : slots) {
-            long rank = PromptHash.combine(key, slot.idHash());
-            if (rank < lowestRank) {
-                first = slot;
-                lowestRank = rank;
-            }
-        }
-        return first;
-    }
-
-    private static ServerChoice choiceOf(
-            ServerSlot slot, ServerChoice.Reason reason, int candidates) {
-        return new ServerChoice(slot.mServer.registration(), reason, slot.load(), candidates, 0);
-    }
-
-    private void recordDispatch(long nowNanos, ServerChoice choice) {
-        ServerSlot slot = mSlots.get(choice.server().id());
-        slot.mOwnRequests++;
-        if (slot.mServer.isCold(nowNanos)) {
-            slot.takeColdPermit();
-        }
+        return mAffinity.localUses();
     }
 
     /**
@@ -540,7 +307,7 @@
     private @Nullable ServerSlot findSlot(Registration server) {
         ServerSlot slot = mSlots.get(server.id());
         boolean sameIncarnation =
-                slot != null && slot.mServer.registration().startMillis() == server.startMillis();
+                slot != null && slot.registration().startMillis() == server.startMillis();
         return sameIncarnation ? slot : null;
     }
 
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/UsableServers.java
@@ -0,0 +1,125 @@
+package org.hemlockrack.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hemlockrack.control.RoutingOverrides;
+import org.hemlockrack.control.TrafficMove;
+import org.hemlockrack.registry.Registration;
+import org.hemlockrack.routing.ServiceSpec;
+import org.jspecify.annotations.Nullable;
+
+/** Conditions under which a server may get a request at all. */
+final class UsableServers {
+    /**
+     * A server is avoided if its failure rate exceeds that of the best server by more than this.
+     */
+    private static final double FAILURE_MARGIN = 0.2;
+
+    /** Maximum requests per slot, queued ones included, at a server that runs no model engine. */
+    private static final int MAX_REQUESTS_PER_PLAIN_SLOT = 4;
+
+    /** Share of the cold limit that is used; the rest covers cold starts reported late. */
+    private static final double COLD_LIMIT_SHARE = 0.8;
+
+    private UsableServers() {}
+
+    /** Returns the servers that the control state, their own word and earlier attempts allow. */
+    static List<ServerSlot> eligible(
+            long nowNanos,
+            List<ServerSlot> slots,
+            RoutingOverrides overrides,
+            SelectionCriteria criteria) {
+        TrafficMove move = overrides.move(criteria.service());
+        List<ServerSlot> ready = new ArrayList<>();
+        for (ServerSlot slot : slots) {
+            Registration server = slot.registration();
+            if (server.leaving()
+                    || slot.mStatement.isLeaving()
+                    || overrides.hasDeparted(server.id(), server.startMillis())
+                    || overrides.evacuatedZones().contains(server.zone())
+                    || criteria.triedServers().contains(server.id())) {
+                continue;
+            }
+            ready.add(slot);
+        }
+        List<ServerSlot> allowed = withAllowedVersion(ready, move, criteria.versionDraw());
+        if (allowed.isEmpty() && move != null) {
+            // No eligible server runs the target version; requests drawn for it use the old one.
+            allowed = withAllowedVersion(ready, move, 1);
+        }
+        List<ServerSlot> reachable = new ArrayList<>();
+        for (ServerSlot slot : allowed) {
+            if (!slot.mHealth.isSuspended(nowNanos)) {
+                reachable.add(slot);
+            }
+        }
+        return reachable.isEmpty() ? allowed : reachable;
+    }
+
+    private static List<ServerSlot> withAllowedVersion(
+            List<ServerSlot> slots, @Nullable TrafficMove move, double draw) {
+        List<ServerSlot> allowed = new ArrayList<>();
+        for (ServerSlot slot : slots) {
+            String version = slot.registration().softwareVersion();
+            if (VersionGate.allows(move, version, draw)) {
+                allowed.add(slot);
+            }
+        }
+        return allowed;
+    }
+
+    /** Removes servers that have just rejected a request, unless all have. */
+    static List<ServerSlot> withoutRejecting(long nowNanos, List<ServerSlot> slots) {
+        List<ServerSlot> accepting = new ArrayList<>();
+        for (ServerSlot slot : slots) {
+            if (!slot.mHealth.isFull(nowNanos)) {
+                accepting.add(slot);
+            }
+        }
+        return accepting.isEmpty() ? slots : accepting;
+    }
+
+    /** Removes servers whose slots are in use. */
+    static List<ServerSlot> withCapacity(List<ServerSlot> slots, @Nullable ServiceSpec spec) {
+        boolean engines = spec != null && spec.runsEngines();
+        List<ServerSlot> open = new ArrayList<>();
+        for (ServerSlot slot : slots) {
+            int maxRequests = engines ? slot.slots() : MAX_REQUESTS_PER_PLAIN_SLOT * slot.slots();
+            if (slot.load() < maxRequests) {
+                open.add(slot);
+            }
+        }
+        return open;
+    }
+
+    /** Removes cold servers whose rate limit is used up. */
+    static List<ServerSlot> withColdCapacity(
+            long nowNanos, List<ServerSlot> slots, @Nullable ServiceSpec spec, int gateways) {
+        if (spec == null || spec.coldRequestsPerSecond() <= 0) {
+            return slots;
+        }
+        double perSecond = spec.coldRequestsPerSecond() * COLD_LIMIT_SHARE / gateways;
+        List<ServerSlot> usable = new ArrayList<>();
+        for (ServerSlot slot : slots) {
+            if (!slot.isCold(nowNanos) || slot.mColdPacing.hasPermit(nowNanos, perSecond)) {
+                usable.add(slot);
+            }
+        }
+        return usable;
+    }
+
+    /** Removes servers that fail much more often than the best one. */
+    static List<ServerSlot> withoutFailing(long nowNanos, List<ServerSlot> slots) {
+        double best = 1;
+        for (ServerSlot slot : slots) {
+            best = Math.min(best, slot.mHealth.failureRate(nowNanos));
+        }
+        List<ServerSlot> healthy = new ArrayList<>();
+        for (ServerSlot slot : slots) {
+            if (slot.mHealth.failureRate(nowNanos) <= best + FAILURE_MARGIN) {
+                healthy.add(slot);
+            }
+        }
+        return healthy;
+    }
+}
