Learn each server's sustainable concurrency and speed

Servers of one service differ in speed, and some slow down long before their slots are full. For managed services ServerPool now uses a learned limit instead of the slots and compares a few servers by expected delay: wait behind the load, slower work, reading a prefix that is not cached, the zone.

LearnedCapacity follows queueing delay (TCP Vegas) from times that are compared per route and without the delay that all servers have in common; load reports give the speed and correct the load.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/capacity/ReportedLoad.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/capacity/ReportedLoad.java
@@ -25,6 +25,15 @@
         workPercent = workPercent <= 0 ? UNKNOWN : workPercent;
     }
 
+    /**
+     * Returns a report of how long work takes only.
+     *
+     * @param workPercent the figure
+     */
+    public static ReportedLoad ofWork(int workPercent) {
+        return new ReportedLoad(UNKNOWN, UNKNOWN, UNKNOWN, workPercent);
+    }
+
     /** Returns whether the report states running and waiting requests. */
     public boolean hasRequests() {
         return running != UNKNOWN && waiting != UNKNOWN;
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastCost.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastCost.java
@@ -19,15 +19,17 @@
 
     ServerChoice choose(List<ServerSlot> slots) {
         ServerSlot best = slots.get(0);
-        ServerCost bestCost = null;
+        ServerCost bestCost = ServerCost.NONE;
+        boolean hasBest = false;
         for (ServerSlot slot : slots) {
             ServerCost cost = costOf(slot);
-            if (bestCost == null || cost.total() < bestCost.total()) {
+            if (!hasBest || cost.total() < bestCost.total()) {
                 best = slot;
                 bestCost = cost;
+                hasBest = true;
             }
         }
-        return ServerChoice.of(best, ServerChoice.Reason.LEAST_LOAD, slots.size());
+        return ServerChoice.of(best, ServerChoice.Reason.LEAST_LOAD, slots.size(), bestCost);
     }
 
     private ServerCost costOf(ServerSlot slot) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixAffinity.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixAffinity.java
@@ -39,6 +39,11 @@
         return mUseLog;
     }
 
+    /** Returns the servers that have recently processed a prefix. */
+    List<BackendId> holders(long nowNanos, long key) {
+        return mPrefixes.holders(nowNanos, key);
+    }
+
     void retainServers(Set<BackendId> present) {
         mPrefixes.retainServers(present);
     }
@@ -97,7 +102,8 @@
         }
         if (!cached.isEmpty()) {
             ServerSlot first = firstRanked(cached, key);
-            return ServerChoice.of(first, ServerChoice.Reason.CACHED, slots.size());
+            return ServerChoice.of(
+                    first, ServerChoice.Reason.CACHED, slots.size(), ServerCost.NONE);
         }
         if (open.isEmpty()) {
             return null;
@@ -106,7 +112,7 @@
         boolean preferred = open.size() == slots.size() || first == firstRanked(slots, key);
         ServerChoice.Reason reason =
                 preferred ? ServerChoice.Reason.AFFINITY : ServerChoice.Reason.OVERFLOW;
-        return ServerChoice.of(first, reason, slots.size());
+        return ServerChoice.of(first, reason, slots.size(), ServerCost.NONE);
     }
 
     private static double meanLoad(List<ServerSlot> slots) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/SelectionCriteria.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/SelectionCriteria.java
@@ -12,6 +12,17 @@
  * @param versionDraw number in [0, 1) that selects the software version; equal for all attempts of
  *     a request
  * @param triedServers servers that earlier attempts of the request used; they are not chosen again
+ * @param route name of the route, by which the times of servers are compared; empty if unknown
  */
 public record SelectionCriteria(
-        ServiceId service, long affinityKey, double versionDraw, Set<BackendId> triedServers) {}
+        ServiceId service,
+        long affinityKey,
+        double versionDraw,
+        Set<BackendId> triedServers,
+        String route) {
+    /** Creates criteria of a request whose route is not known. */
+    public SelectionCriteria(
+            ServiceId service, long affinityKey, double versionDraw, Set<BackendId> triedServers) {
+        this(service, affinityKey, versionDraw, triedServers, "");
+    }
+}
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerChoice.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerChoice.java
@@ -10,10 +10,16 @@
  * @param reason why this server was chosen, or why none was
  * @param load estimated number of requests that all gateways have in progress at the server
  * @param candidates number of servers that were eligible
+ * @param cost terms by which the server was preferred to others; zero if none were compared
  * @param waitNanos time until the first server accepts requests again, 0 if that is not known
  */
 public record ServerChoice(
-        @Nullable Registration server, Reason reason, int load, int candidates, long waitNanos) {
+        @Nullable Registration server,
+        Reason reason,
+        int load,
+        int candidates,
+        ServerCost cost,
+        long waitNanos) {
     /** Why a server was chosen, or why none was. */
     public enum Reason {
         /** A server that has recently processed the same prompt prefix. */
@@ -34,15 +40,15 @@
         ALL_COLD;
     }
 
-    static ServerChoice of(ServerSlot slot, Reason reason, int candidates) {
-        return new ServerChoice(slot.registration(), reason, slot.load(), candidates, 0);
+    static ServerChoice of(ServerSlot slot, Reason reason, int candidates, ServerCost cost) {
+        return new ServerChoice(slot.registration(), reason, slot.load(), candidates, cost, 0);
     }
 
     static ServerChoice none(Reason reason) {
-        return new ServerChoice(null, reason, 0, 0, 0);
+        return new ServerChoice(null, reason, 0, 0, ServerCost.NONE, 0);
     }
 
     static ServerChoice allResting(long waitNanos) {
-        return new ServerChoice(null, Reason.ALL_RESTING, 0, 0, waitNanos);
+        return new ServerChoice(null, Reason.ALL_RESTING, 0, 0, ServerCost.NONE, waitNanos);
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerLoad.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerLoad.java
@@ -1,13 +1,23 @@
 package org.hemlockrack.dispatch;
 
+import java.util.concurrent.TimeUnit;
+
 /**
  * Requests in progress at one server, all gateways together: those of this gateway, which it knows
  * exactly, and those of the others as of the last sum. Not thread-safe.
  */
 final class ServerLoad {
+    /**
+     * Time for which the server's own count is newer than the next sum of the gateways, which is of
+     * reports that are up to two exchanges old.
+     */
+    private static final long SERVER_REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
     private int mOwnRequests;
     private int mFleetRequests;
     private int mOwnRequestsAtReport;
+    private boolean mHasServerReport;
+    private long mServerReportNanos;
 
     void recordDispatch() {
         mOwnRequests++;
@@ -28,6 +38,21 @@
         mOwnRequestsAtReport = ownRequestsAtReport;
     }
 
+    /** Adopts such a load unless the server's own count is newer. */
+    void recordFleet(long nowNanos, int fleetRequests, int ownRequestsAtReport) {
+        if (mHasServerReport && nowNanos - mServerReportNanos < SERVER_REPORT_NANOS) {
+            return;
+        }
+        recordFleet(fleetRequests, ownRequestsAtReport);
+    }
+
+    /** Adopts the number of requests that the server itself counts at this moment. */
+    void recordServerReport(long nowNanos, int requests) {
+        mHasServerReport = true;
+        mServerReportNanos = nowNanos;
+        recordFleet(requests, mOwnRequests);
+    }
+
     /** Returns the requests of this gateway. */
     int ownRequests() {
         return mOwnRequests;
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -8,8 +8,12 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.hemlockrack.capacity.CapacityObservations;
+import org.hemlockrack.capacity.LearnedCapacity;
 import org.hemlockrack.capacity.ReportedLoad;
 import org.hemlockrack.capacity.SchedulingMode;
+import org.hemlockrack.capacity.ServerCapacity;
+import org.hemlockrack.capacity.ServiceDelays;
 import org.hemlockrack.control.RoutingOverrides;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.ServiceId;
@@ -19,6 +23,7 @@
 import org.hemlockrack.registry.Registration;
 import org.hemlockrack.routing.RouteTable;
 import org.hemlockrack.routing.ServiceSpec;
+import org.hemlockrack.wire.CapacityData;
 import org.hemlockrack.wire.PrefixUseData;
 import org.jspecify.annotations.Nullable;
 
@@ -31,7 +36,13 @@
     /** Number of gateways assumed until a controller has reported it. */
     private static final int INITIAL_GATEWAYS = 16;
 
+    private static final double PERCENT = 100;
+
     private final LeastCost mLeastCost;
+    private final LeastDelay mLeastDelay;
+    private final ServerCapacity.Factory mCapacities;
+    private final CapacityObservations mObservations = CapacityObservations.ofGateway();
+    private final Map<ServiceId, ServiceDelays> mDelays = new HashMap<>();
     private final RandomGenerator mRandom;
     private final SchedulingMode mMode;
     private final Set<ServiceId> mSpeedReported = new HashSet<>();
@@ -42,8 +53,14 @@
     private Map<ServiceId, ServiceSpec> mSpecs = Map.of();
     private int mGatewayCount = INITIAL_GATEWAYS;
 
-    private ServerPool(ZoneId homeZone, RandomGenerator random, SchedulingMode mode) {
+    private ServerPool(
+            ZoneId homeZone,
+            RandomGenerator random,
+            SchedulingMode mode,
+            ServerCapacity.Factory capacities) {
         mMode = mode;
+        mCapacities = capacities;
+        mLeastDelay = new LeastDelay(homeZone, random);
         mLeastCost = new LeastCost(homeZone, random);
         mRandom = random;
     }
@@ -68,7 +85,24 @@
      * @return the pool
      */
     public static ServerPool create(ZoneId homeZone, RandomGenerator random, SchedulingMode mode) {
-        return new ServerPool(homeZone, random, mode);
+        return create(homeZone, random, mode, (server, slots) -> LearnedCapacity.of(slots));
+    }
+
+    /**
+     * Creates an empty pool.
+     *
+     * @param homeZone availability zone of the gateway
+     * @param random source of randomness for ties and for the phase of cold servers
+     * @param mode for which services the capacity of the servers is learned
+     * @param capacities creates the capacity of each server
+     * @return the pool
+     */
+    public static ServerPool create(
+            ZoneId homeZone,
+            RandomGenerator random,
+            SchedulingMode mode,
+            ServerCapacity.Factory capacities) {
+        return new ServerPool(homeZone, random, mode, capacities);
     }
 
     /**
@@ -97,8 +131,7 @@
             present.add(registration.id());
             ServerSlot slot = mSlots.get(registration.id());
             if (slot == null || slot.registration().startMillis() != registration.startMillis()) {
-                mSlots.put(
-                        registration.id(), new ServerSlot(server, nowNanos, mRandom.nextDouble()));
+                mSlots.put(registration.id(), newSlot(nowNanos, server));
             } else {
                 slot.setServer(server);
             }
@@ -113,6 +146,13 @@
         }
     }
 
+    private ServerSlot newSlot(long nowNanos, RegisteredServer server) {
+        Registration registration = server.registration();
+        ServerCapacity capacity =
+                mCapacities.create(registration.id().value(), registration.slots());
+        return new ServerSlot(server, nowNanos, capacity, mRandom.nextDouble());
+    }
+
     /**
      * Of two servers with one address, returns the one that started later, or the one with the
      * later heartbeat if both state the same start.
@@ -142,6 +182,29 @@
                                 fleet.getOrDefault(id, 0), ownAtReport.getOrDefault(id, 0)));
     }
 
+    /**
+     * Same as {@link #updateFleetLoad(Map, Map, int)}, but where a server has reported its own load
+     * a moment ago, that is kept.
+     *
+     * @param nowNanos monotonic time
+     * @param fleet requests in progress at each server, all gateways together
+     * @param ownAtReport the part of this gateway in that load
+     * @param gateways number of gateways
+     */
+    public void updateFleetLoad(
+            long nowNanos,
+            Map<BackendId, Integer> fleet,
+            Map<BackendId, Integer> ownAtReport,
+            int gateways) {
+        mGatewayCount = Math.max(1, gateways);
+        mSlots.forEach(
+                (id, slot) ->
+                        slot.mLoad.recordFleet(
+                                nowNanos,
+                                fleet.getOrDefault(id, 0),
+                                ownAtReport.getOrDefault(id, 0)));
+    }
+
     /** Returns the number of gateways that share the limits of a server. */
     public int gatewayCount() {
         return mGatewayCount;
@@ -200,9 +263,13 @@
             return ServerChoice.allResting(shortestRestNanos);
         }
         ServiceSpec spec = mSpecs.get(criteria.service());
+        boolean managed = isManaged(criteria.service());
         List<ServerSlot> available =
                 UsableServers.withCapacity(
-                        UsableServers.withoutRejecting(nowNanos, accepting), spec);
+                        nowNanos,
+                        UsableServers.withoutRejecting(nowNanos, accepting),
+                        spec,
+                        managed);
         if (available.isEmpty()) {
             return ServerChoice.none(ServerChoice.Reason.ALL_FULL);
         }
@@ -212,7 +279,10 @@
             return ServerChoice.none(ServerChoice.Reason.ALL_COLD);
         }
         usable = UsableServers.withoutFailing(nowNanos, usable);
-        ServerChoice choice = chooseAmong(nowNanos, all, usable, criteria.affinityKey());
+        ServerChoice choice =
+                managed
+                        ? chooseByDelay(nowNanos, all, usable, criteria)
+                        : chooseAmong(nowNanos, all, usable, criteria.affinityKey());
         BackendId chosen = choice.server().id();
         mSlots.get(chosen).recordDispatch(nowNanos);
         if (criteria.affinityKey() != 0) {
@@ -221,6 +291,17 @@
         return choice;
     }
 
+    private ServerChoice chooseByDelay(
+            long nowNanos,
+            List<ServerSlot> all,
+            List<ServerSlot> usable,
+            SelectionCriteria criteria) {
+        long key = criteria.affinityKey();
+        List<BackendId> holders = key == 0 ? List.of() : mAffinity.holders(nowNanos, key);
+        return mLeastDelay.choose(
+                nowNanos, all, usable, criteria, holders, delays(criteria.service()));
+    }
+
     private ServerChoice chooseAmong(
             long nowNanos, List<ServerSlot> all, List<ServerSlot> usable, long key) {
         ServerChoice choice = key == 0 ? null : mAffinity.choose(nowNanos, all, usable, key);
@@ -289,6 +370,95 @@
         if (load.hasWorkPercent()) {
             mSpeedReported.add(server.service());
         }
+        ServerSlot slot = findSlot(server);
+        if (slot == null || !isManaged(server.service())) {
+            return;
+        }
+        if (load.hasRequests()) {
+            slot.mLoad.recordServerReport(nowNanos, load.requests());
+        }
+        slot.mCapacity.recordReport(nowNanos, load);
+        if (load.hasWorkPercent()) {
+            mObservations.recordWork(
+                    nowNanos, server.id(), server.startMillis(), load.workPercent());
+        }
+    }
+
+    /**
+     * Records a time that a server took.
+     *
+     * @param nowNanos monotonic time
+     * @param server the incarnation
+     * @param route name of the request's route
+     * @param kind what the time is of
+     * @param nanos the time
+     */
+    public void recordDelay(
+            long nowNanos, Registration server, String route, DelayKind kind, long nanos) {
+        ServerSlot slot = findSlot(server);
+        if (slot == null || !isManaged(server.service())) {
+            return;
+        }
+        double ratio = delays(server.service()).record(nowNanos, kind.workKind(route), nanos);
+        slot.mCapacity.recordDelay(nowNanos, ratio, slot.load());
+        mObservations.recordDelay(nowNanos, server.id(), server.startMillis(), ratio);
+    }
+
+    private ServiceDelays delays(ServiceId service) {
+        return mDelays.computeIfAbsent(service, key -> ServiceDelays.create());
+    }
+
+    /**
+     * Returns what this gateway has seen of the servers' speed.
+     *
+     * @param nowNanos monotonic time
+     * @param position end of the last page
+     * @param maxEntries largest number of entries
+     */
+    public PagedLog.Page<CapacityData> observationsSince(
+            long nowNanos, long position, int maxEntries) {
+        return mObservations.readFrom(nowNanos, position, maxEntries);
+    }
+
+    /**
+     * Adopts what all gateways together have seen of the servers' speed.
+     *
+     * @param nowNanos monotonic time
+     * @param observations the observations
+     */
+    public void adoptObservations(long nowNanos, List<CapacityData> observations) {
+        for (CapacityData each : observations) {
+            ServerSlot slot = mSlots.get(BackendId.of(each.getServer()));
+            if (slot == null || slot.registration().startMillis() != each.getStartMillis()) {
+                continue;
+            }
+            ServiceId service = slot.registration().service();
+            ReportedLoad load = ReportedLoad.ofWork(each.getWorkPercent());
+            if (load.hasWorkPercent()) {
+                mSpeedReported.add(service);
+            }
+            if (!isManaged(service)) {
+                continue;
+            }
+            slot.mCapacity.recordReport(nowNanos - CapacityObservations.ageNanos(each), load);
+            if (each.getSamples() > 0 && each.getDelayPercent() > 0) {
+                double ratio = each.getDelayPercent() / PERCENT;
+                slot.mCapacity.recordDelay(nowNanos, ratio, slot.load());
+            }
+        }
+    }
+
+    /**
+     * Returns the number of servers of managed services whose learned limit is below their slots.
+     *
+     * @param nowNanos monotonic time
+     */
+    public int limitedCount(long nowNanos) {
+        return (int)
+                mSlots.values().stream()
+                        .filter(slot -> isManaged(slot.registration().service()))
+                        .filter(slot -> slot.mCapacity.limit(nowNanos) < slot.slots())
+                        .count();
     }
 
     /**
@@ -320,8 +490,12 @@
      */
     public void recordOutcome(long nowNanos, BackendId id, AttemptOutcome outcome) {
         ServerSlot slot = mSlots.get(id);
-        if (slot != null) {
-            slot.recordOutcome(nowNanos, outcome);
+        if (slot == null) {
+            return;
+        }
+        slot.recordOutcome(nowNanos, outcome);
+        if (outcome == AttemptOutcome.REJECTED) {
+            slot.mCapacity.recordRejection(nowNanos, slot.load());
         }
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerSlot.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerSlot.java
@@ -1,5 +1,6 @@
 package org.hemlockrack.dispatch;
 
+import org.hemlockrack.capacity.ServerCapacity;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.registry.RegisteredServer;
 import org.hemlockrack.registry.Registration;
@@ -11,6 +12,8 @@
     final ColdPacing mColdPacing;
     final ServerStatement mStatement = new ServerStatement();
 
+    final ServerCapacity mCapacity;
+
     private final long mIdHash;
     private RegisteredServer mServer;
 
@@ -19,9 +22,11 @@
      *
      * @param server the server
      * @param nowNanos monotonic time
+     * @param capacity learns what the server sustains
      * @param coldPhase number in [0, 1) that spreads the permits of the gateways over an interval
      */
-    ServerSlot(RegisteredServer server, long nowNanos, double coldPhase) {
+    ServerSlot(RegisteredServer server, long nowNanos, ServerCapacity capacity, double coldPhase) {
+        mCapacity = capacity;
         mServer = server;
         mHealth = new ServerHealth(nowNanos);
         mColdPacing = new ColdPacing(coldPhase);
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/UsableServers.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/UsableServers.java
@@ -79,13 +79,15 @@
         return accepting.isEmpty() ? slots : accepting;
     }
 
-    /** Removes servers whose slots are in use. */
-    static List<ServerSlot> withCapacity(List<ServerSlot> slots, @Nullable ServiceSpec spec) {
+    /** Removes servers whose slots, or learned limits, are in use. */
+    static List<ServerSlot> withCapacity(
+            long nowNanos, List<ServerSlot> slots, @Nullable ServiceSpec spec, boolean managed) {
         boolean engines = spec != null && spec.runsEngines();
         List<ServerSlot> open = new ArrayList<>();
         for (ServerSlot slot : slots) {
-            int maxRequests = engines ? slot.slots() : MAX_REQUESTS_PER_PLAIN_SLOT * slot.slots();
-            if (slot.load() < maxRequests) {
+            double limit = managed ? slot.mCapacity.limit(nowNanos) : slot.slots();
+            double maxRequests = engines ? limit : MAX_REQUESTS_PER_PLAIN_SLOT * limit;
+            if (slot.load() < Math.floor(maxRequests)) {
                 open.add(slot);
             }
         }
--- /dev/null
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/capacity/CapacityProperties.java
@@ -0,0 +1,202 @@
+package org.hemlockrack.capacity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Supplier;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+class CapacityProperties {
+    private static final long SECOND = 1_000 * ServerHistory.MILLI;
+
+    /** Netflix's gradient: the limit shrinks by the ratio of the delays and grows by its root. */
+    private static final LimitRule GRADIENT =
+            (limit, observed) ->
+                    limit * Math.max(0.5, Math.min(1, 1.5 / observed.delayRatio()))
+                            + Math.sqrt(limit);
+
+    private static final LimitRule REPORT =
+            (limit, observed) -> observed.slots() * 100 / observed.workPercent();
+
+    private static final LimitRule SLOTS = (limit, observed) -> observed.slots();
+
+    private static final ServerHistory.Shape SLOWS_EARLY =
+            new ServerHistory.Shape() {
+                @Override
+                public double speed(int server, long nowNanos) {
+                    return 1;
+                }
+
+                @Override
+                public int knee(int server, int slots) {
+                    return server < 3 ? slots / 3 : slots;
+                }
+            };
+
+    private static Map<String, ServerHistory.Shape> histories() {
+        Map<String, ServerHistory.Shape> histories = new LinkedHashMap<>();
+        histories.put("half speed", (server, now) -> server < 2 ? 0.5 : 1);
+        histories.put("slows at a third of the slots", SLOWS_EARLY);
+        histories.put(
+                "2.5 times slower for 600 ms",
+                (server, now) ->
+                        (now + server * SECOND / 3) % (4 * SECOND) < 0.6 * SECOND ? 0.4 : 1);
+        histories.put("all slow at once", (server, now) -> now > 8 * SECOND ? 0.6 : 1);
+        histories.put(
+                "speed changes", (server, now) -> (now / (5 * SECOND) + server) % 4 == 0 ? 0.5 : 1);
+        return histories;
+    }
+
+    @Provide
+    Arbitrary<String> history() {
+        return Arbitraries.of(histories().keySet());
+    }
+
+    /** Answers on time and mean delay in percent of those of the oracle. */
+    private record Share(double onTime, double delay) {}
+
+    private static Share share(
+            ServerHistory.Shape shape, LimitRule rule, boolean reports, double load, long seed) {
+        double perTick = load * 8 * 24 / 100;
+        ServerHistory.Result oracle =
+                ServerHistory.run(shape, ServerHistory.OracleCapacity::new, reports, perTick, seed);
+        ServerHistory.Result learned =
+                ServerHistory.run(
+                        shape,
+                        (history, number, slots) -> LearnedCapacity.of(slots, rule),
+                        reports,
+                        perTick,
+                        seed);
+        return new Share(
+                100.0 * learned.onTime() / oracle.onTime(),
+                100.0 * learned.meanMillis() / oracle.meanMillis());
+    }
+
+    /** Guards against a limit that costs more than a tenth of the answers that are possible. */
+    @Property(tries = 60)
+    void learnedCapacityStaysNearTheOracle(
+            @ForAll("history") String name, @ForAll boolean reports, @ForAll long seed) {
+        double load = 0.3 + new SplittableRandom(seed).nextDouble() * 0.65;
+        Share share = share(histories().get(name), new QueueingDelayRule(), reports, load, seed);
+        assertTrue(share.onTime() >= 90, name + " at " + load + ": " + share);
+        assertTrue(share.delay() <= 120, name + " at " + load + ": " + share);
+    }
+
+    /** The property above must catch the slots and the report alone as limits. */
+    @Test
+    void brokenVariantsAreCaught() {
+        for (LimitRule rule : List.of(SLOTS, REPORT)) {
+            Share share = share(SLOWS_EARLY, rule, true, 0.9, 1);
+            assertTrue(share.onTime() < 90, share.toString());
+        }
+    }
+
+    /** Guards against a limit outside its bounds, which would close a server or overload it. */
+    @Property(tries = 200)
+    void limitStaysBetweenFloorAndSlotsAndRecovers(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        int slots = 1 + random.nextInt(100);
+        LearnedCapacity capacity = LearnedCapacity.of(slots);
+        long now = random.nextLong();
+        for (int i = 0; i < 300; i++) {
+            now += random.nextLong(300 * ServerHistory.MILLI);
+            int load = random.nextInt(2 * slots);
+            switch (random.nextInt(3)) {
+                case 0 -> capacity.recordDelay(now, random.nextDouble() * 20, load);
+                case 1 -> capacity.recordRejection(now, load);
+                default ->
+                        capacity.recordReport(
+                                now, new ReportedLoad(load, 0, slots, random.nextInt(2_000)));
+            }
+            double limit = capacity.limit(now);
+            assertTrue(limit >= Math.max(1, 0.1 * slots) && limit <= slots, "limit " + limit);
+            assertTrue(capacity.speed(now) > 0);
+        }
+        assertEquals(slots, capacity.limit(now + 6 * SECOND), 1e-9);
+    }
+
+    /**
+     * Guards against penalising servers when all are slow, or when this gateway is overloaded and
+     * measures long times everywhere; and against taking long prompts for a slow server.
+     */
+    @Test
+    void commonSlownessAndLongPromptsAreNoDelay() {
+        double[] worst = new double[2];
+        List<Supplier<DelayRatio>> variants =
+                List.of(
+                        () -> ServiceDelays.create()::record,
+                        // Broken: without the kinds of work and the common delay.
+                        () -> {
+                            DelayBaselines raw = DelayBaselines.create();
+                            return (now, kind, nanos) -> {
+                                raw.record("", nanos);
+                                return nanos / raw.usualNanos("", nanos);
+                            };
+                        });
+        for (int variant = 0; variant < 2; variant++) {
+            DelayRatio delays = variants.get(variant).get();
+            for (int i = 0; i < 1_000; i++) {
+                boolean isLong = i % 3 == 0;
+                long nanos = (isLong ? 800 : 100) * ServerHistory.MILLI * (i >= 500 ? 3 : 1);
+                double ratio = delays.record(i * SECOND / 10, isLong ? "long" : "short", nanos);
+                // The first few answers show that all are slow.
+                if (i > 100 && (i < 500 || i > 530)) {
+                    worst[variant] = Math.max(worst[variant], ratio);
+                }
+            }
+        }
+        assertTrue(worst[0] < 1.3, "worst " + worst[0]);
+        assertTrue(worst[1] > 2, "worst " + worst[1]);
+    }
+
+    /** Times to multiples of the usual time. */
+    private interface DelayRatio {
+        double record(long nowNanos, String kind, long nanos);
+    }
+
+    /** Guards against a report that counts after the age that the design note states. */
+    @Test
+    void oldReportsCountForNothing() {
+        LearnedCapacity capacity = LearnedCapacity.of(64);
+        for (int i = 0; i < 10; i++) {
+            capacity.recordReport(i * SECOND, ReportedLoad.ofWork(100));
+        }
+        capacity.recordReport(9 * SECOND + SECOND / 10, ReportedLoad.ofWork(400));
+        long now = 9 * SECOND + SECOND / 10;
+        assertTrue(capacity.speed(now) < 0.6, "fresh " + capacity.speed(now));
+        assertTrue(capacity.speed(now + SECOND) > 0.7, "mean " + capacity.speed(now + SECOND));
+        assertEquals(1, capacity.speed(now + 11 * SECOND));
+    }
+
+    /** Compares the rules of server-capacity.md on its histories; prints the figures there. */
+    @Test
+    void compareRules() {
+        Map<String, LimitRule> rules = new LinkedHashMap<>();
+        rules.put("report", REPORT);
+        rules.put("gradient", GRADIENT);
+        rules.put("queueing delay", new QueueingDelayRule());
+        Map<String, Double> worst = new LinkedHashMap<>();
+        rules.forEach(
+                (rule, limitRule) ->
+                        histories()
+                                .forEach(
+                                        (name, shape) -> {
+                                            Share share = share(shape, limitRule, false, 0.9, 7);
+                                            System.out.printf(
+                                                    "%s, %s: %.0f %% on time, delay %.0f %%%n",
+                                                    rule, name, share.onTime(), share.delay());
+                                            worst.merge(rule, share.onTime(), Math::min);
+                                        }));
+        assertTrue(worst.get("queueing delay") > worst.get("gradient"), worst.toString());
+        assertTrue(worst.get("queueing delay") > worst.get("report"), worst.toString());
+    }
+}
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -176,6 +176,21 @@
   3: list<string> watchedParts
 }
 
+/** What was seen of one incarnation of a backend server since the last message. */
+struct CapacityData {
+  1: string server,
+  /** Start of the server process, which distinguishes incarnations. */
+  2: i64 startMillis,
+  /** Age of the newest observation when the message was built. */
+  3: optional i32 ageMillis,
+  /** Mean delay in percent of what is usual for the same work, rounded. */
+  4: optional i32 delayPercent,
+  /** Number of answers that the mean is of. */
+  5: optional i32 samples,
+  /** How long work takes at the server as it last reported, 100 is usual. */
+  6: optional i32 workPercent
+}
+
 struct SyncRequest {
   1: string sender,
   2: bool gateway,
@@ -202,7 +217,11 @@
   /** Most bytes of documents of those tables in the reply; the rest is listed without. */
   16: i32 maxTableBytes,
   /** Whether the sender is a controller that stops as soon as another one has its seat. */
-  17: bool leaving
+  17: bool leaving,
+  /** What the caller has seen of the servers' speed since its last request to this receiver. */
+  50: optional list<CapacityData> capacity,
+  /** Position in the receiver's list of observations; absent if the caller wants none. */
+  51: optional i64 capacityPosition
 }
 
 /** A table in the durable log of a controller. */
@@ -263,5 +282,8 @@
    * The revision, if it belongs to the state that the receiver has read from its disk, and its log
    * still holds that in the settled term; absent otherwise.
    */
-  20: optional i64 settledRevision
+  20: optional i64 settledRevision,
+  /** What all gateways together have seen of the servers' speed after the caller's position. */
+  50: optional list<CapacityData> capacity,
+  51: optional i64 capacityPosition
 }
