Share what gateways see of the servers' speed, and show the terms of a choice

With 87 gateways and 42 servers, one gateway sees an answer of a given server every 13 s, too few to learn from. SyncRequest now carries merged and rounded observations, SyncReply those of all gateways; both are bounded, and only changes are sent. Gateways record the time to the first piece and the first pauses of streams.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastDelay.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastDelay.java
@@ -36,8 +36,11 @@
     /** Bound on the measured cost of a prefix, so that it never outweighs a full server. */
     private static final double MAX_PREFIX_COST = 12;
 
-    /** Part of the limit from which on the expected wait no longer grows. */
-    private static final double MAX_UTILIZATION = 0.95;
+    /**
+     * Part of the limit from which on the expected wait is taken to grow linearly: beyond the limit
+     * the longer queue must still cost more.
+     */
+    private static final double LINEAR_UTILIZATION = 0.9;
 
     /** Bound on the slowness of a server relative to the others, in both directions. */
     private static final double MAX_SLOWNESS = 10;
@@ -116,15 +119,19 @@
             long nowNanos, ServerSlot slot, double usualSpeed, double prefixCost) {
         double slowness = usualSpeed / slot.mCapacity.speed(nowNanos);
         double bounded = Math.max(1 / MAX_SLOWNESS, Math.min(MAX_SLOWNESS, slowness));
-        double utilization =
-                Math.min(MAX_UTILIZATION, slot.load() / slot.mCapacity.limit(nowNanos));
-        // Mean number of requests ahead in a queue with random arrivals.
-        double load = bounded * utilization / (1 - utilization);
+        double load = bounded * expectedWait(slot.load() / slot.mCapacity.limit(nowNanos));
         double zone = isHome(slot) ? 0 : ZONE_COST;
         double tie = TIE_COST * mRandom.nextDouble();
         return new ServerCost(load, bounded - 1, bounded * prefixCost, zone, tie);
     }
 
+    /** Returns the mean number of requests ahead in a queue with random arrivals. */
+    private static double expectedWait(double utilization) {
+        double curved = Math.min(LINEAR_UTILIZATION, utilization);
+        double slope = 1 / ((1 - LINEAR_UTILIZATION) * (1 - LINEAR_UTILIZATION));
+        return curved / (1 - curved) + slope * (utilization - curved);
+    }
+
     private boolean isHome(ServerSlot slot) {
         return slot.registration().zone().equals(mHomeZone);
     }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/capacity/CapacityProperties.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/capacity/CapacityProperties.java
@@ -185,17 +185,24 @@
         rules.put("gradient", GRADIENT);
         rules.put("queueing delay", new QueueingDelayRule());
         Map<String, Double> worst = new LinkedHashMap<>();
-        rules.forEach(
-                (rule, limitRule) ->
-                        histories()
-                                .forEach(
-                                        (name, shape) -> {
-                                            Share share = share(shape, limitRule, false, 0.9, 7);
-                                            System.out.printf(
-                                                    "%s, %s: %.0f %% on time, delay %.0f %%%n",
-                                                    rule, name, share.onTime(), share.delay());
-                                            worst.merge(rule, share.onTime(), Math::min);
-                                        }));
+        for (boolean reports : new boolean[] {true, false}) {
+            rules.forEach(
+                    (rule, limitRule) ->
+                            histories()
+                                    .forEach(
+                                            (name, shape) -> {
+                                                Share share =
+                                                        share(shape, limitRule, reports, 0.9, 7);
+                                                System.out.printf(
+                                                        "%s, reports %s, %s: %.1f/%.0f%n",
+                                                        rule,
+                                                        reports,
+                                                        name,
+                                                        share.onTime(),
+                                                        share.delay());
+                                                worst.merge(rule, share.onTime(), Math::min);
+                                            }));
+        }
         assertTrue(worst.get("queueing delay") > worst.get("gradient"), worst.toString());
         assertTrue(worst.get("queueing delay") > worst.get("report"), worst.toString());
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -495,6 +495,7 @@
                 mLeaderTasks.noteRequest(nowNanos, request);
             }
             exchangePrefixUses(nowNanos, sameEpoch, request, reply);
+            mGatewayReports.exchangeObservations(nowNanos, sameEpoch, request, reply);
             long haveRevision = sameEpoch ? request.getRegistryRevision() : 0;
             reply.setRegistryEpoch(mRegistryEpoch);
             reply.setRegistryRevision(mRegistry.revision());
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/GatewayReports.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/GatewayReports.java
@@ -5,13 +5,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.hemlockrack.capacity.CapacityObservations;
 import org.hemlockrack.control.MoveEvaluator.VersionAnswers;
+import org.hemlockrack.daemon.sync.ControllerLink;
 import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.paging.PagedLog;
+import org.hemlockrack.wire.CapacityData;
 import org.hemlockrack.wire.LoadData;
+import org.hemlockrack.wire.SyncReply;
 import org.hemlockrack.wire.SyncRequest;
 import org.hemlockrack.wire.VersionCountsData;
 
-/** The last report of each gateway: requests in progress and answer counts. Not thread-safe. */
+/**
+ * The last report of each gateway: requests in progress and answer counts, and what all gateways
+ * have seen of the servers' speed. Not thread-safe.
+ */
 final class GatewayReports {
     /** A gateway that has sent no report for this long is removed. */
     private static final long EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(4);
@@ -23,6 +31,7 @@
 
     private final Map<String, Report> mReports = new HashMap<>();
     private final Map<VersionKey, VersionAnswers> mExpiredCounts = new HashMap<>();
+    private final CapacityObservations mObservations = CapacityObservations.ofController();
     private List<LoadData> mCachedSum = List.of();
     private long mCachedSumNanos;
     private boolean mHasCachedSum;
@@ -37,6 +46,26 @@
                 new Report(nowNanos, request.getInFlight(), request.getCounts()));
     }
 
+    /** Merges what a gateway has seen of the servers' speed, and tells it what others have seen. */
+    void exchangeObservations(
+            long nowNanos, boolean sameEpoch, SyncRequest request, SyncReply reply) {
+        if (request.isSetCapacity()) {
+            mObservations.recordAll(nowNanos, request.getCapacity());
+        }
+        if (!request.isSetCapacityPosition()) {
+            return;
+        }
+        PagedLog.Page<CapacityData> page =
+                mObservations.readFrom(
+                        nowNanos,
+                        sameEpoch ? request.getCapacityPosition() : 0,
+                        ControllerLink.MAX_RECEIVED_OBSERVATIONS);
+        reply.setCapacityPosition(page.next());
+        if (!page.entries().isEmpty()) {
+            reply.setCapacity(page.entries());
+        }
+    }
+
     int gatewayCount(long nowNanos) {
         expire(nowNanos);
         return mReports.size();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/EventBoundaryDetector.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/EventBoundaryDetector.java
@@ -8,7 +8,7 @@
  * broken off. Not thread-safe, except that any thread may read the results.
  */
 final class EventBoundaryDetector {
-    private volatile boolean mHasEvent;
+    private volatile int mEvents;
     private volatile long mBytes;
     private boolean mInLine;
     private boolean mInEvent;
@@ -38,7 +38,7 @@
         }
         // An empty line ends an event if there was a line before it.
         if (!mInLine && mInEvent) {
-            mHasEvent = true;
+            mEvents++;
             mInEvent = false;
         }
         mInLine = false;
@@ -46,7 +46,12 @@
 
     /** Returns whether a whole event has arrived. */
     boolean hasEvent() {
-        return mHasEvent;
+        return mEvents > 0;
+    }
+
+    /** Returns the number of whole events that have arrived. */
+    int events() {
+        return mEvents;
     }
 
     /** Returns whether bytes have arrived since the end of the last event. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ExchangeLog.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ExchangeLog.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.dispatch.AttemptOutcome;
+import org.hemlockrack.dispatch.ServerCost;
 import org.hemlockrack.routing.Route;
 import org.jspecify.annotations.Nullable;
 
@@ -12,6 +13,8 @@
     /** Prompt parts in a log line; a prompt has a few, but the number is up to the caller. */
     private static final int MAX_LOGGED_PARTS = 8;
 
+    private static final double PERCENT = 100;
+
     private final DecisionLog mLog;
     private final OpenExchanges mOpenExchanges;
     private final String mAttemptId;
@@ -63,8 +66,8 @@
         if (status < 400 && !late && attempts == 1 && !mLog.shouldSample()) {
             return;
         }
-        mLog.requestEvent(late ? "answered_late" : "answered", mAttemptId)
-                .put("route", mRoute.name())
+        DecisionLog.Line line = mLog.requestEvent(late ? "answered_late" : "answered", mAttemptId);
+        line.put("route", mRoute.name())
                 .put("workspace", mWorkspace)
                 .put("server", attempt.server().id().value())
                 .put("why", attempt.choice().reason().name())
@@ -74,8 +77,20 @@
                 .put("status", status)
                 .put("attempts", attempts)
                 .put("first_byte_ms", attempt.firstByteMillis())
-                .put("elapsed_ms", elapsedMillis)
-                .write();
+                .put("elapsed_ms", elapsedMillis);
+        putCost(line, attempt.choice().cost());
+        line.write();
+    }
+
+    /** Adds the terms that decided a choice; they are left out where no cost was compared. */
+    private static void putCost(DecisionLog.Line line, ServerCost cost) {
+        if (cost.total() == 0) {
+            return;
+        }
+        line.put("cost_load_pct", Math.round(PERCENT * cost.load()))
+                .put("cost_work_pct", Math.round(PERCENT * cost.work()))
+                .put("cost_prefix_pct", Math.round(PERCENT * cost.prefix()))
+                .put("cost_zone_pct", Math.round(PERCENT * cost.zone()));
     }
 
     void ended(String event, @Nullable ForwardAttempt attempt, String cause, int attempts) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -15,6 +15,7 @@
 import org.hemlockrack.daemon.http.UpstreamCall;
 import org.hemlockrack.daemon.http.UpstreamListener;
 import org.hemlockrack.dispatch.AttemptOutcome;
+import org.hemlockrack.dispatch.DelayKind;
 import org.hemlockrack.dispatch.ServerChoice;
 import org.hemlockrack.registry.Registration;
 import org.jspecify.annotations.Nullable;
@@ -25,6 +26,12 @@
     private static final int FIRST_REDIRECT = 300;
     private static final int FIRST_SERVER_ERROR = 500;
 
+    /**
+     * Pauses at the start of a stream by which servers are compared. So few events fit into the
+     * narrow window, so that a caller that takes the answer slowly does not count against a server.
+     */
+    private static final int COMPARED_PAUSES = 3;
+
     /**
      * Limit on the part of an answer that is kept before anything is sent to the caller. Answers
      * with a known length up to the limit are kept as a whole, so that another server can be tried
@@ -68,6 +75,9 @@
     private int mStatus;
     private List<HeaderField> mHeaders = List.of();
     private long mFirstByteNanos;
+    private long mFirstEventNanos;
+    private int mFirstEvents;
+    private boolean mPausesCompared;
     private final EventBoundaryDetector mEvents = EventBoundaryDetector.create();
 
     /** How the body of the answer is handled. */
@@ -360,6 +370,9 @@
         if (!begun && hasBegun() && passesOn) {
             mExchange.onAnswerBegun();
         }
+        if (passesOn && mSuccessStream) {
+            compareEvents(begun);
+        }
         switch (mMode) {
             case STREAMING -> mExchange.forwardBody(this, data);
             case COLLECTING -> collect(data);
@@ -372,6 +385,34 @@
         }
     }
 
+    /** Records the time to the first event of a stream, and the pauses after it. */
+    private void compareEvents(boolean begun) {
+        if (!hasBegun() || mPausesCompared) {
+            return;
+        }
+        long nowNanos = System.nanoTime();
+        if (!begun) {
+            mFirstEventNanos = nowNanos;
+            mFirstEvents = mEvents.events();
+            recordFirstPiece(nowNanos, nowNanos - mStartNanos);
+            return;
+        }
+        int pauses = mEvents.events() - mFirstEvents;
+        if (pauses >= COMPARED_PAUSES) {
+            mPausesCompared = true;
+            recordDelay(nowNanos, DelayKind.PAUSE, (nowNanos - mFirstEventNanos) / pauses);
+        }
+    }
+
+    private void recordFirstPiece(long nowNanos, long nanos) {
+        boolean cached = mChoice.reason() == ServerChoice.Reason.CACHED;
+        recordDelay(nowNanos, cached ? DelayKind.FIRST_PIECE_CACHED : DelayKind.FIRST_PIECE, nanos);
+    }
+
+    private void recordDelay(long nowNanos, DelayKind kind, long nanos) {
+        mExchange.context().state().recordDelay(nowNanos, mServer, mExchange.route(), kind, nanos);
+    }
+
     private void collect(ByteBuffer data) {
         int bytes = data.remaining();
         if (mEvents.bytes() <= MAX_COLLECTED_BYTES) {
@@ -489,6 +530,7 @@
         boolean failure = isFailure();
         countAnswer(!failure);
         if (!failure) {
+            recordFirstPiece(System.nanoTime(), firstByteNanos());
             mExchange.onAnswerBegun();
         }
         boolean canRetry = mExchange.route().allowsRerun() && mExchange.canCompleteBeforeStop();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -235,7 +235,8 @@
                                         mService,
                                         prefixHash,
                                         mRoutingFraction,
-                                        Set.copyOf(mTriedServers)));
+                                        Set.copyOf(mTriedServers),
+                                        mRoute.name()));
         mContext.metrics().increment(MetricName.SERVER_CHOICES, "reason", choice.reason().name());
         return choice;
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -130,6 +130,7 @@
         mMetrics.registerValue(MetricName.VIEW_AGE, mViewUpdater::viewAgeSeconds);
         mMetrics.registerValue(MetricName.TABLE_AGE, mViewUpdater::tableAgeSeconds);
         mMetrics.registerValue(MetricName.SERVERS_SUSPENDED, mState::suspendedServers);
+        mMetrics.registerValue(MetricName.SERVERS_LIMITED, mState::limitedServers);
         mMetrics.registerValue(MetricName.PARTS_HELD, quarantine::heldParts);
         mMetrics.registerValue(MetricName.LOG_LINES_DROPPED, mLog::droppedCount);
         mMetrics.registerValue(MetricName.LOG_UNSAMPLED, mLog::unsampledCount);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
@@ -7,6 +7,7 @@
 import org.hemlockrack.capacity.ReportedLoad;
 import org.hemlockrack.control.RoutingOverrides;
 import org.hemlockrack.dispatch.AttemptOutcome;
+import org.hemlockrack.dispatch.DelayKind;
 import org.hemlockrack.dispatch.DurationEstimate;
 import org.hemlockrack.dispatch.SelectionCriteria;
 import org.hemlockrack.dispatch.ServerChoice;
@@ -19,6 +20,7 @@
 import org.hemlockrack.registry.ServerRegistry;
 import org.hemlockrack.routing.Route;
 import org.hemlockrack.routing.RouteTable;
+import org.hemlockrack.wire.CapacityData;
 import org.hemlockrack.wire.LoadData;
 import org.hemlockrack.wire.PrefixUseData;
 import org.hemlockrack.wire.ServerData;
@@ -187,7 +189,28 @@
         for (LoadData each : fleet) {
             loads.put(BackendId.of(each.getServer()), each.getRequests());
         }
-        mPool.updateFleetLoad(loads, ownLoadAtRequest, gateways);
+        mPool.updateFleetLoad(System.nanoTime(), loads, ownLoadAtRequest, gateways);
+    }
+
+    /** Records how long a server took for something. */
+    synchronized void recordDelay(
+            long nowNanos, Registration server, Route route, DelayKind kind, long nanos) {
+        mPool.recordDelay(nowNanos, server, route.name(), kind, nanos);
+    }
+
+    /** Returns what this gateway has seen of the servers' speed. */
+    synchronized PagedLog.Page<CapacityData> observationsSince(long position, int maxEntries) {
+        return mPool.observationsSince(System.nanoTime(), position, maxEntries);
+    }
+
+    /** Adopts what all gateways together have seen of the servers' speed. */
+    synchronized void adoptObservations(List<CapacityData> observations) {
+        mPool.adoptObservations(System.nanoTime(), observations);
+    }
+
+    /** Returns the number of servers whose learned limit is below their slots. */
+    synchronized int limitedServers() {
+        return mPool.limitedCount(System.nanoTime());
     }
 
     synchronized void learnPrefixUses(long nowNanos, List<PrefixUseData> uses) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -19,6 +19,7 @@
 import org.hemlockrack.paging.PagedLog;
 import org.hemlockrack.registry.RegisteredServer;
 import org.hemlockrack.routing.RouteTable;
+import org.hemlockrack.wire.CapacityData;
 import org.hemlockrack.wire.CrashEvidenceData;
 import org.hemlockrack.wire.LoggedTableData;
 import org.hemlockrack.wire.PrefixUseData;
@@ -158,6 +159,11 @@
         return mQuarantine.evidenceSince(mLoop.nowNanos(), position, maxEntries);
     }
 
+    @Override
+    public PagedLog.Page<CapacityData> observationsSince(long position, int maxEntries) {
+        return mState.observationsSince(position, maxEntries);
+    }
+
     @Override
     public List<VerdictData> verdicts() {
         return mQuarantine.verdicts(mLoop.nowNanos());
@@ -213,6 +219,9 @@
             }
         }
         mState.learnPrefixUses(nowNanos, reply.getPrefixUses());
+        if (reply.isSetCapacity()) {
+            mState.adoptObservations(reply.getCapacity());
+        }
         if (reply.isSetQuarantine()) {
             mQuarantine.adopt(nowNanos, address, reply.getQuarantine());
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
@@ -25,6 +25,11 @@
             MetricType.GAUGE,
             "servers",
             "Backend servers left out after failed connections"),
+    SERVERS_LIMITED(
+            "servers_limited",
+            MetricType.GAUGE,
+            "servers",
+            "Backend servers whose learned concurrency limit is below their slots"),
     VIEW_AGE(
             "view_age_seconds",
             MetricType.GAUGE,
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
@@ -10,6 +10,7 @@
 import org.hemlockrack.daemon.loop.EventLoop;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.paging.PagedLog;
+import org.hemlockrack.wire.CapacityData;
 import org.hemlockrack.wire.CrashEvidenceData;
 import org.hemlockrack.wire.LoadData;
 import org.hemlockrack.wire.PrefixUseData;
@@ -41,6 +42,12 @@
      */
     public static final int MAX_PREFIX_USES = 64;
 
+    /** Observations of servers in a request, about 0.5 KB; a gateway sees a few a second. */
+    private static final int MAX_SENT_OBSERVATIONS = 16;
+
+    /** Same in a reply, about 2 KB; one controller sends them to a gateway. */
+    public static final int MAX_RECEIVED_OBSERVATIONS = 64;
+
     /** Largest number of crash reports in one message; a crash cuts some dozens of requests. */
     private static final int MAX_EVIDENCE = 128;
 
@@ -54,6 +61,8 @@
     private long mReceivedUsesPosition;
     private long mSentUsesPosition;
     private long mSentEvidencePosition;
+    private long mSentObservationsPosition;
+    private long mReceivedObservationsPosition;
     private long mQuarantineRevision;
     private boolean mSendsVerdicts;
     private long mPeriodNanos = MIN_PERIOD_NANOS;
@@ -69,7 +78,8 @@
             long atNanos,
             Map<BackendId, Integer> ownLoad,
             long nextUsesPosition,
-            long nextEvidencePosition) {}
+            long nextEvidencePosition,
+            long nextObservationsPosition) {}
 
     /** Creates requests and handles replies. Called on the loop. */
     public interface Delegate {
@@ -112,6 +122,17 @@
             return PagedLog.Page.empty();
         }
 
+        /**
+         * Returns what this instance saw of the servers' speed.
+         *
+         * @param position position from which observations are returned
+         * @param maxEntries largest number of entries
+         * @return the observations and the position after them
+         */
+        default PagedLog.Page<CapacityData> observationsSince(long position, int maxEntries) {
+            return PagedLog.Page.empty();
+        }
+
         /** Returns the decisions to hold prompt parts back, for a controller that restarted. */
         default List<VerdictData> verdicts() {
             return List.of();
@@ -224,9 +245,23 @@
         PagedLog.Page<CrashEvidenceData> evidence =
                 mDelegate.crashEvidenceSince(mSentEvidencePosition, MAX_EVIDENCE);
         request.setCrashEvidence(evidence.entries());
+        PagedLog.Page<CapacityData> observations =
+                mDelegate.observationsSince(mSentObservationsPosition, MAX_SENT_OBSERVATIONS);
+        if (!observations.entries().isEmpty()) {
+            request.setCapacity(observations.entries());
+        }
+        if (wantsPrefixUses) {
+            request.setCapacityPosition(mReceivedObservationsPosition);
+        }
         request.setQuarantineRevision(mQuarantineRevision);
         request.setVerdicts(mSendsVerdicts ? mDelegate.verdicts() : List.of());
-        Sent sent = new Sent(mLoop.nowNanos(), ownLoad, uses.next(), evidence.next());
+        Sent sent =
+                new Sent(
+                        mLoop.nowNanos(),
+                        ownLoad,
+                        uses.next(),
+                        evidence.next(),
+                        observations.next());
         mNetwork.callAsync(mAddress, client -> client.sync(request))
                 .whenComplete(
                         (reply, fault) -> mLoop.execute(() -> onExchangeEnded(reply, fault, sent)));
@@ -272,6 +307,9 @@
         mReceivedUsesPosition = reply.getPrefixPosition();
         mSentUsesPosition = restarted ? 0 : sent.nextUsesPosition();
         mSentEvidencePosition = restarted ? 0 : sent.nextEvidencePosition();
+        // Observations of before a restart of the controller are too old to be sent again.
+        mSentObservationsPosition = sent.nextObservationsPosition();
+        mReceivedObservationsPosition = reply.getCapacityPosition();
         mSendsVerdicts = isNew;
         if (reply.isSetQuarantine()) {
             mQuarantineRevision = reply.getQuarantine().getRevision();
