Avoid availability zones that do not answer

Three servers of a zone without an answer from the zone between them now suspend the zone for 1 s; any answer ends that.

ServerPoolTest.serversOfAZoneThatDoesNotAnswerAreAvoided: 8 servers were tried before, 3 are now.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/AttemptOutcome.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/AttemptOutcome.java
@@ -41,4 +41,14 @@
     public boolean isNeutral() {
         return this == REJECTED || this == ABANDONED;
     }
+
+    /** Returns whether the outcome shows that the server can be reached. */
+    public boolean isAnswer() {
+        return this == SERVED || this == FAILED || this == REJECTED || this == MISDIRECTED;
+    }
+
+    /** Returns whether nothing came back, as from a server behind a link that is cut. */
+    public boolean isUnanswered() {
+        return this == SILENT || this == UNREACHABLE;
+    }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -47,6 +47,7 @@
     private final SchedulingMode mMode;
     private final Set<ServiceId> mSpeedReported = new HashSet<>();
     private final Map<BackendId, ServerSlot> mSlots = new HashMap<>();
+    private final ZoneReachability mZones = ZoneReachability.create();
     private final PrefixAffinity mAffinity = new PrefixAffinity();
     private Map<ServiceId, List<ServerSlot>> mByService = new HashMap<>();
     private RoutingOverrides mOverrides = RoutingOverrides.NONE;
@@ -246,7 +247,8 @@
      */
     public ServerChoice choose(long nowNanos, SelectionCriteria criteria) {
         List<ServerSlot> all = mByService.getOrDefault(criteria.service(), List.of());
-        List<ServerSlot> eligible = UsableServers.eligible(nowNanos, all, mOverrides, criteria);
+        List<ServerSlot> eligible =
+                UsableServers.eligible(nowNanos, all, mOverrides, mZones, criteria);
         if (eligible.isEmpty()) {
             return ServerChoice.none(ServerChoice.Reason.NO_SERVER);
         }
@@ -494,6 +496,7 @@
             return;
         }
         slot.recordOutcome(nowNanos, outcome);
+        mZones.recordOutcome(nowNanos, slot.registration(), outcome);
         if (outcome == AttemptOutcome.REJECTED) {
             slot.mCapacity.recordRejection(nowNanos, slot.load());
         }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/UsableServers.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/UsableServers.java
@@ -28,6 +28,7 @@
             long nowNanos,
             List<ServerSlot> slots,
             RoutingOverrides overrides,
+            ZoneReachability zones,
             SelectionCriteria criteria) {
         TrafficMove move = overrides.move(criteria.service());
         List<ServerSlot> ready = new ArrayList<>();
@@ -47,13 +48,21 @@
             // No eligible server runs the target version; requests drawn for it use the old one.
             allowed = withAllowedVersion(ready, move, 1);
         }
+        List<ServerSlot> responsive = new ArrayList<>();
         List<ServerSlot> reachable = new ArrayList<>();
         for (ServerSlot slot : allowed) {
-            if (!slot.mHealth.isSuspended(nowNanos)) {
+            if (slot.mHealth.isSuspended(nowNanos)) {
+                continue;
+            }
+            responsive.add(slot);
+            if (!zones.isSuspended(nowNanos, slot.registration().zone())) {
                 reachable.add(slot);
             }
         }
-        return reachable.isEmpty() ? allowed : reachable;
+        if (responsive.isEmpty()) {
+            return allowed;
+        }
+        return reachable.isEmpty() ? responsive : reachable;
     }
 
     private static List<ServerSlot> withAllowedVersion(
--- a/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/ServerPoolTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/ServerPoolTest.java
@@ -413,4 +413,56 @@
         assertEquals(SECOND, none.waitNanos());
         assertEquals(mServers.get(1).registration(), chooseAt(2 * SECOND).server());
     }
+
+    /**
+     * Guards against a connection timeout for each server of a zone behind a cut link: in a zone
+     * that was cut off, requests tried up to eight servers of the others, 250 ms each.
+     */
+    @Test
+    void serversOfAZoneThatDoesNotAnswerAreAvoided() {
+        addServers(16);
+        Set<BackendId> unreachable = new HashSet<>();
+        for (long key = 1; key <= 200; key++) {
+            ServerChoice choice = mPool.choose(SECOND, criteriaOf(key, 0.5));
+            boolean isHome = choice.server().zone().equals(HOME);
+            if (!isHome) {
+                unreachable.add(choice.server().id());
+            }
+            mPool.recordOutcome(
+                    SECOND,
+                    choice.server().id(),
+                    isHome ? AttemptOutcome.SERVED : AttemptOutcome.UNREACHABLE);
+        }
+        assertEquals(3, unreachable.size());
+    }
+
+    /** Guards against a zone that stays avoided after its link is back. */
+    @Test
+    void answerEndsTheSuspensionOfAZone() {
+        addServers(16);
+        for (int i = 1; i <= 7; i += 2) {
+            mPool.recordOutcome(SECOND, BackendId.of("i-" + i), AttemptOutcome.UNREACHABLE);
+        }
+        mPool.recordOutcome(SECOND, BackendId.of("i-9"), AttemptOutcome.SERVED);
+        boolean isUsed = false;
+        for (long key = 1; key <= 200; key++) {
+            isUsed |= !mPool.choose(SECOND, criteriaOf(key, 0.5)).server().zone().equals(HOME);
+        }
+        assertTrue(isUsed);
+    }
+
+    /** Guards against the loss of a zone's capacity because single servers of it crash. */
+    @Test
+    void crashedServersDoNotSuspendAZoneThatAnswers() {
+        addServers(16);
+        for (int i = 1; i <= 7; i += 2) {
+            mPool.recordOutcome(SECOND, BackendId.of("i-" + i), AttemptOutcome.UNREACHABLE);
+            mPool.recordOutcome(SECOND, BackendId.of("i-15"), AttemptOutcome.SERVED);
+        }
+        boolean isUsed = false;
+        for (long key = 1; key <= 200; key++) {
+            isUsed |= !mPool.choose(SECOND, criteriaOf(key, 0.5)).server().zone().equals(HOME);
+        }
+        assertTrue(isUsed);
+    }
 }
