--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastDelay.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastDelay.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -30,6 +31,12 @@
      */
     private static final double ZONE_COST = 0.3;
 
+    /** Multiple of the mean load from which on a server gets no request, with the slack below. */
+    private static final double MAX_LOAD_FACTOR = 1.6;
+
+    /** Requests added to that bound, so that it does not apply at low load. */
+    private static final double MAX_LOAD_SLACK = 2.5;
+
     /** Cost of work on a prefix as long as it was not measured for the route. */
     private static final double DEFAULT_PREFIX_COST = 1;
 
@@ -82,12 +89,14 @@
         boolean firstHolds = hasPrefix && holders.isEmpty();
         double prefixCost = hasPrefix ? prefixCost(criteria.route(), delays) : 0;
         double usualSpeed = medianSpeed(nowNanos, all);
-        ServerSlot best = compared.get(0);
+        ServerSlot best = usable.get(0);
         ServerCost bestCost = ServerCost.NONE;
         boolean hasBest = false;
-        for (ServerSlot slot : compared) {
+        for (ServerSlot slot : withinBound(compared, all, usable)) {
             boolean holds = holders.contains(slot.id()) || firstHolds && slot == ranked.get(0);
-            ServerCost cost = costOf(nowNanos, slot, usualSpeed, holds ? 0 : prefixCost);
+            // Reading the prefix delays every stream that runs at the server as well.
+            double readCost = holds ? 0 : prefixCost * (1 + slot.load());
+            ServerCost cost = costOf(nowNanos, slot, usualSpeed, readCost);
             if (!hasBest || cost.total() < bestCost.total()) {
                 best = slot;
                 bestCost = cost;
@@ -98,6 +107,24 @@
                 best, reason(best, ranked, holders, hasPrefix), usable.size(), bestCost);
     }
 
+    /**
+     * Returns the compared servers whose load is within a multiple of the mean, so that a prefix
+     * with much of the traffic does not stay at one server; without any, the least loaded server.
+     */
+    private static List<ServerSlot> withinBound(
+            List<ServerSlot> compared, List<ServerSlot> all, List<ServerSlot> usable) {
+        double bound = ServerSlot.meanLoad(all) * MAX_LOAD_FACTOR + MAX_LOAD_SLACK;
+        List<ServerSlot> within = new ArrayList<>();
+        for (ServerSlot slot : compared) {
+            if (slot.load() < bound) {
+                within.add(slot);
+            }
+        }
+        return within.isEmpty()
+                ? List.of(Collections.min(usable, Comparator.comparingInt(ServerSlot::load)))
+                : within;
+    }
+
     private static ServerChoice.Reason reason(
             ServerSlot chosen,
             List<ServerSlot> ranked,
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixAffinity.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixAffinity.java
@@ -72,13 +72,13 @@
      */
     @Nullable ServerChoice choose(
             long nowNanos, List<ServerSlot> all, List<ServerSlot> usable, long key) {
-        double bound = meanLoad(all) * AFFINITY_LOAD_FACTOR + AFFINITY_LOAD_SLACK;
+        double bound = ServerSlot.meanLoad(all) * AFFINITY_LOAD_FACTOR + AFFINITY_LOAD_SLACK;
         ServerChoice choice = chooseWithinBound(nowNanos, usable, key, bound);
         if (choice != null) {
             return choice;
         }
         // So few servers are usable that the load of each of them is above the bound.
-        bound = meanLoad(usable) * SCARCE_LOAD_FACTOR + SCARCE_LOAD_SLACK;
+        bound = ServerSlot.meanLoad(usable) * SCARCE_LOAD_FACTOR + SCARCE_LOAD_SLACK;
         return chooseWithinBound(nowNanos, usable, key, bound);
     }
 
@@ -115,14 +115,6 @@
         return ServerChoice.of(first, reason, slots.size(), ServerCost.NONE);
     }
 
-    private static double meanLoad(List<ServerSlot> slots) {
-        int total = 0;
-        for (ServerSlot slot : slots) {
-            total += slot.load();
-        }
-        return (double) total / Math.max(1, slots.size());
-    }
-
     /**
      * Rendezvous hashing: all gateways rank the servers in the same order, and a change of servers
      * moves few keys.
