--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastDelay.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastDelay.java
@@ -37,8 +37,11 @@
     /** Requests added to that bound, so that it does not apply at low load. */
     private static final double MAX_LOAD_SLACK = 2.5;
 
-    /** Cost of work on a prefix as long as it was not measured for the route. */
-    private static final double DEFAULT_PREFIX_COST = 1;
+    /**
+     * Least cost of work on a prefix. What is measured is too low where servers hold prefixes that
+     * this gateway does not know of, and then less than the cost of another zone.
+     */
+    private static final double MIN_PREFIX_COST = 1;
 
     /** Bound on the measured cost of a prefix, so that it never outweighs a full server. */
     private static final double MAX_PREFIX_COST = 12;
@@ -167,9 +170,9 @@
         double cached = delays.usualNanos(DelayKind.FIRST_PIECE_CACHED.workKind(route), 0);
         double uncached = delays.usualNanos(DelayKind.FIRST_PIECE.workKind(route), 0);
         if (cached <= 0 || uncached <= 0) {
-            return DEFAULT_PREFIX_COST;
+            return MIN_PREFIX_COST;
         }
-        return Math.max(0, Math.min(MAX_PREFIX_COST, uncached / cached - 1));
+        return Math.max(MIN_PREFIX_COST, Math.min(MAX_PREFIX_COST, uncached / cached - 1));
     }
 
     private static double medianSpeed(long nowNanos, List<ServerSlot> slots) {
