Lower no limit when this gateway or all servers become slow at once

A test with long times at all servers for a second found that every limit fell: the first late answers came before the delay was known to be common. A limit now falls only after two congested periods in a row, judged by the mean of each period, and the common delay follows the last 16 answers. A cut link and an overloaded gateway limit no server, one slow server is limited.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/capacity/CommonDelay.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/capacity/CommonDelay.java
@@ -10,7 +10,7 @@
  * that no server is penalised for it. Not thread-safe.
  */
 final class CommonDelay {
-    private static final int MAX_SAMPLES = 32;
+    private static final int MAX_SAMPLES = 16;
     private static final int MIN_SAMPLES = 4;
 
     /** Age after which a delay says nothing about the present state of the service. */
--- a/hemlockrack-core/src/main/java/org/hemlockrack/capacity/LearnedCapacity.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/capacity/LearnedCapacity.java
@@ -57,6 +57,8 @@
     private double mEarlierSustained;
     private long mSustainedNanos;
     private long mPeriodNanos;
+    private boolean mCongested;
+    private double mRatioSum;
     private double mLoadSum;
     private int mSamples;
 
@@ -129,6 +131,7 @@
             mBaselineNanos = nowNanos;
         }
         mBaseline = Math.min(mBaseline, mDelayRatio);
+        mRatioSum += bounded;
         mLoadSum += load;
         mSamples++;
         if (nowNanos - mPeriodNanos >= PERIOD_NANOS) {
@@ -145,12 +148,18 @@
                         : Math.max(1, Math.min(mBaseline, mEarlierBaseline));
         double load = mLoadSum / mSamples;
         LimitRule.Observation observed =
-                new LimitRule.Observation(load, mDelayRatio / unqueued, work, mSlots);
+                new LimitRule.Observation(load, mRatioSum / mSamples / unqueued, work, mSlots);
         recordSustained(nowNanos, observed.delayRatio() <= UNQUEUED_RATIO ? load : 0);
         // A delay at a load that was sustained a moment ago is that of a slower machine, which
         // speed() accounts for, and not that of a queue.
         double sustained = Math.max(mSustained, mEarlierSustained);
-        setLimit(Math.max(sustained, mRule.next(limit, observed)));
+        double next = Math.max(sustained, mRule.next(limit, observed));
+        boolean congested = next < limit;
+        // The first late answers after a slowdown of all servers, or of this gateway, come before
+        // the delay is known to be common. A second period tells.
+        setLimit(congested && !mCongested ? limit : next);
+        mCongested = congested;
+        mRatioSum = 0;
         mLoadSum = 0;
         mSamples = 0;
         mPeriodNanos = nowNanos;
--- a/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/FleetCapacityTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/FleetCapacityTest.java
@@ -1,5 +1,6 @@
 package org.hemlockrack.dispatch;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -249,4 +250,38 @@
         // two thirds full.
         assertTrue(atFirst > SLOTS / 2 && atFirst < SLOTS, "left after " + atFirst);
     }
+
+    /** Returns how many servers are limited after long times at some servers for a second. */
+    private static int limitedAfterLongTimes(int slowServers) {
+        FleetCapacityTest fleet = new FleetCapacityTest();
+        ServerCapacity.Factory learned = (server, slots) -> LearnedCapacity.of(slots);
+        fleet.run(1, 8, SchedulingMode.ON, learned, false, 0, (server, now) -> 1);
+        ServerPool pool = fleet.mPools.get(0);
+        Map<BackendId, Integer> loads = new HashMap<>();
+        for (int tick = 0; tick < 300; tick++) {
+            long now = tick * TICK;
+            boolean late = tick >= 200;
+            fleet.mServers.forEach(server -> loads.put(server.registration().id(), late ? 60 : 20));
+            pool.updateFleetLoad(loads, Map.of(), 1);
+            int server = tick % 8;
+            Registration registration = fleet.mServers.get(server).registration();
+            long nanos = (late && server < slowServers ? 500 : 100) * MILLI;
+            pool.recordDelay(now, registration, "r", DelayKind.FIRST_PIECE, nanos);
+            if (late) {
+                pool.recordOutcome(now, registration.id(), AttemptOutcome.UNREACHABLE);
+            }
+        }
+        return pool.limitedCount(300 * TICK);
+    }
+
+    /**
+     * Guards against limits that fall because this gateway is overloaded and measures long times
+     * everywhere, or because a link is cut; one slow server shows that limits can fall here.
+     */
+    @Test
+    void overloadedGatewayAndCutLinkLimitNoServer() {
+        assertEquals(0, limitedAfterLongTimes(8));
+        assertEquals(0, limitedAfterLongTimes(0));
+        assertEquals(1, limitedAfterLongTimes(1));
+    }
 }
