--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastDelay.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastDelay.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -31,12 +30,6 @@
      */
     private static final double ZONE_COST = 0.3;
 
-    /** Multiple of the mean load from which on a server gets no request, with the slack below. */
-    private static final double MAX_LOAD_FACTOR = 1.6;
-
-    /** Requests added to that bound, so that it does not apply at low load. */
-    private static final double MAX_LOAD_SLACK = 2.5;
-
     /**
      * Least cost of work on a prefix. What is measured is too low where servers hold prefixes that
      * this gateway does not know of, and then less than the cost of another zone.
@@ -85,17 +78,17 @@
             List<BackendId> holders,
             ServiceDelays delays) {
         boolean hasPrefix = criteria.affinityKey() != 0;
-        List<ServerSlot> ranked = hasPrefix ? ranked(usable, criteria.affinityKey()) : List.of();
-        List<ServerSlot> compared =
-                hasPrefix ? withHolders(ranked, usable, holders) : drawn(usable);
+        List<ServerSlot> open = LoadBound.below(all, usable);
+        List<ServerSlot> ranked = hasPrefix ? ranked(open, criteria.affinityKey()) : List.of();
+        List<ServerSlot> compared = hasPrefix ? withHolders(ranked, open, holders) : drawn(open);
         // Other gateways send the prefix to its first server too, so it is cached there first.
         boolean firstHolds = hasPrefix && holders.isEmpty();
         double prefixCost = hasPrefix ? prefixCost(criteria.route(), delays) : 0;
         double usualSpeed = medianSpeed(nowNanos, all);
-        ServerSlot best = usable.get(0);
+        ServerSlot best = compared.get(0);
         ServerCost bestCost = ServerCost.NONE;
         boolean hasBest = false;
-        for (ServerSlot slot : withinBound(compared, all, usable)) {
+        for (ServerSlot slot : compared) {
             boolean holds = holders.contains(slot.id()) || firstHolds && slot == ranked.get(0);
             // Reading the prefix delays every stream that runs at the server as well.
             double readCost = holds ? 0 : prefixCost * (1 + slot.load());
@@ -110,24 +103,6 @@
                 best, reason(best, ranked, holders, hasPrefix), usable.size(), bestCost);
     }
 
-    /**
-     * Returns the compared servers whose load is within a multiple of the mean, so that a prefix
-     * with much of the traffic does not stay at one server; without any, the least loaded server.
-     */
-    private static List<ServerSlot> withinBound(
-            List<ServerSlot> compared, List<ServerSlot> all, List<ServerSlot> usable) {
-        double bound = ServerSlot.meanLoad(all) * MAX_LOAD_FACTOR + MAX_LOAD_SLACK;
-        List<ServerSlot> within = new ArrayList<>();
-        for (ServerSlot slot : compared) {
-            if (slot.load() < bound) {
-                within.add(slot);
-            }
-        }
-        return within.isEmpty()
-                ? List.of(Collections.min(usable, Comparator.comparingInt(ServerSlot::load)))
-                : within;
-    }
-
     private static ServerChoice.Reason reason(
             ServerSlot chosen,
             List<ServerSlot> ranked,
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -306,8 +306,7 @@
 
     private ServerChoice chooseAmong(
             long nowNanos, List<ServerSlot> all, List<ServerSlot> usable, long key) {
-        ServerChoice choice = key == 0 ? null : mAffinity.choose(nowNanos, all, usable, key);
-        return choice == null ? mLeastCost.choose(usable) : choice;
+        return key == 0 ? mLeastCost.choose(usable) : mAffinity.choose(nowNanos, all, usable, key);
     }
 
     /**
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerSlot.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerSlot.java
@@ -1,6 +1,5 @@
 package org.hemlockrack.dispatch;
 
-import java.util.List;
 import org.hemlockrack.capacity.ServerCapacity;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.registry.RegisteredServer;
@@ -75,12 +74,4 @@
         mLoad.recordEnd();
         mHealth.recordOutcome(nowNanos, outcome);
     }
-
-    static double meanLoad(List<ServerSlot> slots) {
-        int total = 0;
-        for (ServerSlot slot : slots) {
-            total += slot.load();
-        }
-        return (double) total / Math.max(1, slots.size());
-    }
 }
