--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.hemlockrack.capacity.SchedulingMode;
 import org.hemlockrack.daemon.GracefulShutdown;
 import org.hemlockrack.daemon.ServiceProcess;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
@@ -77,7 +78,9 @@
         mState =
                 GatewayState.create(
                         ServerPool.create(
-                                settings.zone(), new SplittableRandom(random.nextLong())));
+                                settings.zone(),
+                                new SplittableRandom(random.nextLong()),
+                                SchedulingMode.of(settings.text(SettingKey.SCHEDULING_MODE))));
         String senderId = settings.instanceId() + "/" + Long.toString(random.nextLong() >>> 1, 36);
         RetryPermits retries = RetryPermits.create(mLoop, network, senderId, retryLimits(settings));
         GatewayQuarantine quarantine = GatewayQuarantine.create(mLog);
@@ -145,6 +148,7 @@
         mMetrics.registerValue(MetricName.VIEW_AGE, mViewUpdater::viewAgeSeconds);
         mMetrics.registerValue(MetricName.TABLE_AGE, mViewUpdater::tableAgeSeconds);
         mMetrics.registerValue(MetricName.SERVERS_SUSPENDED, mState::suspendedServers);
+        mMetrics.registerValue(MetricName.SERVERS_LIMITED, mState::limitedServers);
         mMetrics.registerValue(MetricName.PARTS_HELD, quarantine::heldParts);
         mMetrics.registerValue(MetricName.LOG_LINES_DROPPED, mLog::droppedCount);
         mMetrics.registerValue(MetricName.LOG_UNSAMPLED, mLog::unsampledCount);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.hemlockrack.capacity.ReportedLoad;
 import org.hemlockrack.control.RoutingOverrides;
 import org.hemlockrack.dispatch.AttemptOutcome;
+import org.hemlockrack.dispatch.DelayKind;
 import org.hemlockrack.dispatch.DurationEstimate;
 import org.hemlockrack.dispatch.SelectionCriteria;
 import org.hemlockrack.dispatch.ServerChoice;
@@ -18,6 +20,7 @@
 import org.hemlockrack.registry.ServerRegistry;
 import org.hemlockrack.routing.Route;
 import org.hemlockrack.routing.RouteTable;
+import org.hemlockrack.wire.CapacityData;
 import org.hemlockrack.wire.LoadData;
 import org.hemlockrack.wire.PrefixUseData;
 import org.hemlockrack.wire.ServerData;
@@ -72,6 +75,16 @@
         mPool.recordOutcome(nowNanos, id, outcome);
     }
 
+    /** Returns whether queueing and learned capacity apply to a service. */
+    synchronized boolean isManaged(ServiceId service) {
+        return mPool.isManaged(service);
+    }
+
+    /** Records the load that a server has reported. */
+    synchronized void recordReport(long nowNanos, Registration server, ReportedLoad load) {
+        mPool.recordReport(nowNanos, server, load);
+    }
+
     /** Records that a server has said that it leaves. */
     synchronized void recordLeaving(Registration server) {
         mPool.recordLeaving(server);
@@ -176,7 +189,28 @@
         for (LoadData each : fleet) {
             loads.put(BackendId.of(each.getServer()), each.getRequests());
         }
-        mPool.updateFleetLoad(loads, ownLoadAtRequest, gateways);
+        mPool.updateFleetLoad(System.nanoTime(), loads, ownLoadAtRequest, gateways);
+    }
+
+    /** Records how long a server took for something. */
+    synchronized void recordDelay(
+            long nowNanos, Registration server, Route route, DelayKind kind, long nanos) {
+        mPool.recordDelay(nowNanos, server, route.name(), kind, nanos);
+    }
+
+    /** Returns what this gateway has seen of the servers' speed. */
+    synchronized PagedLog.Page<CapacityData> observationsSince(long position, int maxEntries) {
+        return mPool.observationsSince(System.nanoTime(), position, maxEntries);
+    }
+
+    /** Adopts what all gateways together have seen of the servers' speed. */
+    synchronized void adoptObservations(List<CapacityData> observations) {
+        mPool.adoptObservations(System.nanoTime(), observations);
+    }
+
+    /** Returns the number of servers whose learned limit is below their slots. */
+    synchronized int limitedServers() {
+        return mPool.limitedCount(System.nanoTime());
     }
 
     synchronized void learnPrefixUses(long nowNanos, List<PrefixUseData> uses) {
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -213,6 +213,21 @@
   3: list<string> watchedParts
 }
 
+/** What was seen of one incarnation of a backend server since the last message. */
+struct CapacityData {
+  1: string server,
+  /** Start of the server process, which distinguishes incarnations. */
+  2: i64 startMillis,
+  /** Age of the newest observation when the message was built. */
+  3: optional i32 ageMillis,
+  /** Mean delay in percent of what is usual for the same work, rounded. */
+  4: optional i32 delayPercent,
+  /** Number of answers that the mean is of. */
+  5: optional i32 samples,
+  /** How long work takes at the server as it last reported, 100 is usual. */
+  6: optional i32 workPercent
+}
+
 struct SyncRequest {
   1: string sender,
   2: bool gateway,
@@ -247,7 +262,11 @@
   /** Zone of this gateway; this field and the next are only for the holder of the autoscaling duty. */
   32: optional string zone,
   /** Requests that this gateway has refused since its start because no server had room, by service. */
-  33: optional map<string, i64> refused
+  33: optional map<string, i64> refused,
+  /** What the caller has seen of the servers' speed since its last request to this receiver. */
+  50: optional list<CapacityData> capacity,
+  /** Position in the receiver's list of observations; absent if the caller wants none. */
+  51: optional i64 capacityPosition
 }
 
 /** A table in the durable log of a controller. */
@@ -316,5 +335,8 @@
   /** Token under which the receiver holds the metering duty; absent if it does not. */
   32: optional i64 usageToken,
   /** Whether the receiver holds the autoscaling duty. */
-  33: optional bool wantsDemand
+  33: optional bool wantsDemand,
+  /** What all gateways together have seen of the servers' speed after the caller's position. */
+  50: optional list<CapacityData> capacity,
+  51: optional i64 capacityPosition
 }
