Bound the memory of requests and evict stalled ones

Cause: each body was collected in a growing buffer and copied for the handler, both kept until the answer was complete. Only the size of one body was limited, so 100 stalled bodies of 1 MiB, or as many long heads, ended a gateway with a heap of 48 MiB.

Change: heads, trailers and bodies of all HTTP ports of a process share RequestMemory, three eighths of the heap, and are charged before they are allocated. When it is short, requests without a byte for a second are given up first, then the largest of the peer or workspace that holds most. The last eighth is kept for small requests. A request that is given up was never handed to a handler, so its 503 says not run. A body is no longer copied if its length is known. Controllers and the other HTTP ports have the same bound.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
@@ -3,6 +3,8 @@
 /** Message texts of errors, as formats for {@link String#format}. */
 public final class ErrorText {
     public static final String BODY_TOO_LARGE = "request body exceeds the limit of %d bytes";
+    public static final String MEMORY_SHORT =
+            "the instance is short of memory and has not run the request";
     public static final String BODY_TIMEOUT = "the request body was not complete within %d ms";
     public static final String HEAD_TIMEOUT = "the request head was not complete within %d ms";
     public static final String HTTP_TOO_MANY_CONNECTIONS = "more than %d connections are open";
--- /dev/null
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/limits/RequestMemory.java
@@ -0,0 +1,255 @@
+package org.hemlockrack.limits;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Shares one byte budget between the connections that receive requests. When the budget is short,
+ * connections without progress are evicted first, then the largest one of the peer or workspace
+ * that holds most. Thread-safe.
+ */
+public final class RequestMemory {
+    /** What the bytes are held for. */
+    public enum Kind {
+        /** Request heads and the trailers of chunked bodies. */
+        HEAD,
+        /** Request bodies. */
+        BODY
+    }
+
+    /**
+     * Bytes up to which a connection may also use the reserve. A prompt of 12,000 tokens has about
+     * 48 KiB.
+     */
+    public static final long ORDINARY_BYTES = 64 << 10;
+
+    /** The reserve is this part of the budget. */
+    private static final long RESERVE_DIVISOR = 8;
+
+    /**
+     * Part of the budget that one pass over stalled connections frees, so that a crowd does not
+     * cause a pass for each reservation.
+     */
+    private static final long PASS_DIVISOR = 16;
+
+    private final long mLimitBytes;
+    private final long mStallNanos;
+    private final AtomicLong mHeldBytes = new AtomicLong();
+    private final Map<Kind, AtomicLong> mBytesByKind =
+            Map.of(Kind.HEAD, new AtomicLong(), Kind.BODY, new AtomicLong());
+    private final AtomicLong mEvictions = new AtomicLong();
+    private final Set<Account> mAccounts = ConcurrentHashMap.newKeySet();
+
+    private RequestMemory(long limitBytes, long stallMillis) {
+        mLimitBytes = limitBytes;
+        mStallNanos = TimeUnit.MILLISECONDS.toNanos(stallMillis);
+    }
+
+    /**
+     * Creates a budget of which nothing is held.
+     *
+     * @param limitBytes bytes that all connections can hold together
+     * @param stallMillis time without a received byte after which an incomplete request counts as
+     *     stalled
+     * @return the budget
+     */
+    public static RequestMemory of(long limitBytes, long stallMillis) {
+        return new RequestMemory(limitBytes, stallMillis);
+    }
+
+    /**
+     * Adds a connection that holds nothing yet.
+     *
+     * @param peer address of the client
+     * @param holder the connection
+     * @return its account, to be closed with the connection
+     */
+    public Account open(String peer, Holder holder) {
+        Account account = new Account(peer, holder);
+        mAccounts.add(account);
+        return account;
+    }
+
+    /** Returns the bytes that are held. */
+    public long heldBytes(Kind kind) {
+        return mBytesByKind.get(kind).get();
+    }
+
+    /** Returns how many connections were evicted so far. */
+    public long evictions() {
+        return mEvictions.get();
+    }
+
+    /** A connection that holds memory. */
+    public interface Holder {
+        /**
+         * Returns when the last byte of a request that has not arrived to its end was received, or
+         * null if there is no such request. Other requests cannot be evicted.
+         */
+        @Nullable Long incompleteSinceNanos();
+
+        /**
+         * Gives up the incomplete request and returns its bytes to the account. Must not wait for a
+         * lock that is held while bytes are reserved.
+         *
+         * @return whether the request was given up
+         */
+        boolean evict();
+    }
+
+    private boolean tryHold(long bytes, boolean ordinary) {
+        long limitBytes = ordinary ? mLimitBytes : mLimitBytes - mLimitBytes / RESERVE_DIVISOR;
+        long held = mHeldBytes.get();
+        while (bytes <= limitBytes - held) {
+            if (mHeldBytes.compareAndSet(held, held + bytes)) {
+                return true;
+            }
+            held = mHeldBytes.get();
+        }
+        return false;
+    }
+
+    /** Evicts stalled connections, the largest first; returns whether any was evicted. */
+    private boolean evictStalled(Account except, long bytes, long nowNanos) {
+        long wantedBytes = Math.max(bytes, mLimitBytes / PASS_DIVISOR);
+        boolean evicted = false;
+        for (Candidate candidate : candidates()) {
+            if (wantedBytes <= 0) {
+                break;
+            }
+            if (candidate.account != except
+                    && nowNanos - candidate.sinceNanos >= mStallNanos
+                    && evict(candidate)) {
+                evicted = true;
+                wantedBytes -= candidate.bytes;
+            }
+        }
+        return evicted;
+    }
+
+    /**
+     * Evicts the largest connection of the peer or workspace that holds most, unless that is the
+     * given one; returns whether one was evicted.
+     */
+    private boolean evictLargest(Account except, long bytes) {
+        String largestHolder = largestHolder();
+        for (Candidate candidate : candidates()) {
+            if (candidate.bytes < except.heldBytes() + bytes) {
+                return false;
+            }
+            if (candidate.account != except
+                    && candidate.account.belongsTo(largestHolder)
+                    && evict(candidate)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean evict(Candidate candidate) {
+        if (!candidate.account.mHolder.evict()) {
+            return false;
+        }
+        mEvictions.incrementAndGet();
+        return true;
+    }
+
+    private record Candidate(Account account, long bytes, long sinceNanos) {}
+
+    /** Returns the connections that can be evicted, the largest first. */
+    private List<Candidate> candidates() {
+        List<Candidate> candidates = new ArrayList<>();
+        for (Account account : mAccounts) {
+            long bytes = account.heldBytes();
+            Long sinceNanos = bytes == 0 ? null : account.mHolder.incompleteSinceNanos();
+            if (sinceNanos != null) {
+                candidates.add(new Candidate(account, bytes, sinceNanos));
+            }
+        }
+        candidates.sort(Comparator.comparingLong(Candidate::bytes).reversed());
+        return candidates;
+    }
+
+    private String largestHolder() {
+        Map<String, Long> bytesByHolder = new HashMap<>();
+        for (Account account : mAccounts) {
+            bytesByHolder.merge(account.mPeer, account.heldBytes(), Long::sum);
+            String workspace = account.mWorkspace;
+            if (workspace != null) {
+                bytesByHolder.merge(workspace, account.heldBytes(), Long::sum);
+            }
+        }
+        return bytesByHolder.entrySet().stream()
+                .max(Map.Entry.comparingByValue())
+                .map(Map.Entry::getKey)
+                .orElse("");
+    }
+
+    /** The bytes that one connection holds. */
+    public final class Account implements AutoCloseable {
+        private final String mPeer;
+        private final Holder mHolder;
+        private final AtomicLong mBytes = new AtomicLong();
+        private volatile @Nullable String mWorkspace;
+
+        private Account(String peer, Holder holder) {
+            mPeer = "peer " + peer;
+            mHolder = holder;
+        }
+
+        private boolean belongsTo(String holder) {
+            return holder.equals(mPeer) || holder.equals(mWorkspace);
+        }
+
+        /** Sets the credentials of the latest request, which stand for its workspace. */
+        public void setWorkspace(@Nullable String credentials) {
+            mWorkspace = credentials == null ? null : "workspace " + credentials.hashCode();
+        }
+
+        /** Returns the bytes that the connection holds. */
+        public long heldBytes() {
+            return mBytes.get();
+        }
+
+        /**
+         * Reserves bytes before they are allocated, if need be by evicting other connections.
+         *
+         * @param kind what the bytes are for
+         * @param bytes number of bytes, not negative
+         * @param nowNanos monotonic time
+         * @return false if there is no room for them
+         */
+        public boolean tryReserve(Kind kind, long bytes, long nowNanos) {
+            boolean ordinary = mBytes.get() + bytes <= ORDINARY_BYTES;
+            while (!tryHold(bytes, ordinary)) {
+                if (!evictStalled(this, bytes, nowNanos) && !evictLargest(this, bytes)) {
+                    return false;
+                }
+            }
+            mBytes.addAndGet(bytes);
+            mBytesByKind.get(kind).addAndGet(bytes);
+            return true;
+        }
+
+        /** Returns reserved bytes to the budget. */
+        public void release(Kind kind, long bytes) {
+            mHeldBytes.addAndGet(-bytes);
+            mBytes.addAndGet(-bytes);
+            mBytesByKind.get(kind).addAndGet(-bytes);
+        }
+
+        /** Removes the connection. Its bytes are to be released one by one. */
+        @Override
+        public void close() {
+            mAccounts.remove(this);
+        }
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -63,6 +63,7 @@
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.events.LogEvent;
+import org.hemlockrack.limits.RequestMemory;
 import org.hemlockrack.membership.ControlBudget;
 import org.hemlockrack.membership.InstanceInfo;
 import org.hemlockrack.membership.Member;
@@ -106,6 +107,7 @@
     private static final long LEAVE_PROPAGATION_MILLIS = 1_000;
 
     private final Settings mSettings;
+    private final RequestMemory mRequestMemory;
     private final EventLog mLog = EventLog.create();
     private final Closer mCloser = Closer.create();
     private final Metrics mMetrics = Metrics.create();
@@ -146,6 +148,7 @@
 
     private Daemon(Settings settings) {
         mSettings = settings;
+        mRequestMemory = settings.requestMemory();
         mLoop = EventLoop.open("core", this::logInternalError);
         mLogLoop = EventLoop.open("log", this::logInternalError);
         mBurnFileLoop = EventLoop.open("burn-file", this::logInternalError);
@@ -567,6 +570,7 @@
         mMetrics.registerValue(MetricName.TERM, () -> mReplica == null ? 0 : mReplica.term());
         mMetrics.registerValue(
                 MetricName.GOSSIP_PERIOD, () -> mGossipPeriodNanos / NANOS_PER_SECOND);
+        mMetrics.registerRequestMemory(mRequestMemory);
         Gauges gauges = new Gauges(mMetrics);
         gauges.registerProcess();
         gauges.registerOwner(mOwner);
@@ -583,7 +587,8 @@
             HttpLimits limits,
             @Nullable TlsStrategy tls,
             CallHandler handler) {
-        HttpPort port = HttpPort.open(name, mSettings.address(key), limits, handler, tls);
+        HttpPort port =
+                HttpPort.open(name, mSettings.address(key), limits, mRequestMemory, handler, tls);
         registerCloseable(port::close);
         return port;
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -50,6 +50,7 @@
 import org.hemlockrack.daemon.sync.ControllerLinks;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.limits.RequestMemory;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.wire.Slice;
 
@@ -322,6 +323,8 @@
         metrics.registerValue(MetricName.TERM, mReplica::term);
         metrics.registerValue(
                 MetricName.PARTS_HELD, () -> mService.quarantine().heldParts(mLoop.nowNanos()));
+        RequestMemory memory = mSettings.requestMemory();
+        metrics.registerRequestMemory(memory);
         HealthEndpoints endpoints =
                 HealthEndpoints.create(() -> mReplica.leader() != null, metrics);
         QuarantineEndpoints quarantine =
@@ -330,6 +333,7 @@
                 "control",
                 mSettings.address(SettingKey.LISTEN_OPERATORS),
                 HttpLimits.internal(),
+                memory,
                 (call, responder) -> {
                     if (endpoints.handles(call.path())) {
                         endpoints.handle(call, responder);
@@ -340,7 +344,8 @@
                         return;
                     }
                     handler.handle(call, responder);
-                });
+                },
+                null);
     }
 
     private void runMaintenance() {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -22,6 +22,7 @@
 import org.hemlockrack.daemon.settings.SettingsReloader;
 import org.hemlockrack.dispatch.ServerPool;
 import org.hemlockrack.limits.ByteBudget;
+import org.hemlockrack.limits.RequestMemory;
 
 /** A running gateway: its ports, its connections to controllers and servers, and its metrics. */
 public final class GatewayInstance implements ServiceProcess.Instance, AutoCloseable {
@@ -41,6 +42,9 @@
 
     private static final long EXPIRY_PERIOD_MILLIS = 500;
 
+    /** Evictions are summed over this time, so that a crowd does not fill the log. */
+    private static final long EVICTION_LOG_PERIOD_MILLIS = 1_000;
+
     private final Settings mSettings;
     private final Closer mCloser = Closer.create();
     private final EventLoop mLoop;
@@ -52,13 +56,16 @@
     private final OpenExchanges mOpenExchanges = OpenExchanges.create();
     private final ByteBudget mAnswerBudget =
             ByteBudget.of((long) (ANSWER_HEAP_FRACTION * Runtime.getRuntime().maxMemory()));
+    private final RequestMemory mRequestMemory;
     private final GatewayHandler mHandler;
     private final HttpPort mCallerPort;
+    private long mLoggedEvictions;
     private volatile boolean mDraining;
 
     private GatewayInstance(Settings settings, Path file, ProtocolAdapter protocol) {
         mSettings = settings;
         SecureRandom random = new SecureRandom();
+        mRequestMemory = settings.requestMemory();
         mLog = DecisionLog.open(settings.instanceId().value());
         mCloser.register(mLog::close);
         mLoop = EventLoop.open("gateway", this::logFault);
@@ -84,14 +91,17 @@
                         "callers",
                         settings.address(SettingKey.LISTEN_CALLERS),
                         settings.callerLimits(),
+                        mRequestMemory,
                         (call, responder) ->
                                 mHandler.handle(
-                                        call, CountingResponder.of(responder, mOpenRequests)));
+                                        call, CountingResponder.of(responder, mOpenRequests)),
+                        null);
         mCloser.register(mCallerPort::close);
         HttpPort pages = openPages();
         mCloser.register(pages::close);
         registerMetrics(quarantine);
         mLoop.scheduleWithFixedDelay(EXPIRY_PERIOD_MILLIS, mViewUpdater::expireServers);
+        mLoop.scheduleWithFixedDelay(EVICTION_LOG_PERIOD_MILLIS, this::logEvictions);
         mLoop.execute(() -> mViewUpdater.setSeeds(settings.controllerPeerAddresses()));
         SettingsReloader.start(
                 mLoop,
@@ -124,6 +134,7 @@
     private void registerMetrics(GatewayQuarantine quarantine) {
         mMetrics.registerValue(MetricName.OPEN_REQUESTS, mOpenRequests::get);
         mMetrics.registerValue(MetricName.ANSWER_BYTES, mAnswerBudget::reservedBytes);
+        mMetrics.registerRequestMemory(mRequestMemory);
         mMetrics.registerValue(MetricName.VIEW_AGE, mViewUpdater::viewAgeSeconds);
         mMetrics.registerValue(MetricName.TABLE_AGE, mViewUpdater::tableAgeSeconds);
         mMetrics.registerValue(MetricName.SERVERS_SUSPENDED, mState::suspendedServers);
@@ -166,13 +177,27 @@
                 "pages",
                 mSettings.address(SettingKey.LISTEN_OPERATORS),
                 HttpLimits.internal(),
-                endpoints::handleOrRefuse);
+                mRequestMemory,
+                endpoints::handleOrRefuse,
+                null);
     }
 
     private boolean isReady() {
         return !mDraining && mViewUpdater.view().table() != null && !mState.isEmpty();
     }
 
+    private void logEvictions() {
+        long evictions = mRequestMemory.evictions();
+        if (evictions > mLoggedEvictions) {
+            mLog.instanceEvent("connections_evicted")
+                    .put("connections", evictions - mLoggedEvictions)
+                    .put("head_bytes", mRequestMemory.heldBytes(RequestMemory.Kind.HEAD))
+                    .put("body_bytes", mRequestMemory.heldBytes(RequestMemory.Kind.BODY))
+                    .write();
+            mLoggedEvictions = evictions;
+        }
+    }
+
     private void logFault(Throwable cause) {
         mLog.instanceEvent("internal_fault").put("cause", cause.toString()).write();
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/BodyDecoder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/BodyDecoder.java
@@ -52,7 +52,11 @@
             return 0;
         }
         try {
-            return mDecoder.read(dst);
+            int bytes = mDecoder.read(dst);
+            if (mDecoder instanceof WholeBodyDecoder chunked) {
+                reserveTrailers(chunked);
+            }
+            return bytes;
         } catch (MalformedChunkCodingException | MessageConstraintException e) {
             mDiscarding = true;
             mConnection.refuseMalformedBody("malformed request body: " + e.getMessage());
@@ -61,6 +65,16 @@
         }
     }
 
+    private void reserveTrailers(WholeBodyDecoder decoder) throws IOException {
+        if (decoder.isCompleted()) {
+            mConnection.releaseTrailers();
+        } else if (!mConnection.tryReserveHead(decoder.bytesSinceContent())) {
+            mDiscarding = true;
+            mConnection.refuseBodyForMemory();
+            discardInput();
+        }
+    }
+
     private void discardInput() throws IOException {
         ByteBuffer scratch = ByteBuffer.allocate(SCRATCH_BYTES);
         while (mBuffer.hasData()) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
@@ -1,6 +1,8 @@
 package org.hemlockrack.daemon.http;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
@@ -21,10 +23,11 @@
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.ErrorText;
+import org.hemlockrack.limits.RequestMemory;
 import org.jspecify.annotations.Nullable;
 
 /** Enforces the limits and timeouts of one client connection. Safe for use from any thread. */
-final class ClientConnection {
+final class ClientConnection implements RequestMemory.Holder {
     /**
      * Maximum number of pipelined requests in progress on one connection. Each is handled as soon
      * as it is received, without waiting for earlier ones.
@@ -39,6 +42,12 @@
 
     private static final int SCRATCH_BYTES = 16 << 10;
 
+    /**
+     * Memory for each byte of a head: the parser keeps two bytes for each character, and the texts
+     * of the fields are a copy of it.
+     */
+    private static final int HEAD_BYTES_FACTOR = 3;
+
     private final ProtocolIOSession mSession;
     private final ConnectionLimiter mLimiter;
     private final HttpLimits mLimits;
@@ -49,6 +58,12 @@
     private final AtomicInteger mOpenExchanges = new AtomicInteger();
     private final Queue<CompletableFuture<Boolean>> mChecks = new ConcurrentLinkedQueue<>();
 
+    private final RequestMemory.Account mAccount;
+    private final Object mHeadLock = new Object();
+
+    private volatile long mLastHeadNanos;
+    private long mHeadBytes;
+    private boolean mEvicted;
     private volatile boolean mOverLimit;
     private volatile boolean mInHead;
     private volatile long mHeadStartNanos;
@@ -68,6 +83,108 @@
         mSession = session;
         mLimiter = limiter;
         mLimits = limiter.limits();
+        SocketAddress peer = session.getRemoteAddress();
+        mAccount =
+                limiter.memory()
+                        .open(
+                                peer instanceof InetSocketAddress address
+                                        ? address.getAddress().getHostAddress()
+                                        : "",
+                                this);
+    }
+
+    RequestMemory.Account account() {
+        return mAccount;
+    }
+
+    /** Runs an action that must not run under the locks of another connection. */
+    void execute(Runnable action) {
+        mLimiter.execute(action);
+    }
+
+    /**
+     * Reserves memory for what has arrived of a head. Called on the connection's I/O thread.
+     *
+     * @param bytes length so far
+     * @return false if there is no memory for it
+     */
+    boolean tryReserveHead(long bytes) {
+        mLastHeadNanos = System.nanoTime();
+        long missingBytes;
+        synchronized (mHeadLock) {
+            missingBytes = bytes * HEAD_BYTES_FACTOR - mHeadBytes;
+        }
+        if (missingBytes <= 0) {
+            return true;
+        }
+        // No lock is held: the reservation may evict other connections.
+        if (!mAccount.tryReserve(RequestMemory.Kind.HEAD, missingBytes, mLastHeadNanos)) {
+            return false;
+        }
+        synchronized (mHeadLock) {
+            if (!mEvicted) {
+                mHeadBytes += missingBytes;
+                return true;
+            }
+        }
+        releaseHeadBytes(missingBytes);
+        return false;
+    }
+
+    /** Returns the memory of trailers to the budget once the body has arrived. */
+    void releaseTrailers() {
+        releaseHeadBytes(takeHeadBytes());
+    }
+
+    /** Returns the reserved bytes of the head that has arrived; the exchange releases them. */
+    long takeHeadBytes() {
+        synchronized (mHeadLock) {
+            long bytes = mHeadBytes;
+            mHeadBytes = 0;
+            return bytes;
+        }
+    }
+
+    void releaseHeadBytes(long bytes) {
+        mAccount.release(RequestMemory.Kind.HEAD, bytes);
+    }
+
+    @Override
+    public @Nullable Long incompleteSinceNanos() {
+        for (ServerExchange exchange : mExchanges) {
+            Long sinceNanos = exchange.incompleteSinceNanos();
+            if (sinceNanos != null) {
+                return sinceNanos;
+            }
+        }
+        return mInHead && mExchanges.isEmpty() ? mLastHeadNanos : null;
+    }
+
+    @Override
+    public boolean evict() {
+        for (ServerExchange exchange : mExchanges) {
+            if (exchange.evict()) {
+                return true;
+            }
+        }
+        if (!mInHead || !mExchanges.isEmpty()) {
+            return false;
+        }
+        synchronized (mHeadLock) {
+            if (mEvicted) {
+                return false;
+            }
+            mEvicted = true;
+        }
+        releaseHeadBytes(takeHeadBytes());
+        execute(() -> closeNow(CloseReason.EVICTED));
+        return true;
+    }
+
+    /** Called on the connection's I/O thread when the connection has ended. */
+    void disconnected() {
+        releaseHeadBytes(takeHeadBytes());
+        mAccount.close();
     }
 
     HttpLimits limits() {
@@ -209,15 +326,23 @@
         }
     }
 
+    /** Refuses the request whose body is being received, because memory is short. */
+    void refuseBodyForMemory() {
+        ServerExchange exchange = mLatestExchange;
+        if (exchange != null) {
+            exchange.refuseForMemory();
+        }
+    }
+
     /**
      * Closes the connection after a response whose request has not arrived to its end: once the
      * response is written, the output ends, and input is discarded while the client may still send
      * the rest of the body.
      *
-     * @param bodyStartNanos monotonic time at which the body began
+     * @param endNanos monotonic time until which the rest of the body may arrive
      */
-    void closeAfterRefusal(long bodyStartNanos) {
-        lingerUntil(bodyStartNanos + TimeUnit.MILLISECONDS.toNanos(mLimits.bodyTimeoutMillis()));
+    void closeAfterRefusal(long endNanos) {
+        lingerUntil(endNanos);
     }
 
     /** Closes the connection once the last response is written. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/CloseReason.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/CloseReason.java
@@ -5,6 +5,7 @@
     CLIENT("the caller closed the connection"),
     WRITE_TIMEOUT("the caller has stopped reading"),
     INTERNAL_ERROR("internal error in the connection"),
+    EVICTED("the instance is short of memory"),
     PORT_CLOSED("the port was closed");
 
     private final String mText;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
@@ -3,12 +3,14 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
+import org.hemlockrack.limits.RequestMemory;
 
 /**
  * Limits the number of connections to one port and enforces their timeouts. Connections above
@@ -20,14 +22,16 @@
     private static final long MAX_PERIOD_MILLIS = 500;
 
     private final HttpLimits mLimits;
+    private final RequestMemory mMemory;
     private final AtomicInteger mOpenSessions = new AtomicInteger();
     private final Set<ClientConnection> mConnections = ConcurrentHashMap.newKeySet();
     private final AtomicInteger mOpenConnections = new AtomicInteger();
     private final ScheduledExecutorService mTimer;
     private volatile boolean mClosesAfterResponse;
 
-    private ConnectionLimiter(String name, HttpLimits limits) {
+    private ConnectionLimiter(String name, HttpLimits limits, RequestMemory memory) {
         mLimits = limits;
+        mMemory = memory;
         mTimer =
                 Executors.newSingleThreadScheduledExecutor(
                         task -> {
@@ -42,10 +46,11 @@
      *
      * @param name name of the port, used for the thread name
      * @param limits limits of the port
+     * @param memory memory for the requests
      * @return the limiter
      */
-    static ConnectionLimiter start(String name, HttpLimits limits) {
-        ConnectionLimiter limiter = new ConnectionLimiter(name, limits);
+    static ConnectionLimiter start(String name, HttpLimits limits, RequestMemory memory) {
+        ConnectionLimiter limiter = new ConnectionLimiter(name, limits, memory);
         long shortestMillis =
                 Math.min(
                         limits.headTimeoutMillis(),
@@ -61,6 +66,19 @@
         return mLimits;
     }
 
+    RequestMemory memory() {
+        return mMemory;
+    }
+
+    /** Runs an action on the thread that enforces timeouts. */
+    void execute(Runnable action) {
+        try {
+            mTimer.execute(action);
+        } catch (RejectedExecutionException e) {
+            // The port is closed, and with it each connection.
+        }
+    }
+
     private void enforceTimeouts() {
         long nowNanos = System.nanoTime();
         for (ClientConnection connection : mConnections) {
@@ -121,6 +139,7 @@
     }
 
     void connectionClosed(ClientConnection connection) {
+        connection.disconnected();
         if (mConnections.remove(connection)) {
             mOpenConnections.decrementAndGet();
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
@@ -15,10 +15,17 @@
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.ErrorText;
 import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.limits.RequestMemory;
 import org.jspecify.annotations.Nullable;
 
 /** An HTTP/1.1 server on one listening port. */
 public final class HttpPort implements AutoCloseable {
+    /**
+     * Time without a byte after which an incomplete request is given up first when memory is short.
+     * A client that sends loses a packet now and then; TCP sends it again within a second.
+     */
+    private static final long STALL_MILLIS = 1_000;
+
     private final HttpAsyncServer mServer;
     private final ConnectionLimiter mLimiter;
     private final ListenerEndpoint mListener;
@@ -42,13 +49,27 @@
      */
     public static HttpPort open(
             String name, InetSocketAddress address, HttpLimits limits, CallHandler handler) {
-        return open(name, address, limits, handler, null);
+        return open(name, address, limits, heapShare(), handler, null);
+    }
+
+    /**
+     * Returns the bytes that requests to all ports of a process may use by default: three eighths
+     * of its heap. Another eighth is for answers, and the rest for buffers of connections and the
+     * state of the fleet.
+     */
+    public static long requestHeapBytes() {
+        return Runtime.getRuntime().maxMemory() / 8 * 3;
+    }
+
+    private static RequestMemory heapShare() {
+        return RequestMemory.of(requestHeapBytes(), STALL_MILLIS);
     }
 
     /**
      * Opens a port, optionally with TLS. The other parameters are those of {@link #open(String,
      * InetSocketAddress, HttpLimits, CallHandler)}.
      *
+     * @param memory memory for the requests, which other ports may share
      * @param tls starts TLS on each accepted connection, or null for plain text
      * @return the open port
      */
@@ -56,9 +77,10 @@
             String name,
             InetSocketAddress address,
             HttpLimits limits,
+            RequestMemory memory,
             CallHandler handler,
             @Nullable TlsStrategy tls) {
-        ConnectionLimiter limiter = ConnectionLimiter.start(name, limits);
+        ConnectionLimiter limiter = ConnectionLimiter.start(name, limits, memory);
         HttpAsyncServer server = createServer(limiter, handler, tls);
         server.start();
         try {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/RequestParser.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/RequestParser.java
@@ -28,6 +28,7 @@
 
     private final NHttpMessageParser<HttpRequest> mParser;
     private final ClientConnection mConnection;
+    private long mHeadBytes;
 
     RequestParser(Http1Config config, ClientConnection connection) {
         mParser = WholeHeadParser.of(new DefaultHttpRequestParserFactory(config).create());
@@ -46,6 +47,10 @@
             mConnection.headStarted();
         }
         HttpRequest request;
+        int pendingBytes = buffer.length();
+        if (!mConnection.tryReserveHead(mHeadBytes + pendingBytes)) {
+            return endHead(RefusedRequest.of("GET", ErrorKind.OVERLOADED, ErrorText.MEMORY_SHORT));
+        }
         try {
             request = mParser.parse(buffer, endOfStream);
         } catch (RequestHeaderFieldsTooLargeException | MessageConstraintException e) {
@@ -54,10 +59,16 @@
             request = RefusedRequest.of("GET", ErrorKind.BAD_REQUEST, e.getMessage());
         }
         if (request == null) {
+            mHeadBytes += pendingBytes - buffer.length();
             return null;
         }
+        return endHead(validate(request));
+    }
+
+    private HttpRequest endHead(HttpRequest request) {
+        mHeadBytes = 0;
         mConnection.headComplete();
-        return validate(request);
+        return request;
     }
 
     /** Returns the request, or a refused request if it violates HTTP or exceeds a limit. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
@@ -1,6 +1,5 @@
 package org.hemlockrack.daemon.http;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -32,12 +31,16 @@
  */
 final class ServerExchange implements AsyncServerExchangeHandler, Responder {
     private static final int CONTINUE_STATUS = 100;
+
+    /** Stalled connections are evicted within a second, and their memory is free then. */
+    private static final long MEMORY_RETRY_MILLIS = 1_000;
+
     private static final int NO_CONTENT_STATUS = 204;
     private static final int NOT_MODIFIED_STATUS = 304;
 
     private final CallHandler mHandler;
     private final ClientConnection mConnection;
-    private final ByteArrayOutputStream mRequestBody = new ByteArrayOutputStream();
+    private final RequestBody mRequestBody;
     private final Deque<ByteBuffer> mOutputQueue = new ArrayDeque<>();
 
     private @Nullable HttpRequest mRequest;
@@ -63,12 +66,17 @@
 
     private volatile boolean mCloseAfterResponse;
     private volatile boolean mIsLast;
+    private volatile boolean mEvicted;
+    private long mContentLengthBytes = UNKNOWN_LENGTH;
+    private long mHeadBytes;
     private long mBodyStartNanos;
+    private volatile long mLastInputNanos;
     private long mLastProgressNanos;
 
     ServerExchange(CallHandler handler, ClientConnection connection) {
         mHandler = handler;
         mConnection = connection;
+        mRequestBody = new RequestBody(connection.account());
     }
 
     @Override
@@ -79,12 +87,16 @@
             HttpContext context)
             throws HttpException, IOException {
         mRequest = request;
+        Header credentials = request.getFirstHeader("Authorization");
+        mConnection.account().setWorkspace(credentials == null ? null : credentials.getValue());
         mResponseChannel = responseChannel;
         mContext = context;
         mIsHeadRequest = request.getMethod().equals("HEAD");
         synchronized (this) {
             mRequestBodyComplete = entity == null;
             mBodyStartNanos = System.nanoTime();
+            mLastInputNanos = mBodyStartNanos;
+            mHeadBytes = mConnection.takeHeadBytes();
         }
         if (!mConnection.exchangeStarted(this)) {
             tryClaim();
@@ -98,7 +110,8 @@
             dispatch();
             return;
         }
-        if (entity.getContentLength() > maxBodyBytes()) {
+        mContentLengthBytes = entity.getContentLength();
+        if (mContentLengthBytes > maxBodyBytes()) {
             refuseLargeBody();
             return;
         }
@@ -140,6 +153,38 @@
         }
     }
 
+    /** Returns when the last byte of an incomplete body was received; null if it is complete. */
+    @Nullable Long incompleteSinceNanos() {
+        synchronized (this) {
+            if (mRequestBodyComplete || mClaimed || mReleased) {
+                return null;
+            }
+        }
+        return mLastInputNanos;
+    }
+
+    /** Gives up an incomplete body for want of memory; returns false if it is complete. */
+    boolean evict() {
+        if (incompleteSinceNanos() == null || !tryClaim()) {
+            return false;
+        }
+        mRequestBody.discard();
+        mConnection.execute(this::sendMemoryRefusal);
+        return true;
+    }
+
+    void refuseForMemory() {
+        if (tryClaim()) {
+            mRequestBody.discard();
+            sendMemoryRefusal();
+        }
+    }
+
+    private void sendMemoryRefusal() {
+        mEvicted = true;
+        sendError(ErrorKind.OVERLOADED, ErrorText.MEMORY_SHORT, MEMORY_RETRY_MILLIS);
+    }
+
     /** Returns whether the caller alone is to answer the request. */
     private synchronized boolean tryClaim() {
         if (mClaimed || mReleased) {
@@ -216,14 +261,18 @@
             src.position(src.limit());
             return;
         }
+        mLastInputNanos = System.nanoTime();
         if (mRequestBody.size() + src.remaining() > maxBodyBytes()) {
             src.position(src.limit());
             refuseLargeBody();
             return;
         }
-        byte[] chunk = new byte[src.remaining()];
-        src.get(chunk);
-        mRequestBody.writeBytes(chunk);
+        long lengthBytes = mContentLengthBytes;
+        int maxBytes = lengthBytes >= 0 ? (int) lengthBytes : maxBodyBytes();
+        if (!mRequestBody.append(src, maxBytes)) {
+            src.position(src.limit());
+            refuseForMemory();
+        }
     }
 
     @Override
@@ -251,8 +300,14 @@
     }
 
     private void dispatch() {
-        if (tryClaim()) {
-            handle(mHandler, callWith(mRequestBody.toByteArray()));
+        if (isClaimed()) {
+            return;
+        }
+        byte[] body = mRequestBody.toBytes();
+        if (body == null) {
+            refuseForMemory();
+        } else if (tryClaim()) {
+            handle(mHandler, callWith(body));
         }
     }
 
@@ -460,7 +515,12 @@
 
     private void closeIfLast() {
         if (mCloseAfterResponse) {
-            mConnection.closeAfterRefusal(mBodyStartNanos);
+            // An evicted client is not given the time for the rest of its body.
+            long endNanos =
+                    mBodyStartNanos
+                            + TimeUnit.MILLISECONDS.toNanos(
+                                    mConnection.limits().bodyTimeoutMillis());
+            mConnection.closeAfterRefusal(mEvicted ? System.nanoTime() : endNanos);
         } else if (mIsLast) {
             mConnection.closeAfterLastResponse();
         }
@@ -504,6 +564,8 @@
             onCancel = mResponseComplete ? null : mOnCancel;
             onReleased = mOnReleased;
         }
+        mRequestBody.discard();
+        mConnection.releaseHeadBytes(mHeadBytes);
         mConnection.exchangeReleased(this);
         if (onCancel != null) {
             onCancel.run();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/WholeBodyDecoder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/WholeBodyDecoder.java
@@ -49,12 +49,23 @@
     @Override
     public int read(ByteBuffer dst) throws IOException {
         int bytes = mDecoder.read(dst);
+        if (bytes > 0) {
+            mChannel.mBytesSinceContent = 0;
+        }
         if (bytes <= 0 && mChannel.mAtEnd && !mDecoder.isCompleted()) {
             throw new ConnectionClosedException("the connection ended inside a chunked body");
         }
         return bytes;
     }
 
+    /**
+     * Returns the bytes received since the last content: the size of a chunk or trailers, which are
+     * kept until the body is complete.
+     */
+    long bytesSinceContent() {
+        return mChannel.mBytesSinceContent;
+    }
+
     @Override
     public boolean isCompleted() {
         return mDecoder.isCompleted();
@@ -69,6 +80,7 @@
     private static final class OpenEndedChannel implements ReadableByteChannel {
         private final ReadableByteChannel mChannel;
         private boolean mAtEnd;
+        private long mBytesSinceContent;
 
         OpenEndedChannel(ReadableByteChannel channel) {
             mChannel = channel;
@@ -78,6 +90,7 @@
         public int read(ByteBuffer dst) throws IOException {
             int bytes = mChannel.read(dst);
             mAtEnd |= bytes < 0;
+            mBytesSinceContent += Math.max(0, bytes);
             return Math.max(0, bytes);
         }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
@@ -56,6 +56,17 @@
             MetricType.GAUGE,
             "B",
             "Memory reserved for answers that callers have not taken yet"),
+    HEAD_BYTES(
+            "request_head_bytes",
+            MetricType.GAUGE,
+            "B",
+            "Memory held for heads and trailers of requests"),
+    BODY_BYTES("request_body_bytes", MetricType.GAUGE, "B", "Memory held for bodies of requests"),
+    EVICTIONS(
+            "connections_evicted_total",
+            MetricType.COUNTER,
+            "connections",
+            "Incomplete requests given up because memory was short"),
     QUEUE_LENGTH("queue_length", MetricType.GAUGE, "requests", "Queue by owned backend server"),
     IN_FLIGHT("in_flight", MetricType.GAUGE, "requests", "In flight by owned backend server"),
     LIMIT("limit", MetricType.GAUGE, "requests", "Limit by owned backend server"),
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/Metrics.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/Metrics.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
+import org.hemlockrack.limits.RequestMemory;
 
 /**
  * The metrics of one instance. Counters and durations are kept in a {@link MetricRegistry}; other
@@ -82,6 +83,13 @@
         mValueReaders.put(name, () -> Map.of("", reader.get()));
     }
 
+    /** Registers what the requests to the ports of this process hold. */
+    public void registerRequestMemory(RequestMemory memory) {
+        registerValue(MetricName.HEAD_BYTES, () -> memory.heldBytes(RequestMemory.Kind.HEAD));
+        registerValue(MetricName.BODY_BYTES, () -> memory.heldBytes(RequestMemory.Kind.BODY));
+        registerValue(MetricName.EVICTIONS, memory::evictions);
+    }
+
     /**
      * Registers a reader for the values of a metric with a label. It is called, on any thread, each
      * time the metrics are rendered.
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
@@ -15,9 +15,11 @@
 import java.util.List;
 import java.util.Map;
 import org.hemlockrack.daemon.http.HttpLimits;
+import org.hemlockrack.daemon.http.HttpPort;
 import org.hemlockrack.daemon.tls.PemFiles;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.limits.RequestMemory;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.model.ZoneId;
 import org.jspecify.annotations.Nullable;
@@ -322,6 +324,14 @@
                 CALLER_IO_THREADS);
     }
 
+    /** Returns memory for the requests to all ports; 0 in the settings is a share of the heap. */
+    public RequestMemory requestMemory() {
+        long bytes = integer(SettingKey.HTTP_REQUEST_MEMORY_BYTES);
+        return RequestMemory.of(
+                bytes == 0 ? HttpPort.requestHeapBytes() : bytes,
+                integer(SettingKey.HTTP_STALL_TIMEOUT_MS));
+    }
+
     private static String requireDefault(SettingKey key) {
         String value = key.defaultValue();
         if (value == null) {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/tls/TlsPortsTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/tls/TlsPortsTest.java
@@ -37,6 +37,7 @@
 import org.hemlockrack.daemon.peer.PeerServer;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.limits.RequestMemory;
 import org.hemlockrack.wire.Peer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -85,6 +86,7 @@
                         "test",
                         ANY,
                         HttpLimits.internal(),
+                        RequestMemory.of(1 << 20, 1_000),
                         (call, responder) -> {
                             mCalls.incrementAndGet();
                             responder.send(200, List.of(), call.body());
