--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ResponseInput.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ResponseInput.java
@@ -22,6 +22,9 @@
     /** Limit on one head, including the informational ones before it. */
     private static final int MAX_HEAD_BYTES = 64 << 10;
 
+    /** Largest status that HTTP defines a class for. */
+    private static final int MAX_STATUS = 599;
+
     private @Nullable SessionInputBuffer mBuffer;
     private int mExpectedResponses;
     private int mHeadBytes;
@@ -48,6 +51,12 @@
         };
     }
 
+    private static void checkStatus(int status) throws ProtocolException {
+        if (status < HttpStatus.SC_CONTINUE || status > MAX_STATUS) {
+            throw new ProtocolException("status " + status + " of a response is not valid");
+        }
+    }
+
     /** Returns a parser that refuses input unless a request awaits a response. */
     NHttpMessageParser<HttpResponse> guarding(NHttpMessageParser<HttpResponse> parser) {
         return new NHttpMessageParser<>() {
@@ -70,6 +79,9 @@
                     throw new MessageConstraintException(
                             "head of a response exceeds " + MAX_HEAD_BYTES + " bytes");
                 }
+                if (response != null) {
+                    checkStatus(response.getCode());
+                }
                 if (response != null && response.getCode() >= HttpStatus.SC_SUCCESS) {
                     mExpectedResponses--;
                     mHeadBytes = 0;
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
@@ -14,8 +14,10 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -30,6 +32,9 @@
      */
     private static final long MAX_ENDLESS_BYTES = 16 << 20;
 
+    /** More than the buffers of a connection hold. */
+    private static final int LARGE_BODY_BYTES = 32 << 20;
+
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     private static final String LATE = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate";
 
@@ -50,6 +55,7 @@
     /** Collects the body; completes with it, or with "failed". */
     private static final class Collector implements UpstreamListener {
         private final StringBuffer mBody = new StringBuffer();
+        private final CompletableFuture<@Nullable Void> mBodyBegun = new CompletableFuture<>();
         private final CompletableFuture<String> mResult = new CompletableFuture<>();
 
         @Override
@@ -63,6 +69,7 @@
         @Override
         public void onBody(ByteBuffer data) {
             mBody.append(StandardCharsets.UTF_8.decode(data));
+            mBodyBegun.complete(null);
         }
 
         @Override
@@ -75,15 +82,23 @@
             mResult.complete("failed");
         }
 
+        void awaitBody() throws Exception {
+            mBodyBegun.get(WAIT_SECONDS, TimeUnit.SECONDS);
+        }
+
         String await() throws Exception {
             return mResult.get(WAIT_SECONDS, TimeUnit.SECONDS);
         }
     }
 
     private Collector send() {
+        return send(new byte[0]);
+    }
+
+    private Collector send(byte[] body) {
         Collector collector = new Collector();
         String target = "127.0.0.1:" + mServer.getLocalPort();
-        mClient.send(target, "GET", "/", List.of(), new byte[0], collector);
+        mClient.send(target, "GET", "/", List.of(), body, collector);
         return collector;
     }
 
@@ -270,4 +285,50 @@
         socket.shutdownOutput();
         assertEquals("ok", call.await());
     }
+
+    /** Guards against a response without a valid status that is taken for an answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "99", "099", "600", "999", "abc", "20", "2000", "-200", "+200"})
+    void invalidStatusIsNoAnswer(String status) throws Exception {
+        Collector answer = send();
+        try (Socket socket = mServer.accept()) {
+            assertTrue(readRequest(socket));
+            write(socket, OK.replace("200", status));
+            socket.shutdownOutput();
+            assertEquals("failed", answer.await());
+        }
+    }
+
+    /**
+     * Guards against a part of a response without length that is taken for the whole one: the
+     * server resets or ends the connection while the request is still being written.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void endOfConnectionDuringTheUploadIsNoEndOfTheAnswer(boolean reset) throws Exception {
+        Collector answer = send(new byte[LARGE_BODY_BYTES]);
+        Socket socket = mServer.accept();
+        assertTrue(readRequest(socket));
+        write(socket, "HTTP/1.1 200 OK\r\n\r\npart");
+        answer.awaitBody();
+        if (reset) {
+            socket.setSoLinger(true, 0);
+        }
+        socket.close();
+        assertEquals("failed", answer.await());
+    }
+
+    /** Guards against an upload that stops once its response has arrived. */
+    @Test
+    void uploadIsSentWholeAfterAnEarlyAnswer() throws Exception {
+        Collector answer = send(new byte[LARGE_BODY_BYTES]);
+        try (Socket socket = mServer.accept()) {
+            socket.setSoTimeout(WAIT_SECONDS * 1_000);
+            assertTrue(readRequest(socket));
+            write(socket, OK);
+            assertEquals("ok", answer.await());
+            socket.getInputStream().readNBytes(LARGE_BODY_BYTES - 1);
+            assertTrue(socket.getInputStream().read() >= 0);
+        }
+    }
 }
