Bound the frames that a peer port receives at the same time

Cause: the server allocates a frame of up to 4 MiB when its length has arrived, without a bound on all frames, and keeps it while the client stalls. 100 clients that announce a frame end a controller with a heap of 96 MiB.

Change: frames that are being received use an eighth of the heap (at least two frames); others wait. FrameGuard ends the input of connections that receive no byte inside a frame for 2 s, so that the server frees the frame.

--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/FrameGuard.java
@@ -0,0 +1,115 @@
+package org.hemlockrack.daemon.peer;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.thrift.transport.TNonblockingServerSocket;
+import org.apache.thrift.transport.TNonblockingSocket;
+import org.apache.thrift.transport.TTransportException;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A listening socket that ends the input of connections which stop inside a frame. The server
+ * allocates a frame when its length has arrived, and keeps it until the frame is complete.
+ */
+final class FrameGuard extends TNonblockingServerSocket {
+    /**
+     * Time without a byte inside a frame. Peers write a frame at once; TCP sends a lost packet
+     * again within a second.
+     */
+    private static final long STALL_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    private static final long PERIOD_MILLIS = 500;
+
+    /** Length of the number before each frame. */
+    private static final int LENGTH_BYTES = 4;
+
+    private final Set<GuardedSocket> mSockets = ConcurrentHashMap.newKeySet();
+    private final ScheduledExecutorService mTimer =
+            Executors.newSingleThreadScheduledExecutor(
+                    task -> {
+                        Thread thread = new Thread(task, "peer-frames");
+                        thread.setDaemon(true);
+                        return thread;
+                    });
+
+    private FrameGuard(NonblockingAbstractServerSocketArgs args) throws TTransportException {
+        super(args);
+    }
+
+    static FrameGuard open(NonblockingAbstractServerSocketArgs args) throws TTransportException {
+        FrameGuard guard = new FrameGuard(args);
+        guard.mTimer.scheduleWithFixedDelay(
+                guard::endStalledInputs, PERIOD_MILLIS, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+        return guard;
+    }
+
+    private void endStalledInputs() {
+        long nowNanos = System.nanoTime();
+        mSockets.forEach(socket -> socket.endInputIfStalled(nowNanos));
+    }
+
+    @Override
+    public @Nullable TNonblockingSocket accept() throws TTransportException {
+        TNonblockingSocket accepted = super.accept();
+        if (accepted == null) {
+            return null;
+        }
+        try {
+            GuardedSocket socket = new GuardedSocket(accepted.getSocketChannel());
+            mSockets.add(socket);
+            return socket;
+        } catch (IOException e) {
+            accepted.close();
+            throw new TTransportException(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        mTimer.shutdownNow();
+        super.close();
+    }
+
+    private final class GuardedSocket extends TNonblockingSocket {
+        private volatile long mLastReadNanos;
+        private volatile boolean mInFrame;
+
+        GuardedSocket(SocketChannel channel) throws IOException, TTransportException {
+            super(channel);
+        }
+
+        @Override
+        public int read(ByteBuffer buffer) throws TTransportException {
+            int bytes = super.read(buffer);
+            mLastReadNanos = System.nanoTime();
+            mInFrame = buffer.hasRemaining() || buffer.capacity() <= LENGTH_BYTES;
+            return bytes;
+        }
+
+        /**
+         * Ends the input, so that the server closes the connection and counts its frame as freed.
+         */
+        private void endInputIfStalled(long nowNanos) {
+            if (!mInFrame || nowNanos - mLastReadNanos < STALL_NANOS) {
+                return;
+            }
+            try {
+                getSocketChannel().shutdownInput();
+            } catch (IOException e) {
+                // The connection has ended already.
+            }
+        }
+
+        @Override
+        public void close() {
+            mSockets.remove(this);
+            super.close();
+        }
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
@@ -9,7 +9,6 @@
 import org.apache.thrift.server.THsHaServer;
 import org.apache.thrift.server.TServer;
 import org.apache.thrift.server.TThreadPoolServer;
-import org.apache.thrift.transport.TNonblockingServerSocket;
 import org.apache.thrift.transport.TNonblockingServerSocket.NonblockingAbstractServerSocketArgs;
 import org.apache.thrift.transport.TTransportException;
 import org.apache.thrift.transport.layered.TFramedTransport;
@@ -24,6 +23,12 @@
     /** Maximum frame size, which bounds the memory that an untrusted client can allocate. */
     static final int MAX_FRAME_BYTES = 4 << 20;
 
+    /** Frames that are being received use at most this part of the heap; others wait. */
+    private static final int READ_HEAP_DIVISOR = 8;
+
+    /** With a small heap there is room for this number of the largest frames. */
+    private static final int MIN_READ_FRAMES = 2;
+
     /** Connections that may wait to be accepted; a large fleet exceeds the default of 50. */
     private static final int BACKLOG = 1_024;
 
@@ -79,21 +84,25 @@
 
     private static PeerServer openPlain(InetSocketAddress address, Peer.Iface handler)
             throws TTransportException {
-        TNonblockingServerSocket socket =
-                new TNonblockingServerSocket(
+        FrameGuard socket =
+                FrameGuard.open(
                         new NonblockingAbstractServerSocketArgs()
                                 .bindAddr(address)
                                 .clientTimeout(CLIENT_TIMEOUT_MILLIS)
                                 .maxFrameSize(MAX_FRAME_BYTES)
                                 .backlog(BACKLOG));
         ThreadPoolExecutor workers = createWorkerPool(MAX_WORKERS);
-        THsHaServer server =
-                new THsHaServer(
-                        new THsHaServer.Args(socket)
-                                .processor(new Peer.Processor<>(handler))
-                                .protocolFactory(new TCompactProtocol.Factory())
-                                .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
-                                .executorService(workers));
+        THsHaServer.Args args =
+                new THsHaServer.Args(socket)
+                        .processor(new Peer.Processor<>(handler))
+                        .protocolFactory(new TCompactProtocol.Factory())
+                        .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
+                        .executorService(workers);
+        args.maxReadBufferBytes =
+                Math.max(
+                        MIN_READ_FRAMES * MAX_FRAME_BYTES,
+                        Runtime.getRuntime().maxMemory() / READ_HEAP_DIVISOR);
+        THsHaServer server = new THsHaServer(args);
         return new PeerServer(
                 server, workers, new InetSocketAddress(address.getAddress(), socket.getPort()));
     }
