Bound the bytes that wait on a controller's link before heartbeats

Cause: everything that a controller sends shares one link. A leader sent new entries to all members at once, up to 8 batches of 256 KB to each, and all gateways fetch a new table within 0.8 s, most of them from the first controller that has it. On a link of 6 Mbit/s heartbeats then wait for more than the 500 ms after which a leader steps down. The next leader is the next one to be asked for the table, so elections follow one another and proposals and reads time out.

Change: the entries that members have not answered are bounded to two batches of 64 KB for all members together; voters come first, and among them those that lack least.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ConsensusSettings.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ConsensusSettings.java
@@ -56,7 +56,7 @@
                 LogFormation.WITH_ALL,
                 500_000_000L,
                 100_000_000L,
-                256 * 1024,
+                64 * 1024,
                 8,
                 16 << 20,
                 128 * 1024,
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Leadership.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Leadership.java
@@ -1,6 +1,8 @@
 package org.hemlockrack.consensus.internal;
 
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -21,6 +23,12 @@
 
 /** Leader side of the protocol, from a won election until this replica steps down. */
 final class Leadership {
+    /**
+     * Largest batches of entries that may be unanswered by all members together. At 6 Mbit/s, two
+     * batches of 64 KB delay a heartbeat by 175 ms.
+     */
+    private static final int MAX_INFLIGHT_BATCHES = 2;
+
     private final RaftState mState;
     private final Map<Long, MemberProgress> mProgressByReplica = new TreeMap<>();
     private final PendingReads mReads;
@@ -62,6 +70,7 @@
         for (MemberProgress each : mProgressByReplica.values()) {
             sendHeartbeat(each);
         }
+        replicateToAll();
         mChanges.advanceReplacements();
     }
 
@@ -184,9 +193,7 @@
         if (mState.mLog.lastIndex() == mFlushedIndex) {
             return;
         }
-        for (MemberProgress each : mProgressByReplica.values()) {
-            replicate(each);
-        }
+        replicateToAll();
         persistNew();
     }
 
@@ -208,11 +215,46 @@
                 return;
             }
             List<Entry> entries = mState.mLog.entriesFrom(next, mState.mSettings.maxBatchBytes());
+            long bytes = entries.stream().mapToLong(Entry::sizeBytes).sum();
+            if (!hasRoomFor(bytes)) {
+                return;
+            }
             sendAppend(progress, next - 1, entries);
-            progress.onSent(next + entries.size() - 1);
+            progress.onSent(mState.mNowNanos, next + entries.size() - 1, bytes);
         }
     }
 
+    /**
+     * Returns whether entries may be sent now. Heartbeats wait behind the entries that are queued
+     * on the link of this machine, so those to all members together are bounded. Entries that were
+     * not answered for half an election timeout may be lost and no longer count.
+     */
+    private boolean hasRoomFor(long bytes) {
+        long sinceNanos = mState.mNowNanos - mState.mSettings.electionTimeoutNanos() / 2;
+        long inflightBytes = 0;
+        for (MemberProgress each : mProgressByReplica.values()) {
+            inflightBytes += each.inflightBytesSince(sinceNanos);
+        }
+        int limitBytes = MAX_INFLIGHT_BATCHES * mState.mSettings.maxBatchBytes();
+        return inflightBytes == 0 || inflightBytes + bytes <= limitBytes;
+    }
+
+    /**
+     * Sends entries to all members that lack some: first to voters, which commit them, and among
+     * these to the ones that lack least, so that catching up does not delay new entries.
+     */
+    private void replicateToAll() {
+        List<MemberProgress> members = new ArrayList<>(mProgressByReplica.values());
+        members.sort(
+                Comparator.comparing((MemberProgress each) -> !isVoter(each))
+                        .thenComparing(each -> -each.mMatchIndex));
+        members.forEach(this::replicate);
+    }
+
+    private boolean isVoter(MemberProgress progress) {
+        return mState.membership().isVoter(progress.mReplica.replicaId());
+    }
+
     private void sendHeartbeat(MemberProgress progress) {
         SnapshotMeta snapshot = mState.mSnapshot;
         long prev = progress.mNextIndex - 1;
@@ -242,7 +284,7 @@
         if (snapshot == null) {
             throw new IllegalStateException("the log was compacted without a snapshot");
         }
-        progress.mInflightAppends.clear();
+        progress.forgetAppends();
         progress.mSnapshotIndex = snapshot.index();
         progress.mSnapshotOffset = 0;
         sendChunk(progress, snapshot);
@@ -289,7 +331,7 @@
             onRefused(progress, reply);
         }
         finishReadRoundIfConfirmed();
-        replicate(progress);
+        replicateToAll();
         mChanges.advanceReplacements();
     }
 
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/MemberProgress.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/MemberProgress.java
@@ -7,8 +7,11 @@
 final class MemberProgress {
     final ReplicaRef mReplica;
 
-    /** Last log indexes of the appends that are not answered yet. */
-    final ArrayDeque<Long> mInflightAppends = new ArrayDeque<>();
+    /** The appends with entries that are not answered yet. */
+    private final ArrayDeque<SentAppend> mInflightAppends = new ArrayDeque<>();
+
+    private long mInflightBytes;
+    private long mAppendSentNanos;
 
     long mNextIndex;
     long mMatchIndex;
@@ -23,6 +26,14 @@
     long mSnapshotOffset;
     long mSnapshotSentNanos;
 
+    /**
+     * An append with entries.
+     *
+     * @param lastIndex index of its last entry
+     * @param bytes size of its entries
+     */
+    private record SentAppend(long lastIndex, long bytes) {}
+
     MemberProgress(ReplicaRef replica, long next, long nowNanos) {
         mReplica = replica;
         mNextIndex = next;
@@ -39,8 +50,8 @@
         mProbing = false;
         mMatchIndex = Math.max(mMatchIndex, index);
         mNextIndex = Math.max(mNextIndex, mMatchIndex + 1);
-        while (!mInflightAppends.isEmpty() && mInflightAppends.peek() <= mMatchIndex) {
-            mInflightAppends.poll();
+        while (!mInflightAppends.isEmpty() && mInflightAppends.peek().lastIndex() <= mMatchIndex) {
+            mInflightBytes -= mInflightAppends.poll().bytes();
         }
         if (mSnapshotIndex <= mMatchIndex) {
             mSnapshotIndex = 0;
@@ -48,8 +59,10 @@
     }
 
     /** While probing, the next index stays, so that a refusal of this append is recognized. */
-    void onSent(long lastIndex) {
-        mInflightAppends.add(lastIndex);
+    void onSent(long nowNanos, long lastIndex, long bytes) {
+        mInflightAppends.add(new SentAppend(lastIndex, bytes));
+        mInflightBytes += bytes;
+        mAppendSentNanos = nowNanos;
         if (!mProbing) {
             mNextIndex = lastIndex + 1;
         }
@@ -57,10 +70,21 @@
 
     void onRefused(long next) {
         mProbing = true;
-        mInflightAppends.clear();
+        forgetAppends();
         mNextIndex = Math.max(mMatchIndex + 1, next);
     }
 
+    /** Drops the appends that are not answered. */
+    void forgetAppends() {
+        mInflightAppends.clear();
+        mInflightBytes = 0;
+    }
+
+    /** Returns the bytes of entries that were sent after a time and are not answered yet. */
+    long inflightBytesSince(long nanos) {
+        return mAppendSentNanos - nanos > 0 ? mInflightBytes : 0;
+    }
+
     boolean canSend(int maxInflight) {
         return mSnapshotIndex == 0 && mInflightAppends.size() < (mProbing ? 1 : maxInflight);
     }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
@@ -11,6 +11,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.hemlockrack.model.InstanceId;
@@ -54,6 +55,9 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    /** One way between two zones. */
+    private static final long LINK_DELAY_NANOS = 1_400_000L;
+
     final SplittableRandom mRandom;
     final Oracle mOracle = new Oracle();
     final Map<InjectedFault, Integer> mFaultCounts = new EnumMap<>(InjectedFault.class);
@@ -72,6 +76,15 @@
     /** Whether no folder is lost and no voter changed. */
     boolean mKeepsReplicas;
 
+    /** Whether the replicas have the settings of a deployment instead of ones for short logs. */
+    boolean mUsesDefaultSettings;
+
+    /** Bytes a second that each instance can send, to all others together; 0 for no limit. */
+    long mLinkBytesPerSecond;
+
+    /** When each instance will have sent what is queued on its link. */
+    private final Map<Integer, Long> mLinkFreeNanos = new HashMap<>();
+
     @Nullable SettledReports mSettled;
 
     /** Called with the leader when a requested change of its voters is committed. */
@@ -206,6 +219,11 @@
         }
         byte[] bytes = ConsensusCodec.encode(packet);
         mSentBytes.merge(target, (long) bytes.length, Long::sum);
+        if (mLinkBytesPerSecond > 0) {
+            long arrivalNanos = occupyLink(source, bytes.length) + LINK_DELAY_NANOS;
+            mNetwork.add(new Delivery(arrivalNanos, mNextSequence++, target, bytes));
+            return;
+        }
         schedule(target, bytes);
         if (mFaultsEnabled && mRandom.nextInt(100) < 3) {
             countFault(InjectedFault.DOUBLED);
@@ -213,6 +231,27 @@
         }
     }
 
+    /**
+     * Queues bytes on the link of an instance.
+     *
+     * @return when they are sent
+     */
+    long occupyLink(int source, long bytes) {
+        long freeNanos = Math.max(mNowNanos, mLinkFreeNanos.getOrDefault(source, 0L));
+        long sentNanos = freeNanos + bytes * TimeUnit.SECONDS.toNanos(1) / mLinkBytesPerSecond;
+        mLinkFreeNanos.put(source, sentNanos);
+        return sentNanos;
+    }
+
+    /** Cuts the power of all machines; what is on the network is lost. */
+    void losePower(int maxDownMillis) {
+        mNetwork.clear();
+        mLinkFreeNanos.clear();
+        for (SimulatedInstance each : mInstances) {
+            each.crash(mRandom.nextInt(maxDownMillis));
+        }
+    }
+
     private void schedule(int target, byte[] bytes) {
         long delay = millisToNanos(1) + mRandom.nextLong(millisToNanos(4));
         if (mFaultsEnabled && mRandom.nextInt(100) < 3) {
@@ -260,7 +299,11 @@
     }
 
     ConsensusEvent proposal(long command) {
-        byte[] bytes = ByteBuffer.allocate(8).putLong(command).array();
+        return proposal(command, Long.BYTES);
+    }
+
+    private ConsensusEvent proposal(long command, int sizeBytes) {
+        byte[] bytes = ByteBuffer.allocate(sizeBytes).putLong(command).array();
         long wall = mWallOffsetMillis + mNowNanos / NANOS_PER_MILLI;
         return new ConsensusEvent.Propose(command, bytes, wall);
     }
@@ -270,6 +313,16 @@
         return proposal(mNextCommand++);
     }
 
+    /** Returns a proposal of a command of a size that no other proposal has. */
+    ConsensusEvent.Propose nextProposal(int sizeBytes) {
+        return (ConsensusEvent.Propose) proposal(mNextCommand++, sizeBytes);
+    }
+
+    /** Returns the ticket of a new read. */
+    long nextReadTicket() {
+        return mNextCommand++;
+    }
+
     private void injectFault() {
         InjectedFault fault = mFaults.get(mRandom.nextInt(mFaults.size()));
         SimulatedInstance victim = randomInstance();
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedInstance.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedInstance.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.InstanceId;
@@ -25,6 +27,9 @@
     private long mBusyUntilNanos;
     private boolean mFolderLost;
 
+    /** Reads that were answered with a state that includes all acknowledged commands. */
+    final Set<Long> mServedReads = new HashSet<>();
+
     /** The instances that the next process is told of. */
     private List<InstanceId> mSeeds;
 
@@ -232,6 +237,9 @@
     }
 
     private ConsensusSettings settings() {
+        if (mSimulation.mUsesDefaultSettings) {
+            return ConsensusSettings.of(mId, mSeeds).withFormation(mSimulation.mFormation);
+        }
         return new ConsensusSettings(
                 mId,
                 mSeeds,
@@ -349,6 +357,7 @@
 
     @Override
     public void readReady(long ticket, long index) {
+        mServedReads.add(ticket);
         mSimulation.mOracle.onRead(mAcknowledgedIndexByRead.remove(ticket), mState.mIndex);
     }
 
