Bound the route tables that a controller has on their way to gateways

Cause: after a change, or after a loss of power, all gateways fetch a table within 0.8 s, and a controller sent every one that was asked for. 87 replies of 57 KB are 6.6 s of a link of 6 Mbit/s if one controller gets them all; its heartbeats and reads wait behind them.

Change: a controller leaves the tables out of a reply while 128 KB of tables have been sent and not been confirmed. A gateway confirms a table by its next request, which it now sends at once, and asks the next controller for a table that was left out instead of waiting for a second.

New tests: ControllerServiceTest.tablesOnTheWayToGatewaysAreBounded and GatewayViewUpdaterTest.nextControllerIsAskedForATableThatWasLeftOut and receivedTableIsConfirmedAtOnce. They and the other tests of the same classes, the table trust, the leader's tasks, the replica service and the proposer pass (51 tests).

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -322,6 +322,7 @@
         metrics.registerValue(MetricName.TERM, mReplica::term);
         metrics.registerValue(
                 MetricName.PARTS_HELD, () -> mService.quarantine().heldParts(mLoop.nowNanos()));
+        metrics.registerValue(MetricName.TABLES_DEFERRED, mService::deferredTables);
         HealthEndpoints endpoints =
                 HealthEndpoints.create(() -> mReplica.leader() != null, metrics);
         QuarantineEndpoints quarantine =
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -21,7 +21,6 @@
 import org.hemlockrack.control.MoveStatus;
 import org.hemlockrack.control.RoutingOverrides;
 import org.hemlockrack.control.TableHistory;
-import org.hemlockrack.control.TableHistory.LoggedTable;
 import org.hemlockrack.control.TrafficMove;
 import org.hemlockrack.daemon.gateway.ProtocolAdapter;
 import org.hemlockrack.daemon.http.Responder;
@@ -45,7 +44,6 @@
 import org.hemlockrack.registry.Registration;
 import org.hemlockrack.registry.ServerRegistry;
 import org.hemlockrack.routing.RouteTable;
-import org.hemlockrack.wire.LoggedTableData;
 import org.hemlockrack.wire.PermitReply;
 import org.hemlockrack.wire.PermitRequest;
 import org.hemlockrack.wire.PrefixUseData;
@@ -93,6 +91,7 @@
      */
     private volatile long mDurableTerm;
 
+    private final TableReplies mTableReplies;
     private final ConfirmedTime mConfirmed = ConfirmedTime.unknown();
     private final AtomicBoolean mConfirming = new AtomicBoolean();
 
@@ -115,6 +114,7 @@
         mReplica = replica;
         mPeerAddresses = peerAddresses;
         mTables = tables;
+        mTableReplies = TableReplies.of(tables);
         mLog = log;
         mRegistryEpoch = registryEpoch;
         mPermits =
@@ -480,6 +480,7 @@
         reply.setControllers(controllerAddresses());
         reply.setVoters(mReplica.isVoter() ? mReplica.membership().voters().size() : 0);
         listTables(request, reply);
+        mTableReplies.bound(mLoop.nowNanos(), request, reply);
         boolean sameEpoch = request.getRegistryEpoch() == mRegistryEpoch;
         // The quarantine asks this object about servers, so its lock is taken first.
         mQuarantine.record(mLoop.nowNanos(), request);
@@ -514,18 +515,7 @@
         if (reply.getVoters() == 0 || !request.isSetListTablesAbove()) {
             return;
         }
-        reply.setLoggedTableVersion(mTables.newestVersion());
-        int remainingBytes = request.getMaxTableBytes();
-        List<LoggedTableData> listed = new ArrayList<>();
-        for (LoggedTable table : mTables.newerThan(request.getListTablesAbove())) {
-            LoggedTableData data = new LoggedTableData(table.version());
-            if (table.document().length <= remainingBytes) {
-                data.setDocument(ByteBuffer.wrap(table.document()));
-                remainingBytes -= table.document().length;
-            }
-            listed.add(data);
-        }
-        reply.setLoggedTables(listed);
+        mTableReplies.list(request, reply);
         // Read after the tables: those that were listed are durable if the term is settled now.
         long settledTerm = mReplica.settledTerm();
         if (settledTerm > 0) {
@@ -536,6 +526,11 @@
         }
     }
 
+    /** Returns the number of replies that left out tables because others were on their way. */
+    long deferredTables() {
+        return mTableReplies.deferred();
+    }
+
     private void recordRequests(long nowNanos, SyncRequest request) {
         for (RequestCountData count : request.getRequests()) {
             mPermits.recordRequests(
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -52,6 +52,12 @@
     private final NewerTables mNewerTables = new NewerTables(this::parseTable);
     private final ViewFreshness mFreshness;
 
+    /**
+     * The controllers whose last reply held a table. The next request to them follows at once: it
+     * shows that the table has arrived, and they bound the tables that have not.
+     */
+    private final Set<String> mUnconfirmedReplies = new HashSet<>();
+
     /** The last table that each controller which is not caught up has reported. */
     private final Map<String, Long> mUnconfirmedVersions = new HashMap<>();
 
@@ -177,6 +183,7 @@
 
     @Override
     public SyncRequest createRequest(String address, Map<BackendId, Integer> ownLoad) {
+        mUnconfirmedReplies.remove(address);
         GatewayView view = mView;
         SyncRequest request = new SyncRequest();
         request.setSender(mSenderId);
@@ -193,7 +200,9 @@
 
     @Override
     public boolean isUrgent(String address) {
-        return mTableFetch.isRequestPending(address) || mNewerTables.isRequestPending(address);
+        return mTableFetch.isRequestPending(address)
+                || mNewerTables.isRequestPending(address)
+                || mUnconfirmedReplies.contains(address);
     }
 
     @Override
@@ -217,6 +226,9 @@
             mQuarantine.adopt(nowNanos, address, reply.getQuarantine());
         }
         mState.updateFleetLoad(reply.getFleetInFlight(), ownLoadAtRequest, reply.getGateways());
+        if (hasTable(reply)) {
+            mUnconfirmedReplies.add(address);
+        }
         mNewerTables.recordReply(nowNanos, address, reply, requestNanos);
         if (reply.isCaughtUp()) {
             adoptConfirmed(nowNanos, address, reply, requestNanos);
@@ -227,6 +239,13 @@
         updateStanding(nowNanos, address, reply.getGateways());
     }
 
+    private static boolean hasTable(SyncReply reply) {
+        return reply.isSetTableDocument()
+                || (reply.isSetLoggedTables()
+                        && reply.getLoggedTables().stream()
+                                .anyMatch(LoggedTableData::isSetDocument));
+    }
+
     private void adoptConfirmed(long nowNanos, String address, SyncReply reply, long requestNanos) {
         mUnconfirmedVersions.remove(address);
         mFreshness.recordReport(nowNanos, reply.getTableVersion());
@@ -266,7 +285,9 @@
         if (fetched != null) {
             return fetched;
         }
-        mTableFetch.offer(nowNanos, address, reply.getTableVersion(), true);
+        if (!mTableFetch.recordLeftOut(address)) {
+            mTableFetch.offer(nowNanos, address, reply.getTableVersion(), true);
+        }
         return mView.table();
     }
 
@@ -439,6 +460,7 @@
         }
         mReachableControllers = List.copyOf(controllers);
         if (!reachable) {
+            mUnconfirmedReplies.remove(address);
             mNewerTables.forget(address);
             mQuarantine.forget(mLoop.nowNanos(), address);
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/TableFetch.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/TableFetch.java
@@ -56,6 +56,21 @@
         return mRequestPending && mAddress.equals(address);
     }
 
+    /**
+     * Records a reply without the table. A controller that was asked and has many tables on their
+     * way leaves it out; the next one that offers the table is asked then.
+     *
+     * @param address the controller
+     * @return whether the controller was asked
+     */
+    boolean recordLeftOut(String address) {
+        if (!mAddress.equals(address) || mRequestPending) {
+            return false;
+        }
+        clear();
+        return true;
+    }
+
     /** Returns the version of the table that is being fetched, 0 for none. */
     long expectedVersion() {
         return mVersion;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
@@ -40,6 +40,11 @@
             MetricType.GAUGE,
             "parts",
             "Prompt parts that are held back because they crash backend servers"),
+    TABLES_DEFERRED(
+            "tables_deferred_total",
+            MetricType.COUNTER,
+            "replies",
+            "Replies to gateways that left out a route table because others were on their way"),
     LOG_LINES_DROPPED(
             "log_lines_dropped_total",
             MetricType.COUNTER,
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
@@ -32,6 +32,7 @@
 import org.hemlockrack.control.ControlCommand;
 import org.hemlockrack.control.ControlState;
 import org.hemlockrack.control.TableHistory;
+import org.hemlockrack.control.TableSends;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.gateway.VersionProtocol;
 import org.hemlockrack.daemon.http.HeaderField;
@@ -46,6 +47,7 @@
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.model.ServiceId;
 import org.hemlockrack.model.ZoneId;
+import org.hemlockrack.wire.LoggedTableData;
 import org.hemlockrack.wire.SyncReply;
 import org.hemlockrack.wire.SyncRequest;
 import org.junit.jupiter.api.AfterEach;
@@ -242,6 +244,39 @@
         assertTrue(sync().isSetConfirmedAgeMillis());
     }
 
+    private SyncReply syncWithoutTable(String gateway) {
+        SyncRequest request = mService.createRequest(UNREACHABLE, Map.of());
+        request.setSender(gateway);
+        request.setPrefixUses(List.of());
+        request.setHaveTableVersion(0);
+        request.setListTablesAbove(0);
+        request.setMaxTableBytes(1_000);
+        return mService.sync(request);
+    }
+
+    /**
+     * Guards against a link that is full of tables: after a change all gateways fetch the table at
+     * once, heartbeats wait behind the replies, and the leader loses its followers.
+     */
+    @Test
+    void tablesOnTheWayToGatewaysAreBounded() throws Exception {
+        restart(MemberKind.VOTER);
+        reportedVoters();
+        byte[] document = new byte[TableSends.MAX_UNCONFIRMED_BYTES / 2 - 1_000];
+        ControlState committed = ControlState.create();
+        committed.apply(2, 0, ControlCommand.publishTable(TABLE_VERSION, document));
+        mService.publishCommitted(committed);
+        assertTrue(syncWithoutTable("g1").isSetTableDocument());
+        assertTrue(syncWithoutTable("g2").isSetTableDocument());
+        SyncReply bounded = syncWithoutTable("g3");
+        assertFalse(bounded.isSetTableDocument());
+        assertEquals(TABLE_VERSION, bounded.getTableVersion());
+        assertTrue(bounded.getLoggedTables().stream().noneMatch(LoggedTableData::isSetDocument));
+        assertEquals(1, mService.deferredTables());
+        // The next request of a gateway shows that it has the table.
+        assertTrue(syncWithoutTable("g1").isSetTableDocument());
+    }
+
     /** A caller that has left before its order is read. */
     private static final class AbsentCaller implements Responder {
         @Override
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
@@ -124,6 +124,42 @@
         assertTrue(mUpdater.isNewestTable(7));
     }
 
+    private boolean asksForTable(String controller) {
+        return mUpdater.createRequest(controller, Map.of()).getHaveTableVersion() != Long.MAX_VALUE;
+    }
+
+    /**
+     * Guards against a second of waiting for a table that a controller leaves out because it sends
+     * many others.
+     */
+    @Test
+    void nextControllerIsAskedForATableThatWasLeftOut() {
+        receive(CONTROLLER, replyWithTable(7));
+        receive(CONTROLLER, replyWithoutTable(8));
+        assertTrue(asksForTable(CONTROLLER));
+        receive(CONTROLLER, replyWithoutTable(8));
+        assertFalse(asksForTable(CONTROLLER));
+        receive(OTHER_CONTROLLER, replyWithoutTable(8));
+        assertTrue(mUpdater.isUrgent(OTHER_CONTROLLER));
+        assertTrue(asksForTable(OTHER_CONTROLLER));
+        receive(OTHER_CONTROLLER, replyWithTable(8));
+        assertEquals(8, mUpdater.view().tableVersion());
+    }
+
+    /**
+     * Guards against controllers that take a table for one on its way, and leave others out, until
+     * the next regular request of its receiver.
+     */
+    @Test
+    void receivedTableIsConfirmedAtOnce() {
+        receive(CONTROLLER, replyWithTable(7));
+        assertTrue(mUpdater.isUrgent(CONTROLLER));
+        assertFalse(mUpdater.isUrgent(OTHER_CONTROLLER));
+        mUpdater.createRequest(CONTROLLER, Map.of());
+        receive(CONTROLLER, replyWithoutTable(7));
+        assertFalse(mUpdater.isUrgent(CONTROLLER));
+    }
+
     /** Receives the reply of a controller that has only read its disk. */
     private void receiveFromDisk(String controller, long tableVersion, int voters) {
         SyncRequest request = mUpdater.createRequest(controller, Map.of());
