--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -407,6 +407,7 @@
                 MetricName.PARTS_HELD, () -> mService.quarantine().heldParts(mLoop.nowNanos()));
         RequestMemory memory = mSettings.requestMemory();
         metrics.registerRequestMemory(memory);
+        metrics.registerValue(MetricName.TABLES_DEFERRED, mService::deferredTables);
         HealthEndpoints endpoints =
                 HealthEndpoints.create(() -> mReplica.leader() != null, metrics);
         QuarantineEndpoints quarantine =
