--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/HttpDutyTransport.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/HttpDutyTransport.java
@@ -24,7 +24,7 @@
     private final EventLoop mLoop;
     private final String mAddress;
     private final HttpClient mClient =
-            HttpClient.open(1, CONNECT_TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS, false);
+            HttpClient.openWithoutExpect(1, CONNECT_TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS);
 
     private HttpDutyTransport(EventLoop loop, String address) {
         mLoop = loop;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnectionFactory.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnectionFactory.java
@@ -19,6 +19,9 @@
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.http.nio.ssl.TlsStrategy;
 import org.apache.hc.core5.http.protocol.HttpProcessor;
+import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
+import org.apache.hc.core5.http.protocol.RequestContent;
+import org.apache.hc.core5.http.protocol.RequestTargetHost;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOEventHandlerFactory;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
@@ -35,7 +38,7 @@
     private final TlsStrategy mTls;
     private final Timeout mHandshakeTimeout;
     private final SessionRegistry mSessions;
-    private final HttpProcessor mProcessor = HttpProcessors.client();
+    private final HttpProcessor mProcessor;
     private final DefaultHttpResponseParserFactory mParsers;
     private final DefaultHttpRequestWriterFactory mWriters;
 
@@ -43,7 +46,9 @@
             Http1Config config,
             TlsStrategy tls,
             Timeout handshakeTimeout,
-            SessionRegistry sessions) {
+            SessionRegistry sessions,
+            HttpProcessor processor) {
+        mProcessor = processor;
         mConfig = config;
         mTls = tls;
         mHandshakeTimeout = handshakeTimeout;
@@ -64,14 +69,23 @@
      * @param tls starts TLS on the connections whose target asks for it
      * @param handshakeTimeout timeout of a TLS handshake
      * @param sessions receives the input of each connection
+     * @param expectsContinue whether a body is only sent once the server has asked for it
      * @return the factory
      */
     static ClientConnectionFactory of(
             Http1Config config,
             TlsStrategy tls,
             Timeout handshakeTimeout,
-            SessionRegistry sessions) {
-        return new ClientConnectionFactory(config, tls, handshakeTimeout, sessions);
+            SessionRegistry sessions,
+            boolean expectsContinue) {
+        HttpProcessor processor =
+                expectsContinue
+                        ? HttpProcessors.client()
+                        : HttpProcessorBuilder.create()
+                                .add(new RequestTargetHost())
+                                .add(new RequestContent())
+                                .build();
+        return new ClientConnectionFactory(config, tls, handshakeTimeout, sessions, processor);
     }
 
     @Override
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpClient.java
@@ -93,6 +93,26 @@
                 idleTimeoutMillis,
                 reuse,
                 UpstreamCall.NARROW_WINDOW_BYTES,
+                true,
+                null);
+    }
+
+    /**
+     * Opens a client that sends the body of a request without "Expect: 100-continue", for servers
+     * that never ask for it. Connections are not reused. The parameters are those of {@link
+     * #open(int, long, long, boolean)}.
+     *
+     * @return the client
+     */
+    public static HttpClient openWithoutExpect(
+            int ioThreads, long connectTimeoutMillis, long idleTimeoutMillis) {
+        return open(
+                ioThreads,
+                connectTimeoutMillis,
+                idleTimeoutMillis,
+                false,
+                UpstreamCall.WINDOW_BYTES,
+                false,
                 null);
     }
 
@@ -115,6 +135,7 @@
                 idleTimeoutMillis,
                 reuse,
                 UpstreamCall.WINDOW_BYTES,
+                true,
                 tls);
     }
 
@@ -124,6 +145,7 @@
             long idleTimeoutMillis,
             boolean reuse,
             int windowBytes,
+            boolean expectsContinue,
             @Nullable TlsStrategy tls) {
         IOReactorConfig reactor =
                 IOReactorConfig.custom()
@@ -144,7 +166,8 @@
         HttpAsyncRequester requester =
                 new HttpAsyncRequester(
                         reactor,
-                        ClientConnectionFactory.of(config, tlsStrategy, handshakeTimeout, sessions),
+                        ClientConnectionFactory.of(
+                                config, tlsStrategy, handshakeTimeout, sessions, expectsContinue),
                         PausableSession::new,
                         null,
                         sessions,
