--- a/hemlockrack-core/src/main/java/org/hemlockrack/admission/internal/AdmissionDecider.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/admission/internal/AdmissionDecider.java
@@ -18,6 +18,7 @@
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.InstanceId;
+import org.hemlockrack.scheduling.ServiceTime;
 
 /** Admission control that combines the ownership lease, the limits and the queue. */
 public final class AdmissionDecider implements Admission {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/admission/internal/ClassQueue.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/admission/internal/ClassQueue.java
@@ -1,11 +1,14 @@
 package org.hemlockrack.admission.internal;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.hemlockrack.model.WorkspaceId;
+import org.hemlockrack.scheduling.FairTurns;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -89,14 +92,14 @@
      * as if all had the same cost.
      */
     int requestsBefore(WorkspaceId workspace) {
-        int own = sizeOf(workspace);
-        int before = own;
-        for (Map.Entry<WorkspaceId, Flow> entry : mFlows.entrySet()) {
-            if (!entry.getKey().equals(workspace)) {
-                before += Math.min(own + 1, entry.getValue().mQueued.size());
-            }
-        }
-        return before;
+        List<Integer> others = new ArrayList<>(mFlows.size());
+        mFlows.forEach(
+                (other, flow) -> {
+                    if (!other.equals(workspace)) {
+                        others.add(flow.mQueued.size());
+                    }
+                });
+        return (int) FairTurns.countBefore(sizeOf(workspace), others);
     }
 
     int sizeOf(WorkspaceId workspace) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/admission/internal/QueuedRequest.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/admission/internal/QueuedRequest.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.admission.internal;
 
 import org.hemlockrack.admission.AdmissionEvent.Arrived;
+import org.hemlockrack.scheduling.Waiting;
 
 /**
  * A queued request.
@@ -9,7 +10,7 @@
  * @param arrivalNumber number that increases with each arrival
  */
 public record QueuedRequest(Arrived request, long arrivalNumber)
-        implements Comparable<QueuedRequest> {
+        implements Waiting, Comparable<QueuedRequest> {
     private static final int TOKENS_PER_COST_UNIT = 512;
 
     /** Returns the cost of the request for fairness between workspaces, at least 1. */
@@ -17,10 +18,19 @@
         return 1 + Math.max(0, request.promptTokens()) / TOKENS_PER_COST_UNIT;
     }
 
+    @Override
+    public String id() {
+        return request.requestId();
+    }
+
+    @Override
+    public long deadlineNanos() {
+        return request.deadlineNanos();
+    }
+
     /** Orders by deadline, then by arrival. */
     @Override
     public int compareTo(QueuedRequest other) {
-        int byDeadline = Long.compare(request.deadlineNanos(), other.request.deadlineNanos());
-        return byDeadline != 0 ? byDeadline : Long.compare(arrivalNumber, other.arrivalNumber);
+        return BY_DEADLINE.compare(this, other);
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/admission/internal/RequestQueue.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/admission/internal/RequestQueue.java
@@ -1,14 +1,13 @@
 package org.hemlockrack.admission.internal;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Collections;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeSet;
 import org.hemlockrack.admission.AdmissionEvent.Arrived;
 import org.hemlockrack.admission.AdmissionSettings;
 import org.hemlockrack.model.Priority;
 import org.hemlockrack.model.WorkspaceId;
+import org.hemlockrack.scheduling.DeadlineIndex;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -23,8 +22,7 @@
 
     private final ClassQueue[] mClasses = new ClassQueue[CLASSES.length];
     private final int[] mCredit = new int[CLASSES.length];
-    private final Map<String, QueuedRequest> mById = new HashMap<>();
-    private final TreeSet<QueuedRequest> mByDeadline = new TreeSet<>();
+    private final DeadlineIndex<QueuedRequest> mIndex = DeadlineIndex.create();
     private AdmissionSettings.Queue mSettings;
     private long mNextArrivalNumber;
 
@@ -56,7 +54,7 @@
 
     /** Returns the number of queued requests. */
     public int size() {
-        return mById.size();
+        return mIndex.size();
     }
 
     /**
@@ -66,7 +64,7 @@
      * @return true if it is queued
      */
     public boolean contains(String requestId) {
-        return mById.containsKey(requestId);
+        return mIndex.get(requestId) != null;
     }
 
     /**
@@ -99,7 +97,7 @@
             return null;
         }
         QueuedRequest item = mClasses[chosen].take();
-        removeFromIndexes(item);
+        mIndex.remove(item);
         clearIdleCredit();
         return item.request();
     }
@@ -111,7 +109,7 @@
      * @return true if it was queued
      */
     public boolean remove(String requestId) {
-        QueuedRequest item = mById.get(requestId);
+        QueuedRequest item = mIndex.get(requestId);
         if (item == null) {
             return false;
         }
@@ -121,13 +119,7 @@
 
     /** Removes and returns all requests, earliest deadline first. */
     public List<Arrived> removeAll() {
-        List<Arrived> all = new ArrayList<>(mByDeadline.size());
-        while (!mByDeadline.isEmpty()) {
-            QueuedRequest item = mByDeadline.first();
-            remove(item);
-            all.add(item.request());
-        }
-        return all;
+        return removeItems(mIndex.all());
     }
 
     /**
@@ -137,21 +129,21 @@
      * @return the requests
      */
     public List<Arrived> removeExpired(long timeNanos) {
-        List<Arrived> due = new ArrayList<>();
-        while (!mByDeadline.isEmpty()
-                && mByDeadline.first().request().deadlineNanos() <= timeNanos) {
-            QueuedRequest item = mByDeadline.first();
+        return removeItems(mIndex.expired(timeNanos));
+    }
+
+    private List<Arrived> removeItems(List<QueuedRequest> items) {
+        List<Arrived> removed = new ArrayList<>(items.size());
+        for (QueuedRequest item : items) {
             remove(item);
-            due.add(item.request());
+            removed.add(item.request());
         }
-        return due;
+        return removed;
     }
 
     /** Returns the earliest deadline, or {@link Long#MAX_VALUE}. */
     public long earliestDeadlineNanos() {
-        return mByDeadline.isEmpty()
-                ? Long.MAX_VALUE
-                : mByDeadline.first().request().deadlineNanos();
+        return mIndex.earliestDeadlineNanos();
     }
 
     /**
@@ -195,7 +187,9 @@
             remove(item);
             excess.add(item.request());
         }
-        for (QueuedRequest item : new ArrayList<>(mByDeadline.descendingSet())) {
+        List<QueuedRequest> latestFirst = mIndex.all();
+        Collections.reverse(latestFirst);
+        for (QueuedRequest item : latestFirst) {
             if (sizeOf(item.request().workspace()) > mSettings.maxPerWorkspace()) {
                 remove(item);
                 excess.add(item.request());
@@ -235,21 +229,15 @@
 
     private void insert(QueuedRequest item) {
         mClasses[item.request().priority().ordinal()].add(item);
-        mById.put(item.request().requestId(), item);
-        mByDeadline.add(item);
+        mIndex.add(item);
     }
 
     private void remove(QueuedRequest item) {
         mClasses[item.request().priority().ordinal()].remove(item);
-        removeFromIndexes(item);
+        mIndex.remove(item);
         clearIdleCredit();
     }
 
-    private void removeFromIndexes(QueuedRequest item) {
-        mById.remove(item.request().requestId());
-        mByDeadline.remove(item);
-    }
-
     private int sizeOf(WorkspaceId workspace) {
         int size = 0;
         for (ClassQueue queue : mClasses) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/admission/internal/ServiceTime.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/scheduling/ServiceTime.java
@@ -1,4 +1,4 @@
-package org.hemlockrack.admission.internal;
+package org.hemlockrack.scheduling;
 
 /** Smoothed time from dispatch to the end of requests, and the queue wait estimated from it. */
 public final class ServiceTime {
@@ -20,13 +20,13 @@
     }
 
     /**
-     * Estimates the wait until a request is dispatched when the backend server is at its limit.
+     * Estimates the wait until a request is dispatched when its servers are at their limit.
      *
-     * @param ahead number of queued requests served before
+     * @param ahead number of queued requests served before it
      * @param limit maximum number of requests in flight
      * @return the wait in nanoseconds, 0 while no request has finished
      */
-    public long estimateWaitNanos(int ahead, int limit) {
+    public long estimateWaitNanos(double ahead, double limit) {
         return (long) (mSmoothedNanos * (ahead + 1) / Math.max(1, limit));
     }
 }
