Let requests wait for a free slot of a managed service

Where scheduling.mode manages a service, a gateway refused at once what found no free slot. Such a request now waits in QueueService, in the order of ServiceQueue, and is looked at again when an attempt ends, after news of the load, and every 20 ms. It leaves the queue with its caller, at its deadline, when the instance stops and when its prompt is held back, since all of these end the exchange. Only requests that were certainly not sent wait, so each refusal says truthfully that they have not run. New requests do not overtake waiting ones, and less urgent ones leave a reserve for more urgent ones that wait at other gateways.

All gateways report their usages to the same controller, the first that they reach, so that the sums are complete there and the others need no traffic.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
@@ -28,6 +28,7 @@
             "route \"%s\" names the unknown service \"%s\"";
     public static final String INSTANCE_STOPS = "this instance is stopping";
     public static final String NO_ROUTE = "no route for host \"%s\" and path \"%s\"";
+    public static final String QUEUE_REFUSED = "all servers are full: %s";
     public static final String PART_HELD =
             "prompts with the part \"%s\" are held back, because it crashes backend servers";
     public static final String PART_DECIDED_ANEW =
--- a/hemlockrack-core/src/main/java/org/hemlockrack/scheduling/ServiceTime.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/scheduling/ServiceTime.java
@@ -19,6 +19,11 @@
                         : mSmoothedNanos + SMOOTHING * (sample - mSmoothedNanos);
     }
 
+    /** Returns the smoothed time, 0 while no request has finished. */
+    public long smoothedNanos() {
+        return (long) mSmoothedNanos;
+    }
+
     /**
      * Estimates the wait until a request is dispatched when its servers are at their limit.
      *
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ExchangeLog.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ExchangeLog.java
@@ -1,9 +1,11 @@
 package org.hemlockrack.daemon.gateway;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.dispatch.AttemptOutcome;
+import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.routing.Route;
 import org.jspecify.annotations.Nullable;
 
@@ -12,6 +14,12 @@
     /** Prompt parts in a log line; a prompt has a few, but the number is up to the caller. */
     private static final int MAX_LOGGED_PARTS = 8;
 
+    /** Shorter waits are logged only for sampled requests. */
+    private static final long MIN_LOGGED_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    /** Logged if a workspace has no bounded share because nobody waits. */
+    private static final double MAX_LOGGED_SHARE = 999_999;
+
     private final DecisionLog mLog;
     private final OpenExchanges mOpenExchanges;
     private final String mAttemptId;
@@ -78,6 +86,10 @@
                 .write();
     }
 
+    void failed(ErrorKind kind, @Nullable ForwardAttempt attempt, String cause, int attempts) {
+        ended("failed_" + kind.name().toLowerCase(Locale.ROOT), attempt, cause, attempts);
+    }
+
     void ended(String event, @Nullable ForwardAttempt attempt, String cause, int attempts) {
         DecisionLog.Line line =
                 mLog.requestEvent(event, mAttemptId)
@@ -97,6 +109,33 @@
         line.write();
     }
 
+    /** Writes a line about a request that has waited for a free slot and is sent now. */
+    void servedAfterWait(long waitedNanos) {
+        if (waitedNanos < MIN_LOGGED_WAIT_NANOS && !mLog.shouldSample()) {
+            return;
+        }
+        mLog.requestEvent("left_queue", mAttemptId)
+                .put("route", mRoute.name())
+                .put("workspace", mWorkspace)
+                .put("waited_ms", TimeUnit.NANOSECONDS.toMillis(waitedNanos))
+                .write();
+    }
+
+    /** Writes a line about a request that has waited for a free slot and is refused. */
+    void refusedFromQueue(QueueService.Refusal refusal, int rank) {
+        mLog.requestEvent("refused_in_queue", mAttemptId)
+                .put("route", mRoute.name())
+                .put("workspace", mWorkspace)
+                .put("rank", rank)
+                .put("reason", refusal.reason().name())
+                .put("waited_ms", TimeUnit.NANOSECONDS.toMillis(refusal.waitedNanos()))
+                .put("waiting", refusal.waiting())
+                .put("usage", (long) refusal.usage())
+                .put("share", (long) Math.min(MAX_LOGGED_SHARE, refusal.share()))
+                .put("retry_ms", TimeUnit.NANOSECONDS.toMillis(refusal.retryNanos()))
+                .write();
+    }
+
     /** Writes a line about a late request that is passed on although this instance stops. */
     void passedOnWhileStopping(long expectedNanos) {
         long nowNanos = System.nanoTime();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.hemlockrack.answers.EventStreamFramer;
 import org.hemlockrack.daemon.http.HeaderField;
@@ -45,6 +46,7 @@
     private final Registration mServer;
     private final ServerChoice mChoice;
     private final long mStartNanos;
+    private final AtomicBoolean mCountsAsRunning = new AtomicBoolean();
     private final boolean mFollowsLostAttempt;
 
     /** The monotonic clock stands still while a machine is suspended, the time of day does not. */
@@ -108,6 +110,20 @@
         mStartNanos = startNanos;
     }
 
+    /** Records that the attempt counts as running for its workspace. */
+    void countAsRunning() {
+        mCountsAsRunning.set(true);
+    }
+
+    /** Returns whether the attempt counted as running until now; it no longer does. */
+    boolean stopCounting() {
+        return mCountsAsRunning.getAndSet(false);
+    }
+
+    long startNanos() {
+        return mStartNanos;
+    }
+
     Registration server() {
         return mServer;
     }
@@ -270,7 +286,7 @@
         if (!mExchange.tryBeginAnswer(this, success)) {
             cancel();
             if (mDetached) {
-                mExchange.context().recordOutcome(mServer, AttemptOutcome.ABANDONED);
+                mExchange.recordOutcome(this, AttemptOutcome.ABANDONED);
             }
             return;
         }
@@ -358,7 +374,7 @@
         mEvents.feed(data.duplicate());
         boolean passesOn = mMode == Mode.STREAMING || mMode == Mode.COMPLETING;
         if (!begun && hasBegun() && passesOn) {
-            mExchange.onAnswerBegun();
+            mExchange.crashEvidence().recordAnswer(System.nanoTime());
         }
         switch (mMode) {
             case STREAMING -> mExchange.forwardBody(this, data);
@@ -489,7 +505,7 @@
         boolean failure = isFailure();
         countAnswer(!failure);
         if (!failure) {
-            mExchange.onAnswerBegun();
+            mExchange.crashEvidence().recordAnswer(System.nanoTime());
         }
         boolean canRetry = mExchange.route().allowsRerun() && mExchange.canCompleteBeforeStop();
         if (failure && canRetry) {
@@ -510,7 +526,7 @@
     private void deliverCollected(boolean failure) {
         if (!mExchange.tryEnd(this)) {
             if (mDetached) {
-                mExchange.context().recordOutcome(mServer, AttemptOutcome.ABANDONED);
+                mExchange.recordOutcome(this, AttemptOutcome.ABANDONED);
             }
             return;
         }
@@ -543,7 +559,7 @@
         }
         if (!mayHaveBeenSent) {
             if (cause instanceof ConnectException) {
-                mExchange.onConnectionRefused(mServer);
+                mExchange.crashEvidence().recordRefusedConnection(System.nanoTime(), mServer);
             }
             mExchange.onNotRun(
                     this,
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayContext.java
@@ -26,6 +26,7 @@
  * @param state servers and answer counts
  * @param retries grants retries within the fleet's limits
  * @param quarantine holds back requests that crash servers
+ * @param queues requests that wait for a free slot of a service
  * @param client sends requests that may be retried, over pooled connections
  * @param singleUseClient sends each command, and each retry after a lost answer, over a new
  *     connection; if a server closed a pooled connection while a command is sent, the outcome of
@@ -42,6 +43,7 @@
         GatewayState state,
         RetryPermits retries,
         GatewayQuarantine quarantine,
+        QueueService queues,
         HttpClient client,
         HttpClient singleUseClient,
         OpenExchanges openExchanges,
@@ -124,10 +126,19 @@
      * until its cause is gone is added to the retry delay.
      */
     void refuse(Responder responder, ErrorKind kind, String message, long expectedMillis) {
+        long retryMillis = kind.isRetryable() ? expectedMillis + randomRetryMillis() : 0;
+        refuseUntil(responder, kind, message, retryMillis);
+    }
+
+    /**
+     * Sends an error that this gateway itself reports.
+     *
+     * @param retryMillis time after which the caller should retry, 0 for none
+     */
+    void refuseUntil(Responder responder, ErrorKind kind, String message, long retryMillis) {
         String errorName = kind.name().toLowerCase(Locale.ROOT);
         metrics.increment(MetricName.REFUSALS, "kind", errorName);
         countEnded(errorName);
-        long retryMillis = kind.isRetryable() ? expectedMillis + randomRetryMillis() : 0;
         String json = Responder.errorJson(kind, kind.runState(), message, retryMillis).toString();
         HeaderField type = HeaderField.of("Content-Type", "application/json");
         List<HeaderField> headers =
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -3,7 +3,6 @@
 import java.nio.ByteBuffer;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -14,16 +13,13 @@
 import org.hemlockrack.daemon.metrics.MetricName;
 import org.hemlockrack.dispatch.AttemptOutcome;
 import org.hemlockrack.dispatch.PromptHash;
-import org.hemlockrack.dispatch.SelectionCriteria;
 import org.hemlockrack.dispatch.ServerChoice;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.ErrorText;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.ServiceId;
-import org.hemlockrack.quarantine.Cut;
 import org.hemlockrack.quarantine.PromptParts;
 import org.hemlockrack.quarantine.Verdict;
-import org.hemlockrack.registry.Registration;
 import org.hemlockrack.routing.Route;
 import org.hemlockrack.routing.WorkspaceKeys;
 import org.jspecify.annotations.Nullable;
@@ -46,13 +42,14 @@
     private final @Nullable String mWorkspace;
     private final int mRank;
     private final ServiceId mService;
-    private final double mRoutingFraction;
+    private final ServerSelection mSelection;
     private final ExchangeLog mLog;
     private final long mStartNanos;
     private final TimeLimits mTimeLimits;
     private final Set<BackendId> mTriedServers = new HashSet<>();
-    private final PromptParts mParts;
     private final List<String> mPartNames;
+    private final CrashEvidence mCrashEvidence;
+    private final QueueWait mWait;
 
     private final @Nullable EventStreamFramer mEventFramer;
 
@@ -69,19 +66,6 @@
     /** Whether the caller gets whole events only, so that another server can continue. */
     private boolean mResumable;
 
-    /** Whether another attempt follows one that has ended. */
-    private enum NextAttempt {
-        /** It follows without asking for a permit. */
-        GRANTED,
-        /** It follows if the fleet's limit permits it. */
-        WANTED,
-        NONE;
-
-        static NextAttempt wantedIf(boolean wanted) {
-            return wanted ? WANTED : NONE;
-        }
-    }
-
     GatewayExchange(
             GatewayContext context,
             HttpCall call,
@@ -100,11 +84,12 @@
                 workspace == null || workspace.priorityRank() < 0
                         ? route.priorityRank()
                         : workspace.priorityRank();
-        mRoutingFraction = PromptHash.toUnitInterval(metadata.attemptId());
         mService =
                 route.chooseService(PromptHash.toUnitInterval(route.name() + metadata.attemptId()));
-        mParts = PromptParts.of(metadata.promptPartIds());
-        mPartNames = mParts.all();
+        mSelection = new ServerSelection(context, route, mService, metadata);
+        PromptParts parts = PromptParts.of(metadata.promptPartIds());
+        mPartNames = parts.all();
+        mCrashEvidence = new CrashEvidence(context.quarantine(), metadata.attemptId(), parts);
         mStartNanos = System.nanoTime();
         mLog =
                 new ExchangeLog(
@@ -116,6 +101,7 @@
                         tableVersion,
                         mPartNames,
                         mStartNanos);
+        mWait = new QueueWait(context.queues(), this, mLog);
         mTimeLimits = TimeLimits.of(context, route, metadata, mStartNanos);
         mEventFramer =
                 route.isStreaming() && route.allowsRerun() ? EventStreamFramer.create() : null;
@@ -139,6 +125,10 @@
         return mContext;
     }
 
+    CrashEvidence crashEvidence() {
+        return mCrashEvidence;
+    }
+
     AnswerMemory answerMemory() {
         return mAnswerMemory;
     }
@@ -182,16 +172,25 @@
 
     /** Starts an attempt; the choice of its server may have been made before. */
     private void startNextAttempt(@Nullable ServerChoice chosen) {
+        startAttempt(chosen, false);
+    }
+
+    /** Starts the attempt of a waiting request if a server has a free slot. */
+    QueueWait.Result startFromQueue() {
+        return startAttempt(null, true);
+    }
+
+    private QueueWait.Result startAttempt(@Nullable ServerChoice chosen, boolean fromQueue) {
         ForwardAttempt attempt;
         synchronized (this) {
-            if (mEnded) {
+            if (mEnded || fromQueue && !mWait.isWaiting()) {
                 abandonChoice(chosen);
-                return;
+                return QueueWait.Result.ENDED;
             }
             long nowNanos = System.nanoTime();
             if (chosen == null && !mTimeLimits.canCompleteBeforeStop(nowNanos)) {
                 failStopping();
-                return;
+                return QueueWait.Result.ENDED;
             }
             if (mTimeLimits.isLate()) {
                 mLog.passedOnWhileStopping(mTimeLimits.expectedNanos(nowNanos));
@@ -199,22 +198,71 @@
             Verdict verdict = mContext.quarantine().inForce(nowNanos, mPartNames);
             if (chosen == null && verdict != null) {
                 failHeld(nowNanos, verdict);
-                return;
+                return QueueWait.Result.ENDED;
+            }
+            ServerChoice choice = chosen == null ? chooseOrWait(nowNanos, fromQueue) : chosen;
+            if (choice == null) {
+                return QueueWait.Result.WAITING;
             }
-            ServerChoice choice = chosen == null ? chooseServer(nowNanos) : chosen;
             if (choice.server() == null) {
                 failWithoutServer(choice);
-                return;
+                return QueueWait.Result.ENDED;
+            }
+            if (fromQueue) {
+                mWait.onServed(nowNanos);
             }
             mTriedServers.add(choice.server().id());
             attempt = new ForwardAttempt(this, choice, nowNanos, mEventFramer, mMayHaveRun);
             mAttempt = attempt;
+            mWait.recordStart(attempt);
             mLastProgressNanos = nowNanos;
             if (mRoute.allowsRerun()) {
                 scheduleSilenceCheck(attempt, mContext.state().silenceTimeoutNanos(mRoute));
             }
         }
         attempt.send();
+        return QueueWait.Result.STARTED;
+    }
+
+    /**
+     * Chooses a server, or lets a request that has certainly not run wait for a free slot. Returns
+     * null if the request waits.
+     */
+    private @Nullable ServerChoice chooseOrWait(long nowNanos, boolean fromQueue) {
+        boolean isNotRun = !mMayHaveRun && !mHeadSent && mSentAttempts == 0;
+        boolean mayWait = isNotRun && mContext.state().isManaged(mService);
+        if (mayWait && !fromQueue && mWait.isNeeded()) {
+            mWait.begin(nowNanos, mRejections > 0, mTimeLimits.deadlineNanos(), false);
+            return null;
+        }
+        ServerChoice choice = mSelection.choose(nowNanos, mTriedServers, fromQueue);
+        if (choice.reason() != ServerChoice.Reason.ALL_FULL || !mayWait) {
+            return choice;
+        }
+        if (!fromQueue) {
+            mWait.begin(nowNanos, mRejections > 0, mTimeLimits.deadlineNanos(), true);
+        }
+        return null;
+    }
+
+    /** Refuses the request, which has waited for a free slot and has not run. */
+    void onQueueRefused(QueueService.Refusal refusal) {
+        synchronized (this) {
+            if (mEnded || !mWait.isWaiting()) {
+                return;
+            }
+            mLog.refusedFromQueue(refusal, mRank);
+            markEnded();
+            mLog.failed(refusal.kind(), null, refusal.cause(), mTriedServers.size());
+            mContext.refuseUntil(
+                    mResponder, refusal.kind(), refusal.cause(), refusal.retryMillis());
+        }
+    }
+
+    /** Records how an attempt ended, which frees its place at the server. */
+    void recordOutcome(ForwardAttempt attempt, AttemptOutcome outcome) {
+        mContext.recordOutcome(attempt.server(), outcome);
+        mWait.recordEnd(attempt, outcome);
     }
 
     /** Returns the place at a server that was chosen for an attempt that does not start. */
@@ -224,22 +272,6 @@
         }
     }
 
-    private ServerChoice chooseServer(long nowNanos) {
-        long prefixHash =
-                mRoute.prefixAffinity() ? PromptHash.ofSharedPrefix(mMetadata.promptPartIds()) : 0;
-        ServerChoice choice =
-                mContext.state()
-                        .choose(
-                                nowNanos,
-                                new SelectionCriteria(
-                                        mService,
-                                        prefixHash,
-                                        mRoutingFraction,
-                                        Set.copyOf(mTriedServers)));
-        mContext.metrics().increment(MetricName.SERVER_CHOICES, "reason", choice.reason().name());
-        return choice;
-    }
-
     /** Schedules a check that an attempt has made progress within the silence timeout. */
     private void scheduleSilenceCheck(ForwardAttempt attempt, long silenceTimeoutNanos) {
         mContext.loop()
@@ -280,7 +312,7 @@
                     || mContext.quarantine().inForce(nowNanos, mPartNames) != null) {
                 return;
             }
-            next = chooseServer(nowNanos);
+            next = mSelection.choose(nowNanos, mTriedServers, false);
             if (next.server() == null && mHeadSent) {
                 return;
             }
@@ -288,7 +320,7 @@
             clearAttempt();
         }
         attempt.cancel();
-        mContext.recordOutcome(attempt.server(), AttemptOutcome.SILENT);
+        recordOutcome(attempt, AttemptOutcome.SILENT);
         String cause = "silent for " + silenceTimeoutNanos / NANOS_PER_MILLI + " ms";
         startNextOrFail(attempt, AttemptOutcome.SILENT, cause, true, next);
     }
@@ -388,35 +420,12 @@
         abandonAttempt(attempt);
     }
 
-    /** Records that a server has begun to answer. */
-    void onAnswerBegun() {
-        if (!mPartNames.isEmpty()) {
-            mContext.quarantine().recordAnswer(System.nanoTime(), mParts);
-        }
-    }
-
     /**
      * Ends an attempt whose connection the server has cut. If the server may have crashed because
      * of the prompt, the request is not sent to another one.
      */
     void onCut(ForwardAttempt attempt, String cause) {
-        long nowNanos = System.nanoTime();
-        boolean mayCrashServers = false;
-        if (!mPartNames.isEmpty()) {
-            Registration server = attempt.server();
-            boolean begun = attempt.hasBegun();
-            // Looked up first, as the cut itself makes the parts suspicious.
-            mayCrashServers = !begun && mContext.quarantine().isSuspicious(nowNanos, mPartNames);
-            mContext.quarantine()
-                    .recordCut(
-                            nowNanos,
-                            new Cut(
-                                    server.id(),
-                                    server.startMillis(),
-                                    PromptHash.of(mMetadata.attemptId() + " " + server.id()),
-                                    begun ? List.of() : mParts.shared(),
-                                    begun ? null : mParts.own()));
-        }
+        boolean mayCrashServers = mCrashEvidence.recordCut(System.nanoTime(), attempt);
         synchronized (this) {
             mMayHaveRun = true;
         }
@@ -428,14 +437,6 @@
                 NextAttempt.wantedIf(again && !mayCrashServers));
     }
 
-    /** Records that a server refuses connections, as one that has crashed does. */
-    void onConnectionRefused(Registration server) {
-        mContext.quarantine()
-                .recordCut(
-                        System.nanoTime(),
-                        Cut.refusedConnection(server.id(), server.startMillis()));
-    }
-
     /** Called by an attempt before it sends its first byte. Returns whether it may send. */
     synchronized boolean onSending(ForwardAttempt attempt) {
         if (mEnded || attempt != mAttempt || remainingMillis() <= 0) {
@@ -490,7 +491,7 @@
 
     private void endAttempt(
             ForwardAttempt attempt, AttemptOutcome outcome, String cause, NextAttempt next) {
-        mContext.recordOutcome(attempt.server(), outcome);
+        recordOutcome(attempt, outcome);
         synchronized (this) {
             if (mEnded || attempt != mAttempt) {
                 return;
@@ -587,7 +588,7 @@
 
     /** Records that an attempt has delivered a whole answer, which has ended the exchange. */
     void onDelivered(ForwardAttempt attempt, int status, AttemptOutcome outcome) {
-        mContext.recordOutcome(attempt.server(), outcome);
+        recordOutcome(attempt, outcome);
         long wholeNanos = System.nanoTime() - mStartNanos;
         if (outcome == AttemptOutcome.SERVED) {
             mContext.state().recordWholeAnswer(mRoute, wholeNanos);
@@ -660,7 +661,7 @@
     private void abandonAttempt(@Nullable ForwardAttempt attempt) {
         if (attempt != null) {
             attempt.cancel();
-            mContext.recordOutcome(attempt.server(), AttemptOutcome.ABANDONED);
+            recordOutcome(attempt, AttemptOutcome.ABANDONED);
         }
     }
 
@@ -681,13 +682,13 @@
             mResponder.abort();
             return;
         }
-        String event = "failed_" + kind.name().toLowerCase(Locale.ROOT);
-        mLog.ended(event, mAttempt, cause, mTriedServers.size());
+        mLog.failed(kind, mAttempt, cause, mTriedServers.size());
         mContext.refuse(mResponder, kind, cause, expectedMillis);
     }
 
     private void markEnded() {
         mEnded = true;
+        mWait.end();
         if (mDeadlineTimer != null) {
             mDeadlineTimer.cancel(false);
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -76,11 +76,22 @@
         String senderId = settings.instanceId() + "/" + Long.toString(random.nextLong() >>> 1, 36);
         RetryPermits retries = RetryPermits.create(mLoop, network, senderId, retryLimits(settings));
         GatewayQuarantine quarantine = GatewayQuarantine.create(mLog);
+        QueueService queues =
+                QueueService.create(
+                        mLoop, mState, mMetrics, new SplittableRandom(random.nextLong()));
         mViewUpdater =
                 new GatewayViewUpdater(
-                        mLoop, network, senderId, protocol, mState, retries, quarantine, mLog);
+                        mLoop,
+                        network,
+                        senderId,
+                        protocol,
+                        mState,
+                        retries,
+                        quarantine,
+                        queues,
+                        mLog);
         retries.setControllers(mViewUpdater::reachableControllers);
-        GatewayContext context = createContext(protocol, retries, quarantine, random);
+        GatewayContext context = createContext(protocol, retries, quarantine, queues, random);
         mHandler = new GatewayHandler(context, mViewUpdater);
         mCallerPort =
                 HttpPort.open(
@@ -93,7 +104,7 @@
         mCloser.register(mCallerPort::close);
         HttpPort pages = openPages();
         mCloser.register(pages::close);
-        registerMetrics(quarantine);
+        registerMetrics(quarantine, queues);
         mLoop.scheduleWithFixedDelay(EXPIRY_PERIOD_MILLIS, mViewUpdater::expireServers);
         mLoop.execute(() -> mViewUpdater.setSeeds(settings.controllerPeerAddresses()));
         SettingsReloader.start(
@@ -108,6 +119,7 @@
             ProtocolAdapter protocol,
             RetryPermits retries,
             GatewayQuarantine quarantine,
+            QueueService queues,
             SecureRandom random) {
         return new GatewayContext(
                 mLoop,
@@ -115,6 +127,7 @@
                 mState,
                 retries,
                 quarantine,
+                queues,
                 openClient(true),
                 openClient(false),
                 mOpenExchanges,
@@ -124,7 +137,9 @@
                 new SplittableRandom(random.nextLong()));
     }
 
-    private void registerMetrics(GatewayQuarantine quarantine) {
+    private void registerMetrics(GatewayQuarantine quarantine, QueueService queues) {
+        mMetrics.registerValue(MetricName.REQUESTS_WAITING, queues::waiting);
+        mMetrics.registerValue(MetricName.WAITING_BYTES, queues::waitingBytes);
         mMetrics.registerValue(MetricName.OPEN_REQUESTS, mOpenRequests::get);
         mMetrics.registerValue(MetricName.ANSWER_BYTES, mAnswerBudget::reservedBytes);
         mMetrics.registerValue(MetricName.VIEW_AGE, mViewUpdater::viewAgeSeconds);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -42,6 +42,7 @@
     private final GatewayState mState;
     private final RetryPermits mRetries;
     private final GatewayQuarantine mQuarantine;
+    private final QueueService mQueues;
     private final DecisionLog mLog;
     private final ControllerLinks mLinks;
     private Set<String> mSeeds = Set.of();
@@ -75,8 +76,10 @@
             GatewayState state,
             RetryPermits retries,
             GatewayQuarantine quarantine,
+            QueueService queues,
             DecisionLog log) {
         mQuarantine = quarantine;
+        mQueues = queues;
         mLoop = loop;
         mLinks = ControllerLinks.create(loop, network, this, log);
         mSenderId = senderId;
@@ -188,9 +191,21 @@
         request.setInFlight(ControllerLink.toLoadData(ownLoad));
         request.setCounts(mState.answerCounts());
         request.setRequests(mRetries.requestCounts());
+        if (isUsageController(address)) {
+            request.setUsages(mQueues.report(address));
+        }
         return request;
     }
 
+    /**
+     * Returns whether the requests by workspace are reported to a controller. All gateways report
+     * to the same one, the first that they reach, so that it has the sums and the others need no
+     * traffic.
+     */
+    private boolean isUsageController(String address) {
+        return mReachableControllers.stream().min(String::compareTo).orElse("").equals(address);
+    }
+
     @Override
     public boolean isUrgent(String address) {
         return mTableFetch.isRequestPending(address) || mNewerTables.isRequestPending(address);
@@ -217,6 +232,8 @@
             mQuarantine.adopt(nowNanos, address, reply.getQuarantine());
         }
         mState.updateFleetLoad(reply.getFleetInFlight(), ownLoadAtRequest, reply.getGateways());
+        mQueues.adopt(address, reply);
+        mQueues.serveAll();
         mNewerTables.recordReply(nowNanos, address, reply, requestNanos);
         if (reply.isCaughtUp()) {
             adoptConfirmed(nowNanos, address, reply, requestNanos);
--- /dev/null
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ServerSelection.java
@@ -0,0 +1,50 @@
+package org.hemlockrack.daemon.gateway;
+
+import java.util.Set;
+import org.hemlockrack.daemon.metrics.MetricName;
+import org.hemlockrack.dispatch.PromptHash;
+import org.hemlockrack.dispatch.SelectionCriteria;
+import org.hemlockrack.dispatch.ServerChoice;
+import org.hemlockrack.model.BackendId;
+import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.routing.Route;
+
+/** Chooses servers for the attempts of one exchange. */
+final class ServerSelection {
+    private final GatewayContext mContext;
+    private final ServiceId mService;
+    private final long mPrefixHash;
+    private final double mRoutingFraction;
+
+    ServerSelection(
+            GatewayContext context, Route route, ServiceId service, RequestMetadata metadata) {
+        mContext = context;
+        mService = service;
+        mPrefixHash =
+                route.prefixAffinity() ? PromptHash.ofSharedPrefix(metadata.promptPartIds()) : 0;
+        mRoutingFraction = PromptHash.toUnitInterval(metadata.attemptId());
+    }
+
+    /**
+     * Chooses a server, and counts the choice.
+     *
+     * @param triedServers servers that the request was sent to before
+     * @param isRepeated whether the request waits and was counted when it found no free slot
+     */
+    ServerChoice choose(long nowNanos, Set<BackendId> triedServers, boolean isRepeated) {
+        ServerChoice choice =
+                mContext.state()
+                        .choose(
+                                nowNanos,
+                                new SelectionCriteria(
+                                        mService,
+                                        mPrefixHash,
+                                        mRoutingFraction,
+                                        Set.copyOf(triedServers)));
+        if (!isRepeated || choice.reason() != ServerChoice.Reason.ALL_FULL) {
+            mContext.metrics()
+                    .increment(MetricName.SERVER_CHOICES, "reason", choice.reason().name());
+        }
+        return choice;
+    }
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
@@ -56,6 +56,22 @@
             MetricType.GAUGE,
             "B",
             "Memory reserved for answers that callers have not taken yet"),
+    REQUESTS_QUEUED(
+            "requests_queued_total",
+            MetricType.COUNTER,
+            "requests",
+            "Requests that waited for a free slot of a service, by priority rank"),
+    QUEUE_REFUSALS(
+            "queue_refusals_total",
+            MetricType.COUNTER,
+            "requests",
+            "Waiting requests that were refused, by reason"),
+    REQUESTS_WAITING(
+            "requests_waiting",
+            MetricType.GAUGE,
+            "requests",
+            "Requests that wait for a free slot of a service"),
+    WAITING_BYTES("waiting_bytes", MetricType.GAUGE, "B", "Memory that waiting requests hold"),
     QUEUE_LENGTH("queue_length", MetricType.GAUGE, "requests", "Queue by owned backend server"),
     IN_FLIGHT("in_flight", MetricType.GAUGE, "requests", "In flight by owned backend server"),
     LIMIT("limit", MetricType.GAUGE, "requests", "Limit by owned backend server"),
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import org.hemlockrack.capacity.SchedulingMode;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.http.HeaderField;
 import org.hemlockrack.daemon.http.HttpCall;
@@ -54,6 +55,9 @@
 
     private static final int STREAM_BYTES = 40 << 10;
 
+    /** Four for each slot of a server that runs no model engine. */
+    private static final int MAX_REQUESTS_AT_SERVER = 16;
+
     private static final Runnable NO_DELAY = () -> {};
 
     private final EventLoop mLoop = EventLoop.open("test", Throwable::printStackTrace);
@@ -62,8 +66,9 @@
     private final PeerNetwork mNetwork =
             PeerNetwork.create(InstanceId.of("g1"), Map.of(), null, (address, cause) -> {});
     private final OpenExchanges mOpenExchanges = OpenExchanges.create();
-    private final GatewayState mState =
+    private GatewayState mState =
             GatewayState.create(ServerPool.create(ZONE, new SplittableRandom(1)));
+    private QueueService mQueues = createQueues();
     private final ByteBudget mAnswerBudget = ByteBudget.of(1 << 20);
     private final CountDownLatch mRelease = new CountDownLatch(1);
     private final AtomicInteger mRequestsAtServer = new AtomicInteger();
@@ -105,6 +110,34 @@
         mLog.close();
     }
 
+    private QueueService createQueues() {
+        return QueueService.create(mLoop, mState, Metrics.create(), new SplittableRandom(1));
+    }
+
+    /** Enables queues for all services. */
+    private void enableQueues() {
+        mState =
+                GatewayState.create(
+                        ServerPool.create(ZONE, new SplittableRandom(1), SchedulingMode.ON));
+        mQueues = createQueues();
+        registerServer(1, false);
+    }
+
+    /** Sends requests until the server has as many as it may get. */
+    private void fillServer() throws InterruptedException {
+        int requestsBefore = mRequestsAtServer.get();
+        for (int i = 0; i < MAX_REQUESTS_AT_SERVER; i++) {
+            start(NO_DELAY, RerunPolicy.IDEMPOTENT, HELD_PATH, new StatusResponder());
+        }
+        await(() -> ownLoad() == MAX_REQUESTS_AT_SERVER);
+        // The server handles one request after the other.
+        await(() -> mRequestsAtServer.get() == requestsBefore + 1);
+    }
+
+    private int ownLoad() {
+        return mState.ownLoad().getOrDefault(BackendId.of("server-1"), 0);
+    }
+
     private void registerServer(long sequence, boolean leaving) {
         mServers.recordHeartbeat(
                 mLoop.nowNanos(),
@@ -226,6 +259,7 @@
                         mState,
                         RetryPermits.create(mLoop, mNetwork, "g1/1", limits),
                         GatewayQuarantine.create(mLog),
+                        mQueues,
                         mClient,
                         mClient,
                         mOpenExchanges,
@@ -289,6 +323,80 @@
         await(() -> mState.ownLoad().isEmpty());
     }
 
+    /** Guards against an overloaded service that refuses although it is expected to be free. */
+    @Test
+    void waitingRequestIsServedWhenASlotIsFree() throws Exception {
+        enableQueues();
+        assertEquals(200, send(NO_DELAY));
+        fillServer();
+        StatusResponder waiting = new StatusResponder();
+        start(NO_DELAY, RerunPolicy.AT_MOST_ONCE, "/book", waiting);
+        // Longer than a request without an estimate may be held.
+        TimeUnit.MILLISECONDS.sleep(300);
+        assertEquals(1, mQueues.waiting());
+        mRelease.countDown();
+        assertEquals(200, waiting.mStatus.get(20, TimeUnit.SECONDS));
+        assertEquals(0, mQueues.waiting());
+        assertEquals(0, mQueues.waitingBytes());
+        await(() -> ownLoad() == 0);
+        assertEquals(List.of(), mQueues.report("c1").get(0).getUsages());
+    }
+
+    /** Guards against a request that is held although nothing says that it will be served. */
+    @Test
+    void waitingRequestWithoutAnEstimateIsRefusedAsNotRun() throws Exception {
+        enableQueues();
+        fillServer();
+        int requests = mRequestsAtServer.get();
+        assertEquals(503, send(NO_DELAY));
+        assertEquals(requests, mRequestsAtServer.get());
+        assertEquals(0, mQueues.waiting());
+        mRelease.countDown();
+    }
+
+    /** Guards against a queue that keeps requests whose callers have left. */
+    @Test
+    void waitingRequestLeavesWithItsCaller() throws Exception {
+        enableQueues();
+        assertEquals(200, send(NO_DELAY));
+        fillServer();
+        StatusResponder waiting = new StatusResponder();
+        start(NO_DELAY, RerunPolicy.AT_MOST_ONCE, "/book", waiting);
+        await(() -> mQueues.waiting() == 1);
+        waiting.mOnCancel.run();
+        assertEquals(0, mQueues.waiting());
+        mRelease.countDown();
+        await(() -> ownLoad() == 0);
+        assertEquals(1 + MAX_REQUESTS_AT_SERVER, mRequestsAtServer.get());
+    }
+
+    /** Guards against a stopping gateway that holds requests, or says that they may have run. */
+    @Test
+    void waitingRequestIsRefusedWhenTheInstanceStops() throws Exception {
+        enableQueues();
+        assertEquals(200, send(NO_DELAY));
+        fillServer();
+        StatusResponder waiting = new StatusResponder();
+        start(NO_DELAY, RerunPolicy.AT_MOST_ONCE, "/book", waiting);
+        await(() -> mQueues.waiting() == 1);
+        // The slots of exchanges that end are free then, but too late for the waiting request.
+        stopIn(0);
+        mOpenExchanges.endAll();
+        assertEquals(503, waiting.mStatus.get(20, TimeUnit.SECONDS));
+        assertEquals(0, mQueues.waiting());
+        mRelease.countDown();
+    }
+
+    /** Guards against a deployment without the setting that behaves differently from before. */
+    @Test
+    void nothingWaitsUnlessQueuesAreEnabled() throws Exception {
+        assertEquals(200, send(NO_DELAY));
+        fillServer();
+        assertEquals(503, send(NO_DELAY));
+        assertEquals(null, mQueues.report("c1"));
+        mRelease.countDown();
+    }
+
     /** Guards against a server that works on for a caller who has left. */
     @Test
     void idempotentRequestEndsWhenItsCallerLeaves() throws Exception {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
@@ -13,6 +13,7 @@
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.loop.EventLoop;
+import org.hemlockrack.daemon.metrics.Metrics;
 import org.hemlockrack.dispatch.ServerPool;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.model.ZoneId;
@@ -41,6 +42,12 @@
                     GatewayState.create(ServerPool.create(ZoneId.of("a"), new SplittableRandom(1))),
                     RetryPermits.create(mLoop, mNetwork, "g1/1", new RetryLimits(0.1, 10, 10)),
                     GatewayQuarantine.create(mLog),
+                    QueueService.create(
+                            mLoop,
+                            GatewayState.create(
+                                    ServerPool.create(ZoneId.of("a"), new SplittableRandom(1))),
+                            Metrics.create(),
+                            new SplittableRandom(1)),
                     mLog);
 
     @AfterEach
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
@@ -333,6 +333,8 @@
                         mState,
                         createPermits(),
                         GatewayQuarantine.create(mLog),
+                        QueueService.create(
+                                mLoop, mState, Metrics.create(), new SplittableRandom(1)),
                         mClient,
                         mSingleUseClient,
                         mOpenExchanges,
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
@@ -71,12 +71,22 @@
     private final GatewayState mState =
             GatewayState.create(ServerPool.create(ZONE, new SplittableRandom(1)));
     private final GatewayQuarantine mQuarantine = GatewayQuarantine.create(mLog);
+    private final QueueService mQueues =
+            QueueService.create(mLoop, mState, Metrics.create(), new SplittableRandom(1));
     private final RetryPermits mRetries =
             RetryPermits.create(mLoop, mNetwork, "g1/1", new RetryLimits(0.1, 10, 10));
     private final RouteProtocol mProtocol = new RouteProtocol();
     private final GatewayViewUpdater mUpdater =
             new GatewayViewUpdater(
-                    mLoop, mNetwork, "g1/1", mProtocol, mState, mRetries, mQuarantine, mLog);
+                    mLoop,
+                    mNetwork,
+                    "g1/1",
+                    mProtocol,
+                    mState,
+                    mRetries,
+                    mQuarantine,
+                    mQueues,
+                    mLog);
     private final List<HttpServer> mServers = new ArrayList<>();
     private GatewayHandler mHandler;
 
@@ -221,6 +231,7 @@
                         mState,
                         mRetries,
                         mQuarantine,
+                        mQueues,
                         mClient,
                         mClient,
                         OpenExchanges.create(),
