Log why requests waited, and spread the sums over the controllers

Operators see in left_queue and refused_in_queue why a request had to wait, how long, which ranks were served before it, why it was refused, and what its workspace uses and is entitled to.

Each gateway now reports to all controllers and asks one for the sums, which are one entry for services without waiting requests. The limit of a hold without an estimate takes the period of the checks into account, so that it stays within an eighth of the objective.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/scheduling/WorkspaceUsage.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/scheduling/WorkspaceUsage.java
@@ -8,4 +8,7 @@
  * @param running requests in progress at servers
  * @param waiting requests that wait for a free slot
  */
-public record WorkspaceUsage(int rank, String workspace, int running, int waiting) {}
+public record WorkspaceUsage(int rank, String workspace, int running, int waiting) {
+    /** Stands for all workspaces together where no request waits; no workspace has this name. */
+    public static final String ALL_WORKSPACES = "*";
+}
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -502,7 +502,7 @@
             reply.setGateways(mGatewayReports.gatewayCount(nowNanos));
             reply.setFleetInFlight(
                     request.isGateway() ? mGatewayReports.fleetInFlight(nowNanos) : List.of());
-            if (request.isGateway() && request.isSetUsages()) {
+            if (request.isGateway() && request.isWantsUsages()) {
                 mGatewayReports.describeUsages(nowNanos, reply);
             }
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/GatewayReports.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/GatewayReports.java
@@ -3,11 +3,14 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.control.MoveEvaluator.VersionAnswers;
 import org.hemlockrack.model.ServiceId;
+import org.hemlockrack.scheduling.WorkspaceUsage;
 import org.hemlockrack.wire.LoadData;
 import org.hemlockrack.wire.ServiceUsageData;
 import org.hemlockrack.wire.SyncReply;
@@ -140,6 +143,7 @@
             }
         }
         Map<String, List<WorkspaceUsageData>> byService = new HashMap<>();
+        combineIdleServices(sums);
         sums.entrySet().stream()
                 .sorted(
                         Comparator.comparingInt(
@@ -158,6 +162,31 @@
         return new UsageSum(nowNanos, services, gateways);
     }
 
+    /**
+     * Replaces the sums of services for which no request waits by one for all workspaces. Shares
+     * matter only while requests wait, and the replies to all gateways would fill the link of a
+     * controller.
+     */
+    private static void combineIdleServices(Map<UsageKey, WorkspaceUsageData> sums) {
+        Set<String> scarce = new HashSet<>();
+        Map<String, Integer> running = new HashMap<>();
+        sums.forEach(
+                (key, usage) -> {
+                    running.merge(key.service(), usage.getRunning(), Integer::sum);
+                    if (usage.getWaiting() > 0) {
+                        scarce.add(key.service());
+                    }
+                });
+        sums.keySet().removeIf(key -> !scarce.contains(key.service()));
+        running.keySet().removeAll(scarce);
+        running.forEach(
+                (service, requests) ->
+                        sums.put(
+                                new UsageKey(service, 0, WorkspaceUsage.ALL_WORKSPACES),
+                                new WorkspaceUsageData(
+                                        0, WorkspaceUsage.ALL_WORKSPACES, requests, 0)));
+    }
+
     private static void add(
             Map<UsageKey, WorkspaceUsageData> sums, String service, WorkspaceUsageData usage) {
         WorkspaceUsageData sum =
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -209,7 +209,7 @@
                 return QueueWait.Result.ENDED;
             }
             if (fromQueue) {
-                mWait.onServed(nowNanos);
+                mWait.onServed();
             }
             mTriedServers.add(choice.server().id());
             attempt = new ForwardAttempt(this, choice, nowNanos, mEventFramer, mMayHaveRun);
@@ -232,7 +232,7 @@
         boolean isNotRun = !mMayHaveRun && !mHeadSent && mSentAttempts == 0;
         boolean mayWait = isNotRun && mContext.state().isManaged(mService);
         if (mayWait && !fromQueue && mWait.isNeeded()) {
-            mWait.begin(nowNanos, mRejections > 0, mTimeLimits.deadlineNanos(), false);
+            mWait.begin(mRejections > 0, mTimeLimits.deadlineNanos(), false);
             return null;
         }
         ServerChoice choice = mSelection.choose(nowNanos, mTriedServers, fromQueue);
@@ -240,7 +240,7 @@
             return choice;
         }
         if (!fromQueue) {
-            mWait.begin(nowNanos, mRejections > 0, mTimeLimits.deadlineNanos(), true);
+            mWait.begin(mRejections > 0, mTimeLimits.deadlineNanos(), true);
         }
         return null;
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -191,19 +191,23 @@
         request.setInFlight(ControllerLink.toLoadData(ownLoad));
         request.setCounts(mState.answerCounts());
         request.setRequests(mRetries.requestCounts());
-        if (isUsageController(address)) {
-            request.setUsages(mQueues.report(address));
+        request.setUsages(mQueues.report(address));
+        if (request.isSetUsages()) {
+            request.setWantsUsages(isUsageSource(address));
         }
         return request;
     }
 
     /**
-     * Returns whether the requests by workspace are reported to a controller. All gateways report
-     * to the same one, the first that they reach, so that it has the sums and the others need no
-     * traffic.
+     * Returns whether a controller is asked for the sums of the requests by workspace. All gateways
+     * report to each controller, and spread over them for the sums, which are larger.
      */
-    private boolean isUsageController(String address) {
-        return mReachableControllers.stream().min(String::compareTo).orElse("").equals(address);
+    private boolean isUsageSource(String address) {
+        List<String> reachable = mReachableControllers.stream().sorted().toList();
+        return !reachable.isEmpty()
+                && reachable
+                        .get(Math.floorMod(mSenderId.hashCode(), reachable.size()))
+                        .equals(address);
     }
 
     @Override
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/QueueService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/QueueService.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.StringJoiner;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.hemlockrack.daemon.loop.EventLoop;
@@ -82,6 +84,9 @@
         private final RetryAdvice mAdvice;
         private final Map<String, Entry> mWaiting = new HashMap<>();
 
+        /** Requests taken from the queue since the start, by rank. */
+        private final TreeMap<Integer, Long> mTaken = new TreeMap<>();
+
         /** Requests in progress in the whole fleet when this gateway last found no free slot. */
         private double mRunningWhenFull = Double.MAX_VALUE;
 
@@ -90,25 +95,22 @@
         }
     }
 
-    private record Entry(QueuedCall call, GatewayExchange exchange, long callerDeadlineNanos) {}
+    private record Entry(
+            QueuedCall call,
+            GatewayExchange exchange,
+            long callerDeadlineNanos,
+            WaitReport.Cause cause,
+            Map<Integer, Long> takenAtArrival) {}
 
     /**
      * Why a request has left the queue without being served.
      *
      * @param reason the reason
-     * @param waitedNanos how long it has waited
+     * @param report its wait
      * @param waiting requests that still wait
-     * @param usage slots of its workspace in relation to its weight
-     * @param share slots that its workspace is entitled to
      * @param retryNanos time after which the caller should retry
      */
-    record Refusal(
-            Removal.Reason reason,
-            long waitedNanos,
-            int waiting,
-            double usage,
-            double share,
-            long retryNanos) {
+    record Refusal(Removal.Reason reason, WaitReport report, int waiting, long retryNanos) {
         ErrorKind kind() {
             return reason == Removal.Reason.DEADLINE
                     ? ErrorKind.DEADLINE_UNREACHABLE
@@ -168,8 +170,14 @@
             GatewayExchange exchange, boolean isRetry, long callerDeadlineNanos, boolean wasFull) {
         long nowNanos = mLoop.nowNanos();
         Service service = service(exchange.service());
+        WaitReport.Cause cause = WaitReport.Cause.NO_FREE_SLOT;
         if (wasFull) {
             recordFull(service, nowNanos);
+        } else {
+            cause =
+                    service.mQueue.size() > 0
+                            ? WaitReport.Cause.OTHERS_WAIT
+                            : WaitReport.Cause.RESERVED;
         }
         long number = mNextNumber++;
         Route route = exchange.route();
@@ -183,9 +191,11 @@
                         workspaceOf(exchange),
                         nowNanos,
                         callerDeadlineNanos - (time == null ? 0 : time.smoothedNanos()),
-                        TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMillis()) / HOLD_DIVISOR,
+                        holdLimitNanos(route),
                         REQUEST_BYTES + exchange.call().body().length);
-        service.mWaiting.put(call.id(), new Entry(call, exchange, callerDeadlineNanos));
+        service.mWaiting.put(
+                call.id(),
+                new Entry(call, exchange, callerDeadlineNanos, cause, Map.copyOf(service.mTaken)));
         service.mShares.addWaiting(call.rank(), call.workspace(), 1);
         ShareView view = service.mShares.view(nowNanos);
         List<Refused> refused = refuse(service, nowNanos, service.mQueue.add(call, view));
@@ -198,6 +208,12 @@
         return call.id();
     }
 
+    /** The check that ends a wait may come one period late. */
+    private static long holdLimitNanos(Route route) {
+        long targetNanos = TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMillis());
+        return Math.max(0, targetNanos / HOLD_DIVISOR - CHECK_PERIOD_NANOS);
+    }
+
     private static String workspaceOf(GatewayExchange exchange) {
         String workspace = exchange.workspace();
         return workspace == null ? "" : workspace;
@@ -216,6 +232,37 @@
         return mServices.computeIfAbsent(id, key -> new Service(mRandom));
     }
 
+    /**
+     * Describes the wait of a request for the log.
+     *
+     * @param id its id
+     * @return the description, or null if it no longer waits
+     */
+    synchronized @Nullable WaitReport describe(ServiceId serviceId, String id) {
+        Service service = service(serviceId);
+        Entry entry = service.mWaiting.get(id);
+        return entry == null ? null : describe(service, mLoop.nowNanos(), entry);
+    }
+
+    private static WaitReport describe(Service service, long nowNanos, Entry entry) {
+        StringJoiner before = new StringJoiner(" ");
+        service.mTaken.forEach(
+                (rank, taken) -> {
+                    long meanwhile = taken - entry.takenAtArrival().getOrDefault(rank, 0L);
+                    if (meanwhile > 0) {
+                        before.add(rank + ":" + meanwhile);
+                    }
+                });
+        ShareView view = service.mShares.view(nowNanos);
+        QueuedCall call = entry.call();
+        return new WaitReport(
+                entry.cause(),
+                nowNanos - call.arrivalNanos(),
+                before.toString(),
+                view.usagePerWeight(call.workspace()),
+                view.share(call.workspace()));
+    }
+
     /** Removes a request that has ended while it waited. */
     synchronized void leave(ServiceId serviceId, String id) {
         remove(service(serviceId), id);
@@ -282,6 +329,7 @@
                 }
                 if (result == QueueWait.Result.STARTED) {
                     service.mRate.recordTaken(nowNanos, entry.call().rank());
+                    service.mTaken.merge(entry.call().rank(), 1L, Long::sum);
                 }
                 remove(service, entry.call().id());
             }
@@ -369,10 +417,8 @@
                             entry.exchange(),
                             new Refusal(
                                     removal.reason(),
-                                    nowNanos - call.arrivalNanos(),
+                                    describe(service, nowNanos, entry),
                                     service.mQueue.size(),
-                                    view.usagePerWeight(call.workspace()),
-                                    view.share(call.workspace()),
                                     retryNanos)));
         }
         return refused;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/QueueWait.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/QueueWait.java
@@ -15,8 +15,6 @@
     /** Id in the queue of the service while the exchange waits. */
     private @Nullable String mQueueId;
 
-    private long mBeginNanos;
-
     /** What became of a waiting request for which a free slot was looked for. */
     enum Result {
         STARTED,
@@ -47,15 +45,18 @@
      * @param deadlineNanos time at which the answer must be complete
      * @param wasFull whether no free slot was found
      */
-    void begin(long nowNanos, boolean isRetry, long deadlineNanos, boolean wasFull) {
-        mBeginNanos = nowNanos;
+    void begin(boolean isRetry, long deadlineNanos, boolean wasFull) {
         mQueueId = mQueues.enqueue(mExchange, isRetry, deadlineNanos, wasFull);
     }
 
     /** Ends the wait because a free slot was found. */
-    void onServed(long nowNanos) {
+    void onServed() {
+        WaitReport report =
+                mQueueId == null ? null : mQueues.describe(mExchange.service(), mQueueId);
         mQueueId = null;
-        mLog.servedAfterWait(nowNanos - mBeginNanos);
+        if (report != null) {
+            mLog.servedAfterWait(report, mExchange.rank());
+        }
     }
 
     /** Ends the wait, if there is one, because the exchange has ended. */
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -217,11 +217,10 @@
   16: i32 maxTableBytes,
   /** Whether the sender is a controller that stops as soon as another one has its seat. */
   17: bool leaving,
-  /**
-   * The gateway's requests at services whose requests may wait; absent if there are none, or if the
-   * gateway reports them to another controller.
-   */
-  40: optional list<ServiceUsageData> usages
+  /** The gateway's requests at services whose requests may wait; absent if there are none. */
+  40: optional list<ServiceUsageData> usages,
+  /** Whether the reply is to hold the sums of the usages. */
+  41: optional bool wantsUsages
 }
 
 /** A table in the durable log of a controller. */
@@ -283,7 +282,10 @@
    * still holds that in the settled term; absent otherwise.
    */
   20: optional i64 settledRevision,
-  /** Sums of the usages of all gateways that report to the receiver; absent if the caller does not. */
+  /**
+   * Sums of the usages of all gateways, absent if the caller does not want them. A service for which
+   * no request waits has one entry for all workspaces together, named "*".
+   */
   40: optional list<ServiceUsageData> fleetUsages,
   /** Number of gateways in those sums. */
   41: optional i32 usageGateways
