Take the age of the reports into account, and describe scheduling

With 80 gateways, each one talks to a controller only every 0.8 s. The reserve now counts requests of workspaces that use clearly less. Gateways ask three controllers for the sums, about four times a second.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/scheduling/DrainRate.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/scheduling/DrainRate.java
@@ -5,9 +5,11 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Measures how fast a queue is served, by priority rank. Only time in which requests of the rank
- * waited counts, as an empty queue says nothing about its rate. A gateway that has served few is
- * helped out by the fleet's sums and the time that requests take. Not thread-safe.
+ * Measures how fast a queue is served, by turn class ({@link ShareView#turnClass}): workspaces
+ * above their share are held back, which says nothing about the others of their rank. Only time in
+ * which requests of the class waited counts, as an empty queue says nothing about its rate. A
+ * gateway that has served few is helped out by the fleet's sums and the time that requests take.
+ * Not thread-safe.
  */
 public final class DrainRate {
     /**
@@ -30,10 +32,10 @@
 
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
-    private final TreeMap<Integer, Rank> mRanks = new TreeMap<>();
+    private final TreeMap<Integer, TurnClass> mClasses = new TreeMap<>();
     private final ServiceTime mServiceTime = new ServiceTime();
 
-    private static final class Rank {
+    private static final class TurnClass {
         private double mTaken;
         private double mBacklogNanos;
         private long mLastNanos;
@@ -63,17 +65,17 @@
     }
 
     /**
-     * Records which ranks have waiting requests from now on.
+     * Records which classes have waiting requests from now on.
      *
      * @param nowNanos monotonic time
-     * @param waiting number of waiting requests by rank; ranks without any may be absent
+     * @param waiting number of waiting requests by class; classes without any may be absent
      */
     public void recordBacklog(long nowNanos, Map<Integer, Integer> waiting) {
-        waiting.keySet().forEach(rank -> mRanks.computeIfAbsent(rank, key -> new Rank()));
-        mRanks.forEach(
-                (key, rank) -> {
-                    rank.advance(nowNanos);
-                    rank.mHasBacklog = waiting.getOrDefault(key, 0) > 0;
+        waiting.keySet().forEach(each -> mClasses.computeIfAbsent(each, key -> new TurnClass()));
+        mClasses.forEach(
+                (key, measured) -> {
+                    measured.advance(nowNanos);
+                    measured.mHasBacklog = waiting.getOrDefault(key, 0) > 0;
                 });
     }
 
@@ -81,22 +83,22 @@
      * Records that a waiting request was served.
      *
      * @param nowNanos monotonic time
-     * @param rank its rank
+     * @param turnClass its class
      */
-    public void recordTaken(long nowNanos, int rank) {
-        Rank measured = mRanks.computeIfAbsent(rank, key -> new Rank());
+    public void recordTaken(long nowNanos, int turnClass) {
+        TurnClass measured = mClasses.computeIfAbsent(turnClass, key -> new TurnClass());
         measured.advance(nowNanos);
         measured.mTaken++;
     }
 
     /**
-     * Returns the requests of a rank that were served in a second while some waited.
+     * Returns the requests of a class that were served in a second while some waited.
      *
-     * @param rank the rank
+     * @param turnClass the class
      * @return the rate, 0 if it is not known
      */
-    public double perSecond(int rank) {
-        Rank measured = mRanks.get(rank);
+    public double perSecond(int turnClass) {
+        TurnClass measured = mClasses.get(turnClass);
         if (measured == null || measured.mTaken <= 0 || measured.mBacklogNanos <= 0) {
             return 0;
         }
@@ -117,16 +119,18 @@
      * from the fleet's sums.
      *
      * @param call the request
-     * @param moreUrgent waiting requests of this gateway of more urgent ranks
-     * @param ahead waiting requests of its own rank that are served before it
+     * @param moreUrgent waiting requests of this gateway of classes that are served first
+     * @param ahead waiting requests of its own class that are served before it
      * @param view who uses and waits for the service
      * @return the wait in nanoseconds, or {@link #UNKNOWN}
      */
     public long estimateNanos(QueuedCall call, int moreUrgent, int ahead, ShareView view) {
-        Rank measured = mRanks.get(call.rank());
+        int turnClass =
+                ShareView.turnClass(call.rank(), view.isClearlyAboveShare(call.workspace()));
+        TurnClass measured = mClasses.get(turnClass);
         boolean hasEnough = measured != null && measured.mTaken >= MIN_TAKEN;
         return hasEnough
-                ? waitNanos(call.rank(), moreUrgent, ahead)
+                ? waitNanos(turnClass, moreUrgent, ahead)
                 : fleetWaitNanos(call.rank(), call.workspace(), view);
     }
 
@@ -148,18 +152,18 @@
     /**
      * Estimates the wait of a request from what this gateway has served.
      *
-     * @param rank its rank
-     * @param moreUrgent waiting requests of more urgent ranks
-     * @param ahead waiting requests of its own rank that are served before it
+     * @param turnClass its class
+     * @param moreUrgent waiting requests of classes that are served first
+     * @param ahead waiting requests of its own class that are served before it
      * @return the wait in nanoseconds, or {@link #UNKNOWN}
      */
-    private long waitNanos(int rank, int moreUrgent, int ahead) {
-        double own = perSecond(rank);
+    private long waitNanos(int turnClass, int moreUrgent, int ahead) {
+        double own = perSecond(turnClass);
         if (own <= 0) {
             return UNKNOWN;
         }
         double all = 0;
-        for (int each : mRanks.headMap(rank, true).keySet()) {
+        for (int each : mClasses.headMap(turnClass, true).keySet()) {
             all += perSecond(each);
         }
         return (long) ((moreUrgent / all + (ahead + 1) / own) * NANOS_PER_SECOND);
--- a/hemlockrack-core/src/main/java/org/hemlockrack/scheduling/RetryAdvice.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/scheduling/RetryAdvice.java
@@ -61,7 +61,7 @@
             DrainRate rate,
             ShareView view,
             long remainingNanos) {
-        double perSecond = rate.perSecond(call.rank());
+        double perSecond = rate.perSecond(view.turnClass(call.rank(), call.workspace()));
         long waitNanos = rate.estimateNanos(call, 0, waiting, view);
         long delayNanos = waitNanos == DrainRate.UNKNOWN ? DEFAULT_NANOS : waitNanos;
         if (perSecond > 0) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/scheduling/ServiceQueue.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/scheduling/ServiceQueue.java
@@ -90,10 +90,21 @@
         return size;
     }
 
-    /** Returns the number of waiting requests by rank. */
-    public Map<Integer, Integer> sizeByRank() {
+    /**
+     * Returns the number of waiting requests by turn class.
+     *
+     * @param view who uses how much of the service
+     */
+    public Map<Integer, Integer> sizeByTurnClass(ShareView view) {
         Map<Integer, Integer> sizes = new HashMap<>();
-        mRanks.forEach((rank, flows) -> sizes.put(rank, sizeOf(flows.values())));
+        mRanks.forEach(
+                (rank, flows) ->
+                        flows.forEach(
+                                (workspace, flow) ->
+                                        sizes.merge(
+                                                view.turnClass(rank, workspace),
+                                                flow.size(),
+                                                Integer::sum)));
         return sizes;
     }
 
@@ -243,14 +254,14 @@
             ShareView view,
             DrainRate rate,
             List<Removal> removed) {
-        boolean isAbove = view.isAboveShare(workspace);
+        boolean isAbove = view.isClearlyAboveShare(workspace);
         int before = 0;
         List<Integer> others = new ArrayList<>();
         for (Map.Entry<String, Flow> each : mRanks.get(rank).entrySet()) {
             if (each.getKey().equals(workspace)) {
                 continue;
             }
-            boolean isOtherAbove = view.isAboveShare(each.getKey());
+            boolean isOtherAbove = view.isClearlyAboveShare(each.getKey());
             if (isOtherAbove == isAbove) {
                 others.add(each.getValue().size());
             } else if (isAbove) {
@@ -259,8 +270,8 @@
         }
         int ownBefore = 0;
         for (QueuedCall call : mRanks.get(rank).get(workspace).inOrder()) {
-            int ahead = before + (int) FairTurns.countBefore(ownBefore, others);
-            long waitNanos = rate.estimateNanos(call, moreUrgent, ahead, view);
+            int ahead = (int) FairTurns.countBefore(ownBefore, others);
+            long waitNanos = rate.estimateNanos(call, moreUrgent + before, ahead, view);
             Removal.Reason reason = unservableReason(nowNanos, call, waitNanos);
             if (reason == null) {
                 ownBefore++;
--- a/hemlockrack-core/src/main/java/org/hemlockrack/scheduling/ShareView.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/scheduling/ShareView.java
@@ -18,6 +18,11 @@
     /** A view without any request, in which no workspace is above its share. */
     public static final ShareView EMPTY = new Builder(Map.of()).build();
 
+    /** Factor and slots by which a use exceeds a share clearly, although the sums are late. */
+    private static final double CLEAR_FACTOR = 1.25;
+
+    private static final double CLEAR_SLOTS = 2;
+
     private final Map<String, Usage> mUsages;
     private final Map<String, Double> mWeights;
     private final TreeMap<Integer, Map<String, Double>> mWaitingElsewhere;
@@ -139,22 +144,49 @@
         return usagePerWeight(workspace) > mSharePerWeight;
     }
 
+    /**
+     * Returns whether a workspace uses so much more than its share that it will hardly get a turn
+     * soon. Those that use about their share are above it by turns, and a refusal must not depend
+     * on the moment.
+     *
+     * @param workspace the workspace
+     */
+    public boolean isClearlyAboveShare(String workspace) {
+        return usagePerWeight(workspace) > CLEAR_FACTOR * mSharePerWeight + CLEAR_SLOTS;
+    }
+
+    /**
+     * Returns the class of requests whose turn is decided by retries, usage and age only: one for
+     * each rank and for workspaces above their share or not. Lower classes are served first.
+     *
+     * @param rank priority rank
+     * @param workspace the workspace
+     */
+    public int turnClass(int rank, String workspace) {
+        return turnClass(rank, isAboveShare(workspace));
+    }
+
+    static int turnClass(int rank, boolean isAboveShare) {
+        return 2 * rank + (isAboveShare ? 1 : 0);
+    }
+
     /**
      * Returns how many requests wait at other gateways that precede those of a rank and workspace:
-     * more urgent ones, and if the workspace is above its share, those of its rank whose workspaces
-     * are not.
+     * more urgent ones, and those of its rank whose workspaces use clearly less. A workspace at its
+     * share is held back as well: where the others demand little, the share of a surging one is
+     * large, and its requests, which wait everywhere, would take each freed slot before the others
+     * see it.
      *
      * @param rank the rank
      * @param workspace the workspace
      */
     public double precedingElsewhere(int rank, String workspace) {
         double preceding = sumOf(mWaitingElsewhere.headMap(rank).values());
-        if (!isAboveShare(workspace)) {
-            return preceding;
-        }
+        double usage = usagePerWeight(workspace);
         for (Map.Entry<String, Double> each :
                 mWaitingElsewhere.getOrDefault(rank, Map.of()).entrySet()) {
-            preceding += isAboveShare(each.getKey()) ? 0 : each.getValue();
+            boolean precedes = CLEAR_FACTOR * usagePerWeight(each.getKey()) + CLEAR_SLOTS < usage;
+            preceding += precedes ? each.getValue() : 0;
         }
         return preceding;
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -36,6 +36,12 @@
     private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
     private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
+    /**
+     * Controllers that are asked for sums. With 80 gateways and more, the exchange with each one
+     * takes place every 0.8 s, so that a gateway gets sums about four times a second.
+     */
+    private static final int USAGE_SOURCES = 3;
+
     private final EventLoop mLoop;
     private final String mSenderId;
     private final ProtocolAdapter mProtocol;
@@ -204,10 +210,9 @@
      */
     private boolean isUsageSource(String address) {
         List<String> reachable = mReachableControllers.stream().sorted().toList();
-        return !reachable.isEmpty()
-                && reachable
-                        .get(Math.floorMod(mSenderId.hashCode(), reachable.size()))
-                        .equals(address);
+        int index = reachable.indexOf(address);
+        int first = reachable.isEmpty() ? 0 : Math.floorMod(mSenderId.hashCode(), reachable.size());
+        return index >= 0 && Math.floorMod(index - first, reachable.size()) < USAGE_SOURCES;
     }
 
     @Override
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/QueueService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/QueueService.java
@@ -87,6 +87,9 @@
         /** Requests taken from the queue since the start, by rank. */
         private final TreeMap<Integer, Long> mTaken = new TreeMap<>();
 
+        /** Turn class of the request for which a slot is looked for. */
+        private int mNextClass;
+
         /** Requests in progress in the whole fleet when this gateway last found no free slot. */
         private double mRunningWhenFull = Double.MAX_VALUE;
 
@@ -275,7 +278,9 @@
         }
         service.mQueue.remove(id);
         service.mShares.addWaiting(entry.call().rank(), entry.call().workspace(), -1);
-        service.mRate.recordBacklog(mLoop.nowNanos(), service.mQueue.sizeByRank());
+        long nowNanos = mLoop.nowNanos();
+        ShareView view = service.mShares.view(nowNanos);
+        service.mRate.recordBacklog(nowNanos, service.mQueue.sizeByTurnClass(view));
         return entry;
     }
 
@@ -328,7 +333,7 @@
                     break;
                 }
                 if (result == QueueWait.Result.STARTED) {
-                    service.mRate.recordTaken(nowNanos, entry.call().rank());
+                    service.mRate.recordTaken(nowNanos, service.mNextClass);
                     service.mTaken.merge(entry.call().rank(), 1L, Long::sum);
                 }
                 remove(service, entry.call().id());
@@ -342,6 +347,9 @@
         Service service = service(serviceId);
         ShareView view = service.mShares.view(mLoop.nowNanos());
         QueuedCall next = service.mQueue.next(view);
+        if (next != null) {
+            service.mNextClass = view.turnClass(next.rank(), next.workspace());
+        }
         boolean mayStart =
                 next != null && !isHeldBack(service, next.rank(), next.workspace(), view);
         return mayStart ? service.mWaiting.get(next.id()) : null;
@@ -358,7 +366,7 @@
                             service,
                             nowNanos,
                             service.mQueue.removeUnservable(nowNanos, view, service.mRate));
-            service.mRate.recordBacklog(nowNanos, service.mQueue.sizeByRank());
+            service.mRate.recordBacklog(nowNanos, service.mQueue.sizeByTurnClass(view));
             scheduleCheck(service.mQueue.size());
         }
         refused.forEach(each -> each.exchange().onQueueRefused(each.refusal()));
