--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ExchangeLog.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ExchangeLog.java
@@ -1,10 +1,12 @@
 package org.hemlockrack.daemon.gateway;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.dispatch.AttemptOutcome;
 import org.hemlockrack.dispatch.ServerCost;
+import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.routing.Route;
 import org.jspecify.annotations.Nullable;
 
@@ -15,6 +17,12 @@
 
     private static final double PERCENT = 100;
 
+    /** Shorter waits are logged only for sampled requests. */
+    private static final long MIN_LOGGED_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    /** Logged if a workspace has no bounded share because nobody waits. */
+    private static final double MAX_LOGGED_SHARE = 999_999;
+
     private final DecisionLog mLog;
     private final OpenExchanges mOpenExchanges;
     private final String mAttemptId;
@@ -93,6 +101,10 @@
                 .put("cost_zone_pct", Math.round(PERCENT * cost.zone()));
     }
 
+    void failed(ErrorKind kind, @Nullable ForwardAttempt attempt, String cause, int attempts) {
+        ended("failed_" + kind.name().toLowerCase(Locale.ROOT), attempt, cause, attempts);
+    }
+
     void ended(String event, @Nullable ForwardAttempt attempt, String cause, int attempts) {
         DecisionLog.Line line =
                 mLog.requestEvent(event, mAttemptId)
@@ -112,6 +124,35 @@
         line.write();
     }
 
+    /** Writes a line about a request that has waited for a free slot and is sent now. */
+    void servedAfterWait(WaitReport report, int rank) {
+        if (report.waitedNanos() < MIN_LOGGED_WAIT_NANOS && !mLog.shouldSample()) {
+            return;
+        }
+        waitLine("left_queue", report, rank).write();
+    }
+
+    /** Writes a line about a request that has waited for a free slot and is refused. */
+    void refusedFromQueue(QueueService.Refusal refusal, int rank) {
+        waitLine("refused_in_queue", refusal.report(), rank)
+                .put("reason", refusal.reason().name())
+                .put("waiting", refusal.waiting())
+                .put("retry_ms", refusal.retryMillis())
+                .write();
+    }
+
+    private DecisionLog.Line waitLine(String event, WaitReport report, int rank) {
+        return mLog.requestEvent(event, mAttemptId)
+                .put("route", mRoute.name())
+                .put("workspace", mWorkspace)
+                .put("rank", rank)
+                .put("why", report.cause().name())
+                .put("waited_ms", TimeUnit.NANOSECONDS.toMillis(report.waitedNanos()))
+                .put("served_before", report.servedBefore())
+                .put("usage", (long) report.usage())
+                .put("share", (long) Math.min(MAX_LOGGED_SHARE, report.share()));
+    }
+
     /** Writes a line about a late request that is passed on although this instance stops. */
     void passedOnWhileStopping(long expectedNanos) {
         long nowNanos = System.nanoTime();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -92,6 +92,9 @@
         RetryPermits retries = RetryPermits.create(mLoop, network, senderId, retryLimits(settings));
         GatewayQuarantine quarantine = GatewayQuarantine.create(mLog);
         mDutyReports = DutyReports.create(settings.zone());
+        QueueService queues =
+                QueueService.create(
+                        mLoop, mState, mMetrics, new SplittableRandom(random.nextLong()));
         mViewUpdater =
                 new GatewayViewUpdater(
                         mLoop,
@@ -102,24 +105,16 @@
                         retries,
                         quarantine,
                         mDutyReports,
+                        queues,
                         mLog);
         retries.setControllers(mViewUpdater::reachableControllers);
-        GatewayContext context = createContext(protocol, retries, quarantine, random);
+        GatewayContext context = createContext(protocol, retries, quarantine, queues, random);
         mHandler = new GatewayHandler(context, mViewUpdater);
-        mCallerPort =
-                HttpPort.open(
-                        "callers",
-                        settings.address(SettingKey.LISTEN_CALLERS),
-                        settings.callerLimits(),
-                        mRequestMemory,
-                        (call, responder) ->
-                                mHandler.handle(
-                                        call, CountingResponder.of(responder, mOpenRequests)),
-                        null);
+        mCallerPort = openCallerPort();
         mCloser.register(mCallerPort::close);
         HttpPort pages = openPages();
         mCloser.register(pages::close);
-        registerMetrics(quarantine);
+        registerMetrics(quarantine, queues);
         mLoop.scheduleWithFixedDelay(EXPIRY_PERIOD_MILLIS, mViewUpdater::expireServers);
         mLoop.scheduleWithFixedDelay(EVICTION_LOG_PERIOD_MILLIS, this::logEvictions);
         mLoop.execute(() -> mViewUpdater.setSeeds(settings.controllerPeerAddresses()));
@@ -131,10 +126,22 @@
         mLog.instanceEvent("started").put("zone", settings.zone().value()).write();
     }
 
+    private HttpPort openCallerPort() {
+        return HttpPort.open(
+                "callers",
+                mSettings.address(SettingKey.LISTEN_CALLERS),
+                mSettings.callerLimits(),
+                mRequestMemory,
+                (call, responder) ->
+                        mHandler.handle(call, CountingResponder.of(responder, mOpenRequests)),
+                null);
+    }
+
     private GatewayContext createContext(
             ProtocolAdapter protocol,
             RetryPermits retries,
             GatewayQuarantine quarantine,
+            QueueService queues,
             SecureRandom random) {
         return new GatewayContext(
                 mLoop,
@@ -143,6 +150,7 @@
                 retries,
                 quarantine,
                 mDutyReports,
+                queues,
                 openClient(true),
                 openClient(false),
                 mOpenExchanges,
@@ -152,7 +160,9 @@
                 new SplittableRandom(random.nextLong()));
     }
 
-    private void registerMetrics(GatewayQuarantine quarantine) {
+    private void registerMetrics(GatewayQuarantine quarantine, QueueService queues) {
+        mMetrics.registerValue(MetricName.REQUESTS_WAITING, queues::waiting);
+        mMetrics.registerValue(MetricName.WAITING_BYTES, queues::waitingBytes);
         mMetrics.registerValue(MetricName.OPEN_REQUESTS, mOpenRequests::get);
         mMetrics.registerValue(MetricName.ANSWER_BYTES, mAnswerBudget::reservedBytes);
         mMetrics.registerRequestMemory(mRequestMemory);
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayViewUpdaterTest.java
@@ -16,6 +16,7 @@
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.loop.EventLoop;
+import org.hemlockrack.daemon.metrics.Metrics;
 import org.hemlockrack.dispatch.ServerPool;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.model.ZoneId;
@@ -45,6 +46,12 @@
                     RetryPermits.create(mLoop, mNetwork, "g1/1", new RetryLimits(0.1, 10, 10)),
                     GatewayQuarantine.create(mLog),
                     DutyReports.create(ZoneId.of("a")),
+                    QueueService.create(
+                            mLoop,
+                            GatewayState.create(
+                                    ServerPool.create(ZoneId.of("a"), new SplittableRandom(1))),
+                            Metrics.create(),
+                            new SplittableRandom(1)),
                     mLog);
 
     @AfterEach
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
@@ -334,6 +334,8 @@
                         createPermits(),
                         GatewayQuarantine.create(mLog),
                         DutyReports.create(ZoneId.of("a")),
+                        QueueService.create(
+                                mLoop, mState, Metrics.create(), new SplittableRandom(1)),
                         mClient,
                         mSingleUseClient,
                         mOpenExchanges,
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/TableTrustTest.java
@@ -71,6 +71,8 @@
     private final GatewayState mState =
             GatewayState.create(ServerPool.create(ZONE, new SplittableRandom(1)));
     private final GatewayQuarantine mQuarantine = GatewayQuarantine.create(mLog);
+    private final QueueService mQueues =
+            QueueService.create(mLoop, mState, Metrics.create(), new SplittableRandom(1));
     private final RetryPermits mRetries =
             RetryPermits.create(mLoop, mNetwork, "g1/1", new RetryLimits(0.1, 10, 10));
     private final RouteProtocol mProtocol = new RouteProtocol();
@@ -84,6 +86,7 @@
                     mRetries,
                     mQuarantine,
                     DutyReports.create(ZoneId.of("a")),
+                    mQueues,
                     mLog);
     private final List<HttpServer> mServers = new ArrayList<>();
     private GatewayHandler mHandler;
@@ -230,6 +233,7 @@
                         mRetries,
                         mQuarantine,
                         DutyReports.create(ZoneId.of("a")),
+                        mQueues,
                         mClient,
                         mClient,
                         OpenExchanges.create(),
--- a/hemlockrack-wire/src/main/thrift/gateway.thrift
+++ b/hemlockrack-wire/src/main/thrift/gateway.thrift
@@ -228,6 +228,20 @@
   6: optional i32 workPercent
 }
 
+/** Requests of one workspace and priority rank, running and waiting; not both are 0. */
+struct WorkspaceUsageData {
+  1: i32 rank,
+  /** Empty for callers without a workspace. */
+  2: string workspace,
+  3: i32 running,
+  4: i32 waiting
+}
+
+struct ServiceUsageData {
+  1: string serviceName,
+  2: list<WorkspaceUsageData> usages
+}
+
 struct SyncRequest {
   1: string sender,
   2: bool gateway,
@@ -266,7 +280,11 @@
   /** What the caller has seen of the servers' speed since its last request to this receiver. */
   50: optional list<CapacityData> capacity,
   /** Position in the receiver's list of observations; absent if the caller wants none. */
-  51: optional i64 capacityPosition
+  51: optional i64 capacityPosition,
+  /** The gateway's requests at services whose requests may wait; absent if there are none. */
+  40: optional list<ServiceUsageData> usages,
+  /** Whether the reply is to hold the sums of the usages. */
+  41: optional bool wantsUsages
 }
 
 /** A table in the durable log of a controller. */
@@ -338,5 +356,12 @@
   33: optional bool wantsDemand,
   /** What all gateways together have seen of the servers' speed after the caller's position. */
   50: optional list<CapacityData> capacity,
-  51: optional i64 capacityPosition
+  51: optional i64 capacityPosition,
+  /**
+   * Sums of the usages of all gateways, absent if the caller does not want them. A service for which
+   * no request waits has one entry for all workspaces together, named "*".
+   */
+  40: optional list<ServiceUsageData> fleetUsages,
+  /** Number of gateways in those sums. */
+  41: optional i32 usageGateways
 }
