--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/GatewayExchangeTest.java
@@ -269,26 +269,29 @@
                         mLog,
                         Metrics.create(),
                         new SplittableRandom(1));
-        Route route =
-                new Route(
-                        "orders",
-                        "shop.example",
-                        "/",
-                        policy,
-                        false,
-                        10_000,
-                        1_000,
-                        0,
-                        0,
-                        List.of(new WeightedService(SERVICE, 1)),
-                        1,
-                        true,
-                        false);
+        Route route = routeWith(policy);
         HttpCall call = new HttpCall("POST", path, null, List.of(), new byte[0]);
         new GatewayExchange(context, call, responder, protocol.readRequest(call), route, null, 1)
                 .start();
     }
 
+    private static Route routeWith(RerunPolicy policy) {
+        return new Route(
+                "orders",
+                "shop.example",
+                "/",
+                policy,
+                false,
+                10_000,
+                1_000,
+                0,
+                0,
+                List.of(new WeightedService(SERVICE, 1)),
+                1,
+                true,
+                false);
+    }
+
     private void awaitRelease() {
         try {
             mRelease.await();
@@ -463,6 +466,10 @@
 
     private StatusResponder startLateStream() throws Exception {
         assertEquals(200, send(NO_DELAY));
+        // The duration is recorded after the caller has the answer; without it a stopping gateway
+        // refuses the stream.
+        Route route = routeWith(RerunPolicy.AT_MOST_ONCE);
+        await(() -> mState.expectedNanos(route, -1) >= 0);
         stopIn(5);
         StatusResponder late = new StatusResponder();
         start(NO_DELAY, RerunPolicy.AT_MOST_ONCE, STREAM_PATH, late);
