--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/UsableServers.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/UsableServers.java
@@ -23,7 +23,7 @@
 
     private UsableServers() {}
 
-    /** Returns the servers that the control state, their own word and earlier attempts allow. */
+    /** Returns the servers that the control state, their statements and earlier attempts allow. */
     static List<ServerSlot> eligible(
             long nowNanos,
             List<ServerSlot> slots,
