Answer all handled pipelined requests when a port stops

Once the last response was made, earlier responses made after it also carried Connection: close, and a close of idle connections was requested while one request was open; HttpCore completes one response after that and drops the others. Only the latest response closes the connection now, and the shutdown is requested when no request is open. At most one request is taken in after it.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
@@ -54,7 +53,6 @@
     private final ConcurrentHashMap.KeySetView<ServerExchange, Boolean> mExchanges =
             ConcurrentHashMap.newKeySet();
     private final Object mOrderLock = new Object();
-    private final AtomicBoolean mShutdownRequested = new AtomicBoolean();
     private final AtomicInteger mOpenExchanges = new AtomicInteger();
     private final Queue<CompletableFuture<Boolean>> mChecks = new ConcurrentLinkedQueue<>();
 
@@ -75,6 +73,7 @@
     private volatile boolean mTruncated;
     private volatile boolean mClosesWhenIdle;
     private boolean mIgnoresRequests;
+    private boolean mShutdownRequested;
     private volatile CloseReason mCloseReason = CloseReason.CLIENT;
     private long mDiscardedBytes;
     private volatile @Nullable ServerExchange mLatestExchange;
@@ -201,8 +200,9 @@
             return false;
         }
         synchronized (mOrderLock) {
-            mIgnoresRequests |= exchange == mLatestExchange;
-            return mIgnoresRequests;
+            boolean isLatest = exchange == mLatestExchange;
+            mIgnoresRequests |= isLatest;
+            return isLatest;
         }
     }
 
@@ -219,19 +219,20 @@
         return refused;
     }
 
-    /** Closes the connection if no request is in progress, and otherwise after its response. */
+    /** Closes the connection once no request is in progress. */
     void closeWhenIdle() {
         mClosesWhenIdle = true;
         closeIfIdle();
     }
 
     private void closeIfIdle() {
-        // HttpCore completes one response after this command, but none of further requests.
-        if (mClosesWhenIdle
-                && mOpenExchanges.get() <= 1
-                && mShutdownRequested.compareAndSet(false, true)) {
-            mSession.enqueue(ShutdownCommand.GRACEFUL, Command.Priority.NORMAL);
+        synchronized (mOrderLock) {
+            if (!mClosesWhenIdle || mShutdownRequested || mOpenExchanges.get() > 0) {
+                return;
+            }
+            mShutdownRequested = true;
         }
+        mSession.enqueue(ShutdownCommand.GRACEFUL, Command.Priority.NORMAL);
     }
 
     /** Refuses all requests of this connection, because too many connections are open. */
@@ -273,8 +274,10 @@
                 return false;
             }
             mLatestExchange = exchange;
+            mOpenExchanges.incrementAndGet();
+            // HttpCore completes one response after its shutdown was requested, and no more.
+            mIgnoresRequests = mShutdownRequested;
         }
-        mOpenExchanges.incrementAndGet();
         mExchanges.add(exchange);
         return true;
     }
