Release the socket of a stopped listener at once

A closed listener stayed registered until the reactor's next pass, up to a second later. The kernel accepted connections until then, and they were reset. Opening another listener on the loopback address starts a pass.

HttpPortTest.stoppedPortRefusesConnectionsAtOnce failed without the change. InstanceStopTest.newConnectionsAreRefusedWhileRequestsAreOpen was red for this cause: its connection came 0.9 s after the listener was closed.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
@@ -1,8 +1,10 @@
 package org.hemlockrack.daemon.http;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Predicate;
 import org.apache.hc.core5.http.URIScheme;
 import org.apache.hc.core5.http.impl.bootstrap.HttpAsyncServer;
@@ -26,6 +28,9 @@
      */
     private static final long STALL_MILLIS = 1_000;
 
+    /** The reactor makes a pass at least once a second without being asked to. */
+    private static final long MAX_RELEASE_MILLIS = 1_000;
+
     private final HttpAsyncServer mServer;
     private final ConnectionLimiter mLimiter;
     private final ListenerEndpoint mListener;
@@ -135,11 +140,33 @@
 
     /**
      * Stops accepting connections. Those that are open are served, and each closes after its next
-     * response.
+     * response. New ones are refused once this returns.
      */
     public void stopAccepting() {
         mLimiter.closeAfterNextResponse();
+        if (mListener.isClosed()) {
+            return;
+        }
         mListener.close(CloseMode.IMMEDIATE);
+        releaseListeningSocket();
+    }
+
+    /**
+     * Makes the reactor release the socket of the closed listener. It does so in its next pass,
+     * which can be a second later; until then the kernel accepts connections, which are reset then.
+     * Opening another listener starts a pass.
+     */
+    private void releaseListeningSocket() {
+        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        try {
+            mServer.listen(anyPort, URIScheme.HTTP)
+                    .get(MAX_RELEASE_MILLIS, TimeUnit.MILLISECONDS)
+                    .close(CloseMode.IMMEDIATE);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            // The socket is released by the reactor's next regular pass.
+        }
     }
 
     /**
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
@@ -3,9 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -379,6 +381,16 @@
         awaitOpen(0, 0);
     }
 
+    /** Guards against connections that the kernel accepts after the stop and that are reset. */
+    @Test
+    void stoppedPortRefusesConnectionsAtOnce() throws Exception {
+        open(longTimeouts());
+        connect();
+        awaitOpen(1, 0);
+        mPort.stopAccepting();
+        assertThrows(ConnectException.class, this::connect);
+    }
+
     /**
      * Guards against a request whose body has not arrived at the end of a stop, and that is cut.
      */
