Bound what one client's connection reads in a pass of its I/O thread

HttpCore decodes chunks as long as the socket has data, so a client that sends without pause kept all other connections of its I/O thread waiting. A plain text connection now reads 16 KB before the others get their turn. With TLS reads are not bounded, as decrypted input could stay unread.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnectionFactory.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnectionFactory.java
@@ -67,8 +67,11 @@
             Timeout timeout = Timeout.ofMilliseconds(mLimiter.limits().headTimeoutMillis());
             mTls.upgrade(session, null, attachment, timeout, null);
         }
-        ProtocolIOSession lingering = new LingeringSession(session, connection);
-        return new TrackingEventHandler(new Duplexer(lingering, connection), connection);
+        ServerSession bounded =
+                mTls == null
+                        ? ServerSession.ofPlainText(session, connection)
+                        : ServerSession.ofTls(session, connection);
+        return new TrackingEventHandler(new Duplexer(bounded, connection), bounded, connection);
     }
 
     private AsyncServerExchangeHandler createExchange(
@@ -144,10 +147,13 @@
      */
     private final class TrackingEventHandler implements IOEventHandler {
         private final IOEventHandler mDelegate;
+        private final ServerSession mSession;
         private final ClientConnection mConnection;
 
-        TrackingEventHandler(Duplexer duplexer, ClientConnection connection) {
+        TrackingEventHandler(
+                Duplexer duplexer, ServerSession session, ClientConnection connection) {
             mDelegate = new ServerHttp1IOEventHandler(duplexer);
+            mSession = session;
             mConnection = connection;
         }
 
@@ -163,6 +169,7 @@
                 mConnection.discardInput();
                 return;
             }
+            mSession.startReading();
             mDelegate.inputReady(session, src);
             if (mConnection.hasOpenExchanges() && !isReading(session)) {
                 closeAtEndOfInput(session);
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -381,6 +382,46 @@
         awaitOpen(0, 0);
     }
 
+    /** Guards against a client whose input never pauses and keeps all others from being read. */
+    @Test
+    @Timeout(30)
+    void clientThatSendsWithoutPauseDoesNotHoldUpOthers() throws Exception {
+        open(
+                new HttpLimits(
+                        Integer.MAX_VALUE,
+                        20,
+                        512,
+                        3,
+                        LONG_MILLIS,
+                        LONG_MILLIS,
+                        LONG_MILLIS,
+                        LONG_MILLIS,
+                        1));
+        RawClient sender = connect();
+        sender.write(post("Transfer-Encoding: chunked\r\n", ""));
+        String chunks = "1\r\nx\r\n".repeat(50_000);
+        CountDownLatch isSending = new CountDownLatch(1);
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try {
+                                while (true) {
+                                    sender.write(chunks);
+                                    isSending.countDown();
+                                }
+                            } catch (IOException e) {
+                                // Expected: the test has ended.
+                            }
+                        });
+        thread.start();
+        isSending.await();
+        RawClient other = connect();
+        other.write(GET);
+        assertTrue(other.readUntil("GET /echo").startsWith("HTTP/1.1 200 "));
+        sender.close();
+        thread.join();
+    }
+
     /** Guards against connections that the kernel accepts after the stop and that are reset. */
     @Test
     void stoppedPortRefusesConnectionsAtOnce() throws Exception {
