Exchange state less often while an instance has no committed state

After a loss of power of all machines, controllers know few of the gateways and ask for exchanges every 100 ms. They are short of processor time then: 115 exchanges a second took 140 of the 180 ms of a controller. Instances without committed state now leave 800 ms between exchanges, but for urgent ones.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControlView.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControlView.java
@@ -1,5 +1,6 @@
 package org.hemlockrack.daemon.controller;
 
+import org.hemlockrack.control.ControlState;
 import org.hemlockrack.control.RoutingOverrides;
 
 /**
@@ -13,4 +14,9 @@
 record ControlView(
         long revision, long tableVersion, byte[] deflatedTable, RoutingOverrides overrides) {
     static final ControlView EMPTY = new ControlView(0, 0, new byte[0], RoutingOverrides.NONE);
+
+    static ControlView of(ControlState state) {
+        return new ControlView(
+                state.revision(), state.tableVersion(), state.tableDocument(), state.overrides());
+    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -165,7 +165,7 @@
             if (!first && state.revision() == view.revision()) {
                 return;
             }
-            mView = viewOf(state);
+            mView = ControlView.of(state);
         }
         mTables.recordCommitted(state);
         RoutingOverrides overrides = state.overrides();
@@ -177,11 +177,6 @@
                 .write();
     }
 
-    private static ControlView viewOf(ControlState state) {
-        return new ControlView(
-                state.revision(), state.tableVersion(), state.tableDocument(), state.overrides());
-    }
-
     /**
      * Publishes a view of the state on the local disk until committed state is published. Called
      * once, at the start.
@@ -192,7 +187,7 @@
     void publishDurable(ControlState state, long settledTerm) {
         synchronized (this) {
             if (!mHasCommittedView) {
-                mView = viewOf(state);
+                mView = ControlView.of(state);
                 mDurableTerm = settledTerm;
             }
         }
@@ -628,6 +623,11 @@
         return request;
     }
 
+    @Override
+    public boolean awaitsCommittedState() {
+        return !mHasCommittedView;
+    }
+
     @Override
     public Map<BackendId, Integer> ownLoad() {
         return Map.of();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -237,6 +237,11 @@
         return index >= 0 && Math.floorMod(index - first, reachable.size()) < USAGE_SOURCES;
     }
 
+    @Override
+    public boolean awaitsCommittedState() {
+        return !mHasCommittedView;
+    }
+
     @Override
     public boolean isUrgent(String address) {
         return mTableFetch.isRequestPending(address)
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
@@ -97,6 +97,15 @@
             return false;
         }
 
+        /**
+         * Returns whether this instance has no committed state yet. After a restart of all
+         * instances the controllers have no leader, do not know how many gateways there are, and
+         * need their processor time for the election; frequent exchanges would hold it up.
+         */
+        default boolean awaitsCommittedState() {
+            return false;
+        }
+
         /** Returns the requests that this instance has in progress at each server. */
         Map<BackendId, Integer> ownLoad();
 
@@ -296,8 +305,18 @@
             }
         } finally {
             // A reply that cannot be applied must not end the exchanges.
-            scheduleNext(reply != null && mDelegate.isUrgent(mAddress) ? 0 : mPeriodNanos);
+            scheduleNext(pauseNanos(reply != null));
+        }
+    }
+
+    private long pauseNanos(boolean isAnswered) {
+        if (!isAnswered) {
+            return mPeriodNanos;
+        }
+        if (mDelegate.isUrgent(mAddress)) {
+            return 0;
         }
+        return mDelegate.awaitsCommittedState() ? MAX_PERIOD_NANOS : mPeriodNanos;
     }
 
     private void applyReply(SyncReply reply, Sent sent) {
