--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -194,12 +194,15 @@
 
     /**
      * Every controller receives the prefix uses of all gateways, so one reachable controller is
-     * enough as a source.
+     * enough as a source. It is chosen once the gateway has a table, by when it knows more than the
+     * seeds: the uses for all gateways would fill the links of the few seeds.
      */
     @Override
     public boolean wantsPrefixUses(String address) {
-        if (mPrefixUseSource.isEmpty()) {
-            mPrefixUseSource = address;
+        if (mPrefixUseSource.isEmpty() && mView.table() != null) {
+            List<String> reachable = mReachableControllers;
+            int index = Math.floorMod(mSenderId.hashCode(), Math.max(1, reachable.size()));
+            mPrefixUseSource = reachable.isEmpty() ? address : reachable.get(index);
         }
         return mPrefixUseSource.equals(address);
     }
