Accept connections of other instances in a thread of its own

The server accepted one connection in each pass over its connections. After a restart the connections of other controllers waited behind those of all gateways: voters that are seeds answered no other controller for two seconds.

PeerServerTest.connectionWithoutAFreeThreadIsClosed relied on connections being read in their order; it now waits until all threads are busy before the call that finds none.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
@@ -6,9 +6,9 @@
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.apache.thrift.protocol.TCompactProtocol;
-import org.apache.thrift.server.THsHaServer;
 import org.apache.thrift.server.TServer;
 import org.apache.thrift.server.TThreadPoolServer;
+import org.apache.thrift.server.TThreadedSelectorServer;
 import org.apache.thrift.transport.TNonblockingServerSocket.NonblockingAbstractServerSocketArgs;
 import org.apache.thrift.transport.TTransportException;
 import org.apache.thrift.transport.layered.TFramedTransport;
@@ -92,8 +92,12 @@
                                 .maxFrameSize(MAX_FRAME_BYTES)
                                 .backlog(BACKLOG));
         ThreadPoolExecutor workers = createWorkerPool(MAX_WORKERS);
-        THsHaServer.Args args =
-                new THsHaServer.Args(socket)
+        // A thread of its own accepts connections. A server that accepts one in each pass over its
+        // connections leaves other controllers waiting behind all gateways after a restart.
+        TThreadedSelectorServer.Args args =
+                new TThreadedSelectorServer.Args(socket)
+                        .selectorThreads(1)
+                        .acceptQueueSizePerThread(BACKLOG)
                         .processor(new Peer.Processor<>(handler))
                         .protocolFactory(new TCompactProtocol.Factory())
                         .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
@@ -102,7 +106,7 @@
                 Math.max(
                         MIN_READ_FRAMES * MAX_FRAME_BYTES,
                         Runtime.getRuntime().maxMemory() / READ_HEAP_DIVISOR);
-        THsHaServer server = new THsHaServer(args);
+        TThreadedSelectorServer server = new TThreadedSelectorServer(args);
         return new PeerServer(
                 server, workers, new InetSocketAddress(address.getAddress(), socket.getPort()));
     }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/peer/PeerServerTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/peer/PeerServerTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
@@ -67,18 +68,23 @@
     @Test
     void connectionWithoutAFreeThreadIsClosed() throws Exception {
         CountDownLatch released = new CountDownLatch(1);
+        CountDownLatch allThreadsBusy = new CountDownLatch(PeerServer.MAX_WORKERS);
         Peer.Iface handler =
                 (Peer.Iface)
                         Proxy.newProxyInstance(
                                 Peer.Iface.class.getClassLoader(),
                                 new Class<?>[] {Peer.Iface.class},
-                                (proxy, method, args) -> released.await(60, TimeUnit.SECONDS));
+                                (proxy, method, args) -> {
+                                    allThreadsBusy.countDown();
+                                    return released.await(60, TimeUnit.SECONDS);
+                                });
         InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
         List<TSocket> sockets = new ArrayList<>();
         try (PeerServer server = PeerServer.open(any, handler, null)) {
             for (int i = 0; i < PeerServer.MAX_WORKERS; i++) {
                 sockets.add(sendCall(server));
             }
+            assertTrue(allThreadsBusy.await(30, TimeUnit.SECONDS));
             TSocket excess = sendCall(server);
             sockets.add(excess);
             excess.setTimeout(10_000);
