Let learners publish the committed state once they have caught up

Only voters did. Three of eight controllers sent every read to the leader and no table to gateways. A learner is caught up when it has committed what the leader had committed at its last message.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/Consensus.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/Consensus.java
@@ -44,6 +44,12 @@
     /** Returns the last committed index; all commands up to it have been emitted for applying. */
     long commitIndex();
 
+    /**
+     * Returns whether this replica follows a leader and has committed everything that the leader
+     * had committed when it sent its last message.
+     */
+    boolean hasCommittedAsLeader();
+
     /** Returns the last index of the log. */
     long lastIndex();
 
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Follower.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Follower.java
@@ -23,6 +23,7 @@
 
     void onAppend(Packet packet, Message.Append append) {
         mState.onLeaderContact(packet.from());
+        mState.onLeaderCommit(append.commitIndex());
         long prev = append.prevIndex();
         long last = prev + append.entries().size();
         if (last <= mState.mCommitIndex) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Raft.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Raft.java
@@ -338,6 +338,11 @@
         return mState.mCommitIndex;
     }
 
+    @Override
+    public boolean hasCommittedAsLeader() {
+        return mState.mRole == Role.FOLLOWER && mState.mCommitIndex >= mState.mLeaderCommitIndex;
+    }
+
     @Override
     public long lastIndex() {
         return mState.mLog.lastIndex();
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/RaftState.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/RaftState.java
@@ -45,6 +45,10 @@
     @Nullable ReplicaRef mLeader;
     @Nullable SnapshotMeta mSnapshot;
     long mCommitIndex;
+
+    /** Newest commit index that the leader has stated, or the largest number before that. */
+    long mLeaderCommitIndex = Long.MAX_VALUE;
+
     long mPersistedIndex;
     long mPendingBytes;
 
@@ -251,11 +255,18 @@
         mLeader = leader;
         mRole = Role.FOLLOWER;
         if (changed) {
+            mLeaderCommitIndex = Long.MAX_VALUE;
             emitRoleChanged();
         }
         resetElectionDeadline();
     }
 
+    /** Records the commit index in a message of the leader; messages may arrive out of order. */
+    void onLeaderCommit(long index) {
+        boolean isFirst = mLeaderCommitIndex == Long.MAX_VALUE;
+        mLeaderCommitIndex = isFirst ? index : Math.max(mLeaderCommitIndex, index);
+    }
+
     /**
      * Returns whether this replica leads or had contact with a leader within the election timeout.
      * Votes are withheld then, so that an election does not disturb a working leader.
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/replica/ReplicaService.java
@@ -283,7 +283,8 @@
         mRetryMillis = FIRST_RETRY_MILLIS;
         Consensus consensus = mNode.consensus();
         mSettledTerm = consensus.lastTerm() == consensus.term() ? consensus.term() : 0;
-        mCaughtUp |= mVoter && hasAppliedCurrentTerm();
+        // A learner may have received only the first part of a log that has one term.
+        mCaughtUp |= hasAppliedCurrentTerm() && (mVoter || consensus.hasCommittedAsLeader());
         publishState();
         logStatusIfDue();
         rescheduleTimer();
