Log suspensions of zones and count suspended zones

A gateway that reaches no server of a zone suspends the zone, which operators could not see.

ZoneReachability keeps the begin and the end of each suspension until the gateway takes them, four times a second, and logs zone_suspended and zone_suspension_ended. hemlockrack_zones_suspended shows the current number.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -233,6 +233,25 @@
                 mSlots.values().stream().filter(slot -> slot.mHealth.isSuspended(nowNanos)).count();
     }
 
+    /**
+     * Returns the number of availability zones that are suspended because their servers did not
+     * answer.
+     *
+     * @param nowNanos monotonic time
+     */
+    public int suspendedZoneCount(long nowNanos) {
+        return mZones.suspendedCount(nowNanos);
+    }
+
+    /**
+     * Returns the suspensions of availability zones that have begun or ended since the last call.
+     *
+     * @param nowNanos monotonic time
+     */
+    public List<ZoneSuspension> takeZoneSuspensions(long nowNanos) {
+        return mZones.takeChanges(nowNanos);
+    }
+
     /** Returns whether the pool holds any server. */
     public boolean isEmpty() {
         return mSlots.isEmpty();
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ZoneReachability.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ZoneReachability.java
@@ -1,7 +1,9 @@
 package org.hemlockrack.dispatch;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -26,13 +28,18 @@
     /** Time after which requests try the zone again. */
     private static final long SUSPENSION_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /** Suspensions kept until they are taken; the oldest ones are dropped first. */
+    private static final int MAX_CHANGES = 64;
+
     private final Map<ZoneId, Failures> mFailures = new HashMap<>();
+    private final List<ZoneSuspension> mChanges = new ArrayList<>();
 
     /** Servers of one zone that did not answer, since the last answer from the zone. */
     private static final class Failures {
         private final Set<BackendId> mServers = new HashSet<>();
         private long mLastNanos;
         private boolean mSuspended;
+        private long mSuspendedSinceNanos;
         private long mSuspendedUntilNanos;
     }
 
@@ -51,7 +58,10 @@
      */
     void recordOutcome(long nowNanos, Registration server, AttemptOutcome outcome) {
         if (outcome.isAnswer()) {
-            mFailures.remove(server.zone());
+            Failures ended = mFailures.remove(server.zone());
+            if (ended != null && ended.mSuspended) {
+                addEnd(server.zone(), ended, Math.min(nowNanos, ended.mSuspendedUntilNanos));
+            }
             return;
         }
         if (!outcome.isUnanswered()) {
@@ -64,11 +74,49 @@
         failures.mLastNanos = nowNanos;
         failures.mServers.add(server.id());
         if (failures.mServers.size() >= MIN_UNANSWERED_SERVERS) {
-            failures.mSuspended = true;
+            if (failures.mSuspended && failures.mSuspendedUntilNanos - nowNanos <= 0) {
+                addEnd(server.zone(), failures, failures.mSuspendedUntilNanos);
+            }
+            if (!failures.mSuspended) {
+                failures.mSuspended = true;
+                failures.mSuspendedSinceNanos = nowNanos;
+                addChange(ZoneSuspension.begun(server.zone(), failures.mServers.size()));
+            }
             failures.mSuspendedUntilNanos = nowNanos + SUSPENSION_NANOS;
         }
     }
 
+    private void addEnd(ZoneId zone, Failures failures, long endNanos) {
+        failures.mSuspended = false;
+        addChange(ZoneSuspension.ended(zone, endNanos - failures.mSuspendedSinceNanos));
+    }
+
+    private void addChange(ZoneSuspension change) {
+        if (mChanges.size() == MAX_CHANGES) {
+            mChanges.remove(0);
+        }
+        mChanges.add(change);
+    }
+
+    /** Returns the suspensions that have begun or ended since the last call, in their order. */
+    List<ZoneSuspension> takeChanges(long nowNanos) {
+        mFailures.forEach(
+                (zone, failures) -> {
+                    if (failures.mSuspended && failures.mSuspendedUntilNanos - nowNanos <= 0) {
+                        addEnd(zone, failures, failures.mSuspendedUntilNanos);
+                    }
+                });
+        List<ZoneSuspension> changes = List.copyOf(mChanges);
+        mChanges.clear();
+        return changes;
+    }
+
+    /** Returns the number of suspended zones. */
+    int suspendedCount(long nowNanos) {
+        return (int)
+                mFailures.keySet().stream().filter(zone -> isSuspended(nowNanos, zone)).count();
+    }
+
     /** Returns whether requests should avoid the servers of a zone. */
     boolean isSuspended(long nowNanos, ZoneId zone) {
         Failures failures = mFailures.get(zone);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -24,6 +24,7 @@
 import org.hemlockrack.daemon.settings.Settings;
 import org.hemlockrack.daemon.settings.SettingsReloader;
 import org.hemlockrack.dispatch.ServerPool;
+import org.hemlockrack.dispatch.ZoneSuspension;
 import org.hemlockrack.limits.ByteBudget;
 import org.hemlockrack.limits.RequestMemory;
 
@@ -53,6 +54,9 @@
     /** Evictions are summed over this time, so that a crowd does not fill the log. */
     private static final long EVICTION_LOG_PERIOD_MILLIS = 1_000;
 
+    /** A suspension lasts at most one second after the last failure. */
+    private static final long SUSPENSION_LOG_PERIOD_MILLIS = 250;
+
     private final Settings mSettings;
     private final Closer mCloser = Closer.create();
     private final EventLoop mLoop;
@@ -117,6 +121,7 @@
         registerMetrics(quarantine, queues);
         mLoop.scheduleWithFixedDelay(EXPIRY_PERIOD_MILLIS, mViewUpdater::expireServers);
         mLoop.scheduleWithFixedDelay(EVICTION_LOG_PERIOD_MILLIS, this::logEvictions);
+        mLoop.scheduleWithFixedDelay(SUSPENSION_LOG_PERIOD_MILLIS, this::logZoneSuspensions);
         mLoop.execute(() -> mViewUpdater.setSeeds(settings.controllerPeerAddresses()));
         SettingsReloader.start(
                 mLoop,
@@ -169,6 +174,7 @@
         mMetrics.registerValue(MetricName.VIEW_AGE, mViewUpdater::viewAgeSeconds);
         mMetrics.registerValue(MetricName.TABLE_AGE, mViewUpdater::tableAgeSeconds);
         mMetrics.registerValue(MetricName.SERVERS_SUSPENDED, mState::suspendedServers);
+        mMetrics.registerValue(MetricName.ZONES_SUSPENDED, mState::suspendedZones);
         mMetrics.registerValue(MetricName.SERVERS_LIMITED, mState::limitedServers);
         mMetrics.registerValue(MetricName.PARTS_HELD, quarantine::heldParts);
         mMetrics.registerValue(MetricName.LOG_LINES_DROPPED, mLog::droppedCount);
@@ -230,6 +236,16 @@
         }
     }
 
+    private void logZoneSuspensions() {
+        for (ZoneSuspension each : mState.takeZoneSuspensions()) {
+            mLog.instanceEvent(each.begun() ? "zone_suspended" : "zone_suspension_ended")
+                    .put("zone", each.zone().value())
+                    .put("servers", each.servers())
+                    .put("lasted_ms", TimeUnit.NANOSECONDS.toMillis(each.lastedNanos()))
+                    .write();
+        }
+    }
+
     private void logFault(Throwable cause) {
         mLog.instanceEvent("internal_fault").put("cause", cause.toString()).write();
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
@@ -12,6 +12,7 @@
 import org.hemlockrack.dispatch.SelectionCriteria;
 import org.hemlockrack.dispatch.ServerChoice;
 import org.hemlockrack.dispatch.ServerPool;
+import org.hemlockrack.dispatch.ZoneSuspension;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.ServiceId;
 import org.hemlockrack.paging.PagedLog;
@@ -225,6 +226,15 @@
         return mPool.suspendedCount(System.nanoTime());
     }
 
+    synchronized int suspendedZones() {
+        return mPool.suspendedZoneCount(System.nanoTime());
+    }
+
+    /** Returns the suspensions of zones that have begun or ended since the last call. */
+    synchronized List<ZoneSuspension> takeZoneSuspensions() {
+        return mPool.takeZoneSuspensions(System.nanoTime());
+    }
+
     synchronized boolean isEmpty() {
         return mPool.isEmpty();
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
@@ -25,6 +25,11 @@
             MetricType.GAUGE,
             "servers",
             "Backend servers left out after failed connections"),
+    ZONES_SUSPENDED(
+            "zones_suspended",
+            MetricType.GAUGE,
+            "zones",
+            "Availability zones left out because several servers in a row gave no answer"),
     SERVERS_LIMITED(
             "servers_limited",
             MetricType.GAUGE,
