Separate the choice of a server from its effects, and explain choices

An operator cannot ask where a request would go, because ServerPool.choose counts the request, takes pacing permits and draws random numbers.

ServerDecision makes the choice and changes nothing but its source of randomness; ServerPool applies the effects. ServerPool.explain makes the same decision with draws of its own and an observer that records why each server is left out. ColdPacing, ServerHealth and PrefixDirectory no longer change when they are read; what changed there is now part of the recorded use.

ChoiceExplanationProperties: 400 random histories with and without explanations in between make the same choices, and 100 reach every reason. The property fails if explanations draw from the random numbers of the pool, and if asking for a permit advances the pacing. It does not notice if reading the failure rate stores the decay, which changes only the last digits.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ColdPacing.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ColdPacing.java
@@ -30,24 +30,38 @@
     }
 
     /**
-     * Returns whether the rate limit permits one request; drops expired permits.
+     * Returns whether the rate limit permits one request.
      *
      * @param perSecond requests per second that this gateway may send
      */
     boolean hasPermit(long nowNanos, double perSecond) {
-        long intervalNanos = (long) (NANOS_PER_SECOND / perSecond);
+        return nowNanos - nextPermitNanos(nowNanos, perSecond) >= 0;
+    }
+
+    /** Starts the pacing at the first request that asks for a permit, and drops expired permits. */
+    void advance(long nowNanos, double perSecond) {
+        mNextPermitNanos = nextPermitNanos(nowNanos, perSecond);
+        mStarted = true;
+        mIntervalNanos = intervalNanos(perSecond);
+    }
+
+    private long nextPermitNanos(long nowNanos, double perSecond) {
+        long intervalNanos = intervalNanos(perSecond);
         long validNanos = Math.min(intervalNanos, PERMIT_LIFETIME_NANOS);
-        if (!mStarted) {
-            mStarted = true;
-            mNextPermitNanos = nowNanos + (long) (mPhase * intervalNanos) - validNanos;
+        long nextNanos =
+                mStarted
+                        ? mNextPermitNanos
+                        : nowNanos + (long) (mPhase * intervalNanos) - validNanos;
+        long overdueNanos = nowNanos - validNanos - nextNanos;
+        if (overdueNanos <= 0) {
+            return nextNanos;
         }
-        long overdueNanos = nowNanos - validNanos - mNextPermitNanos;
-        if (overdueNanos > 0) {
-            long skippedPermits = (overdueNanos + intervalNanos - 1) / intervalNanos;
-            mNextPermitNanos += skippedPermits * intervalNanos;
-        }
-        mIntervalNanos = intervalNanos;
-        return nowNanos - mNextPermitNanos >= 0;
+        long skippedPermits = (overdueNanos + intervalNanos - 1) / intervalNanos;
+        return nextNanos + skippedPermits * intervalNanos;
+    }
+
+    private static long intervalNanos(double perSecond) {
+        return (long) (NANOS_PER_SECOND / perSecond);
     }
 
     void takePermit() {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastCost.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastCost.java
@@ -17,18 +17,20 @@
         mRandom = random;
     }
 
-    ServerChoice choose(List<ServerSlot> slots) {
+    ServerChoice choose(List<ServerSlot> slots, ChoiceObserver observer) {
         ServerSlot best = slots.get(0);
         ServerCost bestCost = ServerCost.NONE;
         boolean hasBest = false;
         for (ServerSlot slot : slots) {
             ServerCost cost = costOf(slot);
+            observer.onCompared(slot, cost);
             if (!hasBest || cost.total() < bestCost.total()) {
                 best = slot;
                 bestCost = cost;
                 hasBest = true;
             }
         }
+        observer.onRemaining(slots, List.of(best), ServerExclusion.HIGHER_COST);
         return ServerChoice.of(best, ServerChoice.Reason.LEAST_LOAD, slots.size(), bestCost);
     }
 
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastDelay.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastDelay.java
@@ -69,6 +69,7 @@
      * @param criteria criteria of the request
      * @param holders servers that have its prompt prefix
      * @param delays times of the service
+     * @param observer receives the costs
      */
     ServerChoice choose(
             long nowNanos,
@@ -76,11 +77,13 @@
             List<ServerSlot> usable,
             SelectionCriteria criteria,
             List<BackendId> holders,
-            ServiceDelays delays) {
+            ServiceDelays delays,
+            ChoiceObserver observer) {
         boolean hasPrefix = criteria.affinityKey() != 0;
-        List<ServerSlot> open = LoadBound.below(all, usable);
+        List<ServerSlot> open = LoadBound.below(all, usable, observer);
         List<ServerSlot> ranked = hasPrefix ? ranked(open, criteria.affinityKey()) : List.of();
         List<ServerSlot> compared = hasPrefix ? withHolders(ranked, open, holders) : drawn(open);
+        observer.onRemaining(open, compared, ServerExclusion.NOT_COMPARED);
         // Other gateways send the prefix to its first server too, so it is cached there first.
         boolean firstHolds = hasPrefix && holders.isEmpty();
         double prefixCost = hasPrefix ? prefixCost(criteria.route(), delays) : 0;
@@ -93,12 +96,14 @@
             // Reading the prefix delays every stream that runs at the server as well.
             double readCost = holds ? 0 : prefixCost * (1 + slot.load());
             ServerCost cost = costOf(nowNanos, slot, usualSpeed, readCost);
+            observer.onCompared(slot, cost);
             if (!hasBest || cost.total() < bestCost.total()) {
                 best = slot;
                 bestCost = cost;
                 hasBest = true;
             }
         }
+        observer.onRemaining(compared, List.of(best), ServerExclusion.HIGHER_COST);
         return ServerChoice.of(
                 best, reason(best, ranked, holders, hasPrefix), usable.size(), bestCost);
     }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LoadBound.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LoadBound.java
@@ -31,12 +31,16 @@
      * @param all all servers of the service; the mean includes those that receive no requests now,
      *     such as those of an evacuated zone
      * @param usable the servers to choose from
+     * @param observer receives the servers above the bound
      */
-    static List<ServerSlot> below(List<ServerSlot> all, List<ServerSlot> usable) {
+    static List<ServerSlot> below(
+            List<ServerSlot> all, List<ServerSlot> usable, ChoiceObserver observer) {
         List<ServerSlot> open = below(FACTOR * meanLoad(all) + SLACK, usable);
-        return open.isEmpty()
-                ? below(SCARCE_FACTOR * meanLoad(usable) + SCARCE_SLACK, usable)
-                : open;
+        if (open.isEmpty()) {
+            open = below(SCARCE_FACTOR * meanLoad(usable) + SCARCE_SLACK, usable);
+        }
+        observer.onRemaining(usable, open, ServerExclusion.ABOVE_LOAD_BOUND);
+        return open;
     }
 
     private static List<ServerSlot> below(double bound, List<ServerSlot> slots) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixAffinity.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixAffinity.java
@@ -52,9 +52,15 @@
      * @param all all servers of the service
      * @param usable the servers to choose from
      * @param key hash of the prompt prefix
+     * @param observer receives the servers that are not chosen
      */
-    ServerChoice choose(long nowNanos, List<ServerSlot> all, List<ServerSlot> usable, long key) {
-        List<ServerSlot> open = LoadBound.below(all, usable);
+    ServerChoice choose(
+            long nowNanos,
+            List<ServerSlot> all,
+            List<ServerSlot> usable,
+            long key,
+            ChoiceObserver observer) {
+        List<ServerSlot> open = LoadBound.below(all, usable, observer);
         List<BackendId> holders = mPrefixes.holders(nowNanos, key);
         List<ServerSlot> cached = new ArrayList<>();
         for (ServerSlot slot : open) {
@@ -64,10 +70,13 @@
         }
         if (!cached.isEmpty()) {
             ServerSlot first = firstRanked(cached, key);
+            observer.onRemaining(open, cached, ServerExclusion.NOT_CACHED);
+            observer.onRemaining(cached, List.of(first), ServerExclusion.RANKED_LOWER);
             return ServerChoice.of(
                     first, ServerChoice.Reason.CACHED, usable.size(), ServerCost.NONE);
         }
         ServerSlot first = firstRanked(open, key);
+        observer.onRemaining(open, List.of(first), ServerExclusion.RANKED_LOWER);
         boolean preferred = open.size() == usable.size() || first == firstRanked(usable, key);
         ServerChoice.Reason reason =
                 preferred ? ServerChoice.Reason.AFFINITY : ServerChoice.Reason.OVERFLOW;
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixDirectory.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixDirectory.java
@@ -28,15 +28,8 @@
     /** A repeated use within this time is not reported again; a third of the lifetime. */
     private static final long REPORT_INTERVAL_NANOS = USE_LIFETIME_NANOS / 3;
 
-    private final Map<Long, Map<BackendId, Long>> mUses =
-            new LinkedHashMap<>(16, 0.75f, true) {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<Long, Map<BackendId, Long>> e) {
-                    return size() > MAX_PREFIXES;
-                }
-            };
+    /** In the order of use; looking up a prefix is no use of it. */
+    private final Map<Long, Map<BackendId, Long>> mUses = new LinkedHashMap<>();
 
     private PrefixDirectory() {}
 
@@ -54,11 +47,16 @@
      * @return whether the use should be reported to other gateways
      */
     public boolean recordUse(long nowNanos, long prefixHash, BackendId server) {
-        Map<BackendId, Long> servers =
-                mUses.computeIfAbsent(prefixHash, key -> new LinkedHashMap<>());
+        // Insertion order is the order of use: the entry is removed and added again.
+        Map<BackendId, Long> known = mUses.remove(prefixHash);
+        Map<BackendId, Long> servers = known == null ? new LinkedHashMap<>() : known;
+        mUses.put(prefixHash, servers);
+        if (mUses.size() > MAX_PREFIXES) {
+            mUses.remove(mUses.keySet().iterator().next());
+        }
+        servers.values().removeIf(usedNanos -> isExpired(nowNanos, usedNanos));
         Long lastNanos = servers.remove(server);
         boolean reportable = lastNanos == null || nowNanos - lastNanos >= REPORT_INTERVAL_NANOS;
-        // Insertion order is the order of use: the entry is removed and added again.
         servers.put(server, reportable ? nowNanos : lastNanos);
         if (servers.size() > MAX_SERVERS) {
             servers.remove(servers.keySet().iterator().next());
@@ -79,11 +77,19 @@
         if (servers == null) {
             return holders;
         }
-        servers.values().removeIf(usedNanos -> nowNanos - usedNanos >= USE_LIFETIME_NANOS);
-        holders.addAll(servers.keySet());
+        servers.forEach(
+                (server, usedNanos) -> {
+                    if (!isExpired(nowNanos, usedNanos)) {
+                        holders.add(server);
+                    }
+                });
         return holders;
     }
 
+    private static boolean isExpired(long nowNanos, long usedNanos) {
+        return nowNanos - usedNanos >= USE_LIFETIME_NANOS;
+    }
+
     /** Returns all recorded uses. */
     public List<PrefixUseData> allUses() {
         List<PrefixUseData> uses = new ArrayList<>();
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerHealth.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerHealth.java
@@ -43,8 +43,8 @@
 
     /** Returns the share of recent attempts that failed. */
     double failureRate(long nowNanos) {
-        decay(nowNanos);
-        return mDecayedFailures / (mDecayedOutcomes + PRIOR_OUTCOMES);
+        double factor = decayFactor(nowNanos);
+        return factor * mDecayedFailures / (factor * mDecayedOutcomes + PRIOR_OUTCOMES);
     }
 
     void recordOutcome(long nowNanos, AttemptOutcome outcome) {
@@ -69,9 +69,13 @@
     }
 
     private void decay(long nowNanos) {
-        double factor = Math.pow(0.5, (nowNanos - mLastDecayNanos) / HEALTH_HALF_LIFE_NANOS);
+        double factor = decayFactor(nowNanos);
         mDecayedFailures *= factor;
         mDecayedOutcomes *= factor;
         mLastDecayNanos = nowNanos;
     }
+
+    private double decayFactor(long nowNanos) {
+        return Math.pow(0.5, (nowNanos - mLastDecayNanos) / HEALTH_HALF_LIFE_NANOS);
+    }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -38,11 +38,12 @@
 
     private static final double PERCENT = 100;
 
-    private final LeastCost mLeastCost;
-    private final LeastDelay mLeastDelay;
+    private final ZoneId mHomeZone;
+    private final ServerDecision mDecision;
     private final ServerCapacity.Factory mCapacities;
     private final CapacityObservations mObservations = CapacityObservations.ofGateway();
     private final Map<ServiceId, ServiceDelays> mDelays = new HashMap<>();
+    private final ServiceDelays mNoDelays = ServiceDelays.create();
     private final RandomGenerator mRandom;
     private final SchedulingMode mMode;
     private final Set<ServiceId> mSpeedReported = new HashSet<>();
@@ -61,8 +62,8 @@
             ServerCapacity.Factory capacities) {
         mMode = mode;
         mCapacities = capacities;
-        mLeastDelay = new LeastDelay(homeZone, random);
-        mLeastCost = new LeastCost(homeZone, random);
+        mHomeZone = homeZone;
+        mDecision = ServerDecision.create(homeZone, random);
         mRandom = random;
     }
 
@@ -265,45 +266,17 @@
      * @return the choice; without a server if none is eligible or all are at their limits
      */
     public ServerChoice choose(long nowNanos, SelectionCriteria criteria) {
-        List<ServerSlot> all = mByService.getOrDefault(criteria.service(), List.of());
-        List<ServerSlot> eligible =
-                UsableServers.eligible(nowNanos, all, mOverrides, mZones, criteria);
-        if (eligible.isEmpty()) {
-            return ServerChoice.none(ServerChoice.Reason.NO_SERVER);
-        }
-        List<ServerSlot> accepting = new ArrayList<>();
-        long shortestRestNanos = Long.MAX_VALUE;
-        for (ServerSlot slot : eligible) {
-            long restNanos = slot.mStatement.remainingRestNanos(nowNanos);
-            if (restNanos == 0) {
-                accepting.add(slot);
-            }
-            shortestRestNanos = Math.min(shortestRestNanos, restNanos);
-        }
-        if (accepting.isEmpty()) {
-            return ServerChoice.allResting(shortestRestNanos);
-        }
+        ServerDecision.Result result =
+                mDecision.decide(stateOf(nowNanos, criteria), criteria, ChoiceObserver.NONE);
         ServiceSpec spec = mSpecs.get(criteria.service());
-        boolean managed = isManaged(criteria.service());
-        List<ServerSlot> available =
-                UsableServers.withCapacity(
-                        nowNanos,
-                        UsableServers.withoutRejecting(nowNanos, accepting),
-                        spec,
-                        managed);
-        if (available.isEmpty()) {
-            return ServerChoice.none(ServerChoice.Reason.ALL_FULL);
+        for (ServerSlot slot : result.paced()) {
+            slot.mColdPacing.advance(
+                    nowNanos, UsableServers.coldRequestsPerSecond(spec, mGatewayCount));
         }
-        List<ServerSlot> usable =
-                UsableServers.withColdCapacity(nowNanos, available, spec, mGatewayCount);
-        if (usable.isEmpty()) {
-            return ServerChoice.none(ServerChoice.Reason.ALL_COLD);
+        ServerChoice choice = result.choice();
+        if (choice.server() == null) {
+            return choice;
         }
-        usable = UsableServers.withoutFailing(nowNanos, usable);
-        ServerChoice choice =
-                managed
-                        ? chooseByDelay(nowNanos, all, usable, criteria)
-                        : chooseAmong(nowNanos, all, usable, criteria.affinityKey());
         BackendId chosen = choice.server().id();
         mSlots.get(chosen).recordDispatch(nowNanos);
         if (criteria.affinityKey() != 0) {
@@ -312,20 +285,29 @@
         return choice;
     }
 
-    private ServerChoice chooseByDelay(
-            long nowNanos,
-            List<ServerSlot> all,
-            List<ServerSlot> usable,
-            SelectionCriteria criteria) {
-        long key = criteria.affinityKey();
-        List<BackendId> holders = key == 0 ? List.of() : mAffinity.holders(nowNanos, key);
-        return mLeastDelay.choose(
-                nowNanos, all, usable, criteria, holders, delays(criteria.service()));
-    }
-
-    private ServerChoice chooseAmong(
-            long nowNanos, List<ServerSlot> all, List<ServerSlot> usable, long key) {
-        return key == 0 ? mLeastCost.choose(usable) : mAffinity.choose(nowNanos, all, usable, key);
+    /**
+     * Returns which server {@link #choose} would choose, and why not the others. Changes nothing:
+     * the next choices are the same as without this call.
+     *
+     * @param nowNanos monotonic time
+     * @param criteria criteria of the request
+     */
+    public ChoiceExplanation explain(long nowNanos, SelectionCriteria criteria) {
+        return ChoiceExplanation.of(mHomeZone, stateOf(nowNanos, criteria), criteria);
+    }
+
+    private ServerDecision.State stateOf(long nowNanos, SelectionCriteria criteria) {
+        ServiceId service = criteria.service();
+        return new ServerDecision.State(
+                nowNanos,
+                mByService.getOrDefault(service, List.of()),
+                mOverrides,
+                mZones,
+                mSpecs.get(service),
+                isManaged(service),
+                mGatewayCount,
+                mAffinity,
+                mDelays.getOrDefault(service, mNoDelays));
     }
 
     /**
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/UsableServers.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/UsableServers.java
@@ -29,25 +29,24 @@
             List<ServerSlot> slots,
             RoutingOverrides overrides,
             ZoneReachability zones,
-            SelectionCriteria criteria) {
+            SelectionCriteria criteria,
+            ChoiceObserver observer) {
         TrafficMove move = overrides.move(criteria.service());
         List<ServerSlot> ready = new ArrayList<>();
         for (ServerSlot slot : slots) {
-            Registration server = slot.registration();
-            if (server.leaving()
-                    || slot.mStatement.isLeaving()
-                    || overrides.hasDeparted(server.id(), server.startMillis())
-                    || overrides.evacuatedZones().contains(server.zone())
-                    || criteria.triedServers().contains(server.id())) {
-                continue;
+            ServerExclusion exclusion = findExclusion(slot, overrides, criteria);
+            if (exclusion == null) {
+                ready.add(slot);
+            } else {
+                observer.onExcluded(slot, exclusion);
             }
-            ready.add(slot);
         }
         List<ServerSlot> allowed = withAllowedVersion(ready, move, criteria.versionDraw());
         if (allowed.isEmpty() && move != null) {
             // No eligible server runs the target version; requests drawn for it use the old one.
             allowed = withAllowedVersion(ready, move, 1);
         }
+        observer.onRemaining(ready, allowed, ServerExclusion.VERSION_HELD_BACK);
         List<ServerSlot> responsive = new ArrayList<>();
         List<ServerSlot> reachable = new ArrayList<>();
         for (ServerSlot slot : allowed) {
@@ -62,7 +61,28 @@
         if (responsive.isEmpty()) {
             return allowed;
         }
-        return reachable.isEmpty() ? responsive : reachable;
+        observer.onRemaining(allowed, responsive, ServerExclusion.SUSPENDED);
+        if (reachable.isEmpty()) {
+            return responsive;
+        }
+        observer.onRemaining(responsive, reachable, ServerExclusion.ZONE_SUSPENDED);
+        return reachable;
+    }
+
+    /** Returns why the control state, statements or earlier attempts rule out a server, or null. */
+    private static @Nullable ServerExclusion findExclusion(
+            ServerSlot slot, RoutingOverrides overrides, SelectionCriteria criteria) {
+        Registration server = slot.registration();
+        if (server.leaving() || slot.mStatement.isLeaving()) {
+            return ServerExclusion.LEAVING;
+        }
+        if (overrides.hasDeparted(server.id(), server.startMillis())) {
+            return ServerExclusion.DRAINED;
+        }
+        if (overrides.evacuatedZones().contains(server.zone())) {
+            return ServerExclusion.ZONE_EVACUATED;
+        }
+        return criteria.triedServers().contains(server.id()) ? ServerExclusion.TRIED : null;
     }
 
     private static List<ServerSlot> withAllowedVersion(
@@ -91,25 +111,30 @@
     /** Removes servers whose slots, or learned limits, are in use. */
     static List<ServerSlot> withCapacity(
             long nowNanos, List<ServerSlot> slots, @Nullable ServiceSpec spec, boolean managed) {
-        boolean engines = spec != null && spec.runsEngines();
         List<ServerSlot> open = new ArrayList<>();
         for (ServerSlot slot : slots) {
-            double limit = managed ? slot.mCapacity.limit(nowNanos) : slot.slots();
-            double maxRequests = engines ? limit : MAX_REQUESTS_PER_PLAIN_SLOT * limit;
-            if (slot.load() < Math.floor(maxRequests)) {
+            if (slot.load() < maxRequests(nowNanos, slot, spec, managed)) {
                 open.add(slot);
             }
         }
         return open;
     }
 
+    /** Returns the number of requests at which a server is full. */
+    static int maxRequests(
+            long nowNanos, ServerSlot slot, @Nullable ServiceSpec spec, boolean managed) {
+        boolean engines = spec != null && spec.runsEngines();
+        double limit = managed ? slot.mCapacity.limit(nowNanos) : slot.slots();
+        return (int) Math.floor(engines ? limit : MAX_REQUESTS_PER_PLAIN_SLOT * limit);
+    }
+
     /** Removes cold servers whose rate limit is used up. */
     static List<ServerSlot> withColdCapacity(
             long nowNanos, List<ServerSlot> slots, @Nullable ServiceSpec spec, int gateways) {
-        if (spec == null || spec.coldRequestsPerSecond() <= 0) {
+        if (!pacesColdServers(spec)) {
             return slots;
         }
-        double perSecond = spec.coldRequestsPerSecond() * COLD_LIMIT_SHARE / gateways;
+        double perSecond = coldRequestsPerSecond(spec, gateways);
         List<ServerSlot> usable = new ArrayList<>();
         for (ServerSlot slot : slots) {
             if (!slot.isCold(nowNanos) || slot.mColdPacing.hasPermit(nowNanos, perSecond)) {
@@ -119,6 +144,23 @@
         return usable;
     }
 
+    /** Returns the cold servers among those given, if their service limits the rate of those. */
+    static List<ServerSlot> paced(
+            long nowNanos, List<ServerSlot> slots, @Nullable ServiceSpec spec) {
+        return pacesColdServers(spec)
+                ? slots.stream().filter(slot -> slot.isCold(nowNanos)).toList()
+                : List.of();
+    }
+
+    private static boolean pacesColdServers(@Nullable ServiceSpec spec) {
+        return spec != null && spec.coldRequestsPerSecond() > 0;
+    }
+
+    /** Returns the requests per second that one gateway may send to a cold server. */
+    static double coldRequestsPerSecond(ServiceSpec spec, int gateways) {
+        return spec.coldRequestsPerSecond() * COLD_LIMIT_SHARE / gateways;
+    }
+
     /** Removes servers that fail much more often than the best one. */
     static List<ServerSlot> withoutFailing(long nowNanos, List<ServerSlot> slots) {
         double best = 1;
--- a/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/PrefixDirectoryTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/PrefixDirectoryTest.java
@@ -39,6 +39,20 @@
         assertEquals(List.of(), directory.holders(TimeUnit.SECONDS.toNanos(121), 1));
     }
 
+    /** An explanation looks prefixes up; that must not keep them while used ones are evicted. */
+    @Test
+    void lookingUpAPrefixIsNoUse() {
+        PrefixDirectory directory = PrefixDirectory.create();
+        for (long prefix = 0; prefix < 20_000; prefix++) {
+            directory.recordUse(0, prefix, A);
+        }
+        assertEquals(List.of(A), directory.holders(0, 0));
+        directory.recordUse(0, 1, A);
+        directory.recordUse(0, 20_000, A);
+        assertEquals(List.of(), directory.holders(0, 0));
+        assertEquals(List.of(A), directory.holders(0, 1));
+    }
+
     /** A reader that fell behind must not read overwritten entries. */
     @Test
     void logDropsTheOldest() {
