Add a command that says where a request would go now

The log explains past requests only; an operator cannot ask a gateway what it would do with a request at this moment.

POST /explain on the operators' port of a gateway follows the steps of a request up to the choice of its server and reports the result, without sending, counting, logging or changing anything. It is off by default (operators.explain), answers 404 then, 400 to invalid input and 503 without a table, and never repeats anything of its body in an error, which contains a key. bin/hemlockrack route asks it and reads the key from a file or standard input. Instances with owners do not offer it; the command says so. A switch may be written as a TOML boolean as well.

--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Main.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/Main.java
@@ -58,6 +58,7 @@
         Subparsers storage = group(top, "storage", "inspect the files of a replica");
         add(storage, "storage check", new StorageCheckCommand());
         add(top, "explain", new ExplainCommand());
+        add(top, "route", new RouteCommand());
     }
 
     private static Subparsers group(Subparsers top, String name, String help) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -12,7 +12,6 @@
 import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.daemon.metrics.MetricName;
 import org.hemlockrack.dispatch.AttemptOutcome;
-import org.hemlockrack.dispatch.PromptHash;
 import org.hemlockrack.dispatch.ServerChoice;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.ErrorText;
@@ -80,12 +79,8 @@
         mMetadata = metadata;
         mRoute = route;
         mWorkspace = workspace == null ? null : workspace.workspace().value();
-        mRank =
-                workspace == null || workspace.priorityRank() < 0
-                        ? route.priorityRank()
-                        : workspace.priorityRank();
-        mService =
-                route.chooseService(PromptHash.toUnitInterval(route.name() + metadata.attemptId()));
+        mRank = Routing.rankOf(route, workspace);
+        mService = Routing.serviceOf(route, metadata);
         mSelection = new ServerSelection(context, route, mService, metadata);
         PromptParts parts = PromptParts.of(metadata.promptPartIds());
         mPartNames = parts.all();
@@ -387,12 +382,11 @@
             fail(ErrorKind.BACKEND_FAILED, choice.reason().name());
             return;
         }
-        ErrorKind kind =
-                choice.reason() == ServerChoice.Reason.NO_SERVER
-                        ? ErrorKind.NO_BACKEND
-                        : ErrorKind.OVERLOADED;
         mContext.dutyReports().recordRefused(mService);
-        fail(kind, choice.reason().name(), choice.waitNanos() / NANOS_PER_MILLI);
+        fail(
+                ServerSelection.refusalKind(choice),
+                choice.reason().name(),
+                choice.waitNanos() / NANOS_PER_MILLI);
     }
 
     /** Ends the request because a part of its prompt is held back. Called with the lock held. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
@@ -39,7 +39,6 @@
     public void handle(HttpCall call, Responder responder) {
         RequestMetadata metadata;
         TableStanding standing = mViewUpdater.standing();
-        RouteTable table = standing.table();
         Routing routing;
         try {
             metadata = mContext.protocol().readRequest(call);
@@ -48,15 +47,13 @@
             return;
         }
         try {
-            if (table == null) {
-                throw HemlockrackException.of(ErrorKind.NOT_READY, "no route table is known yet");
-            }
-            routing = Routing.of(table, call, metadata);
-            requireTrust(standing, call, metadata, routing);
+            routing = Routing.ofTrusted(standing, call, metadata);
         } catch (HemlockrackException e) {
+            RouteTable table = standing.table();
             refuse(responder, metadata, table == null ? 0 : table.version(), e);
             return;
         }
+        RouteTable table = routing.table();
         if (!mViewUpdater.isViewConfirmed()) {
             logUnconfirmedTable(metadata, table, routing.route());
         }
@@ -114,32 +111,13 @@
         }
     }
 
-    /**
-     * Requires that the table may be relied on for a request: a table that may have been replaced
-     * serves only what each newer one would treat alike.
-     */
-    private static void requireTrust(
-            TableStanding standing, HttpCall call, RequestMetadata metadata, Routing routing) {
-        boolean isAllowed =
-                standing.trust(System.nanoTime())
-                        .allows(standing, newer -> routing.isSameIn(newer, call, metadata));
-        if (!isAllowed) {
-            throw HemlockrackException.of(
-                    ErrorKind.NOT_READY, "the route table may have been replaced");
-        }
-    }
-
-    /**
-     * Refuses a request that the route table does not allow. Unless the table is the newest one,
-     * the error is {@link ErrorKind#NOT_READY}, because a newer table may allow the request.
-     */
+    /** Refuses a request that the route table does not allow. */
     private void refuse(
             Responder responder,
             RequestMetadata metadata,
             long tableVersion,
             HemlockrackException cause) {
-        boolean isNewest = mViewUpdater.isNewestTable(tableVersion);
-        ErrorKind kind = isNewest ? cause.kind() : ErrorKind.NOT_READY;
+        ErrorKind kind = Routing.refusalKind(mViewUpdater.isNewestTable(tableVersion), cause);
         mContext.log()
                 .requestEvent("refused", metadata.attemptId())
                 .put("kind", kind.name())
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -70,6 +70,7 @@
     private final ByteBudget mAnswerBudget =
             ByteBudget.of((long) (ANSWER_HEAP_FRACTION * Runtime.getRuntime().maxMemory()));
     private final RequestMemory mRequestMemory;
+    private final GatewayContext mContext;
     private final GatewayHandler mHandler;
     private final HttpPort mCallerPort;
     private long mLoggedEvictions;
@@ -112,8 +113,8 @@
                         queues,
                         mLog);
         retries.setControllers(mViewUpdater::reachableControllers);
-        GatewayContext context = createContext(protocol, retries, quarantine, queues, random);
-        mHandler = new GatewayHandler(context, mViewUpdater);
+        mContext = createContext(protocol, retries, quarantine, queues, random);
+        mHandler = new GatewayHandler(mContext, mViewUpdater);
         mCallerPort = openCallerPort();
         mCloser.register(mCallerPort::close);
         HttpPort pages = openPages();
@@ -216,10 +217,15 @@
                 mSettings.address(SettingKey.LISTEN_OPERATORS),
                 HttpLimits.internal(),
                 mRequestMemory,
-                endpoints::handleOrRefuse,
+                ExplainEndpoint.wrap(mSettings, createExplainer(), endpoints::handleOrRefuse),
                 null);
     }
 
+    private RequestExplainer createExplainer() {
+        return RequestExplainer.create(
+                mContext, mViewUpdater::standing, mViewUpdater::isNewestTable);
+    }
+
     private boolean isReady() {
         return !mDraining && mViewUpdater.view().table() != null && !mState.isEmpty();
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
@@ -7,6 +7,7 @@
 import org.hemlockrack.capacity.ReportedLoad;
 import org.hemlockrack.control.RoutingOverrides;
 import org.hemlockrack.dispatch.AttemptOutcome;
+import org.hemlockrack.dispatch.ChoiceExplanation;
 import org.hemlockrack.dispatch.DelayKind;
 import org.hemlockrack.dispatch.DurationEstimate;
 import org.hemlockrack.dispatch.SelectionCriteria;
@@ -72,6 +73,11 @@
         return mPool.choose(nowNanos, criteria);
     }
 
+    /** Returns which server would be chosen, and why not the others. Changes nothing. */
+    synchronized ChoiceExplanation explain(long nowNanos, SelectionCriteria criteria) {
+        return mPool.explain(nowNanos, criteria);
+    }
+
     synchronized void onAttemptEnded(long nowNanos, BackendId id, AttemptOutcome outcome) {
         mPool.recordOutcome(nowNanos, id, outcome);
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/QueueService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/QueueService.java
@@ -148,10 +148,23 @@
      * Returns whether a new request may ask for a server now: no request waits here, and none that
      * precedes it waits at another gateway for the last free slots.
      */
-    synchronized boolean mayStart(ServiceId serviceId, int rank, String workspace) {
-        Service service = service(serviceId);
-        return service.mQueue.size() == 0
-                && !isHeldBack(service, rank, workspace, service.mShares.view(mLoop.nowNanos()));
+    boolean mayStart(ServiceId serviceId, int rank, String workspace) {
+        return waitCause(serviceId, rank, workspace) == null;
+    }
+
+    /** Returns why a new request must wait before it may ask for a server, or null if it may. */
+    synchronized WaitReport.@Nullable Cause waitCause(
+            ServiceId serviceId, int rank, String workspace) {
+        Service service = mServices.get(serviceId);
+        if (service == null) {
+            return null;
+        }
+        if (service.mQueue.size() > 0) {
+            return WaitReport.Cause.OTHERS_WAIT;
+        }
+        return isHeldBack(service, rank, workspace, service.mShares.view(mLoop.nowNanos()))
+                ? WaitReport.Cause.RESERVED
+                : null;
     }
 
     private static boolean isHeldBack(Service service, int rank, String workspace, ShareView view) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
@@ -43,6 +43,7 @@
     DUTIES_USAGE_DELAY_MS("duties.usage_delay_ms", 10_000, 1_000, 600_000),
     BURN_FILE("burn.file", PATH, "", "path"),
     SCHEDULING_MODE("scheduling.mode", CHOICE, "off", "off|reported|on"),
+    OPERATORS_EXPLAIN("operators.explain", CHOICE, "false", "true|false"),
     LOG_FORMAT("log.format", CHOICE, "text", "text|json"),
     HTTP_MAX_BODY_BYTES("http.max_body_bytes", 1_048_576, 1_024, 67_108_864),
     HTTP_MAX_HEADER_COUNT("http.max_header_count", 100, 10, 1_000),
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingType.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingType.java
@@ -60,8 +60,9 @@
     CHOICE {
         @Override
         boolean accepts(SettingKey key, JsonNode value) {
-            return value.isTextual()
-                    && Arrays.asList(key.allowed().split("\\|")).contains(value.textValue());
+            // The words "true" and "false" may be written as booleans.
+            return (value.isTextual() || value.isBoolean())
+                    && Arrays.asList(key.allowed().split("\\|")).contains(value.asText());
         }
     },
     /** A number that is not negative. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
@@ -181,7 +181,7 @@
      */
     public String text(SettingKey key) {
         JsonNode value = mValues.get(key);
-        return value == null ? requireDefault(key) : value.textValue();
+        return value == null ? requireDefault(key) : value.asText();
     }
 
     /**
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/FakeResponder.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/operator/FakeResponder.java
@@ -13,7 +13,7 @@
 import org.hemlockrack.daemon.http.Responder;
 
 /** A responder that records one response. */
-final class FakeResponder implements Responder {
+public final class FakeResponder implements Responder {
     /** Ends a test that would otherwise hang; no assertion depends on it. */
     private static final long HANG_SECONDS = 60;
 
@@ -23,7 +23,7 @@
     private Runnable mOnCancel = () -> {};
 
     /** A complete response. */
-    record Response(int status, JsonNode json) {
+    public record Response(int status, JsonNode json) {
         String errorKind() {
             return json.at("/error/kind").asText();
         }
@@ -33,7 +33,8 @@
         }
     }
 
-    Response await() {
+    /** Returns the response once it is complete. */
+    public Response await() {
         return mResponse.orTimeout(HANG_SECONDS, TimeUnit.SECONDS).join();
     }
 
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/settings/SettingsTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/settings/SettingsTest.java
@@ -55,6 +55,17 @@
         assertEquals(4, text.lines().count());
     }
 
+    /** Guards against a switch that is refused, or ignored, because it is written as a boolean. */
+    @Test
+    void switchesAreTextsOrBooleans() {
+        for (String value : Set.of("true", "\"true\"")) {
+            Settings settings = Settings.parse("t", VALID + "[operators]\nexplain = " + value);
+            assertEquals("true", settings.text(SettingKey.OPERATORS_EXPLAIN));
+        }
+        String invalid = VALID + "[log]\nformat = true";
+        assertThrows(HemlockrackException.class, () -> Settings.parse("t", invalid));
+    }
+
     /** Guards against two ports with one address, of which only the first can be opened. */
     @Test
     void portsNeedDistinctAddresses() {
