--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -24,6 +24,7 @@
 import org.hemlockrack.daemon.settings.Settings;
 import org.hemlockrack.daemon.settings.SettingsReloader;
 import org.hemlockrack.dispatch.ServerPool;
+import org.hemlockrack.dispatch.ZoneSuspension;
 import org.hemlockrack.limits.ByteBudget;
 import org.hemlockrack.limits.RequestMemory;
 
@@ -53,6 +54,9 @@
     /** Evictions are summed over this time, so that a crowd does not fill the log. */
     private static final long EVICTION_LOG_PERIOD_MILLIS = 1_000;
 
+    /** A suspension lasts at most one second after the last failure. */
+    private static final long SUSPENSION_LOG_PERIOD_MILLIS = 250;
+
     private final Settings mSettings;
     private final Closer mCloser = Closer.create();
     private final EventLoop mLoop;
@@ -66,6 +70,7 @@
     private final ByteBudget mAnswerBudget =
             ByteBudget.of((long) (ANSWER_HEAP_FRACTION * Runtime.getRuntime().maxMemory()));
     private final RequestMemory mRequestMemory;
+    private final GatewayContext mContext;
     private final GatewayHandler mHandler;
     private final HttpPort mCallerPort;
     private long mLoggedEvictions;
@@ -108,8 +113,8 @@
                         queues,
                         mLog);
         retries.setControllers(mViewUpdater::reachableControllers);
-        GatewayContext context = createContext(protocol, retries, quarantine, queues, random);
-        mHandler = new GatewayHandler(context, mViewUpdater);
+        mContext = createContext(protocol, retries, quarantine, queues, random);
+        mHandler = new GatewayHandler(mContext, mViewUpdater);
         mCallerPort = openCallerPort();
         mCloser.register(mCallerPort::close);
         HttpPort pages = openPages();
@@ -117,6 +122,7 @@
         registerMetrics(quarantine, queues);
         mLoop.scheduleWithFixedDelay(EXPIRY_PERIOD_MILLIS, mViewUpdater::expireServers);
         mLoop.scheduleWithFixedDelay(EVICTION_LOG_PERIOD_MILLIS, this::logEvictions);
+        mLoop.scheduleWithFixedDelay(SUSPENSION_LOG_PERIOD_MILLIS, this::logZoneSuspensions);
         mLoop.execute(() -> mViewUpdater.setSeeds(settings.controllerPeerAddresses()));
         SettingsReloader.start(
                 mLoop,
@@ -169,6 +175,7 @@
         mMetrics.registerValue(MetricName.VIEW_AGE, mViewUpdater::viewAgeSeconds);
         mMetrics.registerValue(MetricName.TABLE_AGE, mViewUpdater::tableAgeSeconds);
         mMetrics.registerValue(MetricName.SERVERS_SUSPENDED, mState::suspendedServers);
+        mMetrics.registerValue(MetricName.ZONES_SUSPENDED, mState::suspendedZones);
         mMetrics.registerValue(MetricName.SERVERS_LIMITED, mState::limitedServers);
         mMetrics.registerValue(MetricName.PARTS_HELD, quarantine::heldParts);
         mMetrics.registerValue(MetricName.LOG_LINES_DROPPED, mLog::droppedCount);
@@ -210,10 +217,15 @@
                 mSettings.address(SettingKey.LISTEN_OPERATORS),
                 HttpLimits.internal(),
                 mRequestMemory,
-                endpoints::handleOrRefuse,
+                ExplainEndpoint.wrap(mSettings, createExplainer(), endpoints::handleOrRefuse),
                 null);
     }
 
+    private RequestExplainer createExplainer() {
+        return RequestExplainer.create(
+                mContext, mViewUpdater::standing, mViewUpdater::isNewestTable);
+    }
+
     private boolean isReady() {
         return !mDraining && mViewUpdater.view().table() != null && !mState.isEmpty();
     }
@@ -230,6 +242,16 @@
         }
     }
 
+    private void logZoneSuspensions() {
+        for (ZoneSuspension each : mState.takeZoneSuspensions()) {
+            mLog.instanceEvent(each.begun() ? "zone_suspended" : "zone_suspension_ended")
+                    .put("zone", each.zone().value())
+                    .put("servers", each.servers())
+                    .put("lasted_ms", TimeUnit.NANOSECONDS.toMillis(each.lastedNanos()))
+                    .write();
+        }
+    }
+
     private void logFault(Throwable cause) {
         mLog.instanceEvent("internal_fault").put("cause", cause.toString()).write();
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
@@ -7,11 +7,13 @@
 import org.hemlockrack.capacity.ReportedLoad;
 import org.hemlockrack.control.RoutingOverrides;
 import org.hemlockrack.dispatch.AttemptOutcome;
+import org.hemlockrack.dispatch.ChoiceExplanation;
 import org.hemlockrack.dispatch.DelayKind;
 import org.hemlockrack.dispatch.DurationEstimate;
 import org.hemlockrack.dispatch.SelectionCriteria;
 import org.hemlockrack.dispatch.ServerChoice;
 import org.hemlockrack.dispatch.ServerPool;
+import org.hemlockrack.dispatch.ZoneSuspension;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.ServiceId;
 import org.hemlockrack.paging.PagedLog;
@@ -71,6 +73,11 @@
         return mPool.choose(nowNanos, criteria);
     }
 
+    /** Returns which server would be chosen, and why not the others. Changes nothing. */
+    synchronized ChoiceExplanation explain(long nowNanos, SelectionCriteria criteria) {
+        return mPool.explain(nowNanos, criteria);
+    }
+
     synchronized void onAttemptEnded(long nowNanos, BackendId id, AttemptOutcome outcome) {
         mPool.recordOutcome(nowNanos, id, outcome);
     }
@@ -225,6 +232,15 @@
         return mPool.suspendedCount(System.nanoTime());
     }
 
+    synchronized int suspendedZones() {
+        return mPool.suspendedZoneCount(System.nanoTime());
+    }
+
+    /** Returns the suspensions of zones that have begun or ended since the last call. */
+    synchronized List<ZoneSuspension> takeZoneSuspensions() {
+        return mPool.takeZoneSuspensions(System.nanoTime());
+    }
+
     synchronized boolean isEmpty() {
         return mPool.isEmpty();
     }
