Keep a connection from the next request until its upload has ended

A server that answers a long upload early and keeps the connection left the unfinished upload on a connection that was back in the pool. The next request waited behind it until its deadline.

UpstreamCall returns the connection once the body is written; after an early error, of which HttpCore does not send the rest, it is discarded.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamCall.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamCall.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.nio.AsyncClientEndpoint;
@@ -46,6 +47,12 @@
     private boolean mSending;
     private boolean mDone;
 
+    /** Confined to the thread of the connection, like the next two fields. */
+    private boolean mUploaded;
+
+    private boolean mReleaseOnceUploaded;
+    private int mStatus;
+
     UpstreamCall(
             BasicHttpRequest request,
             byte[] body,
@@ -112,6 +119,19 @@
             discardConnection();
             return;
         }
+        if (mUploaded) {
+            releaseConnection();
+        } else if (mStatus >= HttpStatus.SC_CLIENT_ERROR) {
+            // HttpCore does not send the rest of the body after an error.
+            discardConnection();
+        } else {
+            // The next request on this connection would wait behind the rest of the body.
+            mReleaseOnceUploaded = true;
+        }
+        mListener.onEnd();
+    }
+
+    private void releaseConnection() {
         AsyncClientEndpoint endpoint = takeEndpoint();
         EndpointDetails details = endpointDetails();
         if (mSessions.hasUnreadBytes(details)) {
@@ -121,7 +141,6 @@
         if (endpoint != null) {
             endpoint.releaseAndReuse();
         }
-        mListener.onEnd();
     }
 
     private synchronized @Nullable EndpointDetails endpointDetails() {
@@ -202,6 +221,7 @@
             }
             EntityDetails entity =
                     mBody.hasRemaining() ? new BasicEntityDetails(mBody.remaining(), null) : null;
+            mUploaded = entity == null;
             channel.sendRequest(mRequest, entity, context);
             boolean cancelled;
             synchronized (UpstreamCall.this) {
@@ -223,6 +243,10 @@
             channel.write(mBody);
             if (!mBody.hasRemaining()) {
                 channel.endStream();
+                mUploaded = true;
+                if (mReleaseOnceUploaded) {
+                    releaseConnection();
+                }
             }
         }
 
@@ -235,6 +259,7 @@
             if (isDone()) {
                 return;
             }
+            mStatus = response.getCode();
             long lengthBytes = entity == null ? 0 : entity.getContentLength();
             mListener.onHead(response.getCode(), HeaderField.listOf(response), lengthBytes);
             if (entity == null) {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
@@ -331,4 +331,45 @@
             assertTrue(socket.getInputStream().read() >= 0);
         }
     }
+
+    /**
+     * Guards against a request that waits behind the unfinished upload of the one before it, and
+     * against a connection that is not used again after an upload which ended late.
+     */
+    @Test
+    void connectionIsUsedAgainOnceTheUploadHasEnded() throws Exception {
+        Collector first = send(new byte[LARGE_BODY_BYTES]);
+        try (Socket upload = mServer.accept()) {
+            upload.setSoTimeout(WAIT_SECONDS * 1_000);
+            assertTrue(readRequest(upload));
+            write(upload, OK);
+            assertEquals("ok", first.await());
+            Collector second = send();
+            try (Socket other = mServer.accept()) {
+                assertTrue(readRequest(other));
+                write(other, OK);
+                assertEquals("ok", second.await());
+            }
+            upload.getInputStream().skipNBytes(LARGE_BODY_BYTES);
+            Collector third = send();
+            assertTrue(readRequest(upload));
+            write(upload, OK);
+            assertEquals("ok", third.await());
+        }
+    }
+
+    /** Guards against a request on a connection that closes after an early error. */
+    @Test
+    void connectionIsNotUsedAgainAfterAnErrorDuringTheUpload() throws Exception {
+        Collector first = send(new byte[LARGE_BODY_BYTES]);
+        try (Socket upload = mServer.accept()) {
+            assertTrue(readRequest(upload));
+            write(upload, "HTTP/1.1 100 Continue\r\n\r\n");
+            upload.getInputStream().skipNBytes(1);
+            write(upload, OK.replace("200", "503"));
+            assertEquals("ok", first.await());
+            answerFurtherConnections();
+            assertEquals("ok", send().await());
+        }
+    }
 }
--- /dev/null
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/RawServer.java
@@ -0,0 +1,171 @@
+package org.hemlockrack.testing;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * A backend server that answers each request once its head has arrived, and does not read the body.
+ * It sends responses that {@code HttpPort} never sends.
+ */
+public final class RawServer implements AutoCloseable {
+    /** Small, so that a long body does not fit into the buffers of a connection. */
+    private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
+
+    private static final int BACKLOG = 50;
+
+    /** The body of the complete responses. */
+    public static final String BODY = "0123456789".repeat(20_000);
+
+    /** What the server sends instead of an ordinary response. */
+    public enum Response {
+        /** A part of a response without length; then the connection is reset. */
+        PART_THEN_RESET {
+            @Override
+            void send(Socket socket, String fields) throws IOException {
+                write(socket, "HTTP/1.1 200 OK\r\n" + fields + "\r\npart");
+                // A reset discards what the receiver has not read yet.
+                LocalFleet.sleep(READ_MILLIS);
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+        },
+        /** A response whose status is not valid. */
+        INVALID_STATUS {
+            @Override
+            void send(Socket socket, String fields) throws IOException {
+                write(socket, "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n" + fields + "\r\nok");
+            }
+        },
+        /** A complete response; the connection stays open. */
+        COMPLETE {
+            @Override
+            void send(Socket socket, String fields) throws IOException {
+                String length = "Content-Length: " + BODY.length() + "\r\n";
+                write(socket, "HTTP/1.1 200 OK\r\n" + length + fields + "\r\n" + BODY);
+            }
+        };
+
+        private static final long READ_MILLIS = 300;
+
+        abstract void send(Socket socket, String fields) throws IOException;
+    }
+
+    private final ServerSocket mServer;
+    private final String mRepeatedField;
+    private final Set<Socket> mSockets = Collections.synchronizedSet(new HashSet<>());
+    private final AtomicInteger mRequests = new AtomicInteger();
+    private volatile Response mResponse = Response.COMPLETE;
+
+    private RawServer(ServerSocket server, String repeatedField) {
+        mServer = server;
+        mRepeatedField = repeatedField.toLowerCase(Locale.ROOT) + ":";
+    }
+
+    /**
+     * Opens a server on loopback.
+     *
+     * @param repeatedField name of a request field that responses repeat
+     * @return the server, which sends complete responses
+     */
+    public static RawServer open(String repeatedField) {
+        try {
+            ServerSocket socket = new ServerSocket();
+            socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
+            RawServer server = new RawServer(socket, repeatedField);
+            startThread(server::accept);
+            return server;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void startThread(Runnable task) {
+        Thread thread = new Thread(task, "raw-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Sets what is sent to requests from now on. */
+    public void setResponse(Response response) {
+        mResponse = response;
+    }
+
+    /** Returns {@code ip:port} where the server listens. */
+    public String address() {
+        return "127.0.0.1:" + mServer.getLocalPort();
+    }
+
+    /** Returns how many requests were answered. */
+    public int requests() {
+        return mRequests.get();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = mServer.accept();
+                mSockets.add(socket);
+                startThread(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // The server was closed.
+        }
+    }
+
+    /** Serves one request; the connection stays open, and its body stays unread. */
+    private void serve(Socket socket) {
+        try {
+            String head = readHead(socket.getInputStream());
+            String fields = "";
+            for (String line : head.split("\r\n")) {
+                String name = line.toLowerCase(Locale.ROOT);
+                if (name.startsWith(mRepeatedField)) {
+                    fields = line + "\r\n";
+                }
+                if (name.startsWith("expect:")) {
+                    write(socket, "HTTP/1.1 100 Continue\r\n\r\n");
+                }
+            }
+            mRequests.incrementAndGet();
+            mResponse.send(socket, fields);
+        } catch (IOException e) {
+            // The client has closed the connection.
+        }
+    }
+
+    private static String readHead(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = in.read();
+            if (next < 0) {
+                throw new IOException("the request has no head");
+            }
+            head.append((char) next);
+        }
+        return head.toString();
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    @Override
+    public void close() throws IOException {
+        mServer.close();
+        for (Socket socket : Set.copyOf(mSockets)) {
+            socket.close();
+        }
+    }
+}
