Test invalid responses through a whole gateway

A server resets its connection during an upload, sends status 000, or answers an upload early and keeps the connection. RawServer serves the next request on a connection whose request it has read, as servers do.

--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/RawServer.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/RawServer.java
@@ -15,13 +15,14 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A backend server that answers each request once its head has arrived, and does not read the body.
- * It sends responses that {@code HttpPort} never sends.
+ * A backend server that answers a request with a long body once its head has arrived, and does not
+ * read the body. It sends responses that {@code HttpPort} never sends.
  */
 public final class RawServer implements AutoCloseable {
     /** Small, so that a long body does not fit into the buffers of a connection. */
     private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
 
+    private static final int MAX_READ_BODY_BYTES = 64 << 10;
     private static final int BACKLOG = 50;
 
     /** The body of the complete responses. */
@@ -63,12 +64,14 @@
 
     private final ServerSocket mServer;
     private final String mRepeatedField;
+    private final String mMoreFields;
     private final Set<Socket> mSockets = Collections.synchronizedSet(new HashSet<>());
     private final AtomicInteger mRequests = new AtomicInteger();
     private volatile Response mResponse = Response.COMPLETE;
 
-    private RawServer(ServerSocket server, String repeatedField) {
+    private RawServer(ServerSocket server, String repeatedField, String moreFields) {
         mServer = server;
+        mMoreFields = moreFields;
         mRepeatedField = repeatedField.toLowerCase(Locale.ROOT) + ":";
     }
 
@@ -76,14 +79,15 @@
      * Opens a server on loopback.
      *
      * @param repeatedField name of a request field that responses repeat
+     * @param moreFields lines of other fields in all responses, each with its line end
      * @return the server, which sends complete responses
      */
-    public static RawServer open(String repeatedField) {
+    public static RawServer open(String repeatedField, String moreFields) {
         try {
             ServerSocket socket = new ServerSocket();
             socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
             socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
-            RawServer server = new RawServer(socket, repeatedField);
+            RawServer server = new RawServer(socket, repeatedField, moreFields);
             startThread(server::accept);
             return server;
         } catch (IOException e) {
@@ -124,27 +128,43 @@
         }
     }
 
-    /** Serves one request; the connection stays open, and its body stays unread. */
+    /** Serves requests up to the first with a long body, whose connection stays open. */
     private void serve(Socket socket) {
         try {
-            String head = readHead(socket.getInputStream());
-            String fields = "";
-            for (String line : head.split("\r\n")) {
-                String name = line.toLowerCase(Locale.ROOT);
-                if (name.startsWith(mRepeatedField)) {
-                    fields = line + "\r\n";
-                }
-                if (name.startsWith("expect:")) {
-                    write(socket, "HTTP/1.1 100 Continue\r\n\r\n");
-                }
+            while (answer(socket) <= MAX_READ_BODY_BYTES) {
+                // The next request may arrive on the same connection.
             }
-            mRequests.incrementAndGet();
-            mResponse.send(socket, fields);
         } catch (IOException e) {
             // The client has closed the connection.
         }
     }
 
+    /** Answers a request; returns the length of its body, which is read only if it is short. */
+    private int answer(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        String fields = mMoreFields;
+        int bodyBytes = 0;
+        boolean expectsContinue = false;
+        for (String line : readHead(in).split("\r\n")) {
+            String name = line.toLowerCase(Locale.ROOT);
+            if (name.startsWith(mRepeatedField)) {
+                fields += line + "\r\n";
+            } else if (name.startsWith("content-length:")) {
+                bodyBytes = Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
+            }
+            expectsContinue |= name.startsWith("expect:");
+        }
+        if (expectsContinue) {
+            write(socket, "HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        if (bodyBytes <= MAX_READ_BODY_BYTES) {
+            in.skipNBytes(bodyBytes);
+        }
+        mRequests.incrementAndGet();
+        mResponse.send(socket, fields);
+        return bodyBytes;
+    }
+
     private static String readHead(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
--- a/hemlockrack-testing/src/test/java/org/hemlockrack/testing/InvalidResponseTest.java
+++ b/hemlockrack-testing/src/test/java/org/hemlockrack/testing/InvalidResponseTest.java
@@ -24,7 +24,7 @@
 
     private static final LocalFleet FLEET = LocalFleet.create();
     private static final FleetClient CLIENT = FleetClient.create();
-    private static final RawServer SERVER = RawServer.open("X-Request-Id");
+    private static final RawServer SERVER = RawServer.open("X-Request-Id", "");
 
     @BeforeAll
     static void start() {
