Bound the frames that a peer port with TLS receives

The port allocated a frame when its length had arrived, for up to 1,024 connections, without a bound on all of them. 100 clients with a certificate of the fleet that stopped inside frames of 4 MiB ended an instance with a heap of 96 MiB (OutOfMemoryError, both tests of AbusiveInstanceClientTest).

BoundedFrameTransport grows a frame as its bytes arrive and reserves the bytes in a RequestMemory of the size that the plain port has. If it is short, the stalled connections and then the one with the largest unfinished frame are closed.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/FrameGuard.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/FrameGuard.java
@@ -22,7 +22,9 @@
      * Time without a byte inside a frame. Peers write a frame at once; TCP sends a lost packet
      * again within a second.
      */
-    private static final long STALL_NANOS = TimeUnit.SECONDS.toNanos(2);
+    static final long STALL_MILLIS = 2_000;
+
+    private static final long STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(STALL_MILLIS);
 
     private static final long PERIOD_MILLIS = 500;
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
@@ -10,11 +10,14 @@
 import org.apache.thrift.server.TServer;
 import org.apache.thrift.server.TThreadPoolServer;
 import org.apache.thrift.transport.TNonblockingServerSocket.NonblockingAbstractServerSocketArgs;
+import org.apache.thrift.transport.TTransport;
 import org.apache.thrift.transport.TTransportException;
+import org.apache.thrift.transport.TTransportFactory;
 import org.apache.thrift.transport.layered.TFramedTransport;
 import org.hemlockrack.daemon.tls.TlsKeys;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.limits.RequestMemory;
 import org.hemlockrack.wire.Peer;
 import org.jspecify.annotations.Nullable;
 
@@ -23,7 +26,10 @@
     /** Maximum frame size, which bounds the memory that an untrusted client can allocate. */
     static final int MAX_FRAME_BYTES = 4 << 20;
 
-    /** Frames that are being received use at most this part of the heap; others wait. */
+    /**
+     * Frames that are being received use at most this part of the heap. Without TLS others wait;
+     * with TLS stalled ones and then the largest ones are given up.
+     */
     private static final int READ_HEAP_DIVISOR = 8;
 
     /** With a small heap there is room for this number of the largest frames. */
@@ -98,25 +104,39 @@
                         .protocolFactory(new TCompactProtocol.Factory())
                         .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
                         .executorService(workers);
-        args.maxReadBufferBytes =
-                Math.max(
-                        MIN_READ_FRAMES * MAX_FRAME_BYTES,
-                        Runtime.getRuntime().maxMemory() / READ_HEAP_DIVISOR);
+        args.maxReadBufferBytes = maxReadBytes();
         THsHaServer server = new THsHaServer(args);
         return new PeerServer(
                 server, workers, new InetSocketAddress(address.getAddress(), socket.getPort()));
     }
 
+    private static long maxReadBytes() {
+        return Math.max(
+                MIN_READ_FRAMES * MAX_FRAME_BYTES,
+                Runtime.getRuntime().maxMemory() / READ_HEAP_DIVISOR);
+    }
+
     private static PeerServer openTls(InetSocketAddress address, Peer.Iface handler, TlsKeys keys)
             throws TTransportException {
         TlsServerTransport transport = TlsServerTransport.open(address, keys);
         ThreadPoolExecutor workers = createWorkerPool(MAX_TLS_CONNECTIONS);
+        RequestMemory memory = RequestMemory.of(maxReadBytes(), FrameGuard.STALL_MILLIS);
+        TTransportFactory frames =
+                new TTransportFactory() {
+                    @Override
+                    public TTransport getTransport(TTransport connection) {
+                        return BoundedFrameTransport.of(
+                                (TlsServerTransport.Connection) connection, memory);
+                    }
+                };
         TThreadPoolServer server =
                 new TThreadPoolServer(
                         new TThreadPoolServer.Args(transport)
                                 .processor(new Peer.Processor<>(handler))
                                 .protocolFactory(new TCompactProtocol.Factory())
-                                .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
+                                .inputTransportFactory(frames)
+                                .outputTransportFactory(
+                                        new TFramedTransport.Factory(MAX_FRAME_BYTES))
                                 .executorService(workers));
         return new PeerServer(
                 server, workers, new InetSocketAddress(address.getAddress(), transport.port()));
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/TlsServerTransport.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/TlsServerTransport.java
@@ -23,6 +23,28 @@
      */
     private static final int IDLE_TIMEOUT_MILLIS = 600_000;
 
+    /** An accepted connection. */
+    static final class Connection extends TSocket {
+        private final Socket mPlain;
+
+        private Connection(SSLSocket socket, Socket plain) throws TTransportException {
+            super(socket);
+            mPlain = plain;
+        }
+
+        /**
+         * Ends the connection while another thread uses it. The close of the TLS socket could wait
+         * for that thread.
+         */
+        void reset() {
+            try {
+                mPlain.close();
+            } catch (IOException ignored) {
+                // The socket is not used any more.
+            }
+        }
+    }
+
     private final ServerSocket mServerSocket;
     private final TlsKeys mKeys;
 
@@ -59,7 +81,7 @@
         try {
             Socket plain = mServerSocket.accept();
             try {
-                return new TSocket(wrapInTls(plain));
+                return new Connection(wrapInTls(plain), plain);
             } catch (IOException | TTransportException e) {
                 plain.close();
                 throw new TTransportException(e);
--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/LocalFleet.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/LocalFleet.java
@@ -38,6 +38,7 @@
     private final Map<String, String> mBackendAddresses = new LinkedHashMap<>();
     private final Map<String, Relay> mBackendRelays = new LinkedHashMap<>();
     private @Nullable InstanceRelays mInstanceRelays;
+    private String mInstanceHeap = "256m";
 
     /** An instance with its addresses and its process. */
     public static final class Instance {
@@ -166,6 +167,15 @@
         }
     }
 
+    /**
+     * Sets the maximum heap of the instances that are started from now on.
+     *
+     * @param heap size, such as {@code 64m}
+     */
+    public void setInstanceHeap(String heap) {
+        mInstanceHeap = heap;
+    }
+
     private static String joinQuoted(List<String> values) {
         return values.stream().map(value -> '"' + value + '"').collect(Collectors.joining(", "));
     }
@@ -291,7 +301,7 @@
                 FleetProcess.start(
                         instance.id(),
                         mFolder.resolve(instance.id() + ".log"),
-                        "256m",
+                        mInstanceHeap,
                         "org.hemlockrack.daemon.Main",
                         List.of("--config", file.toString()));
         mCloser.register(instance.mProcess::close);
--- a/platform/src/test/java/org/hemlockrack/platform/RequestCrowd.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/RequestCrowd.java
@@ -1,4 +1,4 @@
-package org.hemlockrack.platform;
+package org.hemlockrack.testing;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -9,9 +9,10 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import javax.net.SocketFactory;
 
 /** Clients that write to one port at the same time and then keep their connections open. */
-final class RequestCrowd implements AutoCloseable {
+public final class RequestCrowd implements AutoCloseable {
     /** A client whose port reads no more stops writing after this time. */
     private static final long MAX_WRITE_MILLIS = 40_000;
 
@@ -25,7 +26,7 @@
 
     /** Writes what one client sends. */
     @FunctionalInterface
-    interface Script {
+    public interface Script {
         /**
          * Writes to a connection.
          *
@@ -39,9 +40,11 @@
     private final List<Socket> mSockets = Collections.synchronizedList(new ArrayList<>());
     private final List<Thread> mThreads = new ArrayList<>();
 
+    private final SocketFactory mSocketFactory;
     private final int mPort;
 
-    private RequestCrowd(int port) {
+    private RequestCrowd(SocketFactory socketFactory, int port) {
+        mSocketFactory = socketFactory;
         mPort = port;
     }
 
@@ -54,8 +57,20 @@
      * @param script what each client writes
      * @return the crowd
      */
-    static RequestCrowd start(String address, int port, int clients, Script script) {
-        RequestCrowd crowd = new RequestCrowd(port);
+    public static RequestCrowd start(String address, int port, int clients, Script script) {
+        return start(SocketFactory.getDefault(), address, port, clients, script);
+    }
+
+    /**
+     * Starts clients with other sockets, such as those with TLS. The other parameters are those of
+     * {@link #start(String, int, int, Script)}.
+     *
+     * @param sockets opens the connections
+     * @return the crowd
+     */
+    public static RequestCrowd start(
+            SocketFactory sockets, String address, int port, int clients, Script script) {
+        RequestCrowd crowd = new RequestCrowd(sockets, port);
         for (int i = 0; i < clients; i++) {
             int client = i;
             Thread thread = new Thread(() -> crowd.run(address, client, script), "crowd-" + i);
@@ -68,7 +83,7 @@
 
     private void run(String address, int client, Script script) {
         try {
-            Socket socket = new Socket(address, mPort);
+            Socket socket = mSocketFactory.createSocket(address, mPort);
             mSockets.add(socket);
             script.write(client, socket.getOutputStream());
         } catch (IOException ignored) {
@@ -76,8 +91,13 @@
         }
     }
 
-    /** Waits until the port has read what the clients wrote or has closed them, not forever. */
-    void awaitRead() throws IOException, InterruptedException {
+    /**
+     * Waits until the port has read what the clients wrote or has closed them, not forever.
+     *
+     * @throws IOException if the tables of the kernel cannot be read
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void awaitRead() throws IOException, InterruptedException {
         long endNanos = System.nanoTime() + MAX_WRITE_MILLIS * 1_000_000;
         for (Thread thread : mThreads) {
             long leftMillis = (endNanos - System.nanoTime()) / 1_000_000;
@@ -108,8 +128,14 @@
     /**
      * Returns a script that writes a text once and another text several times. One of ten clients
      * writes an end as well.
+     *
+     * @param head what is written once
+     * @param text what is written several times
+     * @param times how often
+     * @param end what the tenth client writes at last
+     * @return the script
      */
-    static Script repeat(String head, String text, int times, String end) {
+    public static Script repeat(String head, String text, int times, String end) {
         byte[] start = head.getBytes(StandardCharsets.ISO_8859_1);
         byte[] part = text.getBytes(StandardCharsets.ISO_8859_1);
         byte[] rest = end.getBytes(StandardCharsets.ISO_8859_1);
