Catch learners up one append at a time

After a power loss, learners that lacked many entries got them as fast as the leader's link allowed, and heartbeats, confirmations and reads waited behind them. Learners now share one unanswered append, with a pause after each as long as its answer took. Voters and replacements are not affected.

The tests of org.hemlockrack.consensus pass.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Leadership.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Leadership.java
@@ -12,6 +12,7 @@
 import org.hemlockrack.consensus.Entry;
 import org.hemlockrack.consensus.EntryKind;
 import org.hemlockrack.consensus.Member;
+import org.hemlockrack.consensus.MemberKind;
 import org.hemlockrack.consensus.Membership;
 import org.hemlockrack.consensus.Message;
 import org.hemlockrack.consensus.Packet;
@@ -37,6 +38,9 @@
     private long mFlushedIndex;
     private long mHeartbeatDueNanos;
 
+    /** No entries are sent to learners before this time. */
+    private long mLearnersDueNanos;
+
     Leadership(RaftState state) {
         mState = state;
         mReads = new PendingReads(state);
@@ -44,6 +48,7 @@
         mFlushedIndex = state.mLog.lastIndex();
         mTermStartIndex = mFlushedIndex + 1;
         mHeartbeatDueNanos = state.mNowNanos + state.mSettings.heartbeatNanos();
+        mLearnersDueNanos = state.mNowNanos;
         updateProgressForMembers();
         appendToLog(EntryKind.NO_OP, new byte[0], state.mLog.lastMillis());
         for (MemberProgress each : mProgressByReplica.values()) {
@@ -216,7 +221,7 @@
             }
             List<Entry> entries = mState.mLog.entriesFrom(next, mState.mSettings.maxBatchBytes());
             long bytes = entries.stream().mapToLong(Entry::sizeBytes).sum();
-            if (!hasRoomFor(bytes)) {
+            if (!hasRoomFor(bytes) || isPaused(progress)) {
                 return;
             }
             sendAppend(progress, next - 1, entries);
@@ -230,7 +235,7 @@
      * not answered for half an election timeout may be lost and no longer count.
      */
     private boolean hasRoomFor(long bytes) {
-        long sinceNanos = mState.mNowNanos - mState.mSettings.electionTimeoutNanos() / 2;
+        long sinceNanos = answerLimitNanos();
         long inflightBytes = 0;
         for (MemberProgress each : mProgressByReplica.values()) {
             inflightBytes += each.inflightBytesSince(sinceNanos);
@@ -239,6 +244,35 @@
         return inflightBytes == 0 || inflightBytes + bytes <= limitBytes;
     }
 
+    /**
+     * Returns whether entries to a member must wait because it is a learner. Learners that lack
+     * many entries, as after a power loss, need the link of the leader for seconds, and reads and
+     * confirmations wait behind them. They get one append at a time, all together, and a pause
+     * after each that is as long as its answer took.
+     */
+    private boolean isPaused(MemberProgress progress) {
+        if (!isLearner(progress)) {
+            return false;
+        }
+        long sinceNanos = answerLimitNanos();
+        boolean isSending =
+                mProgressByReplica.values().stream()
+                        .anyMatch(p -> isLearner(p) && p.inflightBytesSince(sinceNanos) > 0);
+        return isSending || mState.mNowNanos - mLearnersDueNanos < 0;
+    }
+
+    private boolean isLearner(MemberProgress progress) {
+        return mState.membership()
+                .member(progress.mReplica.replicaId())
+                .filter(member -> member.kind() == MemberKind.LEARNER)
+                .isPresent();
+    }
+
+    /** Returns the time since which entries were sent that are not taken for lost. */
+    private long answerLimitNanos() {
+        return mState.mNowNanos - mState.mSettings.electionTimeoutNanos() / 2;
+    }
+
     /**
      * Sends entries to all members that lack some: first to voters, which commit them, and among
      * these to the ones that lack least, so that catching up does not delay new entries.
@@ -337,7 +371,10 @@
 
     private void onStored(MemberProgress progress, long index) {
         if (index <= mState.mLog.lastIndex()) {
-            progress.onStored(index);
+            long answerNanos = progress.onStored(mState.mNowNanos, index);
+            if (answerNanos > 0 && isLearner(progress)) {
+                mLearnersDueNanos = mState.mNowNanos + answerNanos;
+            }
             advanceCommit();
         }
     }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/MemberProgress.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/MemberProgress.java
@@ -46,7 +46,9 @@
         mReadRound = Math.max(mReadRound, round);
     }
 
-    void onStored(long index) {
+    /** Returns how long the answer to the last append took, or 0 if some are not answered yet. */
+    long onStored(long nowNanos, long index) {
+        boolean wasWaiting = !mInflightAppends.isEmpty();
         mProbing = false;
         mMatchIndex = Math.max(mMatchIndex, index);
         mNextIndex = Math.max(mNextIndex, mMatchIndex + 1);
@@ -56,6 +58,7 @@
         if (mSnapshotIndex <= mMatchIndex) {
             mSnapshotIndex = 0;
         }
+        return wasWaiting && mInflightAppends.isEmpty() ? nowNanos - mAppendSentNanos : 0;
     }
 
     /** While probing, the next index stays, so that a refusal of this append is recognized. */
