Answer configuration reads at every controller

Only the leader answered reads, with 373 KB over the link that also carries its heartbeats, the entries for all members and tables for gateways; a controller that was no leader redirected. Now every controller answers a read once its state is confirmed to hold all that was committed when the read arrived, within 600 ms, redirects after that, and refuses without a leader. At most 64 reads wait, and a read ends with its caller. While reads wait, the exchange with the leader runs every 100 ms. A leader now sends half as many tables at a time to gateways as others.

The parameter that TableSends gained changes the calls in TableSendsTest, which checks the same bounds as before.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/control/TableSends.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/TableSends.java
@@ -18,6 +18,13 @@
      */
     public static final int MAX_UNCONFIRMED_BYTES = 128 << 10;
 
+    /**
+     * Same for a leader, whose link also carries the entries of the log for all members. A caller
+     * that reads the configuration after a power loss waits for confirmations of the leader, behind
+     * all that.
+     */
+    public static final int MAX_LEADER_BYTES = MAX_UNCONFIRMED_BYTES / 2;
+
     /**
      * Time after which a reply no longer counts, for gateways that have gone or do not confirm. At
      * this rate, the replies need 60 percent of a link of 6 Mbit/s.
@@ -50,9 +57,10 @@
      * @param nowNanos monotonic time
      * @param receiver who asks for them; its earlier replies are confirmed
      * @param bytes size of the tables
+     * @param leads whether this controller leads
      * @return whether they may be sent; otherwise the receiver is to ask another controller
      */
-    public boolean tryStart(long nowNanos, String receiver, long bytes) {
+    public boolean tryStart(long nowNanos, String receiver, long bytes, boolean leads) {
         long unconfirmedBytes = 0;
         for (Iterator<Send> each = mSends.values().iterator(); each.hasNext(); ) {
             Send send = each.next();
@@ -62,7 +70,8 @@
                 unconfirmedBytes += send.bytes();
             }
         }
-        if (unconfirmedBytes > 0 && unconfirmedBytes + bytes > MAX_UNCONFIRMED_BYTES) {
+        int maxBytes = leads ? MAX_LEADER_BYTES : MAX_UNCONFIRMED_BYTES;
+        if (unconfirmedBytes > 0 && unconfirmedBytes + bytes > maxBytes) {
             return false;
         }
         mSends.put(receiver, new Send(nowNanos, bytes));
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SlowLinkTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SlowLinkTest.java
@@ -7,8 +7,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import org.hemlockrack.consensus.DocumentReads.ReadRule;
 import org.hemlockrack.consensus.TableFetchers.SendRule;
 import org.hemlockrack.model.InstanceId;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -46,7 +48,16 @@
 
     private static final long TICK_MILLIS = 10;
 
-    private record Fleet(ClusterSimulation simulation, TableFetchers gateways) {}
+    private static final int READS = 20;
+
+    /** How controllers send tables and answer reads. */
+    private record ReadPlay(SendRule sends, ReadRule reads) {}
+
+    private static final ReadPlay NOW = new ReadPlay(SendRule.BOUNDED, ReadRule.ANY_CONFIRMED);
+    private static final ReadPlay BEFORE = new ReadPlay(SendRule.BOUNDED_ALIKE, ReadRule.LEADER);
+
+    private record Fleet(
+            ClusterSimulation simulation, TableFetchers gateways, @Nullable DocumentReads reads) {}
 
     private static List<Long> seeds() {
         List<Long> seeds = new ArrayList<>();
@@ -57,12 +68,19 @@
     }
 
     private static Fleet startFleet(long seed, SendRule rule) {
+        return startFleet(seed, rule, null);
+    }
+
+    private static Fleet startFleet(long seed, SendRule rule, @Nullable ReadRule reads) {
         ClusterSimulation simulation =
                 new ClusterSimulation(seed, VOTERS, LEARNERS, Variant.CORRECT, Set.of());
         simulation.mUsesDefaultSettings = true;
         simulation.mLinkBytesPerSecond = LINK_BYTES_PER_SECOND;
         Fleet fleet =
-                new Fleet(simulation, new TableFetchers(simulation, GATEWAYS, TABLE_BYTES, rule));
+                new Fleet(
+                        simulation,
+                        new TableFetchers(simulation, GATEWAYS, TABLE_BYTES, rule),
+                        reads == null ? null : new DocumentReads(simulation, reads));
         awaitLeader(fleet);
         for (int i = VOTERS; i < VOTERS + LEARNERS; i++) {
             InstanceId learner = fleet.simulation().mInstances.get(i).mId;
@@ -90,6 +108,9 @@
             fleet.simulation()
                     .advance(Math.min(endNanos, fleet.simulation().mNowNanos + tickNanos));
             fleet.gateways().step();
+            if (fleet.reads() != null) {
+                fleet.reads().step();
+            }
         }
     }
 
@@ -188,26 +209,56 @@
     }
 
     /**
-     * Returns what went wrong after a power loss of all machines, which struck while two replicas
-     * lacked the last tables.
+     * Publishes tables, cuts the power of all machines while some replicas lack the last tables,
+     * and publishes another one. Returns the time to the acknowledgement of that one.
      */
-    private static List<String> playPowerLoss(long seed, SendRule rule) {
-        Fleet fleet = startFleet(seed, rule);
+    private static long publishAcrossPowerLoss(Fleet fleet, int behind) {
         ClusterSimulation simulation = fleet.simulation();
         advance(fleet, 2_000);
         int leader = simulation.mInstances.indexOf(awaitLeader(fleet));
         int instances = simulation.mInstances.size();
-        for (int i = 1; i <= BEHIND; i++) {
+        for (int i = 1; i <= behind; i++) {
             simulation.setIsolated((leader + i) % instances, true);
         }
         publishTables(fleet, 25);
-        for (int i = 1; i <= BEHIND; i++) {
+        for (int i = 1; i <= behind; i++) {
             simulation.setIsolated((leader + i) % instances, false);
         }
         simulation.losePower(MAX_DOWN_MILLIS);
         fleet.gateways().losePower();
         advance(fleet, MAX_DOWN_MILLIS);
-        long acknowledgedMillis = publishTable(fleet, 26);
+        return publishTable(fleet, 26);
+    }
+
+    /**
+     * Returns what went wrong with reads of the whole document after a power loss of all machines.
+     */
+    private static List<String> playDocumentReads(long seed, ReadPlay play, int behind) {
+        Fleet fleet = startFleet(seed, play.sends(), play.reads());
+        fleet.gateways().mOnlyVotersSend = true;
+        publishAcrossPowerLoss(fleet, behind);
+        long longestMillis = 0;
+        for (int i = 0; i < READS; i++) {
+            long millis = fleet.reads().readMillis(() -> advance(fleet, TICK_MILLIS));
+            longestMillis = Math.max(longestMillis, millis);
+            advance(fleet, 100);
+        }
+        List<String> faults = new ArrayList<>(fleet.simulation().mOracle.mViolations);
+        check(
+                faults,
+                longestMillis < READ_LIMIT_MILLIS,
+                "a document was read after " + longestMillis + " ms");
+        return faults;
+    }
+
+    /**
+     * Returns what went wrong after a power loss of all machines, which struck while two replicas
+     * lacked the last tables.
+     */
+    private static List<String> playPowerLoss(long seed, SendRule rule) {
+        Fleet fleet = startFleet(seed, rule);
+        ClusterSimulation simulation = fleet.simulation();
+        long acknowledgedMillis = publishAcrossPowerLoss(fleet, BEHIND);
         long longestReadMillis = 0;
         for (int i = 0; i < 20; i++) {
             longestReadMillis = Math.max(longestReadMillis, readMillis(fleet));
@@ -258,6 +309,24 @@
         }
     }
 
+    /** Guards against reads that take too long because all documents go over the leader's link. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void newestDocumentIsReadSoonAfterAPowerLoss(long seed) {
+        List<String> faults = playDocumentReads(seed, NOW, 0);
+        faults.addAll(playDocumentReads(seed, NOW, BEHIND));
+        assertEquals(List.of(), faults);
+    }
+
+    /** Shows that the history notices what was before: reads at the leader, beside its tables. */
+    @Test
+    void documentsOfTheLeaderAreNoticed() {
+        boolean isBroken =
+                seeds().stream()
+                        .anyMatch(seed -> !playDocumentReads(seed, BEFORE, BEHIND).isEmpty());
+        assertTrue(isBroken, "no history is broken");
+    }
+
     /** Shows that both histories notice controllers that answer every request for a table. */
     @Test
     void unboundedTablesAreNoticed() {
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/TableFetchers.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/TableFetchers.java
@@ -23,6 +23,10 @@
     private final ClusterSimulation mSimulation;
     private final int mTableBytes;
     private final SendRule mRule;
+
+    /** Whether only voters send tables, as controllers without a vote publish no state. */
+    boolean mOnlyVotersSend;
+
     private final List<TableSends> mSends = new ArrayList<>();
     private final Map<Long, Integer> mTableByCommand = new HashMap<>();
     private final List<Gateway> mGateways = new ArrayList<>();
@@ -31,6 +35,9 @@
     enum SendRule {
         /** Every request for a table is answered with it. */
         UNBOUNDED,
+        /** The leader has the same bound as others. */
+        BOUNDED_ALIKE,
+        /** The leader has a lower bound. */
         BOUNDED
     }
 
@@ -100,9 +107,18 @@
             mNextPollNanos[index] = arrivalNanos + pauseNanos;
         }
 
+        private boolean hasLeaderBound(int index) {
+            SimulatedInstance instance = mSimulation.mInstances.get(index);
+            return mRule == SendRule.BOUNDED
+                    && instance.isRunning()
+                    && instance.consensus().role() == Role.LEADER;
+        }
+
         private boolean maySend(int index) {
             return mRule == SendRule.UNBOUNDED
-                    || mSends.get(index).tryStart(mSimulation.mNowNanos, mId, mTableBytes);
+                    || mSends.get(index)
+                            .tryStart(
+                                    mSimulation.mNowNanos, mId, mTableBytes, hasLeaderBound(index));
         }
     }
 
@@ -123,6 +139,9 @@
 
     private int newestTable(SimulatedInstance instance) {
         int newest = 0;
+        if (mOnlyVotersSend && !instance.consensus().membership().isVoter(instance.replicaId())) {
+            return 0;
+        }
         for (long command : instance.mState.mCommands) {
             newest = Math.max(newest, mTableByCommand.get(command));
         }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/control/TableSendsTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/control/TableSendsTest.java
@@ -18,30 +18,41 @@
     @Test
     void tablesThatHaveNotArrivedAreBounded() {
         TableSends sends = TableSends.create();
-        assertTrue(sends.tryStart(0, "a", HALF_BYTES));
-        assertTrue(sends.tryStart(0, "b", HALF_BYTES));
-        assertFalse(sends.tryStart(0, "c", 1));
+        assertTrue(sends.tryStart(0, "a", HALF_BYTES, false));
+        assertTrue(sends.tryStart(0, "b", HALF_BYTES, false));
+        assertFalse(sends.tryStart(0, "c", 1, false));
         sends.confirm("a");
-        assertTrue(sends.tryStart(0, "c", HALF_BYTES));
+        assertTrue(sends.tryStart(0, "c", HALF_BYTES, false));
+    }
+
+    /** Guards against a leader that sends as many tables as others, beside the entries. */
+    @Test
+    void leaderSendsHalfAsMany() {
+        TableSends sends = TableSends.create();
+        assertTrue(sends.tryStart(0, "a", HALF_BYTES, true));
+        assertFalse(sends.tryStart(0, "b", 1, true));
+        assertTrue(sends.tryStart(0, "b", 1, false));
+        sends.confirm("a");
+        assertTrue(sends.tryStart(0, "c", HALF_BYTES - 1, true));
     }
 
     /** Guards against a table that is longer than the bound and never sent. */
     @Test
     void tableThatIsLongerThanTheBoundIsSentAlone() {
         TableSends sends = TableSends.create();
-        assertTrue(sends.tryStart(0, "a", 3L * HALF_BYTES));
-        assertFalse(sends.tryStart(0, "b", 1));
+        assertTrue(sends.tryStart(0, "a", 3L * HALF_BYTES, false));
+        assertFalse(sends.tryStart(0, "b", 1, false));
         sends.confirm("a");
-        assertTrue(sends.tryStart(0, "b", 3L * HALF_BYTES));
+        assertTrue(sends.tryStart(0, "b", 3L * HALF_BYTES, false));
     }
 
     /** Guards against gateways that have gone and block the tables of all others for good. */
     @Test
     void repliesThatAreNotConfirmedExpire() {
         TableSends sends = TableSends.create();
-        assertTrue(sends.tryStart(0, "a", 2L * HALF_BYTES));
-        assertFalse(sends.tryStart(TimeUnit.MILLISECONDS.toNanos(299), "b", 1));
-        assertTrue(sends.tryStart(TimeUnit.MILLISECONDS.toNanos(300), "b", 1));
+        assertTrue(sends.tryStart(0, "a", 2L * HALF_BYTES, false));
+        assertFalse(sends.tryStart(TimeUnit.MILLISECONDS.toNanos(299), "b", 1, false));
+        assertTrue(sends.tryStart(TimeUnit.MILLISECONDS.toNanos(300), "b", 1, false));
     }
 
     /** Guards against a bound that any order of requests and confirmations exceeds. */
@@ -59,7 +70,7 @@
             long bytes = 1 + random.nextInt(HALF_BYTES);
             boolean fits = before + bytes <= TableSends.MAX_UNCONFIRMED_BYTES;
             // All requests arrive at once, so that nothing expires.
-            boolean isSent = sends.tryStart(0, receiver, bytes);
+            boolean isSent = sends.tryStart(0, receiver, bytes, false);
             assertTrue(isSent == fits, "request " + i + " after " + before + " bytes");
             if (isSent) {
                 bytesByReceiver.put(receiver, bytes);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -167,6 +167,7 @@
         mDurableState = ControlState.create();
         startPrefixPersistence();
         mLinks = ControllerLinks.create(mLoop, mNetwork, mService, mLog);
+        mService.reads().setExchange(leader -> mLinks.exchangeSoon(addressOf(leader)));
         mStarted = true;
         openPeers();
         mControlPort = openPort(handlers.create(mService));
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -93,6 +93,7 @@
     private final TableReplies mTableReplies;
     private final ConfirmedTime mConfirmed = ConfirmedTime.unknown();
     private final LeaderConfirmation mConfirmation;
+    private final ConfirmedReads mReads;
     private volatile @Nullable DutyService mDuties;
 
     ControllerService(
@@ -114,7 +115,7 @@
         mReplica = replica;
         mPeerAddresses = peerAddresses;
         mTables = tables;
-        mTableReplies = TableReplies.of(tables);
+        mTableReplies = TableReplies.of(tables, () -> replica.role() == Role.LEADER);
         mLog = log;
         mRegistryEpoch = registryEpoch;
         mPermits =
@@ -124,6 +125,7 @@
         mQuarantine = ControllerQuarantine.create(loop.nowNanos(), this::hasHeartbeatSince, log);
         mLeaderTasks = LeaderTasks.create(loop, self, replica, toleratedLosses, log);
         mConfirmation = LeaderConfirmation.create(loop, replica, this::recordConfirmed);
+        mReads = ConfirmedReads.create(loop, self, replica, mConfirmed, this::committedView);
         mHandover = SeatHandover.create(self, peerAddresses.apply(self), replica, mLeaderTasks);
     }
 
@@ -303,43 +305,13 @@
                 ControlCommand.publishTable(table.version(), Deflate.deflate(document)));
     }
 
-    /**
-     * Reads the newest route table. Only the leader can answer, because other controllers may be
-     * behind.
-     *
-     * @return a future that completes with the table as it was published
-     */
-    public CompletableFuture<byte[]> readTable() {
-        return readNewestView()
-                .thenApply(
-                        view -> {
-                            if (view.tableVersion() == 0) {
-                                throw HemlockrackException.of(
-                                        ErrorKind.NOT_READY, "no route table was published yet");
-                            }
-                            return Deflate.inflate(view.deflatedTable());
-                        });
-    }
-
-    private CompletableFuture<ControlView> readNewestView() {
-        return mReplica.readIndex()
-                .thenApply(
-                        outcome -> {
-                            if (outcome.status() != ProposalStatus.APPLIED || !mHasCommittedView) {
-                                throw OrderFailures.noQuorum(outcome.status().name());
-                            }
-                            return mView;
-                        });
+    /** Returns the reads of the committed state. */
+    public ConfirmedReads reads() {
+        return mReads;
     }
 
-    /**
-     * Returns the leading controller, if it is another instance.
-     *
-     * @return its id, or null if this instance leads or no leader is known
-     */
-    public @Nullable InstanceId remoteLeader() {
-        InstanceId leader = mReplica.leader();
-        return leader == null || leader.value().equals(mSelf) ? null : leader;
+    private @Nullable ControlView committedView() {
+        return mHasCommittedView ? mView : null;
     }
 
     /**
@@ -384,17 +356,6 @@
                 revision -> ControlCommand.startMove(move, revision));
     }
 
-    /**
-     * Reads the newest move of a service. Only the leader can answer, because other controllers may
-     * be behind.
-     *
-     * @param service the service
-     * @return a future that completes with the move, or with null if there was none
-     */
-    public CompletableFuture<@Nullable TrafficMove> readMove(ServiceId service) {
-        return readNewestView().thenApply(view -> view.overrides().move(service));
-    }
-
     /** Acknowledges an order whose effect is in the committed state already. */
     private CompletableFuture<Void> acknowledgeCommitted(String description) {
         ControlView view = mView;
@@ -653,6 +614,7 @@
         if (mHasCommittedView && mView.revision() >= reply.getRevision()) {
             mConfirmed.record(reply, requestNanos);
         }
+        mReads.updateSoon();
     }
 
     /** Returns the servers that run and do not leave. */
@@ -665,6 +627,7 @@
             return;
         }
         mConfirmed.record(requestNanos);
+        mReads.updateSoon();
         DutyService duties = mDuties;
         if (duties != null) {
             duties.recordConfirmation(requestNanos, requestWallMillis);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/TableReplies.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/TableReplies.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.hemlockrack.control.TableHistory;
 import org.hemlockrack.control.TableHistory.LoggedTable;
 import org.hemlockrack.control.TableSends;
@@ -14,14 +15,21 @@
 final class TableReplies {
     private final TableHistory mTables;
     private final TableSends mSends = TableSends.create();
+    private final BooleanSupplier mLeads;
     private long mDeferred;
 
-    private TableReplies(TableHistory tables) {
+    private TableReplies(TableHistory tables, BooleanSupplier leads) {
         mTables = tables;
+        mLeads = leads;
     }
 
-    static TableReplies of(TableHistory tables) {
-        return new TableReplies(tables);
+    /**
+     * Creates an instance.
+     *
+     * @param leads whether this controller leads
+     */
+    static TableReplies of(TableHistory tables, BooleanSupplier leads) {
+        return new TableReplies(tables, leads);
     }
 
     /** Lists the tables of the local log in a reply, with as many documents as are asked for. */
@@ -56,7 +64,8 @@
         for (LoggedTableData data : logged) {
             bytes += data.isSetDocument() ? data.getDocument().length : 0;
         }
-        if (bytes == 0 || mSends.tryStart(nowNanos, request.getSender(), bytes)) {
+        boolean leads = mLeads.getAsBoolean();
+        if (bytes == 0 || mSends.tryStart(nowNanos, request.getSender(), bytes, leads)) {
             return;
         }
         mDeferred++;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLinks.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLinks.java
@@ -61,6 +61,14 @@
         mLinks.values().forEach(ControllerLink::exchangeSoon);
     }
 
+    /** Starts the next exchange with one controller early, if there is a link to it. */
+    public void exchangeSoon(String address) {
+        ControllerLink link = mLinks.get(address);
+        if (link != null) {
+            link.exchangeSoon();
+        }
+    }
+
     private static boolean stopUnlessListed(
             Set<String> addresses, Map.Entry<String, ControllerLink> link) {
         if (addresses.contains(link.getKey())) {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/ControllerServiceTest.java
@@ -1,8 +1,10 @@
 package org.hemlockrack.daemon.controller;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -19,6 +21,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.apache.thrift.TException;
+import org.hemlockrack.codec.Deflate;
 import org.hemlockrack.consensus.ConsensusSettings;
 import org.hemlockrack.consensus.Entry;
 import org.hemlockrack.consensus.EntryKind;
@@ -33,6 +36,8 @@
 import org.hemlockrack.control.ControlState;
 import org.hemlockrack.control.TableHistory;
 import org.hemlockrack.control.TableSends;
+import org.hemlockrack.control.TrafficMove;
+import org.hemlockrack.control.WaitingReads;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
 import org.hemlockrack.daemon.gateway.VersionProtocol;
 import org.hemlockrack.daemon.http.HeaderField;
@@ -42,6 +47,7 @@
 import org.hemlockrack.daemon.loop.EventLoop;
 import org.hemlockrack.daemon.replica.Proposer;
 import org.hemlockrack.daemon.replica.ReplicaService;
+import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.InstanceId;
@@ -244,6 +250,83 @@
         assertTrue(sync().isSetConfirmedAgeMillis());
     }
 
+    private static CompletableFuture<ConfirmedReads.Answer<byte[]>> readTable(
+            ControllerService service, Responder caller) {
+        return service.reads().readTable(caller);
+    }
+
+    private static void assertRefused(CompletableFuture<?> read) {
+        ExecutionException refusal =
+                assertThrows(ExecutionException.class, () -> read.get(10, TimeUnit.SECONDS));
+        HemlockrackException cause =
+                assertInstanceOf(HemlockrackException.class, refusal.getCause());
+        assertEquals(ErrorKind.NO_QUORUM, cause.kind());
+    }
+
+    private void publishTableDocument(byte[] document) {
+        ControlState committed = ControlState.create();
+        committed.apply(
+                2, 0, ControlCommand.publishTable(TABLE_VERSION, Deflate.deflate(document)));
+        mService.publishCommitted(committed);
+    }
+
+    /**
+     * Guards against an older configuration than one that was acknowledged before the read: a
+     * confirmation of before the read, or of a state that this controller lacks, is not enough.
+     */
+    @Test
+    void readWithoutANewConfirmationIsRefused() throws Exception {
+        restart(MemberKind.VOTER);
+        publishTableDocument(new byte[] {1});
+        receiveConfirmation(2);
+        CompletableFuture<ConfirmedReads.Answer<byte[]>> read =
+                readTable(mService, new WaitingCaller());
+        for (int i = 0; i < 20; i++) {
+            receiveConfirmation(3);
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+        assertFalse(read.isDone());
+        assertRefused(read);
+    }
+
+    /** Guards against reads that only the leader answers, over its link. */
+    @Test
+    void readIsAnsweredOnceTheStateIsConfirmed() throws Exception {
+        restart(MemberKind.VOTER);
+        byte[] document = {1, 2, 3};
+        publishTableDocument(document);
+        CompletableFuture<ConfirmedReads.Answer<byte[]>> read =
+                readTable(mService, new WaitingCaller());
+        CompletableFuture<ConfirmedReads.Answer<TrafficMove>> moveRead =
+                mService.reads().readMove(ServiceId.of("s"), new WaitingCaller());
+        while (!read.isDone() || !moveRead.isDone()) {
+            receiveConfirmation(2);
+            TimeUnit.MILLISECONDS.sleep(5);
+        }
+        assertArrayEquals(document, read.get().value());
+        assertNull(read.get().leader());
+        assertNull(moveRead.get().value());
+    }
+
+    /** Guards against reads that take the place of others after their callers have left. */
+    @Test
+    void readEndsWithItsCaller() throws Exception {
+        restart(MemberKind.VOTER);
+        List<WaitingCaller> callers = new ArrayList<>();
+        List<CompletableFuture<?>> reads = new ArrayList<>();
+        for (int i = 0; i < WaitingReads.MAX_READS; i++) {
+            callers.add(new WaitingCaller());
+            reads.add(readTable(mService, callers.get(i)));
+        }
+        assertRefused(readTable(mService, new WaitingCaller()));
+        mLoop.submit(() -> 0).get();
+        callers.get(0).leave();
+        assertThrows(ExecutionException.class, () -> reads.get(0).get(10, TimeUnit.SECONDS));
+        CompletableFuture<?> next = readTable(mService, new WaitingCaller());
+        mLoop.submit(() -> 0).get();
+        assertFalse(next.isDone());
+    }
+
     private SyncReply syncWithoutTable(String gateway) {
         SyncRequest request = mService.createRequest(UNREACHABLE, Map.of());
         request.setSender(gateway);
@@ -277,8 +360,22 @@
         assertTrue(syncWithoutTable("g1").isSetTableDocument());
     }
 
+    /** A caller that waits for its answer until it leaves. */
+    private static final class WaitingCaller extends AbsentCaller {
+        private volatile Runnable mOnCancel = () -> {};
+
+        void leave() {
+            mOnCancel.run();
+        }
+
+        @Override
+        public void onCancel(Runnable action) {
+            mOnCancel = action;
+        }
+    }
+
     /** A caller that has left before its order is read. */
-    private static final class AbsentCaller implements Responder {
+    private static class AbsentCaller implements Responder {
         @Override
         public CompletableFuture<Boolean> checkConnected() {
             return CompletableFuture.completedFuture(false);
