Read the first committed view under the lock

publishCommitted sets the flag of committed state before it replaces the view of the disk, whose entries may not be committed. Reads by controllers that do not lead could see both in between, and a confirmation could be recorded for that view. Found by review; no test shows it. ControllerServiceTest passes.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -310,7 +310,11 @@
         return mReads;
     }
 
-    private @Nullable ControlView committedView() {
+    /**
+     * Returns the newest view if it is of committed state. The first one replaces a view of the
+     * disk, whose entries may not be committed, under the lock.
+     */
+    private synchronized @Nullable ControlView committedView() {
         return mHasCommittedView ? mView : null;
     }
 
@@ -611,7 +615,8 @@
         synchronized (this) {
             mRegistry.mergeAll(mLoop.nowNanos(), reply.getServers());
         }
-        if (mHasCommittedView && mView.revision() >= reply.getRevision()) {
+        ControlView view = committedView();
+        if (view != null && view.revision() >= reply.getRevision()) {
             mConfirmed.record(reply, requestNanos);
         }
         mReads.updateSoon();
