Observe each limit of a server for 100 ms, and fix the seeds of figures

CapacityProperties.learnedCapacityStaysNearTheOracle drew new seeds in each run and failed once. With a period of 300 ms, limits followed servers that had changed so late that 24 of 12,000 histories lost over a tenth of the oracle's answers, all of them "limit changes" (lowest: 88.1 percent).

Properties that judge figures by random histories get a fixed seed, which a system property replaces by hand. CrashAnalysisProperties keeps its seed.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/capacity/LearnedCapacity.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/capacity/LearnedCapacity.java
@@ -11,8 +11,11 @@
     /** Part of the slots below which the limit never falls; with one request at least. */
     private static final double FLOOR = 0.1;
 
-    /** Period in which one limit is in force and observed; several answers arrive in it. */
-    private static final long PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    /**
+     * Period in which one limit is in force and observed. With 300 ms, the limits of servers that
+     * had changed were followed so late that up to 12 percent of the possible answers were lost.
+     */
+    private static final long PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     /** Time constant of the mean delay. */
     private static final double DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
--- a/hemlockrack-core/src/main/java/org/hemlockrack/capacity/QueueingDelayRule.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/capacity/QueueingDelayRule.java
@@ -8,7 +8,7 @@
     /** Waiting requests that are tolerated, as a part of the slots; keeps the server busy. */
     private static final double TOLERATED_QUEUE = 0.06;
 
-    /** Growth in one period, as a part of the slots: from the floor to the slots in 3 s. */
+    /** Growth in one period, as a part of the slots: from the floor to the slots in 1 s. */
     private static final double GROWTH = 0.1;
 
     /** Growth while the limit is not in use, so that idle servers do not forget it at once. */
--- a/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/DurationEstimateTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/DurationEstimateTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.hemlockrack.seeds.FixedSeed;
 import org.junit.jupiter.api.Test;
 
 class DurationEstimateTest {
@@ -26,6 +27,7 @@
      * against one far above all answers, by which a stopping instance would refuse them.
      */
     @Property(tries = 200)
+    @FixedSeed("1")
     void fewAnswersExceedTheEstimate(@ForAll long seed) {
         Random random = new Random(seed);
         DurationEstimate estimate = DurationEstimate.create();
--- a/hemlockrack-core/src/test/java/org/hemlockrack/duties/ReplicaPlannerProperties.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/duties/ReplicaPlannerProperties.java
@@ -16,6 +16,7 @@
 import org.hemlockrack.model.ServiceId;
 import org.hemlockrack.model.ZoneId;
 import org.hemlockrack.routing.AutoscaleSpec;
+import org.hemlockrack.seeds.FixedSeed;
 import org.junit.jupiter.api.Test;
 
 /** Loads of one service with 64 slots a server, in zones of 18 to 42 servers that boot in 8 s. */
@@ -187,6 +188,7 @@
 
     /** Guards against numbers outside of the bounds, and against a swing between two numbers. */
     @Property(tries = 200)
+    @FixedSeed("1")
     void ordersKeepTheBoundsAndDoNotSwing(@ForAll long seed) {
         Random random = new Random(seed);
         double base = random.nextDouble() * 50 * SLOTS;
--- a/hemlockrack-core/src/test/java/org/hemlockrack/limits/PermitProperties.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/limits/PermitProperties.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.hemlockrack.seeds.FixedSeed;
 
 /**
  * Many instances that spend permits of one limit: they come and go, freeze, are cut off, and see
@@ -192,6 +193,7 @@
      * with 100 instances, none of them ever had a whole permit.
      */
     @Property(tries = 40)
+    @FixedSeed("1")
     void oneOfThreeHundredInstancesGetsTheWholeLimit(@ForAll long seed) {
         Fleet fleet = new Fleet(seed, 300, 5, PermitKeeper.LIFETIME_NANOS);
         for (int step = 0; step < 2 * STEPS_PER_SECOND; step++) {
--- a/hemlockrack-core/src/test/java/org/hemlockrack/placement/PlacementProperties.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/placement/PlacementProperties.java
@@ -20,6 +20,7 @@
 import org.hemlockrack.model.ModelVersion;
 import org.hemlockrack.model.ServiceId;
 import org.hemlockrack.model.ZoneId;
+import org.hemlockrack.seeds.FixedSeed;
 
 /**
  * Properties of {@link Placement}. Those of the ranking and of convergence must also fail for an
@@ -50,6 +51,7 @@
 
     /** A joining server takes over its share of the chats; no other chat moves. */
     @Property(tries = 200)
+    @FixedSeed("1")
     void joinMovesOnlyItsShare(@ForAll long seed) {
         checkJoin(seed, createPlacement());
     }
@@ -93,6 +95,7 @@
      * larger share must keep the chats of a smaller one.
      */
     @Property(tries = 100)
+    @FixedSeed("1")
     void rolloutShareIsKeptAndGrows(@ForAll long seed) {
         Random random = new Random(seed);
         Placement small = createPlacement();
