Start instances with the serial collector

With G1, each body of half a region or more occupies whole regions. 100 clients with bodies short of their end ended an instance with a heap of 96 MiB in 4 of 6 runs, although the budget for requests was kept.

--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/FleetProcess.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/FleetProcess.java
@@ -38,6 +38,7 @@
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.add("-Xmx" + maxHeap);
+        command.add("-XX:+UseSerialGC");
         command.add("-XX:TieredStopAtLevel=" + System.getProperty("fleet.tier", "4"));
         command.add("-cp");
         command.add(System.getProperty("java.class.path"));
