--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerService.java
@@ -589,8 +589,8 @@
     }
 
     @Override
-    public boolean awaitsCommittedState() {
-        return !mHasCommittedView;
+    public int controllersWithoutState() {
+        return mHasCommittedView ? 0 : mReplica.membership().members().size();
     }
 
     @Override
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -160,9 +160,14 @@
         updateLinks();
     }
 
-    private void updateLinks() {
+    private Set<String> knownControllers() {
         Set<String> addresses = new HashSet<>(mSeeds);
         addresses.addAll(mControllers);
+        return addresses;
+    }
+
+    private void updateLinks() {
+        Set<String> addresses = knownControllers();
         mLinks.setControllers(addresses);
         mNewerTables.retain(addresses);
     }
@@ -241,8 +246,8 @@
     }
 
     @Override
-    public boolean awaitsCommittedState() {
-        return !mHasCommittedView;
+    public int controllersWithoutState() {
+        return mHasCommittedView ? 0 : knownControllers().size();
     }
 
     @Override
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/sync/ControllerLink.java
@@ -98,12 +98,14 @@
         }
 
         /**
-         * Returns whether this instance has no committed state yet. After a restart of all
-         * instances the controllers have no leader, do not know how many gateways there are, and
-         * need their processor time for the election; frequent exchanges would hold it up.
+         * Returns the number of controllers that this instance exchanges state with, if it has no
+         * committed state yet, otherwise 0. After a restart of all instances the controllers have
+         * no leader, do not know how many gateways there are, and need their processor time for the
+         * election. So the exchanges with all of them together are as frequent then as those with a
+         * single one otherwise.
          */
-        default boolean awaitsCommittedState() {
-            return false;
+        default int controllersWithoutState() {
+            return 0;
         }
 
         /** Returns the requests that this instance has in progress at each server. */
@@ -316,7 +318,8 @@
         if (mDelegate.isUrgent(mAddress)) {
             return 0;
         }
-        return mDelegate.awaitsCommittedState() ? MAX_PERIOD_NANOS : mPeriodNanos;
+        long startNanos = mDelegate.controllersWithoutState() * MIN_PERIOD_NANOS;
+        return Math.max(mPeriodNanos, Math.min(startNanos, MAX_PERIOD_NANOS));
     }
 
     private void applyReply(SyncReply reply, Sent sent) {
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/sync/ControllerLinkTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/sync/ControllerLinkTest.java
@@ -23,8 +23,10 @@
 
 /** How often an instance exchanges state with a controller that knows of one gateway. */
 class ControllerLinkTest {
-    /** Pause between exchanges with 80 gateways and more, and while there is no state. */
-    private static final long LONG_PAUSE_MILLIS = 800;
+    private static final int CONTROLLERS = 8;
+
+    /** Pause between exchanges with one of them while there is no state. */
+    private static final long LONG_PAUSE_MILLIS = CONTROLLERS * 100;
 
     private final EventLoop mLoop = EventLoop.open("test", Throwable::printStackTrace);
     private final DecisionLog mLog = DecisionLog.open("g1", new ByteArrayOutputStream());
@@ -73,8 +75,8 @@
         }
 
         @Override
-        public boolean awaitsCommittedState() {
-            return mAwaitsState;
+        public int controllersWithoutState() {
+            return mAwaitsState ? CONTROLLERS : 0;
         }
 
         @Override
