--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerLoad.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerLoad.java
@@ -28,29 +28,30 @@
     }
 
     /**
-     * Adopts the load that all gateways together have reported.
+     * Adopts the load that all gateways together have reported, unless the server's own count is
+     * newer.
      *
+     * @param nowNanos monotonic time
      * @param fleetRequests requests in progress of all gateways
      * @param ownRequestsAtReport the part of this gateway in that load
      */
-    void recordFleet(int fleetRequests, int ownRequestsAtReport) {
-        mFleetRequests = fleetRequests;
-        mOwnRequestsAtReport = ownRequestsAtReport;
-    }
-
-    /** Adopts such a load unless the server's own count is newer. */
     void recordFleet(long nowNanos, int fleetRequests, int ownRequestsAtReport) {
         if (mHasServerReport && nowNanos - mServerReportNanos < SERVER_REPORT_NANOS) {
             return;
         }
-        recordFleet(fleetRequests, ownRequestsAtReport);
+        adopt(fleetRequests, ownRequestsAtReport);
     }
 
     /** Adopts the number of requests that the server itself counts at this moment. */
     void recordServerReport(long nowNanos, int requests) {
         mHasServerReport = true;
         mServerReportNanos = nowNanos;
-        recordFleet(requests, mOwnRequests);
+        adopt(requests, mOwnRequests);
+    }
+
+    private void adopt(int fleetRequests, int ownRequestsAtReport) {
+        mFleetRequests = fleetRequests;
+        mOwnRequestsAtReport = ownRequestsAtReport;
     }
 
     /** Returns the requests of this gateway. */
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -169,24 +169,8 @@
     }
 
     /**
-     * Updates the load that all gateways together have reported.
-     *
-     * @param fleet requests in progress at each server, all gateways together
-     * @param ownAtReport the part of this gateway in that load
-     * @param gateways number of gateways
-     */
-    public void updateFleetLoad(
-            Map<BackendId, Integer> fleet, Map<BackendId, Integer> ownAtReport, int gateways) {
-        mGatewayCount = Math.max(1, gateways);
-        mSlots.forEach(
-                (id, slot) ->
-                        slot.mLoad.recordFleet(
-                                fleet.getOrDefault(id, 0), ownAtReport.getOrDefault(id, 0)));
-    }
-
-    /**
-     * Same as {@link #updateFleetLoad(Map, Map, int)}, but where a server has reported its own load
-     * a moment ago, that is kept.
+     * Updates the load that all gateways together have reported. Where a server has reported its
+     * own load a moment ago, that is kept.
      *
      * @param nowNanos monotonic time
      * @param fleet requests in progress at each server, all gateways together
--- a/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/FleetCapacityTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/FleetCapacityTest.java
@@ -251,7 +251,7 @@
         ServerPool pool = poolWithCostlyPrefix();
         Map<BackendId, Integer> loads = new HashMap<>();
         mServers.forEach(server -> loads.put(server.registration().id(), SLOTS / 4));
-        pool.updateFleetLoad(loads, Map.of(), 1);
+        pool.updateFleetLoad(0, loads, Map.of(), 1);
         Set<BackendId> chosen = new HashSet<>();
         int load = SLOTS / 4;
         while (chosen.size() < 2) {
