Compute the failure rate of each server once in a choice

A rate takes an exponential since reading it no longer stores its decay, and each choice computed it twice for each server. Behaviour is unchanged.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/UsableServers.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/UsableServers.java
@@ -163,14 +163,16 @@
 
     /** Removes servers that fail much more often than the best one. */
     static List<ServerSlot> withoutFailing(long nowNanos, List<ServerSlot> slots) {
+        double[] rates = new double[slots.size()];
         double best = 1;
-        for (ServerSlot slot : slots) {
-            best = Math.min(best, slot.mHealth.failureRate(nowNanos));
+        for (int i = 0; i < rates.length; i++) {
+            rates[i] = slots.get(i).mHealth.failureRate(nowNanos);
+            best = Math.min(best, rates[i]);
         }
         List<ServerSlot> healthy = new ArrayList<>();
-        for (ServerSlot slot : slots) {
-            if (slot.mHealth.failureRate(nowNanos) <= best + FAILURE_MARGIN) {
-                healthy.add(slot);
+        for (int i = 0; i < rates.length; i++) {
+            if (rates[i] <= best + FAILURE_MARGIN) {
+                healthy.add(slots.get(i));
             }
         }
         return healthy;
