--- a/hemlockrack-core/src/main/java/org/hemlockrack/control/WaitingReads.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/control/WaitingReads.java
@@ -40,8 +40,7 @@
     public static final int MAX_READS = 64;
 
     private final Map<T, Long> mArrivalNanosByRead = new LinkedHashMap<>();
-    private boolean mHasRedirected;
-    private long mRedirectedNanos;
+    private @Nullable Long mRedirectedNanos;
 
     /** Who leads, as seen by a controller. */
     public enum Leader {
@@ -145,11 +144,11 @@
     }
 
     private Outcome unconfirmed(long nowNanos, Leader leader) {
-        boolean isPaused = mHasRedirected && nowNanos - mRedirectedNanos < REDIRECT_PAUSE_NANOS;
+        boolean isPaused =
+                mRedirectedNanos != null && nowNanos - mRedirectedNanos < REDIRECT_PAUSE_NANOS;
         if (leader != Leader.OTHER || isPaused) {
             return Outcome.REFUSE;
         }
-        mHasRedirected = true;
         mRedirectedNanos = nowNanos;
         return Outcome.REDIRECT;
     }
