--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ExchangeLog.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ExchangeLog.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.dispatch.AttemptOutcome;
 import org.hemlockrack.dispatch.ServerCost;
@@ -86,19 +87,25 @@
                 .put("attempts", attempts)
                 .put("first_byte_ms", attempt.firstByteMillis())
                 .put("elapsed_ms", elapsedMillis);
-        putCost(line, attempt.choice().cost());
+        ServerCost cost = attempt.choice().cost();
+        // No cost was compared if all terms are zero.
+        if (cost.total() != 0) {
+            putCost(line::put, cost);
+        }
         line.write();
     }
 
-    /** Adds the terms that decided a choice; they are left out where no cost was compared. */
-    private static void putCost(DecisionLog.Line line, ServerCost cost) {
-        if (cost.total() == 0) {
-            return;
-        }
-        line.put("cost_load_pct", Math.round(PERCENT * cost.load()))
-                .put("cost_work_pct", Math.round(PERCENT * cost.work()))
-                .put("cost_prefix_pct", Math.round(PERCENT * cost.prefix()))
-                .put("cost_zone_pct", Math.round(PERCENT * cost.zone()));
+    /** Adds the terms that decide a choice, except the random one. */
+    static void putCost(BiConsumer<String, Long> fields, ServerCost cost) {
+        fields.accept("cost_load_pct", percent(cost.load()));
+        fields.accept("cost_work_pct", percent(cost.work()));
+        fields.accept("cost_prefix_pct", percent(cost.prefix()));
+        fields.accept("cost_zone_pct", percent(cost.zone()));
+    }
+
+    /** Returns a term of a cost in percent. */
+    static long percent(double term) {
+        return Math.round(PERCENT * term);
     }
 
     void failed(ErrorKind kind, @Nullable ForwardAttempt attempt, String cause, int attempts) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ServerExplanations.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ServerExplanations.java
@@ -10,8 +10,6 @@
 
 /** Writes explanations of the choice of a server as JSON. */
 final class ServerExplanations {
-    private static final double PERCENT = 100;
-
     private ServerExplanations() {}
 
     /** Adds the chosen server, the reason and the cost terms. */
@@ -53,16 +51,8 @@
         json.put("version", server.softwareVersion());
     }
 
-    /** The names and the unit are those of the log. */
     private static void putCost(ObjectNode json, ServerCost cost) {
-        json.put("cost_load_pct", percent(cost.load()));
-        json.put("cost_work_pct", percent(cost.work()));
-        json.put("cost_prefix_pct", percent(cost.prefix()));
-        json.put("cost_zone_pct", percent(cost.zone()));
-        json.put("cost_tie_pct", percent(cost.tie()));
-    }
-
-    private static long percent(double term) {
-        return Math.round(PERCENT * term);
+        ExchangeLog.putCost(json::put, cost);
+        json.put("cost_tie_pct", ExchangeLog.percent(cost.tie()));
     }
 }
