--- a/hemlockrack-soak/src/main/java/org/hemlockrack/soak/StopRequest.java
+++ b/hemlockrack-soak/src/main/java/org/hemlockrack/soak/StopRequest.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.soak;
 
 import java.util.random.RandomGenerator;
+import org.hemlockrack.platform.TestFleet;
 import org.hemlockrack.platform.TimedAnswer;
 import org.jspecify.annotations.Nullable;
 
@@ -87,19 +88,9 @@
 
         /** Returns the head of a request. */
         String head(String id) {
-            return """
-            POST %s HTTP/1.1\r
-            Host: 127.0.0.1\r
-            Hemlockrack-Attempt-Id: %s\r
-            Hemlockrack-Deadline-Ms: %d\r
-            Authorization: Bearer key\r
-            Transfer-Encoding: chunked\r
-            \r
-            """
-                    .formatted(
-                            TimedAnswer.path(kind.route(), parts, partMillis),
-                            id,
-                            TIME_LIMIT_MILLIS);
+            String path = TimedAnswer.path(kind.route(), parts, partMillis);
+            return TestFleet.head(path, id, TIME_LIMIT_MILLIS)
+                    + "Transfer-Encoding: chunked\r\n\r\n";
         }
 
         String expectedBody() {
