Test clients that stay within the limits of each port but not of its memory

Callers saw a controller, a gateway or an instance end when clients sent what the limits of its ports allow: bodies of many small values, heads of many short fields, frames whose lists are announced but absent, requests whose answers nobody takes, and connections that say nothing.

The tests start the processes on loopback addresses with a small heap or few descriptors and check that the process lives, that its peak memory and its descriptors stay under a bound, and that ordinary requests are answered afterwards. Crowds and bounds are fixed here, before any change of the product.

--- a/hemlockrack-testing/src/test/java/org/hemlockrack/testing/AbusiveInstanceClientTest.java
+++ b/hemlockrack-testing/src/test/java/org/hemlockrack/testing/AbusiveInstanceClientTest.java
@@ -1,8 +1,5 @@
 package org.hemlockrack.testing;
 
-import static org.junit.jupiter.api.Assertions.assertFalse;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.Map;
@@ -19,6 +16,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.api.parallel.Isolated;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Crowds that send more than an instance can hold to its ports for operators, other instances and
@@ -28,12 +27,7 @@
 class AbusiveInstanceClientTest {
     private static final int HEAP_MIB = 96;
     private static final int CLIENTS = 100;
-
-    /** Code, class metadata, thread stacks, buffers of sockets and the collector's own tables. */
-    private static final long NON_HEAP_BYTES = 160L << 20;
-
-    /** Connections to servers and instances, listening ports, files and class archives. */
-    private static final int OTHER_DESCRIPTORS = 100;
+    private static final int BODY_BYTES = 15_000_000;
 
     /** The limit of these ports is 16 MiB; each client stops after an eighth of it. */
     private static final String PART_OF_BODY = "x".repeat(2 << 20);
@@ -53,6 +47,8 @@
         mFleet.startInstances(
                 1,
                 """
+                [http]
+                max_body_bytes = 16777216
                 [tls]
                 mode = "on"
                 certificate_file = "%s"
@@ -78,29 +74,28 @@
         return request + " HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 16000000\r\n\r\n";
     }
 
-    /** Runs a crowd that stays connected while ordinary requests are sent. */
     private void assertSurvives(SocketFactory sockets, String address, RequestCrowd.Script script)
             throws Exception {
+        assertSurvives(sockets, address, CLIENTS, script);
+    }
+
+    /** Runs a crowd that stays connected while ordinary requests are sent. */
+    private void assertSurvives(
+            SocketFactory sockets, String address, int clients, RequestCrowd.Script script)
+            throws Exception {
         InetSocketAddress target = Settings.toAddress(address);
         FleetProcess process = mInstance.process();
+        ProcessHandle handle = ProcessHandle.of(process.pid()).orElseThrow();
+        Path log = mFleet.folder().resolve(mInstance.id() + ".log");
         try (RequestCrowd crowd =
                 RequestCrowd.start(
-                        sockets, target.getHostString(), target.getPort(), CLIENTS, script)) {
+                        sockets, target.getHostString(), target.getPort(), clients, script)) {
             crowd.awaitRead();
-            assertTrue(process.isAlive(), process::readLog);
-            assertFalse(process.readLog().contains("OutOfMemoryError"), process::readLog);
-            long peakBytes = ProcessUsage.peakBytes(process.pid());
-            System.out.printf("peak memory %d MiB%n", peakBytes >> 20);
-            assertTrue(
-                    peakBytes <= ((long) HEAP_MIB << 20) + NON_HEAP_BYTES,
-                    () -> "peak memory " + peakBytes);
-            int descriptors = ProcessUsage.descriptors(process.pid());
-            assertTrue(descriptors <= CLIENTS + OTHER_DESCRIPTORS, () -> "open: " + descriptors);
+            ProcessBounds.of(HEAP_MIB, clients).check(handle, log);
             mFleet.await("an answer to an operator", 30, this::answersOperator);
             mFleet.await("an answer to a peer", 30, this::answersPeer);
         }
-        assertTrue(process.isAlive(), process::readLog);
-        assertFalse(process.readLog().contains("OutOfMemoryError"), process::readLog);
+        ProcessBounds.checkAlive(handle, log);
     }
 
     private boolean answersOperator() {
@@ -152,4 +147,121 @@
                 mInstance.internalAddress(),
                 RequestCrowd.repeat(head("POST /backend/v1/announce"), PART_OF_BODY, 1, ""));
     }
+
+    /** The list of a short frame is announced with hundreds of millions of messages. */
+    @Test
+    void announcedListInAFrameWithTlsIsBounded() throws Exception {
+        assertSurvives(
+                mKeys.currentContext().getSocketFactory(),
+                mInstance.peerAddress(),
+                1,
+                LargeMessages.emptyEnvelopes(500_000_000, 10));
+    }
+
+    @Test
+    void frameOfManySmallMessagesWithTlsIsBounded() throws Exception {
+        assertSurvives(
+                mKeys.currentContext().getSocketFactory(),
+                mInstance.peerAddress(),
+                1,
+                LargeMessages.emptyEnvelopes(4_000_000, 4_000_000));
+    }
+
+    @Test
+    void announcementOfManySmallValuesIsBounded() throws Exception {
+        assertSurvives(
+                mKeys.currentContext().getSocketFactory(),
+                mInstance.internalAddress(),
+                1,
+                LargeMessages.emptyArrays("POST /backend/v1/announce HTTP/1.1", "", BODY_BYTES));
+    }
+
+    @Test
+    void cacheEventOfManySmallValuesIsBounded() throws Exception {
+        assertSurvives(
+                mKeys.currentContext().getSocketFactory(),
+                mInstance.internalAddress(),
+                1,
+                LargeMessages.emptyArrays(
+                        "POST /backend/v1/cache-events HTTP/1.1", "", BODY_BYTES));
+    }
+
+    @Test
+    void rolloutOrderOfManySmallValuesIsBounded() throws Exception {
+        assertSurvives(
+                SocketFactory.getDefault(),
+                mInstance.operatorAddress(),
+                1,
+                LargeMessages.emptyArrays("POST /operator/v1/rollouts HTTP/1.1", "", BODY_BYTES));
+    }
+
+    @Test
+    void patchOfManySmallValuesIsBounded() throws Exception {
+        assertSurvives(
+                SocketFactory.getDefault(),
+                mInstance.operatorAddress(),
+                1,
+                LargeMessages.emptyArrays("PATCH /operator/v1/config HTTP/1.1", "", BODY_BYTES));
+    }
+
+    @Test
+    void chatOfManySmallValuesIsBounded() throws Exception {
+        String request =
+                "POST /v1/chat/completions HTTP/1.1\r\nAuthorization: Bearer "
+                        + mClient.bearerKey();
+        assertSurvives(
+                SocketFactory.getDefault(),
+                mInstance.callerAddress(),
+                1,
+                LargeMessages.emptyArrays(
+                        request, "{\"model\":\"assistant\",\"messages\":", BODY_BYTES));
+    }
+
+    @Test
+    void silentConnectionsToThePeerPortWithTlsAreBounded() throws Exception {
+        assertSurvives(
+                mKeys.currentContext().getSocketFactory(),
+                mInstance.peerAddress(),
+                600,
+                ClientFault.SINGLE_BYTE.script("", 0));
+    }
+
+    @Test
+    void connectionsToTheInternalPortWithOneByteAreBounded() throws Exception {
+        assertSurvives(
+                mKeys.currentContext().getSocketFactory(),
+                mInstance.internalAddress(),
+                1_000,
+                ClientFault.SINGLE_BYTE.script("", 0));
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void faultsOnTheCallersPortAreBounded(ClientFault fault) throws Exception {
+        String head = "POST /v1/chat/completions HTTP/1.1\r\nHost: 127.0.0.1\r\n";
+        assertSurvives(
+                SocketFactory.getDefault(),
+                mInstance.callerAddress(),
+                fault.script(head, PART_OF_BODY.length()));
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void faultsOnTheOperatorsPortAreBounded(ClientFault fault) throws Exception {
+        String head = "PATCH /operator/v1/config HTTP/1.1\r\nHost: 127.0.0.1\r\n";
+        assertSurvives(
+                SocketFactory.getDefault(),
+                mInstance.operatorAddress(),
+                fault.script(head, PART_OF_BODY.length()));
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void faultsOnTheInternalPortAreBounded(ClientFault fault) throws Exception {
+        String head = "POST /backend/v1/announce HTTP/1.1\r\nHost: 127.0.0.1\r\n";
+        assertSurvives(
+                mKeys.currentContext().getSocketFactory(),
+                mInstance.internalAddress(),
+                fault.script(head, PART_OF_BODY.length()));
+    }
 }
