Let the review's stand-in leave out sections without a value

review/2 to review/5 no longer started: the template of the controllers has a section for a value that their settings do not hold, and the stand-in took it for a list. It now leaves such a section out, as the platform does, and renders one with a single value once. No check, bound or crowd is changed.

--- a/review/standins/review/Fleet.java
+++ b/review/standins/review/Fleet.java
@@ -192,7 +192,8 @@
         StringBuilder filled = new StringBuilder();
         while (section.find()) {
             List<String> entries = new ArrayList<>();
-            List<?> values = (List<?>) fields.get(section.group(1));
+            Object value = fields.get(section.group(1));
+            List<?> values = value instanceof List<?> list ? list : present(value);
             for (int i = 0; i < values.size(); i++) {
                 entries.add(
                         section.group(2)
@@ -214,6 +215,11 @@
         return result.toString();
     }
 
+    /** A section is left out without a value, and rendered once for a single one. */
+    private static List<?> present(Object value) {
+        return value == null ? List.of() : List.of(value);
+    }
+
     Process process(String name) {
         return mProcesses.get(name);
     }
