Reserve what a JSON body becomes before it is parsed

One client ended a controller with one body of 15 MB inside the limit: the tree of many small values takes twenty times the text.

A parse reserves what the text can become, by the number of its values and its length, before it allocates anything, so small bodies cost one pass over their bytes. A text that never fits gets 413, one that does not fit now 503, both not run. A change of the configuration is checked before it is proposed, since every voter parses it later. Error messages and log values that quote a request are cut to 1,000 characters.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/errors/ErrorText.java
@@ -4,7 +4,13 @@
 public final class ErrorText {
     public static final String BODY_TOO_LARGE = "request body exceeds the limit of %d bytes";
     public static final String MEMORY_SHORT =
-            "the instance is short of memory and has not run the request";
+            "the instance has no room for the request and has not run it";
+    public static final String RESPONSES_UNTAKEN =
+            "clients have not taken too much of earlier responses; the request was not run";
+    public static final String REQUESTS_OPEN =
+            "the instance has no connection left for the request and has not run it";
+    public static final String PARSED_TOO_LARGE =
+            "the values of the request can take %d bytes; allowed: %d";
     public static final String BODY_TIMEOUT = "the request body was not complete within %d ms";
     public static final String HEAD_TIMEOUT = "the request head was not complete within %d ms";
     public static final String HTTP_TOO_MANY_CONNECTIONS = "more than %d connections are open";
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CacheEventReader.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/CacheEventReader.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.limits.ParseMemory;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.model.ModelVersion;
 import org.hemlockrack.model.ServiceId;
@@ -30,7 +31,7 @@
      * @throws HemlockrackException with {@link ErrorKind#BAD_REQUEST} if it is malformed
      */
     public static CacheEvent parse(byte[] body) {
-        try {
+        try (ParseMemory.Meter memory = ParseMemory.ofProcess().reserveTree(body)) {
             JsonNode json = JSON.readTree(body);
             return new CacheEvent(
                     ServiceId.of(json.path("service").asText()),
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/RequestReader.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/entry/RequestReader.java
@@ -18,6 +18,7 @@
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.ErrorText;
 import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.limits.ParseMemory;
 import org.hemlockrack.model.RequestKind;
 import org.hemlockrack.model.ServiceId;
 import org.hemlockrack.model.WorkspaceId;
@@ -81,7 +82,19 @@
             throw HemlockrackException.of(
                     ErrorKind.METHOD_NOT_ALLOWED, CHAT_PATH + " allows POST only");
         }
-        JsonNode body = parseChatBody(call.body());
+        byte[] text = call.body();
+        try (ParseMemory.Meter memory = ParseMemory.ofProcess().reserveTree(text)) {
+            return readChat(nowNanos, configuration, workspace, config, call, parseChatBody(text));
+        }
+    }
+
+    private CallerRequest readChat(
+            long nowNanos,
+            Configuration configuration,
+            WorkspaceId workspace,
+            WorkspaceConfig config,
+            HttpCall call,
+            JsonNode body) {
         String model = body.path("model").asText();
         ServiceId service = serviceOfModel(configuration, config, model);
         return createRequest(
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ExplainEndpoint.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ExplainEndpoint.java
@@ -15,6 +15,7 @@
 import org.hemlockrack.daemon.settings.Settings;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.limits.ParseMemory;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -64,9 +65,12 @@
                 throw HemlockrackException.of(
                         ErrorKind.METHOD_NOT_ALLOWED, PATH + " takes the method POST");
             }
-            JsonNode body = parse(call.body());
-            responder.sendJson(
-                    200, mExplainer.explain(readPath(body), readMetadata(body)).toString());
+            byte[] text = call.body();
+            try (ParseMemory.Meter memory = ParseMemory.ofProcess().reserveTree(text)) {
+                JsonNode body = parse(text);
+                responder.sendJson(
+                        200, mExplainer.explain(readPath(body), readMetadata(body)).toString());
+            }
         } catch (HemlockrackException e) {
             responder.sendError(e.kind(), String.valueOf(e.getMessage()), 0);
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/Responder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/Responder.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.base.Ascii;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -18,6 +19,9 @@
     /** Retry-After is in whole seconds; delays are rounded up to the next second. */
     long MILLIS_PER_SECOND = 1_000;
 
+    /** A message can quote a part of the request, which can be large. */
+    int MAX_MESSAGE_CHARS = 1_000;
+
     /**
      * Sends the status and the header fields. Must be called before any body bytes are written;
      * later calls have no effect.
@@ -169,7 +173,7 @@
         ObjectNode root = JsonNodeFactory.instance.objectNode();
         ObjectNode error = root.putObject("error");
         error.put("kind", kind.name());
-        error.put("message", message);
+        error.put("message", Ascii.truncate(message, MAX_MESSAGE_CHARS, "..."));
         error.put("ran", ran.wireName());
         if (kind.isRetryable() || retryAfterMillis > 0) {
             error.put("retry_after_ms", Math.max(1, retryAfterMillis));
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/log/DecisionLog.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/log/DecisionLog.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.base.Ascii;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
 import java.io.IOException;
@@ -26,6 +27,9 @@
     /** One in this many ordinary requests is logged, see {@link #shouldSample()}. */
     private static final long SAMPLE_INTERVAL = 16;
 
+    /** Ids and causes can come from a request, whose fields can be large. */
+    private static final int MAX_VALUE_CHARS = 1_000;
+
     private static final long POLL_MILLIS = 200;
 
     /** An entry of the queue that is no line; it wakes the writer when the log is closed. */
@@ -86,7 +90,7 @@
         /** Adds a text field; null is omitted. */
         public Line put(String name, @Nullable String value) {
             if (value != null) {
-                mJson.put(name, value);
+                mJson.put(name, Ascii.truncate(value, MAX_VALUE_CHARS, "..."));
             }
             return this;
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/ConfigCommands.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/ConfigCommands.java
@@ -26,6 +26,7 @@
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.errors.RunState;
+import org.hemlockrack.limits.ParseMemory;
 import org.jspecify.annotations.Nullable;
 
 /** Handles operators' requests that read, change or wait for configuration versions. */
@@ -115,9 +116,12 @@
         String author = call.header("X-Author") == null ? "operator" : call.header("X-Author");
         ConfigCommand command =
                 ConfigCommand.of(requestId, author, parseBaseVersion(call), parseChange(call));
-        if ("true".equals(call.queryParameter("dry_run"))) {
-            dryRun(command, responder);
-            return;
+        // Every voter parses an accepted change later, so one that is too large is refused here.
+        try (ParseMemory.Meter memory = ParseMemory.ofProcess().reserveTree(call.body())) {
+            if ("true".equals(call.queryParameter("dry_run"))) {
+                dryRun(command, responder);
+                return;
+            }
         }
         propose(command).thenAccept(outcome -> sendOutcome(outcome, responder));
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/RolloutCommands.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/RolloutCommands.java
@@ -16,6 +16,7 @@
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.errors.RunState;
+import org.hemlockrack.limits.ParseMemory;
 import org.hemlockrack.model.ModelVersion;
 import org.hemlockrack.model.ServiceId;
 import org.hemlockrack.rollout.Rollout;
@@ -49,32 +50,34 @@
     }
 
     void start(HttpCall call, Responder responder) {
-        JsonNode body = parse(call.body());
+        propose(parse(call), responder);
+    }
+
+    private static RolloutCommand.Start parse(HttpCall call) {
+        byte[] body = call.body();
+        try (ParseMemory.Meter memory = ParseMemory.ofProcess().reserveTree(body)) {
+            return read(call, JSON.readTree(body));
+        } catch (IOException e) {
+            throw HemlockrackException.of(ErrorKind.BAD_REQUEST, "the body is not JSON", e);
+        }
+    }
+
+    private static RolloutCommand.Start read(HttpCall call, JsonNode body) {
         long deadlineMillis = body.path("deadline_ms").asLong();
         if (deadlineMillis <= 0) {
             throw HemlockrackException.of(
                     ErrorKind.BAD_REQUEST, "deadline_ms must be a number of milliseconds above 0");
         }
         String model = body.path("model").asText();
-        RolloutCommand.Start start =
-                new RolloutCommand.Start(
-                        requestId(call),
-                        author(call),
-                        ServiceId.of(body.path("service").asText()),
-                        ModelVersion.of(model, body.path("from").asText()),
-                        ModelVersion.of(model, body.path("to").asText()),
-                        System.currentTimeMillis() + deadlineMillis,
-                        body.path("first_share").asDouble(DEFAULT_FIRST_SHARE),
-                        body.path("complete_unjudged").asBoolean());
-        propose(start, responder);
-    }
-
-    private static JsonNode parse(byte[] body) {
-        try {
-            return JSON.readTree(body);
-        } catch (IOException e) {
-            throw HemlockrackException.of(ErrorKind.BAD_REQUEST, "the body is not JSON", e);
-        }
+        return new RolloutCommand.Start(
+                requestId(call),
+                author(call),
+                ServiceId.of(body.path("service").asText()),
+                ModelVersion.of(model, body.path("from").asText()),
+                ModelVersion.of(model, body.path("to").asText()),
+                System.currentTimeMillis() + deadlineMillis,
+                body.path("first_share").asDouble(DEFAULT_FIRST_SHARE),
+                body.path("complete_unjudged").asBoolean());
     }
 
     private static String requestId(HttpCall call) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/Announcement.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/owner/Announcement.java
@@ -13,6 +13,7 @@
 import org.hemlockrack.admission.PreviousOwner;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.limits.ParseMemory;
 import org.hemlockrack.membership.Backend;
 import org.hemlockrack.membership.Version;
 import org.hemlockrack.model.BackendId;
@@ -68,13 +69,15 @@
      *     malformed
      */
     public static Announcement parse(byte[] body) {
-        JsonNode json;
-        try {
-            json = JSON.readTree(body);
+        try (ParseMemory.Meter memory = ParseMemory.ofProcess().reserveTree(body)) {
+            return read(JSON.readTree(body));
         } catch (IOException e) {
             throw HemlockrackException.of(
                     ErrorKind.BAD_REQUEST, "the announcement is not JSON: " + e.getMessage(), e);
         }
+    }
+
+    private static Announcement read(JsonNode json) {
         return new Announcement(
                 BackendId.of(text(json, "id")),
                 number(json, "incarnation"),
@@ -111,7 +114,8 @@
         return HemlockrackException.of(
                 ErrorKind.BAD_REQUEST,
                 String.format(
-                        "announcement field \"%s\" is %s; allowed: %s", field, value, allowed));
+                        "announcement field \"%s\" is %s; allowed: %s",
+                        field, value.isContainerNode() ? value.getNodeType() : value, allowed));
     }
 
     private static String address(JsonNode json) {
