Reserve what a frame of the peer port becomes while it is read

One client ended a controller with a frame of 40 bytes: Thrift allocates a list of structs by the length that the frame states, as it takes a struct for zero bytes. Frames that hold many empty messages take many times their length.

BoundedProtocol refuses a container with more elements than the frame has bytes, and reserves structs, texts and containers in the ParseMemory of the process until the call has ended. Packets of the consensus inside a frame are read in the same way; one that does not fit is lost like any other.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/WireCodec.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/WireCodec.java
@@ -9,6 +9,7 @@
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.transport.TMemoryInputTransport;
+import org.hemlockrack.codec.BoundedProtocol;
 import org.hemlockrack.consensus.ConsensusCodec;
 import org.hemlockrack.consensus.Entry;
 import org.hemlockrack.consensus.EntryKind;
@@ -21,6 +22,7 @@
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.ErrorText;
 import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.limits.ParseMemory;
 import org.hemlockrack.model.InstanceId;
 import org.hemlockrack.wire.WireEntry;
 import org.hemlockrack.wire.WireMember;
@@ -179,7 +181,10 @@
                             .setRecursionLimit(16)
                             .build();
             TMemoryInputTransport transport = new TMemoryInputTransport(limits, bytes);
-            struct.read(new TCompactProtocol(transport));
+            try (BoundedProtocol protocol =
+                    BoundedProtocol.of(transport, ParseMemory.ofProcess())) {
+                struct.read(protocol);
+            }
             require(transport.getBytesRemainingInBuffer() == 0, "trailing bytes");
             return struct;
         } catch (TException | IllegalArgumentException | IndexOutOfBoundsException e) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/fleet/FleetMembership.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/fleet/FleetMembership.java
@@ -5,11 +5,11 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.function.Consumer;
-import org.apache.thrift.TDeserializer;
 import org.apache.thrift.TException;
 import org.apache.thrift.TSerializer;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.hemlockrack.admission.HandoverMessage;
+import org.hemlockrack.codec.StructCodec;
 import org.hemlockrack.daemon.loop.DeciderRunner;
 import org.hemlockrack.daemon.loop.EventLoop;
 import org.hemlockrack.errors.ErrorKind;
@@ -189,12 +189,7 @@
      * @throws HemlockrackException with {@link ErrorKind#BAD_REQUEST} if it is malformed
      */
     public static HandoverMessage decodeHandover(byte[] payload) {
-        Handover wire = new Handover();
-        try {
-            new TDeserializer(new TCompactProtocol.Factory()).deserialize(wire, payload);
-        } catch (TException e) {
-            throw HemlockrackException.of(ErrorKind.BAD_REQUEST, "malformed handover message", e);
-        }
+        Handover wire = StructCodec.decode(payload, payload.length, new Handover());
         return new HandoverMessage(
                 BackendId.of(wire.getBackend()),
                 InstanceId.of(wire.getFromInstance()),
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/BoundedFrameTransport.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/BoundedFrameTransport.java
@@ -50,11 +50,31 @@
         }
         int count = Math.min(length, mEnd - mPosition);
         System.arraycopy(mFrame, mPosition, buffer, offset, count);
-        mPosition += count;
+        consumeBuffer(count);
+        return count;
+    }
+
+    @Override
+    public byte[] getBuffer() {
+        return mFrame;
+    }
+
+    @Override
+    public int getBufferPosition() {
+        return mPosition;
+    }
+
+    @Override
+    public void consumeBuffer(int bytes) {
+        mPosition += bytes;
         if (mPosition == mEnd) {
             releaseFrame();
         }
-        return count;
+    }
+
+    @Override
+    public int getBytesRemainingInBuffer() {
+        return mEnd - mPosition;
     }
 
     private void readFrame() throws TTransportException {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import org.apache.thrift.TProcessor;
 import org.apache.thrift.protocol.TCompactProtocol;
 import org.apache.thrift.server.TServer;
 import org.apache.thrift.server.TThreadPoolServer;
@@ -14,9 +15,11 @@
 import org.apache.thrift.transport.TTransportException;
 import org.apache.thrift.transport.TTransportFactory;
 import org.apache.thrift.transport.layered.TFramedTransport;
+import org.hemlockrack.codec.BoundedProtocol;
 import org.hemlockrack.daemon.tls.TlsKeys;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.HemlockrackException;
+import org.hemlockrack.limits.ParseMemory;
 import org.hemlockrack.limits.RequestMemory;
 import org.hemlockrack.wire.Peer;
 import org.jspecify.annotations.Nullable;
@@ -104,8 +107,9 @@
                 new TThreadedSelectorServer.Args(socket)
                         .selectorThreads(1)
                         .acceptQueueSizePerThread(BACKLOG)
-                        .processor(new Peer.Processor<>(handler))
-                        .protocolFactory(new TCompactProtocol.Factory())
+                        .processor(metered(handler))
+                        .inputProtocolFactory(BoundedProtocol.factory(ParseMemory.ofProcess()))
+                        .outputProtocolFactory(new TCompactProtocol.Factory())
                         .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
                         .executorService(workers);
         args.maxReadBufferBytes = maxReadBytes();
@@ -136,8 +140,10 @@
         TThreadPoolServer server =
                 new TThreadPoolServer(
                         new TThreadPoolServer.Args(transport)
-                                .processor(new Peer.Processor<>(handler))
-                                .protocolFactory(new TCompactProtocol.Factory())
+                                .processor(metered(handler))
+                                .inputProtocolFactory(
+                                        BoundedProtocol.factory(ParseMemory.ofProcess()))
+                                .outputProtocolFactory(new TCompactProtocol.Factory())
                                 .inputTransportFactory(frames)
                                 .outputTransportFactory(
                                         new TFramedTransport.Factory(MAX_FRAME_BYTES))
@@ -175,3 +181,13 @@
         mWorkers.shutdownNow();
     }
 }
+    /** Returns the memory of each message to the budget once its call has ended. */
+    private static TProcessor metered(Peer.Iface handler) {
+        TProcessor processor = new Peer.Processor<>(handler);
+        return (in, out) -> {
+            try (BoundedProtocol message = (BoundedProtocol) in) {
+                processor.process(message, out);
+            }
+        };
+    }
+
