Count connections and the lines of heads in the memory of requests

1,000 clients with heads of 90 short fields, or 3,500 with one byte each, ended a gateway with a heap of 48 MiB: a head counted three times its bytes, though a field of three bytes becomes objects of a few hundred, and the buffers of a connection counted nothing.

Each line of a head or of trailers now counts 384 bytes, each request 2 KiB and each connection 16 KiB, or 96 KiB with TLS. A connection without memory is closed before its buffers are allocated. When memory or connections are short, connections that were idle for the stall time are closed like stalled requests, the longest idle first where connections are short. What a connection uses is free only when it has ended, so a pass counts those that are ending and does not close all idle ones at once. The timer of a port keeps room for the next client.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/limits/RequestMemory.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/limits/RequestMemory.java
@@ -22,7 +22,11 @@
         /** Request heads and the trailers of chunked bodies. */
         HEAD,
         /** Request bodies. */
-        BODY
+        BODY,
+        /** Connections themselves: their buffers. */
+        CONNECTION,
+        /** Responses that clients have not taken; they have a budget of their own. */
+        RESPONSE
     }
 
     /**
@@ -44,12 +48,20 @@
     private final long mStallNanos;
     private final AtomicLong mHeldBytes = new AtomicLong();
     private final Map<Kind, AtomicLong> mBytesByKind =
-            Map.of(Kind.HEAD, new AtomicLong(), Kind.BODY, new AtomicLong());
+            Map.of(
+                    Kind.HEAD, new AtomicLong(),
+                    Kind.BODY, new AtomicLong(),
+                    Kind.CONNECTION, new AtomicLong(),
+                    Kind.RESPONSE, new AtomicLong());
     private final AtomicLong mEvictions = new AtomicLong();
     private final Set<Account> mAccounts = ConcurrentHashMap.newKeySet();
 
     private RequestMemory(long limitBytes, long stallMillis) {
         mLimitBytes = limitBytes;
+
+    /** Bytes of evicted connections that have not ended. */
+    private final AtomicLong mEndingBytes = new AtomicLong();
+
         mStallNanos = TimeUnit.MILLISECONDS.toNanos(stallMillis);
     }
 
@@ -97,10 +109,18 @@
         @Nullable Long incompleteSinceNanos();
 
         /**
-         * Gives up the incomplete request and returns its bytes to the account. Must not wait for a
-         * lock that is held while bytes are reserved.
+         * Returns since when the connection has had no request, or null if it has one. A connection
+         * that has been idle for long is closed like a stalled one.
+         */
+        default @Nullable Long idleSinceNanos() {
+            return null;
+        }
+
+        /**
+         * Gives up the incomplete request, or the connection if it has none, and returns its bytes
+         * to the account. Must not wait for a lock that is held while bytes are reserved.
          *
-         * @return whether the request was given up
+         * @return whether it was given up
          */
         boolean evict();
     }
@@ -117,22 +137,51 @@
         return false;
     }
 
-    /** Evicts stalled connections, the largest first; returns whether any was evicted. */
-    private boolean evictStalled(Account except, long bytes, long nowNanos) {
-        long wantedBytes = Math.max(bytes, mLimitBytes / PASS_DIVISOR);
-        boolean evicted = false;
-        for (Candidate candidate : candidates()) {
+    /**
+     * Returns whether a connection counts as stalled.
+     *
+     * @param sinceNanos monotonic time of its last byte or response
+     * @param nowNanos monotonic time
+     */
+    public boolean isStalled(long sinceNanos, long nowNanos) {
+        return nowNanos - sinceNanos >= mStallNanos;
+    }
+
+    /**
+     * Evicts stalled connections while little memory is left, so that the next clients need not
+     * wait until the connections have ended.
+     *
+     * @param nowNanos monotonic time
+     */
+    public void makeRoom(long nowNanos) {
+        long leftBytes = mLimitBytes - mLimitBytes / RESERVE_DIVISOR - mHeldBytes.get();
+        if (leftBytes < mLimitBytes / PASS_DIVISOR) {
+            evictStalled(null, 0, nowNanos);
+        }
+    }
+
+    /**
+     * Evicts stalled connections, the largest first; returns whether memory was freed. What a
+     * connection itself uses is free only when it has ended, so a pass counts those that are
+     * ending.
+     */
+    private boolean evictStalled(@Nullable Account except, long bytes, long nowNanos) {
+        long heldBytes = mHeldBytes.get();
+        long wantedBytes = Math.max(bytes, mLimitBytes / PASS_DIVISOR) - mEndingBytes.get();
+        if (wantedBytes <= 0) {
+            return false;
+        }
+        for (Candidate candidate : candidates(true)) {
             if (wantedBytes <= 0) {
                 break;
             }
             if (candidate.account != except
-                    && nowNanos - candidate.sinceNanos >= mStallNanos
-                    && evict(candidate)) {
-                evicted = true;
+                    && isStalled(candidate.sinceNanos, nowNanos)
+                    && evict(candidate.account)) {
                 wantedBytes -= candidate.bytes;
             }
         }
-        return evicted;
+        return mHeldBytes.get() < heldBytes;
     }
 
     /**
@@ -141,21 +190,27 @@
      */
     private boolean evictLargest(Account except, long bytes) {
         String largestHolder = largestHolder();
-        for (Candidate candidate : candidates()) {
+        for (Candidate candidate : candidates(false)) {
             if (candidate.bytes < except.heldBytes() + bytes) {
                 return false;
             }
             if (candidate.account != except
                     && candidate.account.belongsTo(largestHolder)
-                    && evict(candidate)) {
+                    && evict(candidate.account)) {
                 return true;
             }
         }
         return false;
     }
 
-    private boolean evict(Candidate candidate) {
-        if (!candidate.account.mHolder.evict()) {
+    /**
+     * Evicts a connection.
+     *
+     * @param account account of the connection
+     * @return whether it was evicted
+     */
+    public boolean evict(Account account) {
+        if (!account.mHolder.evict()) {
             return false;
         }
         mEvictions.incrementAndGet();
@@ -165,7 +220,7 @@
     private record Candidate(Account account, long bytes, long sinceNanos) {}
 
     /** Returns the connections that can be evicted, the largest first. */
-    private List<Candidate> candidates() {
+    private List<Candidate> candidates(boolean idleToo) {
         List<Candidate> candidates = new ArrayList<>();
         for (Account account : mAccounts) {
             long bytes = account.heldBytes();
@@ -175,6 +230,7 @@
             }
         }
         candidates.sort(Comparator.comparingLong(Candidate::bytes).reversed());
+        account.setEnding();
         return candidates;
     }
 
@@ -187,6 +243,9 @@
                 bytesByHolder.merge(workspace, account.heldBytes(), Long::sum);
             }
         }
+            if (sinceNanos == null && idleToo && bytes > 0) {
+                sinceNanos = account.mHolder.idleSinceNanos();
+            }
         return bytesByHolder.entrySet().stream()
                 .max(Map.Entry.comparingByValue())
                 .map(Map.Entry::getKey)
@@ -215,6 +274,11 @@
         }
 
         /** Returns the bytes that the connection holds. */
+
+        /** Guarded by this, like the next field. */
+        private long mConnectionBytes;
+
+        private boolean mEnding;
         public long heldBytes() {
             return mBytes.get();
         }
@@ -228,22 +292,47 @@
          * @return false if there is no room for them
          */
         public boolean tryReserve(Kind kind, long bytes, long nowNanos) {
-            boolean ordinary = mBytes.get() + bytes <= ORDINARY_BYTES;
+            long requestBytes = mBytes.get() - connectionBytes() + bytes;
+            boolean ordinary = kind != Kind.CONNECTION && requestBytes <= ORDINARY_BYTES;
             while (!tryHold(bytes, ordinary)) {
                 if (!evictStalled(this, bytes, nowNanos) && !evictLargest(this, bytes)) {
                     return false;
                 }
             }
-            mBytes.addAndGet(bytes);
-            mBytesByKind.get(kind).addAndGet(bytes);
+            add(kind, bytes);
             return true;
         }
 
         /** Returns reserved bytes to the budget. */
         public void release(Kind kind, long bytes) {
             mHeldBytes.addAndGet(-bytes);
-            mBytes.addAndGet(-bytes);
-            mBytesByKind.get(kind).addAndGet(-bytes);
+            add(kind, -bytes);
+        }
+
+        private synchronized void setEnding() {
+            if (!mEnding) {
+                mEnding = true;
+                mEndingBytes.addAndGet(mConnectionBytes);
+            }
+        }
+
+        private synchronized long connectionBytes() {
+            return mConnectionBytes;
+        }
+
+        private synchronized void addConnectionBytes(long bytes) {
+            mConnectionBytes += bytes;
+            if (mEnding) {
+                mEndingBytes.addAndGet(bytes);
+            }
+        }
+
+        private void add(Kind kind, long bytes) {
+            mBytes.addAndGet(bytes);
+            mBytesByKind.get(kind).addAndGet(bytes);
+            if (kind == Kind.CONNECTION) {
+                addConnectionBytes(bytes);
+            }
         }
 
         /** Removes the connection. Its bytes are to be released one by one. */
--- a/hemlockrack-core/src/test/java/org/hemlockrack/limits/RequestMemoryProperties.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/limits/RequestMemoryProperties.java
@@ -90,6 +90,41 @@
         assertFalse(atWork.mEvicted);
     }
 
+    /** Guards against one shortage that closes all idle connections before the first has ended. */
+    @Example
+    void fewIdleConnectionsAreEvictedAtOnce() {
+        RequestMemory.Account[] accounts = new RequestMemory.Account[7];
+        int[] evicted = new int[1];
+        for (int i = 0; i < accounts.length; i++) {
+            accounts[i] = mMemory.open("a", new IdleConnection(evicted));
+            assertTrue(accounts[i].tryReserve(Kind.CONNECTION, 1 << 20, 0));
+        }
+        RequestMemory.Account next = mMemory.open("b", new IdleConnection(evicted));
+        assertFalse(next.tryReserve(Kind.CONNECTION, 1 << 20, SECOND_NANOS));
+        assertFalse(next.tryReserve(Kind.CONNECTION, 1 << 20, SECOND_NANOS));
+        assertEquals(1, evicted[0]);
+        accounts[0].release(Kind.CONNECTION, 1 << 20);
+        assertTrue(next.tryReserve(Kind.CONNECTION, 1 << 20, SECOND_NANOS));
+    }
+
+    private record IdleConnection(int[] evicted) implements RequestMemory.Holder {
+        @Override
+        public @Nullable Long incompleteSinceNanos() {
+            return null;
+        }
+
+        @Override
+        public Long idleSinceNanos() {
+            return 0L;
+        }
+
+        @Override
+        public boolean evict() {
+            evicted[0]++;
+            return true;
+        }
+    }
+
     /** Guards against bytes above the limit and bytes that are never returned. */
     @Property
     void heldBytesStayWithinTheLimit(@ForAll long seed) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/BodyDecoder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/BodyDecoder.java
@@ -68,7 +68,8 @@
     private void reserveTrailers(WholeBodyDecoder decoder) throws IOException {
         if (decoder.isCompleted()) {
             mConnection.releaseTrailers();
-        } else if (!mConnection.tryReserveHead(decoder.bytesSinceContent())) {
+        } else if (!mConnection.tryReserveHead(
+                decoder.bytesSinceContent(), decoder.linesSinceContent())) {
             mDiscarding = true;
             mConnection.refuseBodyForMemory();
             discardInput();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
@@ -46,6 +46,21 @@
      * of the fields are a copy of it.
      */
     private static final int HEAD_BYTES_FACTOR = 3;
+    /**
+     * Memory for each line of a head besides its characters: the buffer of the parser, the field of
+     * HttpCore and the field that is passed on, with their texts.
+     */
+    private static final int LINE_BYTES = 384;
+
+    /** Memory of a request besides its head and body. */
+    private static final int REQUEST_BYTES = 2 << 10;
+
+    /** Memory of a connection without a request: its buffers and its session. */
+    private static final long CONNECTION_BYTES = 16 << 10;
+
+    /** The same with TLS, which has buffers of its own. */
+    private static final long TLS_CONNECTION_BYTES = 96 << 10;
+
 
     private final ProtocolIOSession mSession;
     private final ConnectionLimiter mLimiter;
@@ -59,9 +74,13 @@
     private final RequestMemory.Account mAccount;
     private final Object mHeadLock = new Object();
 
+    private final long mOpenedNanos = System.nanoTime();
     private volatile long mLastHeadNanos;
     private long mHeadBytes;
-    private boolean mEvicted;
+    private long mConnectionBytes;
+    private long mResponseBytes;
+    private volatile boolean mConnected;
+    private volatile boolean mEvicted;
     private volatile boolean mOverLimit;
     private volatile boolean mInHead;
     private volatile long mHeadStartNanos;
@@ -107,11 +126,18 @@
      * @param bytes length so far
      * @return false if there is no memory for it
      */
-    boolean tryReserveHead(long bytes) {
+    boolean tryReserveHead(long bytes, int lines) {
+        if (bytes == 0) {
+            return true;
+        }
         mLastHeadNanos = System.nanoTime();
         long missingBytes;
         synchronized (mHeadLock) {
-            missingBytes = bytes * HEAD_BYTES_FACTOR - mHeadBytes;
+            missingBytes =
+                    REQUEST_BYTES
+                            + bytes * HEAD_BYTES_FACTOR
+                            + (long) lines * LINE_BYTES
+                            - mHeadBytes;
         }
         if (missingBytes <= 0) {
             return true;
@@ -151,6 +177,41 @@
     @Override
     public @Nullable Long incompleteSinceNanos() {
         for (ServerExchange exchange : mExchanges) {
+    /**
+     * Reserves memory for the connection itself.
+     *
+     * @param tls whether it uses TLS
+     * @return false if there is no memory for it
+     */
+    boolean tryReserveConnection(boolean tls) {
+        long bytes = tls ? TLS_CONNECTION_BYTES : CONNECTION_BYTES;
+        if (!mAccount.tryReserve(RequestMemory.Kind.CONNECTION, bytes, mOpenedNanos)) {
+            return false;
+        }
+        synchronized (mHeadLock) {
+            mConnectionBytes = bytes;
+        }
+        return true;
+    }
+
+    private void releaseConnection() {
+        long bytes;
+        synchronized (mHeadLock) {
+            bytes = mConnectionBytes;
+            mConnectionBytes = 0;
+        }
+        mAccount.release(RequestMemory.Kind.CONNECTION, bytes);
+    }
+
+    /** Called on the connection's I/O thread when it can be used, with TLS after the handshake. */
+    void connected() {
+        mConnected = true;
+    }
+
+    boolean wasConnected() {
+        return mConnected;
+    }
+
             Long sinceNanos = exchange.incompleteSinceNanos();
             if (sinceNanos != null) {
                 return sinceNanos;
@@ -160,13 +221,14 @@
     }
 
     @Override
+     * @param lines number of complete lines so far
     public boolean evict() {
         for (ServerExchange exchange : mExchanges) {
             if (exchange.evict()) {
                 return true;
             }
         }
-        if (!mInHead || !mExchanges.isEmpty()) {
+        if (!mExchanges.isEmpty() && !mHalfClosed) {
             return false;
         }
         synchronized (mHeadLock) {
@@ -176,7 +238,12 @@
             mEvicted = true;
         }
         releaseHeadBytes(takeHeadBytes());
-        execute(() -> closeNow(CloseReason.EVICTED));
+        if (mInHead || mHalfClosed || !mConnected) {
+            execute(() -> closeNow(CloseReason.EVICTED));
+        } else {
+            // A request that arrives now is refused.
+            execute(this::closeWhenIdle);
+        }
         return true;
     }
 
@@ -214,6 +281,23 @@
     int refuseIncompleteRequests(Predicate<HttpCall> condition, CallHandler refusal) {
         int refused = 0;
         for (ServerExchange exchange : mExchanges) {
+    /** Returns since when nothing has arrived that is needed to go on, or null. */
+    @Nullable Long stalledSinceNanos() {
+        Long sinceNanos = incompleteSinceNanos();
+        return sinceNanos == null ? idleSinceNanos() : sinceNanos;
+    }
+
+    @Override
+    public @Nullable Long idleSinceNanos() {
+        if (mHalfClosed) {
+            return mLastResponseNanos;
+        }
+        if (mInHead || mLingering || mEvicted || hasOpenExchanges()) {
+            return null;
+        }
+        return mLastResponseNanos == 0 ? mOpenedNanos : mLastResponseNanos;
+    }
+
             refused += exchange.refuseIfIncomplete(condition, refusal) ? 1 : 0;
         }
         return refused;
@@ -238,6 +322,7 @@
     /** Refuses all requests of this connection, because too many connections are open. */
     void refuseAllRequests() {
         mOverLimit = true;
+        releaseConnection();
     }
 
     void headStarted() {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
@@ -1,5 +1,8 @@
 package org.hemlockrack.daemon.http;
 
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
@@ -81,6 +84,10 @@
 
     private void enforceTimeouts() {
         long nowNanos = System.nanoTime();
+        if (mOpenSessions.get() > mLimits.maxConnections()) {
+            evictStalled(nowNanos);
+        }
+        mMemory.makeRoom(nowNanos);
         for (ClientConnection connection : mConnections) {
             try {
                 connection.enforceTimeouts(nowNanos);
@@ -131,16 +138,50 @@
         mConnections.forEach(ClientConnection::closeAtEnd);
     }
 
+    /**
+     * Evicts connections without progress until the others are within the limit, the longest
+     * stalled first; returns whether any was evicted.
+     */
+    private boolean evictStalled(long nowNanos) {
+        record Stalled(ClientConnection connection, long sinceNanos) {}
+        List<Stalled> all = new ArrayList<>();
+        for (ClientConnection connection : mConnections) {
+            Long sinceNanos = connection.stalledSinceNanos();
+            if (sinceNanos != null && mMemory.isStalled(sinceNanos, nowNanos)) {
+                all.add(new Stalled(connection, sinceNanos));
+            }
+        }
+        all.sort(Comparator.comparingLong(each -> each.sinceNanos - nowNanos));
+        int left = 1 + Math.max(0, mOpenSessions.get() - mLimits.maxConnections());
+        boolean evicted = false;
+        for (Stalled each : all) {
+            if (left == 0) {
+                break;
+            }
+            if (mMemory.evict(each.connection.account())) {
+                evicted = true;
+                left--;
+            }
+        }
+        return evicted;
+    }
+
+    /** Adds a connection that cannot be used yet. */
+    void connectionAccepted(ClientConnection connection) {
+        mConnections.add(connection);
+    }
+
     void connectionOpened(ClientConnection connection) {
-        if (mOpenConnections.incrementAndGet() > mLimits.maxConnections()) {
+        connection.connected();
+        if (mOpenConnections.incrementAndGet() > mLimits.maxConnections()
+                && !evictStalled(System.nanoTime())) {
             connection.refuseAllRequests();
         }
-        mConnections.add(connection);
     }
 
     void connectionClosed(ClientConnection connection) {
         connection.disconnected();
-        if (mConnections.remove(connection)) {
+        if (mConnections.remove(connection) && connection.wasConnected()) {
             mOpenConnections.decrementAndGet();
         }
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/RequestParser.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/RequestParser.java
@@ -29,6 +29,7 @@
     private final NHttpMessageParser<HttpRequest> mParser;
     private final ClientConnection mConnection;
     private long mHeadBytes;
+    private @Nullable LineCountingBuffer mLines;
 
     RequestParser(Http1Config config, ClientConnection connection) {
         mParser = WholeHeadParser.of(new DefaultHttpRequestParserFactory(config).create());
@@ -47,25 +48,35 @@
             mConnection.headStarted();
         }
         HttpRequest request;
+        LineCountingBuffer lines = LineCountingBuffer.of(buffer, mLines);
+        mLines = lines;
         int pendingBytes = buffer.length();
-        if (!mConnection.tryReserveHead(mHeadBytes + pendingBytes)) {
-            return endHead(RefusedRequest.of("GET", ErrorKind.OVERLOADED, ErrorText.MEMORY_SHORT));
+        if (!mConnection.tryReserveHead(mHeadBytes + pendingBytes, lines.lines())) {
+            return endHead(memoryRefusal());
         }
         try {
-            request = mParser.parse(buffer, endOfStream);
+            request = mParser.parse(lines, endOfStream);
         } catch (RequestHeaderFieldsTooLargeException | MessageConstraintException e) {
             request = RefusedRequest.of("GET", ErrorKind.HEADERS_TOO_LARGE, e.getMessage());
         } catch (HttpException e) {
             request = RefusedRequest.of("GET", ErrorKind.BAD_REQUEST, e.getMessage());
         }
-        if (request == null) {
-            mHeadBytes += pendingBytes - buffer.length();
-            return null;
+        mHeadBytes += pendingBytes - buffer.length();
+        // The length of the fields is known only now; a head has a limited number of them.
+        if (!mConnection.tryReserveHead(mHeadBytes, lines.lines())) {
+            return endHead(memoryRefusal());
         }
-        return endHead(validate(request));
+        return request == null ? null : endHead(validate(request));
+    }
+
+    private static HttpRequest memoryRefusal() {
+        return RefusedRequest.of("GET", ErrorKind.OVERLOADED, ErrorText.MEMORY_SHORT);
     }
 
     private HttpRequest endHead(HttpRequest request) {
+        if (mLines != null) {
+            mLines.resetLines();
+        }
         mHeadBytes = 0;
         mConnection.headComplete();
         return request;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnectionFactory.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerConnectionFactory.java
@@ -63,6 +63,10 @@
     @Override
     public IOEventHandler createHandler(ProtocolIOSession session, @Nullable Object attachment) {
         ClientConnection connection = new ClientConnection(session, mLimiter);
+        mLimiter.connectionAccepted(connection);
+        if (!connection.tryReserveConnection(mTls != null)) {
+            return new ClosingEventHandler(connection);
+        }
         if (mTls != null) {
             Timeout timeout = Timeout.ofMilliseconds(mLimiter.limits().headTimeoutMillis());
             mTls.upgrade(session, null, attachment, timeout, null);
@@ -243,4 +247,43 @@
             mConnection.takeChecks().forEach(check -> check.complete(false));
         }
     }
+
+    /** Closes a connection that has no memory, without the buffers of one that is used. */
+    private final class ClosingEventHandler implements IOEventHandler {
+        private final ClientConnection mConnection;
+
+        ClosingEventHandler(ClientConnection connection) {
+            mConnection = connection;
+        }
+
+        @Override
+        public void connected(IOSession session) {
+            session.close(CloseMode.IMMEDIATE);
+        }
+
+        @Override
+        public void inputReady(IOSession session, @Nullable ByteBuffer src) {
+            session.close(CloseMode.IMMEDIATE);
+        }
+
+        @Override
+        public void outputReady(IOSession session) {
+            session.close(CloseMode.IMMEDIATE);
+        }
+
+        @Override
+        public void timeout(IOSession session, Timeout timeout) {
+            session.close(CloseMode.IMMEDIATE);
+        }
+
+        @Override
+        public void exception(IOSession session, Exception cause) {
+            session.close(CloseMode.IMMEDIATE);
+        }
+
+        @Override
+        public void disconnected(IOSession session) {
+            mLimiter.connectionClosed(mConnection);
+        }
+    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/WholeBodyDecoder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/WholeBodyDecoder.java
@@ -21,10 +21,13 @@
 final class WholeBodyDecoder implements ContentDecoder {
     private final ContentDecoder mDecoder;
     private final OpenEndedChannel mChannel;
+    private final LineCountingBuffer mLines;
 
-    private WholeBodyDecoder(ContentDecoder decoder, OpenEndedChannel channel) {
+    private WholeBodyDecoder(
+            ContentDecoder decoder, OpenEndedChannel channel, LineCountingBuffer lines) {
         mDecoder = decoder;
         mChannel = channel;
+        mLines = lines;
     }
 
     /**
@@ -42,8 +45,9 @@
             Http1Config limits,
             BasicHttpTransportMetrics metrics) {
         OpenEndedChannel openEnded = new OpenEndedChannel(channel);
+        LineCountingBuffer lines = LineCountingBuffer.of(buffer, null);
         return new WholeBodyDecoder(
-                new ChunkDecoder(openEnded, buffer, limits, metrics), openEnded);
+                new ChunkDecoder(openEnded, lines, limits, metrics), openEnded, lines);
     }
 
     @Override
@@ -51,6 +55,7 @@
         int bytes = mDecoder.read(dst);
         if (bytes > 0) {
             mChannel.mBytesSinceContent = 0;
+            mLines.resetLines();
         }
         if (bytes <= 0 && mChannel.mAtEnd && !mDecoder.isCompleted()) {
             throw new ConnectionClosedException("the connection ended inside a chunked body");
@@ -66,6 +71,11 @@
         return mChannel.mBytesSinceContent;
     }
 
+    /** Returns the lines received since the last content. */
+    int linesSinceContent() {
+        return mLines.lines();
+    }
+
     @Override
     public boolean isCompleted() {
         return mDecoder.isCompleted();
