Bound the documents that clients request and do not take

200 clients that request the configuration 200 times each and read nothing ended a controller with a heap of 96 MiB: each answer was copied and queued without a bound.

When it is short, connections that have taken no byte of theirs for the stall time are reset, the largest first; a client that reads is never given up for another. Otherwise the request gets 503 and has not run. The bytes of a document are not copied.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/limits/RequestMemory.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/limits/RequestMemory.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -44,6 +45,9 @@
      */
     private static final long PASS_DIVISOR = 16;
 
+    /** The budget for responses is this part of that for requests. */
+    private static final long RESPONSE_DIVISOR = 3;
+
     private final long mLimitBytes;
     private final long mStallNanos;
     private final AtomicLong mHeldBytes = new AtomicLong();
@@ -54,15 +58,18 @@
                     Kind.CONNECTION, new AtomicLong(),
                     Kind.RESPONSE, new AtomicLong());
     private final AtomicLong mEvictions = new AtomicLong();
-    private final Set<Account> mAccounts = ConcurrentHashMap.newKeySet();
-
-    private RequestMemory(long limitBytes, long stallMillis) {
-        mLimitBytes = limitBytes;
 
     /** Bytes of evicted connections that have not ended. */
     private final AtomicLong mEndingBytes = new AtomicLong();
 
+    private final Set<Account> mAccounts = ConcurrentHashMap.newKeySet();
+
+    private final @Nullable RequestMemory mResponses;
+
+    private RequestMemory(long limitBytes, long stallMillis, @Nullable RequestMemory responses) {
+        mLimitBytes = limitBytes;
         mStallNanos = TimeUnit.MILLISECONDS.toNanos(stallMillis);
+        mResponses = responses;
     }
 
     /**
@@ -74,7 +81,17 @@
      * @return the budget
      */
     public static RequestMemory of(long limitBytes, long stallMillis) {
-        return new RequestMemory(limitBytes, stallMillis);
+        RequestMemory responses =
+                new RequestMemory(limitBytes / RESPONSE_DIVISOR, stallMillis, null);
+        return new RequestMemory(limitBytes, stallMillis, responses);
+    }
+
+    /**
+     * Returns the budget for responses to the same connections. It is separate, so that neither can
+     * take the memory of the other.
+     */
+    public RequestMemory responses() {
+        return Objects.requireNonNull(mResponses);
     }
 
     /**
@@ -95,9 +112,9 @@
         return mBytesByKind.get(kind).get();
     }
 
-    /** Returns how many connections were evicted so far. */
+    /** Returns how many connections were evicted so far, also for the sake of responses. */
     public long evictions() {
-        return mEvictions.get();
+        return mEvictions.get() + (mResponses == null ? 0 : mResponses.evictions());
     }
 
     /** A connection that holds memory. */
@@ -213,6 +230,7 @@
         if (!account.mHolder.evict()) {
             return false;
         }
+        account.setEnding();
         mEvictions.incrementAndGet();
         return true;
     }
@@ -225,12 +243,14 @@
         for (Account account : mAccounts) {
             long bytes = account.heldBytes();
             Long sinceNanos = bytes == 0 ? null : account.mHolder.incompleteSinceNanos();
+            if (sinceNanos == null && idleToo && bytes > 0) {
+                sinceNanos = account.mHolder.idleSinceNanos();
+            }
             if (sinceNanos != null) {
                 candidates.add(new Candidate(account, bytes, sinceNanos));
             }
         }
         candidates.sort(Comparator.comparingLong(Candidate::bytes).reversed());
-        account.setEnding();
         return candidates;
     }
 
@@ -243,9 +263,6 @@
                 bytesByHolder.merge(workspace, account.heldBytes(), Long::sum);
             }
         }
-            if (sinceNanos == null && idleToo && bytes > 0) {
-                sinceNanos = account.mHolder.idleSinceNanos();
-            }
         return bytesByHolder.entrySet().stream()
                 .max(Map.Entry.comparingByValue())
                 .map(Map.Entry::getKey)
@@ -257,6 +274,11 @@
         private final String mPeer;
         private final Holder mHolder;
         private final AtomicLong mBytes = new AtomicLong();
+
+        /** Guarded by this, like the next field. */
+        private long mConnectionBytes;
+
+        private boolean mEnding;
         private volatile @Nullable String mWorkspace;
 
         private Account(String peer, Holder holder) {
@@ -274,11 +296,6 @@
         }
 
         /** Returns the bytes that the connection holds. */
-
-        /** Guarded by this, like the next field. */
-        private long mConnectionBytes;
-
-        private boolean mEnding;
         public long heldBytes() {
             return mBytes.get();
         }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/burn/BurnService.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/burn/BurnService.java
@@ -167,13 +167,13 @@
         switch (format) {
             case "table" -> sendText(responder, "text/plain", report.toTable(), missing);
             case "html" -> sendText(responder, "text/html", report.toHtml(), missing);
-            default -> responder.sendJson(STATUS_OK, report.toJson(), missing);
+            default -> responder.sendJsonDocument(STATUS_OK, report.toJson(), missing);
         }
     }
 
     private static void sendText(
             Responder responder, String type, String body, HeaderField missing) {
-        responder.send(
+        responder.sendDocument(
                 STATUS_OK,
                 List.of(HeaderField.of("Content-Type", type + "; charset=utf-8"), missing),
                 body.getBytes(StandardCharsets.UTF_8));
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/QuarantineEndpoints.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/QuarantineEndpoints.java
@@ -42,7 +42,7 @@
     void handle(HttpCall call, Responder responder) {
         String path = call.path();
         if (path.equals(PATH) && call.method().equals("GET")) {
-            responder.sendJson(OK, list().toString());
+            responder.sendJsonDocument(OK, list().toString());
             return;
         }
         boolean isLift = path.length() > PATH.length() + LIFT.length() && path.endsWith(LIFT);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ClientConnection.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
@@ -46,6 +45,7 @@
      * of the fields are a copy of it.
      */
     private static final int HEAD_BYTES_FACTOR = 3;
+
     /**
      * Memory for each line of a head besides its characters: the buffer of the parser, the field of
      * HttpCore and the field that is passed on, with their texts.
@@ -61,7 +61,6 @@
     /** The same with TLS, which has buffers of its own. */
     private static final long TLS_CONNECTION_BYTES = 96 << 10;
 
-
     private final ProtocolIOSession mSession;
     private final ConnectionLimiter mLimiter;
     private final HttpLimits mLimits;
@@ -72,6 +71,7 @@
     private final Queue<CompletableFuture<Boolean>> mChecks = new ConcurrentLinkedQueue<>();
 
     private final RequestMemory.Account mAccount;
+    private final RequestMemory.Account mResponseAccount;
     private final Object mHeadLock = new Object();
 
     private final long mOpenedNanos = System.nanoTime();
@@ -101,20 +101,110 @@
         mSession = session;
         mLimiter = limiter;
         mLimits = limiter.limits();
-        SocketAddress peer = session.getRemoteAddress();
-        mAccount =
-                limiter.memory()
-                        .open(
-                                peer instanceof InetSocketAddress address
-                                        ? address.getAddress().getHostAddress()
-                                        : "",
-                                this);
+        String peer =
+                session.getRemoteAddress() instanceof InetSocketAddress address
+                        ? address.getAddress().getHostAddress()
+                        : "";
+        mAccount = limiter.memory().open(peer, this);
+        mResponseAccount = limiter.memory().responses().open(peer, new Responses());
+    }
+
+    /** The responses of the connection that the client has not taken. */
+    private final class Responses implements RequestMemory.Holder {
+        @Override
+        public @Nullable Long incompleteSinceNanos() {
+            long nowNanos = System.nanoTime();
+            Long newestNanos = null;
+            for (ServerExchange exchange : mExchanges) {
+                Long sinceNanos = exchange.untakenSinceNanos();
+                if (sinceNanos != null && (newestNanos == null || sinceNanos - newestNanos > 0)) {
+                    newestNanos = sinceNanos;
+                }
+            }
+            // A client that reads is not given up for another one.
+            boolean isStalled =
+                    newestNanos != null && mLimiter.memory().isStalled(newestNanos, nowNanos);
+            return isStalled ? newestNanos : null;
+        }
+
+        @Override
+        public boolean evict() {
+            long bytes;
+            synchronized (mHeadLock) {
+                bytes = mResponseBytes;
+                mResponseBytes = 0;
+            }
+            mResponseAccount.release(RequestMemory.Kind.RESPONSE, bytes);
+            execute(() -> closeNow(CloseReason.EVICTED));
+            return bytes > 0;
+        }
+    }
+
+    /**
+     * Reserves memory for a response until the client has taken it.
+     *
+     * @param bytes length of the response
+     * @return false if clients have not taken too many others
+     */
+    boolean tryReserveResponse(long bytes) {
+        if (!mResponseAccount.tryReserve(RequestMemory.Kind.RESPONSE, bytes, System.nanoTime())) {
+            return false;
+        }
+        synchronized (mHeadLock) {
+            mResponseBytes += bytes;
+        }
+        return true;
+    }
+
+    void releaseResponse(long bytes) {
+        long released;
+        synchronized (mHeadLock) {
+            // After an eviction there is nothing left to release.
+            released = Math.min(bytes, mResponseBytes);
+            mResponseBytes -= released;
+        }
+        mResponseAccount.release(RequestMemory.Kind.RESPONSE, released);
     }
 
     RequestMemory.Account account() {
         return mAccount;
     }
 
+    /**
+     * Reserves memory for the connection itself.
+     *
+     * @param tls whether it uses TLS
+     * @return false if there is no memory for it
+     */
+    boolean tryReserveConnection(boolean tls) {
+        long bytes = tls ? TLS_CONNECTION_BYTES : CONNECTION_BYTES;
+        if (!mAccount.tryReserve(RequestMemory.Kind.CONNECTION, bytes, mOpenedNanos)) {
+            return false;
+        }
+        synchronized (mHeadLock) {
+            mConnectionBytes = bytes;
+        }
+        return true;
+    }
+
+    private void releaseConnection() {
+        long bytes;
+        synchronized (mHeadLock) {
+            bytes = mConnectionBytes;
+            mConnectionBytes = 0;
+        }
+        mAccount.release(RequestMemory.Kind.CONNECTION, bytes);
+    }
+
+    /** Called on the connection's I/O thread when it can be used, with TLS after the handshake. */
+    void connected() {
+        mConnected = true;
+    }
+
+    boolean wasConnected() {
+        return mConnected;
+    }
+
     /** Runs an action that must not run under the locks of another connection. */
     void execute(Runnable action) {
         mLimiter.execute(action);
@@ -124,6 +214,7 @@
      * Reserves memory for what has arrived of a head. Called on the connection's I/O thread.
      *
      * @param bytes length so far
+     * @param lines number of complete lines so far
      * @return false if there is no memory for it
      */
     boolean tryReserveHead(long bytes, int lines) {
@@ -177,41 +268,6 @@
     @Override
     public @Nullable Long incompleteSinceNanos() {
         for (ServerExchange exchange : mExchanges) {
-    /**
-     * Reserves memory for the connection itself.
-     *
-     * @param tls whether it uses TLS
-     * @return false if there is no memory for it
-     */
-    boolean tryReserveConnection(boolean tls) {
-        long bytes = tls ? TLS_CONNECTION_BYTES : CONNECTION_BYTES;
-        if (!mAccount.tryReserve(RequestMemory.Kind.CONNECTION, bytes, mOpenedNanos)) {
-            return false;
-        }
-        synchronized (mHeadLock) {
-            mConnectionBytes = bytes;
-        }
-        return true;
-    }
-
-    private void releaseConnection() {
-        long bytes;
-        synchronized (mHeadLock) {
-            bytes = mConnectionBytes;
-            mConnectionBytes = 0;
-        }
-        mAccount.release(RequestMemory.Kind.CONNECTION, bytes);
-    }
-
-    /** Called on the connection's I/O thread when it can be used, with TLS after the handshake. */
-    void connected() {
-        mConnected = true;
-    }
-
-    boolean wasConnected() {
-        return mConnected;
-    }
-
             Long sinceNanos = exchange.incompleteSinceNanos();
             if (sinceNanos != null) {
                 return sinceNanos;
@@ -220,8 +276,24 @@
         return mInHead && mExchanges.isEmpty() ? mLastHeadNanos : null;
     }
 
+    /** Returns since when nothing has arrived that is needed to go on, or null. */
+    @Nullable Long stalledSinceNanos() {
+        Long sinceNanos = incompleteSinceNanos();
+        return sinceNanos == null ? idleSinceNanos() : sinceNanos;
+    }
+
+    @Override
+    public @Nullable Long idleSinceNanos() {
+        if (mHalfClosed) {
+            return mLastResponseNanos;
+        }
+        if (mInHead || mLingering || mEvicted || hasOpenExchanges()) {
+            return null;
+        }
+        return mLastResponseNanos == 0 ? mOpenedNanos : mLastResponseNanos;
+    }
+
     @Override
-     * @param lines number of complete lines so far
     public boolean evict() {
         for (ServerExchange exchange : mExchanges) {
             if (exchange.evict()) {
@@ -250,7 +322,10 @@
     /** Called on the connection's I/O thread when the connection has ended. */
     void disconnected() {
         releaseHeadBytes(takeHeadBytes());
+        releaseConnection();
         mAccount.close();
+        releaseResponse(Long.MAX_VALUE);
+        mResponseAccount.close();
     }
 
     HttpLimits limits() {
@@ -281,23 +356,6 @@
     int refuseIncompleteRequests(Predicate<HttpCall> condition, CallHandler refusal) {
         int refused = 0;
         for (ServerExchange exchange : mExchanges) {
-    /** Returns since when nothing has arrived that is needed to go on, or null. */
-    @Nullable Long stalledSinceNanos() {
-        Long sinceNanos = incompleteSinceNanos();
-        return sinceNanos == null ? idleSinceNanos() : sinceNanos;
-    }
-
-    @Override
-    public @Nullable Long idleSinceNanos() {
-        if (mHalfClosed) {
-            return mLastResponseNanos;
-        }
-        if (mInHead || mLingering || mEvicted || hasOpenExchanges()) {
-            return null;
-        }
-        return mLastResponseNanos == 0 ? mOpenedNanos : mLastResponseNanos;
-    }
-
             refused += exchange.refuseIfIncomplete(condition, refusal) ? 1 : 0;
         }
         return refused;
@@ -322,7 +380,6 @@
     /** Refuses all requests of this connection, because too many connections are open. */
     void refuseAllRequests() {
         mOverLimit = true;
-        releaseConnection();
     }
 
     void headStarted() {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/Responder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/Responder.java
@@ -117,6 +117,31 @@
         end();
     }
 
+    /**
+     * Sends a complete response to a request that only reads. The body must not change later. If
+     * clients have not taken too much of earlier responses, an error is sent instead.
+     *
+     * @param status HTTP status
+     * @param headers header fields
+     * @param body the body
+     */
+    default void sendDocument(int status, List<HeaderField> headers, byte[] body) {
+        send(status, headers, body);
+    }
+
+    /**
+     * Sends a JSON document as {@link #sendDocument(int, List, byte[])} does.
+     *
+     * @param status HTTP status
+     * @param json the JSON text
+     * @param more additional header fields
+     */
+    default void sendJsonDocument(int status, String json, HeaderField... more) {
+        List<HeaderField> headers = new ArrayList<>(List.of(more));
+        headers.add(HeaderField.of("Content-Type", "application/json"));
+        sendDocument(status, headers, json.getBytes(StandardCharsets.UTF_8));
+    }
+
     /**
      * Sends a complete response with a JSON body.
      *
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ServerExchange.java
@@ -69,6 +69,7 @@
     private volatile boolean mEvicted;
     private long mContentLengthBytes = UNKNOWN_LENGTH;
     private long mHeadBytes;
+    private long mResponseBytes;
     private long mBodyStartNanos;
     private volatile long mLastInputNanos;
     private long mLastProgressNanos;
@@ -363,6 +364,10 @@
 
     @Override
     public int write(ByteBuffer data) {
+        return queue(ByteBuffer.allocate(data.remaining()).put(data).flip());
+    }
+
+    private int queue(ByteBuffer data) {
         DataStreamChannel output;
         int queued;
         synchronized (this) {
@@ -373,10 +378,8 @@
             if (mQueuedBytes == 0) {
                 mLastProgressNanos = System.nanoTime();
             }
-            ByteBuffer copy = ByteBuffer.allocate(data.remaining());
-            copy.put(data).flip();
-            mOutputQueue.add(copy);
-            mQueuedBytes += copy.remaining();
+            mOutputQueue.add(data);
+            mQueuedBytes += data.remaining();
             queued = mQueuedBytes;
             output = mOutput;
         }
@@ -391,6 +394,39 @@
         return mQueuedBytes;
     }
 
+    @Override
+    public void sendDocument(int status, List<HeaderField> headers, byte[] body) {
+        if (!tryReserveResponse(body.length)) {
+            sendError(ErrorKind.OVERLOADED, ErrorText.RESPONSES_UNTAKEN, MEMORY_RETRY_MILLIS);
+            return;
+        }
+        sendHead(status, headers, body.length);
+        if (body.length > 0) {
+            queue(ByteBuffer.wrap(body).asReadOnlyBuffer());
+        }
+        end();
+    }
+
+    private boolean tryReserveResponse(int bytes) {
+        // No lock is held: the reservation may evict other connections.
+        if (!mConnection.tryReserveResponse(bytes)) {
+            return false;
+        }
+        synchronized (this) {
+            if (!mReleased) {
+                mResponseBytes += bytes;
+                return true;
+            }
+        }
+        mConnection.releaseResponse(bytes);
+        return true;
+    }
+
+    /** Returns when the client took the last byte of a response that waits for it, or null. */
+    synchronized @Nullable Long untakenSinceNanos() {
+        return mQueuedBytes > 0 && !mReleased ? mLastProgressNanos : null;
+    }
+
     @Override
     public void end() {
         finish(false);
@@ -554,11 +590,13 @@
     public void releaseResources() {
         Runnable onCancel;
         Runnable onReleased;
+        long responseBytes;
         synchronized (this) {
             if (mReleased) {
                 return;
             }
             mReleased = true;
+            responseBytes = mResponseBytes;
             mOutputQueue.clear();
             mQueuedBytes = 0;
             onCancel = mResponseComplete ? null : mOnCancel;
@@ -566,6 +604,7 @@
         }
         mRequestBody.discard();
         mConnection.releaseHeadBytes(mHeadBytes);
+        mConnection.releaseResponse(responseBytes);
         mConnection.exchangeReleased(this);
         if (onCancel != null) {
             onCancel.run();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/ConfigCommands.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/ConfigCommands.java
@@ -223,7 +223,7 @@
             responder.sendError(ErrorKind.NOT_READY, mVoterAddresses.noLogMessage(), 1_000);
             return;
         }
-        responder.sendJson(STATUS_OK, json);
+        responder.sendJsonDocument(STATUS_OK, json);
     }
 
     void awaitVersion(HttpCall call, Responder responder) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/HealthEndpoints.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/HealthEndpoints.java
@@ -80,7 +80,7 @@
     }
 
     private static void sendText(Responder responder, String body) {
-        responder.send(
+        responder.sendDocument(
                 200,
                 List.of(HeaderField.of("Content-Type", "text/plain; version=0.0.4")),
                 body.getBytes(StandardCharsets.UTF_8));
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/OperatorPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/OperatorPort.java
@@ -107,8 +107,8 @@
             case "GET config" -> getConfig(segments, call, responder);
             case "PATCH config" -> mConfigCommands.patch(call, responder);
             case "GET status" -> responder.sendJson(200, statusJson().toString());
-            case "GET instances" -> responder.sendJson(200, instancesJson().toString());
-            case "GET backends" -> responder.sendJson(200, backendsJson().toString());
+            case "GET instances" -> responder.sendJsonDocument(200, instancesJson().toString());
+            case "GET backends" -> responder.sendJsonDocument(200, backendsJson().toString());
             case "POST zones" ->
                     mConfigCommands.setZoneState(requireSegments(segments, 3, call), responder);
             case "POST instances" ->
@@ -149,7 +149,7 @@
             boolean json = String.valueOf(call.header("Accept")).contains("json");
             String text =
                     json ? current.configuration().toJson() : current.configuration().toToml();
-            responder.send(
+            responder.sendDocument(
                     200,
                     List.of(
                             HeaderField.of("ETag", "\"" + current.version() + "\""),
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/RolloutCommands.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/operator/RolloutCommands.java
@@ -148,6 +148,6 @@
             row.put("reason", rollout.reason().name());
             row.put("detail", rollout.detail());
         }
-        responder.sendJson(STATUS_OK, json.toString());
+        responder.sendJsonDocument(STATUS_OK, json.toString());
     }
 }
