Give each port a share of the descriptors of its process

500 silent connections to the peer port of a controller with 300 descriptors took all of them; the process ended when a thread of another port could load no class. http.max_connections had no relation to the descriptors. An instance with TLS kept a thread and buffers for each of up to 1,024 silent peers, so that 600 of them exceeded the bound on its memory.

Above the share of an HTTP port its stalled and idle connections end, above that of a peer port the connection whose last message is the oldest. A gateway refuses a request at once as not run if its connection to a server could find no descriptor. Peers with TLS also stay within a quarter of the heap, at 64 KiB a connection.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -56,6 +56,7 @@
 import org.hemlockrack.daemon.rollout.RolloutControllerService;
 import org.hemlockrack.daemon.rollout.RolloutService;
 import org.hemlockrack.daemon.settings.SettingKey;
+import org.hemlockrack.daemon.settings.DescriptorShare;
 import org.hemlockrack.daemon.settings.Settings;
 import org.hemlockrack.daemon.tls.MutualTlsStrategy;
 import org.hemlockrack.daemon.tls.PemFiles;
@@ -507,6 +508,7 @@
                         null,
                         (call, responder) -> {
                             if (endpoints.handles(call.path())) {
+                        DescriptorShare.CALLERS,
                                 endpoints.handle(call, responder);
                                 return;
                             }
@@ -520,6 +522,7 @@
                         tlsStrategy(),
                         new InternalHandler(mLoop, mOwner, mEntry));
         ConfigCommands.ConfigStateReader stateReader =
+                        DescriptorShare.INTERNAL,
                 mVoterState == null ? new EmptyConfigState() : mVoterState;
         VoterAddresses voterAddresses = VoterAddresses.of(mSettings.voters());
         VoterCommands voterCommands = VoterCommands.create(mLoop, mReplica, voterAddresses);
@@ -534,6 +537,7 @@
                         null,
                         OperatorPort.create(
                                 mFleet,
+                        DescriptorShare.OPERATORS,
                                 mConfig,
                                 mProposer,
                                 configCommands,
@@ -551,6 +555,7 @@
                         new PeerHandler(
                                 mLoop,
                                 mFleet,
+                        mSettings.descriptors(DescriptorShare.PEERS),
                                 mConfig,
                                 mOwner,
                                 mClaims,
@@ -588,7 +593,14 @@
             @Nullable TlsStrategy tls,
             CallHandler handler) {
         HttpPort port =
-                HttpPort.open(name, mSettings.address(key), limits, mRequestMemory, handler, tls);
+            DescriptorShare descriptors,
+                HttpPort.open(
+                        name,
+                        mSettings.address(key),
+                        limits.withinDescriptors(mSettings.descriptors(descriptors)),
+                        mRequestMemory,
+                        handler,
+                        tls);
         registerCloseable(port::close);
         return port;
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -46,6 +46,7 @@
 import org.hemlockrack.daemon.replica.ReplicaService;
 import org.hemlockrack.daemon.replica.ReplicaStorage;
 import org.hemlockrack.daemon.settings.SettingKey;
+import org.hemlockrack.daemon.settings.DescriptorShare;
 import org.hemlockrack.daemon.settings.Settings;
 import org.hemlockrack.daemon.settings.SettingsReloader;
 import org.hemlockrack.daemon.sync.ControllerLinks;
@@ -395,6 +396,7 @@
                 PeerServer.open(
                         mSettings.address(SettingKey.LISTEN_PEER),
                         new ControllerPeerHandler(
+                        mSettings.descriptors(DescriptorShare.CONTROLLER_PEERS),
                                 mSettings.instanceId().value(), mReplica, mService, mDuties, mLog),
                         null);
         mCloser.register(peers::close);
@@ -416,7 +418,8 @@
         return HttpPort.open(
                 "control",
                 mSettings.address(SettingKey.LISTEN_OPERATORS),
-                HttpLimits.internal(),
+                HttpLimits.internal()
+                        .withinDescriptors(mSettings.descriptors(DescriptorShare.CONTROL)),
                 memory,
                 (call, responder) -> {
                     if (endpoints.handles(call.path())) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -12,20 +12,25 @@
 import org.hemlockrack.daemon.GracefulShutdown;
 import org.hemlockrack.daemon.ServiceProcess;
 import org.hemlockrack.daemon.fleet.PeerNetwork;
+import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.HttpClient;
 import org.hemlockrack.daemon.http.HttpLimits;
 import org.hemlockrack.daemon.http.HttpPort;
+import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.loop.EventLoop;
 import org.hemlockrack.daemon.metrics.MetricName;
 import org.hemlockrack.daemon.metrics.Metrics;
 import org.hemlockrack.daemon.operator.HealthEndpoints;
 import org.hemlockrack.daemon.settings.SettingKey;
+import org.hemlockrack.daemon.settings.DescriptorShare;
 import org.hemlockrack.daemon.settings.Settings;
 import org.hemlockrack.daemon.settings.SettingsReloader;
 import org.hemlockrack.dispatch.ServerPool;
 import org.hemlockrack.dispatch.ZoneSuspension;
 import org.hemlockrack.limits.ByteBudget;
+import org.hemlockrack.errors.ErrorKind;
+import org.hemlockrack.errors.ErrorText;
 import org.hemlockrack.limits.RequestMemory;
 
 /** A running gateway: its ports, its connections to controllers and servers, and its metrics. */
@@ -68,6 +73,7 @@
     private final AtomicInteger mOpenRequests = new AtomicInteger();
     private final OpenExchanges mOpenExchanges = OpenExchanges.create();
     private final ByteBudget mAnswerBudget =
+    private final int mMaxOpenRequests;
             ByteBudget.of((long) (ANSWER_HEAP_FRACTION * Runtime.getRuntime().maxMemory()));
     private final RequestMemory mRequestMemory;
     private final GatewayContext mContext;
@@ -76,6 +82,7 @@
     private long mLoggedEvictions;
     private volatile boolean mDraining;
 
+        mMaxOpenRequests = settings.descriptors(DescriptorShare.GATEWAY_REQUESTS);
     private GatewayInstance(Settings settings, Path file, ProtocolAdapter protocol) {
         mSettings = settings;
         SecureRandom random = new SecureRandom();
@@ -136,12 +143,22 @@
         return HttpPort.open(
                 "callers",
                 mSettings.address(SettingKey.LISTEN_CALLERS),
-                mSettings.callerLimits(),
+                mSettings
+                        .callerLimits()
+                        .withinDescriptors(mSettings.descriptors(DescriptorShare.GATEWAY_CALLERS)),
                 mRequestMemory,
-                (call, responder) ->
-                        mHandler.handle(call, CountingResponder.of(responder, mOpenRequests)),
+                this::handleOrRefuse,
                 null);
     }
+    /** Refuses a request at once if there is no descriptor left for its connection to a server. */
+    private void handleOrRefuse(HttpCall call, Responder responder) {
+        if (mOpenRequests.get() >= mMaxOpenRequests) {
+            mContext.refuse(responder, ErrorKind.OVERLOADED, ErrorText.REQUESTS_OPEN);
+            return;
+        }
+        mHandler.handle(call, CountingResponder.of(responder, mOpenRequests));
+    }
+
 
     private GatewayContext createContext(
             ProtocolAdapter protocol,
@@ -215,7 +232,8 @@
         return HttpPort.open(
                 "pages",
                 mSettings.address(SettingKey.LISTEN_OPERATORS),
-                HttpLimits.internal(),
+                HttpLimits.internal()
+                        .withinDescriptors(mSettings.descriptors(DescriptorShare.GATEWAY_PAGES)),
                 mRequestMemory,
                 ExplainEndpoint.wrap(mSettings, createExplainer(), endpoints::handleOrRefuse),
                 null);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpLimits.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpLimits.java
@@ -28,6 +28,9 @@
     /** Minimum number of connections above the limit that still get an error response. */
     private static final int MIN_REFUSED_CONNECTIONS = 16;
 
+    /** Part of the limit that still gets an error response above it. */
+    private static final long REFUSED_DIVISOR = 8;
+
     /** Returns limits for a port with external callers. */
     public static HttpLimits defaults() {
         return new HttpLimits(1 << 20, 100, 8 << 10, 10_000, 180_000, 10_000, 30_000, 30_000, 2);
@@ -38,8 +41,34 @@
         return new HttpLimits(16 << 20, 100, 16 << 10, 10_000, 300_000, 30_000, 60_000, 60_000, 1);
     }
 
+    /**
+     * Returns these limits for a port that has few descriptors.
+     *
+     * @param descriptors most connections, with those that only get an error response
+     * @return the limits
+     */
+    public HttpLimits withinDescriptors(int descriptors) {
+        int connections =
+                Math.max(
+                        1,
+                        Math.min(
+                                descriptors - MIN_REFUSED_CONNECTIONS,
+                                (int) (descriptors * REFUSED_DIVISOR / (REFUSED_DIVISOR + 1))));
+        return new HttpLimits(
+                maxBodyBytes,
+                maxHeaderCount,
+                maxHeaderLineBytes,
+                Math.min(maxConnections, connections),
+                idleTimeoutMillis,
+                headTimeoutMillis,
+                bodyTimeoutMillis,
+                writeTimeoutMillis,
+                ioThreads);
+    }
+
     /** Returns the number of connections above which new ones are closed without a response. */
     public int hardMaxConnections() {
-        return maxConnections + Math.max(MIN_REFUSED_CONNECTIONS, maxConnections / 8);
+        return maxConnections
+                + Math.max(MIN_REFUSED_CONNECTIONS, (int) (maxConnections / REFUSED_DIVISOR));
     }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/BoundedFrameTransport.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/BoundedFrameTransport.java
@@ -97,6 +97,7 @@
             mLastByteNanos = System.nanoTime();
         }
         finishFrame();
+        mConnection.onFrame();
         mEnd = size;
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/FrameGuard.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/FrameGuard.java
@@ -3,11 +3,14 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.util.Comparator;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.thrift.transport.TNonblockingServerSocket;
 import org.apache.thrift.transport.TNonblockingSocket;
 import org.apache.thrift.transport.TTransportException;
@@ -26,6 +29,9 @@
 
     private static final long STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(STALL_MILLIS);
 
+    /** Connections above the limit whose input has ended and that are not closed yet. */
+    private static final int MAX_ENDING = 64;
+
     private static final long PERIOD_MILLIS = 500;
 
     /** Length of the number before each frame. */
@@ -40,12 +46,26 @@
                         return thread;
                     });
 
-    private FrameGuard(NonblockingAbstractServerSocketArgs args) throws TTransportException {
+    private final int mMaxConnections;
+
+    /** Descriptors of connections. */
+    private final AtomicInteger mOpen = new AtomicInteger();
+
+    /** Connections that were closed since the last pass. */
+    private final AtomicInteger mClosed = new AtomicInteger();
+
+    /** Connections that were closed in the pass before. Confined to the timer. */
+    private int mClosedBefore;
+
+    private FrameGuard(NonblockingAbstractServerSocketArgs args, int maxConnections)
+            throws TTransportException {
         super(args);
+        mMaxConnections = maxConnections;
     }
 
-    static FrameGuard open(NonblockingAbstractServerSocketArgs args) throws TTransportException {
-        FrameGuard guard = new FrameGuard(args);
+    static FrameGuard open(NonblockingAbstractServerSocketArgs args, int maxConnections)
+            throws TTransportException {
+        FrameGuard guard = new FrameGuard(args, maxConnections);
         guard.mTimer.scheduleWithFixedDelay(
                 guard::endStalledInputs, PERIOD_MILLIS, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
         return guard;
@@ -53,6 +73,9 @@
 
     private void endStalledInputs() {
         long nowNanos = System.nanoTime();
+        // A selector keeps the descriptor of a closed connection until its next selection.
+        mOpen.addAndGet(-mClosedBefore);
+        mClosedBefore = mClosed.getAndSet(0);
         mSockets.forEach(socket -> socket.endInputIfStalled(nowNanos));
     }
 
@@ -62,8 +85,16 @@
         if (accepted == null) {
             return null;
         }
+        if (mSockets.size() >= mMaxConnections) {
+            endLongestSilent();
+        }
+        if (mOpen.get() >= (long) mMaxConnections + MAX_ENDING) {
+            accepted.close();
+            return null;
+        }
         try {
             GuardedSocket socket = new GuardedSocket(accepted.getSocketChannel());
+            mOpen.incrementAndGet();
             mSockets.add(socket);
             return socket;
         } catch (IOException e) {
@@ -72,6 +103,14 @@
         }
     }
 
+    /** Ends the connection whose last message is the oldest, so that a crowd locks nobody out. */
+    private void endLongestSilent() {
+        long nowNanos = System.nanoTime();
+        mSockets.stream()
+                .min(Comparator.comparingLong(socket -> socket.mLastReadNanos - nowNanos))
+                .ifPresent(GuardedSocket::end);
+    }
+
     @Override
     public void close() {
         mTimer.shutdownNow();
@@ -79,8 +118,9 @@
     }
 
     private final class GuardedSocket extends TNonblockingSocket {
-        private volatile long mLastReadNanos;
+        private volatile long mLastReadNanos = System.nanoTime();
         private volatile boolean mInFrame;
+        private final AtomicBoolean mEnded = new AtomicBoolean();
 
         GuardedSocket(SocketChannel channel) throws IOException, TTransportException {
             super(channel);
@@ -98,9 +138,12 @@
          * Ends the input, so that the server closes the connection and counts its frame as freed.
          */
         private void endInputIfStalled(long nowNanos) {
-            if (!mInFrame || nowNanos - mLastReadNanos < STALL_NANOS) {
-                return;
+            if (mInFrame && nowNanos - mLastReadNanos >= STALL_NANOS) {
+                endInput();
             }
+        }
+
+        private void endInput() {
             try {
                 getSocketChannel().shutdownInput();
             } catch (IOException e) {
@@ -108,9 +151,18 @@
             }
         }
 
+        /** Ends the input of the connection, which does not count as open any more. */
+        private void end() {
+            mSockets.remove(this);
+            endInput();
+        }
+
         @Override
         public void close() {
             mSockets.remove(this);
+            if (mEnded.compareAndSet(false, true)) {
+                mClosed.incrementAndGet();
+            }
             super.close();
         }
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/PeerServer.java
@@ -54,6 +54,15 @@
      */
     private static final int MAX_TLS_CONNECTIONS = 1_024;
 
+    /** Threads of connections that were closed for others and have not ended yet. */
+    private static final int ENDING_CONNECTIONS = 64;
+
+    /** Memory of a connection with TLS: its buffers and the state of its session. */
+    private static final long TLS_CONNECTION_BYTES = 64 << 10;
+
+    /** Connections with TLS use at most this part of the heap. */
+    private static final int CONNECTION_HEAP_DIVISOR = 4;
+
     private static final int CLIENT_TIMEOUT_MILLIS = 60_000;
 
     private final TServer mServer;
@@ -70,6 +79,7 @@
      * Opens the port.
      *
      * @param address address to listen on; port 0 selects a free port
+     * @param maxConnections most open connections
      * @param handler handles the calls; may block up to the timeout given in a call
      * @param keys keys for TLS, or null for plain text
      * @return the open port
@@ -77,10 +87,15 @@
      *     bound
      */
     public static PeerServer open(
-            InetSocketAddress address, Peer.Iface handler, @Nullable TlsKeys keys) {
+            InetSocketAddress address,
+            int maxConnections,
+            Peer.Iface handler,
+            @Nullable TlsKeys keys) {
         try {
             PeerServer server =
-                    keys == null ? openPlain(address, handler) : openTls(address, handler, keys);
+                    keys == null
+                            ? openPlain(address, maxConnections, handler)
+                            : openTls(address, maxConnections, handler, keys);
             Thread acceptor = new Thread(server.mServer::serve, "peer-accept");
             acceptor.setDaemon(true);
             acceptor.start();
@@ -91,7 +106,19 @@
         }
     }
 
-    private static PeerServer openPlain(InetSocketAddress address, Peer.Iface handler)
+    /**
+     * Opens the port without a limit on its connections. The parameters are those of {@link
+     * #open(InetSocketAddress, int, Peer.Iface, TlsKeys)}.
+     *
+     * @return the open port
+     */
+    public static PeerServer open(
+            InetSocketAddress address, Peer.Iface handler, @Nullable TlsKeys keys) {
+        return open(address, Integer.MAX_VALUE, handler, keys);
+    }
+
+    private static PeerServer openPlain(
+            InetSocketAddress address, int maxConnections, Peer.Iface handler)
             throws TTransportException {
         FrameGuard socket =
                 FrameGuard.open(
@@ -99,7 +126,8 @@
                                 .bindAddr(address)
                                 .clientTimeout(CLIENT_TIMEOUT_MILLIS)
                                 .maxFrameSize(MAX_FRAME_BYTES)
-                                .backlog(BACKLOG));
+                                .backlog(BACKLOG),
+                        maxConnections);
         ThreadPoolExecutor workers = createWorkerPool(MAX_WORKERS);
         // A thread of its own accepts connections. A server that accepts one in each pass over its
         // connections leaves other controllers waiting behind all gateways after a restart.
@@ -124,10 +152,17 @@
                 Runtime.getRuntime().maxMemory() / READ_HEAP_DIVISOR);
     }
 
-    private static PeerServer openTls(InetSocketAddress address, Peer.Iface handler, TlsKeys keys)
+    private static int maxTlsConnections() {
+        long heapBytes = Runtime.getRuntime().maxMemory() / CONNECTION_HEAP_DIVISOR;
+        return (int) Math.min(MAX_TLS_CONNECTIONS, heapBytes / TLS_CONNECTION_BYTES);
+    }
+
+    private static PeerServer openTls(
+            InetSocketAddress address, int maxConnections, Peer.Iface handler, TlsKeys keys)
             throws TTransportException {
-        TlsServerTransport transport = TlsServerTransport.open(address, keys);
-        ThreadPoolExecutor workers = createWorkerPool(MAX_TLS_CONNECTIONS);
+        int connections = Math.min(maxConnections, maxTlsConnections());
+        TlsServerTransport transport = TlsServerTransport.open(address, keys, connections);
+        ThreadPoolExecutor workers = createWorkerPool(connections + ENDING_CONNECTIONS);
         RequestMemory memory = RequestMemory.of(maxReadBytes(), FrameGuard.STALL_MILLIS);
         TTransportFactory frames =
                 new TTransportFactory() {
@@ -152,6 +187,16 @@
                 server, workers, new InetSocketAddress(address.getAddress(), transport.port()));
     }
 
+    /** Returns the memory of each message to the budget once its call has ended. */
+    private static TProcessor metered(Peer.Iface handler) {
+        TProcessor processor = new Peer.Processor<>(handler);
+        return (in, out) -> {
+            try (BoundedProtocol message = (BoundedProtocol) in) {
+                processor.process(message, out);
+            }
+        };
+    }
+
     private static ThreadPoolExecutor createWorkerPool(int maxThreads) {
         return new ThreadPoolExecutor(
                 4,
@@ -181,13 +226,3 @@
         mWorkers.shutdownNow();
     }
 }
-    /** Returns the memory of each message to the budget once its call has ended. */
-    private static TProcessor metered(Peer.Iface handler) {
-        TProcessor processor = new Peer.Processor<>(handler);
-        return (in, out) -> {
-            try (BoundedProtocol message = (BoundedProtocol) in) {
-                processor.process(message, out);
-            }
-        };
-    }
-
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/SettingKey.java
@@ -55,6 +55,7 @@
     HTTP_WRITE_TIMEOUT_MS("http.write_timeout_ms", 30_000, 100, 600_000),
     HTTP_REQUEST_MEMORY_BYTES("http.request_memory_bytes", 0, 0, 1L << 40),
     HTTP_STALL_TIMEOUT_MS("http.stall_timeout_ms", 1_000, 100, 600_000),
+    PROCESS_MAX_DESCRIPTORS("process.max_descriptors", 0, 0, 1 << 30),
     CONTROL_BUDGET_BYTES_PER_S("control.budget_bytes_per_s", 4_096, 512, 1_048_576),
     TLS_MODE("tls.mode", CHOICE, "off", "off|on"),
     TLS_CERTIFICATE_FILE("tls.certificate_file", PATH, "", "path"),
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/Settings.java
@@ -310,6 +310,17 @@
         return routes;
     }
 
+    /**
+     * Returns how many descriptors a part of this process may use.
+     *
+     * @param share the part
+     * @return at least 1
+     */
+    public int descriptors(DescriptorShare share) {
+        long all = integer(SettingKey.PROCESS_MAX_DESCRIPTORS);
+        return share.of(all == 0 ? DescriptorLimit.read() : all);
+    }
+
     /** Returns the HTTP limits of the caller port. */
     public HttpLimits callerLimits() {
         return new HttpLimits(
