Report what is given up for want of memory on every role

Only gateways logged evictions. MemoryReport writes at most one line a second on gateways, controllers and instances of the full role (HR1006), with the bodies and messages that were refused because of what they become. Metrics show the memory held for connections, for documents that are not taken and for parsing.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/Daemon.java
@@ -36,6 +36,7 @@
 import org.hemlockrack.daemon.http.HttpPort;
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.EventLoop;
+import org.hemlockrack.daemon.metrics.MemoryReport;
 import org.hemlockrack.daemon.metrics.MetricName;
 import org.hemlockrack.daemon.metrics.Metrics;
 import org.hemlockrack.daemon.operator.ConfigCommands;
@@ -55,8 +56,8 @@
 import org.hemlockrack.daemon.rollout.OrderService;
 import org.hemlockrack.daemon.rollout.RolloutControllerService;
 import org.hemlockrack.daemon.rollout.RolloutService;
-import org.hemlockrack.daemon.settings.SettingKey;
 import org.hemlockrack.daemon.settings.DescriptorShare;
+import org.hemlockrack.daemon.settings.SettingKey;
 import org.hemlockrack.daemon.settings.Settings;
 import org.hemlockrack.daemon.tls.MutualTlsStrategy;
 import org.hemlockrack.daemon.tls.PemFiles;
@@ -199,6 +200,8 @@
         onLoop(this::startServices);
         startPorts();
         mLoop.scheduleWithFixedDelay(STATE_REFRESH_MILLIS, this::refreshState);
+        MemoryReport report = MemoryReport.of(mRequestMemory);
+        mLoop.scheduleWithFixedDelay(MemoryReport.PERIOD_MILLIS, () -> report.writeTo(mLog));
         mLog.log(
                 LogEvent.DAEMON_STARTED,
                 "instance %s zone %s callers %s operators %s",
@@ -505,10 +508,10 @@
                         "callers",
                         SettingKey.LISTEN_CALLERS,
                         mSettings.callerLimits(),
+                        DescriptorShare.CALLERS,
                         null,
                         (call, responder) -> {
                             if (endpoints.handles(call.path())) {
-                        DescriptorShare.CALLERS,
                                 endpoints.handle(call, responder);
                                 return;
                             }
@@ -519,10 +522,10 @@
                         "internal",
                         SettingKey.LISTEN_INTERNAL,
                         HttpLimits.internal(),
+                        DescriptorShare.INTERNAL,
                         tlsStrategy(),
                         new InternalHandler(mLoop, mOwner, mEntry));
         ConfigCommands.ConfigStateReader stateReader =
-                        DescriptorShare.INTERNAL,
                 mVoterState == null ? new EmptyConfigState() : mVoterState;
         VoterAddresses voterAddresses = VoterAddresses.of(mSettings.voters());
         VoterCommands voterCommands = VoterCommands.create(mLoop, mReplica, voterAddresses);
@@ -534,10 +537,10 @@
                         "operators",
                         SettingKey.LISTEN_OPERATORS,
                         HttpLimits.internal(),
+                        DescriptorShare.OPERATORS,
                         null,
                         OperatorPort.create(
                                 mFleet,
-                        DescriptorShare.OPERATORS,
                                 mConfig,
                                 mProposer,
                                 configCommands,
@@ -552,10 +555,10 @@
         PeerServer peerServer =
                 PeerServer.open(
                         mSettings.address(SettingKey.LISTEN_PEER),
+                        mSettings.descriptors(DescriptorShare.PEERS),
                         new PeerHandler(
                                 mLoop,
                                 mFleet,
-                        mSettings.descriptors(DescriptorShare.PEERS),
                                 mConfig,
                                 mOwner,
                                 mClaims,
@@ -590,10 +593,10 @@
             String name,
             SettingKey key,
             HttpLimits limits,
+            DescriptorShare descriptors,
             @Nullable TlsStrategy tls,
             CallHandler handler) {
         HttpPort port =
-            DescriptorShare descriptors,
                 HttpPort.open(
                         name,
                         mSettings.address(key),
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -38,6 +38,7 @@
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.log.EventLog;
 import org.hemlockrack.daemon.loop.EventLoop;
+import org.hemlockrack.daemon.metrics.MemoryReport;
 import org.hemlockrack.daemon.metrics.MetricName;
 import org.hemlockrack.daemon.metrics.Metrics;
 import org.hemlockrack.daemon.operator.HealthEndpoints;
@@ -45,8 +46,8 @@
 import org.hemlockrack.daemon.replica.Proposer;
 import org.hemlockrack.daemon.replica.ReplicaService;
 import org.hemlockrack.daemon.replica.ReplicaStorage;
-import org.hemlockrack.daemon.settings.SettingKey;
 import org.hemlockrack.daemon.settings.DescriptorShare;
+import org.hemlockrack.daemon.settings.SettingKey;
 import org.hemlockrack.daemon.settings.Settings;
 import org.hemlockrack.daemon.settings.SettingsReloader;
 import org.hemlockrack.daemon.sync.ControllerLinks;
@@ -395,8 +396,8 @@
         PeerServer peers =
                 PeerServer.open(
                         mSettings.address(SettingKey.LISTEN_PEER),
-                        new ControllerPeerHandler(
                         mSettings.descriptors(DescriptorShare.CONTROLLER_PEERS),
+                        new ControllerPeerHandler(
                                 mSettings.instanceId().value(), mReplica, mService, mDuties, mLog),
                         null);
         mCloser.register(peers::close);
@@ -410,6 +411,8 @@
                 MetricName.PARTS_HELD, () -> mService.quarantine().heldParts(mLoop.nowNanos()));
         RequestMemory memory = mSettings.requestMemory();
         metrics.registerRequestMemory(memory);
+        MemoryReport report = MemoryReport.of(memory);
+        mLoop.scheduleWithFixedDelay(MemoryReport.PERIOD_MILLIS, () -> report.writeTo(mLog));
         metrics.registerValue(MetricName.TABLES_DEFERRED, mService::deferredTables);
         HealthEndpoints endpoints =
                 HealthEndpoints.create(() -> mReplica.leader() != null, metrics);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -19,18 +19,19 @@
 import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.daemon.loop.EventLoop;
+import org.hemlockrack.daemon.metrics.MemoryReport;
 import org.hemlockrack.daemon.metrics.MetricName;
 import org.hemlockrack.daemon.metrics.Metrics;
 import org.hemlockrack.daemon.operator.HealthEndpoints;
-import org.hemlockrack.daemon.settings.SettingKey;
 import org.hemlockrack.daemon.settings.DescriptorShare;
+import org.hemlockrack.daemon.settings.SettingKey;
 import org.hemlockrack.daemon.settings.Settings;
 import org.hemlockrack.daemon.settings.SettingsReloader;
 import org.hemlockrack.dispatch.ServerPool;
 import org.hemlockrack.dispatch.ZoneSuspension;
-import org.hemlockrack.limits.ByteBudget;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.ErrorText;
+import org.hemlockrack.limits.ByteBudget;
 import org.hemlockrack.limits.RequestMemory;
 
 /** A running gateway: its ports, its connections to controllers and servers, and its metrics. */
@@ -56,9 +57,6 @@
 
     private static final long LAST_REPORT_POLL_MILLIS = 10;
 
-    /** Evictions are summed over this time, so that a crowd does not fill the log. */
-    private static final long EVICTION_LOG_PERIOD_MILLIS = 1_000;
-
     /** A suspension lasts at most one second after the last failure. */
     private static final long SUSPENSION_LOG_PERIOD_MILLIS = 250;
 
@@ -73,20 +71,21 @@
     private final AtomicInteger mOpenRequests = new AtomicInteger();
     private final OpenExchanges mOpenExchanges = OpenExchanges.create();
     private final ByteBudget mAnswerBudget =
-    private final int mMaxOpenRequests;
             ByteBudget.of((long) (ANSWER_HEAP_FRACTION * Runtime.getRuntime().maxMemory()));
     private final RequestMemory mRequestMemory;
+    private final int mMaxOpenRequests;
     private final GatewayContext mContext;
     private final GatewayHandler mHandler;
     private final HttpPort mCallerPort;
-    private long mLoggedEvictions;
+    private final MemoryReport mMemoryReport;
     private volatile boolean mDraining;
 
-        mMaxOpenRequests = settings.descriptors(DescriptorShare.GATEWAY_REQUESTS);
     private GatewayInstance(Settings settings, Path file, ProtocolAdapter protocol) {
         mSettings = settings;
+        mMaxOpenRequests = settings.descriptors(DescriptorShare.GATEWAY_REQUESTS);
         SecureRandom random = new SecureRandom();
         mRequestMemory = settings.requestMemory();
+        mMemoryReport = MemoryReport.of(mRequestMemory);
         mLog = DecisionLog.open(settings.instanceId().value());
         mCloser.register(mLog::close);
         mLoop = EventLoop.open("gateway", this::logFault);
@@ -128,7 +127,7 @@
         mCloser.register(pages::close);
         registerMetrics(quarantine, queues);
         mLoop.scheduleWithFixedDelay(EXPIRY_PERIOD_MILLIS, mViewUpdater::expireServers);
-        mLoop.scheduleWithFixedDelay(EVICTION_LOG_PERIOD_MILLIS, this::logEvictions);
+        mLoop.scheduleWithFixedDelay(MemoryReport.PERIOD_MILLIS, () -> mMemoryReport.writeTo(mLog));
         mLoop.scheduleWithFixedDelay(SUSPENSION_LOG_PERIOD_MILLIS, this::logZoneSuspensions);
         mLoop.execute(() -> mViewUpdater.setSeeds(settings.controllerPeerAddresses()));
         SettingsReloader.start(
@@ -150,6 +149,7 @@
                 this::handleOrRefuse,
                 null);
     }
+
     /** Refuses a request at once if there is no descriptor left for its connection to a server. */
     private void handleOrRefuse(HttpCall call, Responder responder) {
         if (mOpenRequests.get() >= mMaxOpenRequests) {
@@ -159,7 +159,6 @@
         mHandler.handle(call, CountingResponder.of(responder, mOpenRequests));
     }
 
-
     private GatewayContext createContext(
             ProtocolAdapter protocol,
             RetryPermits retries,
@@ -248,18 +247,6 @@
         return !mDraining && mViewUpdater.view().table() != null && !mState.isEmpty();
     }
 
-    private void logEvictions() {
-        long evictions = mRequestMemory.evictions();
-        if (evictions > mLoggedEvictions) {
-            mLog.instanceEvent("connections_evicted")
-                    .put("connections", evictions - mLoggedEvictions)
-                    .put("head_bytes", mRequestMemory.heldBytes(RequestMemory.Kind.HEAD))
-                    .put("body_bytes", mRequestMemory.heldBytes(RequestMemory.Kind.BODY))
-                    .write();
-            mLoggedEvictions = evictions;
-        }
-    }
-
     private void logZoneSuspensions() {
         for (ZoneSuspension each : mState.takeZoneSuspensions()) {
             mLog.instanceEvent(each.begun() ? "zone_suspended" : "zone_suspension_ended")
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
@@ -77,11 +77,24 @@
             "B",
             "Memory held for heads and trailers of requests"),
     BODY_BYTES("request_body_bytes", MetricType.GAUGE, "B", "Memory held for bodies of requests"),
+    CONNECTION_BYTES(
+            "connection_bytes", MetricType.GAUGE, "B", "Memory held for connections to HTTP ports"),
+    RESPONSE_BYTES(
+            "response_bytes",
+            MetricType.GAUGE,
+            "B",
+            "Memory held for documents that operators and others have not taken yet"),
+    PARSE_BYTES("parse_bytes", MetricType.GAUGE, "B", "Memory reserved for what is being parsed"),
+    PARSE_REFUSALS(
+            "parse_refusals_total",
+            MetricType.COUNTER,
+            "messages",
+            "Bodies and messages refused because their values need too much memory"),
     EVICTIONS(
             "connections_evicted_total",
             MetricType.COUNTER,
             "connections",
-            "Incomplete requests given up because memory was short"),
+            "Incomplete requests and idle connections given up for others"),
     REQUESTS_QUEUED(
             "requests_queued_total",
             MetricType.COUNTER,
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/Metrics.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/Metrics.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
+import org.hemlockrack.limits.ParseMemory;
 import org.hemlockrack.limits.RequestMemory;
 
 /**
@@ -87,6 +88,13 @@
     public void registerRequestMemory(RequestMemory memory) {
         registerValue(MetricName.HEAD_BYTES, () -> memory.heldBytes(RequestMemory.Kind.HEAD));
         registerValue(MetricName.BODY_BYTES, () -> memory.heldBytes(RequestMemory.Kind.BODY));
+        registerValue(
+                MetricName.CONNECTION_BYTES, () -> memory.heldBytes(RequestMemory.Kind.CONNECTION));
+        registerValue(
+                MetricName.RESPONSE_BYTES,
+                () -> memory.responses().heldBytes(RequestMemory.Kind.RESPONSE));
+        registerValue(MetricName.PARSE_BYTES, ParseMemory.ofProcess()::reservedBytes);
+        registerValue(MetricName.PARSE_REFUSALS, ParseMemory.ofProcess()::refusals);
         registerValue(MetricName.EVICTIONS, memory::evictions);
     }
 
