--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/controller/ControllerInstance.java
@@ -180,7 +180,12 @@
                 file,
                 changed -> setConfiguredControllers(changed.controllerPeerAddresses()),
                 mLog);
-        mLog.instanceEvent("started").put("zone", settings.zone().value()).write();
+        mLog.instanceEvent("started")
+                .put("zone", settings.zone().value())
+                .put("heap_bytes", Runtime.getRuntime().maxMemory())
+                .put("max_connections", controlLimits().maxConnections())
+                .put("max_peers", settings.descriptors(DescriptorShare.CONTROLLER_PEERS))
+                .write();
     }
 
     /**
@@ -403,6 +408,11 @@
         mCloser.register(peers::close);
     }
 
+    private HttpLimits controlLimits() {
+        return HttpLimits.internal()
+                .withinDescriptors(mSettings.descriptors(DescriptorShare.CONTROL));
+    }
+
     private HttpPort openPort(CallHandler handler) {
         Metrics metrics = mMetrics;
         metrics.registerValue(MetricName.LEADER, () -> mReplica.role() == Role.LEADER ? 1 : 0);
@@ -421,8 +431,7 @@
         return HttpPort.open(
                 "control",
                 mSettings.address(SettingKey.LISTEN_OPERATORS),
-                HttpLimits.internal()
-                        .withinDescriptors(mSettings.descriptors(DescriptorShare.CONTROL)),
+                controlLimits(),
                 memory,
                 (call, responder) -> {
                     if (endpoints.handles(call.path())) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -135,16 +135,29 @@
                 file,
                 changed -> mViewUpdater.setSeeds(changed.controllerPeerAddresses()),
                 mLog);
-        mLog.instanceEvent("started").put("zone", settings.zone().value()).write();
+        logStart();
+    }
+
+    private void logStart() {
+        mLog.instanceEvent("started")
+                .put("zone", mSettings.zone().value())
+                .put("heap_bytes", Runtime.getRuntime().maxMemory())
+                .put("max_connections", callerLimits().maxConnections())
+                .put("max_open_requests", mMaxOpenRequests)
+                .write();
+    }
+
+    private HttpLimits callerLimits() {
+        return mSettings
+                .callerLimits()
+                .withinDescriptors(mSettings.descriptors(DescriptorShare.GATEWAY_CALLERS));
     }
 
     private HttpPort openCallerPort() {
         return HttpPort.open(
                 "callers",
                 mSettings.address(SettingKey.LISTEN_CALLERS),
-                mSettings
-                        .callerLimits()
-                        .withinDescriptors(mSettings.descriptors(DescriptorShare.GATEWAY_CALLERS)),
+                callerLimits(),
                 mRequestMemory,
                 this::handleOrRefuse,
                 null);
