Count the connections that are ending when a port is full

Each new connection above the limit evicted as many as were open above it, also while those that had been evicted before were still ending, so that a burst could close all idle connections of a full port.

HttpPortMemoryTest.longestIdleConnectionEndsForANewOne: of two idle connections at a limit of two, the longest idle one ends for a third, and the other is served.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ConnectionLimiter.java
@@ -28,6 +28,10 @@
     private final RequestMemory mMemory;
     private final AtomicInteger mOpenSessions = new AtomicInteger();
     private final Set<ClientConnection> mConnections = ConcurrentHashMap.newKeySet();
+
+    /** Connections that were evicted and have not ended. */
+    private final Set<ClientConnection> mEndingConnections = ConcurrentHashMap.newKeySet();
+
     private final AtomicInteger mOpenConnections = new AtomicInteger();
     private final ScheduledExecutorService mTimer;
     private volatile boolean mClosesAfterResponse;
@@ -140,9 +144,13 @@
 
     /**
      * Evicts connections without progress until the others are within the limit, the longest
-     * stalled first; returns whether any was evicted.
+     * stalled first; returns whether enough connections are ending.
      */
     private boolean evictStalled(long nowNanos) {
+        int left = mOpenSessions.get() - mEndingConnections.size() - mLimits.maxConnections();
+        if (left <= 0) {
+            return true;
+        }
         record Stalled(ClientConnection connection, long sinceNanos) {}
         List<Stalled> all = new ArrayList<>();
         for (ClientConnection connection : mConnections) {
@@ -152,18 +160,16 @@
             }
         }
         all.sort(Comparator.comparingLong(each -> each.sinceNanos - nowNanos));
-        int left = 1 + Math.max(0, mOpenSessions.get() - mLimits.maxConnections());
-        boolean evicted = false;
         for (Stalled each : all) {
             if (left == 0) {
                 break;
             }
             if (mMemory.evict(each.connection.account())) {
-                evicted = true;
+                mEndingConnections.add(each.connection);
                 left--;
             }
         }
-        return evicted;
+        return left == 0;
     }
 
     /** Adds a connection that cannot be used yet. */
@@ -181,6 +187,7 @@
 
     void connectionClosed(ClientConnection connection) {
         connection.disconnected();
+        mEndingConnections.remove(connection);
         if (mConnections.remove(connection) && connection.wasConnected()) {
             mOpenConnections.decrementAndGet();
         }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortMemoryTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortMemoryTest.java
@@ -60,6 +60,35 @@
         client.readUntil("HTTP/1.1 200");
     }
 
+    /** Guards against idle connections that keep new ones out, and against ending more than one. */
+    @Test
+    void longestIdleConnectionEndsForANewOne() throws Exception {
+        mPort.close();
+        HttpLimits limits = new HttpLimits(1 << 10, 100, 1 << 10, 2, 9_000, 9_000, 9_000, 9_000, 1);
+        InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+        mPort =
+                HttpPort.open(
+                        "test",
+                        any,
+                        limits,
+                        mMemory,
+                        (call, responder) -> mResponders.add(responder),
+                        null);
+        String request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        try (RawClient first = RawClient.connect(mPort).write(request)) {
+            answer(first);
+            try (RawClient second = RawClient.connect(mPort).write(request)) {
+                answer(second);
+                Thread.sleep(2 * STALL_MILLIS);
+                try (RawClient third = RawClient.connect(mPort).write(request)) {
+                    answer(third);
+                    first.readAll();
+                    answer(second.write(request));
+                }
+            }
+        }
+    }
+
     /** Guards against a refusal of a request that runs, and against memory that is not returned. */
     @Test
     void requestWithoutRoomIsRefusedAsNotRun() throws Exception {
