Let a port stop although the release of its socket was cancelled

A planned stop of a port could end with a CancellationException: the listener that is opened to release the socket of the first one is cancelled if the reactor of the port ends before. Open requests would then have been cut.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
@@ -2,6 +2,7 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -164,8 +165,8 @@
                     .close(CloseMode.IMMEDIATE);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } catch (ExecutionException | TimeoutException e) {
-            // The socket is released by the reactor's next regular pass.
+        } catch (CancellationException | ExecutionException | TimeoutException e) {
+            // The socket is released by the reactor's next regular pass, or has been by its end.
         }
     }
 
