--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/FrameGuard.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/peer/FrameGuard.java
@@ -85,13 +85,13 @@
         if (accepted == null) {
             return null;
         }
-        if (mSockets.size() >= mMaxConnections) {
-            endLongestSilent();
-        }
         if (mOpen.get() >= (long) mMaxConnections + MAX_ENDING) {
             accepted.close();
             return null;
         }
+        if (mSockets.size() >= mMaxConnections) {
+            endLongestSilent();
+        }
         try {
             GuardedSocket socket = new GuardedSocket(accepted.getSocketChannel());
             mOpen.incrementAndGet();
