Log what the load of a chosen server was compared with

Callers of one deployment met servers that held more than they had room for, and no line or metric told why: a choice was logged with the load that it assumed, but not with the mean, the bound, or the age and controller of the sum that the load came from. So a bound that is too weak, an old sum, and the sum of a controller that has just started look the same.

Lines about answers now have own, mean, bound, sum_age_ms and sum_source. A line load_bound_exceeded is written when a server reports more requests than its bound was at the choice, at most ten a second. The gauge load_error_requests is the mean difference between the estimated load of a server and its own report, also for services whose capacity is not learned.

The cost is one more pass over the servers of the service for a choice; its processor time was not measured by itself.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LoadBound.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LoadBound.java
@@ -35,7 +35,7 @@
      */
     static List<ServerSlot> below(
             List<ServerSlot> all, List<ServerSlot> usable, ChoiceObserver observer) {
-        List<ServerSlot> open = below(FACTOR * meanLoad(all) + SLACK, usable);
+        List<ServerSlot> open = below(requests(meanLoad(all)), usable);
         if (open.isEmpty()) {
             open = below(SCARCE_FACTOR * meanLoad(usable) + SCARCE_SLACK, usable);
         }
@@ -43,6 +43,15 @@
         return open;
     }
 
+    /**
+     * Returns the bound that applies as long as a usable server is below it.
+     *
+     * @param meanRequests mean load of all servers of the service
+     */
+    static double requests(double meanRequests) {
+        return FACTOR * meanRequests + SLACK;
+    }
+
     private static List<ServerSlot> below(double bound, List<ServerSlot> slots) {
         List<ServerSlot> open = new ArrayList<>();
         for (ServerSlot slot : slots) {
@@ -53,7 +62,8 @@
         return open;
     }
 
-    private static double meanLoad(List<ServerSlot> slots) {
+    /** Returns the mean load of servers. */
+    static double meanLoad(List<ServerSlot> slots) {
         int total = 0;
         for (ServerSlot slot : slots) {
             total += slot.load();
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerChoice.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerChoice.java
@@ -11,6 +11,7 @@
  * @param load estimated number of requests that all gateways have in progress at the server
  * @param candidates number of servers that were eligible
  * @param cost terms by which the server was preferred to others; zero if none were compared
+ * @param basis what the load rested on
  * @param waitNanos time until the first server accepts requests again, 0 if that is not known
  */
 public record ServerChoice(
@@ -19,6 +20,7 @@
         int load,
         int candidates,
         ServerCost cost,
+        LoadBasis basis,
         long waitNanos) {
     /** Why a server was chosen, or why none was. */
     public enum Reason {
@@ -41,14 +43,20 @@
     }
 
     static ServerChoice of(ServerSlot slot, Reason reason, int candidates, ServerCost cost) {
-        return new ServerChoice(slot.registration(), reason, slot.load(), candidates, cost, 0);
+        return new ServerChoice(
+                slot.registration(), reason, slot.load(), candidates, cost, LoadBasis.NONE, 0);
+    }
+
+    ServerChoice withBasis(LoadBasis newBasis) {
+        return new ServerChoice(server, reason, load, candidates, cost, newBasis, waitNanos);
     }
 
     static ServerChoice none(Reason reason) {
-        return new ServerChoice(null, reason, 0, 0, ServerCost.NONE, 0);
+        return new ServerChoice(null, reason, 0, 0, ServerCost.NONE, LoadBasis.NONE, 0);
     }
 
     static ServerChoice allResting(long waitNanos) {
-        return new ServerChoice(null, Reason.ALL_RESTING, 0, 0, ServerCost.NONE, waitNanos);
+        return new ServerChoice(
+                null, Reason.ALL_RESTING, 0, 0, ServerCost.NONE, LoadBasis.NONE, waitNanos);
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerLoad.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerLoad.java
@@ -1,6 +1,7 @@
 package org.hemlockrack.dispatch;
 
 import java.util.concurrent.TimeUnit;
+import org.hemlockrack.model.BackendId;
 
 /**
  * Requests in progress at one server, all gateways together: those of this gateway, which it knows
@@ -18,6 +19,8 @@
     private int mOwnRequestsAtReport;
     private boolean mHasServerReport;
     private long mServerReportNanos;
+    private String mSumSource = LoadBasis.NOTHING;
+    private long mSumNanos;
 
     void recordDispatch() {
         mOwnRequests++;
@@ -32,20 +35,24 @@
      * newer.
      *
      * @param nowNanos monotonic time
-     * @param fleetRequests requests in progress of all gateways
-     * @param ownRequestsAtReport the part of this gateway in that load
+     * @param server the server
+     * @param sum the sum of the loads
      */
-    void recordFleet(long nowNanos, int fleetRequests, int ownRequestsAtReport) {
+    void recordFleet(long nowNanos, BackendId server, LoadSum sum) {
         if (mHasServerReport && nowNanos - mServerReportNanos < SERVER_REPORT_NANOS) {
             return;
         }
-        adopt(fleetRequests, ownRequestsAtReport);
+        mSumSource = sum.source();
+        mSumNanos = sum.requestNanos();
+        adopt(sum.fleetRequests(server), sum.ownRequests(server));
     }
 
     /** Adopts the number of requests that the server itself counts at this moment. */
     void recordServerReport(long nowNanos, int requests) {
         mHasServerReport = true;
         mServerReportNanos = nowNanos;
+        mSumSource = LoadBasis.SERVER;
+        mSumNanos = nowNanos;
         adopt(requests, mOwnRequests);
     }
 
@@ -59,6 +66,23 @@
         return mOwnRequests;
     }
 
+    /**
+     * Returns what the estimate rests on.
+     *
+     * @param nowNanos monotonic time
+     * @param meanRequests mean load of all servers of the service
+     * @param boundRequests the load bound
+     */
+    LoadBasis basis(long nowNanos, double meanRequests, double boundRequests) {
+        boolean hasSum = !mSumSource.equals(LoadBasis.NOTHING);
+        return new LoadBasis(
+                mOwnRequests,
+                meanRequests,
+                boundRequests,
+                hasSum ? nowNanos - mSumNanos : 0,
+                mSumSource);
+    }
+
     /** Returns the estimated requests of all gateways. */
     int requests() {
         return Math.max(mOwnRequests, mFleetRequests - mOwnRequestsAtReport + mOwnRequests);
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerPool.java
@@ -49,6 +49,7 @@
     private final Set<ServiceId> mSpeedReported = new HashSet<>();
     private final Map<BackendId, ServerSlot> mSlots = new HashMap<>();
     private final ZoneReachability mZones = ZoneReachability.create();
+    private final LoadAccuracy mLoadAccuracy = LoadAccuracy.create();
     private final PrefixAffinity mAffinity = new PrefixAffinity();
     private Map<ServiceId, List<ServerSlot>> mByService = new HashMap<>();
     private RoutingOverrides mOverrides = RoutingOverrides.NONE;
@@ -173,22 +174,19 @@
      * own load a moment ago, that is kept.
      *
      * @param nowNanos monotonic time
-     * @param fleet requests in progress at each server, all gateways together
-     * @param ownAtReport the part of this gateway in that load
-     * @param gateways number of gateways
+     * @param sum the sum of the loads
      */
-    public void updateFleetLoad(
-            long nowNanos,
-            Map<BackendId, Integer> fleet,
-            Map<BackendId, Integer> ownAtReport,
-            int gateways) {
-        mGatewayCount = Math.max(1, gateways);
-        mSlots.forEach(
-                (id, slot) ->
-                        slot.mLoad.recordFleet(
-                                nowNanos,
-                                fleet.getOrDefault(id, 0),
-                                ownAtReport.getOrDefault(id, 0)));
+    public void updateFleetLoad(long nowNanos, LoadSum sum) {
+        mGatewayCount = Math.max(1, sum.gateways());
+        mSlots.forEach((id, slot) -> slot.mLoad.recordFleet(nowNanos, id, sum));
+    }
+
+    /**
+     * Returns the moving average of the difference between the estimated load of a server and what
+     * it reports itself.
+     */
+    public double loadErrorRequests() {
+        return mLoadAccuracy.meanErrorRequests();
     }
 
     /** Returns the number of gateways that share the limits of a server. */
@@ -253,8 +251,8 @@
         ServerDecision.Result result =
                 mDecision.decide(stateOf(nowNanos, criteria), criteria, ChoiceObserver.NONE);
         ServiceSpec spec = mSpecs.get(criteria.service());
-        for (ServerSlot slot : result.paced()) {
-            slot.mColdPacing.advance(
+        for (ServerSlot each : result.paced()) {
+            each.mColdPacing.advance(
                     nowNanos, UsableServers.coldRequestsPerSecond(spec, mGatewayCount));
         }
         ServerChoice choice = result.choice();
@@ -262,11 +260,15 @@
             return choice;
         }
         BackendId chosen = choice.server().id();
-        mSlots.get(chosen).recordDispatch(nowNanos);
+        ServerSlot slot = mSlots.get(chosen);
+        double meanRequests = LoadBound.meanLoad(mByService.get(criteria.service()));
+        LoadBasis basis =
+                slot.mLoad.basis(nowNanos, meanRequests, LoadBound.requests(meanRequests));
+        slot.recordDispatch(nowNanos);
         if (criteria.affinityKey() != 0) {
             mAffinity.recordLocalUse(nowNanos, criteria.affinityKey(), chosen);
         }
-        return choice;
+        return choice.withBasis(basis);
     }
 
     /**
@@ -357,6 +359,9 @@
             mSpeedReported.add(server.service());
         }
         ServerSlot slot = findSlot(server);
+        if (slot != null && load.hasRequests()) {
+            mLoadAccuracy.recordReport(slot.load(), load.requests());
+        }
         if (slot == null || !isManaged(server.service())) {
             return;
         }
--- a/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/ChoiceExplanationProperties.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/ChoiceExplanationProperties.java
@@ -162,7 +162,9 @@
             long key = 1 + mRandom.nextInt(3);
             both(
                     pool -> {
-                        pool.updateFleetLoad(mNowNanos, Map.of(id, load), Map.of(), gateways);
+                        pool.updateFleetLoad(
+                                mNowNanos,
+                                new LoadSum("c", mNowNanos, Map.of(id, load), Map.of(), gateways));
                         pool.recordRemoteUses(
                                 mNowNanos, List.of(new PrefixUseData(key, id.value())));
                     });
@@ -253,7 +255,7 @@
         pool.update(0, servers, overrides, RouteTable.of(1, List.of(), List.of(spec), null));
         pool.recordOutcome(0, BackendId.of("i-3"), AttemptOutcome.BROKEN);
         pool.recordRest(0, servers.get(4).registration(), TimeUnit.SECONDS.toNanos(1));
-        pool.updateFleetLoad(0, Map.of(BackendId.of("i-5"), 1), Map.of(), 1);
+        pool.updateFleetLoad(0, new LoadSum("c", 0, Map.of(BackendId.of("i-5"), 1), Map.of(), 1));
         for (int i = 10; i < 13; i++) {
             // Suspended servers of a zone are named by their own failure; the fourth by its zone.
             pool.recordOutcome(0, BackendId.of("i-" + i), AttemptOutcome.UNREACHABLE);
--- a/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/FleetCapacityTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/FleetCapacityTest.java
@@ -139,7 +139,7 @@
     private void exchange(long now, ServerPool pool, boolean shares) {
         Map<BackendId, Integer> fleet = new HashMap<>();
         mRequests.forEach((id, requests) -> fleet.put(id, requests.size()));
-        pool.updateFleetLoad(now, fleet, pool.ownLoad(), mPools.size());
+        pool.updateFleetLoad(now, new LoadSum("c", now, fleet, pool.ownLoad(), mPools.size()));
         if (!shares) {
             return;
         }
@@ -251,7 +251,7 @@
         ServerPool pool = poolWithCostlyPrefix();
         Map<BackendId, Integer> loads = new HashMap<>();
         mServers.forEach(server -> loads.put(server.registration().id(), SLOTS / 4));
-        pool.updateFleetLoad(0, loads, Map.of(), 1);
+        pool.updateFleetLoad(0, new LoadSum("c", 0, loads, Map.of(), 1));
         Set<BackendId> chosen = new HashSet<>();
         int load = SLOTS / 4;
         while (chosen.size() < 2) {
--- a/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/ServerPoolTest.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/dispatch/ServerPoolTest.java
@@ -151,7 +151,7 @@
     void coldServerReceivesGatewayShareOfLimit() {
         addServer(1, "a", "v1", 10 * SECOND);
         update(RoutingOverrides.NONE);
-        mPool.updateFleetLoad(0, Map.of(), Map.of(), 8);
+        mPool.updateFleetLoad(0, new LoadSum("c", 0, Map.of(), Map.of(), 8));
         int granted = 0;
         for (long now = 0; now < 4 * SECOND; now += SECOND / 100) {
             BackendId id = choose(now, 0);
@@ -176,7 +176,7 @@
         for (int i = 0; i < gateways; i++) {
             ServerPool pool = ServerPool.create(HOME, new SplittableRandom(i));
             pool.update(0, mServers, RoutingOverrides.NONE, table);
-            pool.updateFleetLoad(0, Map.of(), Map.of(), gateways);
+            pool.updateFleetLoad(0, new LoadSum("c", 0, Map.of(), Map.of(), gateways));
             pools.add(pool);
         }
         int most = 0;
@@ -220,7 +220,7 @@
         for (int i = 1; i <= 6; i++) {
             load.put(BackendId.of("i-" + i), i % 2 == 0 ? 20 : 0);
         }
-        mPool.updateFleetLoad(0, load, Map.of(), 1);
+        mPool.updateFleetLoad(0, new LoadSum("c", 0, load, Map.of(), 1));
         Set<BackendId> chosen = new HashSet<>();
         for (int i = 0; i < 40; i++) {
             BackendId id = choose(0, 77);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ExchangeLog.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ExchangeLog.java
@@ -4,8 +4,11 @@
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import org.hemlockrack.capacity.ReportedLoad;
 import org.hemlockrack.daemon.log.DecisionLog;
 import org.hemlockrack.dispatch.AttemptOutcome;
+import org.hemlockrack.dispatch.LoadBasis;
+import org.hemlockrack.dispatch.ServerChoice;
 import org.hemlockrack.dispatch.ServerCost;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.routing.Route;
@@ -24,6 +27,8 @@
     /** Logged if a workspace has no bounded share because nobody waits. */
     private static final double MAX_LOGGED_SHARE = 999_999;
 
+    private static final String LOAD_BOUND_EXCEEDED = "load_bound_exceeded";
+
     private final DecisionLog mLog;
     private final OpenExchanges mOpenExchanges;
     private final String mAttemptId;
@@ -87,6 +92,7 @@
                 .put("attempts", attempts)
                 .put("first_byte_ms", attempt.firstByteMillis())
                 .put("elapsed_ms", elapsedMillis);
+        putBasis(line, attempt.choice().basis());
         ServerCost cost = attempt.choice().cost();
         // No cost was compared if all terms are zero.
         if (cost.total() != 0) {
@@ -95,6 +101,39 @@
         line.write();
     }
 
+    /** Writes a line if a server reports more requests than its load bound was at its choice. */
+    void loadReported(ForwardAttempt attempt, ReportedLoad load) {
+        ServerChoice choice = attempt.choice();
+        if (!load.hasRequests()
+                || load.requests() <= choice.basis().boundRequests()
+                || !mLog.isDue(LOAD_BOUND_EXCEEDED)) {
+            return;
+        }
+        DecisionLog.Line line =
+                mLog.requestEvent(LOAD_BOUND_EXCEEDED, mAttemptId)
+                        .put("route", mRoute.name())
+                        .put("server", attempt.server().id().value())
+                        .put("why", choice.reason().name())
+                        .put("load", choice.load())
+                        .put("running", load.running())
+                        .put("waiting", load.waiting())
+                        .put("elapsed_ms", elapsedMillis());
+        putBasis(line, choice.basis());
+        line.write();
+    }
+
+    private static void putBasis(DecisionLog.Line line, LoadBasis basis) {
+        line.put("own", basis.ownRequests())
+                .put("mean", oneDecimal(basis.meanRequests()))
+                .put("bound", oneDecimal(basis.boundRequests()))
+                .put("sum_age_ms", TimeUnit.NANOSECONDS.toMillis(basis.sumAgeNanos()))
+                .put("sum_source", basis.sumSource());
+    }
+
+    private static String oneDecimal(double value) {
+        return String.format(Locale.ROOT, "%.1f", value);
+    }
+
     /** Adds the terms that decide a choice, except the random one. */
     static void putCost(BiConsumer<String, Long> fields, ServerCost cost) {
         fields.accept("cost_load_pct", percent(cost.load()));
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -250,6 +250,7 @@
         }
         if (!metadata.misdirected()) {
             mExchange.context().recordStatement(mServer, metadata);
+            mExchange.log().loadReported(this, metadata.load());
         }
         if (metadata.attemptId() == null && mExchange.route().allowsRerun()) {
             // On a kept connection it may answer an earlier request.
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayExchange.java
@@ -108,6 +108,10 @@
         return mRoute;
     }
 
+    ExchangeLog log() {
+        return mLog;
+    }
+
     HttpCall call() {
         return mCall;
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayHandler.java
@@ -1,7 +1,6 @@
 package org.hemlockrack.daemon.gateway;
 
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import org.hemlockrack.daemon.http.CallHandler;
 import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.Responder;
@@ -20,12 +19,8 @@
     private static final long USUAL_ELECTION_MILLIS = 500;
 
     private static final double MILLIS_PER_SECOND = 1_000;
+    private static final String ROUTED_UNCONFIRMED = "routed_unconfirmed";
 
-    /** Shortest time between two lines about requests that are routed by an unconfirmed view. */
-    private static final long UNCONFIRMED_LINE_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-
-    private final AtomicLong mLastUnconfirmedLineNanos =
-            new AtomicLong(System.nanoTime() - UNCONFIRMED_LINE_PERIOD_NANOS);
     private final long mStartNanos = System.nanoTime();
     private final GatewayContext mContext;
     private final GatewayViewUpdater mViewUpdater;
@@ -135,14 +130,11 @@
     }
 
     private void logUnconfirmedTable(RequestMetadata metadata, RouteTable table, Route route) {
-        long nowNanos = System.nanoTime();
-        long lastNanos = mLastUnconfirmedLineNanos.get();
-        boolean isDue = nowNanos - lastNanos >= UNCONFIRMED_LINE_PERIOD_NANOS;
-        if (!isDue || !mLastUnconfirmedLineNanos.compareAndSet(lastNanos, nowNanos)) {
+        if (!mContext.log().isDue(ROUTED_UNCONFIRMED)) {
             return;
         }
         mContext.log()
-                .requestEvent("routed_unconfirmed", metadata.attemptId())
+                .requestEvent(ROUTED_UNCONFIRMED, metadata.attemptId())
                 .put("route", route.name())
                 .put("table", table.version())
                 .put("newest_table", mViewUpdater.newestReportedVersion())
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayInstance.java
@@ -206,6 +206,7 @@
         mMetrics.registerValue(MetricName.SERVERS_SUSPENDED, mState::suspendedServers);
         mMetrics.registerValue(MetricName.ZONES_SUSPENDED, mState::suspendedZones);
         mMetrics.registerValue(MetricName.SERVERS_LIMITED, mState::limitedServers);
+        mMetrics.registerValue(MetricName.LOAD_ERROR, mState::loadErrorRequests);
         mMetrics.registerValue(MetricName.PARTS_HELD, quarantine::heldParts);
         mMetrics.registerValue(MetricName.LOG_LINES_DROPPED, mLog::droppedCount);
         mMetrics.registerValue(MetricName.LOG_UNSAMPLED, mLog::unsampledCount);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayState.java
@@ -10,6 +10,7 @@
 import org.hemlockrack.dispatch.ChoiceExplanation;
 import org.hemlockrack.dispatch.DelayKind;
 import org.hemlockrack.dispatch.DurationEstimate;
+import org.hemlockrack.dispatch.LoadSum;
 import org.hemlockrack.dispatch.SelectionCriteria;
 import org.hemlockrack.dispatch.ServerChoice;
 import org.hemlockrack.dispatch.ServerPool;
@@ -23,7 +24,6 @@
 import org.hemlockrack.routing.Route;
 import org.hemlockrack.routing.RouteTable;
 import org.hemlockrack.wire.CapacityData;
-import org.hemlockrack.wire.LoadData;
 import org.hemlockrack.wire.PrefixUseData;
 import org.hemlockrack.wire.ServerData;
 import org.hemlockrack.wire.VersionCountsData;
@@ -190,13 +190,13 @@
         mPool.update(nowNanos, mRegistry.servers(), mOverrides, mTable);
     }
 
-    synchronized void updateFleetLoad(
-            List<LoadData> fleet, Map<BackendId, Integer> ownLoadAtRequest, int gateways) {
-        Map<BackendId, Integer> loads = new HashMap<>();
-        for (LoadData each : fleet) {
-            loads.put(BackendId.of(each.getServer()), each.getRequests());
-        }
-        mPool.updateFleetLoad(System.nanoTime(), loads, ownLoadAtRequest, gateways);
+    synchronized void updateFleetLoad(long nowNanos, LoadSum sum) {
+        mPool.updateFleetLoad(nowNanos, sum);
+    }
+
+    /** Returns how far the estimated load of servers is from what they report, in requests. */
+    synchronized double loadErrorRequests() {
+        return mPool.loadErrorRequests();
     }
 
     /** Records how long a server took for something. */
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -14,6 +14,7 @@
 import org.hemlockrack.daemon.loop.EventLoop;
 import org.hemlockrack.daemon.sync.ControllerLink;
 import org.hemlockrack.daemon.sync.ControllerLinks;
+import org.hemlockrack.dispatch.LoadSum;
 import org.hemlockrack.errors.HemlockrackException;
 import org.hemlockrack.model.BackendId;
 import org.hemlockrack.paging.PagedLog;
@@ -21,6 +22,7 @@
 import org.hemlockrack.routing.RouteTable;
 import org.hemlockrack.wire.CapacityData;
 import org.hemlockrack.wire.CrashEvidenceData;
+import org.hemlockrack.wire.LoadData;
 import org.hemlockrack.wire.LoggedTableData;
 import org.hemlockrack.wire.PrefixUseData;
 import org.hemlockrack.wire.SyncReply;
@@ -280,7 +282,7 @@
         if (reply.isSetQuarantine()) {
             mQuarantine.adopt(nowNanos, address, reply.getQuarantine());
         }
-        mState.updateFleetLoad(reply.getFleetInFlight(), ownLoadAtRequest, reply.getGateways());
+        mState.updateFleetLoad(nowNanos, loadSum(address, reply, ownLoadAtRequest, requestNanos));
         if (hasTable(reply)) {
             mUnconfirmedReplies.add(address);
         }
@@ -298,6 +300,18 @@
         updateStanding(nowNanos, address, reply.getGateways());
     }
 
+    private static LoadSum loadSum(
+            String address,
+            SyncReply reply,
+            Map<BackendId, Integer> ownLoadAtRequest,
+            long requestNanos) {
+        Map<BackendId, Integer> loads = new HashMap<>();
+        for (LoadData each : reply.getFleetInFlight()) {
+            loads.put(BackendId.of(each.getServer()), each.getRequests());
+        }
+        return new LoadSum(address, requestNanos, loads, ownLoadAtRequest, reply.getGateways());
+    }
+
     private static boolean hasTable(SyncReply reply) {
         return reply.isSetTableDocument()
                 || (reply.isSetLoggedTables()
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/log/DecisionLog.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/log/DecisionLog.java
@@ -8,8 +8,10 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
@@ -27,6 +29,9 @@
     /** One in this many ordinary requests is logged, see {@link #shouldSample()}. */
     private static final long SAMPLE_INTERVAL = 16;
 
+    /** Shortest time between two lines about the same event, see {@link #isDue}. */
+    private static final long MIN_LINE_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
     /** Ids and causes can come from a request, whose fields can be large. */
     private static final int MAX_VALUE_CHARS = 1_000;
 
@@ -44,6 +49,7 @@
     private final LongAdder mDropped = new LongAdder();
     private final LongAdder mUnsampled = new LongAdder();
     private final AtomicLong mSampleCandidates = new AtomicLong();
+    private final Map<String, Long> mLastLineNanos = new ConcurrentHashMap<>();
     private final Thread mWriter;
     private volatile boolean mClosed;
 
@@ -142,6 +148,22 @@
         return false;
     }
 
+    /**
+     * Returns whether a line about an event is due that may occur for each request: at most ten a
+     * second are. A line that is due counts as written.
+     *
+     * @param event name of the event
+     */
+    public boolean isDue(String event) {
+        long nowNanos = System.nanoTime();
+        Long lastNanos = mLastLineNanos.get(event);
+        if (lastNanos == null) {
+            return mLastLineNanos.putIfAbsent(event, nowNanos) == null;
+        }
+        return nowNanos - lastNanos >= MIN_LINE_PERIOD_NANOS
+                && mLastLineNanos.replace(event, lastNanos, nowNanos);
+    }
+
     /** Returns the number of lines that were dropped because the buffer was full. */
     public long droppedCount() {
         return mDropped.sum();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/metrics/MetricName.java
@@ -35,6 +35,11 @@
             MetricType.GAUGE,
             "servers",
             "Backend servers whose learned concurrency limit is below their slots"),
+    LOAD_ERROR(
+            "load_error_requests",
+            MetricType.GAUGE,
+            "requests",
+            "Mean difference between the estimated load of a backend server and what it reports"),
     VIEW_AGE(
             "view_age_seconds",
             MetricType.GAUGE,
