Share a prompt that has outgrown its server by the room of its holders

A prompt with much of the traffic filled one server after another far beyond what it had room for. All gateways rank the holders of a prompt in the same order and stop at the same bound, and learn up to 0.8 s late that a server has reached it: until then all send to the same server, then all leave it for the next one.

A prompt with one holder below the bound stays there, so that ordinary prompts are read once. One with several holders is drawn by their room below the bound, and another server joins them while all are above a part of the bound that is drawn for each request, 0.8 to 1. It is drawn as well, among two and a quarter of the servers below the bound, in the order of their ranking: their number grows with the fleet, as the requests do that are sent there before the first report of them. The directory holds 16 servers for a prompt instead of 4; 20,000 prompts with more than 4 are not to be expected.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastDelay.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastDelay.java
@@ -80,7 +80,8 @@
             ServiceDelays delays,
             ChoiceObserver observer) {
         boolean hasPrefix = criteria.affinityKey() != 0;
-        List<ServerSlot> open = LoadBound.below(all, usable, observer);
+        List<ServerSlot> open = LoadBound.of(all, usable).belowPart(usable, 1);
+        observer.onRemaining(usable, open, ServerExclusion.ABOVE_LOAD_BOUND);
         List<ServerSlot> ranked = hasPrefix ? ranked(open, criteria.affinityKey()) : List.of();
         List<ServerSlot> compared = hasPrefix ? withHolders(ranked, open, holders) : drawn(open);
         observer.onRemaining(open, compared, ServerExclusion.NOT_COMPARED);
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LoadBound.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LoadBound.java
@@ -23,24 +23,27 @@
     /** Requests added to the bound of {@link #SCARCE_FACTOR}. */
     private static final double SCARCE_SLACK = 1;
 
-    private LoadBound() {}
+    private final double mRequests;
+
+    private LoadBound(double requests) {
+        mRequests = requests;
+    }
 
     /**
-     * Returns the usable servers below the bound; there is always one.
+     * Returns the bound that at least one usable server is below.
      *
      * @param all all servers of the service; the mean includes those that receive no requests now,
      *     such as those of an evacuated zone
      * @param usable the servers to choose from
-     * @param observer receives the servers above the bound
      */
-    static List<ServerSlot> below(
-            List<ServerSlot> all, List<ServerSlot> usable, ChoiceObserver observer) {
-        List<ServerSlot> open = below(requests(meanLoad(all)), usable);
-        if (open.isEmpty()) {
-            open = below(SCARCE_FACTOR * meanLoad(usable) + SCARCE_SLACK, usable);
+    static LoadBound of(List<ServerSlot> all, List<ServerSlot> usable) {
+        LoadBound bound = new LoadBound(requests(meanLoad(all)));
+        for (ServerSlot slot : usable) {
+            if (bound.roomAt(slot) > 0) {
+                return bound;
+            }
         }
-        observer.onRemaining(usable, open, ServerExclusion.ABOVE_LOAD_BOUND);
-        return open;
+        return new LoadBound(SCARCE_FACTOR * meanLoad(usable) + SCARCE_SLACK);
     }
 
     /**
@@ -52,16 +55,22 @@
         return FACTOR * meanRequests + SLACK;
     }
 
-    private static List<ServerSlot> below(double bound, List<ServerSlot> slots) {
+    /** Returns the servers whose load is below a part of the bound. */
+    List<ServerSlot> belowPart(List<ServerSlot> slots, double part) {
         List<ServerSlot> open = new ArrayList<>();
         for (ServerSlot slot : slots) {
-            if (slot.load() < bound) {
+            if (slot.load() < part * mRequests) {
                 open.add(slot);
             }
         }
         return open;
     }
 
+    /** Returns the number of requests by which a server is below the bound. */
+    double roomAt(ServerSlot slot) {
+        return mRequests - slot.load();
+    }
+
     /** Returns the mean load of servers. */
     static double meanLoad(List<ServerSlot> slots) {
         int total = 0;
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixDirectory.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixDirectory.java
@@ -20,7 +20,7 @@
     private static final int MAX_PREFIXES = 20_000;
 
     /** Maximum number of servers per prefix; only overload spreads a prefix over more servers. */
-    private static final int MAX_SERVERS = 4;
+    private static final int MAX_SERVERS = 16;
 
     /** Age at which a server has most likely evicted the prefix from its cache. */
     private static final long USE_LIFETIME_NANOS = TimeUnit.SECONDS.toNanos(120);
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerDecision.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerDecision.java
@@ -15,6 +15,7 @@
  * an explanation with another source makes the same decision without an effect.
  */
 final class ServerDecision {
+    private final RandomGenerator mRandom;
     private final LoadLeveling mLoadLeveling;
     private final LeastDelay mLeastDelay;
 
@@ -57,6 +58,7 @@
     }
 
     private ServerDecision(ZoneId homeZone, RandomGenerator random) {
+        mRandom = random;
         mLeastDelay = new LeastDelay(homeZone, random);
         mLoadLeveling = new LoadLeveling(homeZone, random);
     }
@@ -135,7 +137,8 @@
         } else if (key == 0) {
             choice = mLoadLeveling.choose(healthy, state.unreportedRequests(), observer);
         } else {
-            choice = state.affinity().choose(nowNanos, state.all(), healthy, key, observer);
+            choice =
+                    state.affinity().choose(nowNanos, state.all(), healthy, key, mRandom, observer);
         }
         return new Result(choice, paced);
     }
