Test the cold limit of a fleet whose controllers restart

The limit of a cold server is divided by the number of gateways that a controller knows, and one that has just started knows few. No change of the product follows.

--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/LoadFleet.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/LoadFleet.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -37,6 +38,10 @@
 final class LoadFleet {
     static final long SECOND = TimeUnit.SECONDS.toNanos(1);
     private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+    /** Requests per second that a cold model engine may receive. */
+    static final int COLD_PER_SECOND = 18;
+
     private static final long START = SECOND;
     private static final int CONTROLLERS = 8;
     private static final int MAX_ATTEMPTS = 2;
@@ -78,7 +83,9 @@
         private final int mSlots;
         private final int mQueueLength;
         private final Deque<Request> mWaiting = new ArrayDeque<>();
+        private final Deque<Long> mArrivals = new ArrayDeque<>();
         private int mRunning;
+        private int mMostPerSecond;
 
         private Server(BackendId id, int slots, int queueLength) {
             mId = id;
@@ -92,6 +99,11 @@
 
         private void receive(Request request) {
             count(this);
+            mArrivals.add(mNowNanos);
+            while (mNowNanos - mArrivals.element() > SECOND) {
+                mArrivals.remove();
+            }
+            mMostPerSecond = Math.max(mMostPerSecond, mArrivals.size());
             if (mRunning < mSlots) {
                 run(request);
             } else if (mWaiting.size() < mQueueLength) {
@@ -142,7 +154,8 @@
 
     /** Creates a fleet with one model engine of 32 slots for every second gateway. */
     static LoadFleet engines(int gateways, long seed) {
-        LoadFleet fleet = new LoadFleet(gateways, seed, new ServiceSpec(SERVICE, 600, 18, 32));
+        LoadFleet fleet =
+                new LoadFleet(gateways, seed, new ServiceSpec(SERVICE, 600, COLD_PER_SECOND, 32));
         fleet.addServers(gateways / 2, 32, 96, 0);
         return fleet;
     }
@@ -339,6 +352,16 @@
         return worst;
     }
 
+    /** Returns the most requests that one of the servers added last received in a second. */
+    int mostPerSecond(int lastServers) {
+        int most = 0;
+        for (int i = mServers.size() - lastServers; i < mServers.size(); i++) {
+            Server server = Objects.requireNonNull(mServers.get(BackendId.of("i-" + i)));
+            most = Math.max(most, server.mMostPerSecond);
+        }
+        return most;
+    }
+
     /** Returns figures for a failure message. */
     String describe() {
         return "share "
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/LoadSpreadTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/LoadSpreadTest.java
@@ -116,4 +116,25 @@
         fleet.addServers(gateways / 10, 32, 96, 3_000);
         assertSpread(fleet);
     }
+
+    /** Guards against cold limits that are divided by the few gateways a new controller knows. */
+    @ParameterizedTest
+    @ValueSource(ints = {84, 100, 300})
+    void restartedControllersKeepTheColdLimit(int gateways) {
+        int coldServers = 2;
+        LoadFleet fleet = LoadFleet.engines(gateways, 1);
+        fleet.startExchanges();
+        fleet.startRequests(4.0 * gateways, 1, 1_300, 0, RUN_NANOS);
+        fleet.run(WARM_UP_NANOS);
+        fleet.addServers(coldServers, 32, 96, 4_000);
+        for (int i = 0; i < 3; i++) {
+            fleet.run(SECOND);
+            fleet.restartControllers();
+        }
+        fleet.run(SECOND);
+        int most = fleet.mostPerSecond(coldServers);
+        System.out.println("at a cold server in a second " + most);
+        double allowed = 1.5 * LoadFleet.COLD_PER_SECOND + 5;
+        assertTrue(most <= allowed, most + " in a second, " + allowed + " are allowed");
+    }
 }
