Keep the rendezvous ranking of servers in one class

The overflow of a prompt sorted servers by their rank anew, as LeastDelay already did, and hashed each server again for every comparison of the sort. Both take the first servers from RendezvousRanking now, as does the choice of the first one. Behaviour is unchanged.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastDelay.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/LeastDelay.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -82,7 +81,10 @@
         boolean hasPrefix = criteria.affinityKey() != 0;
         List<ServerSlot> open = LoadBound.of(all, usable).belowPart(usable, 1);
         observer.onRemaining(usable, open, ServerExclusion.ABOVE_LOAD_BOUND);
-        List<ServerSlot> ranked = hasPrefix ? ranked(open, criteria.affinityKey()) : List.of();
+        List<ServerSlot> ranked =
+                hasPrefix
+                        ? RendezvousRanking.first(open, criteria.affinityKey(), RANKED_SERVERS)
+                        : List.of();
         List<ServerSlot> compared = hasPrefix ? withHolders(ranked, open, holders) : drawn(open);
         observer.onRemaining(open, compared, ServerExclusion.NOT_COMPARED);
         // Other gateways send the prefix to its first server too, so it is cached there first.
@@ -180,17 +182,6 @@
         return new ArrayList<>(drawn);
     }
 
-    /** Returns the first servers in the rendezvous ranking, which all gateways agree on. */
-    private static List<ServerSlot> ranked(List<ServerSlot> slots, long key) {
-        record Rank(ServerSlot slot, long rank) {}
-        return slots.stream()
-                .map(slot -> new Rank(slot, PromptHash.combine(key, slot.idHash())))
-                .sorted(Comparator.comparingLong(Rank::rank))
-                .limit(RANKED_SERVERS)
-                .map(Rank::slot)
-                .toList();
-    }
-
     private static List<ServerSlot> withHolders(
             List<ServerSlot> ranked, List<ServerSlot> usable, List<BackendId> holders) {
         List<ServerSlot> compared = new ArrayList<>(ranked);
--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixAffinity.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/PrefixAffinity.java
@@ -1,7 +1,6 @@
 package org.hemlockrack.dispatch;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -94,9 +93,10 @@
         if (!holders.isEmpty()) {
             return overflow(bound, usable, open, key, random, observer);
         }
-        ServerSlot first = firstRanked(open, key);
+        ServerSlot first = RendezvousRanking.first(open, key);
         observer.onRemaining(open, List.of(first), ServerExclusion.RANKED_LOWER);
-        boolean preferred = open.size() == usable.size() || first == firstRanked(usable, key);
+        boolean preferred =
+                open.size() == usable.size() || first == RendezvousRanking.first(usable, key);
         ServerChoice.Reason reason =
                 preferred ? ServerChoice.Reason.AFFINITY : ServerChoice.Reason.OVERFLOW;
         return ServerChoice.of(first, reason, usable.size(), ServerCost.NONE);
@@ -143,35 +143,13 @@
             ChoiceObserver observer) {
         int limit = MIN_OVERFLOW_SERVERS + open.size() / SERVERS_PER_OVERFLOW_SERVER;
         WeightedDraw draw = WeightedDraw.create();
-        open.stream()
-                .sorted(Comparator.comparingLong(slot -> rank(slot, key)))
-                .limit(limit)
-                .forEach(slot -> draw.add(slot, bound.roomAt(slot)));
+        for (ServerSlot slot : RendezvousRanking.first(open, key, limit)) {
+            draw.add(slot, bound.roomAt(slot));
+        }
         ServerSlot chosen = draw.draw(random);
         observer.onRemaining(open, draw.slots(), ServerExclusion.RANKED_LOWER);
         observer.onRemaining(draw.slots(), List.of(chosen), ServerExclusion.NOT_DRAWN);
         return ServerChoice.of(
                 chosen, ServerChoice.Reason.OVERFLOW, usable.size(), ServerCost.NONE);
     }
-
-    /**
-     * Rendezvous hashing: all gateways rank the servers in the same order, and a change of servers
-     * moves few keys.
-     */
-    private static ServerSlot firstRanked(List<ServerSlot> slots, long key) {
-        ServerSlot first = slots.get(0);
-        long lowestRank = Long.MAX_VALUE;
-        for (ServerSlot slot : slots) {
-            long rank = rank(slot, key);
-            if (rank < lowestRank) {
-                first = slot;
-                lowestRank = rank;
-            }
-        }
-        return first;
-    }
-
-    private static long rank(ServerSlot slot, long key) {
-        return PromptHash.combine(key, slot.idHash());
-    }
 }
