Take the time of a server's own report from the source of its load

ServerLoad held the time of the server's own report beside the source and time of the load in force. A sum is passed over only while the load in force is the server's own and recent, so the second pair says the same. Behaviour is unchanged.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerLoad.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/dispatch/ServerLoad.java
@@ -17,8 +17,6 @@
     private int mOwnRequests;
     private int mFleetRequests;
     private int mOwnRequestsAtReport;
-    private boolean mHasServerReport;
-    private long mServerReportNanos;
     private String mSumSource = LoadBasis.NOTHING;
     private long mSumNanos;
 
@@ -39,7 +37,8 @@
      * @param sum the sum of the loads
      */
     void recordFleet(long nowNanos, BackendId server, LoadSum sum) {
-        if (mHasServerReport && nowNanos - mServerReportNanos < SERVER_REPORT_NANOS) {
+        boolean isByServer = mSumSource.equals(LoadBasis.SERVER);
+        if (isByServer && nowNanos - mSumNanos < SERVER_REPORT_NANOS) {
             return;
         }
         mSumSource = sum.source();
@@ -49,8 +48,6 @@
 
     /** Adopts the number of requests that the server itself counts at this moment. */
     void recordServerReport(long nowNanos, int requests) {
-        mHasServerReport = true;
-        mServerReportNanos = nowNanos;
         mSumSource = LoadBasis.SERVER;
         mSumNanos = nowNanos;
         adopt(requests, mOwnRequests);
