Build the sum of a controller's reply in one place

GatewayViewUpdater and the simulated fleet of LoadSpreadTest each copied the loads of a reply into a map. LoadSum.of does it for both. Behaviour is unchanged.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/GatewayViewUpdater.java
@@ -22,7 +22,6 @@
 import org.hemlockrack.routing.RouteTable;
 import org.hemlockrack.wire.CapacityData;
 import org.hemlockrack.wire.CrashEvidenceData;
-import org.hemlockrack.wire.LoadData;
 import org.hemlockrack.wire.LoggedTableData;
 import org.hemlockrack.wire.PrefixUseData;
 import org.hemlockrack.wire.SyncReply;
@@ -282,7 +281,14 @@
         if (reply.isSetQuarantine()) {
             mQuarantine.adopt(nowNanos, address, reply.getQuarantine());
         }
-        mState.updateFleetLoad(nowNanos, loadSum(address, reply, ownLoadAtRequest, requestNanos));
+        mState.updateFleetLoad(
+                nowNanos,
+                LoadSum.of(
+                        address,
+                        requestNanos,
+                        reply.getFleetInFlight(),
+                        ownLoadAtRequest,
+                        reply.getGateways()));
         if (hasTable(reply)) {
             mUnconfirmedReplies.add(address);
         }
@@ -300,18 +306,6 @@
         updateStanding(nowNanos, address, reply.getGateways());
     }
 
-    private static LoadSum loadSum(
-            String address,
-            SyncReply reply,
-            Map<BackendId, Integer> ownLoadAtRequest,
-            long requestNanos) {
-        Map<BackendId, Integer> loads = new HashMap<>();
-        for (LoadData each : reply.getFleetInFlight()) {
-            loads.put(BackendId.of(each.getServer()), each.getRequests());
-        }
-        return new LoadSum(address, requestNanos, loads, ownLoadAtRequest, reply.getGateways());
-    }
-
     private static boolean hasTable(SyncReply reply) {
         return reply.isSetTableDocument()
                 || (reply.isSetLoggedTables()
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/LoadFleet.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/LoadFleet.java
@@ -27,7 +27,6 @@
 import org.hemlockrack.registry.Registration;
 import org.hemlockrack.routing.RouteTable;
 import org.hemlockrack.routing.ServiceSpec;
-import org.hemlockrack.wire.LoadData;
 import org.hemlockrack.wire.PrefixUseData;
 import org.hemlockrack.wire.SyncRequest;
 
@@ -230,14 +229,14 @@
         request.setInFlight(ControllerLink.toLoadData(own));
         request.setCounts(List.of());
         reports.recordReport(mNowNanos, request);
-        Map<BackendId, Integer> loads = new HashMap<>();
-        for (LoadData each : reports.fleetInFlight(mNowNanos)) {
-            loads.put(BackendId.of(each.getServer()), each.getRequests());
-        }
         pool.updateFleetLoad(
                 mNowNanos,
-                new LoadSum(
-                        "c" + controller, mNowNanos, loads, own, reports.gatewayCount(mNowNanos)));
+                LoadSum.of(
+                        "c" + controller,
+                        mNowNanos,
+                        reports.fleetInFlight(mNowNanos),
+                        own,
+                        reports.gatewayCount(mNowNanos)));
         exchangeUses(gateway, controller, pool);
         schedule(
                 ControllerLink.periodNanos(mPools.size()) + mRandom.nextLong(4 * MILLI),
