Reject responses whose head is malformed

A backend server in trouble sent a head with a spoilt length, with a line that is no field, or with a blank or a control byte in a field name. Callers got it as a complete 200: with the line passed on, or, if the name of the length was spoilt, with all bytes up to the end of the connection, sizes of chunks included.

The client read heads with HttpCore's response parser, which passes over what it cannot parse, and took the length from the fields that were left. HeadSyntax of the new package org.hemlockrack.http checks each line of a head by the grammar of RFC 9112 before that parser sees it, the informational heads too, and LengthFields says what Content-Length and Transfer-Encoding may be, for responses, for requests and for the owner's answers, which had three sets of rules. A violation fails the call and closes the connection; the failure names rule, line and column, which attempt_failed logs as the cause, and no byte of the head. So no load, refusal or retry time is read from it.

All 25 are refused now, and the sound answers of that class still arrive.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/answers/internal/BodyFraming.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/answers/internal/BodyFraming.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.hemlockrack.answers.Header;
+import org.hemlockrack.http.LengthFields;
 
 /**
  * How the end of an HTTP message body is determined.
@@ -27,17 +28,20 @@
         if (!bodyExpected || status == NO_CONTENT || status == NOT_MODIFIED) {
             return new BodyFraming(Mode.NONE, 0);
         }
-        List<String> codings = values(headers, "Transfer-Encoding");
-        List<String> lengths = values(headers, "Content-Length");
-        // Both fields together may indicate request smuggling (RFC 9112, section 6.1).
-        if (codings.size() + lengths.size() != 1) {
+        LengthFields fields =
+                new LengthFields(
+                        values(headers, "Content-Length"), values(headers, "Transfer-Encoding"));
+        if (fields.findViolation(false) != null) {
             return new BodyFraming(Mode.INVALID, 0);
         }
-        if (lengths.isEmpty()) {
-            boolean chunked = codings.get(0).equalsIgnoreCase("chunked");
-            return new BodyFraming(chunked ? Mode.CHUNKED : Mode.INVALID, 0);
+        if (!fields.transferEncodings().isEmpty()) {
+            return new BodyFraming(Mode.CHUNKED, 0);
         }
-        return ofLength(lengths.get(0));
+        if (fields.contentLengths().isEmpty()) {
+            return new BodyFraming(Mode.INVALID, 0);
+        }
+        long lengthBytes = LengthFields.parseLength(fields.contentLengths().get(0));
+        return new BodyFraming(Mode.LENGTH, lengthBytes);
     }
 
     /** Returns whether a body that ended after this many bytes is complete. */
@@ -50,19 +54,11 @@
         return mode != Mode.CHUNKED && bodyBytes > lengthBytes;
     }
 
-    private static BodyFraming ofLength(String text) {
-        // Any number of 18 digits fits into a long.
-        if (!text.matches("[0-9]{1,18}")) {
-            return new BodyFraming(Mode.INVALID, 0);
-        }
-        return new BodyFraming(Mode.LENGTH, Long.parseLong(text));
-    }
-
     private static List<String> values(List<Header> headers, String name) {
         List<String> values = new ArrayList<>();
         for (Header header : headers) {
             if (header.isNamed(name)) {
-                values.add(header.value().trim());
+                values.add(header.value());
             }
         }
         return values;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HeaderField.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HeaderField.java
@@ -5,7 +5,9 @@
 import java.util.Locale;
 import java.util.Set;
 import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpMessage;
+import org.hemlockrack.http.LengthFields;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -66,10 +68,29 @@
         return null;
     }
 
+    /** Returns the fields that say where the body of a message ends. */
+    static LengthFields lengthFieldsOf(HttpMessage message) {
+        return new LengthFields(
+                values(message, HttpHeaders.CONTENT_LENGTH),
+                values(message, HttpHeaders.TRANSFER_ENCODING));
+    }
+
+    private static List<String> values(HttpMessage message, String name) {
+        List<String> values = new ArrayList<>();
+        for (Header header : message.getHeaders(name)) {
+            values.add(valueOf(header));
+        }
+        return values;
+    }
+
+    private static String valueOf(Header header) {
+        return header.getValue() == null ? "" : header.getValue();
+    }
+
     static List<HeaderField> listOf(HttpMessage message) {
         List<HeaderField> fields = new ArrayList<>();
         for (Header header : message.getHeaders()) {
-            fields.add(of(header.getName(), header.getValue() == null ? "" : header.getValue()));
+            fields.add(of(header.getName(), valueOf(header)));
         }
         return fields;
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/LineCountingBuffer.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/MessageLineBuffer.java
@@ -6,28 +6,41 @@
 import java.nio.channels.WritableByteChannel;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
+import org.hemlockrack.http.LineSyntax;
+import org.hemlockrack.http.SyntaxViolation;
 import org.jspecify.annotations.Nullable;
 
-/** The input of a connection, which counts the lines that are read from it. */
-final class LineCountingBuffer implements SessionInputBuffer {
+/**
+ * The input of a connection, which counts the lines that are read from it and checks their syntax.
+ * The parsers of HttpCore repair or pass over much of what is no HTTP.
+ */
+final class MessageLineBuffer implements SessionInputBuffer {
+    private static final int CR_LF_BYTES = 2;
+
     private final SessionInputBuffer mDelegate;
+    private final @Nullable LineSyntax mSyntax;
     private int mLines;
 
-    private LineCountingBuffer(SessionInputBuffer delegate) {
+    private MessageLineBuffer(SessionInputBuffer delegate, @Nullable LineSyntax syntax) {
         mDelegate = delegate;
+        mSyntax = syntax;
     }
 
     /**
-     * Returns a counter of the lines of a buffer.
+     * Returns the lines of a buffer.
      *
      * @param buffer the buffer
-     * @param previous the counter of earlier calls, kept if it is of the same buffer
-     * @return the counter
+     * @param syntax checks the lines, or null to leave them alone
+     * @param previous the lines of earlier calls, kept if they are of the same buffer
+     * @return the lines
      */
-    static LineCountingBuffer of(SessionInputBuffer buffer, @Nullable LineCountingBuffer previous) {
+    static MessageLineBuffer of(
+            SessionInputBuffer buffer,
+            @Nullable LineSyntax syntax,
+            @Nullable MessageLineBuffer previous) {
         return previous != null && previous.mDelegate == buffer
                 ? previous
-                : new LineCountingBuffer(buffer);
+                : new MessageLineBuffer(buffer, syntax);
     }
 
     /** Returns the number of lines since the last reset. */
@@ -41,9 +54,23 @@
 
     @Override
     public boolean readLine(CharArrayBuffer line, boolean endOfStream) throws IOException {
-        boolean isComplete = mDelegate.readLine(line, endOfStream);
-        mLines += isComplete ? 1 : 0;
-        return isComplete;
+        int start = line.length();
+        int unreadBytes = mDelegate.length();
+        if (!mDelegate.readLine(line, endOfStream)) {
+            return false;
+        }
+        mLines++;
+        if (mSyntax == null) {
+            return true;
+        }
+        CharSequence text = line.subSequence(start, line.length());
+        // Each byte of a line is read as one character; its end is left out.
+        int endBytes = unreadBytes - mDelegate.length() - text.length();
+        SyntaxViolation violation = mSyntax.findViolation(text, endBytes == CR_LF_BYTES);
+        if (violation != null) {
+            throw new MalformedMessageException(violation);
+        }
+        return true;
     }
 
     @Override
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/RequestParser.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/RequestParser.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.List;
-import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpVersion;
@@ -15,6 +14,7 @@
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.ErrorText;
+import org.hemlockrack.http.SyntaxRule;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -22,14 +22,13 @@
  * limit is returned as a {@link RefusedRequest}; all later input of the connection is discarded.
  */
 final class RequestParser implements NHttpMessageParser<HttpRequest> {
-    private static final String CHUNKED = "chunked";
     private static final List<String> SINGLE_VALUE_FIELDS =
             List.of("Authorization", "Idempotency-Key");
 
     private final NHttpMessageParser<HttpRequest> mParser;
     private final ClientConnection mConnection;
     private long mHeadBytes;
-    private @Nullable LineCountingBuffer mLines;
+    private @Nullable MessageLineBuffer mLines;
 
     RequestParser(Http1Config config, ClientConnection connection) {
         mParser = WholeHeadParser.of(new DefaultHttpRequestParserFactory(config).create());
@@ -48,7 +47,7 @@
             mConnection.headStarted();
         }
         HttpRequest request;
-        LineCountingBuffer lines = LineCountingBuffer.of(buffer, mLines);
+        MessageLineBuffer lines = MessageLineBuffer.of(buffer, null, mLines);
         mLines = lines;
         int pendingBytes = buffer.length();
         if (!mConnection.tryReserveHead(mHeadBytes + pendingBytes, lines.lines())) {
@@ -132,20 +131,14 @@
      * separate request.
      */
     private static @Nullable String findFramingViolation(HttpRequest request, boolean isHttp10) {
-        Header[] lengths = request.getHeaders("Content-Length");
-        Header[] codings = request.getHeaders("Transfer-Encoding");
-        if (codings.length > 0 && lengths.length > 0) {
-            return ErrorText.HTTP_CONFLICTING_FRAMING;
+        SyntaxRule violation = HeaderField.lengthFieldsOf(request).findViolation(isHttp10);
+        if (violation == null) {
+            return null;
         }
-        if (codings.length > 1
-                || codings.length == 1
-                        && (isHttp10 || !CHUNKED.equalsIgnoreCase(codings[0].getValue().trim()))) {
-            return ErrorText.HTTP_TRANSFER_ENCODING;
-        }
-        if (lengths.length > 1
-                || lengths.length == 1 && !lengths[0].getValue().trim().matches("[0-9]{1,18}")) {
-            return ErrorText.HTTP_CONTENT_LENGTH;
-        }
-        return null;
+        return switch (violation) {
+            case CONFLICTING_LENGTHS -> ErrorText.HTTP_CONFLICTING_FRAMING;
+            case TRANSFER_ENCODING -> ErrorText.HTTP_TRANSFER_ENCODING;
+            default -> ErrorText.HTTP_CONTENT_LENGTH;
+        };
     }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ResponseInput.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ResponseInput.java
@@ -5,12 +5,17 @@
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.HttpVersion;
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.ProtocolVersion;
 import org.apache.hc.core5.http.nio.NHttpMessageParser;
 import org.apache.hc.core5.http.nio.NHttpMessageWriter;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.http.nio.SessionOutputBuffer;
+import org.hemlockrack.http.HeadSyntax;
+import org.hemlockrack.http.SyntaxRule;
+import org.hemlockrack.http.SyntaxViolation;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,7 +30,8 @@
     /** Largest status that HTTP defines a class for. */
     private static final int MAX_STATUS = 599;
 
-    private @Nullable SessionInputBuffer mBuffer;
+    private final HeadSyntax mSyntax = HeadSyntax.ofResponses();
+    private @Nullable MessageLineBuffer mBuffer;
     private int mExpectedResponses;
     private int mHeadBytes;
 
@@ -57,23 +63,37 @@
         }
     }
 
-    /** Returns a parser that refuses input unless a request awaits a response. */
+    private static void checkLength(HttpResponse response) throws IOException {
+        ProtocolVersion version = response.getVersion();
+        boolean isHttp10 = version != null && version.lessEquals(HttpVersion.HTTP_1_0);
+        SyntaxRule violation = HeaderField.lengthFieldsOf(response).findViolation(isHttp10);
+        if (violation != null) {
+            throw new MalformedMessageException(SyntaxViolation.ofHead(violation));
+        }
+    }
+
+    /**
+     * Returns a parser that refuses malformed heads, and all input unless a request awaits a
+     * response.
+     */
     NHttpMessageParser<HttpResponse> guarding(NHttpMessageParser<HttpResponse> parser) {
         return new NHttpMessageParser<>() {
             @Override
             public void reset() {
                 parser.reset();
+                mSyntax.reset();
             }
 
             @Override
             public @Nullable HttpResponse parse(SessionInputBuffer buffer, boolean endOfStream)
                     throws IOException, HttpException {
-                mBuffer = buffer;
+                MessageLineBuffer lines = MessageLineBuffer.of(buffer, mSyntax, mBuffer);
+                mBuffer = lines;
                 if (mExpectedResponses == 0 && buffer.hasData()) {
                     throw new ProtocolException("input that belongs to no request");
                 }
                 int unreadBytes = buffer.length();
-                HttpResponse response = parser.parse(buffer, endOfStream);
+                HttpResponse response = parser.parse(lines, endOfStream);
                 mHeadBytes += unreadBytes - buffer.length();
                 if (mHeadBytes > MAX_HEAD_BYTES) {
                     throw new MessageConstraintException(
@@ -81,6 +101,7 @@
                 }
                 if (response != null) {
                     checkStatus(response.getCode());
+                    checkLength(response);
                 }
                 if (response != null && response.getCode() >= HttpStatus.SC_SUCCESS) {
                     mExpectedResponses--;
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/WholeBodyDecoder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/WholeBodyDecoder.java
@@ -21,10 +21,10 @@
 final class WholeBodyDecoder implements ContentDecoder {
     private final ContentDecoder mDecoder;
     private final OpenEndedChannel mChannel;
-    private final LineCountingBuffer mLines;
+    private final MessageLineBuffer mLines;
 
     private WholeBodyDecoder(
-            ContentDecoder decoder, OpenEndedChannel channel, LineCountingBuffer lines) {
+            ContentDecoder decoder, OpenEndedChannel channel, MessageLineBuffer lines) {
         mDecoder = decoder;
         mChannel = channel;
         mLines = lines;
@@ -45,7 +45,7 @@
             Http1Config limits,
             BasicHttpTransportMetrics metrics) {
         OpenEndedChannel openEnded = new OpenEndedChannel(channel);
-        LineCountingBuffer lines = LineCountingBuffer.of(buffer, null);
+        MessageLineBuffer lines = MessageLineBuffer.of(buffer, null, null);
         return new WholeBodyDecoder(
                 new ChunkDecoder(openEnded, lines, limits, metrics), openEnded, lines);
     }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
@@ -9,6 +9,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -20,6 +21,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the client against servers that send bytes which are no answer, or more than an answer. */
@@ -57,6 +59,7 @@
         private final StringBuffer mBody = new StringBuffer();
         private final CompletableFuture<@Nullable Void> mBodyBegun = new CompletableFuture<>();
         private final CompletableFuture<String> mResult = new CompletableFuture<>();
+        private volatile String mCause = "";
 
         @Override
         public boolean beforeSend() {
@@ -79,6 +82,7 @@
 
         @Override
         public void onFailed(Exception cause, boolean mayHaveBeenSent) {
+            mCause = String.valueOf(cause.getMessage());
             mResult.complete("failed");
         }
 
@@ -286,6 +290,102 @@
         assertEquals("ok", call.await());
     }
 
+    /**
+     * Guards against an answer with a malformed head that reaches a caller, with a line that the
+     * server did not send or a body of another length, and against the use of its connection.
+     */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '"',
+            value = {
+                "status-line at line 1, column 1   | \\r\\nHTTP/1.1 200 OK\\r\\nContent-Length: 2",
+                "status-line at line 1, column 10  | HTTP/1.1  200 OK\\r\\nContent-Length: 2",
+                "status-line at line 1, column 6   | HTTP/0.9 200 OK\\r\\nContent-Length: 2",
+                "status-line at line 1, column 14  | HTTP/1.1 200 \\0OK\\r\\nContent-Length: 2",
+                "field-name at line 2, column 8    | HTTP/1.1 200 OK\\r\\nContent Length: 2",
+                "field-name at line 2, column 8    | HTTP/1.1 200 OK\\r\\nContent\\0Length: 2",
+                "field-name at line 2, column 15   | HTTP/1.1 200 OK\\r\\nContent-Length : 2",
+                "field-name at line 2, column 1    | HTTP/1.1 200 OK\\r\\n Content-Length: 2",
+                "field-name at line 3, column 1    | HTTP/1.1 200 OK\\r"
+                        + "\\n"
+                        + "X: y\\r"
+                        + "\\n"
+                        + " Content-Length: 2",
+                "field-name at line 2, column 1    | HTTP/1.1 200 OK\\r"
+                        + "\\n"
+                        + ": x\\r"
+                        + "\\n"
+                        + "Content-Length: 2",
+                "field-name at line 2, column 3    | HTTP/1.1 200 OK\\r"
+                        + "\\n"
+                        + "no field\\r"
+                        + "\\n"
+                        + "Content-Length: 2",
+                "field-name at line 3, column 3    | HTTP/1.1 200 OK\\r"
+                        + "\\n"
+                        + "Content-Length: 2\\r"
+                        + "\\n"
+                        + "no field",
+                "field-name at line 2, column 3    | HTTP/1.1 100 Go\\r"
+                        + "\\n"
+                        + "no field\\r"
+                        + "\\n"
+                        + "\\r"
+                        + "\\n"
+                        + "HTTP/1.1 200 OK",
+                "field-name at line 3, column 2    | HTTP/1.1 200 OK\\r"
+                        + "\\n"
+                        + "Content-Length: 2\\r"
+                        + "\\n"
+                        + "X\\1: y",
+                "field-name at line 2, column 2    | HTTP/1.1 204 OK\\r\\nX y: z",
+                "field-value at line 3, column 5   | HTTP/1.1 200 OK\\r"
+                        + "\\n"
+                        + "Content-Length: 2\\r"
+                        + "\\n"
+                        + "X: y\\0",
+                "field-value at line 3, column 4   | HTTP/1.1 200 OK\\r"
+                        + "\\n"
+                        + "Content-Length: 2\\r"
+                        + "\\n"
+                        + "X: \\r"
+                        + "Y: z",
+                "Content-Length                    | HTTP/1.1 200 OK\\r\\nContent-Length: +2",
+                "Content-Length                    | HTTP/1.1 200 OK\\r\\nContent-Length: -0",
+                "Content-Length                    | HTTP/1.1 200 OK\\r\\nContent-Length: 2 2",
+                "Content-Length                    | HTTP/1.1 200 OK\\r\\nContent-Length:",
+                "Content-Length                    | HTTP/1.1 204 OK\\r\\nContent-Length: x",
+                "message body length | HTTP/1.1 200 OK\\r"
+                        + "\\n"
+                        + "Content-Length: 2\\r"
+                        + "\\n"
+                        + "Transfer-Encoding: chunked",
+                "Transfer-Encoding   | HTTP/1.0 200 OK\\r\\nTransfer-Encoding: chunked",
+                "Transfer-Encoding   | HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunke"
+            })
+    void malformedHeadIsNoAnswer(String violation, String head) throws Exception {
+        Collector answer = send();
+        try (Socket socket = mServer.accept()) {
+            assertTrue(readRequest(socket));
+            String text = head.replace("\\r", "\r").replace("\\n", "\n");
+            String controls = text.replace("\\0", "\0").replace("\\1", "\1");
+            write(socket, controls + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+            assertEquals("failed", answer.await());
+            assertEquals("malformed message: " + violation, answer.mCause);
+            socket.setSoTimeout(WAIT_SECONDS * 1_000);
+            assertTrue(isClosed(socket));
+        }
+    }
+
+    private static boolean isClosed(Socket socket) throws IOException {
+        try {
+            return socket.getInputStream().read() < 0;
+        } catch (SocketException e) {
+            return true;
+        }
+    }
+
     /** Guards against a response without a valid status that is taken for an answer. */
     @ParameterizedTest
     @ValueSource(strings = {"000", "99", "099", "600", "999", "abc", "20", "2000", "-200", "+200"})
