--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
@@ -277,6 +277,8 @@
     @ValueSource(
             strings = {
                 "HTTP/1.1 200 OK\r\n\r\nok",
+                "HTTP/1.0 200\r\n\r\nok",
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nok",
                 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
                 "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
