Reject chunked bodies whose sizes, ends or trailers are malformed

A chunk size that was one too large gave callers "ok\r" for "ok", because HttpCore takes a bare LF for the end of a chunk; sizes with a sign or a blank, broken extensions and trailers that are no fields were taken, too.

ChunkedBodySyntax checks the lines between the data of chunks by the grammar of RFC 9112: CR LF must follow each size and the data of each chunk, while the lines of trailers may end with LF alone, as those of a head. WholeBodyDecoder applies it to the bodies of responses and of requests; a request that violates it gets 400, as one with a size that is no number did before.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/BodyDecoder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/BodyDecoder.java
@@ -57,7 +57,9 @@
                 reserveTrailers(chunked);
             }
             return bytes;
-        } catch (MalformedChunkCodingException | MessageConstraintException e) {
+        } catch (MalformedMessageException
+                | MalformedChunkCodingException
+                | MessageConstraintException e) {
             mDiscarding = true;
             mConnection.refuseMalformedBody("malformed request body: " + e.getMessage());
             discardInput();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/WholeBodyDecoder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/WholeBodyDecoder.java
@@ -11,6 +11,7 @@
 import org.apache.hc.core5.http.impl.nio.ChunkDecoder;
 import org.apache.hc.core5.http.nio.ContentDecoder;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.hemlockrack.http.ChunkedBodySyntax;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -45,7 +46,7 @@
             Http1Config limits,
             BasicHttpTransportMetrics metrics) {
         OpenEndedChannel openEnded = new OpenEndedChannel(channel);
-        MessageLineBuffer lines = MessageLineBuffer.of(buffer, null, null);
+        MessageLineBuffer lines = MessageLineBuffer.of(buffer, ChunkedBodySyntax.create(), null);
         return new WholeBodyDecoder(
                 new ChunkDecoder(openEnded, lines, limits, metrics), openEnded, lines);
     }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
@@ -380,6 +380,39 @@
         }
     }
 
+    /**
+     * Guards against a chunked body that is taken although its sizes or trailers are malformed, so
+     * that its length is not known.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "+2\r\nok\r\n0\r\n\r\n",
+                " 2\r\nok\r\n0\r\n\r\n",
+                "2 \r\nok\r\n0\r\n\r\n",
+                "2;\r\nok\r\n0\r\n\r\n",
+                "2;a=\0\r\nok\r\n0\r\n\r\n",
+                "2\nok\r\n0\r\n\r\n",
+                "2\r\nok\n0\r\n\r\n",
+                "3\r\nok\r\n0\r\n\r\n",
+                "1\r\nok\r\n0\r\n\r\n",
+                "\r\n2\r\nok\r\n0\r\n\r\n",
+                "2\r\nok\r\n0\r\nno field\r\n\r\n",
+                "2\r\nok\r\n0\r\nX y: z\r\n\r\n",
+                "2\r\nok\r\n0\r\nX: \0\r\n\r\n",
+                "2\r\nok\r\n0\r\nX: y\r\n z\r\n\r\n"
+            })
+    void malformedChunksAreNoAnswer(String body) throws Exception {
+        Collector answer = send();
+        try (Socket socket = mServer.accept()) {
+            assertTrue(readRequest(socket));
+            write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body);
+            socket.setSoTimeout(WAIT_SECONDS * 1_000);
+            assertEquals("failed", answer.await());
+            assertTrue(isClosed(socket));
+        }
+    }
+
     private static boolean isClosed(Socket socket) throws IOException {
         try {
             return socket.getInputStream().read() < 0;
