End a response without a length only after its request is written

A server that answered a long upload at once with a 200 without a length, sent a part and closed the connection, had that part taken for the whole answer.

A trace of the reads and writes of the connection shows the cause: with nothing unread, the kernel of the server first ends its output, so the client reads the end of the input, completes the response, and only its next write meets the closed connection ("Broken pipe"). The end of the output alone says nothing, as a server may end it and then read the rest of the request. So UpstreamCall completes such a response once the request is written, or fails with the write. After an error HttpCore writes no more of the request; its body then counts as broken off.

A request that fits into the buffers of the sending socket counts as written.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamCall.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/UpstreamCall.java
@@ -5,6 +5,8 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.EndpointDetails;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
@@ -47,10 +49,15 @@
     private boolean mSending;
     private boolean mDone;
 
-    /** Confined to the thread of the connection, like the next two fields. */
+    /** Confined to the thread of the connection, like the next four fields. */
     private boolean mUploaded;
 
     private boolean mReleaseOnceUploaded;
+    private boolean mCompleteOnceUploaded;
+
+    /** Whether the body of the response has neither a length nor chunks. */
+    private boolean mEndsWithConnection;
+
     private int mStatus;
 
     UpstreamCall(
@@ -244,7 +251,9 @@
             if (!mBody.hasRemaining()) {
                 channel.endStream();
                 mUploaded = true;
-                if (mReleaseOnceUploaded) {
+                if (mCompleteOnceUploaded) {
+                    completeExchange();
+                } else if (mReleaseOnceUploaded) {
                     releaseConnection();
                 }
             }
@@ -261,6 +270,7 @@
             }
             mStatus = response.getCode();
             long lengthBytes = entity == null ? 0 : entity.getContentLength();
+            mEndsWithConnection = lengthBytes == ContentLengthStrategy.UNDEFINED;
             mListener.onHead(response.getCode(), HeaderField.listOf(response), lengthBytes);
             if (entity == null) {
                 completeExchange();
@@ -291,7 +301,18 @@
 
         @Override
         public void streamEnd(@Nullable List<? extends Header> trailers) {
-            completeExchange();
+            if (!mEndsWithConnection || mUploaded) {
+                completeExchange();
+            } else if (mStatus < HttpStatus.SC_CLIENT_ERROR) {
+                // A server that has closed the connection, and not only its output, breaks it off
+                // when more of the request arrives.
+                mCompleteOnceUploaded = true;
+            } else {
+                // HttpCore does not send the rest of the body after an error.
+                failed(
+                        new ConnectionClosedException(
+                                "the connection ended before the request was sent"));
+            }
         }
 
         @Override
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
@@ -1,12 +1,14 @@
 package org.hemlockrack.daemon.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
@@ -22,6 +24,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the client against servers that send bytes which are no answer, or more than an answer. */
@@ -37,6 +40,11 @@
     /** More than the buffers of a connection hold. */
     private static final int LARGE_BODY_BYTES = 32 << 20;
 
+    private static final byte[] LARGE_BODY = new byte[LARGE_BODY_BYTES];
+
+    private static final int SMALL_BUFFER_BYTES = 16 << 10;
+    private static final int UPLOADS = 20;
+
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     private static final String LATE = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate";
 
@@ -434,29 +442,94 @@
         }
     }
 
+    /** How a server ends a connection while it still receives a request. */
+    private enum ConnectionEnd {
+        RESET {
+            @Override
+            void end(Socket socket) throws IOException {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+        },
+        CLOSE {
+            @Override
+            void end(Socket socket) throws IOException {
+                socket.close();
+            }
+        };
+
+        abstract void end(Socket socket) throws IOException;
+    }
+
     /**
      * Guards against a part of a response without length that is taken for the whole one: the
      * server resets or ends the connection while the request is still being written.
      */
     @ParameterizedTest
-    @ValueSource(booleans = {false, true})
-    void endOfConnectionDuringTheUploadIsNoEndOfTheAnswer(boolean reset) throws Exception {
-        Collector answer = send(new byte[LARGE_BODY_BYTES]);
-        Socket socket = mServer.accept();
-        assertTrue(readRequest(socket));
-        write(socket, "HTTP/1.1 200 OK\r\n\r\npart");
-        answer.awaitBody();
-        if (reset) {
-            socket.setSoLinger(true, 0);
+    @EnumSource(ConnectionEnd.class)
+    void endOfConnectionDuringTheUploadIsNoEndOfTheAnswer(ConnectionEnd end) throws Exception {
+        assertUploadFails(end);
+    }
+
+    /** As above, while the client can write little because the buffer of the server is small. */
+    @ParameterizedTest
+    @EnumSource(ConnectionEnd.class)
+    void endOfConnectionDuringASlowUploadIsNoEndOfTheAnswer(ConnectionEnd end) throws Exception {
+        mServer.close();
+        mServer = new ServerSocket();
+        mServer.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+        mServer.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        for (int i = 0; i < UPLOADS; i++) {
+            assertUploadFails(end);
+        }
+    }
+
+    /**
+     * Guards against a whole response that is lost, or taken before the server can break it off:
+     * the server ends its output, and then reads the rest of the request.
+     */
+    @Test
+    void answerIsCompleteOnceTheUploadIsWritten() throws Exception {
+        Collector answer = send(LARGE_BODY);
+        try (Socket socket = mServer.accept()) {
+            assertTrue(readRequest(socket));
+            write(socket, "HTTP/1.1 200 OK\r\n\r\nok");
+            socket.shutdownOutput();
+            answer.awaitBody();
+            TimeUnit.MILLISECONDS.sleep(200);
+            assertFalse(answer.mResult.isDone());
+            socket.getInputStream().skipNBytes(LARGE_BODY_BYTES);
+            assertEquals("ok", answer.await());
+        }
+    }
+
+    /** Guards against the wait for an upload that an error has ended. */
+    @Test
+    void errorThatEndsWithItsConnectionDuringTheUploadIsNoAnswer() throws Exception {
+        Collector answer = send(LARGE_BODY);
+        try (Socket socket = mServer.accept()) {
+            assertTrue(readRequest(socket));
+            write(socket, "HTTP/1.1 503 Busy\r\n\r\npart");
+            socket.shutdownOutput();
+            assertEquals("failed", answer.await());
+        }
+    }
+
+    private void assertUploadFails(ConnectionEnd end) throws Exception {
+        Collector answer = send(LARGE_BODY);
+        try (Socket socket = mServer.accept()) {
+            assertTrue(readRequest(socket));
+            write(socket, "HTTP/1.1 200 OK\r\n\r\npart");
+            answer.awaitBody();
+            end.end(socket);
+            assertEquals("failed", answer.await());
         }
-        socket.close();
-        assertEquals("failed", answer.await());
     }
 
     /** Guards against an upload that stops once its response has arrived. */
     @Test
     void uploadIsSentWholeAfterAnEarlyAnswer() throws Exception {
-        Collector answer = send(new byte[LARGE_BODY_BYTES]);
+        Collector answer = send(LARGE_BODY);
         try (Socket socket = mServer.accept()) {
             socket.setSoTimeout(WAIT_SECONDS * 1_000);
             assertTrue(readRequest(socket));
@@ -473,7 +546,7 @@
      */
     @Test
     void connectionIsUsedAgainOnceTheUploadHasEnded() throws Exception {
-        Collector first = send(new byte[LARGE_BODY_BYTES]);
+        Collector first = send(LARGE_BODY);
         try (Socket upload = mServer.accept()) {
             upload.setSoTimeout(WAIT_SECONDS * 1_000);
             assertTrue(readRequest(upload));
@@ -496,7 +569,7 @@
     /** Guards against a request on a connection that closes after an early error. */
     @Test
     void connectionIsNotUsedAgainAfterAnErrorDuringTheUpload() throws Exception {
-        Collector first = send(new byte[LARGE_BODY_BYTES]);
+        Collector first = send(LARGE_BODY);
         try (Socket upload = mServer.accept()) {
             assertTrue(readRequest(upload));
             write(upload, "HTTP/1.1 100 Continue\r\n\r\n");
