Take nothing from a refusal whose body is malformed

A command whose server answered "not run", with a head that was sound and chunks or trailers that were not, was sent to a second server. Any failure after such a head counted as the refusal. A malformed answer may have been damaged in its head, too, so the command now ends with 502 and "ran":"unknown"; a refusal whose connection only breaks off still counts, as its head arrived whole.

ServerAnswersTest.malformedRefusalSaysNothing failed before: a refusal with a chunk that is one too large ended with the 200 of a second server. The other two tests show what callers get from malformed answers: another server's if nothing was sent on, and otherwise an answer that does not end.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/http/CharClass.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/http/CharClass.java
@@ -8,6 +8,12 @@
             return c == ' ' || c == '\t';
         }
     },
+    ZERO {
+        @Override
+        boolean contains(char c) {
+            return c == '0';
+        }
+    },
     DIGIT {
         @Override
         boolean contains(char c) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/http/ChunkedBodySyntax.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/http/ChunkedBodySyntax.java
@@ -31,9 +31,7 @@
 
     private static boolean isLastChunk(CharSequence text) {
         LineScanner line = LineScanner.of(text);
-        while (line.skip('0')) {
-            // Leading zeros are allowed in every size.
-        }
+        line.skipAll(CharClass.ZERO);
         return !line.skip(CharClass.HEX_DIGIT);
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/http/MessageLine.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/http/MessageLine.java
@@ -42,7 +42,12 @@
     CHUNK_SIZE(true) {
         @Override
         @Nullable SyntaxViolation findViolation(LineScanner line) {
-            if (!line.skipAll(CharClass.HEX_DIGIT)) {
+            boolean hasDigits = line.skipAll(CharClass.ZERO);
+            int digits = 0;
+            while (line.skip(CharClass.HEX_DIGIT)) {
+                digits++;
+            }
+            if (!hasDigits && digits == 0 || digits > MAX_SIZE_DIGITS) {
                 return line.violates(SyntaxRule.CHUNK_SIZE);
             }
             while (!line.isAtEnd()) {
@@ -81,6 +86,9 @@
         }
     };
 
+    /** Any number of so many hexadecimal digits fits into a long. */
+    private static final int MAX_SIZE_DIGITS = 15;
+
     private final boolean mRequiresCrLf;
 
     MessageLine(boolean requiresCrLf) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -12,6 +12,7 @@
 import org.hemlockrack.daemon.http.HeaderField;
 import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.HttpClient;
+import org.hemlockrack.daemon.http.MalformedMessageException;
 import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.daemon.http.UpstreamCall;
 import org.hemlockrack.daemon.http.UpstreamListener;
@@ -628,7 +629,9 @@
                     mChoiceOutdated ? "the choice is outdated" : message);
             return;
         }
-        if (mode == Mode.REFUSED || mode == Mode.MISDIRECTED) {
+        boolean refused = mode == Mode.REFUSED || mode == Mode.MISDIRECTED;
+        // A malformed answer may have been damaged in its head, too.
+        if (refused && !(cause instanceof MalformedMessageException)) {
             mExchange.onNotRun(this, AttemptOutcome.REJECTED, message);
             return;
         }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/gateway/ServerAnswersTest.java
@@ -497,4 +497,69 @@
             assertEquals("y".repeat(500), caller.mBody.toString());
         }
     }
+
+    private static String chunked(String text, String end) {
+        String size = Integer.toHexString(text.length());
+        return "Transfer-Encoding: chunked\r\n\r\n" + size + "\r\n" + text + "\r\n" + end;
+    }
+
+    /** Guards against a malformed answer that a caller gets although another server can answer. */
+    @Test
+    void malformedAnswerIsTriedElsewhere() throws Exception {
+        for (String fields :
+                List.of(
+                        "Content Length: 4",
+                        "X\1Y: z\r\nContent-Length: 4",
+                        "no field\r\nContent-Length: 4",
+                        "Content-Length: +4")) {
+            mAnswers.clear();
+            mAnswers.add(HEAD + fields + "\r\n\r\nlost");
+            mAnswers.add(HEAD + "Content-Length: 2\r\n\r\nok");
+            Caller caller = send(RerunPolicy.IDEMPOTENT);
+            assertTrue(caller.mComplete.get(10, TimeUnit.SECONDS));
+            assertEquals(200, caller.mStatus, fields);
+            assertEquals("ok", caller.mBody.toString(), fields);
+        }
+    }
+
+    /**
+     * Guards against a command that is run twice, because the malformed answer of a server was
+     * taken for a refusal. Its head may belong to another request, or may have been changed.
+     */
+    @Test
+    void malformedRefusalSaysNothing() throws Exception {
+        for (String status : List.of("503 Full", "421 Misdirected")) {
+            for (String rest :
+                    List.of(
+                            "X Y: z\r\nContent-Length: 0\r\n\r\n",
+                            "Content-Length: -0\r\n\r\n",
+                            "Transfer-Encoding: chunked\r\n\r\n5\r\nfull\r\n0\r\n\r\n",
+                            chunked("full", "+0\r\n\r\n"),
+                            chunked("full", "0\r\nX Y: z\r\n\r\n"))) {
+                mAnswers.clear();
+                mAnswers.add("HTTP/1.1 " + status + "\r\nId: " + ATTEMPT_ID + "\r\n" + rest);
+                mAnswers.add(HEAD + "Content-Length: 2\r\n\r\nok");
+                Caller caller = send(RerunPolicy.AT_MOST_ONCE);
+                assertTrue(caller.mComplete.get(10, TimeUnit.SECONDS));
+                assertEquals(502, caller.mStatus, rest);
+                assertTrue(caller.mBody.toString().contains("\"ran\":\"unknown\""), rest);
+                assertEquals(1, mAnswers.size(), rest);
+            }
+        }
+    }
+
+    /**
+     * Guards against a stream that looks complete although its chunks or trailers are malformed.
+     */
+    @Test
+    void malformedChunksAreNotComplete() throws Exception {
+        for (String end : List.of("+0\r\n\r\n", "0\r\nX Y: z\r\n\r\n", "0\n\r\n", "no size\r\n")) {
+            mAnswers.clear();
+            for (RerunPolicy policy : List.of(RerunPolicy.STREAM, RerunPolicy.IDEMPOTENT)) {
+                mAnswers.add(HEAD + chunked(FIRST, end));
+                Caller caller = send(policy);
+                assertFalse(caller.mComplete.get(10, TimeUnit.SECONDS), end);
+            }
+        }
+    }
 }
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
@@ -403,6 +403,7 @@
                 "2\nok\r\n0\r\n\r\n",
                 "2\r\nok\n0\r\n\r\n",
                 "3\r\nok\r\n0\r\n\r\n",
+                "10000000000000002\r\nok\r\n0\r\n\r\n",
                 "1\r\nok\r\n0\r\n\r\n",
                 "\r\n2\r\nok\r\n0\r\n\r\n",
                 "2\r\nok\r\n0\r\nno field\r\n\r\n",
