Test malformed responses through gateways and instances with owners

RawServer sends heads with a blank or a control byte in a name, a line that is no field, a length with a sign, a refusal with a malformed head, and malformed chunks and trailers.

--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/RawServer.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/RawServer.java
@@ -48,6 +48,61 @@
                 write(socket, "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n" + fields + "\r\nok");
             }
         },
+        /** A field whose name has a blank; a client that passes over it reads too much. */
+        MALFORMED_NAME {
+            @Override
+            void send(Socket socket, String fields) throws IOException {
+                write(socket, "HTTP/1.1 200 OK\r\nContent Length: 2\r\n" + fields + "\r\nok");
+                socket.shutdownOutput();
+            }
+        },
+        /** A field whose name has a control character. */
+        CONTROL_IN_NAME {
+            @Override
+            void send(Socket socket, String fields) throws IOException {
+                String control = "X\1Y: z\r\nContent-Length: 2\r\n";
+                write(socket, "HTTP/1.1 200 OK\r\n" + control + fields + "\r\nok");
+            }
+        },
+        /** A line that is no field. */
+        NO_FIELD {
+            @Override
+            void send(Socket socket, String fields) throws IOException {
+                String line = "no field\r\nContent-Length: 2\r\n";
+                write(socket, "HTTP/1.1 200 OK\r\n" + line + fields + "\r\nok");
+            }
+        },
+        /** A length that is no number. */
+        MALFORMED_LENGTH {
+            @Override
+            void send(Socket socket, String fields) throws IOException {
+                write(socket, "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n" + fields + "\r\nok");
+            }
+        },
+        /** A chunk with a wrong size. */
+        MALFORMED_CHUNK {
+            @Override
+            void send(Socket socket, String fields) throws IOException {
+                String body = "3\r\nok\r\n0\r\n\r\n";
+                write(socket, CHUNKED + fields + "\r\n" + body);
+            }
+        },
+        /** A trailer that is no field. */
+        MALFORMED_TRAILER {
+            @Override
+            void send(Socket socket, String fields) throws IOException {
+                String body = "2\r\nok\r\n0\r\nno field\r\n\r\n";
+                write(socket, CHUNKED + fields + "\r\n" + body);
+            }
+        },
+        /** A malformed head that says that the server is full. */
+        MALFORMED_REFUSAL {
+            @Override
+            void send(Socket socket, String fields) throws IOException {
+                String refusal = "X Y: z\r\nContent-Length: 0\r\nRetry-After: 1\r\n";
+                write(socket, "HTTP/1.1 503 Full\r\n" + fields + refusal + "\r\n");
+            }
+        },
         /** A complete response; the connection stays open. */
         COMPLETE {
             @Override
@@ -58,6 +113,7 @@
         };
 
         private static final long READ_MILLIS = 300;
+        private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
 
         abstract void send(Socket socket, String fields) throws IOException;
     }
--- a/hemlockrack-testing/src/test/java/org/hemlockrack/testing/InvalidResponseTest.java
+++ b/hemlockrack-testing/src/test/java/org/hemlockrack/testing/InvalidResponseTest.java
@@ -6,10 +6,12 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -80,6 +82,23 @@
         assertTrue(SERVER.requests() > requests, answer::body);
     }
 
+    /** Guards against a malformed response that reaches a caller, or whose refusal is believed. */
+    @ParameterizedTest
+    @EnumSource(
+            value = RawServer.Response.class,
+            mode = EnumSource.Mode.MATCH_ANY,
+            names = {"MALFORMED_.*", "CONTROL_IN_NAME", "NO_FIELD"})
+    void malformedResponseIsNoResponse(RawServer.Response response) {
+        for (String instance : List.of("i1", "i2")) {
+            SERVER.setResponse(response);
+            int requests = SERVER.requests();
+            FleetClient.Answer answer = send(instance, "body");
+            assertEquals(502, answer.status(), answer::toString);
+            assertEquals("unknown", answer.runState(), answer::body);
+            assertEquals(1, SERVER.requests() - requests, answer::body);
+        }
+    }
+
     /**
      * Guards against an early response that is lost, and against the next request being sent after
      * the unfinished upload on the same connection.
