Refuse malformed responses in the operators' tool

The tool printed malformed responses of an operator port as if an instance had sent them, took a body that broke off in its trailers for a whole one, and ended with a stack trace at status 000. It reads with HttpCore's blocking parsers, which are as lenient as the asynchronous ones.

OperatorConnection checks the lines of heads and chunks with HeadSyntax and ChunkedBodySyntax, and the length with LengthFields, as the gateways do; the outcome of a command that got such a response is OUTCOME_UNKNOWN. The classes of statuses belong to the grammar of the status line now, for both readers.

--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/OperatorClient.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/OperatorClient.java
@@ -99,7 +99,10 @@
                         .setSoTimeout(Timeout.ofMilliseconds(mResponseTimeoutMillis))
                         .build();
         try (HttpRequester requester =
-                RequesterBootstrap.bootstrap().setSocketConfig(sockets).create()) {
+                RequesterBootstrap.bootstrap()
+                        .setSocketConfig(sockets)
+                        .setConnectionFactory(OperatorConnection::of)
+                        .create()) {
             return requester.execute(
                     mHost,
                     request,
--- a/hemlockrack-cli/src/test/java/org/hemlockrack/cli/MainTest.java
+++ b/hemlockrack-cli/src/test/java/org/hemlockrack/cli/MainTest.java
@@ -9,6 +9,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
@@ -188,6 +189,85 @@
         }
     }
 
+    /**
+     * Guards against a malformed or incomplete response that is printed as if it came from an
+     * instance.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\n{}",
+                "HTTP/1.1 200 OK\r\nX\1Y: z\r\nContent-Length: 2\r\n\r\n{}",
+                "HTTP/1.1 200 OK\r\nno field\r\nContent-Length: 2\r\n\r\n{}",
+                "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\n{}",
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n{}",
+                "HTTP/1.1 200 OK\r\nContent-Length: 2",
+                "HTTP/1.1 200 OK\r\nX: y\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{}\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n"
+                        + "2\r\n"
+                        + "{}\r\n"
+                        + "0\r\n"
+                        + "X Y: z\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n",
+                "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}"
+            })
+    void malformedResponseIsUnknown(String response) throws Exception {
+        ToolRun run = runWithResponse(response, "status");
+        assertEquals(1, run.exitCode(), run.out());
+        assertTrue(run.err().startsWith("hemlockrack: OUTCOME_UNKNOWN: "), run.err());
+        assertEquals("", run.out());
+    }
+
+    /** Guards against a sound response that is refused. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\nContent-Length: 02\n\n{}",
+                "HTTP/1.1 200\r\n"
+                        + "X-Empty:\r\n"
+                        + "Transfer-Encoding: chunked\r\n\r\n"
+                        + "02;a\r\n"
+                        + "{}\r\n"
+                        + "0\r\n"
+                        + "X: y\r\n\r\n",
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+                "HTTP/1.1 200 OK\r\n\r\n{}"
+            })
+    void soundResponseIsPrinted(String response) throws Exception {
+        ToolRun run = runWithResponse(response, "status", "--json");
+        assertEquals(0, run.exitCode(), run.err());
+        assertEquals("{}", run.out().trim());
+    }
+
+    private static ToolRun runWithResponse(String response, String... command) throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<Void> responded =
+                    CompletableFuture.runAsync(() -> respond(server, response));
+            String address = "127.0.0.1:" + server.getLocalPort();
+            CommandCase status = new CommandCase("", List.of(command));
+            ToolRun run = ToolRun.of(status.argsWith("--address", address));
+            responded.join();
+            return run;
+        }
+    }
+
+    private static void respond(ServerSocket server, String response) {
+        try (Socket socket = server.accept();
+                InputStream in = socket.getInputStream()) {
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                head.append((char) in.read());
+            }
+            socket.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
+            socket.shutdownOutput();
+            in.readAllBytes();
+        } catch (IOException e) {
+            // The tool closes the connection at a malformed line.
+        }
+    }
+
     private static void readAndClose(ServerSocket server) {
         try (Socket socket = server.accept();
                 InputStream in = socket.getInputStream()) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/http/CharClass.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/http/CharClass.java
@@ -14,6 +14,14 @@
             return c == '0';
         }
     },
+
+    /** First digits of the statuses that HTTP defines a class for. */
+    STATUS_CLASS {
+        @Override
+        boolean contains(char c) {
+            return c >= '1' && c <= '5';
+        }
+    },
     DIGIT {
         @Override
         boolean contains(char c) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/http/MessageLine.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/http/MessageLine.java
@@ -15,7 +15,7 @@
                     line.skip("HTTP/1.")
                             && line.skip(CharClass.DIGIT)
                             && line.skip(' ')
-                            && line.skip(CharClass.DIGIT)
+                            && line.skip(CharClass.STATUS_CLASS)
                             && line.skip(CharClass.DIGIT)
                             && line.skip(CharClass.DIGIT);
             // Servers that send no reason phrase often omit the space before it, too.
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/gateway/ForwardAttempt.java
@@ -12,13 +12,13 @@
 import org.hemlockrack.daemon.http.HeaderField;
 import org.hemlockrack.daemon.http.HttpCall;
 import org.hemlockrack.daemon.http.HttpClient;
-import org.hemlockrack.daemon.http.MalformedMessageException;
 import org.hemlockrack.daemon.http.Responder;
 import org.hemlockrack.daemon.http.UpstreamCall;
 import org.hemlockrack.daemon.http.UpstreamListener;
 import org.hemlockrack.dispatch.AttemptOutcome;
 import org.hemlockrack.dispatch.DelayKind;
 import org.hemlockrack.dispatch.ServerChoice;
+import org.hemlockrack.http.MalformedMessageException;
 import org.hemlockrack.registry.Registration;
 import org.jspecify.annotations.Nullable;
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/BodyDecoder.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/BodyDecoder.java
@@ -9,6 +9,7 @@
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.nio.ContentDecoder;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.hemlockrack.http.MalformedMessageException;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/MessageLineBuffer.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/MessageLineBuffer.java
@@ -7,6 +7,7 @@
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
 import org.hemlockrack.http.LineSyntax;
+import org.hemlockrack.http.MalformedMessageException;
 import org.hemlockrack.http.SyntaxViolation;
 import org.jspecify.annotations.Nullable;
 
@@ -68,7 +69,7 @@
         int endBytes = unreadBytes - mDelegate.length() - text.length();
         SyntaxViolation violation = mSyntax.findViolation(text, endBytes == CR_LF_BYTES);
         if (violation != null) {
-            throw new MalformedMessageException(violation);
+            throw MalformedMessageException.of(violation);
         }
         return true;
     }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ResponseInput.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ResponseInput.java
@@ -14,6 +14,7 @@
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.http.nio.SessionOutputBuffer;
 import org.hemlockrack.http.HeadSyntax;
+import org.hemlockrack.http.MalformedMessageException;
 import org.hemlockrack.http.SyntaxRule;
 import org.hemlockrack.http.SyntaxViolation;
 import org.jspecify.annotations.Nullable;
@@ -27,9 +28,6 @@
     /** Limit on one head, including the informational ones before it. */
     private static final int MAX_HEAD_BYTES = 64 << 10;
 
-    /** Largest status that HTTP defines a class for. */
-    private static final int MAX_STATUS = 599;
-
     private final HeadSyntax mSyntax = HeadSyntax.ofResponses();
     private @Nullable MessageLineBuffer mBuffer;
     private int mExpectedResponses;
@@ -57,18 +55,12 @@
         };
     }
 
-    private static void checkStatus(int status) throws ProtocolException {
-        if (status < HttpStatus.SC_CONTINUE || status > MAX_STATUS) {
-            throw new ProtocolException("status " + status + " of a response is not valid");
-        }
-    }
-
     private static void checkLength(HttpResponse response) throws IOException {
         ProtocolVersion version = response.getVersion();
         boolean isHttp10 = version != null && version.lessEquals(HttpVersion.HTTP_1_0);
         SyntaxRule violation = HeaderField.lengthFieldsOf(response).findViolation(isHttp10);
         if (violation != null) {
-            throw new MalformedMessageException(SyntaxViolation.ofHead(violation));
+            throw MalformedMessageException.of(SyntaxViolation.ofHead(violation));
         }
     }
 
@@ -100,7 +92,6 @@
                             "head of a response exceeds " + MAX_HEAD_BYTES + " bytes");
                 }
                 if (response != null) {
-                    checkStatus(response.getCode());
                     checkLength(response);
                 }
                 if (response != null && response.getCode() >= HttpStatus.SC_SUCCESS) {
