Refuse requests with a malformed field name

A request whose field name had a blank, a control byte or a delimiter was passed on to a backend server, some with another character in its place, and one with "Host : h" was accepted. The cause is that of the malformed responses: HttpCore's lenient line parser. HeadSyntax checks the names of fields in requests, too, and refuses a blank before the first field; the request gets 400. Values and folded lines stay as docs/protocols.md has them.

HttpPortTest.malformedRequestsAreRefused failed before: such a request was served.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/http/HeadSyntax.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/http/HeadSyntax.java
@@ -4,41 +4,89 @@
 
 /** Checks the heads of a connection, one after the other. */
 public final class HeadSyntax extends LineSyntax {
-    private final @Nullable MessageLine mStartLine;
-    private boolean mInHead;
+    private final Kind mKind;
+    private boolean mHasStartLine;
+    private boolean mHasField;
 
-    private HeadSyntax(@Nullable MessageLine startLine) {
-        mStartLine = startLine;
+    /** Whose heads are checked. */
+    private enum Kind {
+        RESPONSE {
+            @Override
+            @Nullable SyntaxViolation findViolation(CharSequence startLine, boolean endsWithCrLf) {
+                return MessageLine.STATUS.findViolation(startLine, endsWithCrLf);
+            }
+
+            @Override
+            MessageLine fieldLine() {
+                return MessageLine.FIELD;
+            }
+
+            @Override
+            boolean allowsFolding() {
+                return false;
+            }
+        },
+
+        /** Request lines, the values of fields and folded lines are left to the parser. */
+        REQUEST {
+            @Override
+            @Nullable SyntaxViolation findViolation(CharSequence startLine, boolean endsWithCrLf) {
+                return null;
+            }
+
+            @Override
+            MessageLine fieldLine() {
+                return MessageLine.FIELD_NAME;
+            }
+
+            @Override
+            boolean allowsFolding() {
+                return true;
+            }
+        };
+
+        abstract @Nullable SyntaxViolation findViolation(
+                CharSequence startLine, boolean endsWithCrLf);
+
+        abstract MessageLine fieldLine();
+
+        abstract boolean allowsFolding();
+    }
+
+    private HeadSyntax(Kind kind) {
+        mKind = kind;
     }
 
     /** Creates a check of responses. */
     public static HeadSyntax ofResponses() {
-        return new HeadSyntax(MessageLine.STATUS);
+        return new HeadSyntax(Kind.RESPONSE);
     }
 
-    /**
-     * Creates a check of requests. It leaves the request line, and empty lines before it, alone.
-     */
+    /** Creates a check of requests, which may follow empty lines. */
     public static HeadSyntax ofRequests() {
-        return new HeadSyntax(null);
+        return new HeadSyntax(Kind.REQUEST);
     }
 
     @Override
     @Nullable SyntaxViolation findNextViolation(CharSequence text, boolean endsWithCrLf) {
-        if (!mInHead) {
-            mInHead = mStartLine != null || !text.isEmpty();
-            return mStartLine == null ? null : mStartLine.findViolation(text, endsWithCrLf);
+        if (!mHasStartLine) {
+            mHasStartLine = !text.isEmpty();
+            return mKind.findViolation(text, endsWithCrLf);
         }
         if (text.isEmpty()) {
             reset();
             return null;
         }
-        return MessageLine.FIELD.findViolation(text, endsWithCrLf);
+        boolean continuesField =
+                mHasField && mKind.allowsFolding() && CharClass.BLANK.contains(text.charAt(0));
+        mHasField = true;
+        return continuesField ? null : mKind.fieldLine().findViolation(text, endsWithCrLf);
     }
 
     @Override
     public void reset() {
         super.reset();
-        mInHead = false;
+        mHasStartLine = false;
+        mHasField = false;
     }
 }
--- a/hemlockrack-core/src/main/java/org/hemlockrack/http/MessageLine.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/http/MessageLine.java
@@ -31,14 +31,24 @@
     FIELD(false) {
         @Override
         @Nullable SyntaxViolation findViolation(LineScanner line) {
-            if (!line.skipAll(CharClass.TOKEN) || !line.skip(':')) {
-                return line.violates(SyntaxRule.FIELD_NAME);
+            SyntaxViolation violation = FIELD_NAME.findViolation(line);
+            if (violation != null) {
+                return violation;
             }
             line.skipAll(CharClass.TEXT);
             return line.violatesUnlessAtEnd(SyntaxRule.FIELD_VALUE);
         }
     },
 
+    /** A field whose value is left to the recipient. */
+    FIELD_NAME(false) {
+        @Override
+        @Nullable SyntaxViolation findViolation(LineScanner line) {
+            boolean hasName = line.skipAll(CharClass.TOKEN) && line.skip(':');
+            return hasName ? null : line.violates(SyntaxRule.FIELD_NAME);
+        }
+    },
+
     CHUNK_SIZE(true) {
         @Override
         @Nullable SyntaxViolation findViolation(LineScanner line) {
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/MessageLineBuffer.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/MessageLineBuffer.java
@@ -19,10 +19,10 @@
     private static final int CR_LF_BYTES = 2;
 
     private final SessionInputBuffer mDelegate;
-    private final @Nullable LineSyntax mSyntax;
+    private final LineSyntax mSyntax;
     private int mLines;
 
-    private MessageLineBuffer(SessionInputBuffer delegate, @Nullable LineSyntax syntax) {
+    private MessageLineBuffer(SessionInputBuffer delegate, LineSyntax syntax) {
         mDelegate = delegate;
         mSyntax = syntax;
     }
@@ -31,14 +31,12 @@
      * Returns the lines of a buffer.
      *
      * @param buffer the buffer
-     * @param syntax checks the lines, or null to leave them alone
+     * @param syntax checks the lines
      * @param previous the lines of earlier calls, kept if they are of the same buffer
      * @return the lines
      */
     static MessageLineBuffer of(
-            SessionInputBuffer buffer,
-            @Nullable LineSyntax syntax,
-            @Nullable MessageLineBuffer previous) {
+            SessionInputBuffer buffer, LineSyntax syntax, @Nullable MessageLineBuffer previous) {
         return previous != null && previous.mDelegate == buffer
                 ? previous
                 : new MessageLineBuffer(buffer, syntax);
@@ -61,9 +59,6 @@
             return false;
         }
         mLines++;
-        if (mSyntax == null) {
-            return true;
-        }
         CharSequence text = line.subSequence(start, line.length());
         // Each byte of a line is read as one character; its end is left out.
         int endBytes = unreadBytes - mDelegate.length() - text.length();
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/RequestParser.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/RequestParser.java
@@ -14,6 +14,8 @@
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.hemlockrack.errors.ErrorKind;
 import org.hemlockrack.errors.ErrorText;
+import org.hemlockrack.http.HeadSyntax;
+import org.hemlockrack.http.MalformedMessageException;
 import org.hemlockrack.http.SyntaxRule;
 import org.jspecify.annotations.Nullable;
 
@@ -27,6 +29,7 @@
 
     private final NHttpMessageParser<HttpRequest> mParser;
     private final ClientConnection mConnection;
+    private final HeadSyntax mSyntax = HeadSyntax.ofRequests();
     private long mHeadBytes;
     private @Nullable MessageLineBuffer mLines;
 
@@ -38,6 +41,7 @@
     @Override
     public void reset() {
         mParser.reset();
+        mSyntax.reset();
     }
 
     @Override
@@ -47,7 +51,7 @@
             mConnection.headStarted();
         }
         HttpRequest request;
-        MessageLineBuffer lines = MessageLineBuffer.of(buffer, null, mLines);
+        MessageLineBuffer lines = MessageLineBuffer.of(buffer, mSyntax, mLines);
         mLines = lines;
         int pendingBytes = buffer.length();
         if (!mConnection.tryReserveHead(mHeadBytes + pendingBytes, lines.lines())) {
@@ -57,7 +61,7 @@
             request = mParser.parse(lines, endOfStream);
         } catch (RequestHeaderFieldsTooLargeException | MessageConstraintException e) {
             request = RefusedRequest.of("GET", ErrorKind.HEADERS_TOO_LARGE, e.getMessage());
-        } catch (HttpException e) {
+        } catch (HttpException | MalformedMessageException e) {
             request = RefusedRequest.of("GET", ErrorKind.BAD_REQUEST, e.getMessage());
         }
         mHeadBytes += pendingBytes - buffer.length();
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortTest.java
@@ -219,6 +219,11 @@
                         "GET /echo HTTP/3.7\r\nHost: h\r\n\r\n",
                         "GET /echo HTTP/1.1\r\n\r\n",
                         "GET /echo HTTP/1.1\r\nHost: h\r\nno colon\r\n\r\n",
+                        "GET /echo HTTP/1.1\r\nHost: h\r\nX Y: z\r\n\r\n",
+                        "GET /echo HTTP/1.1\r\nHost: h\r\nX\0Y: z\r\n\r\n",
+                        "GET /echo HTTP/1.1\r\nHost: h\r\nX(Y): z\r\n\r\n",
+                        "GET /echo HTTP/1.1\r\nHost : h\r\n\r\n",
+                        "GET /echo HTTP/1.1\r\n X: y\r\nHost: h\r\n\r\n",
                         post("Transfer-Encoding: chunked\r\n", "zz\r\nabc\r\n"),
                         post("Transfer-Encoding: chunked\r\n", "+3\r\nabc\r\n0\r\n\r\n"),
                         post("Transfer-Encoding: chunked\r\n", "4\r\nabc\r\n0\r\n\r\n"))) {
