--- a/hemlockrack-core/src/main/java/org/hemlockrack/http/HeadSyntax.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/http/HeadSyntax.java
@@ -12,7 +12,8 @@
     private enum Kind {
         RESPONSE {
             @Override
-            @Nullable SyntaxViolation findViolation(CharSequence startLine, boolean endsWithCrLf) {
+            @Nullable SyntaxViolation findStartLineViolation(
+                    CharSequence startLine, boolean endsWithCrLf) {
                 return MessageLine.STATUS.findViolation(startLine, endsWithCrLf);
             }
 
@@ -30,7 +31,8 @@
         /** Request lines, the values of fields and folded lines are left to the parser. */
         REQUEST {
             @Override
-            @Nullable SyntaxViolation findViolation(CharSequence startLine, boolean endsWithCrLf) {
+            @Nullable SyntaxViolation findStartLineViolation(
+                    CharSequence startLine, boolean endsWithCrLf) {
                 return null;
             }
 
@@ -45,7 +47,7 @@
             }
         };
 
-        abstract @Nullable SyntaxViolation findViolation(
+        abstract @Nullable SyntaxViolation findStartLineViolation(
                 CharSequence startLine, boolean endsWithCrLf);
 
         abstract MessageLine fieldLine();
@@ -71,7 +73,7 @@
     @Nullable SyntaxViolation findNextViolation(CharSequence text, boolean endsWithCrLf) {
         if (!mHasStartLine) {
             mHasStartLine = !text.isEmpty();
-            return mKind.findViolation(text, endsWithCrLf);
+            return mKind.findStartLineViolation(text, endsWithCrLf);
         }
         if (text.isEmpty()) {
             reset();
--- a/hemlockrack-core/src/main/java/org/hemlockrack/http/MessageLine.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/http/MessageLine.java
@@ -3,9 +3,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The lines of a message around its content, each with the grammar of RFC 9112. What that allows a
- * recipient to repair is a violation, because the message was damaged if its sender knows HTTP: a
- * blank before a colon and a line that is folded.
+ * The lines of a message around its content, each with the grammar of RFC 9112. A line that a
+ * recipient may repair, such as one with a blank before the colon, is a violation, too: senders
+ * must not send it, so the message may be damaged in other places.
  */
 enum MessageLine {
     STATUS(false) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/http/SyntaxRule.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/http/SyntaxRule.java
@@ -7,9 +7,7 @@
     FIELD_VALUE("field-value"),
     CONTENT_LENGTH("Content-Length"),
     TRANSFER_ENCODING("Transfer-Encoding"),
-
-    /** Content-Length and Transfer-Encoding in one message. */
-    CONFLICTING_LENGTHS("message body length"),
+    CONFLICTING_LENGTHS("Content-Length with Transfer-Encoding"),
 
     CHUNK_SIZE("chunk-size"),
     CHUNK_EXTENSION("chunk-ext"),
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
@@ -366,7 +366,7 @@
                 "Content-Length                    | HTTP/1.1 200 OK\\r\\nContent-Length: 2 2",
                 "Content-Length                    | HTTP/1.1 200 OK\\r\\nContent-Length:",
                 "Content-Length                    | HTTP/1.1 204 OK\\r\\nContent-Length: x",
-                "message body length | HTTP/1.1 200 OK\\r"
+                "Content-Length with Transfer-Encoding | HTTP/1.1 200 OK\\r"
                         + "\\n"
                         + "Content-Length: 2\\r"
                         + "\\n"
