Test malformed answers to HEAD and an empty length at the tool

Both hold: the head of an answer to HEAD is checked as any other, and the tool refuses a Content-Length without a value. Neither test failed before this commit.

--- a/hemlockrack-cli/src/test/java/org/hemlockrack/cli/MainTest.java
+++ b/hemlockrack-cli/src/test/java/org/hemlockrack/cli/MainTest.java
@@ -200,6 +200,7 @@
                 "HTTP/1.1 200 OK\r\nX\1Y: z\r\nContent-Length: 2\r\n\r\n{}",
                 "HTTP/1.1 200 OK\r\nno field\r\nContent-Length: 2\r\n\r\n{}",
                 "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\n{}",
+                "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\n{}",
                 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n{}",
                 "HTTP/1.1 200 OK\r\nContent-Length: 2",
                 "HTTP/1.1 200 OK\r\nX: y\r\n",
--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/FaultyServerTest.java
@@ -108,9 +108,13 @@
     }
 
     private Collector send(byte[] body) {
+        return send("GET", body);
+    }
+
+    private Collector send(String method, byte[] body) {
         Collector collector = new Collector();
         String target = "127.0.0.1:" + mServer.getLocalPort();
-        mClient.send(target, "GET", "/", List.of(), body, collector);
+        mClient.send(target, method, "/", List.of(), body, collector);
         return collector;
     }
 
@@ -422,6 +426,18 @@
         }
     }
 
+    /** Guards against a malformed answer to HEAD that is taken because it has no body. */
+    @ParameterizedTest
+    @CsvSource({"5,''", "+5,failed", "5 5,failed"})
+    void answerToHeadIsChecked(String length, String result) throws Exception {
+        Collector answer = send("HEAD", new byte[0]);
+        try (Socket socket = mServer.accept()) {
+            assertTrue(readRequest(socket));
+            write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n");
+            assertEquals(result, answer.await());
+        }
+    }
+
     private static boolean isClosed(Socket socket) throws IOException {
         try {
             return socket.getInputStream().read() < 0;
