--- a/hemlockrack-testing/src/main/java/org/hemlockrack/testing/RawServer.java
+++ b/hemlockrack-testing/src/main/java/org/hemlockrack/testing/RawServer.java
@@ -28,13 +28,15 @@
     /** The body of the complete responses. */
     public static final String BODY = "0123456789".repeat(20_000);
 
+    private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+
     /** What the server sends instead of an ordinary response. */
     public enum Response {
         /** A part of a response without length; then the connection is reset. */
-        PART_THEN_RESET {
+        PART_THEN_RESET("HTTP/1.1 200 OK\r\n", "part") {
             @Override
             void send(Socket socket, String fields) throws IOException {
-                write(socket, "HTTP/1.1 200 OK\r\n" + fields + "\r\npart");
+                super.send(socket, fields);
                 // A reset discards what the receiver has not read yet.
                 LocalFleet.sleep(READ_MILLIS);
                 socket.setSoLinger(true, 0);
@@ -42,80 +44,44 @@
             }
         },
         /** A response whose status is not valid. */
-        INVALID_STATUS {
-            @Override
-            void send(Socket socket, String fields) throws IOException {
-                write(socket, "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n" + fields + "\r\nok");
-            }
-        },
+        INVALID_STATUS("HTTP/1.1 000 OK\r\nContent-Length: 2\r\n", "ok"),
         /** A field whose name has a blank; a client that passes over it reads too much. */
-        MALFORMED_NAME {
+        MALFORMED_NAME("HTTP/1.1 200 OK\r\nContent Length: 2\r\n", "ok") {
             @Override
             void send(Socket socket, String fields) throws IOException {
-                write(socket, "HTTP/1.1 200 OK\r\nContent Length: 2\r\n" + fields + "\r\nok");
+                super.send(socket, fields);
                 socket.shutdownOutput();
             }
         },
         /** A field whose name has a control character. */
-        CONTROL_IN_NAME {
-            @Override
-            void send(Socket socket, String fields) throws IOException {
-                String control = "X\1Y: z\r\nContent-Length: 2\r\n";
-                write(socket, "HTTP/1.1 200 OK\r\n" + control + fields + "\r\nok");
-            }
-        },
+        CONTROL_IN_NAME("HTTP/1.1 200 OK\r\nX\1Y: z\r\nContent-Length: 2\r\n", "ok"),
         /** A line that is no field. */
-        NO_FIELD {
-            @Override
-            void send(Socket socket, String fields) throws IOException {
-                String line = "no field\r\nContent-Length: 2\r\n";
-                write(socket, "HTTP/1.1 200 OK\r\n" + line + fields + "\r\nok");
-            }
-        },
+        NO_FIELD("HTTP/1.1 200 OK\r\nno field\r\nContent-Length: 2\r\n", "ok"),
         /** A length that is no number. */
-        MALFORMED_LENGTH {
-            @Override
-            void send(Socket socket, String fields) throws IOException {
-                write(socket, "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n" + fields + "\r\nok");
-            }
-        },
+        MALFORMED_LENGTH("HTTP/1.1 200 OK\r\nContent-Length: +2\r\n", "ok"),
         /** A chunk with a wrong size. */
-        MALFORMED_CHUNK {
-            @Override
-            void send(Socket socket, String fields) throws IOException {
-                String body = "3\r\nok\r\n0\r\n\r\n";
-                write(socket, CHUNKED + fields + "\r\n" + body);
-            }
-        },
+        MALFORMED_CHUNK(CHUNKED, "3\r\nok\r\n0\r\n\r\n"),
         /** A trailer that is no field. */
-        MALFORMED_TRAILER {
-            @Override
-            void send(Socket socket, String fields) throws IOException {
-                String body = "2\r\nok\r\n0\r\nno field\r\n\r\n";
-                write(socket, CHUNKED + fields + "\r\n" + body);
-            }
-        },
+        MALFORMED_TRAILER(CHUNKED, "2\r\nok\r\n0\r\nno field\r\n\r\n"),
         /** A malformed head that says that the server is full. */
-        MALFORMED_REFUSAL {
-            @Override
-            void send(Socket socket, String fields) throws IOException {
-                String refusal = "X Y: z\r\nContent-Length: 0\r\nRetry-After: 1\r\n";
-                write(socket, "HTTP/1.1 503 Full\r\n" + fields + refusal + "\r\n");
-            }
-        },
+        MALFORMED_REFUSAL(
+                "HTTP/1.1 503 Full\r\nX Y: z\r\nContent-Length: 0\r\nRetry-After: 1\r\n", ""),
         /** A complete response; the connection stays open. */
-        COMPLETE {
-            @Override
-            void send(Socket socket, String fields) throws IOException {
-                String length = "Content-Length: " + BODY.length() + "\r\n";
-                write(socket, "HTTP/1.1 200 OK\r\n" + length + fields + "\r\n" + BODY);
-            }
-        };
+        COMPLETE("HTTP/1.1 200 OK\r\nContent-Length: " + BODY.length() + "\r\n", BODY);
 
         private static final long READ_MILLIS = 300;
-        private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
 
-        abstract void send(Socket socket, String fields) throws IOException;
+        private final String mHead;
+        private final String mBody;
+
+        Response(String head, String body) {
+            mHead = head;
+            mBody = body;
+        }
+
+        void send(Socket socket, String fields) throws IOException {
+            write(socket, mHead + fields + "\r\n" + mBody);
+        }
     }
 
     private final ServerSocket mServer;
