LeaderTasksTest: run the tasks once the leader can change voters

Cause, a fault of the test: it runs the tasks once, as soon as the replica is the leader. A leader refuses changes of voters until its first entry is committed, and the test, unlike a controller, never runs the tasks again.

The test now waits for a read, which a leader serves after its first entry. What it checks is the same.

--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/LeaderTasksTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/controller/LeaderTasksTest.java
@@ -24,6 +24,7 @@
 import org.hemlockrack.consensus.Membership;
 import org.hemlockrack.consensus.Message;
 import org.hemlockrack.consensus.Packet;
+import org.hemlockrack.consensus.ProposalStatus;
 import org.hemlockrack.consensus.ReplicaNode;
 import org.hemlockrack.consensus.ReplicaRef;
 import org.hemlockrack.consensus.Role;
@@ -88,6 +89,8 @@
                         () -> {});
         mTasks = LeaderTasks.create(mLoop, SELF, mReplica, 1, mLog);
         await(() -> mReplica.role() == Role.LEADER);
+        // A leader refuses changes of voters until its first entry is committed.
+        assertEquals(ProposalStatus.APPLIED, mReplica.readIndex().join().status());
     }
 
     /** The long election timeout keeps a leader whose thread is delayed on a busy machine. */
