Let elections end on disks whose syncs take long

Terms rose to 31 within a minute, by refused votes of VOTE_GIVEN and TERM_OUTDATED.

Cause: a vote takes two or more syncs at the candidate and four at a voter, and the first entry of a log seven more. The election timeout of 500 to 1,000 ms did not depend on that: where it passed first, the next election ended the one before it, and so on without an end.

Change: after three terms in a row without a committed entry the timeout doubles with each further one, up to four times (ElectionTimeout). Followers return to the timeout of the settings with the first committed entry, so that the next loss of a leader is noticed as soon as before; the leader waits longer for its majority until it has lasted 10 s. Only votes count, not pre-votes, so a replica that is cut off does not slow down.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ConsensusSettings.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/ConsensusSettings.java
@@ -12,7 +12,7 @@
  *     announcements of replicas without data; the same list in the same order on every instance
  * @param formation when this replica may form a new log
  * @param electionTimeoutNanos shortest election timeout; each timeout is drawn from one to two
- *     times this value
+ *     times this value, which doubles up to two times after several terms without a committed entry
  * @param heartbeatNanos time between heartbeats of the leader
  * @param maxBatchBytes most entry bytes in one append; a single larger entry is sent on its own
  * @param maxInflightAppends most unanswered appends per follower
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Leadership.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Leadership.java
@@ -86,7 +86,8 @@
 
     private boolean hasHeardFrom(long replicaId) {
         MemberProgress progress = mProgressByReplica.get(replicaId);
-        return progress != null && wasHeardWithin(progress, 1);
+        long limitNanos = mState.mElectionTimeout.leaderNanos(mState.mNowNanos);
+        return progress != null && mState.mNowNanos - progress.mLastHeardNanos < limitNanos;
     }
 
     boolean wasHeardWithin(MemberProgress progress, int timeouts) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/RaftState.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/RaftState.java
@@ -32,6 +32,7 @@
     final ReplicaRef mSelf;
     final RaftLog mLog;
     final RandomGenerator mRandom;
+    final ElectionTimeout mElectionTimeout;
     final TreeMap<Long, Membership> mMembershipsByIndex = new TreeMap<>();
 
     /** Tickets of the proposals appended during the current leadership, by log index. */
@@ -82,6 +83,7 @@
         mRandom = random;
         mSnapshot = recovered.snapshot();
         mNowNanos = nowNanos;
+        mElectionTimeout = ElectionTimeout.create(settings.electionTimeoutNanos(), nowNanos);
         if (mSnapshot != null) {
             mCommitIndex = mSnapshot.index();
             mMembershipsByIndex.put(mSnapshot.index(), mSnapshot.membership());
@@ -158,6 +160,9 @@
         if (hardState.equals(mHardState)) {
             return;
         }
+        if (hardState.term() > mHardState.term()) {
+            mElectionTimeout.onTermStarted(mNowNanos);
+        }
         mHardState = hardState;
         emit(new ConsensusOutput.PersistHardState(hardState));
     }
@@ -212,6 +217,9 @@
             mCommitIndex++;
             Entry entry = mLog.get(mCommitIndex);
             Long ticket = mTicketsByIndex.remove(mCommitIndex);
+            if (entry.term() == term()) {
+                mElectionTimeout.onCommitted(mNowNanos);
+            }
             emitApplied(entry, ticket);
         }
     }
@@ -274,7 +282,7 @@
     boolean hasRecentLeaderContact() {
         return mRole == Role.LEADER
                 || mHasLeaderContact
-                        && mNowNanos - mLastLeaderContactNanos < mSettings.electionTimeoutNanos();
+                        && mNowNanos - mLastLeaderContactNanos < mElectionTimeout.followerNanos();
     }
 
     /** Counts a refused vote or pre-vote for {@link org.hemlockrack.consensus.ReplicaStatus}. */
@@ -283,7 +291,7 @@
     }
 
     void resetElectionDeadline() {
-        long timeout = mSettings.electionTimeoutNanos();
+        long timeout = mElectionTimeout.followerNanos();
         mElectionDeadlineNanos = mNowNanos + timeout + mRandom.nextLong(timeout);
     }
 
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/ClusterSimulation.java
@@ -82,6 +82,9 @@
     /** Bytes a second that each instance can send, to all others together; 0 for no limit. */
     long mLinkBytesPerSecond;
 
+    /** For how long each sync of a disk blocks the process. */
+    long mSyncNanos;
+
     /** When each instance will have sent what is queued on its link. */
     private final Map<Integer, Long> mLinkFreeNanos = new HashMap<>();
 
@@ -224,10 +227,11 @@
             mNetwork.add(new Delivery(arrivalNanos, mNextSequence++, target, bytes));
             return;
         }
-        schedule(target, bytes);
+        long delayNanos = from.blockedNanos();
+        schedule(target, bytes, delayNanos);
         if (mFaultsEnabled && mRandom.nextInt(100) < 3) {
             countFault(InjectedFault.DOUBLED);
-            schedule(target, bytes);
+            schedule(target, bytes, delayNanos);
         }
     }
 
@@ -252,8 +256,8 @@
         }
     }
 
-    private void schedule(int target, byte[] bytes) {
-        long delay = millisToNanos(1) + mRandom.nextLong(millisToNanos(4));
+    private void schedule(int target, byte[] bytes, long delayNanos) {
+        long delay = delayNanos + millisToNanos(1) + mRandom.nextLong(millisToNanos(4));
         if (mFaultsEnabled && mRandom.nextInt(100) < 3) {
             countFault(InjectedFault.LATE);
             delay += mRandom.nextLong(millisToNanos(4000));
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/FileDisk.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/FileDisk.java
@@ -25,6 +25,7 @@
     private boolean mIsInterrupted;
 
     private int mLeftOpen;
+    private long mSyncs;
 
     /**
      * Creates an empty disk.
@@ -49,6 +50,9 @@
     }
 
     private boolean refuses(DiskOperation operation) {
+        if (operation == DiskOperation.SYNC || operation == DiskOperation.SYNC_FOLDER) {
+            mSyncs++;
+        }
         if (--mOperationsUntilCrash <= 0) {
             mOperationsUntilCrash = Long.MAX_VALUE;
             mIsInterrupted = true;
@@ -108,6 +112,11 @@
         mDisk.setTornSixteenths(failsAtSync ? 0 : 8);
     }
 
+    @Override
+    public long syncs() {
+        return mSyncs;
+    }
+
     @Override
     public long replicaId() {
         return mStore == null ? 0 : mStore.recovered().hardState().replicaId();
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/InMemoryLogStore.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/InMemoryLogStore.java
@@ -38,6 +38,8 @@
         /** What can be read until the process ends, although no sync has covered all of it. */
         List<Entry> mReadableEntries = new ArrayList<>();
 
+        private long mSyncs;
+
         Disk(Variant variant, long replicaId) {
             mVariant = variant;
             mHardState = HardState.fresh(replicaId);
@@ -80,6 +82,11 @@
             mFailsAtSync = failsAtSync;
         }
 
+        @Override
+        public long syncs() {
+            return mSyncs;
+        }
+
         @Override
         public long replicaId() {
             return mDamaged ? 0 : mHardState.replicaId();
@@ -173,6 +180,7 @@
     @Override
     public void saveHardState(HardState hardState) {
         crashIfDue();
+        mDisk.mSyncs++;
         refuseIfFull();
         mDisk.mHardState = hardState;
     }
@@ -206,6 +214,7 @@
     @Override
     public void sync() {
         crashIfDue();
+        mDisk.mSyncs++;
         refuseIfFull();
         if (mDisk.mVariant != Variant.ACKNOWLEDGES_UNSYNCED) {
             int count = Math.min(mSyncableCount, mEntries.size());
@@ -216,6 +225,7 @@
     @Override
     public void saveSnapshot(SnapshotMeta meta, byte[] state) {
         crashIfDue();
+        mDisk.mSyncs++;
         refuseIfFull();
         if (mDisk.mRefusesSnapshots) {
             throw HemlockrackException.of(ErrorKind.STORAGE_FAILED, "no space for a snapshot");
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedDisk.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedDisk.java
@@ -39,6 +39,9 @@
      */
     void setFull(boolean full, boolean failsAtSync);
 
+    /** Returns the number of syncs that the disk was asked for, those of folders included. */
+    long syncs();
+
     /** Returns the id of the replica on the disk, or 0 while its files are damaged. */
     long replicaId();
 
--- a/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedInstance.java
+++ b/hemlockrack-core/src/test/java/org/hemlockrack/consensus/SimulatedInstance.java
@@ -50,6 +50,9 @@
 
     private long mStalledSinceNanos;
 
+    /** The syncs of the disk before the current step. */
+    private long mSyncsBeforeStep;
+
     SimulatedInstance(ClusterSimulation simulation, InstanceId id) {
         mSimulation = simulation;
         mId = id;
@@ -126,14 +129,21 @@
         }
         mStalledEvents = null;
         mSimulation.mSteps++;
+        mSyncsBeforeStep = mDisk.syncs();
         try {
             mNode.step(startNanos, events, this);
+            mBusyUntilNanos = mSimulation.mNowNanos + blockedNanos();
             reportLog();
         } catch (HemlockrackException e) {
             suspend(e);
         }
     }
 
+    /** Returns for how long the syncs of the current step have blocked the process so far. */
+    long blockedNanos() {
+        return (mDisk.syncs() - mSyncsBeforeStep) * mSimulation.mSyncNanos;
+    }
+
     private void suspend(HemlockrackException cause) {
         if (cause.kind() != ErrorKind.STORAGE_FAILED) {
             throw cause;
