Drop the start time of ElectionTimeout, share the check of a leader's contacts

The time at which a replica starts changed nothing: it is only read once terms have failed, and a term that fails comes before it. Leadership compared the time since the last message of a member in two places. No change of behaviour.

Run: RegressionsTest, ClusterDiskFaultsTest, FirstStartTest, ReplacedMachineTest, SlowDiskTest (44 tests), with the linter.

--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/ElectionTimeout.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/ElectionTimeout.java
@@ -25,22 +25,20 @@
     /** Whether an entry of the current term is committed; also true of the term at the start. */
     private boolean mHasCommitted = true;
 
-    /** When the first entry of the current term was committed, or the replica started. */
+    /** When the first entry of the current term was committed; 0 before the first such commit. */
     private long mCommitNanos;
 
-    private ElectionTimeout(long shortestNanos, long nowNanos) {
+    private ElectionTimeout(long shortestNanos) {
         mShortestNanos = shortestNanos;
-        mCommitNanos = nowNanos;
     }
 
     /**
      * Creates the timeout of a replica that starts.
      *
      * @param shortestNanos the timeout of the settings
-     * @param nowNanos monotonic time
      */
-    static ElectionTimeout create(long shortestNanos, long nowNanos) {
-        return new ElectionTimeout(shortestNanos, nowNanos);
+    static ElectionTimeout create(long shortestNanos) {
+        return new ElectionTimeout(shortestNanos);
     }
 
     void onTermStarted(long nowNanos) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Leadership.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/Leadership.java
@@ -87,12 +87,15 @@
     private boolean hasHeardFrom(long replicaId) {
         MemberProgress progress = mProgressByReplica.get(replicaId);
         long limitNanos = mState.mElectionTimeout.leaderNanos(mState.mNowNanos);
-        return progress != null && mState.mNowNanos - progress.mLastHeardNanos < limitNanos;
+        return progress != null && wasHeardWithinNanos(progress, limitNanos);
     }
 
     boolean wasHeardWithin(MemberProgress progress, int timeouts) {
-        long limit = timeouts * mState.mSettings.electionTimeoutNanos();
-        return mState.mNowNanos - progress.mLastHeardNanos < limit;
+        return wasHeardWithinNanos(progress, timeouts * mState.mSettings.electionTimeoutNanos());
+    }
+
+    private boolean wasHeardWithinNanos(MemberProgress progress, long limitNanos) {
+        return mState.mNowNanos - progress.mLastHeardNanos < limitNanos;
     }
 
     @Nullable MemberProgress progress(long replicaId) {
--- a/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/RaftState.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/consensus/internal/RaftState.java
@@ -83,7 +83,7 @@
         mRandom = random;
         mSnapshot = recovered.snapshot();
         mNowNanos = nowNanos;
-        mElectionTimeout = ElectionTimeout.create(settings.electionTimeoutNanos(), nowNanos);
+        mElectionTimeout = ElectionTimeout.create(settings.electionTimeoutNanos());
         if (mSnapshot != null) {
             mCommitIndex = mSnapshot.index();
             mMembershipsByIndex.put(mSnapshot.index(), mSnapshot.membership());
