Throw for malformed lines and lengths in one place

MessageLineBuffer and ResponseLines, and ResponseInput and OperatorConnection, each turned a violation into a MalformedMessageException by the same lines. LineSyntax and LengthFields do so now. No change of behaviour.

--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/OperatorConnection.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/OperatorConnection.java
@@ -21,9 +21,6 @@
 import org.hemlockrack.http.ChunkedBodySyntax;
 import org.hemlockrack.http.HeadSyntax;
 import org.hemlockrack.http.LengthFields;
-import org.hemlockrack.http.MalformedMessageException;
-import org.hemlockrack.http.SyntaxRule;
-import org.hemlockrack.http.SyntaxViolation;
 
 /** A connection to an operator port, which refuses malformed responses. */
 final class OperatorConnection extends DefaultBHttpClientConnection {
@@ -74,10 +71,7 @@
                     new LengthFields(
                             values(response, HttpHeaders.CONTENT_LENGTH),
                             values(response, HttpHeaders.TRANSFER_ENCODING));
-            SyntaxRule violation = fields.findViolation(isHttp10);
-            if (violation != null) {
-                throw MalformedMessageException.of(SyntaxViolation.ofHead(violation));
-            }
+            fields.check(isHttp10);
             return response;
         }
 
--- a/hemlockrack-cli/src/main/java/org/hemlockrack/cli/ResponseLines.java
+++ b/hemlockrack-cli/src/main/java/org/hemlockrack/cli/ResponseLines.java
@@ -8,8 +8,6 @@
 import org.apache.hc.core5.http.io.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
 import org.hemlockrack.http.LineSyntax;
-import org.hemlockrack.http.MalformedMessageException;
-import org.hemlockrack.http.SyntaxViolation;
 
 /** The input of a connection, which checks the syntax of the lines that are read from it. */
 final class ResponseLines implements SessionInputBuffer {
@@ -36,10 +34,7 @@
         if (result < 0 || endBytes == 0) {
             throw new ConnectionClosedException("the connection ended inside a response");
         }
-        SyntaxViolation violation = mSyntax.findViolation(text, endBytes == CR_LF_BYTES);
-        if (violation != null) {
-            throw MalformedMessageException.of(violation);
-        }
+        mSyntax.check(text, endBytes == CR_LF_BYTES);
         return result;
     }
 
--- a/hemlockrack-core/src/main/java/org/hemlockrack/http/LengthFields.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/http/LengthFields.java
@@ -42,6 +42,19 @@
         return hasLength ? null : SyntaxRule.CONTENT_LENGTH;
     }
 
+    /**
+     * Checks the fields.
+     *
+     * @param isHttp10 whether the message is one of HTTP/1.0
+     * @throws MalformedMessageException with the rule that they violate
+     */
+    public void check(boolean isHttp10) throws MalformedMessageException {
+        SyntaxRule violation = findViolation(isHttp10);
+        if (violation != null) {
+            throw MalformedMessageException.of(SyntaxViolation.ofHead(violation));
+        }
+    }
+
     /**
      * Returns the value of a Content-Length field.
      *
--- a/hemlockrack-core/src/main/java/org/hemlockrack/http/LineSyntax.java
+++ b/hemlockrack-core/src/main/java/org/hemlockrack/http/LineSyntax.java
@@ -13,12 +13,15 @@
      *
      * @param text the line without its end
      * @param endsWithCrLf whether the line ends with CR LF, and not with LF alone
-     * @return the first violation, or null
+     * @throws MalformedMessageException with the first violation
      */
-    public final @Nullable SyntaxViolation findViolation(CharSequence text, boolean endsWithCrLf) {
+    public final void check(CharSequence text, boolean endsWithCrLf)
+            throws MalformedMessageException {
         mLines++;
         SyntaxViolation violation = findNextViolation(text, endsWithCrLf);
-        return violation == null ? null : violation.atLine(mLines);
+        if (violation != null) {
+            throw MalformedMessageException.of(violation.atLine(mLines));
+        }
     }
 
     abstract @Nullable SyntaxViolation findNextViolation(CharSequence text, boolean endsWithCrLf);
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/MessageLineBuffer.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/MessageLineBuffer.java
@@ -7,8 +7,6 @@
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
 import org.hemlockrack.http.LineSyntax;
-import org.hemlockrack.http.MalformedMessageException;
-import org.hemlockrack.http.SyntaxViolation;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -62,10 +60,7 @@
         CharSequence text = line.subSequence(start, line.length());
         // Each byte of a line is read as one character; its end is left out.
         int endBytes = unreadBytes - mDelegate.length() - text.length();
-        SyntaxViolation violation = mSyntax.findViolation(text, endBytes == CR_LF_BYTES);
-        if (violation != null) {
-            throw MalformedMessageException.of(violation);
-        }
+        mSyntax.check(text, endBytes == CR_LF_BYTES);
         return true;
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ResponseInput.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/ResponseInput.java
@@ -14,9 +14,6 @@
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.http.nio.SessionOutputBuffer;
 import org.hemlockrack.http.HeadSyntax;
-import org.hemlockrack.http.MalformedMessageException;
-import org.hemlockrack.http.SyntaxRule;
-import org.hemlockrack.http.SyntaxViolation;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -58,10 +55,7 @@
     private static void checkLength(HttpResponse response) throws IOException {
         ProtocolVersion version = response.getVersion();
         boolean isHttp10 = version != null && version.lessEquals(HttpVersion.HTTP_1_0);
-        SyntaxRule violation = HeaderField.lengthFieldsOf(response).findViolation(isHttp10);
-        if (violation != null) {
-            throw MalformedMessageException.of(SyntaxViolation.ofHead(violation));
-        }
+        HeaderField.lengthFieldsOf(response).check(isHttp10);
     }
 
     /**
