Accept no more connections than a port can have open

Above its limit a port closes new connections, but only once an I/O thread has seen them. The accepting thread did not wait for that. When the I/O threads were behind, it took all descriptors of the process; accept then failed with "Too many open files", which ends HttpCore's accepting thread, and the port served no new connection until the process was started again.

AcceptThrottle delays the accepting thread while the connections that are open or wait for an I/O thread are eight above the limit.

--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpLimits.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpLimits.java
@@ -31,6 +31,9 @@
     /** Part of the limit that still gets an error response above it. */
     private static final long REFUSED_DIVISOR = 8;
 
+    /** Connections above the hard limit that are open until the I/O threads have closed them. */
+    private static final int CLOSING_CONNECTIONS = 8;
+
     /** Returns limits for a port with external callers. */
     public static HttpLimits defaults() {
         return new HttpLimits(1 << 20, 100, 8 << 10, 10_000, 180_000, 10_000, 30_000, 30_000, 2);
@@ -71,4 +74,9 @@
         return maxConnections
                 + Math.max(MIN_REFUSED_CONNECTIONS, (int) (maxConnections / REFUSED_DIVISOR));
     }
+
+    /** Returns the number of accepted connections above which accepting is delayed. */
+    public int maxAcceptedConnections() {
+        return hardMaxConnections() + CLOSING_CONNECTIONS;
+    }
 }
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/http/HttpPort.java
@@ -124,7 +124,7 @@
                 null,
                 limiter,
                 null,
-                null,
+                AcceptThrottle.of(limits),
                 null);
     }
 
--- a/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/DescriptorShare.java
+++ b/hemlockrack-daemon/src/main/java/org/hemlockrack/daemon/settings/DescriptorShare.java
@@ -29,7 +29,7 @@
 
     private static final int WHOLE = 16;
 
-    /** Descriptors for files, class archives and listening ports. */
+    /** Descriptors for files, class archives, listening ports and connections to be closed. */
     private static final long RESERVED = 200;
 
     /** Part of few descriptors that is reserved. */
