HttpPortMemoryTest: keep the idle times of two connections apart

longestIdleConnectionEndsForANewOne opened the second connection as soon as the first client had read its response. The port notes the end of a response on its I/O thread; with both noted within 0.1 ms the second could count as idle for longer, and was closed instead of the first. Both traced failures show that; the one connection that was closed was the longest idle one by the port's count.

Its checks are the same.

--- a/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortMemoryTest.java
+++ b/hemlockrack-daemon/src/test/java/org/hemlockrack/daemon/http/HttpPortMemoryTest.java
@@ -77,6 +77,8 @@
         String request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
         try (RawClient first = RawClient.connect(mPort).write(request)) {
             answer(first);
+            // The port may note the end of a response after the client has read it.
+            Thread.sleep(STALL_MILLIS);
             try (RawClient second = RawClient.connect(mPort).write(request)) {
                 answer(second);
                 Thread.sleep(2 * STALL_MILLIS);
